--- /dev/null
+++ b/decoder/error.go
@@ -0,0 +1,96 @@
+package decoder
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// The error types of the OpenAI error object.
+const (
+	TypeInvalidRequest = "invalid_request_error"
+	TypeAuthentication = "authentication_error"
+	TypePermission     = "permission_error"
+	TypeRateLimit      = "rate_limit_error"
+	TypeServer         = "server_error"
+)
+
+// The headers of answers.
+const (
+	HeaderRequestID = "Siskinfront-Request-Id"
+	HeaderModel     = "Siskinfront-Model"
+	HeaderVersion   = "Siskinfront-Version"
+	HeaderOutcome   = "Siskinfront-Outcome"
+)
+
+// Error is an error as a caller sees it.
+type Error struct {
+	Status  int
+	Code    string
+	Type    string
+	Message string
+	// Outcome defaults to not-run.
+	Outcome streamer.Outcome
+	// RetryAt is zero when a retry is of no use.
+	RetryAt time.Time
+	// Cause is kept for logs and never shown to the caller.
+	Cause error
+}
+
+// Error returns the code and the message.
+func (e *Error) Error() string {
+	return fmt.Sprintf("decoder: %s: %s", e.Code, e.Message)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Cause
+}
+
+// Invalid returns an error of status 400.
+func Invalid(code, text string) *Error {
+	return &Error{Status: http.StatusBadRequest, Code: code, Type: TypeInvalidRequest, Message: text}
+}
+
+type errorBody struct {
+	Error errorObject `json:"error"`
+}
+
+type errorObject struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code"`
+}
+
+// Object returns the OpenAI error object as JSON.
+func (e *Error) Object() []byte {
+	b, err := json.Marshal(errorBody{Error: errorObject{Message: e.Message, Type: e.Type, Code: e.Code}})
+	if err != nil {
+		panic("decoder: encode error object: " + err.Error())
+	}
+	return b
+}
+
+// Write sends the error with its outcome, and Retry-After if a retry time is set.
+func (e *Error) Write(w http.ResponseWriter, now time.Time) {
+	outcome := e.Outcome
+	if outcome == "" {
+		outcome = streamer.OutcomeNotRun
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderOutcome, string(outcome))
+	if !e.RetryAt.IsZero() {
+		seconds := math.Ceil(e.RetryAt.Sub(now).Seconds())
+		h.Set("Retry-After", strconv.Itoa(int(max(1, seconds))))
+	}
+	w.WriteHeader(e.Status)
+	// The caller may have gone; there is nobody else to tell.
+	_, _ = w.Write(append(e.Object(), '\n'))
+}
--- /dev/null
+++ b/decoder/request.go
@@ -0,0 +1,144 @@
+package decoder
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+// MaxBody bounds a caller's body in bytes.
+const MaxBody = 4 << 20
+
+// bytesPerToken estimates tokens from bytes of text; it only weighs work, bills count the engine's own figure.
+const bytesPerToken = 4
+
+// The headers that callers may set.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderWorkKind       = "Siskinfront-Work-Kind"
+	HeaderSession        = "Siskinfront-Session"
+	HeaderIdempotent     = "Siskinfront-Idempotent"
+	HeaderDeadline       = "Siskinfront-Deadline"
+)
+
+// Request is a caller's request after decoding.
+type Request struct {
+	Model          identifier.Model
+	Stream         bool
+	MaxTokens      int
+	PromptTokens   int
+	WorkKind       identifier.WorkKind
+	Session        identifier.Session
+	IdempotencyKey string
+	// NonIdempotent is set when the caller forbids a second run.
+	NonIdempotent bool
+	// Deadline is zero when the caller states none.
+	Deadline time.Time
+	// Body is the caller's body as received.
+	Body []byte
+}
+
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type completion struct {
+	Model               identifier.Model `json:"model"`
+	Stream              bool             `json:"stream"`
+	MaxTokens           *int             `json:"max_tokens"`
+	MaxCompletionTokens *int             `json:"max_completion_tokens"`
+	Messages            []message        `json:"messages"`
+}
+
+// Decode reads a chat completion request; every error is a *Error with outcome not-run.
+func Decode(r *http.Request, now time.Time) (*Request, error) {
+	req, err := decodeHeaders(r.Header, now)
+	if err != nil {
+		return nil, err
+	}
+	body, err := ReadBody(r)
+	if err != nil {
+		return nil, err
+	}
+	var c completion
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, Invalid("malformed-json", "the body is not a valid chat completion request")
+	}
+	if c.Model == "" {
+		return nil, Invalid("missing-model", "the body names no model")
+	}
+	if len(c.Messages) == 0 {
+		return nil, Invalid("missing-messages", "the body has no messages")
+	}
+	req.Model = c.Model
+	req.Stream = c.Stream
+	req.Body = body
+	for _, m := range c.Messages {
+		req.PromptTokens += len(m.Content)/bytesPerToken + 1
+	}
+	for _, n := range []*int{c.MaxTokens, c.MaxCompletionTokens} {
+		if n == nil {
+			continue
+		}
+		if *n <= 0 {
+			return nil, Invalid("invalid-max-tokens", "the token limit must be positive")
+		}
+		req.MaxTokens = *n
+	}
+	return req, nil
+}
+
+// ReadBody reads a body of at most MaxBody bytes.
+func ReadBody(r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, MaxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, &Error{
+			Status: http.StatusRequestEntityTooLarge, Code: "body-too-large", Type: TypeInvalidRequest,
+			Message: fmt.Sprintf("the body exceeds %d bytes", MaxBody),
+		}
+	}
+	if err != nil {
+		return nil, Invalid("unreadable-body", "the body could not be read")
+	}
+	return body, nil
+}
+
+func decodeHeaders(h http.Header, now time.Time) (*Request, error) {
+	for _, name := range []string{
+		HeaderIdempotencyKey, HeaderWorkKind, HeaderSession, HeaderIdempotent, HeaderDeadline, "Authorization",
+	} {
+		if len(h.Values(name)) > 1 {
+			return nil, Invalid("duplicate-header", "the header "+name+" was sent twice")
+		}
+	}
+	req := &Request{
+		WorkKind:       identifier.WorkKind(h.Get(HeaderWorkKind)),
+		Session:        identifier.Session(h.Get(HeaderSession)),
+		IdempotencyKey: h.Get(HeaderIdempotencyKey),
+	}
+	switch h.Get(HeaderIdempotent) {
+	case "", "true":
+	case "false":
+		req.NonIdempotent = true
+	default:
+		return nil, Invalid("invalid-header", HeaderIdempotent+" must be true or false")
+	}
+	if text := h.Get(HeaderDeadline); text != "" {
+		deadline, err := time.Parse(time.RFC3339Nano, text)
+		if err != nil {
+			return nil, Invalid("invalid-deadline", HeaderDeadline+" must be a time of RFC 3339")
+		}
+		if !deadline.After(now) {
+			return nil, Invalid("deadline-in-the-past", "the deadline has passed")
+		}
+		req.Deadline = deadline
+	}
+	return req, nil
+}
--- /dev/null
+++ b/interpreter/chart.go
@@ -0,0 +1,110 @@
+package interpreter
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/goccy/go-yaml"
+)
+
+// State names a state of a chart.
+type State string
+
+// Event names an event that a chart reacts to.
+type Event string
+
+// ErrNoTransition is returned by Fire when the current state does not react to the event.
+var ErrNoTransition = errors.New("interpreter: no transition")
+
+// Chart is an immutable state chart, safe for concurrent use; make one with Parse.
+type Chart struct {
+	Name    string                    `yaml:"name"`
+	Initial State                     `yaml:"initial"`
+	States  map[State]StateDefinition `yaml:"states"`
+}
+
+// StateDefinition lists the transitions of one state; a final state has none.
+type StateDefinition struct {
+	Final bool            `yaml:"final"`
+	On    map[Event]State `yaml:"on"`
+}
+
+// Parse reads a chart and refuses unknown keys, missing targets and final states with transitions.
+func Parse(b []byte) (*Chart, error) {
+	var c Chart
+	if err := yaml.UnmarshalWithOptions(b, &c, yaml.Strict()); err != nil {
+		return nil, fmt.Errorf("interpreter: parse chart: %w", err)
+	}
+	if _, ok := c.States[c.Initial]; !ok {
+		return nil, fmt.Errorf("interpreter: chart %s: initial state %q is not defined", c.Name, c.Initial)
+	}
+	for name, s := range c.States {
+		if s.Final && len(s.On) > 0 {
+			return nil, fmt.Errorf("interpreter: chart %s: final state %q has transitions", c.Name, name)
+		}
+		for event, next := range s.On {
+			if _, ok := c.States[next]; !ok {
+				return nil, fmt.Errorf("interpreter: chart %s: state %q on %q leads to undefined state %q",
+					c.Name, name, event, next)
+			}
+		}
+	}
+	return &c, nil
+}
+
+// MustParse is Parse for embedded charts and panics on an error.
+func MustParse(b []byte) *Chart {
+	c, err := Parse(b)
+	if err != nil {
+		panic(err.Error())
+	}
+	return c
+}
+
+// Next returns the state that follows from on event, or ErrNoTransition.
+func (c *Chart) Next(from State, event Event) (State, error) {
+	next, ok := c.States[from].On[event]
+	if !ok {
+		return from, fmt.Errorf("%w: chart %s, state %q, event %q", ErrNoTransition, c.Name, from, event)
+	}
+	return next, nil
+}
+
+// Machine is one run of a chart; it is not safe for concurrent use.
+type Machine struct {
+	chart *Chart
+	state State
+}
+
+// NewMachine returns a machine in the chart's initial state.
+func NewMachine(c *Chart) *Machine {
+	return &Machine{chart: c, state: c.Initial}
+}
+
+// Restore returns a machine in a state that was stored before, or an error if the chart does not define it.
+func Restore(c *Chart, s State) (*Machine, error) {
+	if _, ok := c.States[s]; !ok {
+		return nil, fmt.Errorf("interpreter: chart %s: state %q is not defined", c.Name, s)
+	}
+	return &Machine{chart: c, state: s}, nil
+}
+
+// State returns the current state.
+func (m *Machine) State() State {
+	return m.state
+}
+
+// Fire applies an event; on ErrNoTransition the state is unchanged.
+func (m *Machine) Fire(event Event) error {
+	next, err := m.chart.Next(m.state, event)
+	if err != nil {
+		return err
+	}
+	m.state = next
+	return nil
+}
+
+// Final reports whether the machine has reached a final state.
+func (m *Machine) Final() bool {
+	return m.chart.States[m.state].Final
+}
--- /dev/null
+++ b/streamer/doc.go
@@ -0,0 +1,2 @@
+// Package streamer defines the order and the answer frames that pass between entry and agent over HTTP.
+package streamer
--- /dev/null
+++ b/streamer/frame.go
@@ -0,0 +1,97 @@
+package streamer
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+// Kind is the kind of a frame.
+type Kind string
+
+// The kinds of frames, in the order in which they may occur.
+const (
+	KindAccepted  Kind = "accepted"
+	KindStarted   Kind = "started"
+	KindToken     Kind = "token"
+	KindHeartbeat Kind = "heartbeat"
+	KindDone      Kind = "done"
+	KindRefused   Kind = "refused"
+	KindFailed    Kind = "failed"
+)
+
+// Outcome says whether a request ran.
+type Outcome string
+
+// The outcomes of a request.
+const (
+	// OutcomeNotRun means that no upstream started the request and none will.
+	OutcomeNotRun Outcome = "not-run"
+	// OutcomeRun means that an upstream ran the request.
+	OutcomeRun Outcome = "run"
+	// OutcomeUnknown means that the request may have run.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Order is what an entry asks an agent to run.
+type Order struct {
+	Request       identifier.Request       `json:"request-id"`
+	Attempt       int                      `json:"attempt"`
+	ClientAccount identifier.ClientAccount `json:"client-account"`
+	WorkKind      identifier.WorkKind      `json:"work-kind"`
+	Rank          identifier.Rank          `json:"rank"`
+	Target        identifier.Target        `json:"target"`
+	Service       identifier.Service       `json:"service,omitempty"`
+	Session       identifier.Session       `json:"session,omitempty"`
+	// Deadline is the time after which the answer is of no use.
+	Deadline      time.Time `json:"deadline"`
+	NonIdempotent bool      `json:"non-idempotent"`
+	// PromptTokens and MaxTokens estimate the cost of the run in tokens.
+	PromptTokens int `json:"prompt-tokens"`
+	MaxTokens    int `json:"max-tokens"`
+	// Revision is the configuration under which the entry decided.
+	Revision uint64 `json:"revision"`
+}
+
+// Usage counts the tokens of one run.
+type Usage struct {
+	PromptTokens     int `json:"prompt-tokens"`
+	CachedTokens     int `json:"cached-tokens"`
+	CompletionTokens int `json:"completion-tokens"`
+}
+
+// Load is the load of one upstream at a point in time.
+type Load struct {
+	At      time.Time `json:"at"`
+	Running int       `json:"running"`
+	// Queued counts waiting requests by rank, the most urgent first.
+	Queued []int `json:"queued"`
+	// TokenRate is the output of the engine in tokens per second.
+	TokenRate float64 `json:"token-rate"`
+	// Wait is the estimated time until a new request of the lowest rank starts.
+	Wait    time.Duration `json:"wait"`
+	Leaving bool          `json:"leaving"`
+}
+
+// Frame is one part of an answer; frames are numbered from 1 without gaps.
+type Frame struct {
+	Sequence uint64             `json:"sequence"`
+	Request  identifier.Request `json:"request-id"`
+	Kind     Kind               `json:"kind"`
+	// Data is the engine's chunk for a token frame, and the error text for a failed or refused one.
+	Data    json.RawMessage `json:"data,omitempty"`
+	Outcome Outcome         `json:"outcome,omitempty"`
+	Code    string          `json:"code,omitempty"`
+	Usage   *Usage          `json:"usage,omitempty"`
+	Load    *Load           `json:"load,omitempty"`
+	// RetryAt is when a refused request is worth sending again.
+	RetryAt time.Time `json:"retry-at,omitzero"`
+	// Frames is set on done and counts all frames, so that an early end is never taken for the whole answer.
+	Frames uint64 `json:"frames,omitempty"`
+}
+
+// Final reports whether the frame ends the stream.
+func (f *Frame) Final() bool {
+	return f.Kind == KindDone || f.Kind == KindRefused || f.Kind == KindFailed
+}
