bencher: define experiments, reports and bounds

Cause: every measured decision needs one table, plot and verdict format. Conclusion: base for the experiments.

--- /dev/null
+++ b/bencher/doc.go
@@ -0,0 +1,2 @@
+// Package bencher defines the experiments of the bench command and renders their reports.
+package bencher
--- a/command.go
+++ b/command.go
@@ -19,7 +19,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newDemoCommand(), newVersionCommand())
+	root.AddCommand(newBenchCommand(), newDemoCommand(), newVersionCommand())
 	return root
 }
 
--- /dev/null
+++ b/command_bench.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/siskinfront/siskinfront/bencher"
+)
+
+// experiments lists the experiments of the bench command.
+func experiments() []bencher.Experiment {
+	return []bencher.Experiment{}
+}
+
+func newBenchCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:     "bench NAME",
+		Short:   "Run an experiment and compare it with the bounds of the target",
+		Example: "  siskinfront bench cost --seed 7",
+	}
+	for _, e := range experiments() {
+		cmd.AddCommand(newExperimentCommand(e))
+	}
+	return cmd
+}
+
+func newExperimentCommand(e bencher.Experiment) *cobra.Command {
+	var (
+		p            bencher.Params
+		output, plot string
+	)
+	cmd := &cobra.Command{
+		Use:     e.Name,
+		Short:   e.Short,
+		Example: fmt.Sprintf("  siskinfront bench %s --seed 7", e.Name),
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			report, err := e.Run(cmd.Context(), p)
+			if err != nil {
+				return fmt.Errorf("bench %s: %w", e.Name, err)
+			}
+			write := report.WriteTable
+			if output == "json" {
+				write = report.WriteJSON
+			}
+			if err := write(cmd.OutOrStdout()); err != nil {
+				return err
+			}
+			if plot != "" {
+				if err := report.WritePlot(e.Name, plot); err != nil {
+					return err
+				}
+			}
+			return report.Check()
+		},
+	}
+	cmd.Flags().Uint64Var(&p.Seed, "seed", 1, "seed of every random choice")
+	cmd.Flags().DurationVar(&p.Duration, "duration", 0*time.Second, "bound of the run; 0 means the experiment's default")
+	cmd.Flags().StringVar(&output, "output", "table", "table or json")
+	cmd.Flags().StringVar(&plot, "plot", "", "file for a plot, .png or .svg")
+	return cmd
+}
