--- /dev/null
+++ b/replayer/trace.go
@@ -0,0 +1,136 @@
+package replayer
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+// ErrTrace is wrapped by every error about the content of a trace.
+var ErrTrace = errors.New("replayer: invalid trace")
+
+// maxLine bounds one line of a trace in bytes.
+const maxLine = 1 << 20
+
+// Entry is one request of a trace.
+type Entry struct {
+	// Offset is the time of the request after the start of the trace.
+	Offset        Offset                   `json:"offset"`
+	ClientAccount identifier.ClientAccount `json:"client-account"`
+	WorkKind      identifier.WorkKind      `json:"work-kind"`
+	Model         identifier.Model         `json:"model"`
+	Session       identifier.Session       `json:"session,omitempty"`
+	// IdempotencyKey makes a repeat of the entry return the first result.
+	IdempotencyKey string `json:"idempotency-key,omitempty"`
+	Stream         bool   `json:"stream,omitempty"`
+	MaxTokens      int    `json:"max-tokens"`
+	Prompt         string `json:"prompt"`
+	Expect         Expect `json:"expect"`
+}
+
+// Expect states the outcome that a caller must see.
+type Expect struct {
+	// Statuses lists the permitted status codes.
+	Statuses []int `json:"statuses"`
+	// Code is the permitted error code when the status is not 200; empty permits any.
+	Code string `json:"code,omitempty"`
+	// SameAnswerAs is the index of an earlier entry whose answer must be returned again; 0 means none, 1 is the first.
+	SameAnswerAs int `json:"same-answer-as,omitempty"`
+}
+
+// Permits reports whether a status and an error code are among the stated outcomes.
+func (e Expect) Permits(status int, code string) bool {
+	return slices.Contains(e.Statuses, status) && (status == 200 || e.Code == "" || e.Code == code)
+}
+
+// Offset is a time after the start of a trace, written like 1.5s.
+type Offset time.Duration
+
+// MarshalText writes the offset like 1.5s.
+func (o Offset) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(o).String()), nil
+}
+
+// UnmarshalText reads an offset like 1.5s and refuses negative ones.
+func (o *Offset) UnmarshalText(b []byte) error {
+	d, err := time.ParseDuration(string(b))
+	if err != nil {
+		return fmt.Errorf("%w: offset %q: %w", ErrTrace, b, err)
+	}
+	if d < 0 {
+		return fmt.Errorf("%w: offset %q is negative", ErrTrace, b)
+	}
+	*o = Offset(d)
+	return nil
+}
+
+// Trace is a recorded sequence of requests in the order of their offsets.
+type Trace struct {
+	Entries []Entry
+}
+
+// Read reads a trace of one JSON object a line; an error names the line.
+func Read(r io.Reader) (*Trace, error) {
+	var t Trace
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 0, 4096), maxLine)
+	for n := 1; s.Scan(); n++ {
+		if len(bytes.TrimSpace(s.Bytes())) == 0 {
+			continue
+		}
+		e, err := decodeEntry(s.Bytes())
+		if err != nil {
+			return nil, fmt.Errorf("replayer: line %d: %w", n, err)
+		}
+		if err := t.add(e); err != nil {
+			return nil, fmt.Errorf("replayer: line %d: %w", n, err)
+		}
+	}
+	if err := s.Err(); err != nil {
+		return nil, fmt.Errorf("replayer: read trace: %w", err)
+	}
+	return &t, nil
+}
+
+func decodeEntry(line []byte) (Entry, error) {
+	var e Entry
+	d := json.NewDecoder(bytes.NewReader(line))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&e); err != nil {
+		return Entry{}, fmt.Errorf("%w: %w", ErrTrace, err)
+	}
+	return e, nil
+}
+
+func (t *Trace) add(e Entry) error {
+	switch {
+	case e.ClientAccount == "":
+		return fmt.Errorf("%w: client-account is missing", ErrTrace)
+	case len(e.Expect.Statuses) == 0:
+		return fmt.Errorf("%w: expect.statuses is empty", ErrTrace)
+	case e.Expect.SameAnswerAs < 0 || e.Expect.SameAnswerAs > len(t.Entries):
+		return fmt.Errorf("%w: expect.same-answer-as %d is no earlier entry", ErrTrace, e.Expect.SameAnswerAs)
+	case len(t.Entries) > 0 && e.Offset < t.Entries[len(t.Entries)-1].Offset:
+		return fmt.Errorf("%w: offset is before that of the entry above", ErrTrace)
+	}
+	t.Entries = append(t.Entries, e)
+	return nil
+}
+
+// Write writes the trace, one JSON object a line.
+func (t *Trace) Write(w io.Writer) error {
+	e := json.NewEncoder(w)
+	for i := range t.Entries {
+		if err := e.Encode(&t.Entries[i]); err != nil {
+			return fmt.Errorf("replayer: write entry %d: %w", i+1, err)
+		}
+	}
+	return nil
+}
