enginefaker: model continuous batching, prefix cache, commands and faults

Cause: the stand-in had a fixed interval per token and no faults. Change: batch with shared token rate and priorities, prefix cache with late and lossy events, resume, cancel, KV export and import, fencing, fault seams, and a plain service that counts executions. Conclusion: base for the fault tests.

--- a/enginefaker/doc.go
+++ b/enginefaker/doc.go
@@ -1,2 +1,2 @@
-// Package enginefaker is a small stand-in for a model engine, for tests and the demo.
+// Package enginefaker has small stand-ins for a model engine and a plain service, for tests, experiments and the demo.
 package enginefaker
--- a/enginefaker/engine.go
+++ b/enginefaker/engine.go
@@ -1,83 +1,137 @@
 package enginefaker
 
 import (
-	"encoding/json"
-	"fmt"
 	"net/http"
+	"sync"
 	"time"
+
+	"github.com/siskinfront/siskinfront/identifier"
 )
 
-// Engine answers chat completions with a fixed text of tokens.
+// Engine is a model engine with continuous batching; its exported fields are set before the first request.
 type Engine struct {
 	// Tokens is the number of tokens of an answer without a smaller limit.
 	Tokens int
-	// Interval is the time between tokens.
+	// Interval is the shortest time between two tokens of one stream.
 	Interval time.Duration
+	// TokenRate is the output in tokens per second that the running batch shares; 0 means no limit.
+	TokenRate float64
+	// PrefillRate is the prompt tokens per second that one stream prefills; 0 means no limit.
+	PrefillRate float64
+	// MaxBatch bounds the streams that run at the same time.
+	MaxBatch int
+	// CacheBlocks bounds the prefix cache in blocks.
+	CacheBlocks int
+	// LoadLag is the age that a load report may reach before it is renewed.
+	LoadLag time.Duration
+	// EventDelay is the time after which a cache event becomes visible.
+	EventDelay time.Duration
+	// CheckToken makes commands with a stale fencing token fail.
+	CheckToken bool
+	// Now returns the current time.
+	Now func() time.Time
+
+	// Fail returns the status with which a request fails before it starts, or 0.
+	Fail func(r identifier.Request) int
+	// Stall reports whether the stream stops for good before a token.
+	Stall func(r identifier.Request, token int) bool
+	// Slow returns an extra delay before a token.
+	Slow func(r identifier.Request, token int) time.Duration
+	// Cut reports whether the connection is closed before a token.
+	Cut func(r identifier.Request, token int) bool
+	// LoseEvent reports whether a cache event is never published.
+	LoseEvent func(sequence uint64) bool
 
 	mux *http.ServeMux
+
+	mu         sync.Mutex
+	running    []*sequence
+	waiting    []*sequence
+	stepping   bool
+	arrivals   uint64
+	executions map[identifier.Request]int
+	cancelled  int64
+	preempted  int64
+	produced   int64
+	cache      prefixCache
+	control    controlState
+	load       LoadReport
 }
 
+// Option configures an Engine.
+type Option func(*Engine)
+
+const (
+	defaultTokens   = 16
+	defaultMaxBatch = 256
+	defaultBlocks   = 4096
+)
+
 // New returns an engine that answers with 16 tokens without delay.
 func New(opts ...Option) *Engine {
-	e := &Engine{Tokens: 16, mux: http.NewServeMux()}
+	e := &Engine{
+		Tokens: defaultTokens, MaxBatch: defaultMaxBatch, CacheBlocks: defaultBlocks, Now: time.Now,
+		Fail:       func(identifier.Request) int { return 0 },
+		Stall:      func(identifier.Request, int) bool { return false },
+		Slow:       func(identifier.Request, int) time.Duration { return 0 },
+		Cut:        func(identifier.Request, int) bool { return false },
+		LoseEvent:  func(uint64) bool { return false },
+		mux:        http.NewServeMux(),
+		executions: map[identifier.Request]int{},
+		cache:      newPrefixCache(),
+		control:    controlState{loaded: map[string]bool{}},
+	}
 	for _, opt := range opts {
 		opt(e)
 	}
 	e.mux.HandleFunc("POST /v1/chat/completions", e.handleCompletion)
+	e.mux.HandleFunc("POST /control/{command}", e.handleControl)
+	e.mux.HandleFunc("GET /load", e.handleLoad)
+	e.mux.HandleFunc("GET /cache-events", e.handleCacheEvents)
 	return e
 }
 
-// Option configures an Engine.
-type Option func(*Engine)
-
-// WithInterval sets the time between tokens.
+// WithInterval sets the shortest time between two tokens of one stream.
 func WithInterval(interval time.Duration) Option {
 	return func(e *Engine) { e.Interval = interval }
 }
 
+// WithTokens sets the number of tokens of an answer.
+func WithTokens(n int) Option {
+	return func(e *Engine) { e.Tokens = n }
+}
+
+// WithBatch sets the largest batch and the token rate that it shares.
+func WithBatch(n int, tokenRate float64) Option {
+	return func(e *Engine) { e.MaxBatch, e.TokenRate = n, tokenRate }
+}
+
+// WithNow sets the clock.
+func WithNow(now func() time.Time) Option {
+	return func(e *Engine) { e.Now = now }
+}
+
 // ServeHTTP serves the engine's API.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mux.ServeHTTP(w, r)
 }
 
-type completionRequest struct {
-	Model     string            `json:"model"`
-	MaxTokens int               `json:"max_tokens"`
-	Messages  []json.RawMessage `json:"messages"`
+// Executions returns how often a request was started from its first token; it is safe for concurrent use.
+func (e *Engine) Executions(r identifier.Request) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.executions[r]
 }
 
-func (e *Engine) handleCompletion(w http.ResponseWriter, r *http.Request) {
-	var req completionRequest
-	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
-		http.Error(w, "enginefaker: malformed request", http.StatusBadRequest)
-		return
-	}
-	n := e.Tokens
-	if req.MaxTokens > 0 {
-		n = min(n, req.MaxTokens)
+// Counters returns the totals since the start.
+func (e *Engine) Counters() map[string]int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var started int64
+	for _, n := range e.executions {
+		started += int64(n)
 	}
-	w.Header().Set("Content-Type", "text/event-stream")
-	id := r.Header.Get("Siskinfront-Request-Id")
-	for i := range n {
-		if e.Interval > 0 {
-			select {
-			case <-time.After(e.Interval):
-			case <-r.Context().Done():
-				return
-			}
-		}
-		finish := "null"
-		if i == n-1 {
-			finish = `"stop"`
-		}
-		fmt.Fprintf(w, `data: {"id":"chatcmpl-%s","object":"chat.completion.chunk","created":%d,"model":%q,`+
-			`"choices":[{"index":0,"delta":{"role":"assistant","content":"t%d "},"finish_reason":%s}]}`+"\n\n",
-			id, time.Now().Unix(), req.Model, i, finish)
-		if f, ok := w.(http.Flusher); ok {
-			f.Flush()
-		}
+	return map[string]int64{
+		"started": started, "cancelled": e.cancelled, "preempted": e.preempted, "tokens": e.produced,
 	}
-	fmt.Fprintf(w, `data: {"id":"chatcmpl-%s","object":"chat.completion.chunk","created":%d,"model":%q,"choices":[],`+
-		`"usage":{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d}}`+"\n\ndata: [DONE]\n\n",
-		id, time.Now().Unix(), req.Model, len(req.Messages), n, len(req.Messages)+n)
 }
