--- /dev/null
+++ b/agentserver/bill.go
@@ -0,0 +1,90 @@
+package agentserver
+
+import (
+	"sync"
+	"time"
+
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// maxBills bounds the bills that are not yet durable; at about 250 bytes each they take 16 MB.
+const maxBills = 1 << 16
+
+// Bill is the record of one run; all runs of a request share its ID, so that the request is billed once.
+type Bill struct {
+	ID            string                   `json:"id"`
+	Request       identifier.Request       `json:"request-id"`
+	ClientAccount identifier.ClientAccount `json:"client-account"`
+	WorkKind      identifier.WorkKind      `json:"work-kind"`
+	Rank          identifier.Rank          `json:"rank"`
+	Target        identifier.Target        `json:"target"`
+	Service       identifier.Service       `json:"service,omitempty"`
+	Usage         streamer.Usage           `json:"usage"`
+	// Final is set when the run was complete.
+	Final bool      `json:"final"`
+	At    time.Time `json:"at"`
+}
+
+// billBook holds bills until they are durable; it is safe for concurrent use.
+type billBook struct {
+	mu    sync.Mutex
+	bills map[string]Bill
+}
+
+func (b *billBook) add(bill Bill) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.bills == nil {
+		b.bills = map[string]Bill{}
+	}
+	if old, ok := b.bills[bill.ID]; ok && old.Final && !bill.Final {
+		return
+	}
+	b.bills[bill.ID] = bill
+}
+
+func (b *billBook) len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.bills)
+}
+
+func (b *billBook) full() bool {
+	return b.len() >= maxBills
+}
+
+// addBill records the usage of a run; a nil usage counts the tokens that were passed on.
+func (s *Server) addBill(r *run, u *streamer.Usage, final bool) {
+	if u == nil {
+		u = &streamer.Usage{PromptTokens: r.order.PromptTokens, CompletionTokens: r.tokens}
+	}
+	o := r.order
+	s.bills.add(Bill{
+		ID: string(o.Request), Request: o.Request, ClientAccount: o.ClientAccount, WorkKind: o.WorkKind, Rank: o.Rank,
+		Target: o.Target, Service: o.Service, Usage: *u, Final: final, At: s.Now(),
+	})
+}
+
+// PendingBills returns at most n bills that are not yet known to be durable.
+func (s *Server) PendingBills(n int) []Bill {
+	s.bills.mu.Lock()
+	defer s.bills.mu.Unlock()
+	bills := make([]Bill, 0, min(n, len(s.bills.bills)))
+	for _, b := range s.bills.bills {
+		if len(bills) == n {
+			break
+		}
+		bills = append(bills, b)
+	}
+	return bills
+}
+
+// BillsDurable forgets bills that are durable elsewhere.
+func (s *Server) BillsDurable(ids []string) {
+	s.bills.mu.Lock()
+	defer s.bills.mu.Unlock()
+	for _, id := range ids {
+		delete(s.bills.bills, id)
+	}
+}
--- /dev/null
+++ b/agentserver/execute.go
@@ -0,0 +1,182 @@
+package agentserver
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// headerRequestID names the request towards the upstream.
+const headerRequestID = "Siskinfront-Request-Id"
+
+// execute admits and runs one order and adds its final frame.
+func (s *Server) execute(r *run) {
+	ctx, cancel := context.WithDeadlineCause(r.ctx, r.order.Deadline, context.DeadlineExceeded)
+	defer cancel()
+	load := s.currentLoad()
+	if err := r.replay.Append(ctx, streamer.Frame{Kind: streamer.KindAccepted, Load: &load}); err != nil {
+		s.end(r, s.interrupted(ctx, r))
+		return
+	}
+	var a attempt = &engineAttempt{s: s, r: r}
+	if r.order.Call != nil {
+		a = &serviceAttempt{s: s, r: r}
+	}
+	for {
+		final, err := s.once(ctx, r, a)
+		if errors.Is(err, errPreempted) {
+			s.counters.preempted.Add(1)
+			continue
+		}
+		s.end(r, final)
+		return
+	}
+}
+
+// attempt is one way to run an order at the upstream; run may be called again after errPreempted and continues then.
+type attempt interface {
+	run(ctx context.Context) (streamer.Frame, error)
+}
+
+// once waits for a slot and runs the order in it. It returns errPreempted if the slot was withdrawn before the end.
+func (s *Server) once(ctx context.Context, r *run, a attempt) (streamer.Frame, error) {
+	ticket, err := s.Admit(ctx, Item{Order: r.order, Cost: float64(r.order.PromptTokens + r.order.MaxTokens - r.tokens)})
+	var refusal *Refusal
+	switch {
+	case err == nil:
+	case errors.As(err, &refusal) && r.outcomeNow() == streamer.OutcomeNotRun:
+		return refusedFrame(refusal), nil
+	case errors.As(err, &refusal):
+		// A preempted run was refused its next slot.
+		if r.tokens > 0 {
+			s.addBill(r, nil, false)
+		}
+		return streamer.Frame{Kind: streamer.KindFailed, Code: refusal.Code, Outcome: r.outcomeNow()}, nil
+	default:
+		return s.interrupted(ctx, r), nil
+	}
+	before := r.tokens
+	defer func() { ticket.Finish(r.tokens - before) }()
+	if !s.Now().Before(r.order.Deadline) {
+		return s.interrupted(ctx, r), nil
+	}
+	if r.outcomeNow() == streamer.OutcomeNotRun {
+		// The configuration may have changed while the order waited.
+		if err := s.check(r.order); errors.As(err, &refusal) {
+			return refusedFrame(refusal), nil
+		}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if ticket.Preempted != nil {
+		go func() {
+			select {
+			case <-ticket.Preempted:
+				cancel(errPreempted)
+			case <-ctx.Done():
+			}
+		}()
+	}
+	return a.run(ctx)
+}
+
+func refusedFrame(refusal *Refusal) streamer.Frame {
+	return streamer.Frame{
+		Kind: streamer.KindRefused, Code: refusal.Code, Outcome: streamer.OutcomeNotRun, RetryAt: refusal.RetryAt,
+	}
+}
+
+// interrupted returns the final frame of a run whose context ended or whose deadline passed.
+func (s *Server) interrupted(ctx context.Context, r *run) streamer.Frame {
+	f := streamer.Frame{Kind: streamer.KindFailed, Code: "deadline-passed", Outcome: r.outcomeNow()}
+	switch {
+	case errors.Is(context.Cause(r.ctx), errCancelled):
+		f.Code = "cancelled"
+	case errors.Is(context.Cause(r.ctx), errEntryGone):
+		f.Code = "entry-gone"
+	case ctx.Err() == nil && s.Now().Before(r.order.Deadline):
+		f.Code = "interrupted"
+	}
+	if f.Outcome == streamer.OutcomeNotRun {
+		f.Kind = streamer.KindRefused
+	}
+	return f
+}
+
+// send hands a request to the upstream. The frame is the final one if there is no response to read.
+func (s *Server) send(ctx context.Context, r *run, method, path string, headers map[string]string, body []byte) (
+	*http.Response, *streamer.Frame, error,
+) {
+	hr, err := http.NewRequestWithContext(ctx, method, "http://"+s.address.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, &streamer.Frame{
+			Kind: streamer.KindFailed, Code: "invalid-call", Outcome: r.outcomeNow(),
+		}, nil
+	}
+	for name, v := range headers {
+		hr.Header.Set(name, v)
+	}
+	hr.Header.Set(headerRequestID, string(r.order.Request))
+	hr.Header.Set("Siskinfront-Attempt", strconv.Itoa(r.order.Attempt))
+	first, ok := r.give()
+	if !ok {
+		f := s.interrupted(ctx, r)
+		return nil, &f, nil
+	}
+	client := s.client
+	if r.order.NonIdempotent {
+		// The transport may repeat some requests on its own, but only after the failure of a reused connection.
+		client = s.fresh
+	}
+	resp, err := client.Do(hr)
+	if err == nil {
+		return resp, nil, nil
+	}
+	var op *net.OpError
+	code := "upstream-broken"
+	if errors.As(err, &op) && op.Op == "dial" && first {
+		r.retract()
+		code = "upstream-unreachable"
+	}
+	if errors.Is(context.Cause(ctx), errPreempted) {
+		return nil, nil, errPreempted
+	}
+	if ctx.Err() != nil {
+		f := s.interrupted(ctx, r)
+		return nil, &f, nil
+	}
+	return nil, &streamer.Frame{Kind: streamer.KindFailed, Code: code, Outcome: r.outcomeNow()}, nil
+}
+
+// engineBody rewrites the caller's body for the engine: the chosen version, always streamed, with usage.
+func (s *Server) engineBody(r *run) ([]byte, error) {
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal(r.payload, &fields); err != nil {
+		return nil, fmt.Errorf("agentserver: decode body: %w", err)
+	}
+	priority := 0
+	if cfg := s.Configuration(); cfg != nil {
+		priority = max(0, cfg.RankIndex(r.order.Rank))
+	}
+	model, err := json.Marshal(r.order.Target.String())
+	if err != nil {
+		return nil, fmt.Errorf("agentserver: encode model: %w", err)
+	}
+	fields["model"] = model
+	fields["stream"] = json.RawMessage("true")
+	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	fields["max_tokens"] = strconv.AppendInt(nil, int64(r.order.MaxTokens), 10)
+	fields["priority"] = strconv.AppendInt(nil, int64(priority), 10)
+	if r.tokens > 0 {
+		fields["resume_from"] = strconv.AppendInt(nil, int64(r.tokens), 10)
+	}
+	delete(fields, "max_completion_tokens")
+	return json.Marshal(fields)
+}
--- a/agentserver/server.go
+++ b/agentserver/server.go
@@ -1,195 +1,192 @@
 package agentserver
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
-	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/streamer"
 )
 
-// maxOrder bounds the order and the caller's body in bytes.
-const maxOrder = 8 << 20
+const (
+	// maxOrder bounds the order and the caller's body in bytes.
+	maxOrder = 8 << 20
+	// maxRuns bounds the runs that the agent remembers, finished ones included.
+	maxRuns = 1 << 16
+	// defaultResumeWindow is the time for which a run continues without a reader.
+	defaultResumeWindow = 10 * time.Second
+	// maxIdleConnections bounds the idle connections kept to the upstream.
+	maxIdleConnections = 256
+)
 
-// Server is the agent role in front of one engine.
+// Server is the agent role; its function fields are set before the first request and not changed afterwards.
 type Server struct {
 	// Upstream names the upstream that the agent stands beside.
 	Upstream identifier.Upstream
 	// Now returns the current time.
 	Now func() time.Time
+	// Configuration returns the configuration in force, or nil while there is none.
+	Configuration func() *configurer.Configuration
+	// Admit waits for a slot; its error is a *Refusal, which is always not-run, or that of the context.
+	Admit func(ctx context.Context, it Item) (Ticket, error)
+	// Load returns the load that frames report.
+	Load func() streamer.Load
+	// Loaded reports whether the engine has a version loaded.
+	Loaded func(identifier.Target) bool
+	// ResumeWindow is the time for which a run continues without a reader, and for which its frames are kept after that.
+	ResumeWindow time.Duration
+
+	address  netip.AddrPort
+	client   *http.Client
+	fresh    *http.Client
+	mux      *http.ServeMux
+	bills    billBook
+	counters counters
+	fence    fence
+
+	mu       sync.Mutex
+	runs     map[runKey]*run
+	draining bool
+	idle     chan struct{}
+	active   int
+}
 
-	engine netip.AddrPort
-	client *http.Client
-	mux    *http.ServeMux
+type counters struct {
+	accepted, attached, refused, done, failed, cancelled, preempted atomic.Int64
 }
 
 // Option configures a Server.
 type Option func(*Server)
 
-// New returns an agent for the engine at an address.
-func New(name identifier.Upstream, engine netip.AddrPort, opts ...Option) *Server {
-	s := &Server{Upstream: name, Now: time.Now, engine: engine, client: &http.Client{}, mux: http.NewServeMux()}
+// New returns an agent for the engine or plain service at an address. Without WithAdmit it admits in order of arrival.
+func New(name identifier.Upstream, upstream netip.AddrPort, opts ...Option) *Server {
+	q := newQueue(defaultSlots, defaultQueue)
+	s := &Server{
+		Upstream: name, Now: time.Now, address: upstream,
+		Configuration: func() *configurer.Configuration { return nil },
+		Admit:         q.admit,
+		Loaded:        func(identifier.Target) bool { return true },
+		ResumeWindow:  defaultResumeWindow,
+		client: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true,
+		}},
+		fresh: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
+		mux:   http.NewServeMux(),
+		runs:  map[runKey]*run{},
+		idle:  make(chan struct{}),
+	}
+	s.Load = func() streamer.Load { return q.load(s.Now()) }
 	for _, opt := range opts {
 		opt(s)
 	}
 	s.mux.HandleFunc("POST /run", s.handleRun)
+	s.mux.HandleFunc("GET /run/{id}", s.handleResume)
+	s.mux.HandleFunc("DELETE /run/{id}", s.handleCancel)
+	s.mux.HandleFunc("POST /control/{command}", s.handleControl)
 	return s
 }
 
-// ServeHTTP serves the agent's side of the answer protocol.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mux.ServeHTTP(w, r)
+// WithNow sets the clock.
+func WithNow(now func() time.Time) Option {
+	return func(s *Server) { s.Now = now }
 }
 
-func (s *Server) handleRun(w http.ResponseWriter, r *http.Request) {
-	body := bufio.NewReader(http.MaxBytesReader(w, r.Body, maxOrder))
-	line, err := body.ReadBytes('\n')
-	if err != nil {
-		http.Error(w, "agentserver: order line is missing", http.StatusBadRequest)
-		return
-	}
-	var order streamer.Order
-	if err := json.Unmarshal(line, &order); err != nil {
-		http.Error(w, "agentserver: order is malformed", http.StatusBadRequest)
-		return
-	}
-	payload, err := io.ReadAll(body)
-	if err != nil {
-		http.Error(w, "agentserver: body is unreadable", http.StatusBadRequest)
-		return
-	}
-	w.Header().Set("Content-Type", "application/x-ndjson")
-	frames := streamer.NewWriter(flushWriter{w}, order.Request)
-	if err := s.run(r.Context(), frames, order, payload); err != nil {
-		// The entry is gone or has been told by a failed frame; either way the run is over.
-		return
-	}
+// WithConfiguration sets the source of the configuration in force.
+func WithConfiguration(f func() *configurer.Configuration) Option {
+	return func(s *Server) { s.Configuration = f }
 }
 
-// flushWriter sends each write at once, so that no token waits for the next.
-type flushWriter struct {
-	w http.ResponseWriter
+// WithAdmit sets the admission and the load that it reports.
+func WithAdmit(admit func(context.Context, Item) (Ticket, error), load func() streamer.Load) Option {
+	return func(s *Server) { s.Admit, s.Load = admit, load }
 }
 
-// Write writes and flushes b.
-func (f flushWriter) Write(b []byte) (int, error) {
-	n, err := f.w.Write(b)
-	if fl, ok := f.w.(http.Flusher); ok {
-		fl.Flush()
+// WithQueue sets the slots and the places of the built-in queue.
+func WithQueue(slots, places int) Option {
+	return func(s *Server) {
+		q := newQueue(slots, places)
+		s.Admit = q.admit
+		s.Load = func() streamer.Load { return q.load(s.Now()) }
 	}
-	return n, err
 }
 
-// run calls the engine and copies its events to frames.
-func (s *Server) run(ctx context.Context, frames *streamer.Writer, order streamer.Order, payload []byte) error {
-	if err := frames.Write(streamer.Frame{Kind: streamer.KindAccepted}); err != nil {
-		return err
-	}
-	request, err := engineBody(payload, order)
-	if err != nil {
-		return s.fail(frames, "malformed-body", streamer.OutcomeNotRun, err)
-	}
-	hr, err := http.NewRequestWithContext(ctx, http.MethodPost,
-		"http://"+s.engine.String()+"/v1/chat/completions", bytes.NewReader(request))
-	if err != nil {
-		return s.fail(frames, "internal", streamer.OutcomeNotRun, err)
-	}
-	hr.Header.Set("Content-Type", "application/json")
-	hr.Header.Set("Siskinfront-Request-Id", string(order.Request))
-	resp, err := s.client.Do(hr)
-	if err != nil {
-		return s.fail(frames, "engine-unreachable", streamer.OutcomeUnknown, err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return s.fail(frames, "engine-refused", streamer.OutcomeNotRun, fmt.Errorf("status %d", resp.StatusCode))
-	}
-	if err := frames.Write(streamer.Frame{Kind: streamer.KindStarted}); err != nil {
-		return err
-	}
-	return s.copyEvents(resp.Body, frames)
-}
-
-func (s *Server) copyEvents(body io.Reader, frames *streamer.Writer) error {
-	var usage *streamer.Usage
-	scanner := bufio.NewScanner(body)
-	for scanner.Scan() {
-		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
-		if !ok {
-			continue
-		}
-		if data == "[DONE]" {
-			return frames.Write(streamer.Frame{Kind: streamer.KindDone, Usage: usage, Outcome: streamer.OutcomeRun})
-		}
-		var c engineChunk
-		if err := json.Unmarshal([]byte(data), &c); err != nil {
-			return s.fail(frames, "engine-malformed", streamer.OutcomeRun, err)
-		}
-		if c.Usage != nil {
-			usage = c.Usage.usage()
-			continue
-		}
-		if err := frames.Write(streamer.Frame{Kind: streamer.KindToken, Data: json.RawMessage(data)}); err != nil {
-			return err
-		}
-	}
-	return s.fail(frames, "engine-ended-early", streamer.OutcomeRun, scanner.Err())
+// WithLoaded sets the test for loaded versions.
+func WithLoaded(f func(identifier.Target) bool) Option {
+	return func(s *Server) { s.Loaded = f }
 }
 
-func (s *Server) fail(frames *streamer.Writer, code string, outcome streamer.Outcome, cause error) error {
-	if err := frames.Write(streamer.Frame{Kind: streamer.KindFailed, Code: code, Outcome: outcome}); err != nil {
-		return err
-	}
-	return fmt.Errorf("agentserver: run at %s: %s: %w", s.Upstream, code, cause)
+// WithResumeWindow sets the time for which a run continues without a reader.
+func WithResumeWindow(d time.Duration) Option {
+	return func(s *Server) { s.ResumeWindow = d }
 }
 
-type engineChunk struct {
-	Usage *engineUsage `json:"usage"`
+// WithTransport sets the transport towards the upstream.
+func WithTransport(t http.RoundTripper) Option {
+	return func(s *Server) { s.client.Transport, s.fresh.Transport = t, t }
+}
+
+// ServeHTTP serves the agent's side of the response protocol and the commands to the engine.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(w, r)
 }
 
-type engineUsage struct {
-	PromptTokens        int `json:"prompt_tokens"`
-	CompletionTokens    int `json:"completion_tokens"`
-	PromptTokensDetails struct {
-		CachedTokens int `json:"cached_tokens"`
-	} `json:"prompt_tokens_details"`
+// Drain refuses new orders from now on and returns once all running ones have ended, or with the error of ctx.
+func (s *Server) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	s.draining = true
+	done := s.active == 0
+	s.mu.Unlock()
+	if done {
+		return nil
+	}
+	select {
+	case <-s.idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
-func (u *engineUsage) usage() *streamer.Usage {
-	return &streamer.Usage{
-		PromptTokens: u.PromptTokens, CompletionTokens: u.CompletionTokens,
-		CachedTokens: u.PromptTokensDetails.CachedTokens,
+// Counters returns the totals since the start.
+func (s *Server) Counters() map[string]int64 {
+	c := &s.counters
+	return map[string]int64{
+		"orders-accepted": c.accepted.Load(), "orders-attached": c.attached.Load(), "orders-refused": c.refused.Load(),
+		"runs-done": c.done.Load(), "runs-failed": c.failed.Load(), "runs-cancelled": c.cancelled.Load(),
+		"runs-preempted": c.preempted.Load(),
 	}
 }
 
-type streamOptions struct {
-	IncludeUsage bool `json:"include_usage"`
+// State is the part of the agent that the state dump shows.
+type State struct {
+	Upstream     identifier.Upstream `json:"upstream"`
+	Active       int                 `json:"active"`
+	Remembered   int                 `json:"remembered"`
+	Draining     bool                `json:"draining"`
+	BillsPending int                 `json:"bills-pending"`
+	FencingToken uint64              `json:"fencing-token"`
+	Load         streamer.Load       `json:"load"`
 }
 
-// engineBody rewrites the caller's body for the engine: the chosen version, always streamed, with usage.
-func engineBody(payload []byte, order streamer.Order) ([]byte, error) {
-	fields := map[string]json.RawMessage{}
-	if err := json.Unmarshal(payload, &fields); err != nil {
-		return nil, fmt.Errorf("agentserver: decode body: %w", err)
-	}
-	for name, v := range map[string]any{
-		"model": order.Target.String(), "stream": true, "max_tokens": order.MaxTokens,
-		"stream_options": streamOptions{IncludeUsage: true},
-	} {
-		b, err := json.Marshal(v)
-		if err != nil {
-			return nil, fmt.Errorf("agentserver: encode %s: %w", name, err)
-		}
-		fields[name] = b
-	}
-	delete(fields, "max_completion_tokens")
-	return json.Marshal(fields)
+// State returns a State.
+func (s *Server) State() any {
+	s.mu.Lock()
+	st := State{Upstream: s.Upstream, Active: s.active, Remembered: len(s.runs), Draining: s.draining}
+	s.mu.Unlock()
+	st.BillsPending, st.FencingToken, st.Load = s.bills.len(), s.fence.token(), s.currentLoad()
+	return st
+}
+
+// currentLoad is Load with the agent's own draining state.
+func (s *Server) currentLoad() streamer.Load {
+	l := s.Load()
+	s.mu.Lock()
+	l.Leaving = l.Leaving || s.draining
+	s.mu.Unlock()
+	return l
 }
--- /dev/null
+++ b/authenticator/account.go
@@ -0,0 +1,96 @@
+package authenticator
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"strings"
+	"sync/atomic"
+
+	"github.com/siskinfront/siskinfront/configurer"
+)
+
+// ErrUnknownKey is returned for a missing, malformed or unknown key.
+var ErrUnknownKey = errors.New("authenticator: key is missing or unknown")
+
+type digest = [sha256.Size]byte
+
+// table finds owners by the hash of their key. A lookup compares only the hashes that share a 64-bit prefix, in
+// constant time; the prefix itself reveals nothing, because a caller cannot choose the hash of a key.
+type table[T any] map[uint64][]owned[T]
+
+type owned[T any] struct {
+	sum   digest
+	owner T
+}
+
+func prefixOf(sum *digest) uint64 {
+	return binary.LittleEndian.Uint64(sum[:8])
+}
+
+// add stores the owner of a hexadecimal hash and ignores malformed ones, which the configuration check rejects.
+func (t table[T]) add(sha string, owner T) {
+	var sum digest
+	if n, err := hex.Decode(sum[:], []byte(sha)); err != nil || n != len(sum) {
+		return
+	}
+	p := prefixOf(&sum)
+	t[p] = append(t[p], owned[T]{sum, owner})
+}
+
+func (t table[T]) find(key string) (T, bool) {
+	sum := sha256.Sum256([]byte(key))
+	var found T
+	ok := false
+	for _, o := range t[prefixOf(&sum)] {
+		if subtle.ConstantTimeCompare(sum[:], o.sum[:]) == 1 {
+			found, ok = o.owner, true
+		}
+	}
+	return found, ok
+}
+
+// Accounts finds the client account of a key; the zero value is ready and safe for concurrent use.
+type Accounts struct {
+	current atomic.Pointer[accountIndex]
+}
+
+type accountIndex struct {
+	cfg   *configurer.Configuration
+	table table[*configurer.ClientAccount]
+}
+
+// Find returns the client account of a key under cfg, or ErrUnknownKey. The index is built once per configuration.
+func (a *Accounts) Find(cfg *configurer.Configuration, key string) (*configurer.ClientAccount, error) {
+	index := a.current.Load()
+	if index == nil || index.cfg != cfg {
+		index = newAccountIndex(cfg)
+		a.current.Store(index)
+	}
+	account, ok := index.table.find(key)
+	if !ok || key == "" {
+		return nil, ErrUnknownKey
+	}
+	return account, nil
+}
+
+func newAccountIndex(cfg *configurer.Configuration) *accountIndex {
+	index := &accountIndex{cfg: cfg, table: table[*configurer.ClientAccount]{}}
+	for i := range cfg.ClientAccounts {
+		for _, k := range cfg.ClientAccounts[i].Keys {
+			index.table.add(k.SHA256, &cfg.ClientAccounts[i])
+		}
+	}
+	return index
+}
+
+// Bearer returns the key of an Authorization header, or an empty string.
+func Bearer(header string) string {
+	scheme, key, _ := strings.Cut(header, " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
--- a/decoder/error.go
+++ b/decoder/error.go
@@ -25,7 +25,7 @@
 	HeaderRequestID = "Siskinfront-Request-Id"
 	HeaderModel     = "Siskinfront-Model"
 	HeaderVersion   = "Siskinfront-Version"
-	HeaderOutcome   = "Siskinfront-Outcome"
+	HeaderOutcome   = streamer.HeaderOutcome
 )
 
 // Error is an error as a caller sees it.
@@ -66,11 +66,22 @@
 	Type    string  `json:"type"`
 	Param   *string `json:"param"`
 	Code    string  `json:"code"`
+	// Outcome repeats the outcome header, which a stream that has begun cannot send any more.
+	Outcome streamer.Outcome `json:"outcome"`
+}
+
+// TrueOutcome returns the outcome, not-run if none is set.
+func (e *Error) TrueOutcome() streamer.Outcome {
+	if e.Outcome == "" {
+		return streamer.OutcomeNotRun
+	}
+	return e.Outcome
 }
 
 // Object returns the OpenAI error object as JSON.
 func (e *Error) Object() []byte {
-	b, err := json.Marshal(errorBody{Error: errorObject{Message: e.Message, Type: e.Type, Code: e.Code}})
+	o := errorObject{Message: e.Message, Type: e.Type, Code: e.Code, Outcome: e.TrueOutcome()}
+	b, err := json.Marshal(errorBody{Error: o})
 	if err != nil {
 		panic("decoder: encode error object: " + err.Error())
 	}
@@ -79,13 +90,9 @@
 
 // Write sends the error with its outcome, and Retry-After if a retry time is set.
 func (e *Error) Write(w http.ResponseWriter, now time.Time) {
-	outcome := e.Outcome
-	if outcome == "" {
-		outcome = streamer.OutcomeNotRun
-	}
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
-	h.Set(HeaderOutcome, string(outcome))
+	h.Set(HeaderOutcome, string(e.TrueOutcome()))
 	if !e.RetryAt.IsZero() {
 		seconds := math.Ceil(e.RetryAt.Sub(now).Seconds())
 		h.Set("Retry-After", strconv.Itoa(int(max(1, seconds))))
--- a/decoder/request.go
+++ b/decoder/request.go
@@ -8,12 +8,21 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/siskinfront/siskinfront/identifier"
 )
 
 // MaxBody bounds a caller's body in bytes.
 const MaxBody = 4 << 20
 
+const (
+	// prefixBytes is the length of the prompt that counts for affinity; system prompts are rarely shorter.
+	prefixBytes = 1024
+	// maxHeader bounds the value of each header that callers may set, in bytes.
+	maxHeader = 256
+)
+
 // bytesPerToken estimates tokens from bytes of text; it only weighs work, bills count the engine's own figure.
 const bytesPerToken = 4
 
@@ -39,6 +48,10 @@
 	NonIdempotent bool
 	// Deadline is zero when the caller states none.
 	Deadline time.Time
+	// IncludeUsage is set when a streaming caller wants the usage as its last chunk.
+	IncludeUsage bool
+	// Prefix is a hash of the start of the prompt, for affinity to upstreams that cached it.
+	Prefix uint64
 	// Body is the caller's body as received.
 	Body []byte
 }
@@ -53,7 +66,11 @@
 	Stream              bool             `json:"stream"`
 	MaxTokens           *int             `json:"max_tokens"`
 	MaxCompletionTokens *int             `json:"max_completion_tokens"`
+	N                   *int             `json:"n"`
 	Messages            []message        `json:"messages"`
+	StreamOptions       *struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
 }
 
 // Decode reads a chat completion request; every error is a *Error with outcome not-run.
@@ -76,7 +93,12 @@
 	if len(c.Messages) == 0 {
 		return nil, Invalid("missing-messages", "the body has no messages")
 	}
+	if c.N != nil && *c.N != 1 {
+		return nil, Invalid("unsupported-n", "only one choice per request is supported")
+	}
 	req.Model = c.Model
+	req.IncludeUsage = c.StreamOptions != nil && c.StreamOptions.IncludeUsage
+	req.Prefix = prefix(c.Messages)
 	req.Stream = c.Stream
 	req.Body = body
 	for _, m := range c.Messages {
@@ -94,6 +116,34 @@
 	return req, nil
 }
 
+// DecodeService reads a call to a plain service; every error is a *Error with outcome not-run.
+func DecodeService(r *http.Request, now time.Time) (*Request, error) {
+	req, err := decodeHeaders(r.Header, now)
+	if err != nil {
+		return nil, err
+	}
+	if req.Body, err = ReadBody(r); err != nil {
+		return nil, err
+	}
+	return req, nil
+}
+
+// prefix hashes at most prefixBytes of the first messages.
+func prefix(messages []message) uint64 {
+	d := xxhash.New()
+	left := prefixBytes
+	for _, m := range messages {
+		n := min(left, len(m.Content))
+		// Writes to the digest never fail.
+		_, _ = d.WriteString(m.Role)
+		_, _ = d.Write(m.Content[:n])
+		if left -= n; left == 0 {
+			break
+		}
+	}
+	return d.Sum64()
+}
+
 // ReadBody reads a body of at most MaxBody bytes.
 func ReadBody(r *http.Request) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, MaxBody))
@@ -117,6 +167,9 @@
 		if len(h.Values(name)) > 1 {
 			return nil, Invalid("duplicate-header", "the header "+name+" was sent twice")
 		}
+		if len(h.Get(name)) > maxHeader {
+			return nil, Invalid("invalid-header", "the header "+name+" is too long")
+		}
 	}
 	req := &Request{
 		WorkKind:       identifier.WorkKind(h.Get(HeaderWorkKind)),
--- a/demonstrator/deployment.go
+++ b/demonstrator/deployment.go
@@ -15,7 +15,6 @@
 	"github.com/siskinfront/siskinfront/enginefaker"
 	"github.com/siskinfront/siskinfront/entryserver"
 	"github.com/siskinfront/siskinfront/identifier"
-	"github.com/siskinfront/siskinfront/selector"
 )
 
 // shutdownTime bounds the graceful shutdown of one listener of the demo.
@@ -57,7 +56,7 @@
 }
 
 // choose takes the upstreams in turn.
-func (d *deployment) choose(context.Context, identifier.Target, selector.Query) (entryserver.Upstream, error) {
+func (d *deployment) choose(context.Context, entryserver.Choice) (entryserver.Upstream, error) {
 	return d.upstreams[d.next.Add(1)%uint64(len(d.upstreams))], nil
 }
 
--- a/entryserver/answer.go
+++ b/entryserver/answer.go
@@ -11,81 +11,145 @@
 	"github.com/siskinfront/siskinfront/streamer"
 )
 
-// chunk is the part of an engine's chunk that a whole answer is assembled from.
+var errNoFinish = errors.New("entryserver: response has no finish reason")
+
+// chunk is the part of an engine's chunk that a unary response is assembled from.
 type chunk struct {
 	ID      string `json:"id"`
 	Created int64  `json:"created"`
 	Model   string `json:"model"`
 	Choices []struct {
 		Delta struct {
-			Content string `json:"content"`
+			Content   string     `json:"content"`
+			Refusal   string     `json:"refusal"`
+			ToolCalls []toolCall `json:"tool_calls"`
 		} `json:"delta"`
 		FinishReason *string `json:"finish_reason"`
 	} `json:"choices"`
 }
 
-// answer writes the answer of one request to its caller, as a whole or as server-sent events.
+type toolCall struct {
+	Index    int    `json:"index"`
+	ID       string `json:"id"`
+	Type     string `json:"type"`
+	Function struct {
+		Name      string `json:"name"`
+		Arguments string `json:"arguments"`
+	} `json:"function"`
+}
+
+// maxToolCalls bounds the tool calls of one response.
+const maxToolCalls = 128
+
+// answer is the response to a chat completion, unary or streamed.
 type answer struct {
 	w            http.ResponseWriter
 	stream       bool
-	begun        bool
-	last         chunk
-	text         strings.Builder
-	finishReason string
+	includeUsage bool
+	// keep is set when a streamed response is also stored.
+	keep     bool
+	sent     bool
+	buf      []byte
+	stored   []byte
+	last     chunk
+	text     strings.Builder
+	refusal  strings.Builder
+	tools    []toolCall
+	finished string
+	body     []byte
 }
 
-func newAnswer(w http.ResponseWriter, stream bool) *answer {
-	return &answer{w: w, stream: stream, finishReason: "stop"}
+func newAnswer(w http.ResponseWriter, req *decoder.Request) *answer {
+	return &answer{w: w, stream: req.Stream, includeUsage: req.IncludeUsage, keep: req.IdempotencyKey != ""}
 }
 
-func (a *answer) token(data json.RawMessage) error {
+func (a *answer) started(*streamer.Frame) error { return nil }
+
+func (a *answer) token(f *streamer.Frame) error {
 	if a.stream {
-		return a.event(data)
+		return a.event(f.Data)
 	}
-	if err := json.Unmarshal(data, &a.last); err != nil {
+	var c chunk
+	if err := json.Unmarshal(f.Data, &c); err != nil {
 		return fmt.Errorf("entryserver: decode chunk: %w", err)
 	}
-	for _, c := range a.last.Choices {
-		a.text.WriteString(c.Delta.Content)
-		if c.FinishReason != nil {
-			a.finishReason = *c.FinishReason
+	a.last = c
+	for i := range c.Choices {
+		d := &c.Choices[i].Delta
+		a.text.WriteString(d.Content)
+		a.refusal.WriteString(d.Refusal)
+		for _, t := range d.ToolCalls {
+			if err := a.tool(t); err != nil {
+				return err
+			}
 		}
+		if r := c.Choices[i].FinishReason; r != nil {
+			a.finished = *r
+		}
+	}
+	return nil
+}
+
+// tool merges one part of a tool call, whose name comes first and whose arguments follow in pieces.
+func (a *answer) tool(t toolCall) error {
+	if t.Index < 0 || t.Index >= maxToolCalls {
+		return fmt.Errorf("entryserver: tool call %d is out of range", t.Index)
 	}
+	for len(a.tools) <= t.Index {
+		a.tools = append(a.tools, toolCall{Index: len(a.tools), Type: "function"})
+	}
+	have := &a.tools[t.Index]
+	if t.ID != "" {
+		have.ID = t.ID
+	}
+	have.Function.Name += t.Function.Name
+	have.Function.Arguments += t.Function.Arguments
 	return nil
 }
 
+// event writes one server-sent event. A failed write is not reported here: the end of the request's context tells that
+// the caller left, and a claimed run continues without its caller.
 func (a *answer) event(data []byte) error {
-	if !a.begun {
+	if !a.sent {
 		a.w.Header().Set("Content-Type", "text/event-stream")
+		a.w.Header().Set("Cache-Control", "no-cache")
 		a.w.WriteHeader(http.StatusOK)
-		a.begun = true
+		a.sent = true
 	}
-	if _, err := fmt.Fprintf(a.w, "data: %s\n\n", data); err != nil {
-		return fmt.Errorf("entryserver: write event to caller: %w", err)
+	a.buf = append(append(append(a.buf[:0], "data: "...), data...), "\n\n"...)
+	if a.keep && len(a.stored) <= maxStored {
+		a.stored = append(a.stored, a.buf...)
 	}
+	_, _ = a.w.Write(a.buf)
 	if f, ok := a.w.(http.Flusher); ok {
 		f.Flush()
 	}
 	return nil
 }
 
-// fail reports err in the stream once it has begun and returns nil then; before that it returns err.
-func (a *answer) fail(err error) error {
-	if !a.begun {
-		return err
-	}
-	var e *decoder.Error
-	if !errors.As(err, &e) {
-		e = &decoder.Error{Code: "stream-broken", Type: decoder.TypeServer, Message: "the answer ended early"}
-	}
-	// The caller sees no [DONE] if this write fails as well.
+func (a *answer) begun() bool { return a.sent }
+
+func (a *answer) reset() {
+	*a = answer{w: a.w, stream: a.stream, includeUsage: a.includeUsage, keep: a.keep}
+}
+
+// fail ends a stream with an error event and without [DONE].
+func (a *answer) fail(e *decoder.Error) {
 	_ = a.event(e.Object())
-	return nil
 }
 
 type completionMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+	Role      string         `json:"role"`
+	Content   *string        `json:"content"`
+	Refusal   *string        `json:"refusal"`
+	ToolCalls []finishedTool `json:"tool_calls,omitempty"`
+}
+
+// finishedTool is a whole tool call, which has no index.
+type finishedTool struct {
+	ID       string `json:"id"`
+	Type     string `json:"type"`
+	Function any    `json:"function"`
 }
 
 type completionChoice struct {
@@ -98,6 +162,9 @@
 	PromptTokens     int `json:"prompt_tokens"`
 	CompletionTokens int `json:"completion_tokens"`
 	TotalTokens      int `json:"total_tokens"`
+	Details          struct {
+		CachedTokens int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
 }
 
 type completionBody struct {
@@ -106,30 +173,77 @@
 	Created int64              `json:"created"`
 	Model   string             `json:"model"`
 	Choices []completionChoice `json:"choices"`
-	Usage   completionUsage    `json:"usage"`
+	Usage   *completionUsage   `json:"usage,omitempty"`
 }
 
-// finish ends a whole answer.
-func (a *answer) finish(u *streamer.Usage) error {
+func usageBody(u streamer.Usage) *completionUsage {
+	b := &completionUsage{
+		PromptTokens: u.PromptTokens, CompletionTokens: u.CompletionTokens,
+		TotalTokens: u.PromptTokens + u.CompletionTokens,
+	}
+	b.Details.CachedTokens = u.CachedTokens
+	return b
+}
+
+func (a *answer) finish(u streamer.Usage) error {
 	if a.stream {
+		if a.includeUsage {
+			data, err := json.Marshal(completionBody{
+				ID: "chatcmpl-" + a.w.Header().Get(decoder.HeaderRequestID), Object: "chat.completion.chunk",
+				Model: a.w.Header().Get(decoder.HeaderModel), Choices: []completionChoice{}, Usage: usageBody(u),
+			})
+			if err != nil {
+				return fmt.Errorf("entryserver: encode usage: %w", err)
+			}
+			if err := a.event(data); err != nil {
+				return err
+			}
+		}
 		return a.event([]byte("[DONE]"))
 	}
-	body := completionBody{
+	if a.finished == "" {
+		return errNoFinish
+	}
+	m := completionMessage{Role: "assistant"}
+	if text := a.text.String(); text != "" || len(a.tools) == 0 {
+		m.Content = &text
+	}
+	if refusal := a.refusal.String(); refusal != "" {
+		m.Refusal = &refusal
+	}
+	for _, t := range a.tools {
+		m.ToolCalls = append(m.ToolCalls, finishedTool{ID: t.ID, Type: t.Type, Function: t.Function})
+	}
+	body, err := json.Marshal(completionBody{
 		ID: a.last.ID, Object: "chat.completion", Created: a.last.Created, Model: a.last.Model,
-		Choices: []completionChoice{{
-			Message:      completionMessage{Role: "assistant", Content: a.text.String()},
-			FinishReason: a.finishReason,
-		}},
-	}
-	if u != nil {
-		body.Usage = completionUsage{
-			PromptTokens: u.PromptTokens, CompletionTokens: u.CompletionTokens,
-			TotalTokens: u.PromptTokens + u.CompletionTokens,
-		}
+		Choices: []completionChoice{{Message: m, FinishReason: a.finished}}, Usage: usageBody(u),
+	})
+	if err != nil {
+		return fmt.Errorf("entryserver: encode response: %w", err)
+	}
+	a.body = append(body, '\n')
+	return nil
+}
+
+// send writes a unary response; a streamed one is written already.
+func (a *answer) send() error {
+	if a.stream {
+		return nil
 	}
 	a.w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(a.w).Encode(body); err != nil {
-		return fmt.Errorf("entryserver: write answer to caller: %w", err)
+	_, err := a.w.Write(a.body)
+	return err
+}
+
+func (a *answer) result() Result {
+	r := Result{Status: http.StatusOK, ContentType: "application/json", Body: a.body, Headers: map[string]string{}}
+	if a.stream {
+		r.ContentType, r.Body = "text/event-stream", a.stored
 	}
-	return nil
+	for _, name := range []string{decoder.HeaderRequestID, decoder.HeaderModel, decoder.HeaderVersion} {
+		if v := a.w.Header().Get(name); v != "" {
+			r.Headers[name] = v
+		}
+	}
+	return r
 }
--- a/entryserver/completion.go
+++ b/entryserver/completion.go
@@ -1,11 +1,8 @@
 package entryserver
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -17,28 +14,29 @@
 	"github.com/siskinfront/siskinfront/streamer"
 )
 
-func (s *Server) handleCompletion(w http.ResponseWriter, r *http.Request) {
-	now := s.Now()
-	id := identifier.NewRequest()
-	w.Header().Set(decoder.HeaderRequestID, string(id))
-	if err := s.complete(w, r, id, now); err != nil {
-		s.writeError(w, err)
-	}
+// retryWait is when a request that was rejected for a passing reason is worth sending again.
+const retryWait = time.Second
+
+// job is one admitted request on its way to a response.
+type job struct {
+	order   streamer.Order
+	body    []byte
+	choice  Choice
+	request *decoder.Request
+	account *configurer.ClientAccount
+	sink    sink
+	steps   []Step
+	// upstream is the one of the latest attempt.
+	upstream identifier.Upstream
 }
 
-func (s *Server) writeError(w http.ResponseWriter, err error) {
-	var e *decoder.Error
-	if !errors.As(err, &e) {
-		e = &decoder.Error{
-			Status: http.StatusBadGateway, Code: "internal", Type: decoder.TypeServer,
-			Message: "the request failed", Outcome: streamer.OutcomeUnknown, Cause: err,
-		}
-	}
-	e.Write(w, s.Now())
+func (j *job) explain(name, detail string) {
+	j.steps = append(j.steps, Step{name, detail})
 }
 
-// complete answers one request; after the first byte of an answer it returns nil and reports errors in the stream.
-func (s *Server) complete(w http.ResponseWriter, r *http.Request, id identifier.Request, now time.Time) error {
+// complete answers one chat completion.
+func (s *Server) complete(w http.ResponseWriter, r *http.Request, id identifier.Request) error {
+	now := s.Now()
 	cfg := s.Configuration()
 	account, err := s.authenticate(cfg, r)
 	if err != nil {
@@ -52,7 +50,6 @@
 	if err != nil {
 		return err
 	}
-	rank := cfg.Ranks[cfg.RankIndex(kind.Rank)]
 	q := selector.Query{
 		ClientAccount: account, WorkKind: kind, Model: req.Model, Session: req.Session,
 		PromptTokens: req.PromptTokens, MaxTokens: kind.MaxTokens,
@@ -60,38 +57,42 @@
 	if req.MaxTokens > 0 {
 		q.MaxTokens = min(q.MaxTokens, req.MaxTokens)
 	}
-	target, err := s.Select(cfg, q)
+	target, err := s.target(r.Context(), cfg, &q, now)
 	if err != nil {
-		return selectionError(err)
+		return err
 	}
 	w.Header().Set(decoder.HeaderModel, string(target.Model))
 	w.Header().Set(decoder.HeaderVersion, string(target.Version))
-	upstream, err := s.Choose(r.Context(), target, q)
-	if err != nil {
-		return &decoder.Error{
-			Status: http.StatusServiceUnavailable, Code: "no-upstream", Type: decoder.TypeServer,
-			Message: "no upstream serves the model", Cause: err, RetryAt: now.Add(time.Second),
-		}
-	}
-	order := streamer.Order{
-		Request: id, Attempt: 1, ClientAccount: account.Name, WorkKind: kind.Name, Rank: kind.Rank, Target: target,
-		Session: req.Session, Deadline: req.Deadline, NonIdempotent: req.NonIdempotent || kind.NonIdempotent,
-		PromptTokens: q.PromptTokens, MaxTokens: q.MaxTokens, Revision: cfg.Revision,
-	}
-	if order.Deadline.IsZero() {
-		order.Deadline = now.Add(rank.Deadline)
+	if retryAt, ok := s.Limit(account, q.PromptTokens+q.MaxTokens, now); !ok {
+		return rateLimited(retryAt)
 	}
-	usage, err := s.forward(r.Context(), w, upstream, order, req)
-	if err != nil {
-		return err
-	}
-	if usage != nil {
-		s.Record(Bill{
+	rank := cfg.RankIndex(kind.Rank)
+	j := &job{
+		order: streamer.Order{
 			Request: id, ClientAccount: account.Name, WorkKind: kind.Name, Rank: kind.Rank, Target: target,
-			Usage: *usage, At: s.Now(),
-		})
+			Session: req.Session, Deadline: deadline(cfg, rank, req, now),
+			NonIdempotent: req.NonIdempotent || kind.NonIdempotent,
+			PromptTokens:  q.PromptTokens, MaxTokens: q.MaxTokens, Revision: cfg.Revision,
+		},
+		body: req.Body, request: req, account: account, sink: newAnswer(w, req),
+		choice: Choice{Target: target, Prefix: req.Prefix, Session: req.Session, Rank: rank, Query: q},
+	}
+	j.explain("select", target.String())
+	return s.serve(w, r, j)
+}
+
+func rateLimited(retryAt time.Time) error {
+	return &decoder.Error{
+		Status: http.StatusTooManyRequests, Code: "rate-limited", Type: decoder.TypeRateLimit,
+		Message: "the client account is over its limit", RetryAt: retryAt,
 	}
-	return nil
+}
+
+func deadline(cfg *configurer.Configuration, rank int, req *decoder.Request, now time.Time) time.Time {
+	if !req.Deadline.IsZero() {
+		return req.Deadline
+	}
+	return now.Add(cfg.Ranks[rank].Deadline)
 }
 
 func workKind(
@@ -107,70 +108,55 @@
 	return kind, nil
 }
 
-func selectionError(err error) error {
-	e := &decoder.Error{Type: decoder.TypeInvalidRequest, Cause: err}
-	switch {
-	case errors.Is(err, selector.ErrUnknownModel):
-		e.Status, e.Code, e.Message = http.StatusNotFound, "unknown-model", "the model does not exist"
-	case errors.Is(err, selector.ErrNotAllowed):
-		e.Status, e.Code, e.Message = http.StatusForbidden, "model-not-allowed", "the client account may not use the model"
-		e.Type = decoder.TypePermission
-	default:
-		e.Status, e.Code, e.Message = http.StatusServiceUnavailable, "no-version", "no version receives new work"
-		e.Type = decoder.TypeServer
-	}
-	return e
-}
-
-// forward sends the order to the agent of u and copies the answer to w; it returns the usage of a whole answer.
-func (s *Server) forward(
-	ctx context.Context, w http.ResponseWriter, u Upstream, order streamer.Order, req *decoder.Request,
-) (*streamer.Usage, error) {
-	ctx, cancel := context.WithDeadline(ctx, order.Deadline)
-	defer cancel()
-	header, err := json.Marshal(order)
+// target selects the version, and for a session the one that it started on.
+func (s *Server) target(
+	ctx context.Context, cfg *configurer.Configuration, q *selector.Query, now time.Time,
+) (identifier.Target, error) {
+	proposed, err := s.Select(cfg, *q)
 	if err != nil {
-		return nil, fmt.Errorf("entryserver: encode order for %s: %w", u.Name, err)
+		return proposed, selectionError(err, now)
 	}
-	body := append(append(header, '\n'), req.Body...)
-	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+u.Agent.String()+"/run", bytes.NewReader(body))
-	if err != nil {
-		return nil, fmt.Errorf("entryserver: build request to %s: %w", u.Name, err)
+	if q.Session == "" {
+		return proposed, nil
 	}
-	resp, err := s.client.Do(hr)
+	pinned, err := s.Pin(ctx, q.ClientAccount.Name, q.Session, proposed, cfg.Revision)
 	if err != nil {
-		return nil, fmt.Errorf("entryserver: send order to %s: %w", u.Name, err)
-	}
-	defer resp.Body.Close()
-	answer := newAnswer(w, req.Stream)
-	frames := streamer.NewReader(resp.Body, order.Request, 0)
-	for {
-		f, err := frames.Next()
-		if err != nil {
-			return nil, answer.fail(fmt.Errorf("entryserver: read answer of %s: %w", u.Name, err))
+		return pinned, &decoder.Error{
+			Status: http.StatusServiceUnavailable, Code: "session-unavailable", Type: decoder.TypeServer,
+			Message: "the version of the session is not known at present", Cause: err, RetryAt: now.Add(retryWait),
 		}
-		switch f.Kind {
-		case streamer.KindToken:
-			err = answer.token(f.Data)
-		case streamer.KindRefused, streamer.KindFailed:
-			return nil, answer.fail(frameError(&f))
-		case streamer.KindDone:
-			return f.Usage, answer.finish(f.Usage)
+	}
+	if pinned == proposed {
+		return pinned, nil
+	}
+	switch v := cfg.Version(pinned); {
+	case v == nil || v.State == configurer.VersionWithdrawn:
+		return pinned, &decoder.Error{
+			Status: http.StatusConflict, Code: "session-version-withdrawn", Type: decoder.TypeInvalidRequest,
+			Message: "the version of the session was withdrawn; start a new session",
 		}
-		if err != nil {
-			return nil, answer.fail(err)
+	case !q.ClientAccount.Allows(pinned):
+		return pinned, selectionError(selector.ErrNotAllowed, now)
+	case q.Model != identifier.ModelAuto && q.Model != pinned.Model:
+		return pinned, &decoder.Error{
+			Status: http.StatusConflict, Code: "session-model-differs", Type: decoder.TypeInvalidRequest,
+			Message: "the session runs on another model; start a new session",
 		}
 	}
+	return pinned, nil
 }
 
-func frameError(f *streamer.Frame) error {
-	e := &decoder.Error{
-		Status: http.StatusBadGateway, Code: f.Code, Type: decoder.TypeServer, Message: "the upstream failed",
-		Outcome: f.Outcome, RetryAt: f.RetryAt,
-	}
-	if f.Kind == streamer.KindRefused {
-		e.Status, e.Type = http.StatusTooManyRequests, decoder.TypeRateLimit
-		e.Message = "the upstream refused the request under load"
+func selectionError(err error, now time.Time) error {
+	e := &decoder.Error{Type: decoder.TypeInvalidRequest, Cause: err}
+	switch {
+	case errors.Is(err, selector.ErrUnknownModel):
+		e.Status, e.Code, e.Message = http.StatusNotFound, "unknown-model", "the model does not exist"
+	case errors.Is(err, selector.ErrNotAllowed):
+		e.Status, e.Code, e.Message = http.StatusForbidden, "model-not-allowed", "the client account may not use the model"
+		e.Type = decoder.TypePermission
+	default:
+		e.Status, e.Code, e.Message = http.StatusServiceUnavailable, "no-version", "no version receives new work"
+		e.Type, e.RetryAt = decoder.TypeServer, now.Add(retryWait)
 	}
 	return e
 }
--- /dev/null
+++ b/entryserver/dispatch.go
@@ -0,0 +1,231 @@
+package entryserver
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/siskinfront/siskinfront/decoder"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+const (
+	// maxAttempts bounds the upstreams that one request is sent to.
+	maxAttempts = 3
+	// cancelWait is the time for which the response to an abandoned request waits for its outcome.
+	cancelWait = 250 * time.Millisecond
+	// statusCallerLeft is the status of a request whose caller left; nobody receives it.
+	statusCallerLeft = 499
+)
+
+// failure is the end of an attempt without a complete response.
+type failure struct {
+	err *decoder.Error
+	// elsewhere is set when another upstream may do better.
+	elsewhere bool
+}
+
+// dispatch sends the order to one upstream after another until there is a complete response, and returns the error for
+// the caller otherwise. Its outcome covers all attempts: a later refusal does not make an earlier run undone.
+func (s *Server) dispatch(ctx context.Context, j *job) *decoder.Error {
+	outcome := streamer.OutcomeNotRun
+	var last *decoder.Error
+	for n := 1; ; n++ {
+		u, err := s.Choose(ctx, j.choice)
+		if err != nil {
+			if last != nil {
+				last.Outcome = outcome
+				return last
+			}
+			return &decoder.Error{
+				Status: http.StatusServiceUnavailable, Code: "no-upstream", Type: decoder.TypeServer,
+				Message: "no upstream can take the request", Cause: err, RetryAt: s.Now().Add(retryWait),
+			}
+		}
+		j.order.Attempt = n
+		j.upstream = u.Name
+		j.explain("attempt-"+strconv.Itoa(n), string(u.Name))
+		f := s.attempt(ctx, u, j)
+		if f == nil {
+			return nil
+		}
+		last = f.err
+		outcome = worse(outcome, last.TrueOutcome())
+		j.explain("failed-"+strconv.Itoa(n), last.Code+" "+string(last.TrueOutcome()))
+		if !s.repeatable(ctx, j, f, n) {
+			last.Outcome = outcome
+			return last
+		}
+		s.counters.retried.Add(1)
+		j.choice.Exclude = append(j.choice.Exclude, u.Name)
+		j.sink.reset()
+	}
+}
+
+// repeatable reports whether a failed attempt may be followed by one at another upstream.
+func (s *Server) repeatable(ctx context.Context, j *job, f *failure, n int) bool {
+	switch {
+	case n == maxAttempts || !f.elsewhere || ctx.Err() != nil || j.sink.begun():
+		return false
+	case j.order.NonIdempotent && (j.request.IdempotencyKey == "" || f.err.TrueOutcome() != streamer.OutcomeNotRun):
+		return false
+	}
+	return s.Retry()
+}
+
+// worse returns the outcome that claims less: work that may have run is never reported as not run.
+func worse(a, b streamer.Outcome) streamer.Outcome {
+	switch {
+	case a == streamer.OutcomeRun || b == streamer.OutcomeRun:
+		return streamer.OutcomeRun
+	case a == streamer.OutcomeUnknown || b == streamer.OutcomeUnknown:
+		return streamer.OutcomeUnknown
+	}
+	return streamer.OutcomeNotRun
+}
+
+// attempt sends the order to u and copies the response to the sink.
+func (s *Server) attempt(ctx context.Context, u Upstream, j *job) *failure {
+	record := Attempt{
+		Request: j.order.Request, Upstream: u.Name, Target: j.order.Target, Service: j.order.Service, Begin: s.Now(),
+	}
+	s.Begin(u.Name)
+	f := s.exchange(ctx, u, j, &record)
+	record.End, record.Outcome = s.Now(), streamer.OutcomeRun
+	if f != nil {
+		record.Code, record.Outcome = f.err.Code, f.err.TrueOutcome()
+	}
+	s.End(record)
+	return f
+}
+
+func (s *Server) exchange(ctx context.Context, u Upstream, j *job, record *Attempt) *failure {
+	stream, err := s.streams.Open(ctx, u.Agent, &j.order, j.body)
+	if errors.Is(err, streamer.ErrNotSent) {
+		return &failure{elsewhere: true, err: &decoder.Error{
+			Status: http.StatusServiceUnavailable, Code: "upstream-unreachable", Type: decoder.TypeServer,
+			Message: "the upstream cannot be reached", Cause: err, RetryAt: s.Now().Add(retryWait),
+		}}
+	}
+	defer stream.Close()
+	if err != nil {
+		return s.lost(ctx, stream, err)
+	}
+	for {
+		f, err := stream.Next(ctx)
+		if err != nil {
+			return s.lost(ctx, stream, err)
+		}
+		if f.Load != nil {
+			s.Report(u.Name, *f.Load)
+		}
+		switch f.Kind {
+		case streamer.KindStarted:
+			err = j.sink.started(&f)
+		case streamer.KindToken:
+			if record.FirstToken.IsZero() {
+				record.FirstToken = s.Now()
+			}
+			err = j.sink.token(&f)
+		case streamer.KindRefused, streamer.KindFailed:
+			return frameFailure(&f)
+		case streamer.KindDone:
+			return s.done(j, &f, record)
+		}
+		if err != nil {
+			return s.sinkFailed(ctx, stream, err)
+		}
+	}
+}
+
+// done bills and finishes a complete response.
+func (s *Server) done(j *job, f *streamer.Frame, record *Attempt) *failure {
+	if f.Usage != nil {
+		record.Usage = *f.Usage
+	}
+	o := &j.order
+	s.Record(Bill{
+		ID: string(o.Request), Request: o.Request, ClientAccount: o.ClientAccount, WorkKind: o.WorkKind, Rank: o.Rank,
+		Target: o.Target, Service: o.Service, Usage: record.Usage, At: s.Now(),
+	})
+	if err := j.sink.finish(record.Usage); err != nil {
+		return &failure{err: &decoder.Error{
+			Status: http.StatusBadGateway, Code: "response-invalid", Type: decoder.TypeServer,
+			Message: "the response of the upstream is not valid", Outcome: streamer.OutcomeRun, Cause: err,
+		}}
+	}
+	return nil
+}
+
+// sinkFailed ends a run whose response cannot be passed on.
+func (s *Server) sinkFailed(ctx context.Context, stream *streamer.Stream, err error) *failure {
+	outcome := s.cancel(ctx, stream)
+	if outcome == streamer.OutcomeNotRun {
+		// Frames of this run have been read, so it was given to the upstream.
+		outcome = streamer.OutcomeUnknown
+	}
+	return &failure{err: &decoder.Error{
+		Status: http.StatusBadGateway, Code: "response-invalid", Type: decoder.TypeServer,
+		Message: "the response could not be passed on", Outcome: outcome, Cause: err,
+	}}
+}
+
+// lost ends an attempt without a final frame: the deadline passed, the caller left, or the agent is gone.
+func (s *Server) lost(ctx context.Context, stream *streamer.Stream, err error) *failure {
+	outcome := s.cancel(ctx, stream)
+	e := &decoder.Error{
+		Status: http.StatusBadGateway, Code: "upstream-lost", Type: decoder.TypeServer,
+		Message: "the upstream was lost", Outcome: outcome, Cause: err,
+	}
+	switch {
+	case ctx.Err() == nil:
+		return &failure{err: e, elsewhere: true}
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		e.Status, e.Code, e.Message = http.StatusGatewayTimeout, "deadline-exceeded", "the deadline passed"
+		e.RetryAt = s.Now().Add(retryWait)
+	default:
+		s.counters.left.Add(1)
+		e.Status, e.Code, e.Message = statusCallerLeft, "caller-left", "the caller left"
+	}
+	return &failure{err: e}
+}
+
+// cancel ends the run at the agent, also after ctx has ended, and waits a moment for its outcome.
+func (s *Server) cancel(ctx context.Context, stream *streamer.Stream) streamer.Outcome {
+	outcome := make(chan streamer.Outcome, 1)
+	go func() { outcome <- stream.Cancel(context.WithoutCancel(ctx)) }()
+	select {
+	case o := <-outcome:
+		return o
+	case <-time.After(cancelWait):
+		return streamer.OutcomeUnknown
+	}
+}
+
+// frameFailure turns a final frame of the agent into an error for the caller.
+func frameFailure(f *streamer.Frame) *failure {
+	e := &decoder.Error{
+		Status: http.StatusBadGateway, Code: f.Code, Type: decoder.TypeServer, Message: "the upstream failed",
+		Outcome: f.Outcome, RetryAt: f.RetryAt,
+	}
+	if e.Outcome == "" {
+		e.Outcome = streamer.OutcomeUnknown
+	}
+	elsewhere := true
+	switch f.Code {
+	case "deadline-passed":
+		e.Status, e.Message, elsewhere = http.StatusGatewayTimeout, "the deadline passed", false
+	case "cancelled", "malformed-body", "invalid-call":
+		elsewhere = false
+	case "version-withdrawn", "version-not-allowed":
+		e.Status, e.Message, elsewhere = http.StatusServiceUnavailable, "a newer configuration forbids the version", false
+	default:
+		if f.Kind == streamer.KindRefused {
+			e.Status, e.Type = http.StatusTooManyRequests, decoder.TypeRateLimit
+			e.Message = "the upstream refused the request under load"
+		}
+	}
+	return &failure{err: e, elsewhere: elsewhere}
+}
--- a/entryserver/models.go
+++ b/entryserver/models.go
@@ -20,28 +20,29 @@
 	Data   []modelObject `json:"data"`
 }
 
-func (s *Server) handleModels(w http.ResponseWriter, r *http.Request) {
+// models answers GET /v1/models with the models that the client account may use.
+func (s *Server) models(w http.ResponseWriter, r *http.Request, _ identifier.Request) error {
 	cfg := s.Configuration()
 	account, err := s.authenticate(cfg, r)
 	if err != nil {
-		s.writeError(w, err)
-		return
+		return err
 	}
 	list := modelList{Object: "list", Data: []modelObject{{ID: identifier.ModelAuto, Object: "model", OwnedBy: "siskinfront"}}}
-	for _, m := range cfg.Models {
-		if usable(account, m) {
+	for i := range cfg.Models {
+		if m := &cfg.Models[i]; usable(account, m) {
 			list.Data = append(list.Data, modelObject{ID: m.Name, Object: "model", OwnedBy: "siskinfront"})
 		}
 	}
 	w.Header().Set("Content-Type", "application/json")
 	// The caller may have gone; there is nobody else to tell.
 	_ = json.NewEncoder(w).Encode(list)
+	return nil
 }
 
-func usable(account *configurer.ClientAccount, m configurer.Model) bool {
-	for _, v := range m.Versions {
-		t := identifier.Target{Model: m.Name, Version: v.Name}
-		if v.State != configurer.VersionWithdrawn && account.Allows(t) {
+func usable(account *configurer.ClientAccount, m *configurer.Model) bool {
+	for i := range m.Versions {
+		t := identifier.Target{Model: m.Name, Version: m.Versions[i].Name}
+		if m.Versions[i].State != configurer.VersionWithdrawn && account.Allows(t) {
 			return true
 		}
 	}
--- /dev/null
+++ b/entryserver/option.go
@@ -0,0 +1,80 @@
+package entryserver
+
+import (
+	"context"
+	"time"
+
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/selector"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// Option configures a Server.
+type Option func(*Server)
+
+// WithNow sets the clock.
+func WithNow(now func() time.Time) Option {
+	return func(s *Server) { s.Now = now }
+}
+
+// WithConfiguration sets the source of the configuration in force.
+func WithConfiguration(f func() *configurer.Configuration) Option {
+	return func(s *Server) { s.Configuration = f }
+}
+
+// WithSelect sets the selection of the version.
+func WithSelect(f func(*configurer.Configuration, selector.Query) (identifier.Target, error)) Option {
+	return func(s *Server) { s.Select = f }
+}
+
+// WithPin sets the mapping of sessions to versions.
+func WithPin(f func(context.Context, identifier.ClientAccount, identifier.Session, identifier.Target, uint64) (
+	identifier.Target, error,
+)) Option {
+	return func(s *Server) { s.Pin = f }
+}
+
+// WithChoose sets the choice of upstream.
+func WithChoose(f func(context.Context, Choice) (Upstream, error)) Option {
+	return func(s *Server) { s.Choose = f }
+}
+
+// WithClaim sets the claims of non-idempotent requests.
+func WithClaim(f func(context.Context, identifier.ClientAccount, string, [32]byte, identifier.Request) (
+	Claim, error,
+)) Option {
+	return func(s *Server) { s.Claim = f }
+}
+
+// WithRecord sets the receiver of bills.
+func WithRecord(f func(Bill)) Option {
+	return func(s *Server) { s.Record = f }
+}
+
+// WithRetry sets the retry budget.
+func WithRetry(allow func() bool, succeeded func()) Option {
+	return func(s *Server) { s.Retry, s.Succeeded = allow, succeeded }
+}
+
+// WithExplain sets the receiver of decision records.
+func WithExplain(f func(Explanation)) Option {
+	return func(s *Server) { s.Explain = f }
+}
+
+// WithLimit sets the limits of client accounts.
+func WithLimit(f func(*configurer.ClientAccount, int, time.Time) (time.Time, bool)) Option {
+	return func(s *Server) { s.Limit = f }
+}
+
+// WithAttempts sets the observers of attempts.
+func WithAttempts(
+	begin func(identifier.Upstream), end func(Attempt), report func(identifier.Upstream, streamer.Load),
+) Option {
+	return func(s *Server) { s.Begin, s.End, s.Report = begin, end, report }
+}
+
+// WithStreams sets the client that opens streams at agents.
+func WithStreams(c *streamer.Client) Option {
+	return func(s *Server) { s.streams = c }
+}
--- /dev/null
+++ b/entryserver/seam.go
@@ -0,0 +1,107 @@
+package entryserver
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/selector"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// ErrNoUpstream is returned by Choose when no live upstream serves the target.
+var ErrNoUpstream = errors.New("entryserver: no upstream serves the target")
+
+// ErrClaimUnavailable is returned by Claim when the claim could not be written, so that nothing may run.
+var ErrClaimUnavailable = errors.New("entryserver: claim cannot be written")
+
+// ErrClaimMismatch is returned by Claim when the key was used with another body.
+var ErrClaimMismatch = errors.New("entryserver: idempotency key was used with another request")
+
+// Upstream is an upstream as the entry reaches it, through its agent.
+type Upstream struct {
+	Name       identifier.Upstream
+	DataCentre identifier.DataCentre
+	Agent      netip.AddrPort
+}
+
+// Choice is what the choice of an upstream depends on.
+type Choice struct {
+	Target  identifier.Target
+	Service identifier.Service
+	// Prefix is a hash of the start of the prompt, 0 for plain services.
+	Prefix  uint64
+	Session identifier.Session
+	// Rank is the position of the rank, 0 being the most urgent.
+	Rank int
+	// Exclude lists the upstreams that were tried before.
+	Exclude []identifier.Upstream
+	Query   selector.Query
+}
+
+// Bill is the record of one completed request; the agent's bill has the same ID.
+type Bill struct {
+	ID            string
+	Request       identifier.Request
+	ClientAccount identifier.ClientAccount
+	WorkKind      identifier.WorkKind
+	Rank          identifier.Rank
+	Target        identifier.Target
+	Service       identifier.Service
+	Usage         streamer.Usage
+	At            time.Time
+}
+
+// Result is the stored response of a non-idempotent request.
+type Result struct {
+	Outcome     streamer.Outcome
+	Status      int
+	ContentType string
+	Headers     map[string]string
+	Body        []byte
+}
+
+// Claim is the right to run a non-idempotent request, written before the run.
+type Claim struct {
+	// Previous is set if another request holds the key; its Status is 0 while that one has no stored response.
+	Previous *Result
+	// Started notes durably that the run may begin; the request is not sent if it fails.
+	Started func(ctx context.Context) error
+	// Finish stores the response.
+	Finish func(ctx context.Context, r Result) error
+	// Release gives the key back after a truthful not-run.
+	Release func(ctx context.Context) error
+}
+
+// Attempt is the record of one order that was sent to one upstream.
+type Attempt struct {
+	Request  identifier.Request
+	Upstream identifier.Upstream
+	Target   identifier.Target
+	Service  identifier.Service
+	Outcome  streamer.Outcome
+	// Code is empty for a complete response.
+	Code  string
+	Usage streamer.Usage
+	Begin time.Time
+	// FirstToken is zero if there was none.
+	FirstToken time.Time
+	End        time.Time
+}
+
+// Explanation is the record of the decisions about one request.
+type Explanation struct {
+	Request  identifier.Request
+	At       time.Time
+	Target   identifier.Target
+	Upstream identifier.Upstream
+	Steps    []Step
+}
+
+// Step is one decision.
+type Step struct {
+	Name   string
+	Detail string
+}
--- a/entryserver/server.go
+++ b/entryserver/server.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"errors"
+	"fmt"
+	"net"
 	"net/http"
-	"net/netip"
-	"strings"
+	"sync/atomic"
 	"time"
 
+	"github.com/siskinfront/siskinfront/authenticator"
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/decoder"
 	"github.com/siskinfront/siskinfront/identifier"
@@ -18,23 +17,8 @@
 	"github.com/siskinfront/siskinfront/streamer"
 )
 
-// Upstream is an upstream as the entry reaches it, through its agent.
-type Upstream struct {
-	Name       identifier.Upstream
-	DataCentre identifier.DataCentre
-	Agent      netip.AddrPort
-}
-
-// Bill is the record of one answered request.
-type Bill struct {
-	Request       identifier.Request
-	ClientAccount identifier.ClientAccount
-	WorkKind      identifier.WorkKind
-	Rank          identifier.Rank
-	Target        identifier.Target
-	Usage         streamer.Usage
-	At            time.Time
-}
+// readHeaderTime bounds the reading of a caller's headers.
+const readHeaderTime = 10 * time.Second
 
 // Server is the entry role; its function fields are set before the first request and not changed afterwards.
 type Server struct {
@@ -44,87 +28,174 @@
 	Configuration func() *configurer.Configuration
 	// Select chooses the version that answers.
 	Select func(*configurer.Configuration, selector.Query) (identifier.Target, error)
-	// Choose picks an upstream that serves the target.
-	Choose func(ctx context.Context, t identifier.Target, q selector.Query) (Upstream, error)
-	// Record takes the bill of an answered request.
+	// Pin returns the version of a session, which is the proposed one if the session is new.
+	Pin func(ctx context.Context, acc identifier.ClientAccount, s identifier.Session, proposed identifier.Target,
+		revision uint64) (identifier.Target, error)
+	// Choose picks an upstream.
+	Choose func(ctx context.Context, c Choice) (Upstream, error)
+	// Claim claims a non-idempotent request that has an idempotency key.
+	Claim func(ctx context.Context, acc identifier.ClientAccount, key string, fingerprint [32]byte,
+		r identifier.Request) (Claim, error)
+	// Record takes the bill of a completed request.
 	Record func(Bill)
-
-	client *http.Client
-	mux    *http.ServeMux
+	// Retry reports whether the retry budget allows one more attempt, and Succeeded adds to it.
+	Retry     func() bool
+	Succeeded func()
+	// Explain takes the decisions about each request.
+	Explain func(Explanation)
+	// Limit reports whether the client account may use so many tokens now, and else when to try again.
+	Limit func(acc *configurer.ClientAccount, tokens int, now time.Time) (retryAt time.Time, ok bool)
+	// Begin and End surround each attempt at an upstream, and Report passes on the load in its frames.
+	Begin  func(identifier.Upstream)
+	End    func(Attempt)
+	Report func(identifier.Upstream, streamer.Load)
+
+	streams  *streamer.Client
+	accounts authenticator.Accounts
+	mux      *http.ServeMux
+	counters counters
+	active   atomic.Int64
+	leaving  atomic.Bool
 }
 
-// ErrNoUpstream is returned by Choose when no live upstream serves the target.
-var ErrNoUpstream = errors.New("entryserver: no upstream serves the target")
+type counters struct {
+	requests, answered, rejected, broken, retried, repeated, left, claimsOpen atomic.Int64
+}
 
-// New returns a server whose routes are ready to serve.
+// New returns a server whose routes are ready to serve. Without WithClaim, a non-idempotent request with a key is
+// rejected, because nothing could guarantee that it runs at most once.
 func New(opts ...Option) *Server {
 	s := &Server{
 		Now:    time.Now,
 		Select: selector.Cheapest,
-		Record: func(Bill) {},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnections}},
-		mux:    http.NewServeMux(),
+		Pin: func(_ context.Context, _ identifier.ClientAccount, _ identifier.Session, proposed identifier.Target,
+			_ uint64,
+		) (identifier.Target, error) {
+			return proposed, nil
+		},
+		Claim: func(context.Context, identifier.ClientAccount, string, [32]byte, identifier.Request) (Claim, error) {
+			return Claim{}, ErrClaimUnavailable
+		},
+		Record:    func(Bill) {},
+		Retry:     func() bool { return true },
+		Succeeded: func() {},
+		Explain:   func(Explanation) {},
+		Limit: func(*configurer.ClientAccount, int, time.Time) (time.Time, bool) {
+			return time.Time{}, true
+		},
+		Begin:   func(identifier.Upstream) {},
+		End:     func(Attempt) {},
+		Report:  func(identifier.Upstream, streamer.Load) {},
+		streams: streamer.NewClient(),
+		mux:     http.NewServeMux(),
 	}
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.mux.HandleFunc("POST /v1/chat/completions", s.handleCompletion)
-	s.mux.HandleFunc("GET /v1/models", s.handleModels)
+	s.mux.HandleFunc("POST /v1/chat/completions", s.handle(s.complete))
+	s.mux.HandleFunc("GET /v1/models", s.handle(s.models))
+	s.mux.HandleFunc("/services/{name}/{path...}", s.handle(s.service))
+	s.mux.HandleFunc("/", s.handle(func(http.ResponseWriter, *http.Request, identifier.Request) error {
+		return &decoder.Error{
+			Status: http.StatusNotFound, Code: "unknown-path", Type: decoder.TypeInvalidRequest,
+			Message: "the path or its method does not exist",
+		}
+	}))
 	return s
 }
 
-// maxIdleConnections bounds the idle connections kept to one agent.
-const maxIdleConnections = 64
-
-// Option configures a Server.
-type Option func(*Server)
-
-// WithConfiguration sets the source of the configuration in force.
-func WithConfiguration(f func() *configurer.Configuration) Option {
-	return func(s *Server) { s.Configuration = f }
-}
-
-// WithChoose sets the choice of upstream.
-func WithChoose(f func(context.Context, identifier.Target, selector.Query) (Upstream, error)) Option {
-	return func(s *Server) { s.Choose = f }
-}
-
-// WithRecord sets the receiver of bills.
-func WithRecord(f func(Bill)) Option {
-	return func(s *Server) { s.Record = f }
-}
-
 // ServeHTTP serves the caller API.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mux.ServeHTTP(w, r)
 }
 
-// authenticate returns the client account of the request's key; it compares every key in constant time.
-func (s *Server) authenticate(cfg *configurer.Configuration, r *http.Request) (*configurer.ClientAccount, error) {
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok || key == "" {
-		return nil, unauthorized()
+// Serve serves the caller API on l until ctx ends. It then accepts no new connection and returns when every request in
+// progress has its response; the deadlines of the requests bound that time.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	server := &http.Server{Handler: s, ReadHeaderTimeout: readHeaderTime}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(l) }()
+	select {
+	case err := <-failed:
+		return fmt.Errorf("entryserver: serve %s: %w", l.Addr(), err)
+	case <-ctx.Done():
 	}
-	sum := sha256.Sum256([]byte(key))
-	got := []byte(hex.EncodeToString(sum[:]))
-	var found *configurer.ClientAccount
-	for i := range cfg.ClientAccounts {
-		a := &cfg.ClientAccounts[i]
-		for _, k := range a.Keys {
-			if subtle.ConstantTimeCompare(got, []byte(k.SHA256)) == 1 {
-				found = a
+	s.leaving.Store(true)
+	if err := server.Shutdown(context.WithoutCancel(ctx)); err != nil {
+		return fmt.Errorf("entryserver: shut down %s: %w", l.Addr(), err)
+	}
+	s.streams.Close()
+	return nil
+}
+
+// handle wraps a route: it names the request, counts it, and writes its error if the response has not begun.
+func (s *Server) handle(
+	route func(http.ResponseWriter, *http.Request, identifier.Request) error,
+) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.active.Add(1)
+		defer s.active.Add(-1)
+		s.counters.requests.Add(1)
+		id := identifier.NewRequest()
+		w.Header().Set(decoder.HeaderRequestID, string(id))
+		if s.leaving.Load() {
+			// A caller with a kept connection moves to another entry.
+			w.Header().Set("Connection", "close")
+		}
+		err := route(w, r, id)
+		if err == nil {
+			return
+		}
+		var e *decoder.Error
+		if !errors.As(err, &e) {
+			e = &decoder.Error{
+				Status: http.StatusInternalServerError, Code: "internal", Type: decoder.TypeServer,
+				Message: "the request failed", Outcome: streamer.OutcomeUnknown, Cause: err,
 			}
 		}
+		s.counters.rejected.Add(1)
+		e.Write(w, s.Now())
 	}
-	if found == nil {
-		return nil, unauthorized()
+}
+
+// authenticate returns the client account of the request's key.
+func (s *Server) authenticate(cfg *configurer.Configuration, r *http.Request) (*configurer.ClientAccount, error) {
+	values := r.Header.Values("Authorization")
+	if len(values) > 1 {
+		return nil, decoder.Invalid("duplicate-header", "the header Authorization was sent twice")
 	}
-	return found, nil
+	account, err := s.accounts.Find(cfg, authenticator.Bearer(r.Header.Get("Authorization")))
+	if err != nil {
+		return nil, &decoder.Error{
+			Status: http.StatusUnauthorized, Code: "invalid-key", Type: decoder.TypeAuthentication,
+			Message: "the key is missing or unknown", Cause: err,
+		}
+	}
+	return account, nil
 }
 
-func unauthorized() error {
-	return &decoder.Error{
-		Status: http.StatusUnauthorized, Code: "invalid-key", Type: decoder.TypeAuthentication,
-		Message: "the key is missing or unknown",
+// Counters returns the totals since the start.
+func (s *Server) Counters() map[string]int64 {
+	c := &s.counters
+	m := map[string]int64{
+		"requests": c.requests.Load(), "answered": c.answered.Load(), "rejected": c.rejected.Load(),
+		"streams-broken": c.broken.Load(), "attempts-repeated": c.retried.Load(),
+		"results-repeated": c.repeated.Load(), "callers-left": c.left.Load(), "claims-left-open": c.claimsOpen.Load(),
 	}
+	for name, n := range s.streams.Counters() {
+		m[name] = n
+	}
+	return m
+}
+
+// State is the part of the entry that the state dump shows.
+type State struct {
+	Active   int64  `json:"active"`
+	Leaving  bool   `json:"leaving"`
+	Revision uint64 `json:"revision"`
+}
+
+// State returns a State.
+func (s *Server) State() any {
+	return State{Active: s.active.Load(), Leaving: s.leaving.Load(), Revision: s.Configuration().Revision}
 }
--- /dev/null
+++ b/entryserver/service.go
@@ -0,0 +1,80 @@
+package entryserver
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/decoder"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// forwardedHeaders lists the headers of a call that reach a plain service; keys of callers never do.
+func forwardedHeaders() []string {
+	return []string{"Content-Type", "Accept", "Accept-Language", "If-Match", "If-None-Match"}
+}
+
+// service answers one call to a plain service.
+func (s *Server) service(w http.ResponseWriter, r *http.Request, id identifier.Request) error {
+	now := s.Now()
+	cfg := s.Configuration()
+	account, err := s.authenticate(cfg, r)
+	if err != nil {
+		return err
+	}
+	name := identifier.Service(r.PathValue("name"))
+	service := cfg.Service(name)
+	if service == nil {
+		return &decoder.Error{
+			Status: http.StatusNotFound, Code: "unknown-service", Type: decoder.TypeInvalidRequest,
+			Message: "the service does not exist",
+		}
+	}
+	if !slices.Contains(account.Services, name) {
+		return &decoder.Error{
+			Status: http.StatusForbidden, Code: "service-not-allowed", Type: decoder.TypePermission,
+			Message: "the client account may not use the service",
+		}
+	}
+	req, err := decoder.DecodeService(r, now)
+	if err != nil {
+		return err
+	}
+	if retryAt, ok := s.Limit(account, 1, now); !ok {
+		return rateLimited(retryAt)
+	}
+	rank := cfg.RankIndex(service.Rank)
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+r.PathValue("name"))
+	call := &streamer.Call{Method: r.Method, Path: path, Headers: map[string]string{}}
+	if r.URL.RawQuery != "" {
+		call.Path += "?" + r.URL.RawQuery
+	}
+	for _, h := range forwardedHeaders() {
+		if v := r.Header.Get(h); v != "" {
+			call.Headers[h] = v
+		}
+	}
+	j := &job{
+		order: streamer.Order{
+			Request: id, ClientAccount: account.Name, Rank: service.Rank, Service: name,
+			Deadline:      deadline(cfg, rank, req, now),
+			NonIdempotent: req.NonIdempotent || nonIdempotent(service, r.Method, r.PathValue("path")),
+			PromptTokens:  1, Revision: cfg.Revision, Call: call,
+		},
+		body: req.Body, request: req, account: account, sink: newReply(w),
+		choice: Choice{Service: name, Rank: rank},
+	}
+	return s.serve(w, r, j)
+}
+
+// nonIdempotent reports whether the configuration marks the call; path has no leading slash.
+func nonIdempotent(service *configurer.Service, method, path string) bool {
+	for _, c := range service.NonIdempotent {
+		if strings.EqualFold(c.Method, method) && strings.HasPrefix("/"+path, "/"+strings.TrimPrefix(c.Path, "/")) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/streamer/client.go
@@ -0,0 +1,282 @@
+package streamer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+const (
+	// SilenceLimit is the time without a frame after which a connection counts as silent; it is three heartbeats.
+	SilenceLimit = 3 * HeartbeatInterval
+	// maxResumes bounds the attempts to resume that bring no new frame.
+	maxResumes = 4
+	// firstBackoff is the wait before the second attempt to resume; it doubles with each further one.
+	firstBackoff = 50 * time.Millisecond
+	// maxIdleConnections bounds the idle connections kept to one agent.
+	maxIdleConnections = 256
+	// HeaderOutcome carries the outcome of a reply that has no frames.
+	HeaderOutcome = "Siskinfront-Outcome"
+)
+
+// ErrNotSent is returned when no connection to the agent came about, so that the agent never had the order.
+var ErrNotSent = errors.New("streamer: order was not sent")
+
+// ErrLost is returned when the agent no longer knows the run or cannot be reached; the run may have happened.
+var ErrLost = errors.New("streamer: run is lost")
+
+var errSilent = errors.New("streamer: connection is silent")
+
+// Client opens streams at agents; it is safe for concurrent use.
+type Client struct {
+	pooled *http.Client
+	// fresh never reuses a connection: a pooled one to the same agent may be black-holed like the one that broke.
+	fresh   *http.Client
+	resumed atomic.Int64
+	silent  atomic.Int64
+}
+
+// ClientOption configures a Client.
+type ClientOption func(*http.Transport)
+
+// WithDial sets the function that connects to agents.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) ClientOption {
+	return func(t *http.Transport) { t.DialContext = dial }
+}
+
+// NewClient returns a client with its own pool of connections.
+func NewClient(opts ...ClientOption) *Client {
+	pooled := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true}
+	fresh := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	for _, opt := range opts {
+		opt(pooled)
+		opt(fresh)
+	}
+	return &Client{pooled: &http.Client{Transport: pooled}, fresh: &http.Client{Transport: fresh}}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.pooled.CloseIdleConnections()
+}
+
+// Counters returns the totals since the start.
+func (c *Client) Counters() map[string]int64 {
+	return map[string]int64{"streams-resumed": c.resumed.Load(), "connections-silent": c.silent.Load()}
+}
+
+// Stream is one run at one agent as its entry reads it; only Cancel may be called concurrently with other methods.
+type Stream struct {
+	client  *Client
+	agent   netip.AddrPort
+	request identifier.Request
+	attempt int
+
+	reader *Reader
+	body   io.ReadCloser
+	cancel context.CancelFunc
+	silent *atomic.Bool
+	timer  *time.Timer
+	last   uint64
+}
+
+// Open sends the order with the caller's body. ErrNotSent means that the agent never had it; on any other trouble the
+// stream is resumed, and ErrLost is returned when that fails.
+func (c *Client) Open(ctx context.Context, agent netip.AddrPort, order *Order, body []byte) (*Stream, error) {
+	header, err := json.Marshal(order)
+	if err != nil {
+		return nil, fmt.Errorf("%w: encode order: %w", ErrNotSent, err)
+	}
+	payload := make([]byte, 0, len(header)+1+len(body))
+	payload = append(append(append(payload, header...), '\n'), body...)
+	s := &Stream{client: c, agent: agent, request: order.Request, attempt: order.Attempt}
+	err = s.connect(ctx, c.pooled, http.MethodPost, s.url("/run"), payload)
+	switch {
+	case err == nil:
+		return s, nil
+	case isDial(err):
+		return nil, fmt.Errorf("%w: %s: %w", ErrNotSent, agent, err)
+	case ctx.Err() != nil:
+		return s, context.Cause(ctx)
+	}
+	return s, s.resume(ctx, err)
+}
+
+// isDial reports whether err means that no connection came about.
+func isDial(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func (s *Stream) url(path string) string {
+	return "http://" + s.agent.String() + path
+}
+
+func (s *Stream) runURL(after uint64) string {
+	return s.url("/run/" + string(s.request) + "?attempt=" + strconv.Itoa(s.attempt) +
+		"&after=" + strconv.FormatUint(after, 10))
+}
+
+// statusError is a reply of the agent that has no frames.
+type statusError struct {
+	status int
+}
+
+// Error returns the status.
+func (e *statusError) Error() string {
+	return "streamer: agent answered with status " + strconv.Itoa(e.status)
+}
+
+// connect makes a request whose reply becomes the source of frames. A connection that stays silent is closed.
+func (s *Stream) connect(ctx context.Context, h *http.Client, method, url string, payload []byte) error {
+	ctx, cancel := context.WithCancel(ctx)
+	silent := &atomic.Bool{}
+	timer := time.AfterFunc(SilenceLimit, func() {
+		silent.Store(true)
+		cancel()
+	})
+	fail := func(err error) error {
+		timer.Stop()
+		cancel()
+		if silent.Load() {
+			s.client.silent.Add(1)
+			return fmt.Errorf("%w: %w", errSilent, err)
+		}
+		return err
+	}
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(payload))
+	if err != nil {
+		return fail(err)
+	}
+	resp, err := h.Do(r)
+	if err != nil {
+		return fail(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return fail(&statusError{status: resp.StatusCode})
+	}
+	s.reader = NewReader(resp.Body, s.request, s.last)
+	s.body, s.cancel, s.timer, s.silent = resp.Body, cancel, timer, silent
+	return nil
+}
+
+// disconnect ends the current connection.
+func (s *Stream) disconnect() {
+	if s.body == nil {
+		return
+	}
+	s.timer.Stop()
+	s.cancel()
+	s.body.Close()
+	s.body, s.reader = nil, nil
+}
+
+// resume reads on at a new connection after the last frame.
+func (s *Stream) resume(ctx context.Context, cause error) error {
+	s.disconnect()
+	backoff := firstBackoff
+	for i := range maxResumes {
+		if i > 0 {
+			select {
+			case <-time.After(backoff):
+			case <-ctx.Done():
+				return context.Cause(ctx)
+			}
+			backoff *= 2
+		}
+		err := s.connect(ctx, s.client.fresh, http.MethodGet, s.runURL(s.last), nil)
+		if err == nil {
+			s.client.resumed.Add(1)
+			return nil
+		}
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+		cause = errors.Join(cause, err)
+		var status *statusError
+		if errors.As(err, &status) {
+			break
+		}
+	}
+	return fmt.Errorf("%w: %s at %s: %w", ErrLost, s.request, s.agent, cause)
+}
+
+// Next returns the next frame, heartbeats included, and io.EOF after the final one. A broken or silent connection, a
+// missing or a foreign frame leads to a resume; ErrLost is returned when the agent cannot continue the stream.
+func (s *Stream) Next(ctx context.Context) (Frame, error) {
+	for tries := 0; ; tries++ {
+		f, err := s.reader.Next()
+		if err == nil {
+			s.timer.Reset(SilenceLimit)
+			if f.Kind != KindHeartbeat {
+				s.last = f.Sequence
+			}
+			return f, nil
+		}
+		if errors.Is(err, io.EOF) && s.reader.final {
+			return f, io.EOF
+		}
+		if ctx.Err() != nil {
+			return Frame{}, context.Cause(ctx)
+		}
+		if s.silent.Load() {
+			s.client.silent.Add(1)
+			err = errSilent
+		}
+		if tries == maxResumes {
+			return Frame{}, fmt.Errorf("%w: %s at %s: %w", ErrLost, s.request, s.agent, err)
+		}
+		if err := s.resume(ctx, err); err != nil {
+			return Frame{}, err
+		}
+	}
+}
+
+// Cancel asks the agent to end the run and returns its outcome, or OutcomeUnknown if the agent does not answer.
+func (s *Stream) Cancel(ctx context.Context) Outcome {
+	ctx, cancel := context.WithTimeout(ctx, SilenceLimit)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodDelete, s.runURL(s.last), http.NoBody)
+	if err != nil {
+		return OutcomeUnknown
+	}
+	resp, err := s.client.fresh.Do(r)
+	if err != nil {
+		return OutcomeUnknown
+	}
+	defer resp.Body.Close()
+	var reply CancelReply
+	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil || reply.Outcome == "" {
+		return OutcomeUnknown
+	}
+	return reply.Outcome
+}
+
+// CancelReply answers DELETE /run/{id}.
+type CancelReply struct {
+	Outcome Outcome `json:"outcome"`
+}
+
+// Close ends the connection; a stream that was read to its end leaves the connection in the pool.
+func (s *Stream) Close() {
+	if s.body == nil {
+		return
+	}
+	if s.reader.final {
+		// Reading to the end of the reply lets the transport keep the connection; the timer bounds the read.
+		_, _ = io.CopyN(io.Discard, s.body, 1)
+	}
+	s.disconnect()
+}
--- a/streamer/doc.go
+++ b/streamer/doc.go
@@ -1,2 +1,3 @@
-// Package streamer defines the order and the answer frames that pass between entry and agent over HTTP.
+// Package streamer carries responses as numbered frames over HTTP between entry and agent: encoding, a bounded replay
+// buffer, detection of lost, repeated and foreign frames, heartbeats, and resume on a new connection.
 package streamer
--- a/streamer/frame.go
+++ b/streamer/frame.go
@@ -52,6 +52,21 @@
 	MaxTokens    int `json:"max-tokens"`
 	// Revision is the configuration under which the entry decided.
 	Revision uint64 `json:"revision"`
+	// Call is set for a plain service and nil for a model engine.
+	Call *Call `json:"call,omitempty"`
+}
+
+// Call is the request line and the forwarded headers of a call to a plain service.
+type Call struct {
+	Method  string            `json:"method"`
+	Path    string            `json:"path"`
+	Headers map[string]string `json:"headers,omitempty"`
+}
+
+// Reply is the data of a started frame of a plain service; the body follows as base64 strings in token frames.
+type Reply struct {
+	Status  int               `json:"status"`
+	Headers map[string]string `json:"headers,omitempty"`
 }
 
 // Usage counts the tokens of one run.
@@ -79,7 +94,7 @@
 	Sequence uint64             `json:"sequence"`
 	Request  identifier.Request `json:"request-id"`
 	Kind     Kind               `json:"kind"`
-	// Data is the engine's chunk for a token frame, and the error text for a failed or refused one.
+	// Data is the engine's chunk for a token frame, and a Reply for a started frame of a plain service.
 	Data    json.RawMessage `json:"data,omitempty"`
 	Outcome Outcome         `json:"outcome,omitempty"`
 	Code    string          `json:"code,omitempty"`
--- a/streamer/stream.go
+++ b/streamer/reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -10,8 +9,12 @@
 	"github.com/siskinfront/siskinfront/identifier"
 )
 
-// maxFrame bounds one encoded frame in bytes.
-const maxFrame = 1 << 20
+const (
+	// maxFrame bounds one encoded frame in bytes.
+	maxFrame = 1 << 20
+	// readBuffer is the initial size of the line buffer in bytes; a token frame takes about 300.
+	readBuffer = 2048
+)
 
 // ErrTruncated is returned when a stream ends before its final frame.
 var ErrTruncated = errors.New("streamer: stream ended before its final frame")
@@ -24,20 +27,22 @@
 
 // Reader reads the frames of one request in order; it is not safe for concurrent use.
 type Reader struct {
-	scanner *bufio.Scanner
-	request identifier.Request
-	last    uint64
-	final   bool
+	scanner    *bufio.Scanner
+	request    identifier.Request
+	last       uint64
+	duplicates int64
+	final      bool
 }
 
 // NewReader returns a reader of the frames of request that follow frame after.
 func NewReader(r io.Reader, request identifier.Request, after uint64) *Reader {
 	s := bufio.NewScanner(r)
-	s.Buffer(make([]byte, 0, 4096), maxFrame)
+	s.Buffer(make([]byte, 0, readBuffer), maxFrame)
 	return &Reader{scanner: s, request: request, last: after}
 }
 
-// Next returns the next frame, io.EOF after the final one, and skips frames that were read before.
+// Next returns the next frame, whose data is valid until the next call, and io.EOF after the final one. Frames that
+// were read before are skipped; a frame out of order shows as ErrGap.
 func (r *Reader) Next() (Frame, error) {
 	for {
 		if r.final {
@@ -49,9 +54,9 @@
 			}
 			return Frame{}, ErrTruncated
 		}
-		var f Frame
-		if err := json.Unmarshal(r.scanner.Bytes(), &f); err != nil {
-			return Frame{}, fmt.Errorf("streamer: decode frame after %d: %w", r.last, err)
+		f, err := DecodeFrame(r.scanner.Bytes(), r.request)
+		if err != nil {
+			return Frame{}, fmt.Errorf("streamer: after frame %d: %w", r.last, err)
 		}
 		if f.Request != r.request {
 			return Frame{}, fmt.Errorf("%w: want %s, got %s", ErrForeign, r.request, f.Request)
@@ -60,6 +65,7 @@
 			return f, nil
 		}
 		if f.Sequence <= r.last {
+			r.duplicates++
 			continue
 		}
 		if f.Sequence != r.last+1 {
@@ -79,34 +85,7 @@
 	return r.last
 }
 
-// Writer numbers and writes the frames of one request; it is not safe for concurrent use.
-type Writer struct {
-	w       io.Writer
-	request identifier.Request
-	last    uint64
-}
-
-// NewWriter returns a writer for the frames of request.
-func NewWriter(w io.Writer, request identifier.Request) *Writer {
-	return &Writer{w: w, request: request}
-}
-
-// Write numbers f and writes it as one line; a heartbeat takes no number.
-func (w *Writer) Write(f Frame) error {
-	f.Request = w.request
-	if f.Kind != KindHeartbeat {
-		w.last++
-		f.Sequence = w.last
-	}
-	if f.Kind == KindDone {
-		f.Frames = f.Sequence
-	}
-	b, err := json.Marshal(f)
-	if err != nil {
-		return fmt.Errorf("streamer: encode frame %d: %w", w.last, err)
-	}
-	if _, err := w.w.Write(append(b, '\n')); err != nil {
-		return fmt.Errorf("streamer: write frame %d: %w", w.last, err)
-	}
-	return nil
+// Duplicates returns the number of frames that were skipped because they had been read before.
+func (r *Reader) Duplicates() int64 {
+	return r.duplicates
 }
--- /dev/null
+++ b/streamer/replay.go
@@ -0,0 +1,234 @@
+package streamer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+const (
+	// HeartbeatInterval is the longest time without a frame on a healthy connection.
+	HeartbeatInterval = time.Second
+	// maxReplay bounds the encoded frames kept for one stream in bytes. It exceeds what the socket buffers of a broken
+	// connection can hold under the default limits of the kernel for a stream of tokens.
+	maxReplay = 256 << 10
+)
+
+// ErrReplayLost is returned by Follow when the wanted frames have left the buffer.
+var ErrReplayLost = errors.New("streamer: wanted frames have left the replay buffer")
+
+// ErrDisplaced is returned by Follow when a newer reader took over the stream.
+var ErrDisplaced = errors.New("streamer: a newer reader took over the stream")
+
+// ErrFinished is returned by Append after the final frame.
+var ErrFinished = errors.New("streamer: stream has its final frame")
+
+// Replay holds the latest frames of one stream in bounded memory; it is safe for concurrent use by one writer and any
+// number of readers, of which only the newest is served.
+type Replay struct {
+	request identifier.Request
+	limit   int
+
+	mu sync.Mutex
+	// buf holds the encoded frames first to last; ends[i] is the end of frame first+i.
+	buf   []byte
+	ends  []int
+	first uint64
+	last  uint64
+	final bool
+	// delivered is the last frame that was written to the newest reader.
+	delivered uint64
+	reader    uint64
+	readers   int
+	more      chan struct{}
+	space     chan struct{}
+}
+
+// NewReplay returns an empty buffer for the frames of request.
+func NewReplay(request identifier.Request) *Replay {
+	return &Replay{
+		request: request, limit: maxReplay, first: 1, more: make(chan struct{}, 1), space: make(chan struct{}, 1),
+	}
+}
+
+// Append numbers f and adds it. It waits while the buffer is full of frames that no reader has received, so a slow
+// caller slows its own run; it ends early when ctx does.
+func (p *Replay) Append(ctx context.Context, f Frame) error {
+	for {
+		ok, err := p.tryAppend(&f)
+		if err != nil || ok {
+			return err
+		}
+		select {
+		case <-p.space:
+		case <-ctx.Done():
+			return fmt.Errorf("streamer: append frame: %w", ctx.Err())
+		}
+	}
+}
+
+// Finish adds a final frame and never waits; undelivered frames stay in the buffer.
+func (p *Replay) Finish(f Frame) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.add(&f)
+}
+
+func (p *Replay) tryAppend(f *Frame) (bool, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.buf) >= p.limit && !p.evict() {
+		return false, nil
+	}
+	return true, p.add(f)
+}
+
+func (p *Replay) add(f *Frame) error {
+	if p.final {
+		return ErrFinished
+	}
+	f.Request = p.request
+	f.Sequence = p.last + 1
+	if f.Kind == KindDone {
+		f.Frames = f.Sequence
+	}
+	buf, err := AppendFrame(p.buf, f)
+	if err != nil {
+		return err
+	}
+	p.buf = buf
+	p.ends = append(p.ends, len(buf))
+	p.last = f.Sequence
+	p.final = f.Final()
+	signal(p.more)
+	return nil
+}
+
+// evict drops the older half of the buffer as far as it was delivered, and reports whether it dropped a frame.
+func (p *Replay) evict() bool {
+	n := 0
+	for n < len(p.ends) && p.ends[n] <= p.limit/2 && p.first+uint64(n) <= p.delivered {
+		n++
+	}
+	if n == 0 {
+		return false
+	}
+	cut := p.ends[n-1]
+	p.buf = p.buf[:copy(p.buf, p.buf[cut:])]
+	p.ends = p.ends[:copy(p.ends, p.ends[n:])]
+	for i := range p.ends {
+		p.ends[i] -= cut
+	}
+	p.first += uint64(n)
+	return true
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Follow writes the frames after a sequence number to w as they come, with heartbeats between them, until the final
+// frame, the end of ctx, a failed write, or a newer reader.
+func (p *Replay) Follow(ctx context.Context, w http.ResponseWriter, after uint64) error {
+	p.mu.Lock()
+	if after+1 < p.first || after > p.last {
+		p.mu.Unlock()
+		return fmt.Errorf("%w: after %d", ErrReplayLost, after)
+	}
+	p.reader++
+	p.readers++
+	id := p.reader
+	p.delivered = after
+	signal(p.more)
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		p.readers--
+		p.mu.Unlock()
+	}()
+	flusher, _ := w.(http.Flusher)
+	heartbeat := time.NewTicker(HeartbeatInterval)
+	defer heartbeat.Stop()
+	var scratch []byte
+	beat := false
+	for {
+		var final bool
+		var err error
+		scratch, after, final, err = p.pending(scratch[:0], id, after)
+		if err != nil {
+			return err
+		}
+		if len(scratch) == 0 && beat {
+			if scratch, err = AppendFrame(scratch, &Frame{Request: p.request, Kind: KindHeartbeat}); err != nil {
+				return err
+			}
+		}
+		if len(scratch) > 0 {
+			if _, err := w.Write(scratch); err != nil {
+				return fmt.Errorf("streamer: write frames up to %d: %w", after, err)
+			}
+			if flusher != nil {
+				flusher.Flush()
+			}
+			p.deliver(id, after)
+		}
+		if final {
+			return nil
+		}
+		beat = false
+		select {
+		case <-p.more:
+		case <-heartbeat.C:
+			beat = true
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// pending appends the frames after a sequence number to b and returns the number of the last one.
+func (p *Replay) pending(b []byte, reader, after uint64) ([]byte, uint64, bool, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reader != reader {
+		// The signal may have been meant for the newer reader.
+		signal(p.more)
+		return b, after, false, ErrDisplaced
+	}
+	from := 0
+	if n := after + 1 - p.first; n > 0 {
+		from = p.ends[n-1]
+	}
+	return append(b, p.buf[from:]...), p.last, p.final, nil
+}
+
+func (p *Replay) deliver(reader, last uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reader == reader {
+		p.delivered = last
+		signal(p.space)
+	}
+}
+
+// Readers returns the number of connected readers.
+func (p *Replay) Readers() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.readers
+}
+
+// Delivered reports whether the final frame was written to a reader.
+func (p *Replay) Delivered() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.final && p.delivered == p.last
+}
