--- a/agentserver/admission.go
+++ b/agentserver/admission.go
@@ -30,14 +30,14 @@
 	Finish func(tokens int)
 }
 
-// Refusal is a truthful rejection of an order that was never given to the upstream.
-type Refusal struct {
+// RefusalError is a truthful rejection of an order that was never given to the upstream.
+type RefusalError struct {
 	Code    string
 	RetryAt time.Time
 }
 
 // Error returns the code.
-func (r *Refusal) Error() string {
+func (r *RefusalError) Error() string {
 	return "agentserver: refused: " + r.Code
 }
 
@@ -64,7 +64,7 @@
 	q.mu.Lock()
 	if q.waiting >= q.places {
 		q.mu.Unlock()
-		return Ticket{}, &Refusal{Code: "queue-full"}
+		return Ticket{}, &RefusalError{Code: "queue-full"}
 	}
 	q.waiting++
 	q.mu.Unlock()
--- a/agentserver/execute.go
+++ b/agentserver/execute.go
@@ -48,7 +48,7 @@
 // once waits for a slot and runs the order in it. It returns errPreempted if the slot was withdrawn before the end.
 func (s *Server) once(ctx context.Context, r *run, a attempt) (streamer.Frame, error) {
 	ticket, err := s.Admit(ctx, Item{Order: r.order, Cost: float64(r.order.PromptTokens + r.order.MaxTokens - r.tokens)})
-	var refusal *Refusal
+	var refusal *RefusalError
 	switch {
 	case err == nil:
 	case errors.As(err, &refusal) && r.outcomeNow() == streamer.OutcomeNotRun:
@@ -87,7 +87,7 @@
 	return a.run(ctx)
 }
 
-func refusedFrame(refusal *Refusal) streamer.Frame {
+func refusedFrame(refusal *RefusalError) streamer.Frame {
 	return streamer.Frame{
 		Kind: streamer.KindRefused, Code: refusal.Code, Outcome: streamer.OutcomeNotRun, RetryAt: refusal.RetryAt,
 	}
@@ -116,7 +116,7 @@
 ) {
 	hr, err := http.NewRequestWithContext(ctx, method, "http://"+s.address.String()+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, &streamer.Frame{
+		return nil, &streamer.Frame{ //nolint:nilerr // the final frame carries the failure
 			Kind: streamer.KindFailed, Code: "invalid-call", Outcome: r.outcomeNow(),
 		}, nil
 	}
@@ -150,9 +150,11 @@
 	}
 	if ctx.Err() != nil {
 		f := s.interrupted(ctx, r)
-		return nil, &f, nil
+		return nil, &f, nil //nolint:nilerr // the final frame carries the failure
 	}
-	return nil, &streamer.Frame{Kind: streamer.KindFailed, Code: code, Outcome: r.outcomeNow()}, nil
+	return nil, &streamer.Frame{ //nolint:nilerr // the final frame carries the failure
+		Kind: streamer.KindFailed, Code: code, Outcome: r.outcomeNow(),
+	}, nil
 }
 
 // engineBody rewrites the caller's body for the engine: the chosen version, always streamed, with usage.
--- a/agentserver/handler.go
+++ b/agentserver/handler.go
@@ -24,7 +24,7 @@
 		return
 	}
 	run, fresh, err := s.begin(order, payload)
-	var refusal *Refusal
+	var refusal *RefusalError
 	var ended *endedError
 	switch {
 	case errors.As(err, &refusal):
--- a/agentserver/run.go
+++ b/agentserver/run.go
@@ -111,7 +111,7 @@
 }
 
 // begin returns the run of the order's request and attempt, and whether it is new and must be executed. The error is a
-// *Refusal if the agent takes no new order, or an *endedError.
+// *RefusalError if the agent takes no new order, or an *endedError.
 func (s *Server) begin(order *streamer.Order, payload []byte) (*run, bool, error) {
 	key := runKey{order.Request, order.Attempt}
 	s.mu.Lock()
@@ -124,16 +124,16 @@
 	}
 	now := s.Now()
 	if s.draining {
-		return nil, false, &Refusal{Code: "draining", RetryAt: now}
+		return nil, false, &RefusalError{Code: "draining", RetryAt: now}
 	}
 	if !order.Deadline.After(now) {
-		return nil, false, &Refusal{Code: "deadline-passed"}
+		return nil, false, &RefusalError{Code: "deadline-passed"}
 	}
 	if len(s.runs) >= maxRuns {
-		return nil, false, &Refusal{Code: "too-many-runs", RetryAt: now.Add(refusalWait)}
+		return nil, false, &RefusalError{Code: "too-many-runs", RetryAt: now.Add(refusalWait)}
 	}
 	if s.bills.full() {
-		return nil, false, &Refusal{Code: "bills-pending", RetryAt: now.Add(refusalWait)}
+		return nil, false, &RefusalError{Code: "bills-pending", RetryAt: now.Add(refusalWait)}
 	}
 	if err := s.check(order); err != nil {
 		return nil, false, err
@@ -155,14 +155,14 @@
 	if cfg := s.Configuration(); cfg != nil && cfg.Revision >= order.Revision {
 		v := cfg.Version(order.Target)
 		if v == nil || v.State == configurer.VersionWithdrawn {
-			return &Refusal{Code: "version-withdrawn"}
+			return &RefusalError{Code: "version-withdrawn"}
 		}
 		if a := cfg.ClientAccount(order.ClientAccount); a == nil || !a.Allows(order.Target) {
-			return &Refusal{Code: "version-not-allowed"}
+			return &RefusalError{Code: "version-not-allowed"}
 		}
 	}
 	if !s.Loaded(order.Target) {
-		return &Refusal{Code: "version-not-loaded"}
+		return &RefusalError{Code: "version-not-loaded"}
 	}
 	return nil
 }
--- a/agentserver/server.go
+++ b/agentserver/server.go
@@ -32,7 +32,7 @@
 	Now func() time.Time
 	// Configuration returns the configuration in force, or nil while there is none.
 	Configuration func() *configurer.Configuration
-	// Admit waits for a slot; its error is a *Refusal, which is always not-run, or that of the context.
+	// Admit waits for a slot; its error is a *RefusalError, which is always not-run, or that of the context.
 	Admit func(ctx context.Context, it Item) (Ticket, error)
 	// Load returns the load that frames report.
 	Load func() streamer.Load
--- a/agentserver/service.go
+++ b/agentserver/service.go
@@ -51,14 +51,14 @@
 	if err := a.r.replay.Append(ctx, streamer.Frame{Kind: streamer.KindStarted, Data: data}); err != nil {
 		return a.s.interrupted(ctx, a.r), nil
 	}
-	return a.copyBody(ctx, resp.Body)
+	return a.copyBody(ctx, resp.Body), nil
 }
 
 func broken(code string) streamer.Frame {
 	return streamer.Frame{Kind: streamer.KindFailed, Code: code, Outcome: streamer.OutcomeRun}
 }
 
-func (a *serviceAttempt) copyBody(ctx context.Context, body io.Reader) (streamer.Frame, error) {
+func (a *serviceAttempt) copyBody(ctx context.Context, body io.Reader) streamer.Frame {
 	part := make([]byte, servicePart)
 	total := 0
 	for {
@@ -66,15 +66,15 @@
 		n, err := body.Read(part)
 		total += n
 		if total > maxServiceBody {
-			return broken("upstream-body-too-large"), nil
+			return broken("upstream-body-too-large")
 		}
 		if n > 0 {
 			data, encodeErr := json.Marshal(part[:n])
 			if encodeErr != nil {
-				return broken("upstream-malformed"), nil
+				return broken("upstream-malformed")
 			}
 			if err := a.r.replay.Append(ctx, streamer.Frame{Kind: streamer.KindToken, Data: data}); err != nil {
-				return a.s.interrupted(ctx, a.r), nil
+				return a.s.interrupted(ctx, a.r)
 			}
 		}
 		switch {
@@ -82,11 +82,11 @@
 		case errors.Is(err, io.EOF):
 			usage := &streamer.Usage{}
 			a.s.addBill(a.r, usage, true)
-			return streamer.Frame{Kind: streamer.KindDone, Usage: usage, Outcome: streamer.OutcomeRun}, nil
+			return streamer.Frame{Kind: streamer.KindDone, Usage: usage, Outcome: streamer.OutcomeRun}
 		case ctx.Err() != nil:
-			return a.s.interrupted(ctx, a.r), nil
+			return a.s.interrupted(ctx, a.r)
 		default:
-			return broken("upstream-ended-early"), nil
+			return broken("upstream-ended-early")
 		}
 	}
 }
--- a/entryserver/answer.go
+++ b/entryserver/answer.go
@@ -221,7 +221,7 @@
 	if err != nil {
 		return fmt.Errorf("entryserver: encode response: %w", err)
 	}
-	a.body = append(body, '\n')
+	a.body = body
 	return nil
 }
 
--- /dev/null
+++ b/pinner/version.go
@@ -0,0 +1,64 @@
+package pinner
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+func hash(parts ...string) uint64 {
+	d := xxhash.New()
+	for _, p := range parts {
+		// Writes to the digest never fail.
+		_, _ = d.WriteString(p)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
+// Version returns the version of a model on which a session starts: candidates take their exposure of the hash space in
+// the order of the configuration, the first serving version takes the rest. It returns false if the client account may
+// use none of them.
+func Version(
+	cfg *configurer.Configuration, acc identifier.ClientAccount, s identifier.Session, model identifier.Model,
+) (identifier.Target, bool) {
+	m, account := cfg.Model(model), cfg.ClientAccount(acc)
+	if m == nil || account == nil {
+		return identifier.Target{}, false
+	}
+	point := float64(hash(string(acc), string(s), string(model))>>11) / (1 << 53)
+	var serving identifier.Target
+	for i := range m.Versions {
+		v := &m.Versions[i]
+		t := identifier.Target{Model: model, Version: v.Name}
+		if !account.Allows(t) {
+			continue
+		}
+		switch v.State {
+		case configurer.VersionCandidate:
+			if point < v.Exposure {
+				return t, true
+			}
+			point -= v.Exposure
+		case configurer.VersionServing:
+			if serving.Version == "" {
+				serving = t
+			}
+		}
+	}
+	return serving, serving.Version != ""
+}
+
+// Owner returns the instance that owns a session by rendezvous hashing, or an empty name without instances. When an
+// instance leaves, only its own sessions move.
+func Owner(instances []identifier.Instance, acc identifier.ClientAccount, s identifier.Session) identifier.Instance {
+	var owner identifier.Instance
+	var best uint64
+	for _, i := range instances {
+		if h := hash(string(i), string(acc), string(s)); owner == "" || h > best || h == best && i < owner {
+			owner, best = i, h
+		}
+	}
+	return owner
+}
--- a/streamer/client.go
+++ b/streamer/client.go
@@ -164,7 +164,8 @@
 		return fail(err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		resp.Body.Close()
+		// The connection is not used again.
+		_ = resp.Body.Close()
 		return fail(&statusError{status: resp.StatusCode})
 	}
 	s.reader = NewReader(resp.Body, s.request, s.last)
@@ -179,7 +180,8 @@
 	}
 	s.timer.Stop()
 	s.cancel()
-	s.body.Close()
+	// The connection is not used again, or its response was read to the end.
+	_ = s.body.Close()
 	s.body, s.reader = nil, nil
 }
 
--- a/streamer/codec.go
+++ b/streamer/codec.go
@@ -13,7 +13,7 @@
 const (
 	partSequence = `{"sequence":`
 	partRequest  = `,"request-id":"`
-	partToken    = `","kind":"token","data":`
+	partKind     = `","kind":"token","data":`
 )
 
 // AppendFrame appends f as one line to b.
@@ -23,7 +23,7 @@
 		b = strconv.AppendUint(b, f.Sequence, 10)
 		b = append(b, partRequest...)
 		b = append(b, f.Request...)
-		b = append(b, partToken...)
+		b = append(b, partKind...)
 		b = append(b, f.Data...)
 		return append(b, "}\n"...), nil
 	}
@@ -84,7 +84,7 @@
 	if !isPlain(want) || len(rest) < len(want) || string(rest[:len(want)]) != string(want) {
 		return Frame{}, false
 	}
-	if rest, ok = bytes.CutPrefix(rest[len(want):], []byte(partToken)); !ok {
+	if rest, ok = bytes.CutPrefix(rest[len(want):], []byte(partKind)); !ok {
 		return Frame{}, false
 	}
 	if rest, ok = bytes.CutSuffix(rest, []byte("}")); !ok || !json.Valid(rest) {
--- a/streamer/replay.go
+++ b/streamer/replay.go
@@ -112,7 +112,7 @@
 // evict drops the older half of the buffer as far as it was delivered, and reports whether it dropped a frame.
 func (p *Replay) evict() bool {
 	n := 0
-	for n < len(p.ends) && p.ends[n] <= p.limit/2 && p.first+uint64(n) <= p.delivered {
+	for n < len(p.ends) && (n == 0 || p.ends[n] <= p.limit/2) && p.first+uint64(n) <= p.delivered {
 		n++
 	}
 	if n == 0 {
