selector: select the cheapest version at the quality target

Cause: the naive version ignores quality, exposure, sessions and cascades. Change: plans per configuration behind an atomic pointer; a price of quality per account and kind, steered to the target.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -226,13 +226,14 @@
 	return m
 }
 
-// Quality returns the expected rating of an answer, the standard deviation of that expectation, and the effective
-// number of ratings behind it; without ratings it returns the prior with its deviation and 0.
+// Quality returns the expected rating of an answer, the standard deviation of that expectation, and the aged weight
+// of the ratings behind it; without ratings it returns the prior with its deviation and 0.
 func (e *Estimator) Quality(k identifier.WorkKind, t identifier.Target) (mean, deviation, n float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	m := e.total(cellKey{k, t})
-	n = m.effective()
+	// The weight, unlike the effective number, shrinks without new ratings, so that the uncertainty grows again.
+	n = m.Weight
 	return m.mean(e.prior(t)), math.Sqrt(m.variance() / (priorWeight + n)), n
 }
 
@@ -332,7 +333,7 @@
 		m := e.total(k)
 		rows = append(rows, Estimate{
 			WorkKind: k.kind, Target: k.target, Mean: m.mean(e.prior(k.target)),
-			Deviation: math.Sqrt(m.variance() / (priorWeight + m.effective())), Ratings: m.effective(),
+			Deviation: math.Sqrt(m.variance() / (priorWeight + m.Weight)), Ratings: m.Weight,
 			Sources: len(c.sources),
 		})
 	}
--- /dev/null
+++ b/selector/plan.go
@@ -0,0 +1,299 @@
+package selector
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync/atomic"
+
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+const (
+	// maxCascades bounds the cascades that one decision compares.
+	maxCascades = 6
+	// cascadeRatings is the weight of ratings below which the shortfall of a version is too uncertain for a cascade.
+	cascadeRatings = 30
+	// explorationShare is the share of requests that may go to versions that could be better than estimated.
+	explorationShare = 0.02
+	// optimism is the number of standard deviations by which an explored version may be better than estimated.
+	optimism = 1.5
+	// margin is the relative addition to the quality target: the estimates of the selected versions are biased upwards, because a
+	// version whose ratings happened to be good is selected more often.
+	margin = 0.003
+	// catchUp bounds the correction of the target for a past deficit or surplus.
+	catchUp = 0.03
+	// perMillion converts prices per million tokens.
+	perMillion = 1e-6
+)
+
+// planKey identifies the requests that share one plan.
+type planKey struct {
+	account identifier.ClientAccount
+	kind    identifier.WorkKind
+	model   identifier.Model
+}
+
+// option is one version that may answer, or one cascade of two versions.
+type option struct {
+	target identifier.Target
+	// input and output are the expected prices per token.
+	input, output float64
+	quality       float64
+	deviation     float64
+	ratings       float64
+	// exposure is the share of sessions that may use the option: 1 for a serving version.
+	exposure float64
+	// salt makes the exposure of different versions independent.
+	salt    uint64
+	cascade []identifier.Target
+	// rating is the price of rating the first answer of a cascade.
+	rating float64
+}
+
+// price returns the expected cost of one request.
+func (o *option) price(prompt, completion float64) float64 {
+	return o.input*prompt + o.output*completion + o.rating
+}
+
+// control is the part of a plan that outlives the plan: the price of quality and what was selected so far.
+type control struct {
+	// lambda is the price of one unit of quality as float64 bits.
+	lambda atomic.Uint64
+	// scale is the unit of lambda's steps as float64 bits.
+	scale atomic.Uint64
+	// goal is the corrected quality target as float64 bits.
+	goal   atomic.Uint64
+	prompt atomic.Uint64
+	output atomic.Uint64
+	// targets and selected are parallel; selected counts the decisions for each target.
+	targets  []identifier.Target
+	selected []*atomic.Int64
+}
+
+func (c *control) counter(t identifier.Target) *atomic.Int64 {
+	if i := slices.Index(c.targets, t); i >= 0 {
+		return c.selected[i]
+	}
+	c.targets = append(c.targets, t)
+	c.selected = append(c.selected, &atomic.Int64{})
+	return c.selected[len(c.selected)-1]
+}
+
+// plan is what a decision reads; it is immutable but for its control.
+type plan struct {
+	err     error
+	options []option
+	// candidates are the versions that are tried by exposure.
+	candidates []option
+	// singles is the number of leading options that are no cascades.
+	singles  int
+	counters []*atomic.Int64
+	// best is the option with the highest quality.
+	best      int
+	reachable bool
+	worth     float64
+	control   *control
+	// reference holds the mean prompt and completion tokens of the requests.
+	reference [2]float64
+	account   *configurer.ClientAccount
+	kind      *configurer.WorkKind
+}
+
+func load(v *atomic.Uint64) float64     { return math.Float64frombits(v.Load()) }
+func store(v *atomic.Uint64, f float64) { v.Store(math.Float64bits(f)) }
+
+// collect lists the versions that the plan may use; the error is that of Cheapest.
+func (s *Selector) collect(cfg *configurer.Configuration, q *Query) (serving, candidates []option, err error) {
+	if q.Model != identifier.ModelAuto && cfg.Model(q.Model) == nil {
+		return nil, nil, ErrUnknownModel
+	}
+	allowed := false
+	for i := range cfg.Models {
+		m := &cfg.Models[i]
+		if q.Model != identifier.ModelAuto && q.Model != m.Name {
+			continue
+		}
+		for j := range m.Versions {
+			v := &m.Versions[j]
+			t := identifier.Target{Model: m.Name, Version: v.Name}
+			if !q.ClientAccount.Allows(t) {
+				continue
+			}
+			allowed = true
+			o := option{target: t, input: v.InputPrice * perMillion, output: v.OutputPrice * perMillion, exposure: 1}
+			o.quality, o.deviation = v.PriorQuality, 0
+			if s.estimator != nil {
+				o.quality, o.deviation, o.ratings = s.estimator.Quality(q.WorkKind.Name, t)
+			}
+			switch v.State {
+			case configurer.VersionServing:
+				serving = append(serving, o)
+			case configurer.VersionCandidate:
+				o.exposure, o.salt = v.Exposure, hashTarget(t)
+				if o.exposure > 0 {
+					candidates = append(candidates, o)
+				}
+			case configurer.VersionWithdrawn:
+			}
+		}
+	}
+	switch {
+	case !allowed:
+		return nil, nil, ErrNotAllowed
+	case len(serving)+len(candidates) == 0:
+		return nil, nil, ErrNoVersion
+	}
+	return serving, candidates, nil
+}
+
+// build makes the plan of one key; c is the control of the previous plan, or a fresh one.
+func (s *Selector) build(cfg *configurer.Configuration, q *Query, c *control) *plan {
+	p := &plan{control: c, account: q.ClientAccount, kind: q.WorkKind, best: -1}
+	serving, candidates, err := s.collect(cfg, q)
+	if err != nil {
+		p.err = err
+		return p
+	}
+	if r := cfg.RankIndex(q.WorkKind.Rank); r >= 0 {
+		p.worth = cfg.Ranks[r].Worth
+	}
+	p.reference = [2]float64{load(&c.prompt), load(&c.output)}
+	if p.reference[1] == 0 {
+		p.reference = [2]float64{float64(q.PromptTokens), float64(q.MaxTokens)}
+	}
+	p.options, p.candidates = serving, candidates
+	p.singles = len(serving)
+	for i := range p.options {
+		if p.best < 0 || p.options[i].quality > p.options[p.best].quality {
+			p.best = i
+		}
+	}
+	target := q.WorkKind.QualityTarget
+	// An option that is only reached through its exposure cannot be relied on to meet the target.
+	p.reachable = p.best >= 0 && p.options[p.best].quality >= target
+	s.steer(p, target)
+	if s.estimator != nil && !q.WorkKind.NonIdempotent {
+		p.options = append(p.options, s.cascades(p, q.WorkKind)...)
+	}
+	for i := range p.options {
+		p.counters = append(p.counters, c.counter(p.options[i].target))
+	}
+	return p
+}
+
+// steer sets the goal and, at first, the price of quality.
+func (s *Selector) steer(p *plan, target float64) {
+	c := p.control
+	goal := target * (1 + margin)
+	total, deficit := 0.0, 0.0
+	for i, t := range c.targets {
+		for _, list := range [2][]option{p.options, p.candidates} {
+			for j := range list {
+				if list[j].target == t {
+					n := float64(c.selected[i].Load())
+					total += n
+					deficit += n * (goal - list[j].quality)
+				}
+			}
+		}
+	}
+	// The deficit is made up for over the next tenth of the traffic, with a floor that damps the first minutes.
+	goal += min(max(deficit/(total/10+200), -catchUp), catchUp)
+	store(&c.goal, goal)
+	lambda, scale := frontier(p.options[:p.singles], p.reference, goal)
+	store(&c.scale, scale)
+	// Request sizes spread around the reference, so the stationary price differs from that of the frontier. Beyond a
+	// factor of 3 it is a remnant of earlier estimates.
+	store(&c.lambda, min(max(load(&c.lambda), lambda/3), 3*lambda))
+	if total == 0 {
+		store(&c.lambda, lambda)
+	}
+}
+
+// frontier returns the price of quality at which the mean of the kind reaches goal on the lower convex hull of cost over
+// quality, and the smallest positive price of the hull as the unit of its steps.
+func frontier(options []option, reference [2]float64, goal float64) (lambda, scale float64) {
+	type point struct{ quality, cost float64 }
+	points := make([]point, 0, len(options))
+	for i := range options {
+		points = append(points, point{options[i].quality, options[i].price(reference[0], reference[1])})
+	}
+	slices.SortFunc(points, func(a, b point) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(b.quality, a.quality))
+	})
+	for i := 0; i < len(points); {
+		next, slope := -1, math.Inf(1)
+		for j := i + 1; j < len(points); j++ {
+			if points[j].quality <= points[i].quality {
+				continue
+			}
+			if d := (points[j].cost - points[i].cost) / (points[j].quality - points[i].quality); d <= slope {
+				next, slope = j, d
+			}
+		}
+		if next < 0 {
+			break
+		}
+		if slope > 0 && scale == 0 {
+			scale = slope
+		}
+		if points[i].quality >= goal {
+			break
+		}
+		lambda = slope
+		if points[next].quality >= goal {
+			scale = slope
+			break
+		}
+		i = next
+	}
+	return lambda, scale
+}
+
+// cascades lists the pairs that beat starting higher, best first at the current price of quality.
+//
+// A cascade of a cheap version (cost c1, shortfall p) and a better one (cost c2) costs c1 + rating + p*c2. It loses
+// when that is at least c2, that is when p >= 1 - (c1+rating)/c2, and is then left out. It also loses when a single version
+// or a mixture reaches the same quality at a lower cost, which the comparison of scores in Select decides.
+func (s *Selector) cascades(p *plan, kind *configurer.WorkKind) []option {
+	type scored struct {
+		option
+		score float64
+	}
+	var found []scored
+	lambda := load(&p.control.lambda)
+	for i := range p.singles {
+		low := &p.options[i]
+		if low.ratings < cascadeRatings {
+			continue
+		}
+		share, above := s.estimator.Shortfall(kind.Name, low.target, kind.QualityTarget)
+		for j := range p.singles {
+			high := &p.options[j]
+			if high.quality <= low.quality || !CascadeWins(low.price(p.reference[0], p.reference[1]), s.ratingPrice,
+				high.price(p.reference[0], p.reference[1]), share) {
+				continue
+			}
+			o := option{
+				target: low.target, cascade: []identifier.Target{high.target}, exposure: 1, rating: s.ratingPrice,
+				input: low.input + share*high.input, output: low.output + share*high.output,
+				quality: (1-share)*above + share*high.quality, ratings: low.ratings,
+			}
+			found = append(found, scored{o, o.price(p.reference[0], p.reference[1]) - lambda*o.quality})
+		}
+	}
+	slices.SortStableFunc(found, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
+	options := make([]option, 0, maxCascades)
+	for i := range min(len(found), maxCascades) {
+		options = append(options, found[i].option)
+	}
+	return options
+}
+
+// CascadeWins reports whether running the cheap version first, rating it for the price of rating, and repeating on the
+// expensive one with probability shortfall costs less than starting on the expensive one.
+func CascadeWins(cheap, rating, expensive, shortfall float64) bool {
+	return cheap+rating+shortfall*expensive < expensive
+}
--- /dev/null
+++ b/selector/query.go
@@ -0,0 +1,58 @@
+package selector
+
+import (
+	"errors"
+	"time"
+
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+// ErrUnknownModel is returned for a model that the configuration does not define.
+var ErrUnknownModel = errors.New("selector: unknown model")
+
+// ErrNotAllowed is returned for a model, or a pinned target, that the client account may not use.
+var ErrNotAllowed = errors.New("selector: model is not allowed for the client account")
+
+// ErrNoVersion is returned when no allowed version receives new work.
+var ErrNoVersion = errors.New("selector: no version receives new work")
+
+// ErrWithdrawn is returned when the pinned version of a session is withdrawn or no longer configured.
+var ErrWithdrawn = errors.New("selector: pinned version is withdrawn")
+
+// Query is what a selection depends on.
+type Query struct {
+	ClientAccount *configurer.ClientAccount
+	WorkKind      *configurer.WorkKind
+	// Model is identifier.ModelAuto when the caller leaves the choice to the router.
+	Model   identifier.Model
+	Session identifier.Session
+	// Pinned is the target the session started on; the zero value means none.
+	Pinned       identifier.Target
+	PromptTokens int
+	MaxTokens    int
+	// Deadline is the end of the caller's patience; a zero Deadline rules out a cascade.
+	Deadline time.Time
+	// Now is the time of the request; the zero value means the selector's clock.
+	Now time.Time
+}
+
+// Decision is the selected target.
+type Decision struct {
+	Target identifier.Target
+	// Cascade lists the next steps, to be run in order as long as the answer is rated below the quality target. The
+	// slice is shared and must not be changed.
+	Cascade []identifier.Target
+	Reason  string
+}
+
+// The reasons of a decision.
+const (
+	ReasonPinned      = "pinned"
+	ReasonOnly        = "only-candidate"
+	ReasonCheapest    = "cheapest-at-target"
+	ReasonExposure    = "exposure"
+	ReasonExploration = "exploration"
+	ReasonCascade     = "cascade"
+	ReasonUnreachable = "target-unreachable"
+)
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -2,71 +2,393 @@
 
 import (
 	"errors"
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/estimator"
 	"github.com/siskinfront/siskinfront/identifier"
 )
 
-// ErrUnknownModel is returned for a model that the configuration does not define.
-var ErrUnknownModel = errors.New("selector: unknown model")
+const (
+	// refreshInterval is the age at which plans are rebuilt from the estimates.
+	refreshInterval = time.Second
+	// step is the change of the price of quality, in units of its scale, per unit of missed quality.
+	step = 0.02
+	// spread is the relative width of the price of quality over sessions; it splits sessions between two versions whose
+	// mixture meets the target.
+	spread = 0.1
+	// maxLambda bounds the price of quality in units of its scale.
+	maxLambda = 100
+	// maxPlans bounds the memory for plans.
+	maxPlans = 1 << 16
+	// controlShare is the weight of one request in the running mean of request sizes.
+	controlShare = 0.01
+)
+
+// snapshot holds the plans of one configuration; it is replaced, never changed.
+type snapshot struct {
+	cfg       *configurer.Configuration
+	refreshAt time.Time
+	plans     map[planKey]*plan
+}
+
+// Selector selects versions; it is safe for concurrent use.
+type Selector struct {
+	estimator   *estimator.Estimator
+	priceFactor func() float64
+	now         func() time.Time
+	ratingPrice float64
+	ratingDelay time.Duration
+
+	current  atomic.Pointer[snapshot]
+	sequence atomic.Uint64
 
-// ErrNotAllowed is returned for a model that the client account may not use.
-var ErrNotAllowed = errors.New("selector: model is not allowed for the client account")
+	mu       sync.Mutex
+	controls map[planKey]*control
 
-// ErrNoVersion is returned when no allowed version receives new work.
-var ErrNoVersion = errors.New("selector: no version receives new work")
+	decisions, explored, exposed, cascaded, unreachable, rebuilt atomic.Int64
+}
+
+// Option configures a Selector.
+type Option func(*Selector)
+
+// WithEstimator sets the source of quality estimates; without one the configured prior quality is used.
+func WithEstimator(e *estimator.Estimator) Option { return func(s *Selector) { s.estimator = e } }
 
-// Query is what a selection depends on.
-type Query struct {
-	ClientAccount *configurer.ClientAccount
-	WorkKind      *configurer.WorkKind
-	// Model is identifier.ModelAuto when the caller leaves the choice to the router.
-	Model        identifier.Model
-	Session      identifier.Session
-	PromptTokens int
-	MaxTokens    int
+// WithPriceFactor sets the factor between list price and real cost; the default is 1.
+func WithPriceFactor(f func() float64) Option { return func(s *Selector) { s.priceFactor = f } }
+
+// WithNow sets the clock for queries that carry no time.
+func WithNow(now func() time.Time) Option { return func(s *Selector) { s.now = now } }
+
+// WithRating sets the price, in the currency of the spend, and the delay of rating one answer within a cascade.
+func WithRating(price float64, delay time.Duration) Option {
+	return func(s *Selector) { s.ratingPrice, s.ratingDelay = price, delay }
 }
 
-// Cheapest returns the allowed serving version with the lowest list price; it ignores quality.
-func Cheapest(cfg *configurer.Configuration, q Query) (identifier.Target, error) {
-	if q.Model != identifier.ModelAuto && cfg.Model(q.Model) == nil {
-		return identifier.Target{}, ErrUnknownModel
+// New returns a selector without plans; the first query of each kind builds its plan.
+func New(opts ...Option) *Selector {
+	s := &Selector{
+		priceFactor: func() float64 { return 1 }, now: time.Now, ratingDelay: 2 * time.Second,
+		controls: map[planKey]*control{},
 	}
-	best, bestCost := identifier.Target{}, 0.0
-	allowed := false
-	for i := range cfg.Models {
-		m := &cfg.Models[i]
-		if q.Model != identifier.ModelAuto && q.Model != m.Name {
-			continue
+	for _, o := range opts {
+		o(s)
+	}
+	s.current.Store(&snapshot{})
+	return s
+}
+
+// Select returns the target with the lowest real cost at which the mean quality of the account's requests of the kind
+// meets the target. It returns ErrUnknownModel, ErrNotAllowed, ErrNoVersion or ErrWithdrawn. When no version meets the target
+// it returns the best one with ReasonUnreachable.
+func (s *Selector) Select(cfg *configurer.Configuration, q Query) (Decision, error) {
+	s.decisions.Add(1)
+	if q.Pinned != (identifier.Target{}) {
+		return pinned(cfg, &q)
+	}
+	if q.Now.IsZero() {
+		q.Now = s.now()
+	}
+	if q.MaxTokens == 0 {
+		q.MaxTokens = q.WorkKind.MaxTokens
+	}
+	p := s.plan(cfg, &q)
+	if p.err != nil {
+		return Decision{}, p.err
+	}
+	return s.decide(cfg, p, &q)
+}
+
+func pinned(cfg *configurer.Configuration, q *Query) (Decision, error) {
+	v := cfg.Version(q.Pinned)
+	switch {
+	case v == nil || v.State == configurer.VersionWithdrawn:
+		return Decision{}, ErrWithdrawn
+	case !q.ClientAccount.Allows(q.Pinned):
+		return Decision{}, ErrNotAllowed
+	}
+	return Decision{Target: q.Pinned, Reason: ReasonPinned}, nil
+}
+
+// plan returns the current plan of the query's key.
+func (s *Selector) plan(cfg *configurer.Configuration, q *Query) *plan {
+	key := planKey{q.ClientAccount.Name, q.WorkKind.Name, q.Model}
+	snap := s.current.Load()
+	if snap.cfg == cfg {
+		p, ok := snap.plans[key]
+		if ok && q.Now.Before(snap.refreshAt) {
+			return p
 		}
-		for j := range m.Versions {
-			v := &m.Versions[j]
-			t := identifier.Target{Model: m.Name, Version: v.Name}
-			if !q.ClientAccount.Allows(t) {
-				continue
-			}
-			allowed = true
-			if v.State != configurer.VersionServing {
-				continue
-			}
-			cost := ListPrice(v, q.PromptTokens, q.MaxTokens)
-			if best.Model == "" || cost < bestCost {
-				best, bestCost = t, cost
-			}
+		// One goroutine refreshes; the others go on with plans that are slightly older.
+		if ok && !s.mu.TryLock() {
+			return p
+		}
+		if !ok {
+			s.mu.Lock()
 		}
+	} else {
+		s.mu.Lock()
 	}
+	defer s.mu.Unlock()
+	return s.refresh(cfg, key, q)
+}
+
+// refresh installs a snapshot that contains the plan of key, and returns that plan; s.mu is held.
+func (s *Selector) refresh(cfg *configurer.Configuration, key planKey, q *Query) *plan {
+	s.rebuilt.Add(1)
+	snap := s.current.Load()
+	next := &snapshot{cfg: cfg, refreshAt: snap.refreshAt, plans: make(map[planKey]*plan, len(snap.plans)+1)}
 	switch {
-	case best.Model != "":
-		return best, nil
-	case !allowed:
-		return best, ErrNotAllowed
+	case snap.cfg == cfg && q.Now.Before(snap.refreshAt):
+		for k, p := range snap.plans {
+			next.plans[k] = p
+		}
+	case snap.cfg == cfg:
+		next.refreshAt = q.Now.Add(refreshInterval)
+		for k, p := range snap.plans {
+			next.plans[k] = s.build(cfg, &Query{
+				ClientAccount: p.account, WorkKind: p.kind, Model: k.model,
+				PromptTokens: int(p.reference[0]), MaxTokens: int(p.reference[1]),
+			}, p.control)
+		}
 	default:
-		return best, ErrNoVersion
+		next.refreshAt = q.Now.Add(refreshInterval)
+		for k := range s.controls {
+			// Controls of removed accounts, kinds and models would accumulate over thousands of changes a day.
+			if cfg.ClientAccount(k.account) == nil || cfg.WorkKind(k.kind) == nil {
+				delete(s.controls, k)
+			}
+		}
+	}
+	p, ok := next.plans[key]
+	if !ok {
+		c, known := s.controls[key]
+		if !known {
+			c = &control{}
+		}
+		p = s.build(cfg, q, c)
+		// A caller may name any number of unknown models; only valid plans are kept.
+		if errors.Is(p.err, ErrUnknownModel) || len(next.plans) >= maxPlans {
+			return p
+		}
+		s.controls[key] = c
+		next.plans[key] = p
+	}
+	s.current.Store(next)
+	return p
+}
+
+// decide compares the options of p for one request.
+func (s *Selector) decide(cfg *configurer.Configuration, p *plan, q *Query) (Decision, error) {
+	u := s.draw(q)
+	prompt, output := float64(q.PromptTokens), float64(q.MaxTokens)
+	w := s.weights(p, u)
+	best, reason := s.cheapest(cfg, p, q, w, prompt, output)
+	if explore := mix(u ^ 0x9e3779b97f4a7c15); s.estimator != nil && unit(explore) < explorationShare {
+		if i := explorable(p, best, w, prompt, output); i >= 0 {
+			best, reason = i, ReasonExploration
+			s.explored.Add(1)
+		}
+	}
+	var chosen *option
+	if best >= 0 {
+		chosen = &p.options[best]
+	}
+	candidate := exposedCandidate(p, chosen, u, w, prompt, output)
+	if candidate != nil {
+		s.exposed.Add(1)
+		p.control.settle(candidate.quality, prompt, output)
+		return Decision{Target: candidate.target, Reason: ReasonExposure}, nil
+	}
+	if chosen == nil {
+		return Decision{}, ErrNoVersion
+	}
+	p.counters[best].Add(1)
+	p.control.settle(chosen.quality, prompt, output)
+	if chosen.cascade != nil {
+		s.cascaded.Add(1)
+	}
+	return Decision{Target: chosen.target, Cascade: chosen.cascade, Reason: reason}, nil
+}
+
+// cheapest returns the index of the option with the lowest score, or -1 without options.
+func (s *Selector) cheapest(cfg *configurer.Configuration, p *plan, q *Query, w weights, prompt, output float64) (int, string) {
+	if !p.reachable {
+		if p.best >= 0 {
+			s.unreachable.Add(1)
+		}
+		return p.best, ReasonUnreachable
+	}
+	n := p.singles
+	if n < len(p.options) && s.cascadeFits(cfg, q) {
+		n = len(p.options)
+	}
+	best, bestScore, bestPrice := -1, math.Inf(1), math.Inf(1)
+	for i := range n {
+		o := &p.options[i]
+		price := o.price(prompt, output)
+		score := w.cost*price - w.quality*o.quality
+		if score < bestScore || score == bestScore && price < bestPrice {
+			best, bestScore, bestPrice = i, score, price
+		}
+	}
+	switch {
+	case n == 1 && len(p.candidates) == 0:
+		return best, ReasonOnly
+	case p.options[best].cascade != nil:
+		return best, ReasonCascade
+	}
+	return best, ReasonCheapest
+}
+
+// weights are the factors of cost and quality in a score.
+type weights struct{ cost, quality float64 }
+
+// weights returns the factors for one request: at list price the price of quality that meets the target, and for the
+// share of the cost that the commitment covers anyway, the worth of the answer.
+func (s *Selector) weights(p *plan, u uint64) weights {
+	f := min(max(s.priceFactor(), 0), 1)
+	lambda := load(&p.control.lambda) * (1 + spread*(unit(u)-0.5))
+	return weights{cost: f, quality: f*lambda + (1-f)*p.worth}
+}
+
+// cascadeFits reports whether two runs and a rating between them end before the deadline at the rank's target speed. A
+// session keeps its version, so a cascade is only for requests without one.
+func (s *Selector) cascadeFits(cfg *configurer.Configuration, q *Query) bool {
+	if q.Session != "" || q.Deadline.IsZero() {
+		return false
+	}
+	r := cfg.RankIndex(q.WorkKind.Rank)
+	if r < 0 {
+		return false
+	}
+	run := cfg.Ranks[r].FirstToken + time.Duration(q.MaxTokens)*cfg.Ranks[r].BetweenTokens
+	return q.Now.Add(2*run + s.ratingDelay).Before(q.Deadline)
+}
+
+// explorable returns the single option that would beat best if it were as good as its uncertainty permits, or -1.
+func explorable(p *plan, best int, w weights, prompt, output float64) int {
+	if best < 0 {
+		return -1
 	}
+	found, bestScore := -1, w.cost*p.options[best].price(prompt, output)-w.quality*p.options[best].quality
+	for i := range p.singles {
+		o := &p.options[i]
+		score := w.cost*o.price(prompt, output) - w.quality*min(1, o.quality+optimism*o.deviation)
+		if i != best && score < bestScore {
+			found, bestScore = i, score
+		}
+	}
+	return found
 }
 
-// ListPrice returns the price of a run at list prices, in the currency of the spend.
-func ListPrice(v *configurer.Version, promptTokens, completionTokens int) float64 {
-	const perMillion = 1e6
-	return (v.InputPrice*float64(promptTokens) + v.OutputPrice*float64(completionTokens)) / perMillion
+// exposedCandidate returns the candidate version that replaces chosen for this session, or nil. A candidate replaces
+// versions of its own model; a candidate of a model without serving version competes by its score.
+func exposedCandidate(p *plan, chosen *option, u uint64, w weights, prompt, output float64) *option {
+	var found *option
+	for i := range p.candidates {
+		c := &p.candidates[i]
+		if unit(mix(u^c.salt)) >= c.exposure {
+			continue
+		}
+		switch {
+		case chosen == nil || found != nil:
+			better := found == nil ||
+				w.cost*c.price(prompt, output)-w.quality*c.quality < w.cost*found.price(prompt, output)-w.quality*found.quality
+			if better && (chosen == nil || c.target.Model == chosen.target.Model) {
+				found = c
+			}
+		case c.target.Model == chosen.target.Model:
+			found = c
+		case !p.serves(c.target.Model) &&
+			w.cost*c.price(prompt, output)-w.quality*c.quality < w.cost*chosen.price(prompt, output)-w.quality*chosen.quality:
+			found = c
+		}
+	}
+	return found
+}
+
+// serves reports whether the plan has a serving version of the model.
+func (p *plan) serves(m identifier.Model) bool {
+	for i := range p.singles {
+		if p.options[i].target.Model == m {
+			return true
+		}
+	}
+	return false
+}
+
+// settle moves the price of quality against the deviation of one decision from the goal. Concurrent updates may lose
+// one another; the loss is one step out of thousands.
+func (c *control) settle(quality, prompt, output float64) {
+	scale := load(&c.scale)
+	lambda := load(&c.lambda) + step*scale*(load(&c.goal)-quality)
+	store(&c.lambda, min(max(lambda, 0), maxLambda*scale))
+	if mean := load(&c.output); mean == 0 {
+		store(&c.prompt, prompt)
+		store(&c.output, output)
+	} else {
+		store(&c.prompt, load(&c.prompt)+controlShare*(prompt-load(&c.prompt)))
+		store(&c.output, mean+controlShare*(output-mean))
+	}
+}
+
+// draw returns the hash of the session, or the next number of a sequence for a request without one.
+func (s *Selector) draw(q *Query) uint64 {
+	if q.Session == "" {
+		return mix(s.sequence.Add(1))
+	}
+	return mix(xxhash.Sum64String(string(q.Session)) ^ xxhash.Sum64String(string(q.ClientAccount.Name)))
+}
+
+func hashTarget(t identifier.Target) uint64 { return xxhash.Sum64String(t.String()) }
+
+// mix is the finaliser of SplitMix64.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// unit maps x to [0, 1).
+func unit(x uint64) float64 { return float64(x>>11) / (1 << 53) }
+
+// Counters returns monotonic counters.
+func (s *Selector) Counters() map[string]int64 {
+	return map[string]int64{
+		"decisions": s.decisions.Load(), "explored": s.explored.Load(), "exposed": s.exposed.Load(),
+		"cascades": s.cascaded.Load(), "target-unreachable": s.unreachable.Load(), "plans-rebuilt": s.rebuilt.Load(),
+	}
+}
+
+// PlanState is one row of the state dump.
+type PlanState struct {
+	ClientAccount  identifier.ClientAccount `json:"client-account"`
+	WorkKind       identifier.WorkKind      `json:"work-kind"`
+	Model          identifier.Model         `json:"model"`
+	PriceOfQuality float64                  `json:"price-of-quality"`
+	Goal           float64                  `json:"goal"`
+	Options        int                      `json:"options"`
+	Candidates     int                      `json:"candidates"`
+}
+
+// State returns []PlanState of the current snapshot, in no particular order.
+func (s *Selector) State() any {
+	snap := s.current.Load()
+	rows := make([]PlanState, 0, len(snap.plans))
+	for k, p := range snap.plans {
+		rows = append(rows, PlanState{
+			ClientAccount: k.account, WorkKind: k.kind, Model: k.model,
+			PriceOfQuality: load(&p.control.lambda), Goal: load(&p.control.goal),
+			Options: len(p.options), Candidates: len(p.candidates),
+		})
+	}
+	return rows
 }
