--- a/command_bench.go
+++ b/command_bench.go
@@ -7,11 +7,14 @@
 	"github.com/spf13/cobra"
 
 	"github.com/siskinfront/siskinfront/bencher"
+	"github.com/siskinfront/siskinfront/costbencher"
 )
 
 // experiments lists the experiments of the bench command.
 func experiments() []bencher.Experiment {
-	return []bencher.Experiment{}
+	return []bencher.Experiment{
+		costbencher.Experiment(),
+	}
 }
 
 func newBenchCommand() *cobra.Command {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// refreshInterval is the age at which plans are rebuilt from the estimates.
+	// refreshInterval is the default age at which plans are rebuilt from the estimates.
 	refreshInterval = time.Second
 	// step is the change of the price of quality, in units of its scale, per unit of missed quality.
 	step = 0.02
@@ -44,6 +44,7 @@
 	now         func() time.Time
 	ratingPrice float64
 	ratingDelay time.Duration
+	refreshing  time.Duration
 
 	current  atomic.Pointer[snapshot]
 	sequence atomic.Uint64
@@ -71,10 +72,13 @@
 	return func(s *Selector) { s.ratingPrice, s.ratingDelay = price, delay }
 }
 
+// WithRefresh sets the age at which plans are rebuilt from the estimates.
+func WithRefresh(d time.Duration) Option { return func(s *Selector) { s.refreshing = d } }
+
 // New returns a selector without plans; the first query of each kind builds its plan.
 func New(opts ...Option) *Selector {
 	s := &Selector{
-		priceFactor: func() float64 { return 1 }, now: time.Now, ratingDelay: 2 * time.Second,
+		priceFactor: func() float64 { return 1 }, now: time.Now, ratingDelay: 2 * time.Second, refreshing: refreshInterval,
 		controls: map[planKey]*control{},
 	}
 	for _, o := range opts {
@@ -150,7 +154,7 @@
 			next.plans[k] = p
 		}
 	case snap.cfg == cfg:
-		next.refreshAt = q.Now.Add(refreshInterval)
+		next.refreshAt = q.Now.Add(s.refreshing)
 		for k, p := range snap.plans {
 			next.plans[k] = s.build(cfg, &Query{
 				ClientAccount: p.account, WorkKind: p.kind, Model: k.model,
@@ -158,7 +162,7 @@
 			}, p.control)
 		}
 	default:
-		next.refreshAt = q.Now.Add(refreshInterval)
+		next.refreshAt = q.Now.Add(s.refreshing)
 		for k := range s.controls {
 			// Controls of removed accounts, kinds and models would accumulate over thousands of changes a day.
 			if cfg.ClientAccount(k.account) == nil || cfg.WorkKind(k.kind) == nil {
