selector: include cascades in the price of quality and count them apart

Cause: decisions for a cascade were counted as the cheap version alone, which drove the goal up. Change: entries per option, a range of the price with and without cascades, one estimate per refresh, a change detector over ratings instead of time.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -19,11 +19,12 @@
 	priorWeight = 4.0
 	// priorVariance is the variance of one rating before there is evidence.
 	priorVariance = 0.0625
-	// fastShare is the half-life of the change detector relative to that of the estimate.
-	fastShare = 1.0 / 32
+	// fastRatings is the number of ratings over which the change detector averages. It counts ratings, not time, so that
+	// a rarely used version is judged on as many as a busy one.
+	fastRatings = 60.0
 	// changeDeviations is the distance between recent and long-term mean, in standard errors, at which the long-term
-	// estimate restarts from the recent ratings. At 5 a restart by chance loses evidence about once in 10^6 ratings.
-	changeDeviations = 5.0
+	// estimate restarts from the recent ratings. At 4 a restart by chance happens about once in 10^6 ratings.
+	changeDeviations = 4.0
 	// changeRatings is the effective number of recent ratings below which no change is assumed.
 	changeRatings = 10.0
 	// maxSeen bounds the request names kept to recognise a rating that is delivered twice.
@@ -92,11 +93,11 @@
 	return func(e *Estimator) { e.maxCells, e.maxSources = cells, sources }
 }
 
-// New returns an empty estimator with a half-life of two hours.
+// New returns an empty estimator with a half-life of 12 hours.
 func New(opts ...Option) *Estimator {
 	e := &Estimator{
 		now: time.Now, prior: func(identifier.Target) float64 { return 0.5 },
-		halfLife: 2 * time.Hour, maxCells: 4096, maxSources: 64,
+		halfLife: 12 * time.Hour, maxCells: 4096, maxSources: 64,
 		cells: map[cellKey]*cell{}, seen: map[uint64]struct{}{},
 	}
 	for _, o := range opts {
@@ -107,8 +108,8 @@
 }
 
 // decay returns the factor by which a weight shrinks over d.
-func (e *Estimator) decay(d time.Duration, share float64) float64 {
-	return math.Exp2(-float64(d) / (float64(e.halfLife) * share))
+func (e *Estimator) decay(d time.Duration) float64 {
+	return math.Exp2(-float64(d) / float64(e.halfLife))
 }
 
 // Add takes one rating. It ignores a repeated request name and a rating that is not a number; a rating outside 0 to 1
@@ -132,8 +133,9 @@
 	e.age(c, s.At)
 	rating := min(max(s.Rating, 0), 1)
 	late := c.own.At.Sub(s.At)
-	c.own.Moments.add(rating, e.decay(late, 1))
-	c.fast.add(rating, e.decay(late, fastShare))
+	c.own.Moments.add(rating, e.decay(late))
+	c.fast.scale(1 - 1/fastRatings)
+	c.fast.add(rating, 1)
 	c.own.Sequence++
 	c.used = now
 	e.counters.added++
@@ -150,8 +152,7 @@
 		return
 	}
 	if !c.own.At.IsZero() {
-		c.own.Moments.scale(e.decay(d, 1))
-		c.fast.scale(e.decay(d, fastShare))
+		c.own.Moments.scale(e.decay(d))
 	}
 	c.own.At = at
 }
@@ -162,7 +163,8 @@
 	if n < changeRatings || m < 2*n {
 		return false
 	}
-	deviation := math.Sqrt(slow.variance() * (1/n + 1/m))
+	// The larger variance keeps a few rare bad ratings in a row from looking like a change.
+	deviation := math.Sqrt(max(slow.variance(), fast.variance()) * (1/n + 1/m))
 	return math.Abs(fast.Sum/fast.Weight-slow.Sum/slow.Weight) > changeDeviations*deviation
 }
 
@@ -212,7 +214,7 @@
 		return m
 	}
 	now := e.now()
-	m.merge(&c.own.Moments, e.decay(max(0, now.Sub(c.own.At)), 1))
+	m.merge(&c.own.Moments, e.decay(max(0, now.Sub(c.own.At))))
 	// A fixed order of addition keeps the floating-point sum the same from run to run.
 	names := make([]identifier.Instance, 0, len(c.sources))
 	for name := range c.sources {
@@ -221,7 +223,7 @@
 	slices.Sort(names)
 	for _, name := range names {
 		s := c.sources[name]
-		m.merge(&s.Moments, e.decay(max(0, now.Sub(s.At)), 1))
+		m.merge(&s.Moments, e.decay(max(0, now.Sub(s.At))))
 	}
 	return m
 }
@@ -246,20 +248,18 @@
 	if m.Weight == 0 {
 		return 1, 0
 	}
-	edge := int(math.Round(threshold * Buckets))
-	below, above, sum := 0.0, 0.0, 0.0
-	for i, w := range m.Histogram {
-		if i < edge {
-			below += w
-			continue
-		}
-		above += w
-		sum += w * (float64(i) + 0.5) / Buckets
+	edge := min(max(int(math.Round(threshold*Buckets)), 0), Buckets)
+	// The exact sum less the middles of the buckets below is more accurate than the middles of the many above.
+	below, sum := 0.0, m.Sum
+	for i, w := range m.Histogram[:edge] {
+		below += w
+		sum -= w * (float64(i) + 0.5) / Buckets
 	}
-	if above == 0 {
+	above := m.Weight - below
+	if above < m.Weight*1e-9 {
 		return 1, 0
 	}
-	return below / (below + above), sum / above
+	return below / m.Weight, min(sum/above, 1)
 }
 
 // Export returns this instance's own counts, ordered by kind and target.
--- a/selector/plan.go
+++ b/selector/plan.go
@@ -16,14 +16,16 @@
 	// cascadeRatings is the weight of ratings below which the shortfall of a version is too uncertain for a cascade.
 	cascadeRatings = 30
 	// explorationShare is the share of requests that may go to versions that could be better than estimated.
-	explorationShare = 0.02
+	explorationShare = 0.05
 	// optimism is the number of standard deviations by which an explored version may be better than estimated.
-	optimism = 1.5
+	optimism = 2
 	// margin is the relative addition to the quality target: the estimates of the selected versions are biased upwards, because a
 	// version whose ratings happened to be good is selected more often.
 	margin = 0.003
 	// catchUp bounds the correction of the target for a past deficit or surplus.
 	catchUp = 0.03
+	// catchUpFloor is the number of requests over which a new plan makes up for a deficit.
+	catchUpFloor = 200
 	// perMillion converts prices per million tokens.
 	perMillion = 1e-6
 )
@@ -40,9 +42,7 @@
 	target identifier.Target
 	// input and output are the expected prices per token.
 	input, output float64
-	quality       float64
-	deviation     float64
-	ratings       float64
+	evidence
 	// exposure is the share of sessions that may use the option: 1 for a serving version.
 	exposure float64
 	// salt makes the exposure of different versions independent.
@@ -52,6 +52,35 @@
 	rating float64
 }
 
+// evidence is what the estimator knows about one target and kind.
+type evidence struct {
+	quality, deviation, ratings float64
+	// short is the share of answers below the kind's target, and above the mean rating of the others.
+	short, above float64
+}
+
+// evidenceKey identifies evidence within one refresh.
+type evidenceKey struct {
+	kind   identifier.WorkKind
+	target identifier.Target
+}
+
+// evidence asks the estimator once per refresh, since all client accounts share its answer; s.mu is held.
+func (s *Selector) evidence(kind *configurer.WorkKind, t identifier.Target, v *configurer.Version) evidence {
+	if s.estimator == nil {
+		return evidence{quality: v.PriorQuality}
+	}
+	key := evidenceKey{kind.Name, t}
+	if e, ok := s.known[key]; ok {
+		return e
+	}
+	var e evidence
+	e.quality, e.deviation, e.ratings = s.estimator.Quality(kind.Name, t)
+	e.short, e.above = s.estimator.Shortfall(kind.Name, t, kind.QualityTarget)
+	s.known[key] = e
+	return e
+}
+
 // price returns the expected cost of one request.
 func (o *option) price(prompt, completion float64) float64 {
 	return o.input*prompt + o.output*completion + o.rating
@@ -67,18 +96,33 @@
 	goal   atomic.Uint64
 	prompt atomic.Uint64
 	output atomic.Uint64
-	// targets and selected are parallel; selected counts the decisions for each target.
-	targets  []identifier.Target
-	selected []*atomic.Int64
+	// entries count the decisions per option; only the holder of Selector.mu changes the list.
+	entries []*entry
 }
 
-func (c *control) counter(t identifier.Target) *atomic.Int64 {
-	if i := slices.Index(c.targets, t); i >= 0 {
-		return c.selected[i]
+// entry counts the decisions for one option, whose quality is estimated anew at each refresh.
+type entry struct {
+	target, next identifier.Target
+	quality      float64
+	selected     atomic.Int64
+	// settled is the part of selected that is included in weight; weight forgets old decisions.
+	settled int64
+	weight  float64
+}
+
+// entry returns the entry of o with its quality updated.
+func (c *control) entry(o *option) *entry {
+	var next identifier.Target
+	if o.cascade != nil {
+		next = o.cascade[0]
+	}
+	i := slices.IndexFunc(c.entries, func(e *entry) bool { return e.target == o.target && e.next == next })
+	if i < 0 {
+		i = len(c.entries)
+		c.entries = append(c.entries, &entry{target: o.target, next: next})
 	}
-	c.targets = append(c.targets, t)
-	c.selected = append(c.selected, &atomic.Int64{})
-	return c.selected[len(c.selected)-1]
+	c.entries[i].quality = o.quality
+	return c.entries[i]
 }
 
 // plan is what a decision reads; it is immutable but for its control.
@@ -87,9 +131,10 @@
 	options []option
 	// candidates are the versions that are tried by exposure.
 	candidates []option
+	// entries and tried are parallel to options and candidates.
+	entries, tried []*entry
 	// singles is the number of leading options that are no cascades.
-	singles  int
-	counters []*atomic.Int64
+	singles int
 	// best is the option with the highest quality.
 	best      int
 	reachable bool
@@ -123,10 +168,7 @@
 			}
 			allowed = true
 			o := option{target: t, input: v.InputPrice * perMillion, output: v.OutputPrice * perMillion, exposure: 1}
-			o.quality, o.deviation = v.PriorQuality, 0
-			if s.estimator != nil {
-				o.quality, o.deviation, o.ratings = s.estimator.Quality(q.WorkKind.Name, t)
-			}
+			o.evidence = s.evidence(q.WorkKind, t, v)
 			switch v.State {
 			case configurer.VersionServing:
 				serving = append(serving, o)
@@ -173,42 +215,45 @@
 	target := q.WorkKind.QualityTarget
 	// An option that is only reached through its exposure cannot be relied on to meet the target.
 	p.reachable = p.best >= 0 && p.options[p.best].quality >= target
-	s.steer(p, target)
 	if s.estimator != nil && !q.WorkKind.NonIdempotent {
-		p.options = append(p.options, s.cascades(p, q.WorkKind)...)
+		p.options = append(p.options, s.cascades(p)...)
 	}
 	for i := range p.options {
-		p.counters = append(p.counters, c.counter(p.options[i].target))
+		p.entries = append(p.entries, c.entry(&p.options[i]))
+	}
+	for i := range p.candidates {
+		p.tried = append(p.tried, c.entry(&p.candidates[i]))
 	}
+	goal := target
+	if s.estimator != nil {
+		goal *= 1 + margin
+	}
+	p.steer(goal)
 	return p
 }
 
-// steer sets the goal and, at first, the price of quality.
-func (s *Selector) steer(p *plan, target float64) {
+// steer corrects the goal for past decisions and sets the range of the price of quality.
+func (p *plan) steer(goal float64) {
 	c := p.control
-	goal := target * (1 + margin)
 	total, deficit := 0.0, 0.0
-	for i, t := range c.targets {
-		for _, list := range [2][]option{p.options, p.candidates} {
-			for j := range list {
-				if list[j].target == t {
-					n := float64(c.selected[i].Load())
-					total += n
-					deficit += n * (goal - list[j].quality)
-				}
-			}
-		}
+	for _, e := range c.entries {
+		n := e.selected.Load()
+		e.weight += float64(n - e.settled)
+		e.settled = n
+		total += e.weight
+		deficit += e.weight * (goal - e.quality)
 	}
 	// The deficit is made up for over the next tenth of the traffic, with a floor that damps the first minutes.
-	goal += min(max(deficit/(total/10+200), -catchUp), catchUp)
+	goal += min(max(deficit/(total/10+catchUpFloor), -catchUp), catchUp)
 	store(&c.goal, goal)
-	lambda, scale := frontier(p.options[:p.singles], p.reference, goal)
-	store(&c.scale, scale)
+	upper, scale := frontier(p.options[:p.singles], p.reference, goal)
+	lower, cascadeScale := frontier(p.options, p.reference, goal)
+	store(&c.scale, min(scale, cascadeScale))
 	// Request sizes spread around the reference, so the stationary price differs from that of the frontier. Beyond a
 	// factor of 3 it is a remnant of earlier estimates.
-	store(&c.lambda, min(max(load(&c.lambda), lambda/3), 3*lambda))
+	store(&c.lambda, min(max(load(&c.lambda), lower/3), 3*upper))
 	if total == 0 {
-		store(&c.lambda, lambda)
+		store(&c.lambda, lower)
 	}
 }
 
@@ -257,7 +302,7 @@
 // A cascade of a cheap version (cost c1, shortfall p) and a better one (cost c2) costs c1 + rating + p*c2. It loses
 // when that is at least c2, that is when p >= 1 - (c1+rating)/c2, and is then left out. It also loses when a single version
 // or a mixture reaches the same quality at a lower cost, which the comparison of scores in Select decides.
-func (s *Selector) cascades(p *plan, kind *configurer.WorkKind) []option {
+func (s *Selector) cascades(p *plan) []option {
 	type scored struct {
 		option
 		score float64
@@ -269,7 +314,7 @@
 		if low.ratings < cascadeRatings {
 			continue
 		}
-		share, above := s.estimator.Shortfall(kind.Name, low.target, kind.QualityTarget)
+		share := low.short
 		for j := range p.singles {
 			high := &p.options[j]
 			if high.quality <= low.quality || !CascadeWins(low.price(p.reference[0], p.reference[1]), s.ratingPrice,
@@ -279,7 +324,7 @@
 			o := option{
 				target: low.target, cascade: []identifier.Target{high.target}, exposure: 1, rating: s.ratingPrice,
 				input: low.input + share*high.input, output: low.output + share*high.output,
-				quality: (1-share)*above + share*high.quality, ratings: low.ratings,
+				evidence: evidence{quality: (1-share)*low.above + share*high.quality, ratings: low.ratings},
 			}
 			found = append(found, scored{o, o.price(p.reference[0], p.reference[1]) - lambda*o.quality})
 		}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -18,7 +18,7 @@
 	// refreshInterval is the default age at which plans are rebuilt from the estimates.
 	refreshInterval = time.Second
 	// step is the change of the price of quality, in units of its scale, per unit of missed quality.
-	step = 0.02
+	step = 0.2
 	// spread is the relative width of the price of quality over sessions; it splits sessions between two versions whose
 	// mixture meets the target.
 	spread = 0.1
@@ -51,6 +51,7 @@
 
 	mu       sync.Mutex
 	controls map[planKey]*control
+	known    map[evidenceKey]evidence
 
 	decisions, explored, exposed, cascaded, unreachable, rebuilt atomic.Int64
 }
@@ -79,7 +80,7 @@
 func New(opts ...Option) *Selector {
 	s := &Selector{
 		priceFactor: func() float64 { return 1 }, now: time.Now, ratingDelay: 2 * time.Second, refreshing: refreshInterval,
-		controls: map[planKey]*control{},
+		controls: map[planKey]*control{}, known: map[evidenceKey]evidence{},
 	}
 	for _, o := range opts {
 		o(s)
@@ -146,6 +147,7 @@
 // refresh installs a snapshot that contains the plan of key, and returns that plan; s.mu is held.
 func (s *Selector) refresh(cfg *configurer.Configuration, key planKey, q *Query) *plan {
 	s.rebuilt.Add(1)
+	clear(s.known)
 	snap := s.current.Load()
 	next := &snapshot{cfg: cfg, refreshAt: snap.refreshAt, plans: make(map[planKey]*plan, len(snap.plans)+1)}
 	switch {
@@ -204,16 +206,17 @@
 	if best >= 0 {
 		chosen = &p.options[best]
 	}
-	candidate := exposedCandidate(p, chosen, u, w, prompt, output)
-	if candidate != nil {
+	if i := exposedCandidate(p, chosen, u, w, prompt, output); i >= 0 {
+		candidate := &p.candidates[i]
 		s.exposed.Add(1)
+		p.tried[i].selected.Add(1)
 		p.control.settle(candidate.quality, prompt, output)
 		return Decision{Target: candidate.target, Reason: ReasonExposure}, nil
 	}
 	if chosen == nil {
 		return Decision{}, ErrNoVersion
 	}
-	p.counters[best].Add(1)
+	p.entries[best].selected.Add(1)
 	p.control.settle(chosen.quality, prompt, output)
 	if chosen.cascade != nil {
 		s.cascaded.Add(1)
@@ -292,28 +295,25 @@
 	return found
 }
 
-// exposedCandidate returns the candidate version that replaces chosen for this session, or nil. A candidate replaces
-// versions of its own model; a candidate of a model without serving version competes by its score.
-func exposedCandidate(p *plan, chosen *option, u uint64, w weights, prompt, output float64) *option {
-	var found *option
+// exposedCandidate returns the index of the candidate version that replaces chosen for this session, or -1. A candidate
+// replaces versions of its own model; a candidate of a model without serving version competes by its score.
+func exposedCandidate(p *plan, chosen *option, u uint64, w weights, prompt, output float64) int {
+	found, bestScore := -1, math.Inf(1)
+	chosenScore := math.Inf(1)
+	if chosen != nil {
+		chosenScore = w.cost*chosen.price(prompt, output) - w.quality*chosen.quality
+	}
 	for i := range p.candidates {
 		c := &p.candidates[i]
 		if unit(mix(u^c.salt)) >= c.exposure {
 			continue
 		}
-		switch {
-		case chosen == nil || found != nil:
-			better := found == nil ||
-				w.cost*c.price(prompt, output)-w.quality*c.quality < w.cost*found.price(prompt, output)-w.quality*found.quality
-			if better && (chosen == nil || c.target.Model == chosen.target.Model) {
-				found = c
-			}
-		case c.target.Model == chosen.target.Model:
-			found = c
-		case !p.serves(c.target.Model) &&
-			w.cost*c.price(prompt, output)-w.quality*c.quality < w.cost*chosen.price(prompt, output)-w.quality*chosen.quality:
-			found = c
+		score := w.cost*c.price(prompt, output) - w.quality*c.quality
+		own := chosen != nil && c.target.Model == chosen.target.Model
+		if !own && (p.serves(c.target.Model) || score >= chosenScore) || score >= bestScore {
+			continue
 		}
+		found, bestScore = i, score
 	}
 	return found
 }
