spender: spend a commitment from leased shares

Cause: a table write per request does not fit the platform, and the hard limit must hold in every failure. Change: shares per entry, a ledger over the row spend/{period}/{data-centre}, transfers between data centres, pacing.

--- /dev/null
+++ b/spender/ledger.go
@@ -0,0 +1,355 @@
+package spender
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+// ErrConflict is returned by Table.Write when a row has changed since it was read.
+var ErrConflict = errors.New("spender: row has changed")
+
+const (
+	// maxAttempts bounds the rounds of read and conditional write of one call.
+	maxAttempts = 8
+	// maxLeases bounds the row; an entry holds at most a current share and a few retired ones.
+	maxLeases = 2048
+	// foldAfter is the age past its deadline at which an unreturned share is folded into the spent amount.
+	foldAfter = time.Hour
+	// spareShare is the part of the other data centre's free amount that one transfer moves.
+	spareShare = 0.5
+	// guidedShare is the part of what is left, divided by the number of holders, that one share may take. Shares
+	// that shrink with the rest keep the amount stranded in idle shares small.
+	guidedShare = 0.2
+)
+
+// Table is the access to the platform's table. Read returns a nil value and version 0 for a missing row. Write applies all
+// rows if none has changed, and reports ErrConflict otherwise; any other error leaves open whether it took effect.
+type Table struct {
+	Read  func(ctx context.Context, key string) (value json.RawMessage, version uint64, err error)
+	Write func(ctx context.Context, rows []Write) error
+}
+
+// Write is one conditional write; Version 0 creates the row.
+type Write struct {
+	Key     string
+	Value   json.RawMessage
+	Version uint64
+}
+
+// Row is the value of spend/{period}/{data-centre}. The sum of Limit over the rows of a period never exceeds the hard
+// limit, and Spent plus the amounts of all Leases never exceeds Limit; a Limit of 0 with Unlimited set has no bound.
+type Row struct {
+	Limit     float64 `json:"limit"`
+	Unlimited bool    `json:"unlimited"`
+	// Committed is this data centre's part of the commitment.
+	Committed float64 `json:"committed"`
+	// Revision is the configuration from which BaseLimit and BaseCommitted, the even parts, were taken; a newer
+	// configuration moves Limit and Committed by the difference.
+	Revision      uint64  `json:"revision"`
+	BaseLimit     float64 `json:"base-limit"`
+	BaseCommitted float64 `json:"base-committed"`
+	// Spent is the sum of settled shares and of expired ones that were not returned.
+	Spent  float64 `json:"spent"`
+	Leases []Lease `json:"leases"`
+}
+
+// Lease is one share that is not settled. It counts as spent in full until its holder returns it; the deadline only ends
+// the holder's right to make new reservations, so that skewed clocks cannot free an amount twice.
+type Lease struct {
+	ID     string    `json:"id"`
+	Amount float64   `json:"amount"`
+	Until  time.Time `json:"until"`
+}
+
+// granted returns all that is spent or may be spent by holders.
+func (r *Row) granted() float64 {
+	sum := r.Spent
+	for _, l := range r.Leases {
+		sum += l.Amount
+	}
+	return sum
+}
+
+// TableLedger keeps the row of one data centre.
+type TableLedger struct {
+	cfg   func() *configurer.Configuration
+	table Table
+	self  identifier.DataCentre
+	all   []identifier.DataCentre
+	now   func() time.Time
+	newID func() string
+	floor float64
+
+	mu sync.Mutex
+	// pending is the ID of a Take whose write may have taken effect; the next Take adopts it.
+	pending       string
+	pendingPeriod string
+}
+
+// LedgerOption configures a TableLedger.
+type LedgerOption func(*TableLedger)
+
+// WithLedgerNow sets the clock of a TableLedger.
+func WithLedgerNow(now func() time.Time) LedgerOption { return func(l *TableLedger) { l.now = now } }
+
+// WithNewID sets the source of share names, which must be unique across all instances.
+func WithNewID(f func() string) LedgerOption { return func(l *TableLedger) { l.newID = f } }
+
+// WithFloor sets the smallest share, which should cover the price of the largest request; a smaller one would serve none.
+func WithFloor(amount float64) LedgerOption { return func(l *TableLedger) { l.floor = amount } }
+
+// NewTableLedger returns the ledger of an entry in the data centre self. The hard limit and the commitment are divided
+// evenly over all data centres, a list that must be the same on each instance for the whole period; amounts move between the
+// rows in one transaction when one is used up.
+func NewTableLedger(cfg func() *configurer.Configuration, t Table, self identifier.DataCentre,
+	all []identifier.DataCentre, opts ...LedgerOption,
+) *TableLedger {
+	l := &TableLedger{cfg: cfg, table: t, self: self, all: slices.Clone(all), now: time.Now, newID: uuid.NewString, floor: 0.01}
+	for _, o := range opts {
+		o(l)
+	}
+	return l
+}
+
+// Ledger returns the function fields for New.
+func (l *TableLedger) Ledger() Ledger { return Ledger{Take: l.Take, Return: l.Return} }
+
+// versioned is a row as read.
+type versioned struct {
+	Row
+	key     string
+	version uint64
+}
+
+func (l *TableLedger) read(ctx context.Context, spend *configurer.Spend, d identifier.DataCentre) (versioned, error) {
+	return l.readKey(ctx, spend, Key(spend, d))
+}
+
+// readKey reads a row and brings it to the current configuration; a share of an earlier period names its own row.
+func (l *TableLedger) readKey(ctx context.Context, spend *configurer.Spend, key string) (versioned, error) {
+	v := versioned{key: key}
+	value, version, err := l.table.Read(ctx, v.key)
+	if err != nil {
+		return v, fmt.Errorf("spender: read %s: %w", v.key, err)
+	}
+	v.version = version
+	if version > 0 {
+		if err := json.Unmarshal(value, &v.Row); err != nil {
+			return v, fmt.Errorf("spender: decode %s: %w", v.key, err)
+		}
+	}
+	if revision := l.cfg().Revision; version == 0 || revision > v.Revision && strings.HasPrefix(key, "spend/"+Period(spend)+"/") {
+		n := float64(len(l.all))
+		limit, committed := spend.HardLimit/n, spend.Committed/n
+		v.Limit += limit - v.BaseLimit
+		v.Committed += committed - v.BaseCommitted
+		v.Revision, v.BaseLimit, v.BaseCommitted, v.Unlimited = revision, limit, committed, spend.HardLimit == 0
+	}
+	return v, nil
+}
+
+func (l *TableLedger) write(ctx context.Context, rows ...*versioned) error {
+	writes := make([]Write, 0, len(rows))
+	for _, r := range rows {
+		value, err := json.Marshal(r.Row)
+		if err != nil {
+			return fmt.Errorf("spender: encode %s: %w", r.key, err)
+		}
+		writes = append(writes, Write{Key: r.key, Value: value, Version: r.version})
+	}
+	if err := l.table.Write(ctx, writes); err != nil {
+		return fmt.Errorf("spender: write %s: %w", rows[0].key, err)
+	}
+	return nil
+}
+
+// Take grants a share of at most want. After an error whose effect is open it looks for its own share before it takes
+// another one. One goroutine per entry calls Take.
+func (l *TableLedger) Take(ctx context.Context, want float64, until time.Time) (Share, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	spend := l.cfg().Spend
+	period := Period(&spend)
+	if l.pending == "" || l.pendingPeriod != period {
+		l.pending, l.pendingPeriod = l.newID(), period
+	}
+	var last error
+	for range maxAttempts {
+		share, err := l.take(ctx, &spend, want, until)
+		if err == nil {
+			l.pending = ""
+			return share, nil
+		}
+		if errors.Is(err, ErrHardLimit) || ctx.Err() != nil {
+			return Share{}, err
+		}
+		last = err
+	}
+	return Share{}, last
+}
+
+// take is one round of Take.
+func (l *TableLedger) take(ctx context.Context, spend *configurer.Spend, want float64, until time.Time) (Share, error) {
+	own, err := l.read(ctx, spend, l.self)
+	if err != nil {
+		return Share{}, err
+	}
+	if i := slices.IndexFunc(own.Leases, func(x Lease) bool { return x.ID == l.pending }); i >= 0 {
+		found := own.Leases[i]
+		return l.share(ctx, spend, &own, found), nil
+	}
+	l.fold(&own.Row)
+	if len(own.Leases) >= maxLeases {
+		return Share{}, fmt.Errorf("spender: row %s holds %d shares, the most it may", own.key, maxLeases)
+	}
+	rows := []*versioned{&own}
+	donor, err := l.donate(ctx, spend, &own, want)
+	if err != nil {
+		return Share{}, err
+	}
+	if donor != nil {
+		rows = append(rows, donor)
+	}
+	amount := grant(&own.Row, want, l.floor)
+	if amount <= 0 {
+		return Share{}, fmt.Errorf("spender: row %s has nothing left: %w", own.key, ErrHardLimit)
+	}
+	lease := Lease{ID: l.pending, Amount: amount, Until: until}
+	own.Leases = append(own.Leases, lease)
+	if err := l.write(ctx, rows...); err != nil {
+		return Share{}, err
+	}
+	return l.share(ctx, spend, &own, lease), nil
+}
+
+// grant returns the size of the next share: all of want while there is plenty, and a part of the rest, but not less than
+// floor, towards the end of the commitment and of the limit.
+func grant(r *Row, want, floor float64) float64 {
+	granted, holders := r.granted(), float64(len(r.Leases)+1)
+	amount := want
+	if left := r.Committed - granted; left > 0 {
+		amount = min(amount, max(left*guidedShare/holders, floor))
+	}
+	if !r.Unlimited {
+		left := r.Limit - granted
+		amount = min(amount, max(left*guidedShare/holders, floor), left)
+	}
+	return amount
+}
+
+// donate moves commitment and limit from the data centre with the most to spare into own when own has too little left.
+// The returned row must be written in the same transaction. An unreachable row is no donor.
+func (l *TableLedger) donate(ctx context.Context, spend *configurer.Spend, own *versioned, want float64) (*versioned, error) {
+	granted := own.granted()
+	short := own.Committed-granted < want
+	if !own.Unlimited {
+		short = short || own.Limit-granted < want
+	}
+	if !short {
+		return nil, nil
+	}
+	var best *versioned
+	bestSpare := 0.0
+	for _, d := range l.all {
+		if d == l.self {
+			continue
+		}
+		other, err := l.read(ctx, spend, d)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil, err
+			}
+			continue
+		}
+		spare := other.Committed - other.granted()
+		if own.Committed-granted >= want || spare <= 0 {
+			spare = 0
+			if !other.Unlimited {
+				spare = other.Limit - other.granted()
+			}
+		}
+		if best == nil || spare > bestSpare {
+			best, bestSpare = &other, spare
+		}
+	}
+	if best == nil || bestSpare <= 0 {
+		return nil, nil
+	}
+	// A limit moves with the commitment, so that the receiver may spend what it received.
+	if committed := max(0, best.Committed-best.granted()) * spareShare; own.Committed-granted < want {
+		best.Committed -= committed
+		own.Committed += committed
+	}
+	if !own.Unlimited {
+		limit := max(0, best.Limit-best.granted()) * spareShare
+		best.Limit -= limit
+		own.Limit += limit
+	}
+	return best, nil
+}
+
+// fold adds long expired shares to the spent amount, so that the row stays small.
+func (l *TableLedger) fold(r *Row) {
+	now := l.now()
+	r.Leases = slices.DeleteFunc(r.Leases, func(x Lease) bool {
+		expired := now.After(x.Until.Add(foldAfter))
+		if expired {
+			r.Spent += x.Amount
+		}
+		return expired
+	})
+}
+
+// share describes a granted lease. The other rows are read for pacing only; an unreachable one counts as spent evenly.
+func (l *TableLedger) share(ctx context.Context, spend *configurer.Spend, own *versioned, lease Lease) Share {
+	s := Share{ID: lease.ID, Row: own.key, Amount: lease.Amount, Until: lease.Until, Used: own.granted(), Committed: own.Committed}
+	s.Overflow = min(max(0, own.granted()-own.Committed), lease.Amount)
+	for _, d := range l.all {
+		if d == l.self {
+			continue
+		}
+		if other, err := l.read(ctx, spend, d); err == nil {
+			s.Used += other.granted()
+			s.Committed += other.Committed
+		}
+	}
+	return s
+}
+
+// Return settles a share with what was spent of it. A share that is already settled or folded is left as it is, so that
+// a repeated Return after a lost reply changes nothing.
+func (l *TableLedger) Return(ctx context.Context, s Share, spent float64) error {
+	spend := l.cfg().Spend
+	var last error
+	for range maxAttempts {
+		own, err := l.readKey(ctx, &spend, s.Row)
+		if err == nil {
+			i := slices.IndexFunc(own.Leases, func(x Lease) bool { return x.ID == s.ID })
+			if i < 0 {
+				return nil
+			}
+			own.Leases = slices.Delete(own.Leases, i, i+1)
+			own.Spent += spent
+			err = l.write(ctx, &own)
+		}
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return err
+		}
+		last = err
+	}
+	return last
+}
--- /dev/null
+++ b/spender/spender.go
@@ -0,0 +1,382 @@
+package spender
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+// ErrHardLimit is returned when the amount cannot be spent without the risk of exceeding the hard limit: the limit is
+// reached, or this entry holds no share large enough and cannot wait for one.
+var ErrHardLimit = errors.New("spender: hard limit")
+
+const (
+	// leaseTime is the default time an entry may spend from one share.
+	leaseTime = 30 * time.Second
+	// runInterval is the time between checks of the shares.
+	runInterval = time.Second
+	// lowWater is the part of a share at which the next one is taken.
+	lowWater = 0.5
+	// requestsPerShare is the number of the largest requests that a share should cover.
+	requestsPerShare = 4
+	// largestDecay makes the largest request forgotten after some thousand others.
+	largestDecay = 0.999
+	// leasePart is the part of the lease time that a share should last at the recent rate.
+	leasePart = 0.5
+	// callTime bounds one call of the ledger.
+	callTime = 2 * time.Second
+	// maxRetired bounds the shares that wait for running requests to settle.
+	maxRetired = 16
+	// freeFactor is the price factor while commitment would go unused; it is above 0 so that among equal answers the one
+	// with the lower list price is preferred.
+	freeFactor = 0.02
+	// paceWidth is the range of projected use, around the whole commitment, over which the price factor rises to 1.
+	paceWidth = 0.1
+)
+
+// Share is a part of the spend that its holder alone may spend until its deadline.
+type Share struct {
+	ID string
+	// Row is the key of the row that holds the share.
+	Row    string
+	Amount float64
+	Until  time.Time
+	// Overflow is the part of Amount beyond the commitment.
+	Overflow float64
+	// Used and Committed are the spend granted so far and the commitment, over all known data centres.
+	Used      float64
+	Committed float64
+}
+
+// Ledger grants and settles shares. Take may grant less than wanted, and returns ErrHardLimit when nothing is left. A share
+// that is not returned counts as spent in full.
+type Ledger struct {
+	Take   func(ctx context.Context, want float64, until time.Time) (Share, error)
+	Return func(ctx context.Context, s Share, spent float64) error
+}
+
+// share is a share in use.
+type share struct {
+	Share
+	// reserved is the part promised to running requests, and spent the part that is settled.
+	reserved, spent float64
+	running         int
+}
+
+func (s *share) free() float64 { return s.Amount - s.reserved - s.spent }
+
+// Spender is safe for concurrent use.
+type Spender struct {
+	cfg      func() *configurer.Configuration
+	ledger   Ledger
+	now      func() time.Time
+	lease    time.Duration
+	interval time.Duration
+	minimum  float64
+
+	mu      sync.Mutex
+	current *share
+	retired []*share
+	// unleased is spend without a share, which only a period without hard limit permits.
+	unleased float64
+	// largest is the largest recent reservation; a share must hold several of them.
+	largest float64
+	// rate is the recent spend per second, by which the next share is sized.
+	rate      float64
+	taken     time.Time
+	used      float64
+	committed float64
+	wake      chan struct{}
+	counters  struct{ reserved, refused, taken, returned, failed, overruns int64 }
+}
+
+// Option configures a Spender.
+type Option func(*Spender)
+
+// WithNow sets the clock.
+func WithNow(now func() time.Time) Option { return func(s *Spender) { s.now = now } }
+
+// WithLease sets the time for which shares are taken, and the time between checks.
+func WithLease(lease, interval time.Duration) Option {
+	return func(s *Spender) { s.lease, s.interval = lease, interval }
+}
+
+// WithMinimum sets the smallest share worth taking, in the currency of the spend.
+func WithMinimum(amount float64) Option { return func(s *Spender) { s.minimum = amount } }
+
+// New returns a spender without a share; Run takes the first one.
+func New(cfg func() *configurer.Configuration, l Ledger, opts ...Option) *Spender {
+	s := &Spender{
+		cfg: cfg, ledger: l, now: time.Now, lease: leaseTime, interval: runInterval, minimum: 0.01,
+		wake: make(chan struct{}, 1),
+	}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
+}
+
+// Reservation is an amount set aside for one request; the zero value is a reservation without a share.
+type Reservation struct {
+	spender *Spender
+	share   *share
+	amount  float64
+	settled *bool
+}
+
+// Reserve sets aside the most that a request can cost. It returns ErrHardLimit when the current share does not suffice and
+// the period has a hard limit; it never waits for the ledger.
+func (s *Spender) Reserve(amount float64) (Reservation, error) {
+	if math.IsNaN(amount) || amount < 0 {
+		return Reservation{}, fmt.Errorf("spender: reserve %v: amount is negative or not a number", amount)
+	}
+	limited := s.cfg().Spend.HardLimit > 0
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.largest = max(s.largest*largestDecay, amount)
+	c := s.current
+	usable := c != nil && s.now().Before(c.Until) && c.free() >= amount
+	if c == nil || c.free()-amount < lowWater*c.Amount {
+		s.signal()
+	}
+	if !usable && limited {
+		s.counters.refused++
+		return Reservation{}, ErrHardLimit
+	}
+	s.counters.reserved++
+	r := Reservation{spender: s, amount: amount, settled: new(bool)}
+	if usable {
+		c.reserved += amount
+		c.running++
+		r.share = c
+	}
+	return r, nil
+}
+
+// signal wakes Run without waiting.
+func (s *Spender) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Settle replaces the reserved amount by the actual cost; a second call changes nothing. An actual cost above the reserved
+// amount is recorded as it is and counted as an overrun, because the provider bills it.
+func (r Reservation) Settle(actual float64) {
+	s := r.spender
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if *r.settled {
+		return
+	}
+	*r.settled = true
+	actual = max(actual, 0)
+	if actual > r.amount {
+		s.counters.overruns++
+	}
+	if r.share == nil {
+		s.unleased += actual
+		return
+	}
+	r.share.reserved -= r.amount
+	r.share.running--
+	r.share.spent += actual
+}
+
+// PriceFactor returns the factor between list price and real cost: near 0 while the commitment is projected to go
+// unused, rising to 1 as the projection reaches it, and 1 once the commitment is used or without a commitment.
+func (s *Spender) PriceFactor() float64 {
+	spend := &s.cfg().Spend
+	s.mu.Lock()
+	committed, used := s.committed, s.used
+	if committed == 0 {
+		committed = spend.Committed
+	}
+	s.mu.Unlock()
+	return paceFactor(spend, s.now(), used, committed)
+}
+
+// paceFactor projects the use at the end of the period from the mean rate since its start.
+func paceFactor(spend *configurer.Spend, now time.Time, used, committed float64) float64 {
+	if committed <= 0 || used >= committed || !now.Before(spend.End) {
+		return 1
+	}
+	length := spend.End.Sub(spend.Start)
+	elapsed := float64(now.Sub(spend.Start)) / float64(length)
+	if elapsed <= 0 || length <= 0 {
+		return freeFactor
+	}
+	projected := used / committed / elapsed
+	return min(max((projected-1+paceWidth)/paceWidth, freeFactor), 1)
+}
+
+// Run keeps a share at hand until ctx ends, and then returns the shares. It returns the error of the last return.
+func (s *Spender) Run(ctx context.Context) error {
+	t := time.NewTicker(s.interval)
+	defer t.Stop()
+	for {
+		// A failed step is counted and repeated; requests go on within the current share.
+		_ = s.Step(ctx)
+		select {
+		case <-ctx.Done():
+			return s.Close(context.WithoutCancel(ctx))
+		case <-t.C:
+		case <-s.wake:
+		}
+	}
+}
+
+// Step settles retired shares and takes a new one if the current one is nearly used or expires before the next step.
+func (s *Spender) Step(ctx context.Context) error {
+	err := s.settle(ctx, false)
+	s.mu.Lock()
+	now, c := s.now(), s.current
+	need := c == nil || c.free() < lowWater*c.Amount || now.Add(2*s.interval).After(c.Until)
+	want := s.want(now)
+	full := len(s.retired) >= maxRetired
+	s.mu.Unlock()
+	if !need || full {
+		return err
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	until := now.Add(s.lease)
+	if end := s.cfg().Spend.End; !end.IsZero() && until.After(end) {
+		until = end
+	}
+	if !until.After(now) {
+		return err
+	}
+	got, takeErr := s.ledger.Take(callCtx, want, until)
+	if takeErr != nil {
+		s.mu.Lock()
+		s.counters.failed++
+		s.mu.Unlock()
+		return errors.Join(err, fmt.Errorf("spender: take a share: %w", takeErr))
+	}
+	s.install(got)
+	return errors.Join(err, s.settle(ctx, false))
+}
+
+// want sizes the next share from the recent rate, so that little is stranded in shares of idle entries; s.mu is held.
+func (s *Spender) want(now time.Time) float64 {
+	if c := s.current; c != nil && now.After(s.taken) {
+		s.rate = (s.rate + (c.spent+c.reserved)/now.Sub(s.taken).Seconds()) / 2
+	}
+	return max(s.minimum, requestsPerShare*s.largest, s.rate*s.lease.Seconds()*leasePart) + s.unleased
+}
+
+// install makes got the current share and retires the previous one.
+func (s *Spender) install(got Share) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current != nil {
+		s.retired = append(s.retired, s.current)
+	}
+	s.current = &share{Share: got, spent: s.unleased}
+	s.unleased = 0
+	s.taken = s.now()
+	s.used, s.committed = got.Used, got.Committed
+	s.counters.taken++
+}
+
+// settle returns the retired shares whose requests have all settled, or all shares when final is set; a request still
+// running then counts as spent.
+func (s *Spender) settle(ctx context.Context, final bool) error {
+	s.mu.Lock()
+	if c := s.current; c != nil && (final || !s.now().Before(c.Until)) {
+		s.retired = append(s.retired, c)
+		s.current = nil
+	}
+	var ready []*share
+	for _, r := range s.retired {
+		if final || r.running == 0 {
+			ready = append(ready, r)
+		}
+	}
+	s.mu.Unlock()
+	var errs []error
+	for _, r := range ready {
+		callCtx, cancel := context.WithTimeout(ctx, callTime)
+		s.mu.Lock()
+		spent := r.spent + r.reserved
+		s.mu.Unlock()
+		err := s.ledger.Return(callCtx, r.Share, spent)
+		cancel()
+		s.mu.Lock()
+		if err == nil {
+			s.counters.returned++
+			s.remove(r)
+		} else {
+			s.counters.failed++
+			errs = append(errs, fmt.Errorf("spender: return share %s: %w", r.ID, err))
+		}
+		s.mu.Unlock()
+	}
+	return errors.Join(errs...)
+}
+
+// remove forgets a returned share; s.mu is held.
+func (s *Spender) remove(gone *share) {
+	for i, r := range s.retired {
+		if r == gone {
+			s.retired = append(s.retired[:i], s.retired[i+1:]...)
+			return
+		}
+	}
+}
+
+// Close returns all shares; amounts still reserved count as spent.
+func (s *Spender) Close(ctx context.Context) error { return s.settle(ctx, true) }
+
+// Counters returns monotonic counters.
+func (s *Spender) Counters() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return map[string]int64{
+		"reservations": s.counters.reserved, "reservations-refused": s.counters.refused, "shares-taken": s.counters.taken,
+		"shares-returned": s.counters.returned, "ledger-failures": s.counters.failed, "overruns": s.counters.overruns,
+	}
+}
+
+// Snapshot is the state dump.
+type Snapshot struct {
+	Share       float64   `json:"share"`
+	Free        float64   `json:"free"`
+	Until       time.Time `json:"until"`
+	Retired     int       `json:"retired"`
+	Unleased    float64   `json:"unleased"`
+	Used        float64   `json:"used"`
+	Committed   float64   `json:"committed"`
+	PriceFactor float64   `json:"price-factor"`
+}
+
+// State returns a Snapshot.
+func (s *Spender) State() any {
+	factor := s.PriceFactor()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	snap := Snapshot{Retired: len(s.retired), Unleased: s.unleased, Used: s.used, Committed: s.committed, PriceFactor: factor}
+	if s.current != nil {
+		snap.Share, snap.Free, snap.Until = s.current.Amount, s.current.free(), s.current.Until
+	}
+	return snap
+}
+
+// Period names the period of a spend in row keys.
+func Period(spend *configurer.Spend) string { return spend.Start.UTC().Format("20060102t150405") }
+
+// Key returns the key of the row of one data centre.
+func Key(spend *configurer.Spend, d identifier.DataCentre) string {
+	return "spend/" + Period(spend) + "/" + string(d)
+}
