promoter: grow and roll back exposure on evidence

Cause: versions are rolled out and withdrawn under live traffic without an operator. Change: a state chart of stages, and an always-valid test over pairs of concurrent answers.

--- /dev/null
+++ b/promoter/chart.go
@@ -0,0 +1,66 @@
+package promoter
+
+import (
+	_ "embed"
+
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/interpreter"
+)
+
+//go:embed rollout.yaml
+var rollout []byte
+
+// Chart returns the state chart of a rollout.
+func Chart() *interpreter.Chart { return interpreter.MustParse(rollout) }
+
+// The states and events of the chart.
+const (
+	StateNew       interpreter.State = "new"
+	StateCanary    interpreter.State = "canary"
+	StateSmall     interpreter.State = "small"
+	StateHalf      interpreter.State = "half"
+	StateFull      interpreter.State = "full"
+	StateConfirmed interpreter.State = "confirmed"
+	StateWithdrawn interpreter.State = "withdrawn"
+
+	EventStart    interpreter.Event = "start"
+	EventEvidence interpreter.Event = "evidence"
+	EventConfirm  interpreter.Event = "confirm"
+	EventBad      interpreter.Event = "bad"
+)
+
+// stage is the exposure of a state and the pairs of observations that end it.
+type stage struct {
+	state    interpreter.State
+	exposure float64
+	pairs    int
+}
+
+// stages lists the stages in order. Full exposure leaves a tenth of the work to the serving versions, because only answers
+// of the same hours tell a bad version from a hard hour; the rest follows when the version is confirmed.
+func stages() []stage {
+	return []stage{
+		{StateNew, 0, 0}, {StateCanary, 0.02, 50}, {StateSmall, 0.1, 100}, {StateHalf, 0.5, 200}, {StateFull, 0.9, 0},
+	}
+}
+
+// stageOf returns the stage of a configured version: the last one whose exposure is not above the configured one. The
+// configuration is the only durable state of a rollout, so another holder of the lease continues from it.
+func stageOf(v *configurer.Version) stage {
+	found := stages()[0]
+	for _, s := range stages() {
+		if v.Exposure >= s.exposure {
+			found = s
+		}
+	}
+	return found
+}
+
+func exposureOf(state interpreter.State) float64 {
+	for _, s := range stages() {
+		if s.state == state {
+			return s.exposure
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/promoter/promoter_test.go
@@ -0,0 +1,95 @@
+package promoter_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/promoter"
+)
+
+var (
+	start    = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+	oldOne   = identifier.Target{Model: "m", Version: "1"}
+	newOne   = identifier.Target{Model: "m", Version: "2"}
+	stranger = identifier.Target{Model: "other", Version: "1"}
+)
+
+func configuration(exposure float64) *configurer.Configuration {
+	return &configurer.Configuration{Models: []configurer.Model{{Name: "m", Versions: []configurer.Version{
+		{Name: "1", State: configurer.VersionServing}, {Name: "2", State: configurer.VersionCandidate, Exposure: exposure},
+	}}}}
+}
+
+// Guards against a stage that skips, a rollout that does not reach confirmation, and evidence that stops a good version.
+func TestGoodVersionIsConfirmed(t *testing.T) {
+	now, rng := start, rand.New(rand.NewPCG(1, 1))
+	p := promoter.New(promoter.Chart(), promoter.WithNow(func() time.Time { return now }))
+	cfg := configuration(0)
+	v := &cfg.Models[0].Versions[1]
+	var exposures []float64
+	for now.Before(start.Add(72*time.Hour)) && v.State == configurer.VersionCandidate {
+		for _, c := range p.Decide(cfg) {
+			must.Eq(t, []promoter.Change{c}, p.Decide(cfg))
+			v.State, v.Exposure = c.State, c.Exposure
+			exposures = append(exposures, c.Exposure)
+		}
+		now = now.Add(10 * time.Second)
+		target := oldOne
+		if rng.Float64() < v.Exposure {
+			target = newOne
+		}
+		p.Observe(promoter.Observation{WorkKind: "k", Target: target, Rated: true, Rating: 0.7 + 0.2*rng.NormFloat64(), At: now})
+	}
+	must.Eq(t, configurer.VersionServing, v.State)
+	must.Eq(t, []float64{0.02, 0.1, 0.5, 0.9, 1}, exposures)
+}
+
+// Guards against a holder that starts over: a rollout that stopped halfway keeps its exposure, and continues from it.
+func TestPartialRolloutIsKept(t *testing.T) {
+	now := start
+	p := promoter.New(promoter.Chart(), promoter.WithNow(func() time.Time { return now }))
+	cfg := configuration(0.5)
+	for range 100 {
+		now = now.Add(time.Hour)
+		must.SliceEmpty(t, p.Decide(cfg))
+	}
+	for range 1000 {
+		p.Observe(promoter.Observation{WorkKind: "k", Target: oldOne, Rated: true, Rating: 0.7})
+		p.Observe(promoter.Observation{WorkKind: "k", Target: newOne, Rated: true, Rating: 0.7})
+	}
+	changes := p.Decide(cfg)
+	must.SliceLen(t, 1, changes)
+	must.Eq(t, 0.9, changes[0].Exposure)
+}
+
+// Guards against changes that skip a stage, touch a version that is no candidate, or follow from another model.
+func TestDecideKeepsToTheChart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		p := promoter.New(promoter.Chart(), promoter.WithNow(func() time.Time { return now }))
+		cfg := configuration(rapid.Float64Range(0, 1).Draw(t, "exposure"))
+		v := &cfg.Models[0].Versions[1]
+		_ = p.Decide(cfg)
+		quality := rapid.Float64Range(0, 1).Draw(t, "quality")
+		for range rapid.IntRange(0, 400).Draw(t, "observations") {
+			p.Observe(promoter.Observation{WorkKind: "k", Target: oldOne, Rated: true, Rating: 0.5, Ended: true, Latency: time.Second})
+			p.Observe(promoter.Observation{WorkKind: "k", Target: newOne, Rated: true, Rating: quality, Ended: true, Latency: time.Second})
+			p.Observe(promoter.Observation{WorkKind: "k", Target: stranger, Rated: true, Rating: 0})
+		}
+		now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "hours")) * time.Hour)
+		for _, c := range p.Decide(cfg) {
+			if c.Target != newOne || c.Reason == "" || c.State == configurer.VersionCandidate && c.Exposure <= v.Exposure {
+				t.Fatalf("change %+v from exposure %v", c, v.Exposure)
+			}
+			if c.State == configurer.VersionWithdrawn && quality > 0.48 {
+				t.Fatalf("rolled back at quality %v against 0.5", quality)
+			}
+		}
+	})
+}
