--- /dev/null
+++ b/selector/plan.go
@@ -0,0 +1,344 @@
+package selector
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync/atomic"
+
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+const (
+	// maxCascades bounds the cascades that one decision compares.
+	maxCascades = 6
+	// cascadeRatings is the weight of ratings below which the shortfall of a version is too uncertain for a cascade.
+	cascadeRatings = 30
+	// explorationShare is the share of requests that may go to versions that could be better than estimated.
+	explorationShare = 0.05
+	// optimism is the number of standard deviations by which an explored version may be better than estimated.
+	optimism = 2
+	// margin is the relative addition to the quality target: the estimates of the selected versions are biased upwards, because a
+	// version whose ratings happened to be good is selected more often.
+	margin = 0.003
+	// catchUp bounds the correction of the target for a past deficit or surplus.
+	catchUp = 0.03
+	// catchUpFloor is the number of requests over which a new plan makes up for a deficit.
+	catchUpFloor = 200
+	// perMillion converts prices per million tokens.
+	perMillion = 1e-6
+)
+
+// planKey identifies the requests that share one plan.
+type planKey struct {
+	account identifier.ClientAccount
+	kind    identifier.WorkKind
+	model   identifier.Model
+}
+
+// option is one version that may answer, or one cascade of two versions.
+type option struct {
+	target identifier.Target
+	// input and output are the expected prices per token.
+	input, output float64
+	evidence
+	// exposure is the share of sessions that may use the option: 1 for a serving version.
+	exposure float64
+	// salt makes the exposure of different versions independent.
+	salt    uint64
+	cascade []identifier.Target
+	// rating is the price of rating the first answer of a cascade.
+	rating float64
+}
+
+// evidence is what the estimator knows about one target and kind.
+type evidence struct {
+	quality, deviation, ratings float64
+	// short is the share of answers below the kind's target, and above the mean rating of the others.
+	short, above float64
+}
+
+// evidenceKey identifies evidence within one refresh.
+type evidenceKey struct {
+	kind   identifier.WorkKind
+	target identifier.Target
+}
+
+// evidence asks the estimator once per refresh, since all client accounts share its answer; s.mu is held.
+func (s *Selector) evidence(kind *configurer.WorkKind, t identifier.Target, v *configurer.Version) evidence {
+	if s.estimator == nil {
+		return evidence{quality: v.PriorQuality}
+	}
+	key := evidenceKey{kind.Name, t}
+	if e, ok := s.known[key]; ok {
+		return e
+	}
+	var e evidence
+	e.quality, e.deviation, e.ratings = s.estimator.Quality(kind.Name, t)
+	e.short, e.above = s.estimator.Shortfall(kind.Name, t, kind.QualityTarget)
+	s.known[key] = e
+	return e
+}
+
+// price returns the expected cost of one request.
+func (o *option) price(prompt, completion float64) float64 {
+	return o.input*prompt + o.output*completion + o.rating
+}
+
+// control is the part of a plan that outlives the plan: the price of quality and what was selected so far.
+type control struct {
+	// lambda is the price of one unit of quality as float64 bits.
+	lambda atomic.Uint64
+	// scale is the unit of lambda's steps as float64 bits.
+	scale atomic.Uint64
+	// goal is the corrected quality target as float64 bits.
+	goal   atomic.Uint64
+	prompt atomic.Uint64
+	output atomic.Uint64
+	// entries count the decisions per option; only the holder of Selector.mu changes the list.
+	entries []*entry
+}
+
+// entry counts the decisions for one option, whose quality is estimated anew at each refresh.
+type entry struct {
+	target, next identifier.Target
+	quality      float64
+	selected     atomic.Int64
+	// settled is the part of selected that is included in weight; weight forgets old decisions.
+	settled int64
+	weight  float64
+}
+
+// entry returns the entry of o with its quality updated.
+func (c *control) entry(o *option) *entry {
+	var next identifier.Target
+	if o.cascade != nil {
+		next = o.cascade[0]
+	}
+	i := slices.IndexFunc(c.entries, func(e *entry) bool { return e.target == o.target && e.next == next })
+	if i < 0 {
+		i = len(c.entries)
+		c.entries = append(c.entries, &entry{target: o.target, next: next})
+	}
+	c.entries[i].quality = o.quality
+	return c.entries[i]
+}
+
+// plan is what a decision reads; it is immutable but for its control.
+type plan struct {
+	err     error
+	options []option
+	// candidates are the versions that are tried by exposure.
+	candidates []option
+	// entries and tried are parallel to options and candidates.
+	entries, tried []*entry
+	// singles is the number of leading options that are no cascades.
+	singles int
+	// best is the option with the highest quality.
+	best      int
+	reachable bool
+	worth     float64
+	control   *control
+	// reference holds the mean prompt and completion tokens of the requests.
+	reference [2]float64
+	account   *configurer.ClientAccount
+	kind      *configurer.WorkKind
+}
+
+func load(v *atomic.Uint64) float64     { return math.Float64frombits(v.Load()) }
+func store(v *atomic.Uint64, f float64) { v.Store(math.Float64bits(f)) }
+
+// collect lists the versions that the plan may use; the error is that of Cheapest.
+func (s *Selector) collect(cfg *configurer.Configuration, q *Query) (serving, candidates []option, err error) {
+	if q.Model != identifier.ModelAuto && cfg.Model(q.Model) == nil {
+		return nil, nil, ErrUnknownModel
+	}
+	allowed := false
+	for i := range cfg.Models {
+		m := &cfg.Models[i]
+		if q.Model != identifier.ModelAuto && q.Model != m.Name {
+			continue
+		}
+		for j := range m.Versions {
+			v := &m.Versions[j]
+			t := identifier.Target{Model: m.Name, Version: v.Name}
+			if !q.ClientAccount.Allows(t) {
+				continue
+			}
+			allowed = true
+			o := option{target: t, input: v.InputPrice * perMillion, output: v.OutputPrice * perMillion, exposure: 1}
+			o.evidence = s.evidence(q.WorkKind, t, v)
+			switch v.State {
+			case configurer.VersionServing:
+				serving = append(serving, o)
+			case configurer.VersionCandidate:
+				o.exposure, o.salt = v.Exposure, hashTarget(t)
+				if o.exposure > 0 {
+					candidates = append(candidates, o)
+				}
+			case configurer.VersionWithdrawn:
+			}
+		}
+	}
+	switch {
+	case !allowed:
+		return nil, nil, ErrNotAllowed
+	case len(serving)+len(candidates) == 0:
+		return nil, nil, ErrNoVersion
+	}
+	return serving, candidates, nil
+}
+
+// build makes the plan of one key; c is the control of the previous plan, or a fresh one.
+func (s *Selector) build(cfg *configurer.Configuration, q *Query, c *control) *plan {
+	p := &plan{control: c, account: q.ClientAccount, kind: q.WorkKind, best: -1}
+	serving, candidates, err := s.collect(cfg, q)
+	if err != nil {
+		p.err = err
+		return p
+	}
+	if r := cfg.RankIndex(q.WorkKind.Rank); r >= 0 {
+		p.worth = cfg.Ranks[r].Worth
+	}
+	p.reference = [2]float64{load(&c.prompt), load(&c.output)}
+	if p.reference[1] == 0 {
+		p.reference = [2]float64{float64(q.PromptTokens), float64(q.MaxTokens)}
+	}
+	p.options, p.candidates = serving, candidates
+	p.singles = len(serving)
+	for i := range p.options {
+		if p.best < 0 || p.options[i].quality > p.options[p.best].quality {
+			p.best = i
+		}
+	}
+	target := q.WorkKind.QualityTarget
+	// An option that is only reached through its exposure cannot be relied on to meet the target.
+	p.reachable = p.best >= 0 && p.options[p.best].quality >= target
+	if s.estimator != nil && !q.WorkKind.NonIdempotent {
+		p.options = append(p.options, s.cascades(p)...)
+	}
+	for i := range p.options {
+		p.entries = append(p.entries, c.entry(&p.options[i]))
+	}
+	for i := range p.candidates {
+		p.tried = append(p.tried, c.entry(&p.candidates[i]))
+	}
+	goal := target
+	if s.estimator != nil {
+		goal *= 1 + margin
+	}
+	p.steer(goal)
+	return p
+}
+
+// steer corrects the goal for past decisions and sets the range of the price of quality.
+func (p *plan) steer(goal float64) {
+	c := p.control
+	total, deficit := 0.0, 0.0
+	for _, e := range c.entries {
+		n := e.selected.Load()
+		e.weight += float64(n - e.settled)
+		e.settled = n
+		total += e.weight
+		deficit += e.weight * (goal - e.quality)
+	}
+	// The deficit is made up for over the next tenth of the traffic, with a floor that damps the first minutes.
+	goal += min(max(deficit/(total/10+catchUpFloor), -catchUp), catchUp)
+	store(&c.goal, goal)
+	upper, scale := frontier(p.options[:p.singles], p.reference, goal)
+	lower, cascadeScale := frontier(p.options, p.reference, goal)
+	store(&c.scale, min(scale, cascadeScale))
+	// Request sizes spread around the reference, so the stationary price differs from that of the frontier. Beyond a
+	// factor of 3 it is a remnant of earlier estimates.
+	store(&c.lambda, min(max(load(&c.lambda), lower/3), 3*upper))
+	if total == 0 {
+		store(&c.lambda, lower)
+	}
+}
+
+// frontier returns the price of quality at which the mean of the kind reaches goal on the lower convex hull of cost over
+// quality, and the smallest positive price of the hull as the unit of its steps.
+func frontier(options []option, reference [2]float64, goal float64) (lambda, scale float64) {
+	type point struct{ quality, cost float64 }
+	points := make([]point, 0, len(options))
+	for i := range options {
+		points = append(points, point{options[i].quality, options[i].price(reference[0], reference[1])})
+	}
+	slices.SortFunc(points, func(a, b point) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(b.quality, a.quality))
+	})
+	for i := 0; i < len(points); {
+		next, slope := -1, math.Inf(1)
+		for j := i + 1; j < len(points); j++ {
+			if points[j].quality <= points[i].quality {
+				continue
+			}
+			if d := (points[j].cost - points[i].cost) / (points[j].quality - points[i].quality); d <= slope {
+				next, slope = j, d
+			}
+		}
+		if next < 0 {
+			break
+		}
+		if slope > 0 && scale == 0 {
+			scale = slope
+		}
+		if points[i].quality >= goal {
+			break
+		}
+		lambda = slope
+		if points[next].quality >= goal {
+			scale = slope
+			break
+		}
+		i = next
+	}
+	return lambda, scale
+}
+
+// cascades lists the pairs that beat starting higher, best first at the current price of quality.
+//
+// A cascade of a cheap version (cost c1, shortfall p) and a better one (cost c2) costs c1 + rating + p*c2. It loses
+// when that is at least c2, that is when p >= 1 - (c1+rating)/c2, and is then left out. It also loses when a single version
+// or a mixture reaches the same quality at a lower cost, which the comparison of scores in Select decides.
+func (s *Selector) cascades(p *plan) []option {
+	type scored struct {
+		option
+		score float64
+	}
+	var found []scored
+	lambda := load(&p.control.lambda)
+	for i := range p.singles {
+		low := &p.options[i]
+		if low.ratings < cascadeRatings {
+			continue
+		}
+		share := low.short
+		for j := range p.singles {
+			high := &p.options[j]
+			if high.quality <= low.quality || !CascadeWins(low.price(p.reference[0], p.reference[1]), s.ratingPrice,
+				high.price(p.reference[0], p.reference[1]), share) {
+				continue
+			}
+			o := option{
+				target: low.target, cascade: []identifier.Target{high.target}, exposure: 1, rating: s.ratingPrice,
+				input: low.input + share*high.input, output: low.output + share*high.output,
+				evidence: evidence{quality: (1-share)*low.above + share*high.quality, ratings: low.ratings},
+			}
+			found = append(found, scored{o, o.price(p.reference[0], p.reference[1]) - lambda*o.quality})
+		}
+	}
+	slices.SortStableFunc(found, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
+	options := make([]option, 0, maxCascades)
+	for i := range min(len(found), maxCascades) {
+		options = append(options, found[i].option)
+	}
+	return options
+}
+
+// CascadeWins reports whether running the cheap version first, rating it for the price of rating, and repeating on the
+// expensive one with probability shortfall costs less than starting on the expensive one.
+func CascadeWins(cheap, rating, expensive, shortfall float64) bool {
+	return cheap+rating+shortfall*expensive < expensive
+}
