admitter: add the agent's queue by rank, account and deadline

Cause: the agent must decide rank, fairness, floors, deadlines and preemption for its engine. Change: strict ranks with floors by credit, deficit round robin by tokens, early refusal from measured service time, queue timeouts that shrink under overload, preemption, drain. batchfaker models an engine on a virtual clock.

--- /dev/null
+++ b/admitter/admitter.go
@@ -0,0 +1,347 @@
+package admitter
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// Admitter is the queue of one agent in front of its engine; it is safe for concurrent use.
+type Admitter struct {
+	o options
+
+	mu       sync.Mutex
+	queues   []*queue
+	ranks    map[identifier.Rank]int
+	active   []*Ticket
+	running  int
+	leaving  int // running tickets that were asked to pause
+	paused   int // waiting tickets that have run before
+	service  service
+	sweptAt  time.Time
+	draining bool
+	drained  chan struct{}
+	counters counters
+	// settled holds the outcomes to deliver after the mutex is released.
+	settled []outcome
+}
+
+type outcome struct {
+	t      *Ticket
+	settle func(*Ticket, error)
+	err    error
+}
+
+type counters struct {
+	offered, granted, finished, preempted, expired int64
+	refused                                        map[string]int64
+}
+
+// New returns an admitter with 16 slots and one unnamed rank unless options say otherwise.
+func New(opts ...Option) *Admitter {
+	o := options{
+		now: time.Now, weight: func(identifier.ClientAccount) float64 { return 1 },
+		slots: defaultSlots, headroom: defaultSlots / headroomShare,
+		queuePerRank: defaultQueuePerRank, queuePerAccount: defaultQueuePerAccount,
+		shrink: defaultShrink, estimates: true,
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	a := &Admitter{
+		o: o, ranks: make(map[identifier.Rank]int), drained: make(chan struct{}),
+		counters: counters{refused: make(map[string]int64)},
+	}
+	for i, r := range o.ranks {
+		a.queues = append(a.queues, newQueue(r, o.weight))
+		a.ranks[r.Name] = i
+	}
+	return a
+}
+
+// change applies f, grants what it made possible and delivers the outcomes without holding the mutex.
+func (a *Admitter) change(f func(now time.Time)) {
+	a.mu.Lock()
+	now := a.o.now()
+	f(now)
+	a.dispatch(now)
+	settled := a.settled
+	a.settled = nil
+	a.mu.Unlock()
+	for _, s := range settled {
+		s.settle(s.t, s.err)
+	}
+}
+
+func (a *Admitter) notify(t *Ticket, err error) {
+	a.settled = append(a.settled, outcome{t: t, settle: t.settle, err: err})
+}
+
+// Offer queues an item without waiting. An error is a *Refusal, and settle is not called; otherwise settle is called
+// exactly once, possibly before Offer returns, with nil when the item may run or with a *Refusal.
+func (a *Admitter) Offer(it Item, settle func(*Ticket, error)) (*Ticket, error) {
+	it.Cost = max(it.Cost, 1)
+	t := &Ticket{a: a, item: it, settle: settle}
+	var refusal *Refusal
+	a.change(func(now time.Time) {
+		a.counters.offered++
+		if refusal = a.check(t, now); refusal != nil {
+			a.counters.refused[refusal.Code]++
+			t.state = stateEnded
+			return
+		}
+		t.queuedAt = now
+		a.queues[t.rank].push(t, false)
+	})
+	if refusal != nil {
+		return nil, refusal
+	}
+	return t, nil
+}
+
+// check returns why new work must be refused at once, or nil.
+func (a *Admitter) check(t *Ticket, now time.Time) *Refusal {
+	order := t.item.Order
+	rank, ok := a.ranks[order.Rank]
+	if !ok {
+		return &Refusal{Code: CodeUnknownRank}
+	}
+	t.rank = rank
+	if a.draining {
+		return &Refusal{Code: CodeDraining, RetryAt: now}
+	}
+	if !order.Deadline.IsZero() && !now.Before(order.Deadline) {
+		return &Refusal{Code: CodeDeadline}
+	}
+	q := a.queues[rank]
+	weight, own, count := max(a.o.weight(order.ClientAccount), minWeight), 0.0, 0
+	if f, ok := q.flows[order.ClientAccount]; ok {
+		own, count = f.tokens, len(f.waiting)
+	}
+	wait := a.estimate(rank, order.ClientAccount, t.item.Cost, now)
+	limit := a.waitLimit(rank, now)
+	if a.o.estimates {
+		if wait > limit {
+			return &Refusal{Code: CodeWaitTooLong, RetryAt: now.Add(wait - limit)}
+		}
+		if d := order.Deadline; !d.IsZero() && now.Add(wait+a.service.duration(t.item.Cost)).After(d) {
+			return &Refusal{Code: CodeDeadline, RetryAt: now.Add(wait)}
+		}
+	}
+	if count >= a.o.queuePerAccount {
+		return &Refusal{Code: CodeQueueFull, RetryAt: now.Add(max(wait/2, minRetry))}
+	}
+	if q.items >= a.o.queuePerRank && !a.makeRoom(q, weight, own+t.item.Cost, now) {
+		return &Refusal{Code: CodeQueueFull, RetryAt: now.Add(max(wait/2, minRetry))}
+	}
+	return nil
+}
+
+// minRetry keeps refused work from being sent again within the same moment.
+const minRetry = 100 * time.Millisecond
+
+// makeRoom refuses the newest work of the account with the longest queue if the new work's account has a shorter one,
+// so that one account cannot occupy the whole rank.
+func (a *Admitter) makeRoom(q *queue, weight, tokens float64, now time.Time) bool {
+	f := q.longest()
+	if f == nil || f.tokens/f.weight <= tokens/weight {
+		return false
+	}
+	a.drop(f.waiting[len(f.waiting)-1], CodeQueueFull, now, minRetry)
+	return true
+}
+
+func (a *Admitter) waiting() int {
+	n := 0
+	for _, q := range a.queues {
+		n += q.items
+	}
+	return n
+}
+
+// Admit waits for a slot. An error is a *Refusal, also when ctx ends: the work was not started and never will be.
+func (a *Admitter) Admit(ctx context.Context, it Item) (*Ticket, error) {
+	ready := make(chan error, 1)
+	t, err := a.Offer(it, func(_ *Ticket, err error) { ready <- err })
+	if err != nil {
+		return nil, err
+	}
+	if err := a.wait(ctx, t, ready); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// wait returns the outcome of a waiting ticket; it wakes up regularly, since an idle queue has no other event on which
+// to drop overdue work.
+func (a *Admitter) wait(ctx context.Context, t *Ticket, ready <-chan error) error {
+	ticker := time.NewTicker(2 * sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-ready:
+			return err
+		case <-ticker.C:
+			a.Tick()
+		case <-ctx.Done():
+			return a.cancel(t, ready)
+		}
+	}
+}
+
+func (a *Admitter) cancel(t *Ticket, ready <-chan error) error {
+	a.change(func(now time.Time) {
+		switch t.state {
+		case stateWaiting:
+			a.drop(t, CodeCanceled, now, 0)
+		case stateRunning:
+			// The slot was granted while ctx ended; the caller has not started anything on it.
+			paused := t.paused
+			a.release(t, 0, now, true)
+			t.state = stateEnded
+			if paused {
+				a.counters.expired++
+			} else {
+				a.counters.refused[CodeCanceled]++
+			}
+			a.settleDrain()
+		}
+	})
+	if err := <-ready; err != nil {
+		return err
+	}
+	if t.paused {
+		return ErrPausedExpired
+	}
+	return &Refusal{Code: CodeCanceled, RetryAt: a.o.now()}
+}
+
+// Tick drops overdue work; waiting calls of Admit do so by themselves, users of Offer call it every 100 ms or so.
+func (a *Admitter) Tick() {
+	a.change(func(time.Time) {})
+}
+
+// Drain refuses new and waiting work at once, so that it can be sent elsewhere; running and paused work continues.
+func (a *Admitter) Drain() {
+	a.change(func(now time.Time) {
+		a.draining = true
+		for _, q := range a.queues {
+			var waiting []*Ticket
+			for _, f := range q.round {
+				waiting = append(waiting, f.waiting...)
+			}
+			for _, t := range waiting {
+				if !t.paused {
+					a.drop(t, CodeDraining, now, 0)
+				}
+			}
+		}
+		a.settleDrain()
+	})
+}
+
+// Drained is closed once Drain was called and no work is running or paused.
+func (a *Admitter) Drained() <-chan struct{} {
+	return a.drained
+}
+
+func (a *Admitter) settleDrain() {
+	if !a.draining || a.running > 0 || a.paused > 0 {
+		return
+	}
+	select {
+	case <-a.drained:
+	default:
+		close(a.drained)
+	}
+}
+
+// Load returns the load for probes; Wait is the estimate for the lowest rank.
+func (a *Admitter) Load() streamer.Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.o.now()
+	l := streamer.Load{
+		At: now, Running: a.running, Queued: make([]int, len(a.queues)),
+		TokenRate: a.service.output.perSecond(now), Leaving: a.draining,
+	}
+	for i, q := range a.queues {
+		l.Queued[i] = q.items
+	}
+	if n := len(a.queues); n > 0 {
+		l.Wait = a.estimate(n-1, "", a.queues[n-1].quantum, now)
+	}
+	return l
+}
+
+// Counters returns the monotonic counters of the admitter.
+func (a *Admitter) Counters() map[string]int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c := map[string]int64{
+		"offered": a.counters.offered, "granted": a.counters.granted, "finished": a.counters.finished,
+		"preempted": a.counters.preempted, "paused-expired": a.counters.expired,
+	}
+	for code, n := range a.counters.refused {
+		c["refused-"+code] = n
+	}
+	return c
+}
+
+// State is the state dump of an Admitter.
+type State struct {
+	Slots    int              `json:"slots"`
+	Running  int              `json:"running"`
+	Leaving  int              `json:"leaving"`
+	Paused   int              `json:"paused"`
+	Draining bool             `json:"draining"`
+	Rate     float64          `json:"token-rate"`
+	Ranks    []RankState      `json:"ranks"`
+	Refused  map[string]int64 `json:"refused"`
+}
+
+// RankState is the state dump of one rank.
+type RankState struct {
+	Rank       identifier.Rank                  `json:"rank"`
+	Waiting    map[identifier.ClientAccount]int `json:"waiting"`
+	Running    int                              `json:"running"`
+	Credit     float64                          `json:"floor-credit"`
+	Overloaded bool                             `json:"overloaded"`
+	WaitLimit  time.Duration                    `json:"wait-limit"`
+}
+
+// State returns a State.
+func (a *Admitter) State() any {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.o.now()
+	s := State{
+		Slots: a.o.slots, Running: a.running, Leaving: a.leaving, Paused: a.paused, Draining: a.draining,
+		Rate: a.service.output.perSecond(now), Refused: maps.Clone(a.counters.refused),
+	}
+	for i, q := range a.queues {
+		r := RankState{
+			Rank: q.rank.Name, Waiting: make(map[identifier.ClientAccount]int, len(q.flows)), Running: q.running,
+			Credit: q.credit, Overloaded: a.overloaded(i, now), WaitLimit: a.waitLimit(i, now),
+		}
+		for name, f := range q.flows {
+			r.Waiting[name] = len(f.waiting)
+		}
+		s.Ranks = append(s.Ranks, r)
+	}
+	return s
+}
+
+// IsRefusal returns the refusal in err, or nil.
+func IsRefusal(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return nil
+}
--- /dev/null
+++ b/admitter/dispatch.go
@@ -0,0 +1,240 @@
+package admitter
+
+import (
+	"slices"
+	"time"
+)
+
+// maxPauses bounds how often one item is preempted, so that it cannot be starved by pauses.
+const maxPauses = 3
+
+// pausedPerSlot bounds the paused work, whose state the engine keeps in memory.
+const pausedPerSlot = 4
+
+// dispatch grants slots until none is free and nothing may be preempted.
+func (a *Admitter) dispatch(now time.Time) {
+	a.sweepAt(now)
+	for a.running-min(a.leaving, a.o.headroom) < a.o.slots {
+		t, floored := a.pick()
+		if t == nil {
+			return
+		}
+		if a.expired(t, now) {
+			continue
+		}
+		a.grant(t, floored, now)
+	}
+	for a.leaving < max(a.o.headroom, 1) {
+		t, v := a.preemption()
+		if t == nil || a.expired(t, now) {
+			return
+		}
+		v.preempting = true
+		close(v.preempted)
+		a.leaving++
+		if a.running-min(a.leaving, a.o.headroom) >= a.o.slots {
+			return // without headroom the slot is granted once the victim has left
+		}
+		a.grant(t, false, now)
+	}
+}
+
+// expired drops a waiting ticket whose deadline has passed and reports whether it did.
+func (a *Admitter) expired(t *Ticket, now time.Time) bool {
+	d := t.item.Order.Deadline
+	if d.IsZero() || now.Before(d) {
+		return false
+	}
+	a.drop(t, CodeDeadline, now, 0)
+	return true
+}
+
+// pick returns the ticket for a free slot: a rank whose floor is owed first, then strictly by rank.
+func (a *Admitter) pick() (t *Ticket, floored bool) {
+	var first *Ticket
+	var owed *Ticket
+	most := 0.0
+	for i, q := range a.queues {
+		t := q.next()
+		if t == nil {
+			continue
+		}
+		if first == nil {
+			first = t
+			continue
+		}
+		if lag := q.credit - t.cost; q.rank.Floor > 0 && lag >= 0 && (owed == nil || lag > most) {
+			owed, most = a.queues[i].next(), lag
+		}
+	}
+	if owed != nil {
+		return owed, true
+	}
+	return first, false
+}
+
+// preemption returns a waiting ticket and the running one that should make room for it, or nils. Ranks come first;
+// within a rank an account under its share of the slots takes one from an account over its share.
+func (a *Admitter) preemption() (t, victim *Ticket) {
+	if a.paused >= pausedPerSlot*a.o.slots {
+		return nil, nil
+	}
+	for i, q := range a.queues {
+		if q.items == 0 {
+			continue
+		}
+		if v := a.victim(i, nil); v != nil {
+			return q.next(), v
+		}
+		if f := q.neediest(); f != nil {
+			if v := a.victim(i, f); v != nil {
+				return f.waiting[0], v
+			}
+		}
+	}
+	return nil, nil
+}
+
+// neediest returns the waiting flow that stays within its share of the rank's slots with one more, or nil.
+func (q *queue) neediest() *flow {
+	perWeight := float64(q.running) / q.totalWeight()
+	var best *flow
+	for _, f := range q.round {
+		if float64(f.running+1) > perWeight*f.weight {
+			continue
+		}
+		if best == nil || float64(f.running)/f.weight < float64(best.running)/best.weight {
+			best = f
+		}
+	}
+	return best
+}
+
+// victim returns the running ticket to preempt for work of a rank: of the lowest rank below it, or, with a flow, of
+// an account of the same rank that keeps its share without it. The latest start loses, since it has produced least.
+func (a *Admitter) victim(rank int, f *flow) *Ticket {
+	perWeight := 0.0
+	if f != nil {
+		perWeight = float64(a.queues[rank].running) / a.queues[rank].totalWeight()
+	}
+	var best *Ticket
+	for _, t := range a.active {
+		if !t.item.Resumable || t.preempting || t.floored || t.pauses >= maxPauses || t.item.Order.NonIdempotent {
+			continue
+		}
+		if f == nil && t.rank <= rank {
+			continue
+		}
+		if f != nil && (t.rank != rank || t.flow == f || float64(t.flow.running-1) < perWeight*t.flow.weight) {
+			continue
+		}
+		if best == nil || t.rank > best.rank || t.rank == best.rank && !t.grantedAt.Before(best.grantedAt) {
+			best = t
+		}
+	}
+	return best
+}
+
+// grant starts a waiting ticket.
+func (a *Admitter) grant(t *Ticket, floored bool, now time.Time) {
+	q := a.queues[t.rank]
+	if t.paused {
+		a.paused--
+	}
+	q.remove(t)
+	f := t.flow
+	// remove forgets a flow without work; this one runs now.
+	q.flows[f.account] = f
+	f.deficit = max(f.deficit-t.cost, -maxDebt*q.quantum)
+	f.running++
+	q.running++
+	a.running++
+	q.granted.add(t.cost, now)
+	for i, other := range a.queues {
+		if i != t.rank && other.items > 0 {
+			other.credit = min(other.credit+other.rank.Floor*t.cost, 2*max(other.quantum, 1))
+		} else if other.items == 0 && i != t.rank {
+			other.credit = 0 // a floor is for waiting work and is not saved up
+		}
+	}
+	// Work granted by strict order does not count against the floor later on.
+	q.credit = max(q.credit+q.rank.Floor*t.cost-t.cost, 0)
+	t.state, t.floored, t.preempting, t.grantedAt = stateRunning, floored, false, now
+	t.preempted = make(chan struct{})
+	a.active = append(a.active, t)
+	a.counters.granted++
+	a.notify(t, nil)
+}
+
+// release takes a running ticket off its slot after it produced tokens in this run.
+func (a *Admitter) release(t *Ticket, tokens int, now time.Time, complete bool) {
+	q, f := a.queues[t.rank], t.flow
+	i := slices.Index(a.active, t)
+	last := len(a.active) - 1
+	a.active[i] = a.active[last]
+	a.active[last] = nil
+	a.active = a.active[:last]
+	f.running--
+	q.running--
+	a.running--
+	if t.preempting {
+		a.leaving--
+		t.preempting = false
+	}
+	// The account pays for what its work produced instead of the estimate.
+	f.deficit = max(f.deficit+t.cost-float64(tokens), -maxDebt*q.quantum)
+	// Round robin itself lets a deficit reach a quantum above one round's grant; only a refund beyond that is cut.
+	f.deficit = min(f.deficit, q.quantum*(f.weight+1))
+	cost := t.cost
+	if !complete {
+		cost = min(cost, float64(tokens))
+	}
+	if tokens > 0 {
+		// Work that failed or was canceled before its first token says nothing about the speed of the engine.
+		a.service.add(cost, now.Sub(t.grantedAt), now)
+		a.service.output.add(float64(tokens), now)
+	}
+	if complete {
+		q.forget(f)
+	}
+}
+
+// drop ends a waiting ticket without running it further.
+func (a *Admitter) drop(t *Ticket, code string, now time.Time, retry time.Duration) {
+	a.queues[t.rank].remove(t)
+	t.state = stateEnded
+	if t.paused {
+		a.paused--
+		a.counters.expired++
+		a.notify(t, ErrPausedExpired)
+		a.settleDrain()
+		return
+	}
+	a.counters.refused[code]++
+	a.notify(t, &Refusal{Code: code, RetryAt: now.Add(retry)})
+}
+
+// sweepInterval bounds the cost of searching the queues for work that has waited too long.
+const sweepInterval = 50 * time.Millisecond
+
+// sweepAt drops waiting work that is past its deadline or its queue timeout.
+func (a *Admitter) sweepAt(now time.Time) {
+	if now.Sub(a.sweptAt) < sweepInterval {
+		return
+	}
+	a.sweptAt = now
+	a.observeDelay(now)
+	for i, q := range a.queues {
+		limit := a.waitLimit(i, now)
+		for _, f := range slices.Clone(q.round) {
+			for _, t := range slices.Clone(f.waiting) {
+				if a.expired(t, now) || t.paused {
+					continue
+				}
+				if now.Sub(t.queuedAt) > limit {
+					a.drop(t, CodeQueueTimeout, now, limit)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/batchfaker/doc.go
@@ -0,0 +1,2 @@
+// Package batchfaker models engines with continuous batching on a virtual clock, for experiments.
+package batchfaker
--- /dev/null
+++ b/batchfaker/engine_test.go
@@ -0,0 +1,29 @@
+package batchfaker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/batchfaker"
+)
+
+// Guards against an engine model that creates or loses tokens when sequences join, stop and end.
+func TestEngineSharesItsRate(t *testing.T) {
+	l := batchfaker.NewLoop(time.Unix(0, 0))
+	s := batchfaker.Shape{Knee: 2, Step: 10 * time.Millisecond, Chunk: 100}
+	e := batchfaker.NewEngine(l, s)
+	var first, done time.Time
+	e.Start(100, 10, func() { first = l.Now() }, func() { done = l.Now() })
+	stopped := e.Start(0, 1000, func() {}, func() { t.Fatal("stopped sequence ended") })
+	e.Start(0, 1000, func() {}, func() {})
+	e.Start(0, 1000, func() {}, func() {})
+	l.Run(l.Now().Add(100 * time.Millisecond))
+	must.Eq(t, 5, e.Stop(stopped))
+	l.Run(l.Now().Add(time.Second))
+	// 10 tokens, 5, and 102 of each of the other two. Four sequences on a knee of two: 20 ms per step; three of them: 15 ms.
+	must.Between(t, 39, first.Sub(time.Unix(0, 0)).Milliseconds(), 41)
+	must.Between(t, 189, done.Sub(time.Unix(0, 0)).Milliseconds(), 191)
+	must.Between(t, 218.9, e.Tokens(), 219.1)
+}
--- /dev/null
+++ b/batchfaker/loop.go
@@ -0,0 +1,83 @@
+package batchfaker
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Loop is a virtual clock with events; events at the same time run in the order in which they were added.
+type Loop struct {
+	now    time.Time
+	events events
+	added  uint64
+}
+
+type event struct {
+	at    time.Time
+	order uint64
+	f     func()
+}
+
+type events []event
+
+// Len returns the number of events.
+func (e *events) Len() int { return len(*e) }
+
+// Less orders events by time and then by their addition.
+func (e *events) Less(i, j int) bool {
+	a, b := (*e)[i], (*e)[j]
+	if a.at.Equal(b.at) {
+		return a.order < b.order
+	}
+	return a.at.Before(b.at)
+}
+
+// Swap exchanges two events.
+func (e *events) Swap(i, j int) { (*e)[i], (*e)[j] = (*e)[j], (*e)[i] }
+
+// Push adds an event.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop removes the last event.
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	(*e)[last] = event{}
+	*e = (*e)[:last]
+	return x
+}
+
+// NewLoop returns a clock that stands at start.
+func NewLoop(start time.Time) *Loop {
+	return &Loop{now: start}
+}
+
+// Now returns the current virtual time.
+func (l *Loop) Now() time.Time {
+	return l.now
+}
+
+// After runs f when d has passed; a negative d counts as 0.
+func (l *Loop) After(d time.Duration, f func()) {
+	l.added++
+	heap.Push(&l.events, event{at: l.now.Add(max(d, 0)), order: l.added, f: f})
+}
+
+// Every runs f at each interval until f returns false.
+func (l *Loop) Every(interval time.Duration, f func() bool) {
+	l.After(interval, func() {
+		if f() {
+			l.Every(interval, f)
+		}
+	})
+}
+
+// Run runs all events up to a time and leaves the clock there.
+func (l *Loop) Run(until time.Time) {
+	for len(l.events) > 0 && !l.events[0].at.After(until) {
+		e := heap.Pop(&l.events).(event)
+		l.now = e.at
+		e.f()
+	}
+	l.now = until
+}
