floodbencher: measure service by rank in overload

Change: floodbencher with batch and urgent floods, naive first come first served, and variants; floors earn from actual tokens.

--- a/admitter/dispatch.go
+++ b/admitter/dispatch.go
@@ -150,13 +150,7 @@
 	q.running++
 	a.running++
 	q.granted.add(t.cost, now)
-	for i, other := range a.queues {
-		if i != t.rank && other.items > 0 {
-			other.credit = min(other.credit+other.rank.Floor*t.cost, 2*max(other.quantum, 1))
-		} else if other.items == 0 && i != t.rank {
-			other.credit = 0 // a floor is for waiting work and is not saved up
-		}
-	}
+	a.earn(t.rank, t.cost)
 	// Work granted by strict order does not count against the floor later on.
 	q.credit = max(q.credit+q.rank.Floor*t.cost-t.cost, 0)
 	t.state, t.floored, t.preempting, t.grantedAt = stateRunning, floored, false, now
@@ -166,6 +160,20 @@
 	a.notify(t, nil)
 }
 
+// earn credits the floors of the other ranks with their share of tokens served to a rank.
+func (a *Admitter) earn(rank int, tokens float64) {
+	for i, q := range a.queues {
+		switch {
+		case i == rank:
+		case q.items+q.running > 0:
+			// A queue that is empty for a moment keeps earning, or short timeouts would take away from the floor.
+			q.credit = min(max(q.credit+q.rank.Floor*tokens, 0), 2*max(q.quantum, 1))
+		default:
+			q.credit = 0 // an idle rank saves nothing up
+		}
+	}
+}
+
 // release takes a running ticket off its slot after it produced tokens in this run.
 func (a *Admitter) release(t *Ticket, tokens int, now time.Time, complete bool) {
 	q, f := a.queues[t.rank], t.flow
@@ -185,6 +193,11 @@
 	f.deficit = max(f.deficit+t.cost-float64(tokens), -maxDebt*q.quantum)
 	// Round robin itself lets a deficit reach a quantum above one round's grant; only a refund beyond that is cut.
 	f.deficit = min(f.deficit, q.quantum*(f.weight+1))
+	// Floors are shares of what was produced, so the credits of the estimate are corrected.
+	a.earn(t.rank, float64(tokens)-t.cost)
+	if t.floored {
+		q.credit = min(max(q.credit+t.cost-float64(tokens), 0), 2*max(q.quantum, 1))
+	}
 	cost := t.cost
 	if !complete {
 		cost = min(cost, float64(tokens))
--- a/admitter/estimate.go
+++ b/admitter/estimate.go
@@ -115,7 +115,8 @@
 const minAvailable = 0.01
 
 // waitLimit is the longest time that new work of a rank may wait: a part of the target time to the first token,
-// less for each overloaded rank above, because its capacity will go to the more urgent work.
+// less for each overloaded rank above, because its capacity will go to the more urgent work. In a rank that is itself
+// overloaded a long queue adds delay without adding throughput, so its wait is capped.
 func (a *Admitter) waitLimit(rank int, now time.Time) time.Duration {
 	limit := float64(a.queues[rank].rank.FirstToken) * waitShare
 	for i := range rank {
@@ -123,9 +124,16 @@
 			limit *= a.o.shrink
 		}
 	}
+	if a.overloaded(rank, now) {
+		limit = min(limit, float64(overloadedWait))
+	}
 	return time.Duration(limit)
 }
 
+// overloadedWait bounds the queue of an overloaded rank; service must be normal within 10 s of the end of an overload,
+// and the last work from the queue needs some of that time to run.
+const overloadedWait = 4 * time.Second
+
 // overloadAfter is how long work must keep waiting beyond its target before the rank counts as overloaded; shorter
 // bursts are absorbed by the queue (as in CoDel).
 const overloadAfter = 500 * time.Millisecond
@@ -141,7 +149,7 @@
 // observeDelay updates the sign of overload of each rank.
 func (a *Admitter) observeDelay(now time.Time) {
 	for _, q := range a.queues {
-		target := time.Duration(float64(q.rank.FirstToken) * waitShare * delayShare)
+		target := min(time.Duration(float64(q.rank.FirstToken)*waitShare*delayShare), overloadedWait/2)
 		oldest, ok := q.oldest()
 		switch {
 		case !ok || now.Sub(oldest) < target:
--- /dev/null
+++ b/batchfaker/agent.go
@@ -0,0 +1,170 @@
+package batchfaker
+
+import (
+	"errors"
+	"time"
+
+	"github.com/siskinfront/siskinfront/admitter"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// Call is one request to an agent; the functions are called from the event loop.
+type Call struct {
+	Order  *streamer.Order
+	Cost   float64 // expected cost in tokens
+	Prompt int     // tokens
+	Tokens int     // tokens that the answer will have
+	// OnFirst is called with the first token, OnDone with the last one, OnRefused if the call is not run, and OnBroken
+	// if a paused call cannot continue.
+	OnFirst, OnDone func()
+	OnRefused       func(*admitter.Refusal)
+	OnBroken        func()
+}
+
+// Agent runs calls on an engine through an admitter, as agentserver does.
+type Agent struct {
+	Engine   *Engine
+	Admitter *admitter.Admitter
+
+	loop    *Loop
+	running map[*admitter.Ticket]*run
+	order   []*run
+}
+
+type run struct {
+	call      *Call
+	ticket    *admitter.Ticket
+	sequence  *Sequence
+	preempted <-chan struct{}
+	from      int // tokens produced by earlier runs
+	stopping  bool
+	started   bool
+}
+
+// pollInterval is the granularity at which the agent notices preemption and overdue work.
+const pollInterval = 5 * time.Millisecond
+
+// NewAgent returns an agent that polls until the end of the loop.
+func NewAgent(l *Loop, e *Engine, a *admitter.Admitter) *Agent {
+	g := &Agent{Engine: e, Admitter: a, loop: l, running: make(map[*admitter.Ticket]*run)}
+	polls := 0
+	l.Every(pollInterval, func() bool {
+		if polls++; polls%20 == 0 {
+			a.Tick()
+		}
+		g.poll()
+		return true
+	})
+	return g
+}
+
+// Submit hands a call to the admitter.
+func (g *Agent) Submit(c *Call) {
+	_, err := g.Admitter.Offer(admitter.Item{Order: c.Order, Cost: c.Cost, Resumable: true}, func(t *admitter.Ticket, err error) {
+		if err != nil {
+			c.OnRefused(admitter.IsRefusal(err))
+			return
+		}
+		g.start(&run{call: c, ticket: t})
+	})
+	if err != nil {
+		c.OnRefused(admitter.IsRefusal(err))
+	}
+	g.poll()
+}
+
+func (g *Agent) start(r *run) {
+	r.preempted = r.ticket.Preempted()
+	r.stopping = false
+	prompt := r.call.Prompt
+	if r.started {
+		prompt = 0 // the engine kept the state of the paused work
+	}
+	g.running[r.ticket] = r
+	g.order = append(g.order, r)
+	r.sequence = g.Engine.Start(prompt, r.call.Tokens-r.from, func() {
+		if !r.started {
+			r.started = true
+			r.call.OnFirst()
+		}
+	}, func() {
+		g.forget(r)
+		r.ticket.Finish(r.call.Tokens + r.steps(g.Engine))
+		r.call.OnDone()
+	})
+}
+
+// steps returns the steps of the prompt, which cost a slot as much as tokens do.
+func (r *run) steps(e *Engine) int {
+	return (r.call.Prompt + e.shape.Chunk - 1) / e.shape.Chunk
+}
+
+func (g *Agent) forget(r *run) {
+	delete(g.running, r.ticket)
+	kept := g.order[:0]
+	for _, o := range g.order {
+		if o != r {
+			kept = append(kept, o)
+		}
+	}
+	clear(g.order[len(kept):])
+	g.order = kept
+}
+
+// poll lets preempted work leave the engine at the end of its step.
+func (g *Agent) poll() {
+	for _, r := range g.order {
+		if r.stopping {
+			continue
+		}
+		select {
+		case <-r.preempted:
+			r.stopping = true
+			step := time.Duration(g.Engine.shape.StepTime(g.Engine.Running()) * float64(time.Second))
+			g.loop.After(step, func() { g.pause(r) })
+		default:
+		}
+	}
+}
+
+func (g *Agent) pause(r *run) {
+	if g.running[r.ticket] != r || !r.stopping {
+		return
+	}
+	r.from = min(r.from+g.Engine.Stop(r.sequence), r.call.Tokens-1)
+	g.forget(r)
+	r.ticket.Requeue(r.from, func(t *admitter.Ticket, err error) {
+		if errors.Is(err, admitter.ErrPausedExpired) {
+			r.call.OnBroken()
+			return
+		}
+		r.ticket = t
+		g.start(r)
+	})
+}
+
+// Fifo runs calls first come, first served without bounds, as a comparison.
+type Fifo struct {
+	Engine *Engine
+	Slots  int
+
+	queue []*Call
+}
+
+// Submit queues a call.
+func (f *Fifo) Submit(c *Call) {
+	f.queue = append(f.queue, c)
+	f.dispatch()
+}
+
+func (f *Fifo) dispatch() {
+	for f.Engine.Running() < f.Slots && len(f.queue) > 0 {
+		c := f.queue[0]
+		f.queue[0] = nil
+		f.queue = f.queue[1:]
+		f.Engine.Start(c.Prompt, c.Tokens, c.OnFirst, func() {
+			c.OnDone()
+			f.dispatch()
+		})
+	}
+}
--- /dev/null
+++ b/floodbencher/traffic.go
@@ -0,0 +1,173 @@
+package floodbencher
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/siskinfront/siskinfront/admitter"
+	"github.com/siskinfront/siskinfront/batchfaker"
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/limiter"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// kind is the work of one rank; sizes are means in tokens and vary by half.
+type kind struct {
+	rank     configurer.Rank
+	prompt   int
+	tokens   int
+	baseLoad float64 // share of capacity
+}
+
+func kinds() []kind {
+	return []kind{
+		{
+			rank: configurer.Rank{
+				Name: "urgent", FirstToken: 1400 * time.Millisecond, BetweenTokens: 60 * time.Millisecond,
+				Deadline: 10 * time.Second,
+			},
+			prompt: 400, tokens: 40, baseLoad: 0.15,
+		},
+		{
+			rank:   configurer.Rank{Name: "normal", FirstToken: 5 * time.Second, Deadline: 30 * time.Second, Floor: 0.15},
+			prompt: 400, tokens: 120, baseLoad: 0.25,
+		},
+		{
+			rank:   configurer.Rank{Name: "batch", FirstToken: time.Minute, Deadline: 5 * time.Minute, Floor: 0.05},
+			prompt: 800, tokens: 250, baseLoad: 0.2,
+		},
+	}
+}
+
+func ranks() []configurer.Rank {
+	var r []configurer.Rank
+	for _, k := range kinds() {
+		r = append(r, k.rank)
+	}
+	return r
+}
+
+// overflow is the rate of a flood relative to the capacity.
+const overflow = 10
+
+// call is the record of one request of a caller over all its attempts.
+type call struct {
+	kind      int
+	sentAt    time.Time
+	deadline  time.Time
+	steps     float64 // slot steps of its prompt and tokens
+	attempts  int
+	attemptAt time.Time
+	firstAt   time.Time
+	doneAt    time.Time
+	refusedAt time.Time
+	wait      float64 // seconds from the last attempt to the first token
+	between   float64 // mean seconds between tokens
+}
+
+// sink takes one attempt of a call.
+type sink interface {
+	Submit(c *batchfaker.Call)
+}
+
+// flood is an interval in which one kind arrives at ten times the capacity.
+type flood struct {
+	kind     int
+	from, to time.Duration
+}
+
+// traffic sends calls into a sink and repeats refused ones.
+type traffic struct {
+	loop   *batchfaker.Loop
+	rng    *rand.Rand
+	shape  batchfaker.Shape
+	sink   sink
+	budget func(kind int) *limiter.Budget // nil for fixed retries
+	start  time.Time
+	calls  []*call
+	sent   int // attempts
+	spent  int // retries
+}
+
+const (
+	accountsPerKind = 10
+	maxAttempts     = 3
+	fixedRetryDelay = 200 * time.Millisecond
+)
+
+// arrivals schedules the calls of one kind at a share of the capacity.
+func (t *traffic) arrivals(k int, load float64, from, to time.Duration) {
+	kd := kinds()[k]
+	steps := float64(kd.prompt)/float64(t.shape.Chunk) + float64(kd.tokens)
+	rate := load * t.shape.Capacity() / steps
+	at := from
+	for {
+		at += time.Duration(t.rng.ExpFloat64() / rate * float64(time.Second))
+		if at >= to {
+			return
+		}
+		prompt, tokens := vary(t.rng, kd.prompt), vary(t.rng, kd.tokens)
+		account := identifier.ClientAccount(fmt.Sprintf("%s-%d", kd.rank.Name, t.rng.IntN(accountsPerKind)))
+		t.loop.After(at, func() { t.send(k, account, prompt, tokens) })
+	}
+}
+
+func vary(rng *rand.Rand, mean int) int {
+	return max(int(float64(mean)*(0.5+rng.Float64())), 2)
+}
+
+func (t *traffic) send(k int, account identifier.ClientAccount, prompt, tokens int) {
+	now := t.loop.Now()
+	kd := kinds()[k]
+	promptSteps := (prompt + t.shape.Chunk - 1) / t.shape.Chunk
+	c := &call{kind: k, sentAt: now, deadline: now.Add(kd.rank.Deadline), steps: float64(promptSteps + tokens)}
+	t.calls = append(t.calls, c)
+	b := &batchfaker.Call{
+		Order: &streamer.Order{ClientAccount: account, Rank: kd.rank.Name, Deadline: c.deadline},
+		// The estimate of a caller's limit is up to half above what the answer needs.
+		Cost: float64(promptSteps) + float64(tokens)*(1+t.rng.Float64()/2), Prompt: prompt, Tokens: tokens,
+	}
+	b.OnFirst = func() {
+		c.firstAt = t.loop.Now()
+		c.wait = c.firstAt.Sub(c.attemptAt).Seconds()
+	}
+	b.OnDone = func() {
+		c.doneAt = t.loop.Now()
+		c.between = c.doneAt.Sub(c.firstAt).Seconds() / float64(tokens-1)
+		if c.attempts == 1 && t.budget != nil {
+			t.budget(k).Success()
+		}
+	}
+	b.OnBroken = func() {}
+	b.OnRefused = func(r *admitter.Refusal) { t.refused(c, b, r) }
+	t.attempt(c, b)
+}
+
+func (t *traffic) attempt(c *call, b *batchfaker.Call) {
+	c.attempts++
+	c.attemptAt = t.loop.Now()
+	t.sent++
+	if t.budget == nil && c.attempts < maxAttempts {
+		// A caller with fixed retries sends again when the first token is late, although the first attempt still runs.
+		t.loop.After(2*kinds()[c.kind].rank.FirstToken, func() {
+			if c.firstAt.IsZero() && t.loop.Now().Before(c.deadline) {
+				t.spent++
+				t.attempt(c, b)
+			}
+		})
+	}
+	t.sink.Submit(b)
+}
+
+func (t *traffic) refused(c *call, b *batchfaker.Call, r *admitter.Refusal) {
+	c.refusedAt = t.loop.Now()
+	wait := max(r.RetryAt.Sub(c.refusedAt), fixedRetryDelay)
+	wait += time.Duration(t.rng.Float64() * float64(wait) / 2)
+	if c.attempts >= maxAttempts || t.budget == nil || c.refusedAt.Add(wait).After(c.deadline) || !t.budget(c.kind).Allow() {
+		return
+	}
+	t.spent++
+	t.loop.After(wait, func() { t.attempt(c, b) })
+}
