admitter: keep floors usable under shrinking timeouts

Change: a rank with a floor keeps the time its floor needs for four requests; an overloaded rank's backlog is bounded.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -126,8 +126,8 @@
 	wait := a.estimate(rank, order.ClientAccount, t.item.Cost, now)
 	limit := a.waitLimit(rank, now)
 	if a.o.estimates {
-		if wait > limit {
-			return &Refusal{Code: CodeWaitTooLong, RetryAt: now.Add(wait - limit)}
+		if wait > limit || a.full(rank, now) {
+			return &Refusal{Code: CodeWaitTooLong, RetryAt: now.Add(max(wait-limit, minRetry))}
 		}
 		if d := order.Deadline; !d.IsZero() && now.Add(wait+a.service.duration(t.item.Cost)).After(d) {
 			return &Refusal{Code: CodeDeadline, RetryAt: now.Add(wait)}
--- a/admitter/dispatch.go
+++ b/admitter/dispatch.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// maxPauses bounds how often one item is preempted, so that it cannot be starved by pauses.
+// maxPauses bounds how often one item is preempted by others of its rank, which would otherwise take turns. More urgent
+// work is not bound by it, since the floors protect the lower ranks.
 const maxPauses = 3
 
 // pausedPerSlot bounds the paused work, whose state the engine keeps in memory.
@@ -119,13 +120,13 @@
 	}
 	var best *Ticket
 	for _, t := range a.active {
-		if !t.item.Resumable || t.preempting || t.floored || t.pauses >= maxPauses || t.item.Order.NonIdempotent {
+		if !t.item.Resumable || t.preempting || t.floored || t.item.Order.NonIdempotent {
 			continue
 		}
 		if f == nil && t.rank <= rank {
 			continue
 		}
-		if f != nil && (t.rank != rank || t.flow == f || float64(t.flow.running-1) < perWeight*t.flow.weight) {
+		if f != nil && (t.rank != rank || t.pauses >= maxPauses || t.flow == f || float64(t.flow.running-1) < perWeight*t.flow.weight) {
 			continue
 		}
 		if best == nil || t.rank > best.rank || t.rank == best.rank && !t.grantedAt.Before(best.grantedAt) {
@@ -160,6 +161,9 @@
 	a.notify(t, nil)
 }
 
+// floorMargin is earned on top of a floor, since grants of whole requests lag behind by up to the cost of one.
+const floorMargin = 1.1
+
 // earn credits the floors of the other ranks with their share of tokens served to a rank.
 func (a *Admitter) earn(rank int, tokens float64) {
 	for i, q := range a.queues {
@@ -167,7 +171,7 @@
 		case i == rank:
 		case q.items+q.running > 0:
 			// A queue that is empty for a moment keeps earning, or short timeouts would take away from the floor.
-			q.credit = min(max(q.credit+q.rank.Floor*tokens, 0), 2*max(q.quantum, 1))
+			q.credit = min(max(q.credit+q.rank.Floor*floorMargin*tokens, 0), 2*max(q.quantum, 1))
 		default:
 			q.credit = 0 // an idle rank saves nothing up
 		}
--- a/admitter/estimate.go
+++ b/admitter/estimate.go
@@ -73,7 +73,7 @@
 	if a.running < a.o.slots && a.waiting() == 0 {
 		return 0
 	}
-	total := a.service.perSlot() * float64(a.o.slots)
+	total := a.capacity()
 	if total <= 0 {
 		return 0
 	}
@@ -115,24 +115,41 @@
 const minAvailable = 0.01
 
 // waitLimit is the longest time that new work of a rank may wait: a part of the target time to the first token,
-// less for each overloaded rank above, because its capacity will go to the more urgent work. In a rank that is itself
-// overloaded a long queue adds delay without adding throughput, so its wait is capped.
+// less for each overloaded rank above, because its capacity will go to the more urgent work. A rank with a floor keeps
+// the time in which its floor serves a few requests; with less its queue runs empty and the floor is not used.
 func (a *Admitter) waitLimit(rank int, now time.Time) time.Duration {
-	limit := float64(a.queues[rank].rank.FirstToken) * waitShare
+	q := a.queues[rank]
+	full := float64(q.rank.FirstToken) * waitShare
+	limit := full
 	for i := range rank {
 		if a.overloaded(i, now) {
 			limit *= a.o.shrink
 		}
 	}
-	if a.overloaded(rank, now) {
-		limit = min(limit, float64(overloadedWait))
+	if r := a.capacity() * q.rank.Floor; r > 0 {
+		limit = max(limit, min(full, floorQueue*q.quantum/r*float64(time.Second)))
 	}
 	return time.Duration(limit)
 }
 
-// overloadedWait bounds the queue of an overloaded rank; service must be normal within 10 s of the end of an overload,
-// and the last work from the queue needs some of that time to run.
-const overloadedWait = 4 * time.Second
+// floorQueue is the number of the largest requests that a rank with a floor may always queue.
+const floorQueue = 4
+
+// capacity returns the measured rate of all slots in tokens per second, or 0 before the first run has ended.
+func (a *Admitter) capacity() float64 {
+	return a.service.perSlot() * float64(a.o.slots)
+}
+
+// full reports whether an overloaded rank has as much waiting work as can be served soon after the overload. A longer
+// queue adds delay without adding throughput.
+func (a *Admitter) full(rank int, now time.Time) bool {
+	total := a.capacity()
+	return total > 0 && a.overloaded(rank, now) && a.queues[rank].tokens/total > overloadedBacklog.Seconds()
+}
+
+// overloadedBacklog bounds the queue of an overloaded rank by the time that the whole capacity takes for it. Service
+// must be normal within 10 s of the end of an overload, and other work keeps arriving while the queue drains.
+const overloadedBacklog = 2500 * time.Millisecond
 
 // overloadAfter is how long work must keep waiting beyond its target before the rank counts as overloaded; shorter
 // bursts are absorbed by the queue (as in CoDel).
@@ -149,7 +166,7 @@
 // observeDelay updates the sign of overload of each rank.
 func (a *Admitter) observeDelay(now time.Time) {
 	for _, q := range a.queues {
-		target := min(time.Duration(float64(q.rank.FirstToken)*waitShare*delayShare), overloadedWait/2)
+		target := min(time.Duration(float64(q.rank.FirstToken)*waitShare*delayShare), overloadedBacklog/2)
 		oldest, ok := q.oldest()
 		switch {
 		case !ok || now.Sub(oldest) < target:
