admitter: trim the queue of an overloaded rank

Cause: the first second of a batch flood filled the queue with 12 s of work, which delayed recovery to 20 s.

--- a/admitter/dispatch.go
+++ b/admitter/dispatch.go
@@ -242,6 +242,14 @@
 	a.sweptAt = now
 	a.observeDelay(now)
 	for i, q := range a.queues {
+		for a.full(i, now) {
+			// What arrived before the overload showed is trimmed from the longest queues, newest first.
+			f := q.longest()
+			if f == nil {
+				break
+			}
+			a.drop(f.waiting[len(f.waiting)-1], CodeWaitTooLong, now, max(overloadedBacklog, minRetry))
+		}
 		limit := a.waitLimit(i, now)
 		for _, f := range slices.Clone(q.round) {
 			for _, t := range slices.Clone(f.waiting) {
--- a/admitter/estimate.go
+++ b/admitter/estimate.go
@@ -148,8 +148,9 @@
 }
 
 // overloadedBacklog bounds the queue of an overloaded rank by the time that the whole capacity takes for it. Service
-// must be normal within 10 s of the end of an overload, and other work keeps arriving while the queue drains.
-const overloadedBacklog = 2500 * time.Millisecond
+// must be normal within 10 s of the end of an overload, and other work keeps arriving while the queue drains: with 2.5 s
+// draining took up to 13 s, with 1 s the floor of a rank was missed at times for want of waiting work.
+const overloadedBacklog = 1500 * time.Millisecond
 
 // overloadAfter is how long work must keep waiting beyond its target before the rank counts as overloaded; shorter
 // bursts are absorbed by the queue (as in CoDel).
