balancer: add the choice of upstream and its experiment

Cause: entries need a choice of upstream from aged views. Change: subsets, power of choices over samples, hot-cold rule, affinity, breakers, probe selection; choicebencher.

--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,383 @@
+package balancer
+
+import (
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/interpreter"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// ErrNoUpstream is returned by Choose when no usable upstream serves the target or service.
+var ErrNoUpstream = errors.New("balancer: no usable upstream")
+
+// Key is what a choice depends on.
+type Key struct {
+	Target identifier.Target
+	// Service selects a plain service instead of a target.
+	Service identifier.Service
+	// Prefix is the hash of the prompt's prefix, 0 for none.
+	Prefix  uint64
+	Session identifier.Session
+	// Rank is the position of the rank, 0 being the most urgent.
+	Rank int
+	// Exclude lists upstreams that an earlier attempt has used.
+	Exclude []identifier.Upstream
+}
+
+// Result is how a request at an upstream ended.
+type Result int
+
+// The results of a request.
+const (
+	ResultSuccess Result = iota
+	// ResultFailure is a failure of the upstream or of the connection; it counts for the circuit breaker.
+	ResultFailure
+	// ResultRefused is a refusal under load; the upstream works but has no room.
+	ResultRefused
+	// ResultCanceled says nothing about the upstream.
+	ResultCanceled
+)
+
+// Balancer chooses upstreams for one entry; it is safe for concurrent use, and Choose takes no lock.
+type Balancer struct {
+	o       options
+	self    identifier.DataCentre
+	current atomic.Pointer[snapshot]
+	cache   *directory
+	chart   *interpreter.Chart
+
+	mu      sync.Mutex // guards the fields below, used by Update
+	nodes   map[identifier.Upstream]*node
+	free    []uint32
+	numbers uint32
+
+	counters struct {
+		chosen, affine, yielded, remote, none, probes, probeFailures atomic.Int64
+	}
+}
+
+// New returns a balancer without upstreams for an entry in a data centre.
+func New(self identifier.DataCentre, opts ...Option) *Balancer {
+	o := options{
+		now: time.Now, draw: rand.Uint64, distance: distance, subset: defaultSubset, choices: defaultChoices,
+		maxAge: defaultMaxAge, halfAge: defaultHalfAge, maxUses: defaultMaxUses, probeRate: defaultProbeRate,
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	b := &Balancer{
+		o: o, self: self, cache: &directory{}, chart: interpreter.MustParse(breakerChart),
+		nodes: make(map[identifier.Upstream]*node),
+	}
+	b.current.Store(b.build(nil))
+	return b
+}
+
+// Update replaces the list of upstreams; what is known about those that stay is kept.
+func (b *Balancer) Update(ups []Upstream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.build(ups)
+	for name, n := range b.nodes {
+		if s.byName[name] == nil {
+			b.free = append(b.free, n.number)
+			delete(b.nodes, name)
+		}
+	}
+	slices.Sort(b.free)
+	b.current.Store(s)
+}
+
+// Choose returns the upstream for a request or ErrNoUpstream. The caller calls Begin and End around the request.
+func (b *Balancer) Choose(k Key) (Upstream, error) {
+	s := b.current.Load()
+	p := s.pool(&k)
+	if p == nil {
+		b.counters.none.Add(1)
+		return Upstream{}, ErrNoUpstream
+	}
+	t := b.o.now()
+	now := t.UnixNano()
+	p.usedAt.Store(now)
+	mean := p.mean()
+	best := b.pick(p, &k, mean, t, now)
+	if best.c == nil {
+		b.counters.none.Add(1)
+		return Upstream{}, ErrNoUpstream
+	}
+	session := sessionKey(k.Session)
+	if !best.trial {
+		best = b.affine(s, p, &k, session, best, mean, t, now)
+	}
+	if session != 0 {
+		b.cache.put(session, best.c.node.number, t)
+	}
+	if k.Prefix != 0 {
+		// The chosen engine will cache the prefix whether or not its event arrives.
+		b.cache.put(k.Prefix, best.c.node.number, t)
+	}
+	best.c.node.uses.Add(1)
+	b.counters.chosen.Add(1)
+	if best.c.distance != sameDataCentre {
+		b.counters.remote.Add(1)
+	}
+	return best.c.upstream, nil
+}
+
+// option is one candidate of a choice with its expected load.
+type option struct {
+	c     *candidate
+	load  float64
+	hot   bool
+	trial bool
+}
+
+const (
+	// hotFactor and hotMargin: an upstream is hot when its expected load exceeds the mean by a half and two requests.
+	hotFactor = 1.5
+	hotMargin = 2
+	// affinitySlack is the excess load, relative to the mean and in requests, up to which a cached prefix or a
+	// session is worth more than the least loaded candidate.
+	affinityFactor = 0.25
+	affinityMargin = 1
+)
+
+// better is the hot-cold rule: cold before hot; among cold ones the nearer, then the less loaded; among hot ones the
+// less loaded wherever it is.
+func (a option) better(o option) bool {
+	switch {
+	case o.c == nil:
+		return true
+	case a.hot != o.hot:
+		return !a.hot
+	case !a.hot && a.c.distance != o.c.distance:
+		return a.c.distance < o.c.distance
+	default:
+		return a.load < o.load
+	}
+}
+
+// pick compares a few candidates of the subset, and goes beyond the nearest distance and the subset only if it must.
+func (b *Balancer) pick(p *pool, k *Key, mean float64, t time.Time, now int64) option {
+	var best option
+	from := 0
+	for d := range p.ends {
+		to := p.ends[d]
+		if to == from {
+			continue
+		}
+		// A second round at the same distance is cheaper than leaving it.
+		for range 2 {
+			best = b.draw(p, k, from, to, best, mean, t, now)
+			if best.trial || best.c != nil && !best.hot {
+				return best
+			}
+		}
+		from = to
+	}
+	if best.c == nil {
+		for i, n := 0, len(p.rest); i < n; i++ {
+			if c := p.rest[(i+int(uint64(now)%uint64(n)))%n]; b.usable(c, k) {
+				return option{c: c, load: mean}
+			}
+		}
+	}
+	return best
+}
+
+// draw compares candidates between two indexes of the subset: half of them from the latest samples.
+func (b *Balancer) draw(p *pool, k *Key, from, to int, best option, mean float64, t time.Time, now int64) option {
+	r := b.o.draw()
+	for i := range b.o.choices {
+		at := from + int(uint32(r)%uint32(to-from))
+		if f := int(p.fresh[(r>>32)%freshSize].Load()); i%2 == 0 && f >= from && f < to {
+			at = f
+		}
+		r = r*6364136223846793005 + 1442695040888963407
+		for step := range to - from {
+			j := at + step
+			if j >= to {
+				j -= to - from
+			}
+			c := p.near[j]
+			if !b.usable(c, k) {
+				if !c.node.leaving.Load() && !excluded(c, k) && c.node.breaker.claimTrial(t) {
+					return option{c: c, load: mean, trial: true}
+				}
+				continue
+			}
+			if o := b.option(c, mean, now); c != best.c && o.better(best) {
+				best = o
+			}
+			break
+		}
+	}
+	return best
+}
+
+func (b *Balancer) option(c *candidate, mean float64, now int64) option {
+	load := c.node.estimate(mean, now, &b.o)
+	return option{c: c, load: load, hot: load > mean*hotFactor+hotMargin}
+}
+
+func (b *Balancer) usable(c *candidate, k *Key) bool {
+	return !c.node.leaving.Load() && c.node.breaker.retryAt.Load() == 0 && !excluded(c, k)
+}
+
+func excluded(c *candidate, k *Key) bool {
+	return len(k.Exclude) > 0 && slices.Contains(k.Exclude, c.upstream.Name)
+}
+
+// affine replaces the best candidate by the one that holds the session or the prefix unless that is overloaded.
+func (b *Balancer) affine(s *snapshot, p *pool, k *Key, session uint64, best option, mean float64, t time.Time,
+	now int64,
+) option {
+	for _, key := range [...]uint64{session, k.Prefix} {
+		if key == 0 {
+			continue
+		}
+		number, _, ok := b.cache.get(key, t)
+		if !ok || int(number) >= len(s.byNumber) {
+			continue
+		}
+		c := s.byNumber[number]
+		if c == nil || !slices.Contains(c.pools, p) || !b.usable(c, k) {
+			continue
+		}
+		o := b.option(c, mean, now)
+		if o.hot || o.load > best.load+mean*affinityFactor+affinityMargin || c.distance > best.c.distance && !best.hot {
+			b.counters.yielded.Add(1)
+			continue
+		}
+		b.counters.affine.Add(1)
+		return o
+	}
+	return best
+}
+
+func sessionKey(s identifier.Session) uint64 {
+	if s == "" {
+		return 0
+	}
+	// The bit keeps sessions apart from prefixes that have the same hash.
+	return xxhash.Sum64String(string(s)) | 1<<63
+}
+
+// Begin records that a request to an upstream starts.
+func (b *Balancer) Begin(u identifier.Upstream) {
+	if c := b.current.Load().byName[u]; c != nil {
+		c.node.inFlight.Add(1)
+		c.node.delta.Add(1)
+		c.node.recent.add(1, b.o.now())
+	}
+}
+
+// End records that a request to an upstream has ended.
+func (b *Balancer) End(u identifier.Upstream, r Result) {
+	c := b.current.Load().byName[u]
+	if c == nil {
+		return
+	}
+	// An upstream that left and came back while the request ran starts from zero.
+	now := b.o.now()
+	if c.node.inFlight.Add(-1) < 0 {
+		c.node.inFlight.Add(1)
+	} else {
+		c.node.delta.Add(-1)
+		c.node.recent.add(-1, now)
+	}
+	switch r {
+	case ResultSuccess:
+		c.node.breaker.record(true, now, 0)
+	case ResultFailure:
+		c.node.breaker.record(false, now, float64(b.o.draw()>>11)/(1<<53))
+	case ResultRefused:
+		// The sample that led here was wrong; the node counts as hot until the next one.
+		c.node.breaker.record(true, now, 0)
+		c.node.uses.Store(0)
+		if c.node.sampleAt.Swap(now.UnixNano()) == 0 {
+			for _, p := range c.pools {
+				p.sampled.Add(1)
+			}
+		}
+		b.setLoad(c, int64(mostLoaded(c)*2+hotMargin+1))
+	}
+}
+
+// mostLoaded returns the largest mean load of the pools of a candidate.
+func mostLoaded(c *candidate) float64 {
+	mean := float64(c.node.load.Load())
+	for _, p := range c.pools {
+		mean = max(mean, p.mean())
+	}
+	return mean
+}
+
+// Report records a load that an upstream's agent sent with a probe or an answer; one older than the last is ignored.
+func (b *Balancer) Report(u identifier.Upstream, l streamer.Load) {
+	c := b.current.Load().byName[u]
+	if c == nil {
+		return
+	}
+	if l.Leaving {
+		c.node.leaving.Store(true)
+	}
+	at := l.At.UnixNano()
+	before := c.node.sampleAt.Load()
+	if at <= before || !c.node.sampleAt.CompareAndSwap(before, at) {
+		return
+	}
+	load := int64(l.Running)
+	for _, n := range l.Queued {
+		load += int64(n)
+	}
+	if before == 0 {
+		for _, p := range c.pools {
+			p.sampled.Add(1)
+		}
+	}
+	b.setLoad(c, load)
+	c.node.uses.Store(0)
+	c.node.delta.Store(c.node.recent.since(l.At))
+	for _, p := range c.pools {
+		p.remember(c)
+	}
+}
+
+func (b *Balancer) setLoad(c *candidate, load int64) {
+	change := load - c.node.load.Swap(load)
+	for _, p := range c.pools {
+		p.sum.Add(change)
+	}
+}
+
+// remember puts a candidate into the probe pool in place of the oldest one.
+func (p *pool) remember(c *candidate) {
+	if i := slices.Index(p.near, c); i >= 0 {
+		p.fresh[(p.next.Add(1)-1)%freshSize].Store(int32(i))
+	}
+}
+
+// CacheEvent records what an upstream says about its prefix cache.
+func (b *Balancer) CacheEvent(e CacheEvent) {
+	c := b.current.Load().byName[e.Upstream]
+	now := b.o.now()
+	if c == nil || e.Prefix == 0 || now.Sub(e.At) > affinityTime {
+		return
+	}
+	if e.Evicted {
+		b.cache.remove(e.Prefix, c.node.number, e.At, now)
+		return
+	}
+	if _, at, ok := b.cache.get(e.Prefix, now); !ok || at < e.At.Unix() {
+		b.cache.put(e.Prefix, c.node.number, e.At)
+	}
+}
--- /dev/null
+++ b/balancer/history.go
@@ -0,0 +1,46 @@
+package balancer
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+const (
+	historyBuckets = 16
+	historyBucket  = 125 * time.Millisecond
+	historyOffset  = 1 << 20
+)
+
+// history counts the requests begun less those ended here in each of the last 2 s. A sample tells the load of the past,
+// so what this entry has done since then must be added to it.
+type history struct {
+	// Each bucket holds its period in the upper 40 bits and the count plus historyOffset in the lower 24.
+	buckets [historyBuckets]atomic.Uint64
+}
+
+func (h *history) add(n int64, now time.Time) {
+	period := uint64(now.UnixNano()) / uint64(historyBucket)
+	b := &h.buckets[period%historyBuckets]
+	for {
+		v := b.Load()
+		count := int64(historyOffset)
+		if v>>24 == period&(1<<40-1) {
+			count = int64(v & (1<<24 - 1))
+		}
+		if b.CompareAndSwap(v, period<<24|uint64(count+n)) {
+			return
+		}
+	}
+}
+
+// since returns the count of the periods that began at a time or later, as far back as the history goes.
+func (h *history) since(at time.Time) int64 {
+	first := (uint64(at.UnixNano()) + uint64(historyBucket) - 1) / uint64(historyBucket)
+	sum := int64(0)
+	for i := range h.buckets {
+		if v := h.buckets[i].Load(); v != 0 && v>>24 >= first&(1<<40-1) {
+			sum += int64(v&(1<<24-1)) - historyOffset
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/balancer/option.go
@@ -0,0 +1,110 @@
+package balancer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+const (
+	// defaultSubset bounds the upstreams that an entry watches for each target.
+	defaultSubset = 24
+	// defaultChoices is the number of candidates compared for one choice.
+	defaultChoices = 2
+	defaultMaxAge  = 5 * time.Second
+	defaultHalfAge = 4 * time.Second
+	defaultMaxUses = 4
+	// defaultProbeRate in probes per second costs about 2.5 KB/s at 250 bytes for a probe and its reply; the budget of
+	// a node is 3 KB/s.
+	defaultProbeRate = 10
+)
+
+type options struct {
+	now       func() time.Time
+	draw      func() uint64
+	probe     func(context.Context, Upstream) (streamer.Load, error)
+	distance  func(self identifier.DataCentre, region identifier.Region, u Upstream) int
+	instance  identifier.Instance
+	region    identifier.Region
+	subset    int
+	choices   int
+	maxAge    time.Duration
+	halfAge   time.Duration
+	maxUses   int64
+	probeRate float64
+}
+
+// Option configures a Balancer.
+type Option func(*options)
+
+// WithNow sets the clock.
+func WithNow(now func() time.Time) Option {
+	return func(o *options) { o.now = now }
+}
+
+// WithRand sets the source of random numbers; the generator of the runtime, which scales over cores, is the default.
+func WithRand(r *rand.Rand) Option {
+	var mu sync.Mutex
+	return func(o *options) {
+		o.draw = func() uint64 {
+			mu.Lock()
+			defer mu.Unlock()
+			return r.Uint64()
+		}
+	}
+}
+
+// WithProbe sets the function by which Run asks an upstream's agent for its load.
+func WithProbe(probe func(context.Context, Upstream) (streamer.Load, error)) Option {
+	return func(o *options) { o.probe = probe }
+}
+
+// WithDistance sets the distance of an upstream: 0 for the own data centre, 1 for the own region, 2 for others.
+func WithDistance(distance func(self identifier.DataCentre, region identifier.Region, u Upstream) int) Option {
+	return func(o *options) { o.distance = distance }
+}
+
+// WithInstance sets the name of the entry, from which its subset is derived.
+func WithInstance(name identifier.Instance) Option {
+	return func(o *options) { o.instance = name }
+}
+
+// WithRegion sets the region of the entry for data centres without an upstream.
+func WithRegion(r identifier.Region) Option {
+	return func(o *options) { o.region = r }
+}
+
+// WithSubset sets the number of upstreams that the entry uses for each target.
+func WithSubset(n int) Option {
+	return func(o *options) { o.subset = max(n, 1) }
+}
+
+// WithChoices sets the number of candidates compared for one choice.
+func WithChoices(n int) Option {
+	return func(o *options) { o.choices = max(n, 1) }
+}
+
+// WithSampleLimits bounds the age and the uses of a sample; at halfAge a sample counts half.
+func WithSampleLimits(maxAge, halfAge time.Duration, maxUses int) Option {
+	return func(o *options) { o.maxAge, o.halfAge, o.maxUses = maxAge, halfAge, int64(maxUses) }
+}
+
+// WithProbeRate sets the number of probes per second that Run sends.
+func WithProbeRate(perSecond float64) Option {
+	return func(o *options) { o.probeRate = perSecond }
+}
+
+func distance(self identifier.DataCentre, region identifier.Region, u Upstream) int {
+	switch {
+	case u.DataCentre == self:
+		return sameDataCentre
+	case u.Region == region:
+		return sameRegion
+	default:
+		return otherRegion
+	}
+}
--- /dev/null
+++ b/balancer/snapshot.go
@@ -0,0 +1,222 @@
+package balancer
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+// Upstream is a model engine or a plain service as an entry reaches it, through its agent.
+type Upstream struct {
+	Name       identifier.Upstream
+	Region     identifier.Region
+	DataCentre identifier.DataCentre
+	Agent      netip.AddrPort
+	// Targets lists the versions that a model engine has loaded.
+	Targets []identifier.Target
+	// Service is set for a plain service.
+	Service identifier.Service
+	// Leaving is set when the upstream must receive no new work.
+	Leaving bool
+}
+
+// node is the mutable view of one upstream; it outlives snapshots.
+type node struct {
+	number   uint32
+	breaker  *breaker
+	leaving  atomic.Bool
+	inFlight atomic.Int64 // requests of this entry
+	sampleAt atomic.Int64 // Unix nanoseconds, 0 without a sample
+	load     atomic.Int64 // running and waiting requests in the sample
+	delta    atomic.Int64 // requests begun less those ended here since the sample
+	uses     atomic.Int64 // choices since the sample
+	probedAt atomic.Int64 // Unix nanoseconds of the last probe sent
+	recent   history
+}
+
+// candidate is an upstream within one snapshot.
+type candidate struct {
+	upstream Upstream
+	node     *node
+	distance int
+	pools    []*pool
+}
+
+// The distances of an upstream, the nearest first.
+const (
+	sameDataCentre = iota
+	sameRegion
+	otherRegion
+	distances
+)
+
+// pool is the candidates of one target or service.
+type pool struct {
+	// near is this entry's subset, ordered by distance; ends holds the end of each distance in it.
+	near []*candidate
+	ends [distances]int
+	// rest takes over only when no member of the subset is usable.
+	rest []*candidate
+	// sum is the sum of the sampled loads of sampled members of the subset.
+	sum     atomic.Int64
+	sampled atomic.Int64
+	usedAt  atomic.Int64 // Unix nanoseconds of the last choice
+	// fresh is the probe pool: the indexes in near of the latest samples.
+	fresh [freshSize]atomic.Int32
+	next  atomic.Uint32
+}
+
+// freshSize bounds the probe pool.
+const freshSize = 16
+
+// snapshot is immutable except for the atomics of its pools and nodes.
+type snapshot struct {
+	targets  map[identifier.Target]*pool
+	services map[identifier.Service]*pool
+	byName   map[identifier.Upstream]*candidate
+	byNumber []*candidate
+	pools    []*pool
+}
+
+func (s *snapshot) pool(k *Key) *pool {
+	if k.Service != "" {
+		return s.services[k.Service]
+	}
+	return s.targets[k.Target]
+}
+
+// build makes the snapshot of a list of upstreams.
+func (b *Balancer) build(ups []Upstream) *snapshot {
+	s := &snapshot{
+		targets: make(map[identifier.Target]*pool), services: make(map[identifier.Service]*pool),
+		byName: make(map[identifier.Upstream]*candidate, len(ups)),
+	}
+	members := make(map[*pool][]*candidate)
+	join := func(p *pool, c *candidate) {
+		if members[p] == nil {
+			s.pools = append(s.pools, p)
+		}
+		members[p] = append(members[p], c)
+	}
+	region := b.region(ups)
+	for _, u := range ups {
+		n := b.nodeOf(u.Name)
+		n.leaving.Store(u.Leaving)
+		c := &candidate{upstream: u, node: n, distance: b.o.distance(b.self, region, u)}
+		s.byName[u.Name] = c
+		for int(n.number) >= len(s.byNumber) {
+			s.byNumber = append(s.byNumber, nil)
+		}
+		s.byNumber[n.number] = c
+		if u.Leaving {
+			continue
+		}
+		if u.Service != "" {
+			if s.services[u.Service] == nil {
+				s.services[u.Service] = &pool{}
+			}
+			join(s.services[u.Service], c)
+		}
+		for _, t := range u.Targets {
+			if s.targets[t] == nil {
+				s.targets[t] = &pool{}
+			}
+			join(s.targets[t], c)
+		}
+	}
+	for _, p := range s.pools {
+		b.fill(p, members[p])
+	}
+	return s
+}
+
+// fill chooses the subset: the nearest candidates first and, within a distance, those with the highest hash of entry
+// and upstream, so that each entry has its own subset and a change of the list moves few members.
+func (b *Balancer) fill(p *pool, list []*candidate) {
+	type scored struct {
+		c     *candidate
+		score uint64
+	}
+	order := make([]scored, len(list))
+	for i, c := range list {
+		order[i] = scored{c: c, score: xxhash.Sum64String(string(b.o.instance) + "/" + string(c.upstream.Name))}
+	}
+	slices.SortFunc(order, func(x, y scored) int {
+		return cmp.Or(cmp.Compare(x.c.distance, y.c.distance), cmp.Compare(y.score, x.score))
+	})
+	n := min(len(order), b.o.subset)
+	for i, s := range order {
+		if i >= n {
+			p.rest = append(p.rest, s.c)
+			continue
+		}
+		p.near = append(p.near, s.c)
+		s.c.pools = append(s.c.pools, p)
+		for d := s.c.distance; d < distances; d++ {
+			p.ends[d] = i + 1
+		}
+		if s.c.node.sampleAt.Load() != 0 {
+			p.sum.Add(s.c.node.load.Load())
+			p.sampled.Add(1)
+		}
+	}
+	for i := range p.fresh {
+		p.fresh[i].Store(-1)
+	}
+}
+
+// region returns the region of the entry's data centre as the list states it.
+func (b *Balancer) region(ups []Upstream) identifier.Region {
+	for _, u := range ups {
+		if u.DataCentre == b.self {
+			return u.Region
+		}
+	}
+	return b.o.region
+}
+
+func (b *Balancer) nodeOf(name identifier.Upstream) *node {
+	if n, ok := b.nodes[name]; ok {
+		return n
+	}
+	n := &node{breaker: newBreaker(b.chart)}
+	if last := len(b.free) - 1; last >= 0 {
+		n.number = b.free[last]
+		b.free = b.free[:last]
+	} else {
+		n.number = b.numbers
+		b.numbers++
+	}
+	b.nodes[name] = n
+	return n
+}
+
+// mean returns the mean sampled load of the subset.
+func (p *pool) mean() float64 {
+	n := p.sampled.Load()
+	if n <= 0 {
+		return 0
+	}
+	return max(float64(p.sum.Load())/float64(n), 0)
+}
+
+// estimate returns the expected load of a node now. A sample loses weight with its age and with each use, because the
+// other entries see the same idle upstream; what is left is the mean of the subset.
+func (n *node) estimate(mean float64, now int64, o *options) float64 {
+	load := mean
+	if at := n.sampleAt.Load(); at != 0 {
+		age := time.Duration(max(now-at, 0))
+		uses := n.uses.Load()
+		if age < o.maxAge && uses < o.maxUses {
+			weight := float64(o.halfAge) / float64(o.halfAge+age)
+			load = mean + (float64(n.load.Load())-mean)*weight
+		}
+	}
+	return max(load+float64(n.delta.Load()), 0)
+}
--- a/batchfaker/agent.go
+++ b/batchfaker/agent.go
@@ -168,3 +168,8 @@
 		})
 	}
 }
+
+// Waiting returns the number of waiting calls.
+func (f *Fifo) Waiting() int {
+	return len(f.queue)
+}
--- /dev/null
+++ b/choicebencher/doc.go
@@ -0,0 +1,2 @@
+// Package choicebencher compares the choice of upstream from aged views with an all-knowing one.
+package choicebencher
--- /dev/null
+++ b/choicebencher/experiment.go
@@ -0,0 +1,381 @@
+package choicebencher
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/siskinfront/siskinfront/balancer"
+	"github.com/siskinfront/siskinfront/batchfaker"
+	"github.com/siskinfront/siskinfront/bencher"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// Experiment returns the experiment choice.
+func Experiment() bencher.Experiment {
+	return bencher.Experiment{
+		Name:  "choice",
+		Short: "Choice of upstream by many entries from late samples against an all-knowing choice",
+		Run:   run,
+	}
+}
+
+// size is one size of a deployment.
+type size struct {
+	workers, entries, versions, dataCentres, regions int
+}
+
+func sizes() []size {
+	return []size{
+		{workers: 20, entries: 3, versions: 2, dataCentres: 4, regions: 1},
+		{workers: 200, entries: 30, versions: 6, dataCentres: 4, regions: 2},
+		{workers: 2200, entries: 330, versions: 19, dataCentres: 10, regions: 4},
+	}
+}
+
+const (
+	// load is the share of the capacity that arrives.
+	load = 0.75
+	// lag is the time from the moment a sample describes to its arrival at the entry.
+	lag = time.Second
+	// probeBytes is the traffic of one probe and its reply; probeLimit is the budget of an entry in bytes per second.
+	probeBytes = 250
+	probeLimit = 3000
+	// probeRate is the number of probes per second of an entry.
+	probeRate = 10
+
+	warmUp   = 20 * time.Second
+	duration = 80 * time.Second
+
+	prompt     = 400 // mean tokens
+	tokens     = 220 // mean tokens
+	sessions   = 50  // sessions per entry and version
+	inSession  = 0.3 // share of requests that belong to a session
+	measureMax = 200_000
+)
+
+// The network time from an entry to an upstream.
+const (
+	timeSameDataCentre = time.Millisecond
+	timeSameRegion     = 2 * time.Millisecond
+	timeOtherRegion    = 20 * time.Millisecond
+)
+
+// shape gives 2,200 workers 400,000 tokens/s at the load of the experiment.
+func shape() batchfaker.Shape {
+	return batchfaker.Shape{Knee: 8, Step: 31 * time.Millisecond, Slope: 0.05, Chunk: 128}
+}
+
+type worker struct {
+	upstream balancer.Upstream
+	engine   *batchfaker.Engine
+	queue    *batchfaker.Fifo
+}
+
+func (w *worker) load() int {
+	return w.engine.Running() + w.queue.Waiting()
+}
+
+type entry struct {
+	dataCentre identifier.DataCentre
+	region     identifier.Region
+	balancer   *balancer.Balancer
+}
+
+// policy names a way to choose.
+type policy string
+
+const (
+	allKnowing policy = "all-knowing"
+	routed     policy = "routed"
+	random     policy = "random"
+	roundRobin policy = "round robin"
+	leastSeen  policy = "least of the late samples"
+)
+
+type simulation struct {
+	size    size
+	policy  policy
+	loop    *batchfaker.Loop
+	rng     *rand.Rand
+	workers []*worker
+	entries []*entry
+	targets []identifier.Target
+	serving [][]*worker
+	next    []int
+	end     time.Time
+	from    time.Time
+
+	first, total []float64
+	probes       int
+	seen         map[*worker]int // late samples of the naive policy, shared by all entries
+}
+
+func newSimulation(seed uint64, z size, p policy, opts ...balancer.Option) *simulation {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	s := &simulation{
+		size: z, policy: p, loop: batchfaker.NewLoop(start), rng: rand.New(rand.NewPCG(seed, uint64(z.workers))),
+		next: make([]int, z.versions), serving: make([][]*worker, z.versions),
+		from: start.Add(warmUp), end: start.Add(duration), seen: make(map[*worker]int),
+	}
+	for v := range z.versions {
+		s.targets = append(s.targets, identifier.Target{Model: "model", Version: identifier.Version(fmt.Sprintf("v%d", v))})
+	}
+	var ups []balancer.Upstream
+	for i := range z.workers {
+		dc, region := s.place(i / z.versions)
+		v := i % z.versions
+		w := &worker{engine: batchfaker.NewEngine(s.loop, shape())}
+		w.queue = &batchfaker.Fifo{Engine: w.engine, Slots: shape().Knee}
+		w.upstream = balancer.Upstream{
+			Name: identifier.Upstream(fmt.Sprintf("upstream-%d", i)), DataCentre: dc, Region: region,
+			Targets: []identifier.Target{s.targets[v]},
+		}
+		s.workers = append(s.workers, w)
+		s.serving[v] = append(s.serving[v], w)
+		ups = append(ups, w.upstream)
+	}
+	for i := range z.entries {
+		e := &entry{}
+		e.dataCentre, e.region = s.place(i)
+		if p == routed {
+			all := append([]balancer.Option{
+				balancer.WithNow(s.loop.Now), balancer.WithRand(rand.New(rand.NewPCG(seed, uint64(i)+1))),
+				balancer.WithInstance(identifier.Instance(fmt.Sprintf("entry-%d", i))),
+			}, opts...)
+			e.balancer = balancer.New(e.dataCentre, all...)
+			e.balancer.Update(ups)
+		}
+		s.entries = append(s.entries, e)
+	}
+	return s
+}
+
+func (s *simulation) place(i int) (identifier.DataCentre, identifier.Region) {
+	dc := i % s.size.dataCentres
+	return identifier.DataCentre(fmt.Sprintf("dc-%d", dc)), identifier.Region(fmt.Sprintf("region-%d", dc%s.size.regions))
+}
+
+func (s *simulation) run() {
+	sh := shape()
+	rate := load * sh.Capacity() * float64(s.size.workers) / (tokens + prompt/float64(sh.Chunk) + 0.5)
+	var arrive func()
+	arrive = func() {
+		s.request()
+		s.loop.After(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), arrive)
+	}
+	arrive()
+	byName := make(map[identifier.Upstream]*worker, len(s.workers))
+	for _, w := range s.workers {
+		byName[w.upstream.Name] = w
+	}
+	for i, e := range s.entries {
+		if e.balancer == nil {
+			continue
+		}
+		// Entries start at different moments, as processes do.
+		s.loop.After(time.Duration(i)*time.Millisecond, func() {
+			s.loop.Every(time.Second/probeRate, func() bool {
+				if u, ok := e.balancer.NextProbe(); ok {
+					s.probes++
+					s.sample(e, byName[u.Name])
+				}
+				return true
+			})
+		})
+	}
+	if s.policy == leastSeen {
+		s.loop.Every(lag, func() bool {
+			for _, w := range s.workers {
+				s.seen[w] = w.load()
+			}
+			return true
+		})
+	}
+	s.loop.Run(s.end)
+}
+
+// sample lets an entry see the present load of a worker after the lag.
+func (s *simulation) sample(e *entry, w *worker) {
+	l := streamer.Load{At: s.loop.Now(), Running: w.load()}
+	s.loop.After(lag, func() { e.balancer.Report(w.upstream.Name, l) })
+}
+
+func (s *simulation) request() {
+	e := s.entries[s.rng.IntN(len(s.entries))]
+	v := s.rng.IntN(s.size.versions)
+	p, n := vary(s.rng, prompt), vary(s.rng, tokens)
+	var session identifier.Session
+	if x := s.rng.Float64(); x < inSession {
+		session = identifier.Session(fmt.Sprintf("session-%d-%d", v, s.rng.IntN(sessions)))
+	}
+	w := s.choose(e, v, session)
+	sent := s.loop.Now()
+	network := timeOtherRegion
+	switch {
+	case w.upstream.DataCentre == e.dataCentre:
+		network = timeSameDataCentre
+	case w.upstream.Region == e.region:
+		network = timeSameRegion
+	}
+	if e.balancer != nil {
+		e.balancer.Begin(w.upstream.Name)
+	}
+	s.loop.After(network, func() {
+		if e.balancer != nil {
+			s.sample(e, w)
+		}
+		w.queue.Submit(&batchfaker.Call{
+			Prompt: p, Tokens: n,
+			OnFirst: func() { s.measure(&s.first, sent, network) },
+			OnDone: func() {
+				s.measure(&s.total, sent, network)
+				if e.balancer != nil {
+					e.balancer.End(w.upstream.Name, balancer.ResultSuccess)
+					s.sample(e, w)
+				}
+			},
+		})
+	})
+}
+
+func (s *simulation) measure(list *[]float64, sent time.Time, network time.Duration) {
+	if !sent.Before(s.from) && len(*list) < measureMax {
+		*list = append(*list, (s.loop.Now().Sub(sent) + network).Seconds())
+	}
+}
+
+func vary(rng *rand.Rand, mean int) int {
+	return max(int(float64(mean)*(0.5+rng.Float64())), 2)
+}
+
+func (s *simulation) choose(e *entry, v int, session identifier.Session) *worker {
+	list := s.serving[v]
+	switch s.policy {
+	case routed:
+		u, err := e.balancer.Choose(balancer.Key{Target: s.targets[v], Session: session})
+		if err != nil {
+			panic("choicebencher: " + err.Error())
+		}
+		for _, w := range list {
+			if w.upstream.Name == u.Name {
+				return w
+			}
+		}
+		panic("choicebencher: chosen upstream does not serve the target")
+	case random:
+		return list[s.rng.IntN(len(list))]
+	case roundRobin:
+		s.next[v]++
+		return list[s.next[v]%len(list)]
+	default:
+		return s.least(e, list)
+	}
+}
+
+// least returns the least loaded worker, the nearest of equals; the naive policy takes the late samples for the truth.
+func (s *simulation) least(e *entry, list []*worker) *worker {
+	var best *worker
+	bestLoad, bestDistance := 0, 0
+	from := s.rng.IntN(len(list))
+	for i := range list {
+		w := list[(from+i)%len(list)]
+		l, d := w.load(), 2
+		if s.policy == leastSeen {
+			l = s.seen[w]
+		}
+		switch {
+		case w.upstream.DataCentre == e.dataCentre:
+			d = 0
+		case w.upstream.Region == e.region:
+			d = 1
+		}
+		if best == nil || l < bestLoad || l == bestLoad && d < bestDistance {
+			best, bestLoad, bestDistance = w, l, d
+		}
+	}
+	return best
+}
+
+// result is what one policy measured at one size.
+type result struct {
+	requests     int
+	first, total float64 // 95th percentiles in seconds
+	probeBytes   float64 // per entry and second
+}
+
+func simulate(seed uint64, z size, p policy, opts ...balancer.Option) result {
+	s := newSimulation(seed, z, p, opts...)
+	s.run()
+	return result{
+		requests: len(s.total), first: batchfaker.Quantile(s.first, 0.95), total: batchfaker.Quantile(s.total, 0.95),
+		probeBytes: float64(s.probes) * probeBytes / float64(z.entries) / duration.Seconds(),
+	}
+}
+
+func run(ctx context.Context, p bencher.Params) (bencher.Report, error) {
+	report := bencher.Report{
+		Columns: []string{"workers", "policy", "requests", "first token p95 (s)", "answer p95 (s)", "answer / all-knowing",
+			"probe bytes/s", "decision (ns)"},
+		XLabel: "workers", YLabel: "95th percentile of the answer time / all-knowing",
+	}
+	series := make(map[policy]*bencher.Series)
+	policies := []policy{allKnowing, routed, leastSeen, roundRobin, random}
+	for _, z := range sizes() {
+		var best result
+		for _, pol := range policies {
+			if err := ctx.Err(); err != nil {
+				return report, err
+			}
+			r := simulate(p.Seed, z, pol)
+			decision := ""
+			switch pol {
+			case allKnowing:
+				best = r
+			case routed:
+				decision = fmt.Sprintf("%.0f", decisionTime(p.Seed, z))
+				report.Bounds = append(report.Bounds, bencher.Bound{
+					Name: fmt.Sprintf("answer p95 / all-knowing at %d workers", z.workers), Got: r.total / best.total,
+					Limit: 1.15, AtMost: true,
+				}, bencher.Bound{
+					Name: fmt.Sprintf("first token p95 / all-knowing at %d workers", z.workers), Got: r.first / best.first,
+					Limit: 1.15, AtMost: true,
+				}, bencher.Bound{
+					Name: fmt.Sprintf("probe bytes/s per entry at %d workers", z.workers), Got: r.probeBytes,
+					Limit: probeLimit, AtMost: true,
+				})
+			}
+			report.Rows = append(report.Rows, []string{
+				fmt.Sprint(z.workers), string(pol), fmt.Sprint(r.requests), fmt.Sprintf("%.3f", r.first),
+				fmt.Sprintf("%.3f", r.total), fmt.Sprintf("%.3f", r.total/best.total), fmt.Sprintf("%.0f", r.probeBytes), decision,
+			})
+			if series[pol] == nil {
+				series[pol] = &bencher.Series{Name: string(pol)}
+			}
+			series[pol].Points = append(series[pol].Points, bencher.Point{X: float64(z.workers), Y: r.total / best.total})
+		}
+	}
+	for _, pol := range policies {
+		report.Series = append(report.Series, *series[pol])
+	}
+	return report, nil
+}
+
+// decisionTime returns the mean time of a choice on this machine in nanoseconds; it depends on the machine and is thus
+// printed but not a bound.
+func decisionTime(seed uint64, z size) float64 {
+	s := newSimulation(seed, z, routed)
+	for _, w := range s.workers {
+		s.entries[0].balancer.Report(w.upstream.Name, streamer.Load{At: s.loop.Now(), Running: s.rng.IntN(2 * shape().Knee)})
+	}
+	const n = 200_000
+	start := time.Now()
+	for i := range n {
+		if _, err := s.entries[0].balancer.Choose(balancer.Key{Target: s.targets[i%len(s.targets)]}); err != nil {
+			panic("choicebencher: " + err.Error())
+		}
+	}
+	return float64(time.Since(start).Nanoseconds()) / n
+}
--- a/command_bench.go
+++ b/command_bench.go
@@ -7,12 +7,14 @@
 	"github.com/spf13/cobra"
 
 	"github.com/siskinfront/siskinfront/bencher"
+	"github.com/siskinfront/siskinfront/choicebencher"
 	"github.com/siskinfront/siskinfront/floodbencher"
 )
 
 // experiments lists the experiments of the bench command.
 func experiments() []bencher.Experiment {
 	return []bencher.Experiment{
+		choicebencher.Experiment(),
 		floodbencher.Experiment(),
 	}
 }
