--- a/command_bench.go
+++ b/command_bench.go
@@ -8,12 +8,16 @@
 
 	"github.com/siskinfront/siskinfront/bencher"
 	"github.com/siskinfront/siskinfront/costbencher"
+	"github.com/siskinfront/siskinfront/choicebencher"
+	"github.com/siskinfront/siskinfront/floodbencher"
 )
 
 // experiments lists the experiments of the bench command.
 func experiments() []bencher.Experiment {
 	return []bencher.Experiment{
 		costbencher.Experiment(),
+		choicebencher.Experiment(),
+		floodbencher.Experiment(),
 	}
 }
 
