storer, platformfaker: add clients and fakes of the platform's services

Cause: leases, claims, bills and configuration need durable state. Change: add typed clients with deadlines, budgeted repeats and transaction IDs, and fakes with fault seams. Conclusion: the safety packages can be written against these.

--- /dev/null
+++ b/platformfaker/service.go
@@ -0,0 +1,200 @@
+package platformfaker
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/storer"
+)
+
+// maxObject bounds an object in bytes.
+const maxObject = 16 << 20
+
+// Objects fakes the object store.
+type Objects struct {
+	Faults
+	http.Handler
+	mu      sync.Mutex
+	objects map[string][]byte
+}
+
+// NewObjects returns an empty object store.
+func NewObjects(opts ...Option) *Objects {
+	o := &Objects{objects: map[string][]byte{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /objects/{key}", func(w http.ResponseWriter, r *http.Request) {
+		b, ok := o.Object(r.PathValue("key"))
+		if !ok {
+			http.NotFound(w, r)
+			return
+		}
+		_, _ = w.Write(b) // A lost connection shows at the caller.
+	})
+	mux.HandleFunc("PUT /objects/{key}", func(w http.ResponseWriter, r *http.Request) {
+		b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObject))
+		if err != nil {
+			http.Error(w, "object too large", http.StatusRequestEntityTooLarge)
+			return
+		}
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if _, ok := o.objects[r.PathValue("key")]; ok && r.Header.Get("If-None-Match") == "*" {
+			http.Error(w, "object exists", http.StatusPreconditionFailed)
+			return
+		}
+		o.objects[r.PathValue("key")] = b
+		w.WriteHeader(http.StatusCreated)
+	})
+	o.Handler = newGuard(&o.Faults, mux, opts)
+	return o
+}
+
+// Object returns an object without passing the faults.
+func (o *Objects) Object(key string) ([]byte, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	b, ok := o.objects[key]
+	return b, ok
+}
+
+// Keys returns the names of the objects in no order.
+func (o *Objects) Keys() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	keys := make([]string, 0, len(o.objects))
+	for k := range o.objects {
+		keys = append(keys, k)
+	}
+	return keys
+}
+
+// NewWeights returns a weight store that serves size zero bytes for each of the names.
+func NewWeights(f *Faults, size int, names []string, opts ...Option) http.Handler {
+	mux := http.NewServeMux()
+	for _, n := range names {
+		mux.HandleFunc("GET /weights/"+n, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(make([]byte, size)) // A lost connection shows at the caller.
+		})
+	}
+	return newGuard(f, mux, opts)
+}
+
+// Rater fakes the rating service: ratings appear late and differ from the true quality.
+type Rater struct {
+	Faults
+	// Quality returns the true quality of a response, from 0 to 1.
+	Quality func(storer.Rating) float64
+	// Late returns how long the rating of a response takes.
+	Late func() time.Duration
+	// Noise is the half width of the even error of a rating.
+	Noise float64
+
+	http.Handler
+	mu      sync.Mutex
+	now     func() time.Time
+	rand    *rand.Rand
+	known   map[identifier.Request]bool
+	waiting []storer.Rating
+	ready   []storer.Rating
+}
+
+// NewRater returns a rating service with its own clock and random source.
+func NewRater(now func() time.Time, r *rand.Rand, opts ...Option) *Rater {
+	x := &Rater{now: now, rand: r, known: map[identifier.Request]bool{}}
+	x.Quality = func(storer.Rating) float64 { return 1 }
+	x.Late = func() time.Duration { return 0 }
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /ratings", x.submit)
+	mux.HandleFunc("GET /ratings", x.after)
+	x.Handler = newGuard(&x.Faults, mux, opts)
+	return x
+}
+
+func (x *Rater) submit(w http.ResponseWriter, r *http.Request) {
+	var v storer.Rating
+	if json.NewDecoder(r.Body).Decode(&v) != nil {
+		http.Error(w, "malformed rating", http.StatusBadRequest)
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.known[v.Request] {
+		return
+	}
+	x.known[v.Request] = true
+	v.Value = min(1, max(0, x.Quality(v)+x.Noise*(2*x.rand.Float64()-1)))
+	v.At = x.now().Add(x.Late())
+	x.waiting = append(x.waiting, v)
+}
+
+func (x *Rater) after(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "malformed after", http.StatusBadRequest)
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	rest := x.waiting[:0]
+	for _, v := range x.waiting {
+		if v.At.After(x.now()) {
+			rest = append(rest, v)
+			continue
+		}
+		v.Sequence = uint64(len(x.ready)) + 1
+		x.ready = append(x.ready, v)
+	}
+	x.waiting = rest
+	reply(w, x.ready[min(after, uint64(len(x.ready))):])
+}
+
+// Instances fakes the instance list, which shows a change only after a lag.
+type Instances struct {
+	Faults
+	// Lag is how long a change stays invisible.
+	Lag time.Duration
+
+	http.Handler
+	mu      sync.Mutex
+	now     func() time.Time
+	history []listed
+}
+
+type listed struct {
+	at   time.Time
+	list []storer.Instance
+}
+
+// NewInstances returns an empty list with its own clock.
+func NewInstances(now func() time.Time, opts ...Option) *Instances {
+	x := &Instances{now: now}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, _ *http.Request) { reply(w, x.Visible()) })
+	x.Handler = newGuard(&x.Faults, mux, opts)
+	return x
+}
+
+// Set replaces the true list.
+func (x *Instances) Set(list []storer.Instance) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.history = append(x.history, listed{at: x.now(), list: list})
+}
+
+// Visible returns the list as it was one lag ago.
+func (x *Instances) Visible() []storer.Instance {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for i := len(x.history) - 1; i >= 0; i-- {
+		if x.now().Sub(x.history[i].at) >= x.Lag {
+			return x.history[i].list
+		}
+	}
+	return []storer.Instance{}
+}
--- /dev/null
+++ b/platformfaker/table.go
@@ -0,0 +1,160 @@
+package platformfaker
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/siskinfront/siskinfront/storer"
+)
+
+const (
+	// TableReads and TableWrites are the platform's stated rates a second.
+	TableReads  = 2000
+	TableWrites = 400
+	// The table recognises a repeat among this number of the latest transactions.
+	rememberedTransactions = 100_000
+)
+
+// Table fakes the transactional table; it is an http.Handler and safe for concurrent use.
+type Table struct {
+	Faults
+	// ForgetTransactions switches off the recognition of repeated transaction IDs.
+	ForgetTransactions bool
+
+	http.Handler
+	mu      sync.Mutex
+	rows    map[string]storer.Row
+	version uint64
+	applied map[string]uint64
+	order   []string
+	// OnApply observes each applied transaction, in order and once.
+	OnApply func(storer.Transaction, uint64)
+}
+
+// NewTable returns an empty table without rate limits unless WithRates sets them.
+func NewTable(opts ...Option) *Table {
+	t := &Table{rows: map[string]storer.Row{}, applied: map[string]uint64{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /table/{key}", t.get)
+	mux.HandleFunc("PUT /table/{key}", t.put)
+	mux.HandleFunc("DELETE /table/{key}", t.put)
+	mux.HandleFunc("POST /table/transact", t.transact)
+	mux.HandleFunc("GET /table", t.list)
+	t.Handler = newGuard(&t.Faults, mux, opts)
+	return t
+}
+
+// Row returns a row without passing the faults.
+func (t *Table) Row(key string) (storer.Row, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row, ok := t.rows[key]
+	return row, ok
+}
+
+// Rows returns the rows of a prefix in key order without passing the faults.
+func (t *Table) Rows(prefix string) []storer.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rows := []storer.Row{}
+	for k, row := range t.rows {
+		if strings.HasPrefix(k, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b storer.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows
+}
+
+func (t *Table) get(w http.ResponseWriter, r *http.Request) {
+	row, ok := t.Row(r.PathValue("key"))
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	reply(w, row)
+}
+
+func (t *Table) list(w http.ResponseWriter, r *http.Request) {
+	reply(w, t.Rows(r.URL.Query().Get("prefix")))
+}
+
+func (t *Table) put(w http.ResponseWriter, r *http.Request) {
+	key := r.PathValue("key")
+	tx := storer.Transaction{Writes: []storer.Write{{Key: key, Delete: r.Method == http.MethodDelete}}}
+	if r.Method == http.MethodPut && json.NewDecoder(r.Body).Decode(&tx.Writes[0].Value) != nil {
+		http.Error(w, "malformed value", http.StatusBadRequest)
+		return
+	}
+	if m := r.Header.Get("If-Match"); m != "" {
+		v, err := strconv.ParseUint(m, 10, 64)
+		if err != nil {
+			http.Error(w, "malformed If-Match", http.StatusBadRequest)
+			return
+		}
+		tx.Conditions = []storer.Condition{{Key: key, Version: v}}
+	}
+	t.answer(w, tx)
+}
+
+func (t *Table) transact(w http.ResponseWriter, r *http.Request) {
+	var tx storer.Transaction
+	if json.NewDecoder(r.Body).Decode(&tx) != nil || tx.ID == "" {
+		http.Error(w, "malformed transaction", http.StatusBadRequest)
+		return
+	}
+	t.answer(w, tx)
+}
+
+func (t *Table) answer(w http.ResponseWriter, tx storer.Transaction) {
+	v, ok := t.apply(tx)
+	if !ok {
+		http.Error(w, "condition does not hold", http.StatusConflict)
+		return
+	}
+	reply(w, storer.Applied{Version: v})
+}
+
+func (t *Table) apply(tx storer.Transaction) (uint64, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if v, ok := t.applied[tx.ID]; ok && !t.ForgetTransactions {
+		return v, true
+	}
+	for _, c := range tx.Conditions {
+		// A row that does not exist has version 0.
+		if t.rows[c.Key].Version != c.Version {
+			return 0, false
+		}
+	}
+	t.version++
+	for _, x := range tx.Writes {
+		if x.Delete {
+			delete(t.rows, x.Key)
+			continue
+		}
+		t.rows[x.Key] = storer.Row{Key: x.Key, Value: x.Value, Version: t.version}
+	}
+	if tx.ID != "" {
+		t.applied[tx.ID] = t.version
+		t.order = append(t.order, tx.ID)
+		if len(t.order) > rememberedTransactions {
+			delete(t.applied, t.order[0])
+			t.order = t.order[1:]
+		}
+	}
+	if t.OnApply != nil {
+		t.OnApply(tx, t.version)
+	}
+	return t.version, true
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// The connection may be gone; the caller then sees a lost reply.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/storer/service.go
@@ -0,0 +1,113 @@
+package storer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+// Objects is a client of the object store.
+type Objects struct{ *client }
+
+// NewObjects returns a client of the object store at an address.
+func NewObjects(address netip.AddrPort, opts ...Option) *Objects {
+	return &Objects{newClient(address, opts)}
+}
+
+// Get returns an object or ErrNotFound.
+func (o *Objects) Get(ctx context.Context, key string) ([]byte, error) {
+	return o.call(ctx, exchange{method: http.MethodGet, path: "/objects/" + url.PathEscape(key), repeatable: true})
+}
+
+// Put replaces an object; the repeat of a write has the same effect.
+func (o *Objects) Put(ctx context.Context, key string, b []byte) error {
+	_, err := o.call(ctx, exchange{method: http.MethodPut, path: "/objects/" + url.PathEscape(key), body: b, repeatable: true})
+	return err
+}
+
+// Create writes an object that does not exist yet, otherwise ErrConflict; it is not repeated after a lost reply.
+func (o *Objects) Create(ctx context.Context, key string, b []byte) error {
+	_, err := o.call(ctx, exchange{
+		method: http.MethodPut, path: "/objects/" + url.PathEscape(key), body: b,
+		header: http.Header{"If-None-Match": {"*"}},
+	})
+	return err
+}
+
+// Weights is a client of the weight store.
+type Weights struct{ *client }
+
+// NewWeights returns a client of the weight store at an address.
+func NewWeights(address netip.AddrPort, opts ...Option) *Weights {
+	return &Weights{newClient(address, opts)}
+}
+
+// Fetch returns the weights of that name, ErrNotFound or ErrRateLimited.
+func (w *Weights) Fetch(ctx context.Context, name string) ([]byte, error) {
+	return w.call(ctx, exchange{method: http.MethodGet, path: "/weights/" + url.PathEscape(name), repeatable: true})
+}
+
+// Rating is the rating, from 0 to 1, of one response.
+type Rating struct {
+	Sequence uint64              `json:"sequence"`
+	Request  identifier.Request  `json:"request"`
+	WorkKind identifier.WorkKind `json:"work-kind"`
+	Target   identifier.Target   `json:"target"`
+	Value    float64             `json:"value"`
+	At       time.Time           `json:"at"`
+}
+
+// Rater is a client of the rating service.
+type Rater struct{ *client }
+
+// NewRater returns a client of the rating service at an address.
+func NewRater(address netip.AddrPort, opts ...Option) *Rater {
+	return &Rater{newClient(address, opts)}
+}
+
+// Submit asks for a rating of one response; the service identifies it by its request, so a repeat is safe.
+func (r *Rater) Submit(ctx context.Context, x Rating) error {
+	b, err := json.Marshal(x)
+	if err != nil {
+		return fmt.Errorf("storer: encode rating: %w", err)
+	}
+	_, err = r.call(ctx, exchange{method: http.MethodPost, path: "/ratings", body: b, repeatable: true})
+	return err
+}
+
+// After returns the ratings with a higher sequence number.
+func (r *Rater) After(ctx context.Context, sequence uint64) ([]Rating, error) {
+	path := "/ratings?after=" + strconv.FormatUint(sequence, 10)
+	return decode[[]Rating](r.call(ctx, exchange{method: http.MethodGet, path: path, repeatable: true}))
+}
+
+// Instance is one entry of the platform's instance list.
+type Instance struct {
+	Instance   identifier.Instance   `json:"instance"`
+	DataCentre identifier.DataCentre `json:"data-centre"`
+	Region     identifier.Region     `json:"region"`
+	Role       string                `json:"role"`
+	Control    netip.AddrPort        `json:"control"`
+	Data       netip.AddrPort        `json:"data"`
+	Leaving    bool                  `json:"leaving"`
+}
+
+// Instances is a client of the instance list.
+type Instances struct{ *client }
+
+// NewInstances returns a client of the instance list at an address.
+func NewInstances(address netip.AddrPort, opts ...Option) *Instances {
+	return &Instances{newClient(address, opts)}
+}
+
+// List returns the instances that the platform knows, which lags behind reality.
+func (i *Instances) List(ctx context.Context) ([]Instance, error) {
+	return decode[[]Instance](i.call(ctx, exchange{method: http.MethodGet, path: "/instances", repeatable: true}))
+}
