--- /dev/null
+++ b/detector/doc.go
@@ -0,0 +1,2 @@
+// Package detector tells which instances are live, leaving or dead, from the platform's list and from heartbeats.
+package detector
