--- a/command_bench.go
+++ b/command_bench.go
@@ -7,11 +7,14 @@
 	"github.com/spf13/cobra"
 
 	"github.com/siskinfront/siskinfront/bencher"
+	"github.com/siskinfront/siskinfront/faultsbencher"
 )
 
 // experiments lists the experiments of the bench command.
 func experiments() []bencher.Experiment {
-	return []bencher.Experiment{}
+	return []bencher.Experiment{
+		faultsbencher.Experiment(),
+	}
 }
 
 func newBenchCommand() *cobra.Command {
--- /dev/null
+++ b/faultsbencher/checker.go
@@ -0,0 +1,428 @@
+package faultsbencher
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/siskinfront/siskinfront/biller"
+	"github.com/siskinfront/siskinfront/claimer"
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/detector"
+	"github.com/siskinfront/siskinfront/distributor"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/leaser"
+	"github.com/siskinfront/siskinfront/storer"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// Invariant names one promise that every schedule checks.
+type Invariant string
+
+// The invariants.
+const (
+	LeaseTokensGrow      Invariant = "lease-tokens-grow"
+	LeaseOneHolder       Invariant = "lease-one-valid-holder"
+	LeaseFenced          Invariant = "lease-stale-writes-refused"
+	ClaimRunsOnce        Invariant = "claim-runs-at-most-once"
+	ClaimNotRunTrue      Invariant = "claim-not-run-is-true"
+	ClaimSameResult      Invariant = "claim-same-result"
+	BillKept             Invariant = "bill-kept-while-a-holder-lives"
+	BillOnce             Invariant = "bill-counted-once"
+	ConfigForward        Invariant = "config-never-reverts"
+	ConfigSameEverywhere Invariant = "config-same-at-a-revision"
+	ConfigNoLostUpdate   Invariant = "config-no-lost-update"
+	ConfigInForce        Invariant = "config-in-force-within-7s"
+	MemberNotAccused     Invariant = "member-healthy-not-dead"
+	MemberLeaving        Invariant = "member-leaving-known-within-2s"
+)
+
+// Invariants returns all invariants in the order of the report.
+func Invariants() []Invariant {
+	return []Invariant{
+		LeaseTokensGrow, LeaseOneHolder, LeaseFenced, ClaimRunsOnce, ClaimNotRunTrue, ClaimSameResult, BillKept, BillOnce,
+		ConfigForward, ConfigSameEverywhere, ConfigNoLostUpdate, ConfigInForce, MemberNotAccused, MemberLeaving,
+	}
+}
+
+const (
+	inForceLimit = 7 * time.Second
+	leavingLimit = 2 * time.Second
+	sampleTime   = 250 * time.Millisecond
+	// quietTime is how long observer and observed must have been free of faults before a verdict counts.
+	quietTime = 12 * time.Second
+)
+
+// Outcome is what the checks of one schedule found.
+type Outcome struct {
+	Kind    Kind
+	Checked map[Invariant]int
+	// Broken holds the violations with their virtual time.
+	Broken map[Invariant][]string
+	// LeaseGap is the longest time without a write of a lease holder.
+	LeaseGap time.Duration
+	// Answers are the times from the first attempt of a caller to its final answer.
+	Answers []time.Duration
+	// InForce are the times from a commit to its force at undisturbed nodes that could reach the table.
+	InForce []time.Duration
+	// Detected are the times from a crash until all undisturbed nodes of the data centre know.
+	Detected []time.Duration
+	// Leaving are the times from a leave until all undisturbed nodes of the data centre know.
+	Leaving []time.Duration
+	// BothDied counts bills that were lost because every holder died first.
+	BothDied int
+	// Unknown counts final answers with outcome unknown.
+	Unknown int
+	// History sums up the table's transactions; equal seeds give equal sums.
+	History uint64
+}
+
+type billHolder struct {
+	n    *node
+	life int
+	bill biller.Bill
+}
+
+type departure struct {
+	n    *node
+	life int
+	at   time.Time
+}
+
+type checker struct {
+	s           *schedule
+	outcome     Outcome
+	lease       leaser.Record
+	served      time.Time
+	executions  map[string]int
+	bodies      map[string]string
+	ran         map[identifier.Request]bool
+	refused     map[identifier.Request]bool
+	stored      map[string]bool
+	bills       map[string][]billHolder
+	billOrder   []string
+	head        uint64
+	commits     map[uint64]time.Time
+	marks       map[uint64]float64
+	accepted    map[float64]uint64
+	conflicting map[float64]bool
+	departures  []departure
+	crashes     []departure
+}
+
+func newChecker(s *schedule) *checker {
+	return &checker{
+		s: s, served: s.now, executions: map[string]int{}, bodies: map[string]string{}, ran: map[identifier.Request]bool{},
+		refused: map[identifier.Request]bool{}, stored: map[string]bool{}, bills: map[string][]billHolder{},
+		commits: map[uint64]time.Time{}, marks: map[uint64]float64{}, accepted: map[float64]uint64{},
+		conflicting: map[float64]bool{},
+		outcome:     Outcome{Checked: map[Invariant]int{}, Broken: map[Invariant][]string{}},
+	}
+}
+
+// expect counts one check and notes its violation.
+func (c *checker) expect(i Invariant, ok bool, format string, args ...any) {
+	c.outcome.Checked[i]++
+	if !ok {
+		text := fmt.Sprintf("%v: ", c.s.now.Sub(c.s.start)) + fmt.Sprintf(format, args...)
+		c.outcome.Broken[i] = append(c.outcome.Broken[i], text)
+	}
+}
+
+// applied sees each transaction at the moment at which the table applies it.
+func (c *checker) applied(tx storer.Transaction, version uint64) {
+	c.outcome.History = c.outcome.History*31 + version + uint64(c.s.now.Sub(c.s.start)) + uint64(len(tx.Writes))
+	for _, w := range tx.Writes {
+		switch {
+		case w.Key == "lease/"+leaseName:
+			var rec leaser.Record
+			c.decode(w.Value, &rec)
+			same := rec.Token == c.lease.Token && (rec.Holder == c.lease.Holder || rec.Holder == "")
+			c.expect(LeaseTokensGrow, rec.Token > c.lease.Token || same, "token %d of %s after %d of %s",
+				rec.Token, rec.Holder, c.lease.Token, c.lease.Holder)
+			c.lease = rec
+		case w.Key == guardedKey:
+			var g guarded
+			c.decode(w.Value, &g)
+			c.expect(LeaseFenced, g.Token == c.lease.Token && c.lease.Holder != "", "write with token %d under %d of %q",
+				g.Token, c.lease.Token, c.lease.Holder)
+		case w.Key == "config/head":
+			var h distributor.Head
+			c.decode(w.Value, &h)
+			c.expect(ConfigNoLostUpdate, h.Revision == c.head+1, "head %d after %d", h.Revision, c.head)
+			c.head = h.Revision
+			c.commits[h.Revision] = c.s.now
+		case strings.HasPrefix(w.Key, "config/change/"):
+			var ch distributor.Change
+			c.decode(w.Value, &ch)
+			for _, it := range ch.Items {
+				if it.Key == "spend" {
+					var spend configurer.Spend
+					c.decode(it.Value, &spend)
+					c.marks[ch.Revision] = spend.Committed
+				}
+			}
+		}
+	}
+}
+
+func (c *checker) decode(b []byte, v any) {
+	if err := json.Unmarshal(b, v); err != nil {
+		panic("faultsbencher: decode row: " + err.Error())
+	}
+}
+
+func (c *checker) leaseServed() {
+	c.outcome.LeaseGap = max(c.outcome.LeaseGap, c.s.now.Sub(c.served))
+	c.served = c.s.now
+}
+
+func (c *checker) executed(key string, req identifier.Request) string {
+	c.executions[key]++
+	c.ran[req] = true
+	c.expect(ClaimRunsOnce, c.executions[key] == 1, "%s runs for the %d. time", key, c.executions[key])
+	c.expect(ClaimNotRunTrue, !c.refused[req], "%s runs after it was reported as not run", req)
+	c.bodies[key] = fmt.Sprintf("%s by %s", key, req)
+	return c.bodies[key]
+}
+
+func (c *checker) replied(key string, req identifier.Request, r reply) {
+	switch r.outcome {
+	case streamer.OutcomeNotRun:
+		c.refused[req] = true
+		c.expect(ClaimNotRunTrue, !c.ran[req], "%s was reported as not run and ran", req)
+	case streamer.OutcomeRun:
+		c.expect(ClaimSameResult, r.body == c.bodies[key], "%s replied %q, ran %q", key, r.body, c.bodies[key])
+	case streamer.OutcomeUnknown:
+		if !r.running {
+			c.outcome.Unknown++
+		}
+	}
+}
+
+func (c *checker) answered(d time.Duration) {
+	c.outcome.Answers = append(c.outcome.Answers, d)
+}
+
+func (c *checker) finished(key string) { c.stored[key] = true }
+
+func (c *checker) billed(n *node, b biller.Bill) {
+	if len(c.bills[b.ID]) == 0 {
+		c.billOrder = append(c.billOrder, b.ID)
+	}
+	for i, h := range c.bills[b.ID] {
+		if h.n == n && h.life == n.life {
+			if b.Final {
+				c.bills[b.ID][i].bill = b
+			}
+			return
+		}
+	}
+	c.bills[b.ID] = append(c.bills[b.ID], billHolder{n, n.life, b})
+}
+
+// holders returns the nodes that hold any of the bills.
+func (c *checker) holders(ids []string) []*node {
+	var list []*node
+	seen := map[*node]bool{}
+	for _, id := range ids {
+		for _, h := range c.bills[id] {
+			if !seen[h.n] {
+				seen[h.n] = true
+				list = append(list, h.n)
+			}
+		}
+	}
+	return list
+}
+
+func (c *checker) committed(mark float64, revision uint64, err error) {
+	switch {
+	case err == nil:
+		c.accepted[mark] = revision
+	case errors.Is(err, distributor.ErrConflict):
+		c.conflicting[mark] = true
+	}
+}
+
+// inForce sees each configuration that a node puts into force.
+func (c *checker) inForce(n *node, cfg *configurer.Configuration) {
+	c.expect(ConfigForward, cfg.Revision > n.revision, "%s goes from revision %d to %d", n.name, n.revision, cfg.Revision)
+	mark, ok := c.marks[cfg.Revision]
+	c.expect(ConfigSameEverywhere, ok && cfg.Spend.Committed == mark, "%s has %v at revision %d, committed was %v",
+		n.name, cfg.Spend.Committed, cfg.Revision, mark)
+	for r := n.revision + 1; r <= cfg.Revision; r++ {
+		c.measure(n, r)
+	}
+	n.revision = cfg.Revision
+}
+
+// measure takes the time from a commit until now, unless the node or the path to the table had a fault meanwhile.
+func (c *checker) measure(n *node, revision uint64) {
+	from, to := c.commits[revision], c.s.now
+	if !n.quiet(from, to) || c.tableOut(from, to) {
+		return
+	}
+	c.outcome.InForce = append(c.outcome.InForce, to.Sub(from))
+	c.expect(ConfigInForce, to.Sub(from) <= inForceLimit, "%s has revision %d after %v", n.name, revision, to.Sub(from))
+}
+
+func (c *checker) tableOut(from, to time.Time) bool {
+	for _, u := range c.s.unreachable {
+		if u.overlaps(from, to) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *checker) crashed(n *node) {
+	c.crashes = append(c.crashes, departure{n, n.life, c.s.now})
+}
+
+func (c *checker) left(n *node) {
+	c.departures = append(c.departures, departure{n, n.life, c.s.now})
+}
+
+// sample judges what must hold at any moment.
+func (c *checker) sample() {
+	now := c.s.now
+	valid := 0
+	for _, n := range c.s.nodes {
+		if n.up && n.lease != nil && n.lease.Valid() {
+			valid++
+		}
+	}
+	c.expect(LeaseOneHolder, valid <= 1, "%d holders believe in their lease", valid)
+	from := now.Add(-quietTime)
+	for _, a := range c.s.nodes {
+		for _, b := range c.s.nodes {
+			if a != b && a.centre == b.centre && a.quiet(from, now) && b.quiet(from, now) {
+				c.expect(MemberNotAccused, a.detector.StateOf(b.name) != detector.Dead, "%s takes %s for dead", a.name, b.name)
+			}
+		}
+	}
+	c.departures = c.follow(c.departures, func(d departure, known bool) bool {
+		if known {
+			c.outcome.Leaving = append(c.outcome.Leaving, now.Sub(d.at))
+		}
+		if late := now.Sub(d.at) >= leavingLimit; known || late {
+			c.expect(MemberLeaving, known, "leaving of %s is not known everywhere", d.n.name)
+			return true
+		}
+		return false
+	})
+	c.crashes = c.follow(c.crashes, func(d departure, known bool) bool {
+		if known {
+			c.outcome.Detected = append(c.outcome.Detected, now.Sub(d.at))
+		}
+		return known
+	})
+	c.s.after(sampleTime, c.sample)
+}
+
+// follow tells for each departure whether all undisturbed nodes of the data centre know it, and drops the done ones.
+func (c *checker) follow(list []departure, done func(departure, bool) bool) []departure {
+	kept := list[:0]
+	for _, d := range list {
+		if d.n.life != d.life || d.n.up && !d.n.leaving {
+			continue // The instance was replaced or is back.
+		}
+		known := true
+		for _, a := range c.s.nodes {
+			if a != d.n && a.centre == d.n.centre && a.quiet(d.at, c.s.now) {
+				s := a.detector.StateOf(d.n.name)
+				known = known && (s == detector.Dead || s == detector.Leaving)
+			}
+		}
+		if !done(d, known) {
+			kept = append(kept, d)
+		}
+	}
+	return kept
+}
+
+// finish judges the state after all faults have healed.
+func (c *checker) finish() {
+	c.outcome.Kind = c.s.label
+	c.leaseServed()
+	c.finishConfiguration()
+	c.finishClaims()
+	c.finishBills()
+}
+
+func (c *checker) finishConfiguration() {
+	present := map[float64]uint64{}
+	for r, m := range c.marks {
+		present[m] = r
+	}
+	for mark, revision := range c.accepted {
+		c.expect(ConfigNoLostUpdate, present[mark] == revision, "accepted revision %d is not in the history", revision)
+	}
+	for mark := range c.conflicting {
+		_, ok := present[mark]
+		c.expect(ConfigNoLostUpdate, !ok, "change %v was reported as refused and is in the history", mark)
+	}
+	for _, n := range c.s.nodes {
+		if from := c.commits[c.head]; c.head > 0 && n.quiet(from, c.s.now) && c.s.now.Sub(from) > inForceLimit {
+			c.expect(ConfigInForce, n.revision == c.head, "%s ends at revision %d of %d", n.name, n.revision, c.head)
+		}
+	}
+}
+
+func (c *checker) finishClaims() {
+	for _, row := range c.s.table.Rows("claim/") {
+		var rec claimer.Record
+		c.decode(row.Value, &rec)
+		key := row.Key[strings.LastIndex(row.Key, "/")+1:]
+		if c.stored[key] {
+			c.expect(ClaimSameResult, rec.Result != nil && string(rec.Result.Body) == c.bodies[key],
+				"%s was finished and is %s in the table", key, rec.Phase)
+		}
+		if rec.Phase == claimer.PhaseClaimed {
+			c.expect(ClaimNotRunTrue, !c.ran[rec.Request], "%s ran without a durable start", key)
+		}
+	}
+}
+
+func (c *checker) finishBills() {
+	var batches [][]biller.Bill
+	for _, row := range c.s.table.Rows("bill/") {
+		batches = append(batches, c.batch(row.Value))
+	}
+	for _, k := range c.s.objects.Keys() {
+		if strings.HasPrefix(k, "bill/") {
+			b, _ := c.s.objects.Object(k)
+			batches = append(batches, c.batch(b))
+		}
+	}
+	durable := map[string]biller.Bill{}
+	for _, b := range biller.Union(batches...) {
+		_, twice := durable[b.ID]
+		c.expect(BillOnce, !twice, "%s is counted twice", b.ID)
+		durable[b.ID] = b
+	}
+	for _, id := range c.billOrder {
+		got, ok := durable[id]
+		best := 0.0
+		for _, h := range c.bills[id] {
+			if h.n.up && h.n.life == h.life {
+				best = max(best, h.bill.Amount)
+			}
+		}
+		if !ok && best == 0 {
+			c.outcome.BothDied++
+			continue
+		}
+		c.expect(BillKept, ok && got.Amount >= best, "%s is billed %v, a live holder has %v", id, got.Amount, best)
+		c.expect(BillOnce, got.Amount <= fullTokens, "%s is billed %v", id, got.Amount)
+	}
+}
+
+func (c *checker) batch(b []byte) []biller.Bill {
+	var list []biller.Bill
+	c.decode(b, &list)
+	return list
+}
--- /dev/null
+++ b/faultsbencher/fault.go
@@ -0,0 +1,107 @@
+package faultsbencher
+
+import (
+	"time"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// The kinds of faults that a schedule draws from.
+const (
+	KindNone       Kind = "none"
+	KindCrash      Kind = "crash"
+	KindPause      Kind = "pause"
+	KindCutTable   Kind = "cut-off-table"
+	KindCutPeers   Kind = "cut-off-peers"
+	KindOutage     Kind = "table-outage"
+	KindLostReply  Kind = "lost-reply"
+	KindLateWrite  Kind = "late-write"
+	KindClockStep  Kind = "clock-step"
+	KindSlowCentre Kind = "slow-data-centre"
+	KindLeave      Kind = "leave"
+	KindObjects    Kind = "object-outage"
+	KindSeveral    Kind = "several"
+)
+
+// Kinds returns all kinds of single faults.
+func Kinds() []Kind {
+	return []Kind{
+		KindCrash, KindPause, KindCutTable, KindCutPeers, KindOutage, KindLostReply, KindLateWrite, KindClockStep,
+		KindSlowCentre, KindLeave, KindObjects,
+	}
+}
+
+// span is a half-open interval of virtual time.
+type span struct {
+	from, to time.Time
+}
+
+func (s span) overlaps(from, to time.Time) bool {
+	return s.from.Before(to) && from.Before(s.to)
+}
+
+// faults holds the faults that concern the platform.
+type faults struct {
+	outage, objects, lost, late span
+	slow                        span
+	slowCentre                  int
+}
+
+func (s span) covers(t time.Time) bool {
+	return !t.Before(s.from) && t.Before(s.to)
+}
+
+// plan draws the faults of a schedule within the first part of it.
+func (s *schedule) plan(kinds []Kind) {
+	n := 1 + s.rand.IntN(3)
+	if len(kinds) == 1 {
+		n = 1
+	}
+	s.label = KindNone
+	for range n {
+		k := kinds[s.rand.IntN(len(kinds))]
+		switch s.label {
+		case KindNone, k:
+			s.label = k
+		default:
+			s.label = KindSeveral
+		}
+		s.after(s.between(5*time.Second, 30*time.Second), func() { s.inject(k) })
+	}
+}
+
+func (s *schedule) inject(k Kind) {
+	n := s.nodes[s.rand.IntN(len(s.nodes))]
+	d := s.between(time.Second, 15*time.Second)
+	window := span{s.now, s.now.Add(d)}
+	switch k {
+	case KindCrash:
+		n.crash(d)
+	case KindLeave:
+		n.leave(d)
+	case KindPause:
+		n.disturb(d)
+		n.pausedUntil = window.to
+	case KindCutTable:
+		n.disturb(d)
+		n.cutTable = window
+	case KindCutPeers:
+		n.disturb(d)
+		n.cutPeers = window
+	case KindOutage:
+		s.faults.outage = window
+		s.unreachable = append(s.unreachable, window)
+	case KindObjects:
+		s.faults.objects = window
+	case KindLostReply:
+		s.faults.lost = window
+	case KindLateWrite:
+		s.faults.late = window
+	case KindSlowCentre:
+		s.faults.slow, s.faults.slowCentre = window, s.rand.IntN(centres)
+	case KindClockStep:
+		n.wallOffset += s.between(-time.Hour, time.Hour)
+	case KindNone, KindSeveral:
+	}
+}
--- /dev/null
+++ b/faultsbencher/schedule.go
@@ -0,0 +1,312 @@
+package faultsbencher
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/siskinfront/siskinfront/claimer"
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/detector"
+	"github.com/siskinfront/siskinfront/distributor"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/leaser"
+	"github.com/siskinfront/siskinfront/platformfaker"
+	"github.com/siskinfront/siskinfront/storer"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+const (
+	faultTime   = 46 * time.Second
+	healTime    = 24 * time.Second
+	leaseTerm   = 6 * time.Second
+	leaseMargin = 1 * time.Second
+	listLag     = 10 * time.Second
+	claimKeys   = 8
+	freeBills   = 24
+	leaseName   = "rollout/summary-large"
+	guardedKey  = "guarded"
+	leaseNodes  = 3
+)
+
+// Weaken switches single protections off, to show that the checks find what they prevent.
+type Weaken struct {
+	// Write replaces the fenced write of a lease holder.
+	Write func(context.Context, *storer.Table, *leaser.Lease, storer.Transaction) error
+	// Start replaces the durable start of a claimed request.
+	Start func(context.Context, *claimer.Claimer, claimer.Claim) error
+	// Sink replaces the write of a batch of bills to the table.
+	Sink func(ctx context.Context, key string, batch []byte, write func(context.Context, string, []byte) error) error
+	// Commit replaces the conditional commit of a configuration.
+	Commit func(ctx context.Context, t *storer.Table, base uint64, next *configurer.Configuration, by string) (uint64, error)
+	// Distributor and Detector are options that replace a protection.
+	Distributor []distributor.Option
+	Detector    []detector.Option
+	// NoPeerBills keeps each bill at one holder.
+	NoPeerBills bool
+	// ForgetTransactions makes the table apply the repeat of a transaction as a new one.
+	ForgetTransactions bool
+	// Acquire replaces the acquisition of a lease.
+	Acquire func(ctx context.Context, t *storer.Table, l *leaser.Leaser, wall time.Time) (*leaser.Lease, error)
+}
+
+// schedule is one seeded run.
+type schedule struct {
+	*world
+	weaken      Weaken
+	label       Kind
+	table       *platformfaker.Table
+	objects     *platformfaker.Objects
+	list        *platformfaker.Instances
+	nodes       []*node
+	byName      map[identifier.Instance]*node
+	faults      faults
+	unreachable []span
+	check       *checker
+	committed   int
+}
+
+// Run runs one schedule with faults of the given kinds and returns what its checks found.
+func Run(seed uint64, kinds []Kind, weaken Weaken) Outcome {
+	s := &schedule{world: newWorld(seed), weaken: weaken, byName: map[identifier.Instance]*node{}}
+	s.check = newChecker(s)
+	s.table, s.objects = platformfaker.NewTable(), platformfaker.NewObjects()
+	s.table.ForgetTransactions = weaken.ForgetTransactions
+	s.table.OnApply = s.check.applied
+	s.table.Out = func(*http.Request) bool { return s.faults.outage.covers(s.now) }
+	s.objects.Out = func(*http.Request) bool { return s.faults.objects.covers(s.now) }
+	s.list = platformfaker.NewInstances(func() time.Time { return s.now })
+	for i := range centres * perCentre {
+		n := &node{s: s, centre: i / perCentre, name: identifier.Instance("instance-" + strconv.Itoa(i))}
+		s.nodes = append(s.nodes, n)
+		s.byName[n.name] = n
+	}
+	for _, n := range s.nodes {
+		n.up = true
+	}
+	s.list.Set(s.members())
+	s.list.Lag = listLag
+	s.now = s.now.Add(listLag)
+	for _, n := range s.nodes {
+		n.start()
+	}
+	s.plan(kinds)
+	for range 2 {
+		s.spawn(nil, s.commitLoop)
+	}
+	for i := range claimKeys {
+		s.spawn(nil, func() { s.callerLoop("order-" + strconv.Itoa(i)) })
+	}
+	for i := range freeBills {
+		s.spawn(nil, func() { s.billLoop("bill-" + strconv.Itoa(i)) })
+	}
+	s.after(0, s.check.sample)
+	s.run(faultTime + healTime)
+	s.check.finish()
+	s.end()
+	return s.check.outcome
+}
+
+func (s *schedule) members() []storer.Instance {
+	list := make([]storer.Instance, 0, len(s.nodes))
+	for _, n := range s.nodes {
+		if n.up {
+			list = append(list, n.member())
+		}
+	}
+	return list
+}
+
+// anyNode returns a random node that is up.
+func (s *schedule) anyNode() *node {
+	for {
+		if n := s.nodes[s.rand.IntN(len(s.nodes))]; n.up {
+			return n
+		}
+	}
+}
+
+func (s *schedule) busy() bool {
+	return s.now.Sub(s.start) < faultTime+listLag
+}
+
+func (n *node) holdsLease() bool {
+	for i := range leaseNodes {
+		if n.s.nodes[i] == n {
+			return true
+		}
+	}
+	return false
+}
+
+// guarded is the value of the row that only the lease holder may write.
+type guarded struct {
+	Token uint64 `json:"token"`
+}
+
+func (n *node) keepLease() {
+	ctx := context.Background()
+	for !n.leaving {
+		acquire := n.leaser.Acquire
+		if f := n.s.weaken.Acquire; f != nil {
+			acquire = func(ctx context.Context, _ string) (*leaser.Lease, error) { return f(ctx, n.table, n.leaser, n.wall()) }
+		}
+		le, err := acquire(ctx, leaseName)
+		if err != nil {
+			n.s.sleep(n.s.between(500*time.Millisecond, time.Second))
+			continue
+		}
+		n.lease = le
+		for le.Valid() && !n.leaving {
+			b, err := json.Marshal(guarded{Token: le.Token()})
+			if err != nil {
+				panic("faultsbencher: encode guarded row: " + err.Error())
+			}
+			tx := storer.Transaction{Writes: []storer.Write{{Key: guardedKey, Value: b}}}
+			if f := n.s.weaken.Write; f != nil {
+				err = f(ctx, n.table, le, tx)
+			} else {
+				err = le.Transact(ctx, tx)
+			}
+			if err == nil {
+				n.s.check.leaseServed()
+			}
+			n.s.sleep(n.s.between(400*time.Millisecond, 800*time.Millisecond))
+			// A failed renewal is repeated until the term ends.
+			_ = le.Renew(ctx)
+		}
+	}
+}
+
+// commitLoop changes the configuration through random instances, which race with each other.
+func (s *schedule) commitLoop() {
+	for s.busy() {
+		s.sleep(s.between(time.Second, 4*time.Second))
+		n := s.anyNode()
+		s.spawn(n, func() {
+			next := configurer.Configuration{Ranks: []configurer.Rank{{Name: "urgent"}}}
+			if c := n.dist.Current(); c != nil {
+				next = *c
+			}
+			s.committed++
+			mark := float64(s.committed)
+			next.Spend.Committed = mark
+			commit := distributor.Commit
+			if s.weaken.Commit != nil {
+				commit = s.weaken.Commit
+			}
+			revision, err := commit(context.Background(), n.table, next.Revision, &next, string(n.name))
+			s.check.committed(mark, revision, err)
+		})
+	}
+}
+
+// reply is what a caller or an entry is told.
+type reply struct {
+	outcome streamer.Outcome
+	body    string
+	running bool
+}
+
+// callerLoop sends one non-idempotent request with one key until it learns the end.
+func (s *schedule) callerLoop(key string) {
+	s.sleep(s.between(2*time.Second, 36*time.Second))
+	began := s.now
+	for attempt := 0; attempt < 8 && s.busy(); attempt++ {
+		entry := s.anyNode()
+		req := identifier.Request(key + "/" + strconv.Itoa(attempt))
+		var got *reply
+		s.spawn(entry, func() {
+			r := entry.answer(key, req)
+			got = &r
+		})
+		for wait := 0; got == nil && wait < 80; wait++ {
+			s.sleep(100 * time.Millisecond)
+		}
+		if got != nil {
+			s.check.replied(key, req, *got)
+			if got.outcome != streamer.OutcomeNotRun && !got.running {
+				s.check.answered(s.now.Sub(began))
+				return
+			}
+		}
+		s.sleep(s.between(500*time.Millisecond, 2*time.Second))
+	}
+}
+
+// answer is the part of an entry: claim, hand to an agent, tell the truth.
+func (n *node) answer(key string, req identifier.Request) reply {
+	s, ctx := n.s, context.Background()
+	cl, err := n.claimer.Claim(ctx, "account", key, [32]byte{1}, req)
+	if err != nil {
+		return reply{outcome: streamer.OutcomeNotRun}
+	}
+	if p := cl.Previous; p != nil {
+		return reply{outcome: p.Outcome, body: string(p.Body), running: p.Running}
+	}
+	orders := 1
+	if s.rand.IntN(4) == 0 {
+		orders = 2 // The first order seems lost and is sent again to another agent.
+	}
+	refused := 0
+	var got *reply
+	for range orders {
+		agent := s.anyNode()
+		s.send(n, agent, func(a *node) {
+			s.spawn(a, func() {
+				r := a.runOrder(n, key, cl)
+				s.send(a, n, func(*node) {
+					if r.outcome == streamer.OutcomeNotRun {
+						refused++
+					} else {
+						got = &r
+					}
+				})
+			})
+		})
+	}
+	for wait := 0; got == nil && refused < orders && wait < 60; wait++ {
+		s.sleep(100 * time.Millisecond)
+	}
+	switch {
+	case got != nil:
+		return *got
+	case refused == orders:
+		// The key is free again, or the row stays until its start bound ends.
+		_ = n.claimer.Release(ctx, cl)
+		return reply{outcome: streamer.OutcomeNotRun}
+	}
+	return reply{outcome: streamer.OutcomeUnknown, running: true}
+}
+
+// runOrder is the part of an agent: start durably, run, store the result, bill.
+func (n *node) runOrder(entry *node, key string, cl claimer.Claim) reply {
+	s, ctx := n.s, context.Background()
+	start := func(ctx context.Context, c *claimer.Claimer, cl claimer.Claim) error { return c.Started(ctx, cl) }
+	if s.weaken.Start != nil {
+		start = s.weaken.Start
+	}
+	if err := start(ctx, n.claimer, cl); err != nil {
+		return reply{outcome: streamer.OutcomeNotRun}
+	}
+	body := s.check.executed(key, cl.Request)
+	n.record(key, false)
+	s.sleep(s.between(100*time.Millisecond, 3*time.Second))
+	n.record(key, true)
+	s.sendBills(n, entry)
+	for range 4 {
+		err := n.claimer.Finish(ctx, cl, claimer.Result{Outcome: streamer.OutcomeRun, Status: http.StatusOK, Body: []byte(body)})
+		if err == nil {
+			s.check.finished(key)
+			break
+		}
+		if errors.Is(err, claimer.ErrLost) {
+			break
+		}
+		s.sleep(time.Second)
+	}
+	return reply{outcome: streamer.OutcomeRun, body: body}
+}
