faultsbencher: show that each check finds its missing protection

Cause: a check that cannot fail proves nothing. Change: tests switch one protection off at a time; heartbeats now hint at newer revisions.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -21,10 +21,10 @@
 	Monitors = 3
 	// Period is the mean time between two heartbeats.
 	Period = 1 * time.Second
-	// A member is suspected after this number of silent periods.
-	missedPeriods = 3
-	// A suspicion that nobody refutes or confirms becomes final after this number of periods.
-	suspicionPeriods = 3
+	// A member is suspected after this time of silence.
+	missedTime = 3 * Period
+	// A suspicion that nobody refutes or confirms becomes final after this time.
+	suspicionTime = 3 * Period
 	// isolatedFactor stretches the suspicion while most monitored members are silent at once.
 	isolatedFactor = 5
 	// maxHealth bounds the factor by which a process with a record of own delays stretches its timeouts.
@@ -53,18 +53,19 @@
 	now      func() time.Time
 	chart    *interpreter.Chart
 
-	mu      sync.Mutex
-	rand    *rand.Rand
-	self    Member
-	members map[identifier.Instance]*record
-	ring    []point
-	ticked  time.Time
-	started time.Time
-	health  int
-	healed  time.Time
-	news    []news
-	tokens  float64
-	ignore  bool
+	mu                sync.Mutex
+	rand              *rand.Rand
+	self              Member
+	members           map[identifier.Instance]*record
+	ring              []point
+	ticked            time.Time
+	started           time.Time
+	health            int
+	healed            time.Time
+	news              []news
+	tokens            float64
+	ignore            bool
+	missed, suspicion time.Duration
 
 	sent, received, suspicions, deaths, refutations atomic.Int64
 }
@@ -118,6 +119,11 @@
 	return func(d *Detector) { d.rand = r }
 }
 
+// WithTimeouts sets after which silence a member is suspected and how long a suspicion lasts until it is final.
+func WithTimeouts(missed, suspicion time.Duration) Option {
+	return func(d *Detector) { d.missed, d.suspicion = missed, suspicion }
+}
+
 // WithoutLocalHealth ignores own delays when it judges others.
 func WithoutLocalHealth() Option {
 	return func(d *Detector) { d.ignore = true }
@@ -128,6 +134,7 @@
 	d := &Detector{
 		self: self, members: map[identifier.Instance]*record{}, now: time.Now, chart: interpreter.MustParse(chartText),
 		rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), tokens: relayBurst,
+		missed: missedTime, suspicion: suspicionTime,
 		send: func(identifier.Instance, Message) {}, onChange: func() {}, revision: func() uint64 { return 0 },
 	}
 	for _, o := range opts {
@@ -477,7 +484,7 @@
 		if r.heard.IsZero() {
 			r.heard = now
 		}
-		if now.Sub(r.heard) > missedPeriods*Period*factor {
+		if now.Sub(r.heard) > d.missed*factor {
 			silent = append(silent, r)
 		}
 	}
@@ -519,7 +526,7 @@
 			return true
 		}
 	}
-	return since > suspicionPeriods*Period*factor
+	return since > d.suspicion*factor
 }
 
 // Run ticks once a period with jitter and reads the platform's list until ctx ends, and then announces the leaving.
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -57,6 +57,9 @@
 	answered  bool
 	confirmed time.Time
 	turn      int
+	// ahead is a peer that is known to have a later revision.
+	ahead    identifier.Instance
+	nextPull time.Time
 
 	accepted, refused, reads, pushes, pulls, failures atomic.Int64
 }
@@ -217,10 +220,14 @@
 	return u
 }
 
-// Hear notes that a peer has a revision, without its content; a snapshot below it is refused.
-func (d *Distributor) Hear(revision uint64) {
+// Hear notes that a peer has a revision, as heartbeats tell; the next step pulls from a peer that is ahead, and a
+// snapshot below the revision is refused.
+func (d *Distributor) Hear(peer identifier.Instance, revision uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if revision > d.Revision() {
+		d.ahead = peer
+	}
 	d.heard = max(d.heard, revision)
 	d.answered = true
 }
@@ -340,7 +347,8 @@
 	return nil
 }
 
-// Pull asks one peer, in turn the parent and a random member, for what it has beyond the own revision.
+// Pull asks one peer for what it has beyond the own revision: one that is known to be ahead, else in turn the parent
+// and a random member.
 func (d *Distributor) Pull(ctx context.Context) error {
 	peer := d.nextPeer()
 	if peer == "" || d.pull == nil {
@@ -365,6 +373,11 @@
 	parent := d.tree().Parent(d.self)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if peer := d.ahead; peer != "" {
+		// A peer that does not answer is not asked again until it is heard again.
+		d.ahead = ""
+		return peer
+	}
 	d.turn++
 	if d.turn%2 == 1 || len(members) < 2 {
 		return parent
@@ -380,7 +393,7 @@
 func (d *Distributor) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	wg.Go(func() { d.repeat(ctx, d.poll, d.ReadStep) })
-	wg.Go(func() { d.repeat(ctx, d.pace, d.PullStep) })
+	wg.Go(func() { d.repeat(ctx, d.poll, d.PullStep) })
 	wg.Wait()
 	return nil
 }
@@ -428,10 +441,24 @@
 	return d.now().Sub(d.confirmed) > staleAfter && d.rand.IntN(max(1, len(members))*standInSteps) < Readers
 }
 
-// PullStep is one step of any process: it asks one peer.
+// PullStep is one step of any process: it asks one peer if that is due, or if a peer is known to be ahead.
 func (d *Distributor) PullStep(ctx context.Context) {
+	d.mu.Lock()
+	now := d.now()
+	due := d.ahead != "" || !now.Before(d.nextPull)
+	if due {
+		d.nextPull = now.Add(d.pace)
+	}
+	d.mu.Unlock()
+	if !due {
+		return
+	}
 	if err := d.Pull(ctx); err != nil {
 		d.failures.Add(1)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		// Another peer is asked at the next step.
+		d.nextPull = d.now()
 	}
 }
 
--- a/faultsbencher/billing.go
+++ b/faultsbencher/billing.go
@@ -54,9 +54,11 @@
 // billLoop lets an agent serve one idempotent request.
 func (s *schedule) billLoop(id string) {
 	s.sleep(s.between(time.Second, 38*time.Second))
-	agent, entry := s.anyNode(), s.anyNode()
+	agent := s.anyNode()
+	entry := s.anyNode(agent)
 	s.spawn(agent, func() {
 		agent.record(id, false)
+		s.sendBills(agent, entry)
 		s.sleep(s.between(100*time.Millisecond, 2*time.Second))
 		agent.record(id, true)
 		s.sendBills(agent, entry)
@@ -82,7 +84,7 @@
 func (n *node) handOver() {
 	n.repeat(time.Second, func() {
 		if !n.isEntry() {
-			e := n.s.anyNode()
+			e := n.s.anyNode(n)
 			if e.isEntry() {
 				n.s.sendBills(n, e)
 			}
--- a/faultsbencher/fault.go
+++ b/faultsbencher/fault.go
@@ -81,8 +81,18 @@
 	case KindLeave:
 		n.leave(d)
 	case KindPause:
-		n.disturb(d)
-		n.pausedUntil = window.to
+		if s.rand.IntN(2) == 0 {
+			n.disturb(d)
+			n.pausedUntil = window.to
+			return
+		}
+		// The pause falls between the decision of a lease holder to write and the write.
+		for _, h := range s.nodes {
+			if h.up && h.lease != nil && h.lease.Valid() {
+				n = h
+			}
+		}
+		n.pauseNext = s.between(leaseTerm, 3*leaseTerm)
 	case KindCutTable:
 		n.disturb(d)
 		n.cutTable = window
--- a/faultsbencher/node.go
+++ b/faultsbencher/node.go
@@ -39,10 +39,13 @@
 	up          bool
 	leaving     bool
 	pausedUntil time.Time
-	cutTable    span
-	cutPeers    span
-	wallOffset  time.Duration
-	disturbed   []span
+	// pauseNext pauses the node when it next writes as a lease holder, while writing is set.
+	writing    bool
+	pauseNext  time.Duration
+	cutTable   span
+	cutPeers   span
+	wallOffset time.Duration
+	disturbed  []span
 
 	table    *storer.Table
 	objects  *storer.Objects
@@ -102,15 +105,19 @@
 		Instance: n.name, DataCentre: n.member().DataCentre, Role: detector.RoleEntry,
 	}, append([]detector.Option{
 		detector.WithNow(now), detector.WithRand(s.newRand()), detector.WithOnChange(func() { n.members = nil }),
+		detector.WithRevision(func() uint64 { return n.dist.Revision() }),
 		detector.WithSend(func(to identifier.Instance, m detector.Message) {
-			s.send(n, s.byName[to], func(peer *node) { peer.detector.Receive(m) })
+			s.send(n, s.byName[to], func(peer *node) {
+				peer.detector.Receive(m)
+				peer.dist.Hear(m.From.Instance, m.Revision)
+			})
 		}),
 	}, s.weaken.Detector...)...)
 	n.dist = n.newDistributor(now)
 	n.detector.Merge(s.list.Visible())
 	s.spawn(n, n.heartbeats)
 	s.spawn(n, func() { n.repeat(500*time.Millisecond, func() { n.dist.ReadStep(context.Background()) }) })
-	s.spawn(n, func() { n.repeat(2*time.Second, func() { n.dist.PullStep(context.Background()) }) })
+	s.spawn(n, func() { n.repeat(500*time.Millisecond, func() { n.dist.PullStep(context.Background()) }) })
 	s.spawn(n, func() {
 		// Run ends only with the process.
 		_ = n.biller.Run(context.Background())
@@ -188,7 +195,7 @@
 	n.life++
 	n.up = false
 	n.s.check.crashed(n)
-	n.pausedUntil = time.Time{}
+	n.pausedUntil, n.pauseNext = time.Time{}, 0
 	n.s.after(d, func() {
 		n.s.list.Set(n.s.members())
 		n.start()
@@ -263,6 +270,10 @@
 func (n *node) exchange(do func(*http.Request) (*http.Response, error), cut func() bool) func(*http.Request) (*http.Response, error) {
 	return func(r *http.Request) (*http.Response, error) {
 		s := n.s
+		if n.pauseNext > 0 && n.writing {
+			n.disturb(n.pauseNext)
+			n.pausedUntil, n.pauseNext = s.now.Add(n.pauseNext), 0
+		}
 		// A pause or crash may fall between the decision to write and the write.
 		s.sleep(s.between(0, time.Millisecond))
 		if cut() {
--- a/faultsbencher/schedule.go
+++ b/faultsbencher/schedule.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -90,6 +91,7 @@
 	s.list.Set(s.members())
 	s.list.Lag = listLag
 	s.now = s.now.Add(listLag)
+	s.check.served = s.now
 	for _, n := range s.nodes {
 		n.start()
 	}
@@ -120,10 +122,10 @@
 	return list
 }
 
-// anyNode returns a random node that is up.
-func (s *schedule) anyNode() *node {
+// anyNode returns a random node that is up and not leaving, and not one of those given.
+func (s *schedule) anyNode(but ...*node) *node {
 	for {
-		if n := s.nodes[s.rand.IntN(len(s.nodes))]; n.up {
+		if n := s.nodes[s.rand.IntN(len(s.nodes))]; n.up && !n.leaving && !slices.Contains(but, n) {
 			return n
 		}
 	}
@@ -166,11 +168,13 @@
 				panic("faultsbencher: encode guarded row: " + err.Error())
 			}
 			tx := storer.Transaction{Writes: []storer.Write{{Key: guardedKey, Value: b}}}
+			n.writing = true
 			if f := n.s.weaken.Write; f != nil {
 				err = f(ctx, n.table, le, tx)
 			} else {
 				err = le.Transact(ctx, tx)
 			}
+			n.writing = false
 			if err == nil {
 				n.s.check.leaseServed()
 			}
@@ -254,7 +258,7 @@
 	refused := 0
 	var got *reply
 	for range orders {
-		agent := s.anyNode()
+		agent := s.anyNode(n)
 		s.send(n, agent, func(a *node) {
 			s.spawn(a, func() {
 				r := a.runOrder(n, key, cl)
@@ -294,6 +298,7 @@
 	}
 	body := s.check.executed(key, cl.Request)
 	n.record(key, false)
+	s.sendBills(n, entry)
 	s.sleep(s.between(100*time.Millisecond, 3*time.Second))
 	n.record(key, true)
 	s.sendBills(n, entry)
--- /dev/null
+++ b/faultsbencher/schedule_test.go
@@ -0,0 +1,121 @@
+package faultsbencher_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/claimer"
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/detector"
+	"github.com/siskinfront/siskinfront/distributor"
+	fb "github.com/siskinfront/siskinfront/faultsbencher"
+	"github.com/siskinfront/siskinfront/leaser"
+	"github.com/siskinfront/siskinfront/storer"
+)
+
+// Guards against any invariant broken by one kind of fault alone.
+func TestEachFaultAlone(t *testing.T) {
+	for _, k := range fb.Kinds() {
+		t.Run(string(k), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(4) {
+				o := fb.Run(seed, []fb.Kind{k}, fb.Weaken{})
+				must.MapEmpty(t, o.Broken, must.Sprintf("seed %d", seed))
+				must.Eq(t, k, o.Kind)
+			}
+		})
+	}
+}
+
+// Guards against a schedule that depends on anything but its seed.
+func TestSameSeedSameSchedule(t *testing.T) {
+	a, b := fb.Run(7, fb.Kinds(), fb.Weaken{}), fb.Run(7, fb.Kinds(), fb.Weaken{})
+	must.Eq(t, a.History, b.History)
+	must.Eq(t, a.Checked, b.Checked)
+	must.Eq(t, a.InForce, b.InForce)
+	must.NotEq(t, a.History, fb.Run(8, fb.Kinds(), fb.Weaken{}).History)
+}
+
+// Guards against checks that cannot fail: with one protection off, the schedules must find its violation.
+func TestChecksFindMissingProtection(t *testing.T) {
+	unfenced := func(ctx context.Context, tb *storer.Table, le *leaser.Lease, tx storer.Transaction) error {
+		if !le.Valid() {
+			return leaser.ErrLost
+		}
+		return tb.Transact(ctx, tx)
+	}
+	steal := func(ctx context.Context, tb *storer.Table, l *leaser.Leaser, wall time.Time) (*leaser.Lease, error) {
+		// Frees the lease by the wall clock, which a step moves.
+		key := "lease/rollout/summary-large"
+		if row, err := tb.Get(ctx, key); err == nil {
+			var rec leaser.Record
+			if err := json.Unmarshal(row.Value, &rec); err != nil {
+				return nil, err
+			}
+			if rec.Holder != "" && wall.After(rec.Deadline.Add(time.Second)) {
+				rec.Holder = ""
+				if _, err := tb.Put(ctx, key, row.Version, rec); err != nil {
+					return nil, err
+				}
+			}
+		}
+		return l.Acquire(ctx, "rollout/summary-large")
+	}
+	unconditional := func(ctx context.Context, tb *storer.Table, base uint64, next *configurer.Configuration, by string) (uint64, error) {
+		head := distributor.Head{}
+		row, err := tb.Get(ctx, "config/head")
+		if err != nil || json.Unmarshal(row.Value, &head) != nil || head.Revision == base {
+			return distributor.Commit(ctx, tb, base, next, by)
+		}
+		// Writes the own revision over whatever was accepted meanwhile.
+		head.Revision = base + 1
+		b, err := json.Marshal(head)
+		if err != nil {
+			return 0, err
+		}
+		return head.Revision, tb.Transact(ctx, storer.Transaction{Writes: []storer.Write{{Key: "config/head", Value: b}}})
+	}
+	for _, c := range []struct {
+		name   string
+		kind   fb.Kind
+		weaken fb.Weaken
+		broken fb.Invariant
+	}{
+		{"write without fencing", fb.KindPause, fb.Weaken{Write: unfenced}, fb.LeaseFenced},
+		{"lease by wall clock", fb.KindClockStep, fb.Weaken{Acquire: steal}, fb.LeaseOneHolder},
+		{"run without durable start", fb.KindLostReply, fb.Weaken{
+			Start: func(context.Context, *claimer.Claimer, claimer.Claim) error { return nil },
+		}, fb.ClaimRunsOnce},
+		{"batch acknowledged before it is durable", fb.KindOutage, fb.Weaken{
+			Sink: func(ctx context.Context, key string, b []byte, write func(context.Context, string, []byte) error) error {
+				_ = write(ctx, key, b)
+				return nil
+			},
+		}, fb.BillKept},
+		{"commit without condition", fb.KindSlowCentre, fb.Weaken{Commit: unconditional}, fb.ConfigNoLostUpdate},
+		{"any update accepted", fb.KindCutPeers, fb.Weaken{Distributor: []distributor.Option{
+			distributor.WithAccept(func(have uint64, u distributor.Update) bool { return u.Revision != have }),
+		}}, fb.ConfigForward},
+		{"no pulls and no reads by stand-ins", fb.KindCutPeers, fb.Weaken{Distributor: []distributor.Option{
+			distributor.WithPull(nil),
+		}}, fb.ConfigInForce},
+		{"transaction IDs forgotten", fb.KindLostReply, fb.Weaken{ForgetTransactions: true}, fb.ConfigNoLostUpdate},
+		{"death without suspicion", fb.KindLostReply, fb.Weaken{Detector: []detector.Option{
+			detector.WithTimeouts(time.Second, 0),
+		}}, fb.MemberNotAccused},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(60) {
+				if len(fb.Run(seed, []fb.Kind{c.kind}, c.weaken).Broken[c.broken]) > 0 {
+					return
+				}
+			}
+			t.Fatalf("no violation of %s found", c.broken)
+		})
+	}
+}
