--- a/command_bench.go
+++ b/command_bench.go
@@ -10,6 +10,7 @@
 	"github.com/siskinfront/siskinfront/costbencher"
 	"github.com/siskinfront/siskinfront/choicebencher"
 	"github.com/siskinfront/siskinfront/floodbencher"
+	"github.com/siskinfront/siskinfront/faultsbencher"
 )
 
 // experiments lists the experiments of the bench command.
@@ -18,6 +19,7 @@
 		costbencher.Experiment(),
 		choicebencher.Experiment(),
 		floodbencher.Experiment(),
+		faultsbencher.Experiment(),
 	}
 }
 
