--- a/configurer/configuration.go
+++ b/configurer/configuration.go
@@ -27,6 +27,7 @@
 	Models         []Model         `yaml:"models" json:"models" validate:"dive"`
 	ClientAccounts []ClientAccount `yaml:"client-accounts" json:"client-accounts" validate:"dive"`
 	Services       []Service       `yaml:"services" json:"services" validate:"dive"`
+	Operators      []Operator      `yaml:"operators" json:"operators" validate:"dive"`
 	Spend          Spend           `yaml:"spend" json:"spend"`
 }
 
@@ -69,6 +70,8 @@
 	State VersionState       `yaml:"state" json:"state" validate:"oneof=serving candidate withdrawn"`
 	// Exposure is the share of the model's new work, from 0 to 1, that a candidate receives.
 	Exposure float64 `yaml:"exposure" json:"exposure" validate:"gte=0,lte=1"`
+	// Paused keeps the exposure of a candidate where it is until an operator starts the roll-out again.
+	Paused bool `yaml:"paused" json:"paused"`
 	// InputPrice and OutputPrice are list prices per million tokens.
 	InputPrice  float64 `yaml:"input-price" json:"input-price" validate:"gte=0"`
 	OutputPrice float64 `yaml:"output-price" json:"output-price" validate:"gte=0"`
@@ -131,3 +134,30 @@
 	// OverflowFactor multiplies list prices beyond the commitment.
 	OverflowFactor float64 `yaml:"overflow-factor" json:"overflow-factor" validate:"gte=0"`
 }
+
+// Role is what an operator may do.
+type Role string
+
+// The roles of operators, each including the rights of the one before.
+const (
+	// RoleViewer may read everything but change nothing.
+	RoleViewer Role = "viewer"
+	// RoleOperator may change everything except operators; withdrawing a version needs MayWithdraw.
+	RoleOperator Role = "operator"
+	// RoleAdministrator may also change operators and withdraw versions.
+	RoleAdministrator Role = "administrator"
+)
+
+// Operator is a person or program that uses the administration API.
+type Operator struct {
+	Name string `yaml:"name" json:"name" validate:"required"`
+	Role Role   `yaml:"role" json:"role" validate:"oneof=viewer operator administrator"`
+	// MayWithdraw lets an operator change a version to or from withdrawn.
+	MayWithdraw bool  `yaml:"may-withdraw" json:"may-withdraw"`
+	Keys        []Key `yaml:"keys" json:"keys" validate:"dive"`
+}
+
+// CanWithdraw reports whether the operator may change a version to or from withdrawn.
+func (o *Operator) CanWithdraw() bool {
+	return o.Role == RoleAdministrator || (o.Role == RoleOperator && o.MayWithdraw)
+}
--- /dev/null
+++ b/configurer/encode.go
@@ -0,0 +1,98 @@
+package configurer
+
+import (
+	"bytes"
+	"cmp"
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"time"
+
+	"github.com/goccy/go-yaml"
+)
+
+// Canonical returns a copy whose lists are sorted by name; the order of ranks, versions and an account's kinds of work
+// carries meaning and stays.
+func (c *Configuration) Canonical() *Configuration {
+	n := *c
+	n.WorkKinds = sortedBy(c.WorkKinds, func(k WorkKind) string { return string(k.Name) })
+	n.Models = sortedBy(c.Models, func(m Model) string { return string(m.Name) })
+	n.ClientAccounts = sortedBy(c.ClientAccounts, func(a ClientAccount) string { return string(a.Name) })
+	n.Services = sortedBy(c.Services, func(s Service) string { return string(s.Name) })
+	n.Operators = sortedBy(c.Operators, func(o Operator) string { return o.Name })
+	return &n
+}
+
+func sortedBy[T any](list []T, name func(T) string) []T {
+	list = slices.Clone(list)
+	slices.SortStableFunc(list, func(a, b T) int { return cmp.Compare(name(a), name(b)) })
+	return list
+}
+
+// Marshal returns the configuration as YAML; the same configuration gives the same bytes.
+func Marshal(c *Configuration) ([]byte, error) {
+	return MarshalWithComments(c, nil)
+}
+
+// MarshalWithComments is Marshal with head comments by YAML path, such as $.ranks[0].floor.
+func MarshalWithComments(c *Configuration, comments map[string]string) ([]byte, error) {
+	notes := yaml.CommentMap{}
+	for path, text := range comments {
+		notes[path] = []*yaml.Comment{yaml.HeadComment(" " + text)}
+	}
+	var b bytes.Buffer
+	e := yaml.NewEncoder(&b, yaml.WithComment(notes), yaml.IndentSequence(true))
+	if err := e.Encode(c.Canonical()); err != nil {
+		return nil, fmt.Errorf("configurer: marshal revision %d: %w", c.Revision, err)
+	}
+	return b.Bytes(), nil
+}
+
+// MarshalJSON returns v as JSON with the keys of the YAML form and durations with a unit; Decode reads it back.
+func MarshalJSON(v any) (json.RawMessage, error) {
+	b, err := json.Marshal(Plain(v))
+	if err != nil {
+		return nil, fmt.Errorf("configurer: encode %T: %w", v, err)
+	}
+	return b, nil
+}
+
+// Plain returns v as maps, lists and scalars under the keys of the YAML form, ready for an encoder.
+func Plain(v any) any {
+	return plain(reflect.ValueOf(v))
+}
+
+func plain(v reflect.Value) any {
+	if v.Kind() == reflect.Pointer {
+		if v.IsNil() {
+			return nil
+		}
+		v = v.Elem()
+	}
+	switch x := v.Interface().(type) {
+	case time.Duration:
+		return x.String()
+	case time.Time:
+		return x.Format(time.RFC3339Nano)
+	case encoding.TextMarshaler:
+		return x
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		m := map[string]any{}
+		for name, f := range structFields(v) {
+			m[name] = plain(f)
+		}
+		return m
+	case reflect.Slice:
+		list := make([]any, 0, v.Len())
+		for i := range v.Len() {
+			list = append(list, plain(v.Index(i)))
+		}
+		return list
+	default:
+		return v.Interface()
+	}
+}
--- /dev/null
+++ b/configurer/items.go
@@ -0,0 +1,176 @@
+package configurer
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+// Item is one part of a configuration that is stored and distributed under its own key, such as models/finch.
+type Item struct {
+	Key string `json:"key"`
+	// Value is the JSON form of the part.
+	Value json.RawMessage `json:"value"`
+}
+
+// The keys of items that are not one per name. The order of ranks has a meaning, so they are one item.
+const (
+	ranksKey = "ranks"
+	spendKey = "spend"
+)
+
+// ranksItem gives the list of ranks a name, because Decode reads structs.
+type ranksItem struct {
+	Ranks []Rank `yaml:"ranks"`
+}
+
+// Split returns the items of a configuration sorted by key; the revision is not part of them.
+func Split(c *Configuration) ([]Item, error) {
+	var s splitter
+	s.add(ranksKey, ranksItem{c.Ranks})
+	s.add(spendKey, c.Spend)
+	addAll(&s, "work-kinds", c.WorkKinds, func(k WorkKind) string { return string(k.Name) })
+	addAll(&s, "models", c.Models, func(m Model) string { return string(m.Name) })
+	addAll(&s, "client-accounts", c.ClientAccounts, func(a ClientAccount) string { return string(a.Name) })
+	addAll(&s, "services", c.Services, func(v Service) string { return string(v.Name) })
+	addAll(&s, "operators", c.Operators, func(o Operator) string { return o.Name })
+	if s.err != nil {
+		return nil, s.err
+	}
+	slices.SortFunc(s.items, func(a, b Item) int { return cmp.Compare(a.Key, b.Key) })
+	return s.items, nil
+}
+
+type splitter struct {
+	items []Item
+	err   error
+}
+
+func (s *splitter) add(key string, v any) {
+	b, err := MarshalJSON(v)
+	if err != nil && s.err == nil {
+		s.err = fmt.Errorf("configurer: item %s: %w", key, err)
+	}
+	s.items = append(s.items, Item{Key: key, Value: b})
+}
+
+func addAll[T any](s *splitter, kind string, list []T, name func(T) string) {
+	for _, v := range list {
+		s.add(kind+"/"+name(v), v)
+	}
+}
+
+// Assemble builds a configuration from items in any order and validates it.
+func Assemble(revision uint64, items []Item) (*Configuration, error) {
+	c := &Configuration{Revision: revision}
+	var problems []Problem
+	for _, it := range items {
+		d := assembleItem(c, it)
+		problems = append(problems, d.Problems...)
+	}
+	if len(problems) > 0 {
+		return nil, &InvalidError{Problems: problems}
+	}
+	c = c.Canonical()
+	if err := Validate(c); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func assembleItem(c *Configuration, it Item) *Document {
+	kind, name, named := strings.Cut(it.Key, "/")
+	switch kind {
+	case ranksKey:
+		var r ranksItem
+		d := Decode(it.Key, it.Value, &r)
+		c.Ranks = r.Ranks
+		return d
+	case spendKey:
+		return Decode(it.Key, it.Value, &c.Spend)
+	}
+	if named {
+		switch kind {
+		case "work-kinds":
+			return assemble(it, &c.WorkKinds, identifier.WorkKind(name), func(k WorkKind) identifier.WorkKind { return k.Name })
+		case "models":
+			return assemble(it, &c.Models, identifier.Model(name), func(m Model) identifier.Model { return m.Name })
+		case "client-accounts":
+			return assemble(it, &c.ClientAccounts, identifier.ClientAccount(name),
+				func(a ClientAccount) identifier.ClientAccount { return a.Name })
+		case "services":
+			return assemble(it, &c.Services, identifier.Service(name), func(s Service) identifier.Service { return s.Name })
+		case "operators":
+			return assemble(it, &c.Operators, name, func(o Operator) string { return o.Name })
+		}
+	}
+	d := &Document{File: it.Key}
+	d.Refuse("", "unknown item")
+	return d
+}
+
+func assemble[T any, N ~string](it Item, list *[]T, key N, name func(T) N) *Document {
+	var v T
+	d := Decode(it.Key, it.Value, &v)
+	if len(d.Problems) == 0 && name(v) != key {
+		d.Refuse("name", "%q differs from the key of the item", string(name(v)))
+	}
+	*list = append(*list, v)
+	return d
+}
+
+// Difference is one item that two configurations don't share.
+type Difference struct {
+	Key string `json:"key"`
+	// Before is empty for an added item, After for a removed one.
+	Before json.RawMessage `json:"before,omitempty"`
+	After  json.RawMessage `json:"after,omitempty"`
+}
+
+// Kind returns added, removed or changed.
+func (d Difference) Kind() string {
+	switch {
+	case d.Before == nil:
+		return "added"
+	case d.After == nil:
+		return "removed"
+	default:
+		return "changed"
+	}
+}
+
+// Diff returns the items that differ from a to b, sorted by key.
+func Diff(a, b *Configuration) ([]Difference, error) {
+	before, err := Split(a)
+	if err != nil {
+		return nil, err
+	}
+	after, err := Split(b)
+	if err != nil {
+		return nil, err
+	}
+	byKey := map[string]*Difference{}
+	for _, it := range before {
+		byKey[it.Key] = &Difference{Key: it.Key, Before: it.Value}
+	}
+	for _, it := range after {
+		if d, ok := byKey[it.Key]; ok {
+			d.After = it.Value
+		} else {
+			byKey[it.Key] = &Difference{Key: it.Key, After: it.Value}
+		}
+	}
+	var diff []Difference
+	for _, d := range byKey {
+		if !bytes.Equal(d.Before, d.After) {
+			diff = append(diff, *d)
+		}
+	}
+	slices.SortFunc(diff, func(a, b Difference) int { return cmp.Compare(a.Key, b.Key) })
+	return diff, nil
+}
--- /dev/null
+++ b/configurer/problem.go
@@ -0,0 +1,42 @@
+package configurer
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Problem is one reason why a file is refused.
+type Problem struct {
+	File string `json:"file"`
+	// Line counts from 1 and is 0 when the value did not come from a file.
+	Line    int    `json:"line"`
+	Field   string `json:"field"`
+	Message string `json:"message"`
+}
+
+// String returns the problem as file:line: field: message.
+func (p Problem) String() string {
+	where := p.File
+	if p.Line > 0 {
+		where += fmt.Sprintf(":%d", p.Line)
+	}
+	if p.Field == "" {
+		return where + ": " + p.Message
+	}
+	return where + ": " + p.Field + ": " + p.Message
+}
+
+// InvalidError lists every problem of a refused file or configuration.
+type InvalidError struct {
+	Problems []Problem
+}
+
+// Error lists the problems, one a line.
+func (e *InvalidError) Error() string {
+	lines := make([]string, 0, len(e.Problems)+1)
+	lines = append(lines, fmt.Sprintf("configurer: %d problem(s)", len(e.Problems)))
+	for _, p := range e.Problems {
+		lines = append(lines, p.String())
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/configurer/validate.go
@@ -0,0 +1,185 @@
+package configurer
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+// Parse reads a configuration strictly and returns an InvalidError with every problem of the file.
+func Parse(file string, data []byte) (*Configuration, error) {
+	c := &Configuration{}
+	d := Decode(file, data, c)
+	checkRules(d, c)
+	checkReferences(d, c)
+	if err := d.Err(); err != nil {
+		return nil, err
+	}
+	return c.Canonical(), nil
+}
+
+// Validate checks a configuration that did not come from a file.
+func Validate(c *Configuration) error {
+	d := &Document{File: "configuration"}
+	checkRules(d, c)
+	checkReferences(d, c)
+	return d.Err()
+}
+
+// Check decodes a file into v and applies the field rules of its type; it returns an InvalidError or nil.
+func Check(file string, data []byte, v any) error {
+	d := Decode(file, data, v)
+	checkRules(d, v)
+	return d.Err()
+}
+
+// checkRules applies the validate tags and skips fields that already have a problem.
+func checkRules(d *Document, v any) {
+	check := validator.New(validator.WithRequiredStructEnabled())
+	check.RegisterTagNameFunc(keyOf)
+	var invalid validator.ValidationErrors
+	if err := check.Struct(v); err == nil || !errors.As(err, &invalid) {
+		return
+	}
+	refused := map[string]bool{}
+	for _, p := range d.Problems {
+		refused[p.Field] = true
+	}
+	for _, e := range invalid {
+		_, field, _ := strings.Cut(e.Namespace(), ".")
+		field = strings.TrimPrefix(field, embeddedName(v)+".")
+		if !refused[field] {
+			d.Refuse(field, "%s", ruleText(e))
+		}
+	}
+}
+
+// embeddedName returns the name of the embedded struct that the validator puts into its paths.
+func embeddedName(v any) string {
+	t := reflect.TypeOf(v).Elem()
+	for i := range t.NumField() {
+		if t.Field(i).Anonymous {
+			return t.Field(i).Name
+		}
+	}
+	return "-"
+}
+
+func ruleText(e validator.FieldError) string {
+	texts := map[string]string{
+		"required":      "is missing",
+		"required_with": "is missing; the files for TLS are given together",
+		"gte":           "must be at least " + e.Param(),
+		"lte":           "must be at most " + e.Param(),
+		"gt":            "must be more than " + e.Param(),
+		"gtfield":       "must be more than " + strings.ToLower(e.Param()),
+		"min":           "needs at least " + e.Param() + " entries",
+		"oneof":         "must be one of " + strings.ReplaceAll(e.Param(), " ", ", "),
+		"len":           "must be " + e.Param() + " characters long",
+	}
+	if text, ok := texts[e.Tag()]; ok {
+		return text
+	}
+	return "breaks the rule " + e.Tag() + " " + e.Param()
+}
+
+// checkReferences refuses duplicate names and names that nothing defines.
+func checkReferences(d *Document, c *Configuration) {
+	ranks := unique(d, "ranks", c.Ranks, func(r Rank) identifier.Rank { return r.Name })
+	kinds := unique(d, "work-kinds", c.WorkKinds, func(k WorkKind) identifier.WorkKind { return k.Name })
+	services := unique(d, "services", c.Services, func(s Service) identifier.Service { return s.Name })
+	unique(d, "models", c.Models, func(m Model) identifier.Model { return m.Name })
+	unique(d, "client-accounts", c.ClientAccounts, func(a ClientAccount) identifier.ClientAccount { return a.Name })
+	unique(d, "operators", c.Operators, func(o Operator) string { return o.Name })
+	for i, k := range c.WorkKinds {
+		refer(d, fmt.Sprintf("work-kinds[%d].rank", i), "rank", k.Rank, ranks)
+	}
+	for i, s := range c.Services {
+		refer(d, fmt.Sprintf("services[%d].rank", i), "rank", s.Rank, ranks)
+	}
+	for i, m := range c.Models {
+		field := fmt.Sprintf("models[%d]", i)
+		if m.Name == identifier.ModelAuto {
+			d.Refuse(field+".name", "%q is reserved for the choice by the router", m.Name)
+		}
+		unique(d, field+".versions", m.Versions, func(v Version) identifier.Version { return v.Name })
+	}
+	hashes := map[string]string{}
+	for i, a := range c.ClientAccounts {
+		field := fmt.Sprintf("client-accounts[%d]", i)
+		checkKeys(d, field, a.Keys, hashes)
+		checkAllowed(d, field, c, a.Allowed)
+		for j, k := range a.WorkKinds {
+			refer(d, fmt.Sprintf("%s.work-kinds[%d]", field, j), "kind of work", k, kinds)
+		}
+		for j, s := range a.Services {
+			refer(d, fmt.Sprintf("%s.services[%d]", field, j), "service", s, services)
+		}
+	}
+	for i, o := range c.Operators {
+		checkKeys(d, fmt.Sprintf("operators[%d]", i), o.Keys, hashes)
+	}
+	if s := c.Spend; !s.End.IsZero() && !s.End.After(s.Start) {
+		d.Refuse("spend.end", "must be after spend.start")
+	}
+	if s := c.Spend; s.HardLimit > 0 && s.HardLimit < s.Committed {
+		d.Refuse("spend.hard-limit", "is below spend.committed")
+	}
+}
+
+// checkKeys refuses one key on two accounts, because a key must name exactly one account.
+func checkKeys(d *Document, field string, keys []Key, hashes map[string]string) {
+	unique(d, field+".keys", keys, func(k Key) string { return k.Name })
+	for i, k := range keys {
+		at := fmt.Sprintf("%s.keys[%d].sha256", field, i)
+		if k.SHA256 != strings.ToLower(k.SHA256) {
+			d.Refuse(at, "must be in lower case")
+		}
+		if other, ok := hashes[k.SHA256]; ok && k.SHA256 != "" {
+			d.Refuse(at, "is the same key as %s", other)
+		}
+		hashes[k.SHA256] = at
+	}
+}
+
+func checkAllowed(d *Document, field string, c *Configuration, allowed []Allowed) {
+	unique(d, field+".allowed", allowed, func(a Allowed) identifier.Model { return a.Model })
+	for i, a := range allowed {
+		at := fmt.Sprintf("%s.allowed[%d]", field, i)
+		if a.Model != "" && c.Model(a.Model) == nil {
+			d.Refuse(at+".model", "no model is named %q", a.Model)
+			continue
+		}
+		for j, v := range a.Versions {
+			if c.Version(identifier.Target{Model: a.Model, Version: v}) == nil {
+				d.Refuse(fmt.Sprintf("%s.versions[%d]", at, j), "model %q has no version %q", a.Model, v)
+			}
+		}
+	}
+}
+
+func unique[T any, N ~string](d *Document, field string, list []T, name func(T) N) map[N]bool {
+	seen := make(map[N]bool, len(list))
+	for i, v := range list {
+		n := name(v)
+		if seen[n] && n != "" {
+			d.Refuse(fmt.Sprintf("%s[%d].name", field, i), "the name %q appears twice", string(n))
+		}
+		if strings.ContainsAny(string(n), "/ \t\n") {
+			d.Refuse(fmt.Sprintf("%s[%d].name", field, i), "the name %q holds a slash or white space", string(n))
+		}
+		seen[n] = true
+	}
+	return seen
+}
+
+func refer[N ~string](d *Document, field, what string, name N, known map[N]bool) {
+	if name != "" && !known[name] {
+		d.Refuse(field, "no %s is named %q", what, string(name))
+	}
+}
