questioner: generate the configuration from a team's answers

Cause: each new team fills in a questionnaire; nobody writes the configuration by hand. Change: answers file and interview in the terminal, contradictions and references named with both questions, YAML with the reasons as comments, the questionnaire command, answers and generated configuration of both deployments, keys of examples derived from names.

--- a/command.go
+++ b/command.go
@@ -19,7 +19,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newBenchCommand(), newDemoCommand(), newVersionCommand())
+	root.AddCommand(newBenchCommand(), newDemoCommand(), newQuestionnaireCommand(), newVersionCommand())
 	return root
 }
 
--- /dev/null
+++ b/command_questionnaire.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/mattn/go-isatty"
+	"github.com/spf13/cobra"
+
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/questioner"
+)
+
+// fileMode is the mode of generated files, which hold key hashes and no secrets.
+const fileMode = 0o600
+
+func newQuestionnaireCommand() *cobra.Command {
+	var answers, save, compare, output string
+	var accessible bool
+	cmd := &cobra.Command{
+		Use:   "questionnaire",
+		Short: "Ask about work, accounts and spend, and generate the configuration",
+		Long: "Ask about work, accounts and spend in a terminal, or read the answers from a file, and write the configuration\n" +
+			"to standard output. With --compare, what changed is listed on standard error.",
+		Example: "  siskinfront questionnaire --save-answers answers.yaml > configuration.yaml\n" +
+			"  siskinfront questionnaire --answers examples/solas-sraide/answers.yaml",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := checkOutput(output); err != nil {
+				return err
+			}
+			a, err := askOrRead(cmd, answers, accessible)
+			if err != nil {
+				return err
+			}
+			generated, err := questioner.Generate(a)
+			if err != nil {
+				return err
+			}
+			if save != "" {
+				if err := saveAnswers(save, a); err != nil {
+					return err
+				}
+			}
+			if compare != "" {
+				old, err := readConfiguration(compare)
+				if err != nil {
+					return err
+				}
+				next, err := questioner.Configuration(a)
+				if err != nil {
+					return err
+				}
+				if err := writeDiff(cmd.ErrOrStderr(), output, old, next); err != nil {
+					return err
+				}
+			}
+			_, err = cmd.OutOrStdout().Write(generated)
+			return err
+		},
+	}
+	cmd.Flags().StringVar(&answers, "answers", "", "read the answers from this file instead of asking")
+	cmd.Flags().StringVar(&save, "save-answers", "", "write the answers to this file")
+	cmd.Flags().StringVar(&compare, "compare", "", "list on standard error what changed from this configuration")
+	cmd.Flags().BoolVar(&accessible, "accessible", false, "ask line by line, for screen readers")
+	addOutputFlag(cmd, &output)
+	return cmd
+}
+
+// askOrRead reads the answers from the file, or asks in a terminal with the defaults as a start.
+func askOrRead(cmd *cobra.Command, file string, accessible bool) (*questioner.Answers, error) {
+	if file != "" {
+		data, err := os.ReadFile(filepath.Clean(file))
+		if err != nil {
+			return nil, fmt.Errorf("questionnaire: %w", err)
+		}
+		return questioner.Parse(file, data)
+	}
+	opts := []questioner.Option{questioner.WithInput(cmd.InOrStdin()), questioner.WithOutput(cmd.ErrOrStderr())}
+	if in, ok := cmd.InOrStdin().(*os.File); ok && !accessible && !isatty.IsTerminal(in.Fd()) {
+		return nil, errors.New("questionnaire: standard input is not a terminal; use --answers FILE or --accessible")
+	}
+	if accessible {
+		opts = append(opts, questioner.WithAccessible())
+	}
+	return questioner.NewInterview(opts...).Run(cmd.Context(), questioner.Defaults(time.Now()))
+}
+
+func saveAnswers(file string, a *questioner.Answers) error {
+	b, err := questioner.Marshal(a)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Clean(file), b, fileMode); err != nil {
+		return fmt.Errorf("questionnaire: %w", err)
+	}
+	return nil
+}
+
+func readConfiguration(file string) (*configurer.Configuration, error) {
+	data, err := os.ReadFile(filepath.Clean(file))
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return configurer.Parse(file, data)
+}
--- a/configurer/validate.go
+++ b/configurer/validate.go
@@ -15,7 +15,7 @@
 func Parse(file string, data []byte) (*Configuration, error) {
 	c := &Configuration{}
 	d := Decode(file, data, c)
-	checkRules(d, c)
+	CheckRules(d, c)
 	checkReferences(d, c)
 	if err := d.Err(); err != nil {
 		return nil, err
@@ -26,7 +26,7 @@
 // Validate checks a configuration that did not come from a file.
 func Validate(c *Configuration) error {
 	d := &Document{File: "configuration"}
-	checkRules(d, c)
+	CheckRules(d, c)
 	checkReferences(d, c)
 	return d.Err()
 }
@@ -34,12 +34,12 @@
 // Check decodes a file into v and applies the field rules of its type; it returns an InvalidError or nil.
 func Check(file string, data []byte, v any) error {
 	d := Decode(file, data, v)
-	checkRules(d, v)
+	CheckRules(d, v)
 	return d.Err()
 }
 
-// checkRules applies the validate tags and skips fields that already have a problem.
-func checkRules(d *Document, v any) {
+// CheckRules applies the validate tags of v, a pointer to a struct, and skips fields that already have a problem.
+func CheckRules(d *Document, v any) {
 	check := validator.New(validator.WithRequiredStructEnabled())
 	check.RegisterTagNameFunc(keyOf)
 	var invalid validator.ValidationErrors
--- /dev/null
+++ b/questioner/doc.go
@@ -0,0 +1,2 @@
+// Package questioner turns a team's answers into a complete configuration, asked in a terminal or read from a file.
+package questioner
--- /dev/null
+++ b/questioner/questions.go
@@ -0,0 +1,211 @@
+package questioner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/huh"
+
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+// Defaults returns the answers that the interview starts from.
+func Defaults(now time.Time) Answers {
+	start := time.Date(now.Year(), now.Month(), 1, 0, 0, 0, 0, time.UTC)
+	return Answers{
+		Ranks: []RankAnswer{
+			{Name: "urgent", FirstToken: 1400 * time.Millisecond, BetweenTokens: 60 * time.Millisecond, GiveUp: 10 * time.Second, Kept: 0.6, Worth: 1},
+			{Name: "normal", FirstToken: 3 * time.Second, BetweenTokens: 120 * time.Millisecond, GiveUp: 30 * time.Second, Kept: 0.25, Worth: 0.2},
+			{Name: "batch", FirstToken: time.Minute, BetweenTokens: time.Second, GiveUp: time.Hour, Kept: 0.05, Worth: 0.02},
+		},
+		Spend: SpendAnswer{Currency: "EUR", Start: start, End: start.AddDate(0, 1, 0), Overflow: 1},
+	}
+}
+
+// pages lists the pages of the interview in their order.
+func (v *Interview) pages(a *Answers) []func(context.Context) (step, error) {
+	return []func(context.Context) (step, error){
+		v.single(func(p *page) {
+			text(p, "What is your team called?", "The name appears in the generated file.", &a.Team)
+			text(p, "In which region do you run?", "A name such as ie-west.", &a.Region)
+		}),
+		list(v, "Rank", &a.Ranks, func() RankAnswer {
+			return RankAnswer{BetweenTokens: time.Second, FirstToken: time.Minute, GiveUp: time.Hour}
+		}, askRank),
+		list(v, "Kind of work", &a.Work, func() WorkAnswer { return WorkAnswer{Quality: 0.7, Longest: 512, PerDay: 1000, Prompt: 400} },
+			func(p *page, w *WorkAnswer) { askWork(p, a, w) }),
+		list(v, "Model", &a.Models, func() ModelAnswer { return ModelAnswer{Versions: []VersionAnswer{{Name: "v1", Quality: 0.8}}} }, askModel),
+		list(v, "Plain service", &a.Services, func() ServiceAnswer { return ServiceAnswer{} },
+			func(p *page, s *ServiceAnswer) { askService(p, a, s) }),
+		list(v, "Client account", &a.Accounts, func() AccountAnswer { return AccountAnswer{} },
+			func(p *page, c *AccountAnswer) { askAccount(p, a, c) }),
+		v.single(func(p *page) { askSpend(p, &a.Spend) }),
+		v.single(func(p *page) {
+			p.yes("Are there nights without staff?", "Bad versions are rolled back automatically at any hour.", &a.Nights.Unattended)
+			p.yes("May new versions be tried while nobody is there?", "If not, trials start paused and an operator starts them.", &a.Nights.Trials)
+			text(p, "Why?", "The reason appears as a comment.", &a.Nights.Reason)
+		}),
+		list(v, "Operator", &a.Operators, func() OperatorAnswer { return OperatorAnswer{Role: configurer.RoleOperator} }, askOperator),
+	}
+}
+
+func rankNames(a *Answers) []identifier.Rank {
+	list := make([]identifier.Rank, 0, len(a.Ranks))
+	for _, r := range a.Ranks {
+		list = append(list, r.Name)
+	}
+	return list
+}
+
+// rank asks for one of the ranks answered before; the first is the default.
+func rank(p *page, a *Answers, v *identifier.Rank) {
+	known := rankNames(a)
+	if *v == "" && len(known) > 0 {
+		*v = known[0]
+	}
+	options := make([]huh.Option[identifier.Rank], 0, len(known))
+	for _, n := range known {
+		options = append(options, huh.NewOption(string(n), n))
+	}
+	p.fields = append(p.fields, huh.NewSelect[identifier.Rank]().Title("Which rank does it have?").Options(options...).Value(v))
+}
+
+func askRank(p *page, r *RankAnswer) {
+	text(p, "Name of the rank", "The most urgent rank comes first.", &r.Name)
+	p.duration("Within what time must an answer start?", "Met for 95 of 100 requests.", &r.FirstToken)
+	p.duration("What pause within an answer is acceptable?", "Met for 95 of 100 pauses.", &r.BetweenTokens)
+	p.duration("After what time is an answer useless?", "Such requests are dropped before they run.", &r.GiveUp)
+	p.number("What share of capacity does the rank keep in any overload?", "From 0 to 1; the shares sum to at most 1.", &r.Kept)
+	p.number("What is one answer worth?", "In the currency of the spend.", &r.Worth)
+	text(p, "Why?", "The reason appears as a comment.", &r.Reason)
+}
+
+func askWork(p *page, a *Answers, w *WorkAnswer) {
+	text(p, "Name of the kind of work", "Callers send it in Siskinfront-Work-Kind.", &w.Name)
+	rank(p, a, &w.Rank)
+	p.number("What quality do answers need on average?", "A rating from 0 to 1.", &w.Quality)
+	p.yes("Would running a request twice do harm?", "Such requests run at most once, as an order or a refund does.", &w.RunsOnce)
+	p.count("How long is the longest answer?", "In tokens.", &w.Longest)
+	p.count("How many requests do you expect a day?", "An estimate is enough.", &w.PerDay)
+	p.count("How long is a usual request?", "In tokens.", &w.Prompt)
+	text(p, "Why?", "The reason appears as a comment.", &w.Reason)
+}
+
+func askModel(p *page, m *ModelAnswer) {
+	text(p, "Name of the model", "As callers name it; auto is reserved.", &m.Name)
+	p.input("Which versions does it have?", "For each: name, price in, price out, expected quality, share on trial; separated by semicolons.",
+		versionsText(m.Versions), func(s string) error {
+			list, err := parseVersions(s)
+			if err != nil {
+				return err
+			}
+			m.Versions = list
+			return nil
+		})
+	text(p, "Why?", "The reason appears as a comment.", &m.Reason)
+}
+
+func versionsText(list []VersionAnswer) string {
+	texts := make([]string, 0, len(list))
+	for _, v := range list {
+		texts = append(texts, fmt.Sprintf("%s %g %g %g %g", v.Name, v.InputPrice, v.OutputPrice, v.Quality, v.OnTrial))
+	}
+	return strings.Join(texts, "; ")
+}
+
+func parseVersions(s string) ([]VersionAnswer, error) {
+	var list []VersionAnswer
+	for part := range strings.SplitSeq(s, ";") {
+		var v VersionAnswer
+		if _, err := fmt.Sscan(part, &v.Name, &v.InputPrice, &v.OutputPrice, &v.Quality, &v.OnTrial); err != nil {
+			return nil, errors.New("each version needs a name and four numbers, such as v1 0.2 0.6 0.8 0")
+		}
+		list = append(list, v)
+	}
+	return list, nil
+}
+
+func askService(p *page, a *Answers, s *ServiceAnswer) {
+	text(p, "Name of the service", "It is reached under /services/NAME/. Remove this entry if there is none.", &s.Name)
+	rank(p, a, &s.Rank)
+	var calls []string
+	for _, c := range s.RunsOnce {
+		calls = append(calls, c.Method+" "+c.Path)
+	}
+	p.input("Which calls may not be repeated?", "Method and path prefix, such as POST /orders; separated by commas.", strings.Join(calls, ", "),
+		func(text string) error {
+			var list []configurer.Call
+			for part := range strings.SplitSeq(text, ",") {
+				method, path, ok := strings.Cut(strings.TrimSpace(part), " ")
+				if !ok {
+					return errors.New("a method and a path such as POST /orders are needed")
+				}
+				list = append(list, configurer.Call{Method: method, Path: path})
+			}
+			s.RunsOnce = list
+			return nil
+		})
+	text(p, "Why?", "The reason appears as a comment.", &s.Reason)
+}
+
+func askAccount(p *page, a *Answers, c *AccountAnswer) {
+	kinds := make([]identifier.WorkKind, 0, len(a.Work))
+	for _, w := range a.Work {
+		kinds = append(kinds, w.Name)
+	}
+	models := make([]identifier.Model, 0, len(a.Models))
+	for _, m := range a.Models {
+		models = append(models, m.Name)
+	}
+	services := make([]identifier.Service, 0, len(a.Services))
+	for _, s := range a.Services {
+		services = append(services, s.Name)
+	}
+	allowed := make([]identifier.Model, 0, len(c.Allowed))
+	for _, m := range c.Allowed {
+		allowed = append(allowed, m.Model)
+	}
+	text(p, "Name of the client account", "", &c.Name)
+	p.yes("Does it ask for much more than most?", "A large account has four times the share of a small one.", &c.Large)
+	names(p, "Which kinds of work does it ask for?", "Separated by commas; the first is the default.", &c.Work, kinds)
+	names(p, "Which models may it use?", "Separated by commas; a list of versions can be added in the answers file.", &allowed, models)
+	p.stores = append(p.stores, func() { c.Allowed = mergeAllowed(c.Allowed, allowed) })
+	names(p, "Which plain services may it call?", "Separated by commas.", &c.Services, services)
+	p.number("What limit has it in tokens a second?", "0 means none.", &c.TokensPerSecond)
+	text(p, "Why?", "The reason appears as a comment.", &c.Reason)
+}
+
+// mergeAllowed keeps the versions of models that were allowed before.
+func mergeAllowed(before []configurer.Allowed, models []identifier.Model) []configurer.Allowed {
+	list := make([]configurer.Allowed, 0, len(models))
+	for _, m := range models {
+		entry := configurer.Allowed{Model: m}
+		for _, b := range before {
+			if b.Model == m {
+				entry = b
+			}
+		}
+		list = append(list, entry)
+	}
+	return list
+}
+
+func askSpend(p *page, s *SpendAnswer) {
+	text(p, "In which currency do you pay?", "Prices and worth use the same.", &s.Currency)
+	p.day("On which day does the period start?", "As in 2026-01-01.", &s.Start)
+	p.day("On which day does the next period start?", "As in 2027-01-01.", &s.End)
+	p.number("What do you owe in any case?", "For the whole period.", &s.Committed)
+	p.number("What may it never exceed?", "0 means no limit.", &s.HardLimit)
+	p.number("By what factor do prices rise beyond the commitment?", "1 means list prices.", &s.Overflow)
+	text(p, "Why?", "The reason appears as a comment.", &s.Reason)
+}
+
+func askOperator(p *page, o *OperatorAnswer) {
+	text(p, "Name of the operator", "It appears in the history of changes.", &o.Name)
+	text(p, "What may the operator do?", "viewer, operator or administrator.", &o.Role)
+	p.yes("May the operator withdraw a version?", "An administrator always may.", &o.MayWithdraw)
+}
