--- /dev/null
+++ b/administrator/server.go
@@ -0,0 +1,192 @@
+package administrator
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/siskinfront/siskinfront/configurer"
+)
+
+// maxBodyBytes bounds a request body; a configuration at the target size is about 1 MB.
+const maxBodyBytes = 8 << 20
+
+// Server serves the administration API and is safe for concurrent use; make one with New.
+type Server struct {
+	store  Store
+	now    func() time.Time
+	random io.Reader
+	log    *slog.Logger
+	mux    *http.ServeMux
+
+	mu       sync.Mutex
+	counters map[string]int64
+}
+
+// Option configures a Server.
+type Option func(*Server)
+
+// WithNow sets the clock.
+func WithNow(now func() time.Time) Option { return func(s *Server) { s.now = now } }
+
+// WithRandom sets the source of key secrets; it must be cryptographically secure outside of tests.
+func WithRandom(r io.Reader) Option { return func(s *Server) { s.random = r } }
+
+// WithLog sets the logger.
+func WithLog(l *slog.Logger) Option { return func(s *Server) { s.log = l } }
+
+// New returns a server on the store.
+func New(store Store, opts ...Option) *Server {
+	s := &Server{
+		store: store, now: time.Now, random: rand.Reader, log: slog.Default(),
+		mux: http.NewServeMux(), counters: map[string]int64{},
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	for _, r := range s.routes() {
+		s.mux.HandleFunc(r.Method+" "+r.Path, s.handle(r))
+	}
+	s.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		s.writeError(w, r, fail(http.StatusNotFound, "not-found", "there is no %s %s", r.Method, r.URL.Path))
+	})
+	return s
+}
+
+// ServeHTTP serves the API.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(w, r)
+}
+
+// Counters returns the number of requests, changes and errors by code.
+func (s *Server) Counters() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := make(map[string]int64, len(s.counters))
+	for k, n := range s.counters {
+		m[k] = n
+	}
+	return m
+}
+
+// State is what the state dump shows of the administration API.
+type State struct {
+	Counters map[string]int64 `json:"counters"`
+}
+
+// State returns the counters.
+func (s *Server) State() any {
+	return State{Counters: s.Counters()}
+}
+
+func (s *Server) count(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counters[name]++
+}
+
+// call is one authenticated request.
+type call struct {
+	*http.Request
+	operator *configurer.Operator
+	current  *configurer.Configuration
+}
+
+// reply is what a handler returns.
+type reply struct {
+	status int
+	etag   string
+	body   any
+}
+
+// Route is one operation of the API.
+type Route struct {
+	Method, Path string
+	// Role is the least role that may call it.
+	Role configurer.Role
+	// Conditional is set when the request needs If-Match.
+	Conditional bool
+	// Summary says in one sentence what it does.
+	Summary string
+	handler func(c *call) (reply, error)
+}
+
+// handle authenticates the operator, checks the role and answers with the ETag.
+func (s *Server) handle(route Route) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.count("requests")
+		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		answer, err := s.serve(route, r)
+		if err != nil {
+			s.writeError(w, r, err)
+			return
+		}
+		if answer.etag != "" {
+			w.Header().Set("ETag", answer.etag)
+		}
+		w.Header().Set("Cache-Control", "no-store")
+		if answer.body == nil {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		writeJSON(w, max(answer.status, http.StatusOK), answer.body)
+	}
+}
+
+func (s *Server) serve(route Route, r *http.Request) (reply, error) {
+	current, err := s.store.Load(r.Context())
+	if err != nil {
+		return reply{}, err
+	}
+	operator := authenticate(current, r)
+	if operator == nil {
+		return reply{}, fail(http.StatusUnauthorized, "invalid-key", "the operator key is missing or unknown")
+	}
+	if rights(operator.Role) < rights(route.Role) {
+		return reply{}, fail(http.StatusForbidden, "role-too-low", "operator %q has the role %s; %s is needed", operator.Name, operator.Role, route.Role)
+	}
+	if route.Conditional && r.Header.Get("If-Match") == "" {
+		return reply{}, fail(http.StatusPreconditionRequired, "if-match-required", "send If-Match with the ETag of what you read, or * for something new")
+	}
+	return route.handler(&call{Request: r, operator: operator, current: current})
+}
+
+func rights(r configurer.Role) int {
+	switch r {
+	case configurer.RoleViewer:
+		return 1
+	case configurer.RoleOperator:
+		return 2
+	case configurer.RoleAdministrator:
+		return 3
+	default:
+		return 0
+	}
+}
+
+// authenticate returns the operator of the request's key, or nil; it compares with every hash in constant time, so that
+// the time of an answer does not tell which operators exist.
+func authenticate(c *configurer.Configuration, r *http.Request) *configurer.Operator {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" || len(r.Header.Values("Authorization")) > 1 {
+		return nil
+	}
+	sum := sha256.Sum256([]byte(key))
+	got := []byte(hex.EncodeToString(sum[:]))
+	var found *configurer.Operator
+	for i := range c.Operators {
+		for _, k := range c.Operators[i].Keys {
+			if subtle.ConstantTimeCompare(got, []byte(k.SHA256)) == 1 {
+				found = &c.Operators[i]
+			}
+		}
+	}
+	return found
+}
