--- a/administrator/whole.go
+++ b/administrator/whole.go
@@ -35,7 +35,7 @@
 func (s *Server) routes() []Route {
 	const path = "/admin/v1/configuration"
 	routes := []Route{
-		{Method: http.MethodGet, Path: path, Role: configurer.RoleViewer, Summary: "Read the whole configuration.", handler: s.getWhole},
+		{Method: http.MethodGet, Path: path, Role: configurer.RoleViewer, Summary: "Read the whole configuration, or with ?revision= an earlier one.", handler: s.getWhole},
 		{Method: http.MethodPut, Path: path, Role: configurer.RoleOperator, Conditional: true,
 			Summary: "Apply a whole configuration, JSON or YAML; with ?dry-run=true only show what would change.", handler: s.putWhole},
 		{Method: http.MethodGet, Path: path + "/history", Role: configurer.RoleViewer, Summary: "List who changed what and when, the newest first.", handler: s.history},
@@ -64,6 +64,17 @@
 }
 
 func (s *Server) getWhole(c *call) (reply, error) {
+	if text := c.URL.Query().Get("revision"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return reply{}, fail(http.StatusBadRequest, "bad-revision", "?revision= needs a revision")
+		}
+		earlier, err := s.at(c, n)
+		if err != nil {
+			return reply{}, err
+		}
+		return reply{etag: revisionTag(earlier), body: configurer.Plain(earlier)}, nil
+	}
 	return reply{etag: revisionTag(c.current), body: configurer.Plain(c.current)}, nil
 }
 
--- a/command.go
+++ b/command.go
@@ -19,7 +19,15 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newBenchCommand(), newDemoCommand(), newQuestionnaireCommand(), newVersionCommand())
+	root.AddCommand(
+		newBenchCommand(),
+		newConfigCommand(),
+		newDemoCommand(),
+		newExplainCommand(),
+		newQuestionnaireCommand(),
+		newStateCommand(),
+		newVersionCommand(),
+	)
 	return root
 }
 
--- /dev/null
+++ b/command_config.go
@@ -0,0 +1,338 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/siskinfront/siskinfront/administrator"
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/questioner"
+)
+
+// operatorKeyVariable names the environment variable with the operator key; a flag would show it in the list of processes.
+const operatorKeyVariable = "SISKINFRONT_OPERATOR_KEY"
+
+// adminFlags are the flags of commands that call the administration API.
+type adminFlags struct {
+	address string
+	keyFile string
+}
+
+func (f *adminFlags) add(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.address, "address", "", "IP address and port of the administration API of any entry")
+	cmd.Flags().StringVar(&f.keyFile, "key-file", "", "file with the operator key; without it $"+operatorKeyVariable+" is used")
+}
+
+func (f *adminFlags) client() (*administrator.Client, error) {
+	address, err := netip.ParseAddrPort(f.address)
+	if err != nil {
+		return nil, fmt.Errorf("config: --address: %w", err)
+	}
+	key := os.Getenv(operatorKeyVariable)
+	if f.keyFile != "" {
+		b, err := os.ReadFile(filepath.Clean(f.keyFile))
+		if err != nil {
+			return nil, fmt.Errorf("config: read operator key: %w", err)
+		}
+		key = string(b)
+	}
+	if key = strings.TrimSpace(key); key == "" {
+		return nil, errors.New("config: no operator key; set $" + operatorKeyVariable + " or use --key-file")
+	}
+	return administrator.NewClient(address, key), nil
+}
+
+func newConfigCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:     "config",
+		Short:   "Check, apply, show and compare configurations",
+		Example: "  siskinfront config check configuration.yaml",
+	}
+	cmd.AddCommand(newConfigCheckCommand(), newConfigApplyCommand(), newConfigShowCommand(), newConfigDiffCommand(), newConfigHistoryCommand())
+	return cmd
+}
+
+// checkResult is the JSON form of a check.
+type checkResult struct {
+	File     string               `json:"file"`
+	Accepted bool                 `json:"accepted"`
+	Problems []configurer.Problem `json:"problems"`
+	Warnings []configurer.Warning `json:"warnings"`
+}
+
+// errRefused is returned by a check whose problems have been printed.
+var errRefused = errors.New("config: the file is refused")
+
+func newConfigCheckCommand() *cobra.Command {
+	var kind, output string
+	cmd := &cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a file and list every problem and warning",
+		Example: "  siskinfront config check configuration.yaml\n" +
+			"  siskinfront config check --kind entry entry.yaml",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := checkOutput(output); err != nil {
+				return err
+			}
+			data, err := os.ReadFile(filepath.Clean(args[0]))
+			if err != nil {
+				return fmt.Errorf("config: %w", err)
+			}
+			result, err := checkFile(kind, args[0], data)
+			if err != nil {
+				return err
+			}
+			if err := writeCheck(cmd.OutOrStdout(), output, result); err != nil {
+				return err
+			}
+			if !result.Accepted {
+				return errRefused
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&kind, "kind", "configuration", "configuration, entry, agent or answers")
+	addOutputFlag(cmd, &output)
+	return cmd
+}
+
+func checkFile(kind, file string, data []byte) (checkResult, error) {
+	result := checkResult{File: file, Problems: []configurer.Problem{}, Warnings: []configurer.Warning{}}
+	var err error
+	switch kind {
+	case "configuration":
+		var c *configurer.Configuration
+		if c, err = configurer.Parse(file, data); err == nil {
+			result.Warnings = append(result.Warnings, configurer.Warnings(c)...)
+		}
+	case "entry":
+		_, err = configurer.ParseEntrySettings(file, data)
+	case "agent":
+		_, err = configurer.ParseAgentSettings(file, data)
+	case "answers":
+		_, err = questioner.Parse(file, data)
+	default:
+		return result, fmt.Errorf("config: --kind is %q; it must be configuration, entry, agent or answers", kind)
+	}
+	var invalid *configurer.InvalidError
+	if errors.As(err, &invalid) {
+		result.Problems = invalid.Problems
+	} else if err != nil {
+		return result, err
+	}
+	result.Accepted = err == nil
+	return result, nil
+}
+
+func writeCheck(w io.Writer, output string, result checkResult) error {
+	rows := make([][]string, 0, len(result.Problems)+len(result.Warnings))
+	for _, p := range result.Problems {
+		rows = append(rows, []string{"problem", p.File, strconv.Itoa(p.Line), p.Field, p.Message})
+	}
+	for _, n := range result.Warnings {
+		rows = append(rows, []string{"warning", result.File, "", n.Field, n.Message})
+	}
+	if len(rows) == 0 && output == outputTable {
+		_, err := fmt.Fprintf(w, "%s: accepted, no warnings\n", result.File)
+		return err
+	}
+	return writeRows(w, output, result, []string{"finding", "file", "line", "field", "message"}, rows)
+}
+
+func newConfigApplyCommand() *cobra.Command {
+	var admin adminFlags
+	var output string
+	var base uint64
+	var dryRun bool
+	cmd := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Make a file the configuration, if nobody has changed it since",
+		Long: "Make a file the configuration. The revision in the file, or --base, names the configuration that the file was\n" +
+			"made from; if another change came first, nothing is applied.",
+		Example: "  siskinfront config show --address 10.0.0.4:7003 > c.yaml\n" +
+			"  siskinfront config apply --address 10.0.0.4:7003 --dry-run c.yaml",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := checkOutput(output); err != nil {
+				return err
+			}
+			next, err := readConfiguration(args[0])
+			if err != nil {
+				return err
+			}
+			client, err := admin.client()
+			if err != nil {
+				return err
+			}
+			if !cmd.Flags().Changed("base") {
+				base = next.Revision
+			}
+			reply, err := client.Apply(cmd.Context(), base, next, dryRun)
+			if err != nil {
+				return raceHint(err)
+			}
+			if output == outputJSON {
+				return writeRows(cmd.OutOrStdout(), output, reply, nil, nil)
+			}
+			for _, n := range reply.Warnings {
+				fmt.Fprintf(cmd.ErrOrStderr(), "warning: %s: %s\n", n.Field, n.Message)
+			}
+			if err := writeDifferences(cmd.OutOrStdout(), output, reply.Changes); err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "revision %d, dry run %t\n", reply.Revision, reply.DryRun)
+			return err
+		},
+	}
+	admin.add(cmd)
+	cmd.Flags().Uint64Var(&base, "base", 0, "revision that the file was made from, instead of the one in the file")
+	cmd.Flags().BoolVar(&dryRun, "dry-run", false, "only show what would change")
+	addOutputFlag(cmd, &output)
+	return cmd
+}
+
+// raceHint adds the current revision to the error of the loser of a race.
+func raceHint(err error) error {
+	var failure *administrator.APIError
+	if errors.As(err, &failure) && failure.ETag != "" {
+		return fmt.Errorf("%w; the current revision is %s", err, strings.Trim(failure.ETag, `"`))
+	}
+	return err
+}
+
+func newConfigShowCommand() *cobra.Command {
+	var admin adminFlags
+	var output string
+	var revision uint64
+	cmd := &cobra.Command{
+		Use:   "show",
+		Short: "Print the configuration as YAML or JSON",
+		Example: "  siskinfront config show --address 10.0.0.4:7003\n" +
+			"  siskinfront config show --address 10.0.0.4:7003 --revision 41",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			client, err := admin.client()
+			if err != nil {
+				return err
+			}
+			var which *uint64
+			if cmd.Flags().Changed("revision") {
+				which = &revision
+			}
+			c, err := client.Configuration(cmd.Context(), which)
+			if err != nil {
+				return err
+			}
+			switch output {
+			case "yaml":
+				b, err := configurer.Marshal(c)
+				if err != nil {
+					return err
+				}
+				_, err = cmd.OutOrStdout().Write(b)
+				return err
+			case outputJSON:
+				return writeRows(cmd.OutOrStdout(), output, configurer.Plain(c), nil, nil)
+			default:
+				return fmt.Errorf("--output is %q; it must be yaml or json", output)
+			}
+		},
+	}
+	admin.add(cmd)
+	cmd.Flags().Uint64Var(&revision, "revision", 0, "an earlier revision instead of the current one")
+	cmd.Flags().StringVar(&output, "output", "yaml", "yaml or json")
+	return cmd
+}
+
+func newConfigDiffCommand() *cobra.Command {
+	var admin adminFlags
+	var output string
+	var from, to uint64
+	cmd := &cobra.Command{
+		Use:   "diff [FILE FILE]",
+		Short: "Show what differs between two files or two revisions",
+		Example: "  siskinfront config diff old.yaml new.yaml\n" +
+			"  siskinfront config diff --address 10.0.0.4:7003 --from 41 --to 42",
+		Args: func(_ *cobra.Command, args []string) error {
+			if len(args) != 0 && len(args) != 2 {
+				return errors.New("config: diff needs two files, or none with --from and --to")
+			}
+			return nil
+		},
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := checkOutput(output); err != nil {
+				return err
+			}
+			if len(args) == 2 {
+				a, err := readConfiguration(args[0])
+				if err != nil {
+					return err
+				}
+				b, err := readConfiguration(args[1])
+				if err != nil {
+					return err
+				}
+				return writeDiff(cmd.OutOrStdout(), output, a, b)
+			}
+			if !cmd.Flags().Changed("from") || !cmd.Flags().Changed("to") {
+				return errors.New("config: diff needs --from and --to, or two files")
+			}
+			client, err := admin.client()
+			if err != nil {
+				return err
+			}
+			diff, err := client.Diff(cmd.Context(), from, to)
+			if err != nil {
+				return err
+			}
+			return writeDifferences(cmd.OutOrStdout(), output, diff)
+		},
+	}
+	admin.add(cmd)
+	cmd.Flags().Uint64Var(&from, "from", 0, "the earlier revision")
+	cmd.Flags().Uint64Var(&to, "to", 0, "the later revision")
+	addOutputFlag(cmd, &output)
+	return cmd
+}
+
+func newConfigHistoryCommand() *cobra.Command {
+	var admin adminFlags
+	var output string
+	cmd := &cobra.Command{
+		Use:     "history",
+		Short:   "List who changed what and when, the newest first",
+		Example: "  siskinfront config history --address 10.0.0.4:7003",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := checkOutput(output); err != nil {
+				return err
+			}
+			client, err := admin.client()
+			if err != nil {
+				return err
+			}
+			changes, err := client.History(cmd.Context())
+			if err != nil {
+				return err
+			}
+			rows := make([][]string, 0, len(changes))
+			for _, c := range changes {
+				rows = append(rows, []string{strconv.FormatUint(c.Revision, 10), c.At.Format(time.RFC3339), c.By, strings.Join(c.Items, " ")})
+			}
+			return writeRows(cmd.OutOrStdout(), output, changes, []string{"revision", "at", "by", "items"}, rows)
+		},
+	}
+	admin.add(cmd)
+	addOutputFlag(cmd, &output)
+	return cmd
+}
--- /dev/null
+++ b/command_operation_test.go
@@ -0,0 +1,203 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/spf13/cobra"
+
+	"github.com/siskinfront/siskinfront/administrator"
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/dumper"
+	"github.com/siskinfront/siskinfront/explainer"
+	"github.com/siskinfront/siskinfront/questioner"
+)
+
+// execute runs the program in this process and returns its two outputs.
+func execute(t testing.TB, args ...string) (string, string, error) {
+	t.Helper()
+	var out, errOut bytes.Buffer
+	root := newRootCommand()
+	root.SetArgs(args)
+	root.SetOut(&out)
+	root.SetErr(&errOut)
+	err := root.ExecuteContext(t.Context())
+	return out.String(), errOut.String(), err
+}
+
+func serve(t testing.TB, h http.Handler) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// Guards against an example that the program itself refuses, or that has doubtful parts.
+func TestConfigCheckAcceptsExamples(t *testing.T) {
+	for _, dir := range []string{"solas-sraide", "muleta-certa"} {
+		for kind, name := range map[string]string{"configuration": "configuration.yaml", "answers": "answers.yaml"} {
+			file := filepath.Join("examples", dir, name)
+			out, _, err := execute(t, "config", "check", "--kind", kind, file)
+			must.NoError(t, err)
+			must.EqOp(t, file+": accepted, no warnings\n", out)
+		}
+	}
+	for _, kind := range []string{"entry", "agent"} {
+		_, _, err := execute(t, "config", "check", "--kind", kind, "configurer/testdata/"+kind+".yaml")
+		must.NoError(t, err)
+	}
+}
+
+// Guards against a refusal without its place, in the table and in JSON.
+func TestConfigCheckRefuses(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "c.yaml")
+	must.NoError(t, os.WriteFile(file, []byte("revision: 1\nrnks: []\n"), 0o600))
+	out, _, err := execute(t, "config", "check", file)
+	must.ErrorIs(t, err, errRefused)
+	must.RegexMatch(t, regexp.MustCompile(`problem +\S+c.yaml +2 +rnks +unknown key`), out)
+	out, _, err = execute(t, "config", "check", "--output", "json", file)
+	must.ErrorIs(t, err, errRefused)
+	var result checkResult
+	must.NoError(t, json.Unmarshal([]byte(out), &result))
+	must.False(t, result.Accepted)
+	must.EqOp(t, 2, result.Problems[0].Line)
+	_, _, err = execute(t, "config", "check", "--kind", "weather", file)
+	must.ErrorContains(t, err, "--kind")
+}
+
+// Guards against a questionnaire that writes something else than the configuration to standard output.
+func TestQuestionnaire(t *testing.T) {
+	const dir = "examples/muleta-certa/"
+	want, err := os.ReadFile(dir + "configuration.yaml")
+	must.NoError(t, err)
+	answers, err := os.ReadFile(dir + "answers.yaml")
+	must.NoError(t, err)
+	changed := filepath.Join(t.TempDir(), "answers.yaml")
+	must.NoError(t, os.WriteFile(changed, bytes.Replace(answers, []byte("worth: 0.8"), []byte("worth: 0.9"), 1), 0o600))
+
+	out, _, err := execute(t, "questionnaire", "--answers", dir+"answers.yaml")
+	must.NoError(t, err)
+	must.EqOp(t, string(want), out)
+	out, diff, err := execute(t, "questionnaire", "--answers", changed, "--compare", dir+"configuration.yaml")
+	must.NoError(t, err)
+	must.StrContains(t, out, "worth: 0.9")
+	must.RegexMatch(t, regexp.MustCompile(`changed +ranks `), diff)
+	must.EqOp(t, 2, strings.Count(diff, "\n"))
+	_, _, err = execute(t, "questionnaire", "--answers", dir+"configuration.yaml")
+	must.ErrorContains(t, err, "unknown key")
+}
+
+// Guards against the loss of another operator's change by apply, and against a way from show to apply that does not work.
+func TestConfigAgainstServer(t *testing.T) {
+	a, err := os.ReadFile("examples/solas-sraide/answers.yaml")
+	must.NoError(t, err)
+	answers, err := questioner.Parse("a", a)
+	must.NoError(t, err)
+	first, err := questioner.Configuration(answers)
+	must.NoError(t, err)
+	server := administrator.New(administrator.NewMemoryStore(first, time.Now), administrator.WithLog(slog.New(slog.NewTextHandler(io.Discard, nil))))
+	address := serve(t, server)
+	keyFile := filepath.Join(t.TempDir(), "key")
+	must.NoError(t, os.WriteFile(keyFile, []byte(questioner.OperatorKey(answers.Team, "duty-engineer")+"\n"), 0o600))
+	admin := func(args ...string) (string, error) {
+		out, _, err := execute(t, append([]string{"config"}, append(args, "--address", address, "--key-file", keyFile)...)...)
+		return out, err
+	}
+	shown, err := admin("show")
+	must.NoError(t, err)
+	file := filepath.Join(t.TempDir(), "c.yaml")
+	must.NoError(t, os.WriteFile(file, []byte(strings.Replace(shown, "committed: 60000.0", "committed: 61000.0", 1)), 0o600))
+
+	out, err := admin("apply", "--dry-run", file)
+	must.NoError(t, err)
+	must.StrContains(t, out, "revision 0, dry run true")
+	out, err = admin("apply", file)
+	must.NoError(t, err)
+	must.RegexMatch(t, regexp.MustCompile(`changed +spend `), out)
+	must.StrContains(t, out, "revision 1, dry run false")
+	_, err = admin("apply", file)
+	must.ErrorContains(t, err, "changed-meanwhile")
+	must.ErrorContains(t, err, "the current revision is 1")
+	_, err = admin("apply", "--base", "1", file)
+	must.NoError(t, err)
+
+	out, err = admin("history")
+	must.NoError(t, err)
+	must.RegexMatch(t, regexp.MustCompile(`1 +\S+ +duty-engineer +spend`), out)
+	out, err = admin("diff", "--from", "0", "--to", "1", "--output", "json")
+	must.NoError(t, err)
+	var diff []configurer.Difference
+	must.NoError(t, json.Unmarshal([]byte(out), &diff))
+	must.EqOp(t, "spend", diff[0].Key)
+	out, err = admin("show", "--revision", "0")
+	must.NoError(t, err)
+	must.EqOp(t, shown, out)
+
+	must.NoError(t, os.WriteFile(keyFile, []byte("wrong"), 0o600))
+	_, err = admin("show")
+	must.ErrorContains(t, err, "invalid-key")
+	out, _, err = execute(t, "config", "diff", "examples/solas-sraide/configuration.yaml", file)
+	must.NoError(t, err)
+	must.RegexMatch(t, regexp.MustCompile(`changed +spend `), out)
+}
+
+// Guards against a state or record that does not reach the operator.
+func TestStateAndExplain(t *testing.T) {
+	e := explainer.New(4)
+	e.Add(explainer.Record{Request: "r-1", Upstream: "drafting-1", Steps: []explainer.Step{{Part: "selector", Decision: "finch@v1", Reason: "cheapest"}}})
+	d := dumper.New("entry-1")
+	d.Register("explainer", e.State)
+	d.Register("dumper", d.State)
+	mux := http.NewServeMux()
+	mux.Handle(dumper.Path, d)
+	mux.Handle(explainer.PathPrefix, e)
+	address := serve(t, mux)
+
+	out, _, err := execute(t, "state", address)
+	must.NoError(t, err)
+	must.RegexMatch(t, regexp.MustCompile(`dumper +parts +2`), out)
+	must.RegexMatch(t, regexp.MustCompile(`explainer +capacity +4`), out)
+	out, _, err = execute(t, "state", address, "--part", "explainer", "--output", "json")
+	must.NoError(t, err)
+	must.StrContains(t, out, `"instance": "entry-1"`)
+	must.StrNotContains(t, out, "dumper")
+	_, _, err = execute(t, "state", address, "--part", "nothing")
+	must.ErrorContains(t, err, "no part")
+
+	out, _, err = execute(t, "explain", "r-1", "--address", address)
+	must.NoError(t, err)
+	must.RegexMatch(t, regexp.MustCompile(`selector +finch@v1 +cheapest`), out)
+	_, _, err = execute(t, "explain", "r-2", "--address", address)
+	must.ErrorIs(t, err, explainer.ErrNotFound)
+}
+
+// Guards against a command without help, an example, or an answer to a wrong --output.
+func TestCommandsHaveHelp(t *testing.T) {
+	var visit func(cmd *cobra.Command)
+	visit = func(cmd *cobra.Command) {
+		must.NotEq(t, "", cmd.Short, must.Sprint(cmd.CommandPath()))
+		must.StrContains(t, cmd.Example, "siskinfront", must.Sprint(cmd.CommandPath()))
+		for _, child := range cmd.Commands() {
+			visit(child)
+		}
+	}
+	visit(newRootCommand())
+	for _, args := range [][]string{
+		{"config", "check", "x"}, {"config", "apply", "x"}, {"config", "diff"}, {"config", "history"}, {"state", "127.0.0.1:1"},
+		{"explain", "r"}, {"questionnaire"},
+	} {
+		_, _, err := execute(t, append(args, "--output", "xml")...)
+		must.ErrorContains(t, err, "must be table or json", must.Sprint(args))
+	}
+}
--- /dev/null
+++ b/dumper/doc.go
@@ -0,0 +1,2 @@
+// Package dumper assembles the states of the parts of a process into one JSON document for operators.
+package dumper
