--- a/administrator/server_test.go
+++ b/administrator/server_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -63,7 +62,7 @@
 func newServer(t testing.TB) (*administrator.Server, func(name string) client) {
 	t.Helper()
 	store := administrator.NewMemoryStore(configuration(), func() time.Time { return time.Unix(1e9, 0).UTC() })
-	s := administrator.New(store, administrator.WithLog(slog.New(slog.NewTextHandler(io.Discard, nil))))
+	s := administrator.New(store, administrator.WithLog(slog.New(slog.DiscardHandler)))
 	return s, func(name string) client { return client{t, s, name} }
 }
 
@@ -153,7 +152,7 @@
 		"bring back":        {"operator", "POST", "models/finch/versions/v3/start", "tag", "", 403, "may-not-withdraw"},
 		"delete model":      {"operator", "DELETE", "models/finch", "tag", "", 403, "may-not-withdraw"},
 		"change operators":  {"duty", "POST", "operators/duty/keys", "tag", `{"name": "x"}`, 403, "role-too-low"},
-		"unknown field":     {"operator", "PUT", "spend", "tag", `{"comitted": 1}`, 422, "invalid-configuration"},
+		"unknown field":     {"operator", "PUT", "spend", "tag", `{"commit": 1}`, 422, "invalid-configuration"},
 		"dangling":          {"operator", "PUT", "work-kinds/check", "tag", `{"name":"check","rank":"x","max-tokens":1}`, 422, "invalid-configuration"},
 		"still used":        {"operator", "DELETE", "work-kinds/check", "tag", "", 422, "invalid-configuration"},
 		"other name":        {"operator", "PUT", "work-kinds/check", "tag", `{"name":"chek","rank":"batch","max-tokens":1}`, 422, "name-differs"},
--- a/command_operation_test.go
+++ b/command_operation_internal_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -106,7 +105,7 @@
 	must.NoError(t, err)
 	first, err := questioner.Configuration(answers)
 	must.NoError(t, err)
-	server := administrator.New(administrator.NewMemoryStore(first, time.Now), administrator.WithLog(slog.New(slog.NewTextHandler(io.Discard, nil))))
+	server := administrator.New(administrator.NewMemoryStore(first, time.Now), administrator.WithLog(slog.New(slog.DiscardHandler)))
 	address := serve(t, server)
 	keyFile := filepath.Join(t.TempDir(), "key")
 	must.NoError(t, os.WriteFile(keyFile, []byte(questioner.OperatorKey(answers.Team, "duty-engineer")+"\n"), 0o600))
--- a/configurer/configuration_test.go
+++ b/configurer/configuration_test.go
@@ -118,7 +118,7 @@
 	b.Spend.Committed++
 	diff, err := configurer.Diff(a, b)
 	must.NoError(t, err)
-	var got []string
+	got := make([]string, 0, len(diff))
 	for _, d := range diff {
 		got = append(got, d.Kind()+" "+d.Key)
 	}
--- a/configurer/settings_test.go
+++ b/configurer/settings_test.go
@@ -70,8 +70,9 @@
 		_, section, found := strings.Cut(string(page), "\n## "+heading+"\n")
 		must.True(t, found, must.Sprint(heading))
 		section, _, _ = strings.Cut(section, "\n## ")
-		var got []string
-		for _, m := range regexp.MustCompile("(?m)^\\| `([^`]+)`").FindAllStringSubmatch(section, -1) {
+		rows := regexp.MustCompile("(?m)^\\| `([^`]+)`").FindAllStringSubmatch(section, -1)
+		got := make([]string, 0, len(rows))
+		for _, m := range rows {
 			got = append(got, m[1])
 		}
 		want := configurer.Keys(v)
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"net/url"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -146,7 +147,7 @@
 	}
 	record, ok := e.Find(identifier.Request(name))
 	if name == "" || !ok {
-		http.Error(w, "no record of that request; the process keeps the newest "+fmt.Sprint(len(e.records)), http.StatusNotFound)
+		http.Error(w, "no record of that request; the process keeps the newest "+strconv.Itoa(len(e.records)), http.StatusNotFound)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -113,8 +113,9 @@
 func TestMetricsAreDocumented(t *testing.T) {
 	page, err := os.ReadFile("../docs/metrics.md")
 	must.NoError(t, err)
-	var got, want []string
-	for _, m := range regexp.MustCompile("(?m)^\\| `([^`]+)`").FindAllStringSubmatch(string(page), -1) {
+	rows := regexp.MustCompile("(?m)^\\| `([^`]+)`").FindAllStringSubmatch(string(page), -1)
+	got, want := make([]string, 0, len(rows)), make([]string, 0, len(rows))
+	for _, m := range rows {
 		got = append(got, m[1])
 	}
 	for _, c := range meter.Counters() {
--- a/questioner/questions.go
+++ b/questioner/questions.go
@@ -132,7 +132,7 @@
 func askService(p *page, a *Answers, s *ServiceAnswer) {
 	text(p, "Name of the service", "It is reached under /services/NAME/. Remove this entry if there is none.", &s.Name)
 	rank(p, a, &s.Rank)
-	var calls []string
+	calls := make([]string, 0, len(s.RunsOnce))
 	for _, c := range s.RunsOnce {
 		calls = append(calls, c.Method+" "+c.Path)
 	}
