--- a/command_bench.go
+++ b/command_bench.go
@@ -7,10 +7,10 @@
 	"github.com/spf13/cobra"
 
 	"github.com/siskinfront/siskinfront/bencher"
-	"github.com/siskinfront/siskinfront/costbencher"
 	"github.com/siskinfront/siskinfront/choicebencher"
-	"github.com/siskinfront/siskinfront/floodbencher"
+	"github.com/siskinfront/siskinfront/costbencher"
 	"github.com/siskinfront/siskinfront/faultsbencher"
+	"github.com/siskinfront/siskinfront/floodbencher"
 )
 
 // experiments lists the experiments of the bench command.
