assembler: build entry and agent processes from the parts

Cause: the packages exist side by side and no process uses them together. Change: entry and agent processes with control calls, directory of upstreams, ratings, roll-outs, bills, claims, spend and administration; a preempted run keeps its ticket, so it cannot be refused after it has started.

--- a/agentserver/admission.go
+++ b/agentserver/admission.go
@@ -24,9 +24,13 @@
 
 // Ticket is the right to use one slot of the upstream.
 type Ticket struct {
-	// Preempted is closed when the slot must be given up; it may be nil.
-	Preempted <-chan struct{}
-	// Finish gives the slot back and tells how many tokens were made; it is called once.
+	// Preempted returns a channel that is closed when the slot of the current run must be given up. Without Preempted and
+	// Resume the slot is kept to the end.
+	Preempted func() <-chan struct{}
+	// Resume gives a preempted slot back, tells how many tokens were made so far, and waits for the next one. Its error
+	// ends the run.
+	Resume func(ctx context.Context, tokens int) error
+	// Finish gives the slot back and tells how many tokens were made over all runs; it is called once.
 	Finish func(tokens int)
 }
 
--- a/agentserver/execute.go
+++ b/agentserver/execute.go
@@ -29,15 +29,7 @@
 	if r.order.Call != nil {
 		a = &serviceAttempt{s: s, r: r}
 	}
-	for {
-		final, err := s.once(ctx, r, a)
-		if errors.Is(err, errPreempted) {
-			s.counters.preempted.Add(1)
-			continue
-		}
-		s.end(r, final)
-		return
-	}
+	s.end(r, s.admitted(ctx, r, a))
 }
 
 // attempt is one way to run an order at the upstream; run may be called again after errPreempted and continues then.
@@ -45,40 +37,48 @@
 	run(ctx context.Context) (streamer.Frame, error)
 }
 
-// once waits for a slot and runs the order in it. It returns errPreempted if the slot was withdrawn before the end.
-func (s *Server) once(ctx context.Context, r *run, a attempt) (streamer.Frame, error) {
-	ticket, err := s.Admit(ctx, Item{Order: r.order, Cost: float64(r.order.PromptTokens + r.order.MaxTokens - r.tokens)})
+// admitted waits for a slot, runs the order in it, and waits for the next one after each preemption.
+func (s *Server) admitted(ctx context.Context, r *run, a attempt) streamer.Frame {
+	ticket, err := s.Admit(ctx, Item{Order: r.order, Cost: float64(r.order.PromptTokens + r.order.MaxTokens)})
 	var refusal *RefusalError
 	switch {
-	case err == nil:
-	case errors.As(err, &refusal) && r.outcomeNow() == streamer.OutcomeNotRun:
-		return refusedFrame(refusal), nil
 	case errors.As(err, &refusal):
-		// A preempted run was refused its next slot.
-		if r.tokens > 0 {
-			s.addBill(r, nil, false)
-		}
-		return streamer.Frame{Kind: streamer.KindFailed, Code: refusal.Code, Outcome: r.outcomeNow()}, nil
-	default:
-		return s.interrupted(ctx, r), nil
+		return refusedFrame(refusal)
+	case err != nil:
+		return s.interrupted(ctx, r)
 	}
-	before := r.tokens
-	defer func() { ticket.Finish(r.tokens - before) }()
+	defer func() { ticket.Finish(r.tokens) }()
 	if !s.Now().Before(r.order.Deadline) {
-		return s.interrupted(ctx, r), nil
+		return s.interrupted(ctx, r)
+	}
+	// The configuration may have changed while the order waited.
+	if err := s.check(r.order); errors.As(err, &refusal) {
+		return refusedFrame(refusal)
 	}
-	if r.outcomeNow() == streamer.OutcomeNotRun {
-		// The configuration may have changed while the order waited.
-		if err := s.check(r.order); errors.As(err, &refusal) {
-			return refusedFrame(refusal), nil
+	for {
+		final, err := s.once(ctx, r, a, &ticket)
+		if !errors.Is(err, errPreempted) {
+			return final
+		}
+		s.counters.preempted.Add(1)
+		if err := ticket.Resume(ctx, r.tokens); err != nil {
+			if r.tokens > 0 {
+				s.addBill(r, nil, false)
+			}
+			return s.interrupted(ctx, r)
 		}
 	}
+}
+
+// once runs the order in the current slot. It returns errPreempted if the slot was withdrawn before the end.
+func (s *Server) once(ctx context.Context, r *run, a attempt, ticket *Ticket) (streamer.Frame, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if ticket.Preempted != nil {
+		preempted := ticket.Preempted()
 		go func() {
 			select {
-			case <-ticket.Preempted:
+			case <-preempted:
 				cancel(errPreempted)
 			case <-ctx.Done():
 			}
--- /dev/null
+++ b/assembler/admin.go
@@ -0,0 +1,65 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/siskinfront/siskinfront/administrator"
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/distributor"
+)
+
+// adminStore gives the administration API the configuration in the table.
+func (e *Entry) adminStore() administrator.Store {
+	return administrator.Store{
+		Load: func(ctx context.Context) (*configurer.Configuration, error) {
+			// An operator who has just made a change must see it, so the table is read rather than the own copy.
+			if err := e.distributor.Read(ctx); err != nil {
+				return nil, err
+			}
+			return e.distributor.Current(), nil
+		},
+		Commit: func(ctx context.Context, base uint64, next *configurer.Configuration, by string) (uint64, error) {
+			revision, err := distributor.Commit(ctx, e.table, base, next, by)
+			if errors.Is(err, distributor.ErrConflict) {
+				return 0, fmt.Errorf("%w: %w", administrator.ErrConflict, err)
+			}
+			if err == nil {
+				// The other processes learn it from their readers; a failed read here changes nothing.
+				_ = e.distributor.Read(ctx)
+			}
+			return revision, err
+		},
+		History: e.history,
+	}
+}
+
+// history rebuilds the configuration after each change by taking the changes back one by one.
+func (e *Entry) history(ctx context.Context) ([]administrator.Change, error) {
+	if err := e.distributor.Read(ctx); err != nil {
+		return nil, err
+	}
+	changes, err := distributor.History(ctx, e.table)
+	if err != nil {
+		return nil, err
+	}
+	slices.SortFunc(changes, func(a, b distributor.Change) int { return int(b.Revision) - int(a.Revision) })
+	items := map[string]distributor.Item{}
+	for _, it := range e.distributor.Since(0).Items {
+		items[it.Key] = it
+	}
+	out := make([]administrator.Change, 0, len(changes))
+	for _, c := range changes {
+		cfg, err := distributor.Join(c.Revision, items)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, administrator.Change{Revision: c.Revision, By: c.By, At: c.At, Configuration: cfg})
+		for _, it := range c.Before {
+			items[it.Key] = it
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/assembler/admission.go
@@ -0,0 +1,122 @@
+package assembler
+
+import (
+	"context"
+	"reflect"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/siskinfront/siskinfront/admitter"
+	"github.com/siskinfront/siskinfront/agentserver"
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// accountQueueShare is the part of an agent's queue that one client account may fill.
+const accountQueueShare = 4
+
+// admission is the agent's queue under the ranks of the configuration in force. A change of the ranks starts a new
+// queue; work in the old one finishes under its own slots.
+type admission struct {
+	settings *configurer.AgentSettings
+	current  atomic.Pointer[admitter.Admitter]
+	weights  atomic.Pointer[map[identifier.ClientAccount]float64]
+
+	mu       sync.Mutex
+	ranks    []configurer.Rank
+	draining bool
+	replaced int64
+}
+
+func newAdmission(s *configurer.AgentSettings) *admission {
+	return &admission{settings: s}
+}
+
+// configure takes a new configuration.
+func (a *admission) configure(cfg *configurer.Configuration) {
+	weights := make(map[identifier.ClientAccount]float64, len(cfg.ClientAccounts))
+	for i := range cfg.ClientAccounts {
+		weights[cfg.ClientAccounts[i].Name] = cfg.ClientAccounts[i].Weight
+	}
+	a.weights.Store(&weights)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if reflect.DeepEqual(a.ranks, cfg.Ranks) {
+		return
+	}
+	a.ranks = cfg.Ranks
+	s := a.settings
+	next := admitter.New(
+		admitter.WithRanks(cfg.Ranks), admitter.WithSlots(s.Upstream.Slots), admitter.WithWeight(a.weight),
+		admitter.WithQueue(s.Limits.MaxQueued, max(1, s.Limits.MaxQueued/accountQueueShare)),
+	)
+	if a.draining {
+		next.Drain()
+	}
+	if old := a.current.Swap(next); old != nil {
+		a.replaced++
+		old.Drain()
+	}
+}
+
+func (a *admission) weight(name identifier.ClientAccount) float64 {
+	if w, ok := (*a.weights.Load())[name]; ok {
+		return w
+	}
+	return 1
+}
+
+// admit waits for a slot.
+func (a *admission) admit(ctx context.Context, it agentserver.Item) (agentserver.Ticket, error) {
+	q := a.current.Load()
+	if q == nil {
+		return agentserver.Ticket{}, &agentserver.RefusalError{Code: "no-configuration", RetryAt: time.Now().Add(leaseRetry)}
+	}
+	t, err := q.Admit(ctx, admitter.Item{Order: it.Order, Cost: it.Cost, Resumable: it.Order.Service == ""})
+	if r := admitter.IsRefusal(err); r != nil {
+		if ctx.Err() != nil {
+			return agentserver.Ticket{}, ctx.Err()
+		}
+		return agentserver.Ticket{}, &agentserver.RefusalError{Code: r.Code, RetryAt: r.RetryAt}
+	}
+	if err != nil {
+		return agentserver.Ticket{}, err
+	}
+	return agentserver.Ticket{Preempted: t.Preempted, Resume: t.Resume, Finish: t.Finish}, nil
+}
+
+func (a *admission) load() streamer.Load {
+	if q := a.current.Load(); q != nil {
+		return q.Load()
+	}
+	return streamer.Load{At: time.Now(), Leaving: true}
+}
+
+// drain refuses new work from now on.
+func (a *admission) drain() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.draining = true
+	if q := a.current.Load(); q != nil {
+		q.Drain()
+	}
+}
+
+// Counters returns those of the current queue.
+func (a *admission) Counters() map[string]int64 {
+	q := a.current.Load()
+	if q == nil {
+		return map[string]int64{}
+	}
+	return q.Counters()
+}
+
+// State returns that of the current queue.
+func (a *admission) State() any {
+	if q := a.current.Load(); q != nil {
+		return q.State()
+	}
+	return admitter.State{}
+}
--- /dev/null
+++ b/assembler/entry.go
@@ -0,0 +1,311 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/siskinfront/siskinfront/administrator"
+	"github.com/siskinfront/siskinfront/balancer"
+	"github.com/siskinfront/siskinfront/biller"
+	"github.com/siskinfront/siskinfront/claimer"
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/detector"
+	"github.com/siskinfront/siskinfront/entryserver"
+	"github.com/siskinfront/siskinfront/estimator"
+	"github.com/siskinfront/siskinfront/explainer"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/limiter"
+	"github.com/siskinfront/siskinfront/messenger"
+	"github.com/siskinfront/siskinfront/meter"
+	"github.com/siskinfront/siskinfront/pinner"
+	"github.com/siskinfront/siskinfront/promoter"
+	"github.com/siskinfront/siskinfront/selector"
+	"github.com/siskinfront/siskinfront/spender"
+)
+
+// Entry is an entry process.
+type Entry struct {
+	*process
+	settings  configurer.EntrySettings
+	listeners entryListeners
+
+	server    *entryserver.Server
+	admin     *administrator.Server
+	balancer  *balancer.Balancer
+	directory *directory
+	estimator *estimator.Estimator
+	selector  *selector.Selector
+	spender   *spender.Spender
+	claimer   *claimer.Claimer
+	biller    *biller.Biller
+	holders   *billHolders
+	pinner    *pinner.Pinner
+	explainer *explainer.Explainer
+	accounts  *limiter.Accounts
+	retries   *limiter.Budget
+	quality   *quality
+	rollouts  *rollouts
+}
+
+type entryListeners struct {
+	caller, admin, control, debug net.Listener
+}
+
+// EntryAddresses are the addresses on which an entry serves.
+type EntryAddresses struct {
+	Caller, Admin, Control, Debug netip.AddrPort
+}
+
+// NewEntry opens the listeners of the settings, where port 0 lets the system choose, and builds the process. The data
+// centres of the deployment divide the committed spend and must be the same in all entries.
+func NewEntry(ctx context.Context, s configurer.EntrySettings, opts ...EntryOption) (*Entry, error) {
+	e := &Entry{holders: newBillHolders()}
+	options := entryOptions{dataCentres: []identifier.DataCentre{s.DataCentre}}
+	for _, opt := range opts {
+		opt(&options)
+	}
+	if err := e.listen(ctx, &s); err != nil {
+		return nil, errors.Join(err, e.Close())
+	}
+	e.settings = s
+	self := detector.Member{
+		Instance: s.Instance, DataCentre: s.DataCentre, Region: s.Region, Role: detector.RoleEntry,
+		Control: s.ControlAddress, Data: s.CallerAddress,
+	}
+	p, err := newProcess(s.ProcessSettings, self, func(*configurer.Configuration) {}, e.membersChanged)
+	if err != nil {
+		return nil, errors.Join(err, e.Close())
+	}
+	e.process = p
+	e.build(options)
+	return e, nil
+}
+
+// EntryOption configures an Entry.
+type EntryOption func(*entryOptions)
+
+type entryOptions struct {
+	dataCentres []identifier.DataCentre
+}
+
+// WithDataCentres names all data centres of the deployment.
+func WithDataCentres(all ...identifier.DataCentre) EntryOption {
+	return func(o *entryOptions) { o.dataCentres = all }
+}
+
+func (e *Entry) listen(ctx context.Context, s *configurer.EntrySettings) error {
+	for _, x := range []struct {
+		l *net.Listener
+		a *netip.AddrPort
+	}{
+		{&e.listeners.caller, &s.CallerAddress}, {&e.listeners.admin, &s.AdminAddress},
+		{&e.listeners.control, &s.ControlAddress}, {&e.listeners.debug, &s.DebugAddress},
+	} {
+		l, err := listen(ctx, *x.a)
+		if err != nil {
+			return err
+		}
+		*x.l, *x.a = l, addressOf(l)
+	}
+	return nil
+}
+
+// Close closes the listeners of a process that was not run.
+func (e *Entry) Close() error {
+	var errs []error
+	for _, l := range []net.Listener{e.listeners.caller, e.listeners.admin, e.listeners.control, e.listeners.debug} {
+		if l != nil {
+			errs = append(errs, l.Close())
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// Addresses returns where the entry serves.
+func (e *Entry) Addresses() EntryAddresses {
+	s := &e.settings
+	return EntryAddresses{Caller: s.CallerAddress, Admin: s.AdminAddress, Control: s.ControlAddress, Debug: s.DebugAddress}
+}
+
+func (e *Entry) build(o entryOptions) {
+	s := &e.settings
+	current := e.distributor.Current
+	e.directory = newDirectory(e.process)
+	e.balancer = balancer.New(s.DataCentre, balancer.WithRegion(s.Region), balancer.WithInstance(s.Instance),
+		balancer.WithProbe(e.directory.probe))
+	e.directory.update = e.balancer.Update
+	e.estimator = estimator.New(estimator.WithSource(s.Instance), estimator.WithPrior(e.prior))
+	ledger := spender.NewTableLedger(current, e.spendTable(), s.DataCentre, o.dataCentres)
+	e.spender = spender.New(current, ledger.Ledger())
+	e.selector = selector.New(selector.WithEstimator(e.estimator), selector.WithPriceFactor(e.spender.PriceFactor))
+	e.claimer = claimer.New(e.table)
+	e.biller = biller.New(s.Instance, []biller.Sink{biller.TableSink(e.table), biller.ObjectSink(e.objects)},
+		biller.WithMaxBytes(int(s.Limits.MaxBillBytes)))
+	e.pinner = pinner.New(pinner.WithInstances(s.Instance, e.regionEntries), pinner.WithConfiguration(current),
+		pinner.WithAsk(func(ctx context.Context, owner identifier.Instance, q pinner.Question) (identifier.Target, error) {
+			return ask[pinner.Question, identifier.Target](ctx, e.peers, owner, methodPin, q)
+		}),
+		pinner.WithWrite(e.writePins))
+	e.explainer = explainer.New(s.Limits.DecisionRecords)
+	e.accounts = limiter.NewAccounts(limiter.WithShare(e.shareOfLimits))
+	e.retries = limiter.NewBudget()
+	e.quality = newQuality(e)
+	e.rollouts = newRollouts(e)
+	e.admin = administrator.New(e.adminStore(), administrator.WithLog(e.log))
+	e.server = entryserver.New(
+		entryserver.WithConfiguration(current), entryserver.WithSelect(e.selectTarget), entryserver.WithPin(e.pinner.Pin),
+		entryserver.WithChoose(e.choose), entryserver.WithClaim(e.claim), entryserver.WithRecord(e.record),
+		entryserver.WithRetry(e.retries.Allow, e.retries.Success), entryserver.WithExplain(e.explain),
+		entryserver.WithLimit(e.accounts.Allow), entryserver.WithAttempts(e.balancer.Begin, e.attemptEnded, e.balancer.Report),
+	)
+	messenger.Handle(e.mux, methodPin, func(ctx context.Context, _ messenger.Peer, q pinner.Question) (identifier.Target, error) {
+		return e.pinner.Answer(ctx, q)
+	})
+	messenger.Handle(e.mux, methodObservations, func(_ context.Context, _ messenger.Peer, list []promoter.Observation) (None, error) {
+		e.rollouts.receive(list)
+		return None{}, nil
+	})
+	for name, x := range map[string]part{
+		"entry": e.server, "administrator": e.admin, "balancer": e.balancer, "estimator": e.estimator, "selector": e.selector,
+		"spender": e.spender, "claimer": e.claimer, "biller": e.biller, "pinner": e.pinner, "explainer": e.explainer,
+		"account-limits": e.accounts, "retry-budget": e.retries, "promoter": e.rollouts.promoter,
+	} {
+		e.register(name, x)
+	}
+	e.debug.Handle("GET "+explainer.PathPrefix, e.explainer)
+}
+
+// prior returns the configured quality of a version without ratings.
+func (e *Entry) prior(t identifier.Target) float64 {
+	if cfg := e.distributor.Current(); cfg != nil {
+		if v := cfg.Version(t); v != nil {
+			return v.PriorQuality
+		}
+	}
+	return 0
+}
+
+// membersChanged is called by the detector, also while the entry is still being built.
+func (e *Entry) membersChanged() {
+	if e.directory != nil {
+		e.directory.wake()
+	}
+}
+
+// regionEntries returns the live entries of the own region, among which sessions are divided.
+func (e *Entry) regionEntries() []identifier.Instance {
+	members := e.detector.Members()
+	names := make([]identifier.Instance, 0, len(members))
+	for i := range members {
+		m := &members[i]
+		if m.Role == detector.RoleEntry && m.Region == e.settings.Region && m.State != detector.Dead && m.State != detector.Leaving {
+			names = append(names, m.Instance)
+		}
+	}
+	return names
+}
+
+// shareOfLimits divides the limit of a client account evenly among the live entries of the deployment.
+func (e *Entry) shareOfLimits(*configurer.ClientAccount) float64 {
+	n := 0
+	for _, m := range e.detector.Members() {
+		if m.Role == detector.RoleEntry && m.State != detector.Dead {
+			n++
+		}
+	}
+	return 1 / float64(max(1, n))
+}
+
+// Run serves until ctx ends or a drain is asked for; it then finishes the requests in progress, hands over what is
+// not durable yet, and returns. ready is called once callers are served.
+func (e *Entry) Run(ctx context.Context, ready func(EntryAddresses)) error {
+	// Duties outlive the caller listener, because requests in progress need them until they end.
+	duties, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopDuties()
+	g, duties := errgroup.WithContext(duties)
+	e.run(duties, g, e.listeners.control, e.listeners.debug)
+	if err := e.awaitConfiguration(ctx); err != nil {
+		stopDuties()
+		return errors.Join(ignoreEnd(ctx, err), g.Wait(), e.listeners.caller.Close(), e.listeners.admin.Close())
+	}
+	// A failed first step leaves the spender without a share; its duty repeats the step.
+	_ = e.spender.Step(duties)
+	e.startDuties(duties, g)
+	serving, stopServing := context.WithCancel(ctx)
+	defer stopServing()
+	g.Go(func() error {
+		select {
+		case d := <-e.drain:
+			e.log.InfoContext(duties, "draining", "deadline", d.Deadline)
+			stopServing()
+		case <-duties.Done():
+			stopServing()
+		case <-serving.Done():
+		}
+		return nil
+	})
+	if ready != nil {
+		ready(e.Addresses())
+	}
+	e.log.InfoContext(ctx, "entry is serving", "caller-address", e.settings.CallerAddress)
+	err := e.serveCallers(serving)
+	stopServing()
+	e.log.InfoContext(duties, "entry has stopped serving")
+	last, cancel := context.WithTimeout(duties, e.settings.Timings.Shutdown)
+	defer cancel()
+	err = errors.Join(err, e.handOver(last))
+	stopDuties()
+	err = errors.Join(err, g.Wait())
+	e.pool.Close()
+	return err
+}
+
+// serveCallers returns when every request in progress has its response, or after the shutdown time.
+func (e *Entry) serveCallers(ctx context.Context) error {
+	leave := context.AfterFunc(ctx, e.detector.Leave)
+	defer leave()
+	done := make(chan error, 1)
+	go func() { done <- e.server.Serve(ctx, e.listeners.caller) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	deadline := time.NewTimer(e.settings.Timings.Shutdown)
+	defer deadline.Stop()
+	select {
+	case err := <-done:
+		return err
+	case <-deadline.C:
+		return fmt.Errorf("assembler: shut down %s: requests were still in progress", e.settings.Instance)
+	}
+}
+
+func (e *Entry) startDuties(ctx context.Context, g *errgroup.Group) {
+	for _, duty := range []func(context.Context) error{
+		e.directory.run, e.balancer.Run, e.spender.Run, e.biller.Run, e.pinner.Run, e.reportDurable, e.sweepClaims,
+		e.quality.submit, e.quality.collect, e.quality.follow, e.rollouts.judge, e.rollouts.forward,
+	} {
+		g.Go(func() error { return ignoreEnd(ctx, duty(ctx)) })
+	}
+	g.Go(func() error { return serveHTTP(ctx, e.listeners.admin, e.admin) })
+}
+
+// handOver makes durable what only this process holds.
+func (e *Entry) handOver(ctx context.Context) error {
+	return errors.Join(e.biller.Flush(ctx), e.pinner.Flush(ctx), e.spender.Close(ctx))
+}
+
+func (e *Entry) observeLatency(a *entryserver.Attempt, rank identifier.Rank) {
+	l := meter.AllLatencies()
+	if !a.FirstToken.IsZero() {
+		e.meter.Observe(l.FirstToken, string(rank), a.FirstToken.Sub(a.Begin))
+	}
+	e.meter.Observe(l.Request, string(rank), a.End.Sub(a.Begin))
+}
--- /dev/null
+++ b/assembler/entry_seam.go
@@ -0,0 +1,187 @@
+package assembler
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/siskinfront/siskinfront/balancer"
+	"github.com/siskinfront/siskinfront/biller"
+	"github.com/siskinfront/siskinfront/claimer"
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/entryserver"
+	"github.com/siskinfront/siskinfront/explainer"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/pinner"
+	"github.com/siskinfront/siskinfront/promoter"
+	"github.com/siskinfront/siskinfront/selector"
+	"github.com/siskinfront/siskinfront/spender"
+	"github.com/siskinfront/siskinfront/storer"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+const (
+	// sweepInterval is how often expired claims are looked for; one holder of a lease does it for the deployment.
+	sweepInterval = 10 * time.Minute
+	// pinPrefix starts the keys of the rows with session pins.
+	pinPrefix = "pin/"
+)
+
+func (e *Entry) selectTarget(cfg *configurer.Configuration, q selector.Query) (identifier.Target, error) {
+	d, err := e.selector.Select(cfg, q)
+	return d.Target, err
+}
+
+func (e *Entry) choose(_ context.Context, c entryserver.Choice) (entryserver.Upstream, error) {
+	u, err := e.balancer.Choose(balancer.Key{
+		Target: c.Target, Service: c.Service, Prefix: c.Prefix, Session: c.Session, Rank: c.Rank, Exclude: c.Exclude,
+	})
+	if err != nil {
+		return entryserver.Upstream{}, fmt.Errorf("%w: %w", entryserver.ErrNoUpstream, err)
+	}
+	return entryserver.Upstream{Name: u.Name, DataCentre: u.DataCentre, Agent: u.Agent}, nil
+}
+
+func (e *Entry) claim(
+	ctx context.Context, acc identifier.ClientAccount, key string, fingerprint [32]byte, r identifier.Request,
+) (entryserver.Claim, error) {
+	cl, err := e.claimer.Claim(ctx, acc, key, fingerprint, r)
+	switch {
+	case errors.Is(err, claimer.ErrMismatch):
+		return entryserver.Claim{}, fmt.Errorf("%w: %w", entryserver.ErrClaimMismatch, err)
+	case err != nil:
+		return entryserver.Claim{}, fmt.Errorf("%w: %w", entryserver.ErrClaimUnavailable, err)
+	}
+	out := entryserver.Claim{
+		Started: func(ctx context.Context) error { return e.claimer.Started(ctx, cl) },
+		Finish: func(ctx context.Context, r entryserver.Result) error {
+			return e.claimer.Finish(ctx, cl, claimer.Result{
+				Outcome: r.Outcome, Status: r.Status, ContentType: r.ContentType, Headers: r.Headers, Body: r.Body,
+			})
+		},
+		Release: func(ctx context.Context) error { return e.claimer.Release(ctx, cl) },
+	}
+	if p := cl.Previous; p != nil {
+		out.Previous = &entryserver.Result{
+			Outcome: p.Outcome, Status: p.Status, ContentType: p.ContentType, Headers: p.Headers, Body: p.Body,
+		}
+		if p.Running {
+			out.Previous.Outcome = ""
+		}
+		if p.Truncated {
+			out.Previous.Status = 0
+		}
+	}
+	return out, nil
+}
+
+// record takes the bill of a completed request and submits the answer for rating.
+func (e *Entry) record(b entryserver.Bill) {
+	x := biller.Bill{
+		ID: b.ID, Request: b.Request, ClientAccount: b.ClientAccount, WorkKind: b.WorkKind, Rank: b.Rank, Target: b.Target,
+		Service: b.Service, Usage: b.Usage, Amount: e.price(b.Target, b.Usage), Final: true, At: b.At,
+	}
+	// A bill that does not fit stays with its agent, which writes it; the biller counts the refusal.
+	_ = e.biller.Record(x)
+	if b.Service == "" {
+		e.quality.offer(storer.Rating{Request: b.Request, WorkKind: b.WorkKind, Target: b.Target, At: b.At})
+	}
+}
+
+// price returns the list price of a run.
+func (e *Entry) price(t identifier.Target, u streamer.Usage) float64 {
+	if v := e.distributor.Current().Version(t); v != nil {
+		return selector.ListPrice(v, u.PromptTokens, u.CompletionTokens)
+	}
+	return 0
+}
+
+func (e *Entry) explain(x entryserver.Explanation) {
+	steps := make([]explainer.Step, 0, len(x.Steps))
+	for _, s := range x.Steps {
+		steps = append(steps, explainer.Step{At: x.At, Part: "entry", Decision: s.Name, Reason: s.Detail})
+	}
+	e.explainer.Add(explainer.Record{Request: x.Request, At: x.At, Target: x.Target, Upstream: x.Upstream, Steps: steps})
+}
+
+// attemptEnded tells the parts that learn from attempts.
+func (e *Entry) attemptEnded(a entryserver.Attempt) {
+	e.balancer.End(a.Upstream, resultOf(&a))
+	if a.Outcome != streamer.OutcomeNotRun {
+		e.holders.add(string(a.Request), a.Upstream)
+	}
+	if a.Service != "" || a.Outcome == streamer.OutcomeNotRun || resultOf(&a) == balancer.ResultCanceled {
+		return
+	}
+	o := promoter.Observation{Target: a.Target, Ended: true, Failed: a.Code != "", At: a.End}
+	if !a.FirstToken.IsZero() {
+		o.Latency = a.FirstToken.Sub(a.Begin)
+	}
+	e.rollouts.observe(o)
+}
+
+// resultOf tells the balancer what an attempt says about its upstream.
+func resultOf(a *entryserver.Attempt) balancer.Result {
+	switch a.Code {
+	case "":
+		return balancer.ResultSuccess
+	case "caller-left", "cancelled", "deadline-exceeded", "deadline-passed", "malformed-body", "invalid-call",
+		"version-withdrawn", "version-not-allowed", "response-invalid":
+		return balancer.ResultCanceled
+	case "upstream-unreachable", "upstream-lost":
+		return balancer.ResultFailure
+	}
+	if a.Outcome == streamer.OutcomeNotRun {
+		return balancer.ResultRefused
+	}
+	return balancer.ResultFailure
+}
+
+// spendTable gives the ledger its rows of the table service.
+func (e *Entry) spendTable() spender.Table {
+	return spender.Table{
+		Read: func(ctx context.Context, key string) (json.RawMessage, uint64, error) {
+			row, err := e.table.Get(ctx, key)
+			if errors.Is(err, storer.ErrNotFound) {
+				return nil, 0, nil
+			}
+			return row.Value, row.Version, err
+		},
+		Write: func(ctx context.Context, rows []spender.Write) error {
+			tx := storer.Transaction{ID: storer.NewID()}
+			for _, r := range rows {
+				tx.Conditions = append(tx.Conditions, storer.Condition{Key: r.Key, Version: r.Version})
+				tx.Writes = append(tx.Writes, storer.Write{Key: r.Key, Value: r.Value})
+			}
+			err := e.table.Transact(ctx, tx)
+			if errors.Is(err, storer.ErrConflict) {
+				return fmt.Errorf("%w: %w", spender.ErrConflict, err)
+			}
+			return err
+		},
+	}
+}
+
+// writePins writes the pins of one interval as one row, whose key never repeats.
+func (e *Entry) writePins(ctx context.Context, pins []pinner.Pin) error {
+	key := pinPrefix + string(e.settings.Instance) + "/" + storer.NewID()
+	_, err := e.table.Put(ctx, key, 0, pins)
+	return err
+}
+
+// sweepClaims removes expired claims while this process holds the lease for it.
+func (e *Entry) sweepClaims(ctx context.Context) error {
+	return keepLease(ctx, e.leaser, "claims", sweepInterval, func(ctx context.Context) {
+		// What is left is removed by the next sweep.
+		_, _ = e.claimer.Sweep(ctx)
+	})
+}
+
+// holderOf returns the instance in a lease holder's name, which ends in the ID of the process run.
+func holderOf(holder string) identifier.Instance {
+	name, _, _ := strings.Cut(holder, "/")
+	return identifier.Instance(name)
+}
--- /dev/null
+++ b/assembler/process.go
@@ -0,0 +1,260 @@
+package assembler
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/siskinfront/siskinfront/authenticator"
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/detector"
+	"github.com/siskinfront/siskinfront/distributor"
+	"github.com/siskinfront/siskinfront/dumper"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/leaser"
+	"github.com/siskinfront/siskinfront/messenger"
+	"github.com/siskinfront/siskinfront/meter"
+	"github.com/siskinfront/siskinfront/storer"
+)
+
+const (
+	// readHeaderTime bounds the reading of request headers on every listener.
+	readHeaderTime = 5 * time.Second
+	// configurationPoll is how often a starting process looks for its first configuration.
+	configurationPoll = 20 * time.Millisecond
+	// certificateCheck is how often the certificate files are looked at for a change.
+	certificateCheck = 30 * time.Second
+)
+
+// part is a long-lived value that the state dump and the metrics show.
+type part interface {
+	Counters() map[string]int64
+	State() any
+}
+
+// process is what entries and agents have in common.
+type process struct {
+	settings configurer.ProcessSettings
+	log      *slog.Logger
+
+	table     *storer.Table
+	objects   *storer.Objects
+	instances *storer.Instances
+	rater     *storer.Rater
+
+	tls         *authenticator.TLS
+	pool        *messenger.Pool
+	mux         *messenger.Mux
+	peers       *peers
+	detector    *detector.Detector
+	distributor *distributor.Distributor
+	leaser      *leaser.Leaser
+	dumper      *dumper.Dumper
+	meter       *meter.Meter
+	debug       *http.ServeMux
+	// drain is closed by the drain call of an operator or the platform.
+	drain chan Drain
+}
+
+func newProcess(s configurer.ProcessSettings, self detector.Member, onChange func(*configurer.Configuration), onMembers func()) (
+	*process, error,
+) {
+	p := &process{
+		settings: s, log: slog.With("instance", s.Instance), mux: messenger.NewMux(), drain: make(chan Drain, 1),
+		table:     storer.New(s.Platform.Table, storer.WithCallTimeout(s.Timings.PlatformCall)),
+		objects:   storer.NewObjects(s.Platform.Objects, storer.WithCallTimeout(s.Timings.PlatformCall)),
+		instances: storer.NewInstances(s.Platform.Instances, storer.WithCallTimeout(s.Timings.PlatformCall)),
+		rater:     storer.NewRater(s.Platform.Ratings, storer.WithCallTimeout(s.Timings.PlatformCall)),
+		dumper:    dumper.New(s.Instance), meter: meter.New(), debug: http.NewServeMux(),
+	}
+	if err := p.loadTLS(); err != nil {
+		return nil, err
+	}
+	p.pool = messenger.NewPool(p.messengerOptions((*authenticator.TLS).Client)...)
+	p.peers = newPeers(p.pool, p.controlAddress)
+	p.leaser = leaser.New(p.table, s.Instance)
+	p.distributor = distributor.New(
+		distributor.WithSelf(s.Instance), distributor.WithTable(p.table), distributor.WithObjects(p.objects),
+		distributor.WithMembers(p.neighbours), distributor.WithOnChange(onChange),
+		distributor.WithPush(func(_ context.Context, peer identifier.Instance, u distributor.Update) error {
+			return tell(p.peers, peer, methodConfigChanges, u)
+		}),
+		distributor.WithPull(func(ctx context.Context, peer identifier.Instance, revision uint64) (distributor.Update, error) {
+			return ask[ConfigSince, distributor.Update](ctx, p.peers, peer, methodConfigSince, ConfigSince{From: s.Instance, Revision: revision})
+		}),
+	)
+	p.detector = detector.New(self,
+		detector.WithList(p.instances.List), detector.WithRevision(p.distributor.Revision),
+		detector.WithOnChange(onMembers),
+		detector.WithSend(func(peer identifier.Instance, m detector.Message) {
+			// A dropped heartbeat is counted and looks like a lost one.
+			_ = tell(p.peers, peer, methodHeartbeat, m)
+		}),
+	)
+	p.handleControl()
+	p.register("table", p.table)
+	p.register("object-store", p.objects)
+	p.register("detector", p.detector)
+	p.register("distributor", p.distributor)
+	p.register("leaser", p.leaser)
+	p.register("connections", p.pool)
+	p.meter.Register("peers", p.peers.Counters)
+	p.debug.Handle("GET "+dumper.Path, p.dumper)
+	p.debug.Handle("GET "+meter.Path, p.meter)
+	return p, nil
+}
+
+func (p *process) loadTLS() error {
+	s := p.settings.TLS
+	if s.Certificate == "" {
+		return nil
+	}
+	t, err := authenticator.LoadTLS(authenticator.Files{
+		Certificate: s.Certificate, Key: s.Key, Authority: s.Authority, ServerName: serverName,
+	})
+	if err != nil {
+		return fmt.Errorf("assembler: load certificates of %s: %w", p.settings.Instance, err)
+	}
+	p.tls = t
+	return nil
+}
+
+// serverName is the name that the certificates of all processes of a deployment carry.
+const serverName = "siskinfront"
+
+func (p *process) messengerOptions(config func(*authenticator.TLS) *tls.Config) []messenger.Option {
+	if p.tls == nil {
+		return nil
+	}
+	return []messenger.Option{messenger.WithTLS(func() *tls.Config { return config(p.tls) })}
+}
+
+// register shows a part in the state dump and in the metrics.
+func (p *process) register(name string, x part) {
+	p.dumper.Register(name, x.State)
+	p.meter.Register(name, x.Counters)
+}
+
+func (p *process) handleControl() {
+	messenger.Handle(p.mux, methodHeartbeat,
+		func(_ context.Context, _ messenger.Peer, m detector.Message) (None, error) {
+			p.detector.Receive(m)
+			p.distributor.Hear(m.From.Instance, m.Revision)
+			return None{}, nil
+		})
+	messenger.Handle(p.mux, methodConfigChanges,
+		func(ctx context.Context, _ messenger.Peer, u distributor.Update) (None, error) {
+			p.distributor.Receive(ctx, u)
+			return None{}, nil
+		})
+	messenger.Handle(p.mux, methodConfigSince,
+		func(_ context.Context, _ messenger.Peer, c ConfigSince) (distributor.Update, error) {
+			p.distributor.Hear(c.From, c.Revision)
+			return p.distributor.Since(c.Revision), nil
+		})
+	messenger.Handle(p.mux, methodDrain,
+		func(_ context.Context, _ messenger.Peer, d Drain) (None, error) {
+			select {
+			case p.drain <- d:
+			default:
+			}
+			return None{}, nil
+		})
+}
+
+// controlAddress returns where the control connections of a member lead.
+func (p *process) controlAddress(name identifier.Instance) (netip.AddrPort, bool) {
+	m, ok := p.detector.Member(name)
+	return m.Control, ok && m.Control.IsValid()
+}
+
+// neighbours returns the live instances of the own data centre, among which configuration is passed on.
+func (p *process) neighbours() []identifier.Instance {
+	members := p.detector.Members()
+	names := make([]identifier.Instance, 0, len(members))
+	for i := range members {
+		m := &members[i]
+		if m.DataCentre == p.settings.DataCentre && m.State != detector.Dead {
+			names = append(names, m.Instance)
+		}
+	}
+	return names
+}
+
+// awaitConfiguration returns once there is a first configuration.
+func (p *process) awaitConfiguration(ctx context.Context) error {
+	t := time.NewTicker(configurationPoll)
+	defer t.Stop()
+	for p.distributor.Current() == nil {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	p.log.InfoContext(ctx, "configuration in force", "revision", p.distributor.Revision())
+	return nil
+}
+
+// run starts the duties of the process in g; they end with ctx.
+func (p *process) run(ctx context.Context, g *errgroup.Group, control, debug net.Listener) {
+	g.Go(func() error {
+		return messenger.Serve(ctx, control, p.mux, p.messengerOptions((*authenticator.TLS).Server)...)
+	})
+	g.Go(func() error { return p.peers.run(ctx) })
+	g.Go(func() error { return ignoreEnd(ctx, p.detector.Run(ctx)) })
+	g.Go(func() error { return ignoreEnd(ctx, p.distributor.Run(ctx)) })
+	g.Go(func() error { return serveHTTP(ctx, debug, p.debug) })
+	if p.tls != nil {
+		g.Go(func() error { return ignoreEnd(ctx, p.tls.Run(ctx, certificateCheck)) })
+	}
+}
+
+// ignoreEnd hides the error of a duty that ended because ctx did.
+func ignoreEnd(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// serveHTTP serves h on l until ctx ends, without waiting for requests in progress for longer than a moment.
+func serveHTTP(ctx context.Context, l net.Listener, h http.Handler) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTime}
+	stop := context.AfterFunc(ctx, func() {
+		last, cancel := context.WithTimeout(context.WithoutCancel(ctx), readHeaderTime)
+		defer cancel()
+		// What is still open after that is a debugging client.
+		_ = server.Shutdown(last)
+	})
+	defer stop()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("assembler: serve %s: %w", l.Addr(), err)
+	}
+	return nil
+}
+
+// listen opens a listener at an address of the settings; port 0 lets the system choose.
+func listen(ctx context.Context, a netip.AddrPort) (net.Listener, error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", a.String())
+	if err != nil {
+		return nil, fmt.Errorf("assembler: listen on %s: %w", a, err)
+	}
+	return l, nil
+}
+
+// addressOf returns the address of a TCP listener.
+func addressOf(l net.Listener) netip.AddrPort {
+	if a, ok := l.Addr().(*net.TCPAddr); ok {
+		return a.AddrPort()
+	}
+	return netip.AddrPort{}
+}
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -197,6 +197,19 @@
 	return list
 }
 
+// Member returns what is known of one member, self included, and false for an unknown one.
+func (d *Detector) Member(name identifier.Instance) (Member, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if name == d.self.Instance {
+		return d.self, true
+	}
+	if r, ok := d.members[name]; ok {
+		return r.Member, true
+	}
+	return Member{}, false
+}
+
 // StateOf returns the state of one member; Dead for an unknown one.
 func (d *Detector) StateOf(name identifier.Instance) State {
 	d.mu.Lock()
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -193,7 +193,7 @@
 			items[it.Key] = it
 		}
 	}
-	c, err := join(u.Revision, items)
+	c, err := Join(u.Revision, items)
 	if err != nil {
 		d.refused.Add(1)
 		return nil, false
--- a/distributor/item.go
+++ b/distributor/item.go
@@ -35,6 +35,7 @@
 	itemModel    = "model/"
 	itemAccount  = "client-account/"
 	itemService  = "service/"
+	itemOperator = "operator/"
 )
 
 // split encodes a configuration as items without revisions.
@@ -52,6 +53,9 @@
 	for i := range c.Services {
 		values[itemService+string(c.Services[i].Name)] = c.Services[i]
 	}
+	for i := range c.Operators {
+		values[itemOperator+c.Operators[i].Name] = c.Operators[i]
+	}
 	items := make(map[string]json.RawMessage, len(values))
 	for k, v := range values {
 		b, err := json.Marshal(v)
@@ -63,8 +67,8 @@
 	return items, nil
 }
 
-// join decodes the items of one revision; named parts come in the order of their names.
-func join(revision uint64, items map[string]Item) (*configurer.Configuration, error) {
+// Join decodes the items of one revision; named parts come in the order of their names.
+func Join(revision uint64, items map[string]Item) (*configurer.Configuration, error) {
 	c := &configurer.Configuration{Revision: revision}
 	for _, k := range slices.Sorted(maps.Keys(items)) {
 		v := items[k].Value
@@ -85,6 +89,8 @@
 			c.ClientAccounts, err = extend(c.ClientAccounts, v)
 		case strings.HasPrefix(k, itemService):
 			c.Services, err = extend(c.Services, v)
+		case strings.HasPrefix(k, itemOperator):
+			c.Operators, err = extend(c.Operators, v)
 		default:
 			// A newer version of the program may know more kinds of items.
 			continue
