demonstrator: run both deployments as processes on loopback

Cause: the demo used one entry without the deciding parts. Change: platform fakes, 30 engines, 7 applications, 37 agents and 7 entries from the assembler, generated traces, and an assessment of answers and bills.

--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
@@ -55,8 +56,12 @@
 }
 
 // NewAgent opens the listeners of the settings, where port 0 lets the system choose, and builds the process.
-func NewAgent(ctx context.Context, s configurer.AgentSettings) (*Agent, error) {
+func NewAgent(ctx context.Context, s configurer.AgentSettings, opts ...Option) (*Agent, error) {
 	a := &Agent{}
+	o := options{log: slog.Default()}
+	for _, opt := range opts {
+		opt(&o)
+	}
 	if err := a.listen(ctx, &s); err != nil {
 		return nil, errors.Join(err, a.Close())
 	}
@@ -66,7 +71,7 @@
 		Instance: s.Instance, DataCentre: s.DataCentre, Region: s.Region, Role: detector.RoleAgent,
 		Control: s.ControlAddress, Data: s.DataAddress,
 	}
-	p, err := newProcess(s.ProcessSettings, self, a.admission.configure, func() {})
+	p, err := newProcess(s.ProcessSettings, self, o.log, a.admission.configure, func() {})
 	if err != nil {
 		return nil, errors.Join(err, a.Close())
 	}
@@ -227,3 +232,8 @@
 func (a *Agent) Instance() identifier.Instance {
 	return a.settings.Instance
 }
+
+// DataCentre returns where the process runs.
+func (a *Agent) DataCentre() identifier.DataCentre {
+	return a.settings.DataCentre
+}
--- a/assembler/directory.go
+++ b/assembler/directory.go
@@ -206,3 +206,10 @@
 	}
 	return ask[None, streamer.Load](ctx, d.peers, name, methodProbe, None{})
 }
+
+// count returns the number of described upstreams.
+func (d *directory) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.byUp)
+}
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/netip"
 	"time"
@@ -64,11 +65,11 @@
 
 // NewEntry opens the listeners of the settings, where port 0 lets the system choose, and builds the process. The data
 // centres of the deployment divide the committed spend and must be the same in all entries.
-func NewEntry(ctx context.Context, s configurer.EntrySettings, opts ...EntryOption) (*Entry, error) {
+func NewEntry(ctx context.Context, s configurer.EntrySettings, opts ...Option) (*Entry, error) {
 	e := &Entry{holders: newBillHolders()}
-	options := entryOptions{dataCentres: []identifier.DataCentre{s.DataCentre}}
+	o := options{log: slog.Default(), dataCentres: []identifier.DataCentre{s.DataCentre}}
 	for _, opt := range opts {
-		opt(&options)
+		opt(&o)
 	}
 	if err := e.listen(ctx, &s); err != nil {
 		return nil, errors.Join(err, e.Close())
@@ -78,27 +79,15 @@
 		Instance: s.Instance, DataCentre: s.DataCentre, Region: s.Region, Role: detector.RoleEntry,
 		Control: s.ControlAddress, Data: s.CallerAddress,
 	}
-	p, err := newProcess(s.ProcessSettings, self, func(*configurer.Configuration) {}, e.membersChanged)
+	p, err := newProcess(s.ProcessSettings, self, o.log, func(*configurer.Configuration) {}, e.membersChanged)
 	if err != nil {
 		return nil, errors.Join(err, e.Close())
 	}
 	e.process = p
-	e.build(options)
+	e.build(o)
 	return e, nil
 }
 
-// EntryOption configures an Entry.
-type EntryOption func(*entryOptions)
-
-type entryOptions struct {
-	dataCentres []identifier.DataCentre
-}
-
-// WithDataCentres names all data centres of the deployment.
-func WithDataCentres(all ...identifier.DataCentre) EntryOption {
-	return func(o *entryOptions) { o.dataCentres = all }
-}
-
 func (e *Entry) listen(ctx context.Context, s *configurer.EntrySettings) error {
 	for _, x := range []struct {
 		l *net.Listener
@@ -133,7 +122,7 @@
 	return EntryAddresses{Caller: s.CallerAddress, Admin: s.AdminAddress, Control: s.ControlAddress, Debug: s.DebugAddress}
 }
 
-func (e *Entry) build(o entryOptions) {
+func (e *Entry) build(o options) {
 	s := &e.settings
 	current := e.distributor.Current
 	e.directory = newDirectory(e.process)
@@ -309,3 +298,8 @@
 	}
 	e.meter.Observe(l.Request, string(rank), a.End.Sub(a.Begin))
 }
+
+// Upstreams returns the number of upstreams that the entry knows.
+func (e *Entry) Upstreams() int {
+	return e.directory.count()
+}
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -64,11 +64,12 @@
 	drain chan Drain
 }
 
-func newProcess(s configurer.ProcessSettings, self detector.Member, onChange func(*configurer.Configuration), onMembers func()) (
-	*process, error,
-) {
+func newProcess(
+	s configurer.ProcessSettings, self detector.Member, log *slog.Logger, onChange func(*configurer.Configuration),
+	onMembers func(),
+) (*process, error) {
 	p := &process{
-		settings: s, log: slog.With("instance", s.Instance), mux: messenger.NewMux(), drain: make(chan Drain, 1),
+		settings: s, log: log.With("instance", s.Instance), mux: messenger.NewMux(), drain: make(chan Drain, 1),
 		table:     storer.New(s.Platform.Table, storer.WithCallTimeout(s.Timings.PlatformCall)),
 		objects:   storer.NewObjects(s.Platform.Objects, storer.WithCallTimeout(s.Timings.PlatformCall)),
 		instances: storer.NewInstances(s.Platform.Instances, storer.WithCallTimeout(s.Timings.PlatformCall)),
--- a/command.go
+++ b/command.go
@@ -32,15 +32,18 @@
 }
 
 func newDemoCommand() *cobra.Command {
-	return &cobra.Command{
+	var seed uint64
+	cmd := &cobra.Command{
 		Use:     "demo",
 		Short:   "Run a deployment on embedded stand-ins and print one row per rank",
 		Example: "  siskinfront demo",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return demonstrator.Run(cmd.Context(), cmd.OutOrStdout())
+			return demonstrator.Run(cmd.Context(), cmd.OutOrStdout(), seed)
 		},
 	}
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the traces")
+	return cmd
 }
 
 func newVersionCommand() *cobra.Command {
--- a/demonstrator/demo.go
+++ b/demonstrator/demo.go
@@ -1,135 +1,103 @@
 package demonstrator
 
 import (
-	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
-	"sync"
-	"text/tabwriter"
+	"sync/atomic"
 	"time"
 
 	"github.com/siskinfront/siskinfront/configurer"
-	"github.com/siskinfront/siskinfront/decoder"
-	"github.com/siskinfront/siskinfront/entryserver"
+	"github.com/siskinfront/siskinfront/examples"
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/questioner"
+	"github.com/siskinfront/siskinfront/replayer"
 )
 
 const (
-	demoKey       = "demo-caller-key"
-	demoUpstreams = 4
-	demoRequests  = 30
+	// traceLength is the time over which a trace is played.
+	traceLength = 12 * time.Second
+	// traceRate is the mean number of requests per second of a trace.
+	traceRate = 50
+	// largeShare is the share of requests that the large client accounts send.
+	largeShare = 0.6
+	// repeatShare is the share of requests that repeat an earlier non-idempotent one with its key.
+	repeatShare = 0.05
+	// progressStep is the number of requests between two progress lines.
+	progressStep = 150
 )
 
 // ErrInvariant is returned when a run of the demo broke something that must always hold.
 var ErrInvariant = errors.New("demonstrator: an invariant was broken")
 
-// row counts the requests of one rank.
-type row struct {
-	sent, answered, billed int
+// shapes are the two deployments of today.
+func shapes() []shape {
+	return []shape{
+		{name: "solas-sraide", region: "ie-west", dataCentres: 4, engines: 20, services: 4, largeAccounts: 3},
+		{name: "muleta-certa", region: "pt-centro", dataCentres: 3, engines: 10, services: 3, largeAccounts: 3},
+	}
 }
 
-// Run starts a deployment, sends requests of every rank, and writes one row per rank to w.
-func Run(ctx context.Context, w io.Writer) error {
-	cfg := configuration()
-	var mu sync.Mutex
-	rows := map[identifier.Rank]*row{}
-	for _, r := range cfg.Ranks {
-		rows[r.Name] = &row{}
-	}
-	d, err := start(ctx, cfg, demoUpstreams, func(b entryserver.Bill) {
-		mu.Lock()
-		defer mu.Unlock()
-		rows[b.Rank].billed++
-	})
-	if err != nil {
-		return err
-	}
-	for i := range demoRequests {
-		kind := cfg.WorkKinds[i%len(cfg.WorkKinds)]
-		ok, err := send(ctx, "http://"+d.Entry.String(), kind.Name)
+// Run plays a trace of both deployments, writes progress and one row per rank to w, and returns ErrInvariant if a
+// promise was broken.
+func Run(ctx context.Context, w io.Writer, seed uint64) error {
+	var total report
+	for i, sh := range shapes() {
+		r, err := play(ctx, w, sh, seed+uint64(i))
 		if err != nil {
-			return errors.Join(err, d.stop())
+			return fmt.Errorf("demonstrator: %s: %w", sh.name, err)
 		}
-		rows[kind.Rank].sent++
-		if ok {
-			rows[kind.Rank].answered++
-		}
-	}
-	if err := d.stop(); err != nil {
-		return fmt.Errorf("demonstrator: stop: %w", err)
+		total.merge(r)
 	}
-	return report(w, cfg, rows)
-}
-
-func report(w io.Writer, cfg *configurer.Configuration, rows map[identifier.Rank]*row) error {
-	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(t, "rank\tsent\tanswered\tbilled")
-	broken := false
-	for _, r := range cfg.Ranks {
-		v := rows[r.Name]
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\n", r.Name, v.sent, v.answered, v.billed)
-		broken = broken || v.answered != v.billed
-	}
-	if err := t.Flush(); err != nil {
-		return fmt.Errorf("demonstrator: write table: %w", err)
+	if err := total.write(w); err != nil {
+		return err
 	}
-	if broken {
-		return ErrInvariant
+	if len(total.violations) > 0 {
+		return fmt.Errorf("%w: %d violations", ErrInvariant, len(total.violations))
 	}
 	return nil
 }
 
-func send(ctx context.Context, base string, kind identifier.WorkKind) (bool, error) {
-	body := []byte(`{"model":"auto","messages":[{"role":"user","content":"Summarise fault note 17."}]}`)
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/chat/completions", bytes.NewReader(body))
+// team returns the answers of a deployment and the configuration that follows from them.
+func team(sh shape) (*questioner.Answers, *configurer.Configuration, error) {
+	text, err := examples.Files.ReadFile(sh.name + "/answers.yaml")
 	if err != nil {
-		return false, fmt.Errorf("demonstrator: build request: %w", err)
+		return nil, nil, fmt.Errorf("demonstrator: read answers: %w", err)
 	}
-	r.Header.Set("Authorization", "Bearer "+demoKey)
-	r.Header.Set(decoder.HeaderWorkKind, string(kind))
-	resp, err := http.DefaultClient.Do(r)
+	answers, err := questioner.Parse(sh.name+"/answers.yaml", text)
 	if err != nil {
-		return false, fmt.Errorf("demonstrator: send request: %w", err)
-	}
-	defer resp.Body.Close()
-	var answer struct {
-		Choices []json.RawMessage `json:"choices"`
-	}
-	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
-		return false, fmt.Errorf("demonstrator: decode answer: %w", err)
+		return nil, nil, err
 	}
-	return resp.StatusCode == http.StatusOK && len(answer.Choices) == 1, nil
+	cfg, err := questioner.Configuration(answers)
+	return answers, cfg, err
 }
 
-func configuration() *configurer.Configuration {
-	sum := sha256.Sum256([]byte(demoKey))
-	rank := func(name identifier.Rank, floor float64) configurer.Rank {
-		return configurer.Rank{
-			Name: name, Floor: floor, FirstToken: 1400 * time.Millisecond, BetweenTokens: 60 * time.Millisecond,
-			Deadline: 30 * time.Second, Worth: 1,
-		}
+func play(ctx context.Context, w io.Writer, sh shape, seed uint64) (*report, error) {
+	answers, cfg, err := team(sh)
+	if err != nil {
+		return nil, err
+	}
+	fmt.Fprintf(w, "%s: starting %d engines, %d applications, %d entries\n", sh.name, sh.engines, sh.services, sh.dataCentres)
+	d, err := start(ctx, sh, cfg, seed)
+	if err != nil {
+		return nil, err
 	}
-	return &configurer.Configuration{
-		Revision: 1,
-		Ranks:    []configurer.Rank{rank("urgent", 0.5), rank("normal", 0.2), rank("batch", 0.05)},
-		WorkKinds: []configurer.WorkKind{
-			{Name: "energisation-order", Rank: "urgent", QualityTarget: 0.9, NonIdempotent: true, MaxTokens: 64},
-			{Name: "status-check", Rank: "normal", QualityTarget: 0.7, MaxTokens: 32},
-			{Name: "fault-summary", Rank: "batch", QualityTarget: 0.6, MaxTokens: 128},
-		},
-		Models: []configurer.Model{{Name: "finch-small", Versions: []configurer.Version{{
-			Name: "v1", State: configurer.VersionServing, InputPrice: 0.2, OutputPrice: 0.6, PriorQuality: 0.9,
-		}}}},
-		ClientAccounts: []configurer.ClientAccount{{
-			Name: "galway-council", Keys: []configurer.Key{{Name: "first", SHA256: hex.EncodeToString(sum[:])}},
-			Allowed:   []configurer.Allowed{{Model: "finch-small"}},
-			WorkKinds: []identifier.WorkKind{"energisation-order", "status-check", "fault-summary"}, Weight: 1,
-		}},
+	trace := replayer.Generate(cfg, replayer.Shape{
+		Length: traceLength, Rate: traceRate, LargeShare: largeShare, Large: sh.largeAccounts, RepeatShare: repeatShare,
+	}, seed)
+	var done atomic.Int64
+	player := replayer.NewPlayer(d.callers(),
+		func(a identifier.ClientAccount) string { return questioner.ExampleKey(answers.Team, string(a)) },
+		replayer.WithDone(func(int) {
+			if n := done.Add(1); n%progressStep == 0 {
+				fmt.Fprintf(w, "%s: %d of %d requests\n", sh.name, n, len(trace.Entries))
+			}
+		}))
+	results := player.Play(ctx, trace)
+	if err := errors.Join(ctx.Err(), d.stop()); err != nil {
+		return nil, err
 	}
+	fmt.Fprintf(w, "%s: %d requests, all processes drained\n", sh.name, len(trace.Entries))
+	return assess(d, trace, results)
 }
--- a/demonstrator/deployment.go
+++ b/demonstrator/deployment.go
@@ -1,86 +1,328 @@
 package demonstrator
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
+	"log/slog"
 	"net/http"
 	"net/netip"
-	"sync/atomic"
+	"regexp"
+	"sync"
 	"time"
 
-	"github.com/siskinfront/siskinfront/agentserver"
+	"github.com/siskinfront/siskinfront/assembler"
+	"github.com/siskinfront/siskinfront/biller"
 	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/distributor"
 	"github.com/siskinfront/siskinfront/enginefaker"
-	"github.com/siskinfront/siskinfront/entryserver"
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/storer"
 )
 
-// shutdownTime bounds the graceful shutdown of one listener of the demo.
-const shutdownTime = 5 * time.Second
+const (
+	// engineBatch and engineRate are the batch and the tokens per second of one fake engine.
+	engineBatch = 32
+	engineRate  = 4000
+	// engineTokens is the length of an answer in tokens.
+	engineTokens = 24
+	// engineInterval is the shortest time between two tokens of a stream.
+	engineInterval = 2 * time.Millisecond
+	// readyTime bounds the start of a deployment.
+	readyTime = 15 * time.Second
+	// versionsPerEngine is the number of versions that each engine has loaded.
+	versionsPerEngine = 3
+)
+
+// shape is the size of a deployment.
+type shape struct {
+	name        string
+	region      identifier.Region
+	dataCentres int
+	engines     int
+	services    int
+	// largeAccounts is the number of client accounts that send most of the requests.
+	largeAccounts int
+}
 
-// deployment is one entry with its agents and engines.
+// deployment is a whole deployment on loopback: platform, engines, agents and entries.
 type deployment struct {
-	Entry     netip.AddrPort
-	upstreams []entryserver.Upstream
-	next      atomic.Uint64
-	servers   []*http.Server
+	shape   shape
+	cfg     *configurer.Configuration
+	fakes   *platform
+	engines []*enginefaker.Engine
+	entries []*assembler.Entry
+	agents  []*assembler.Agent
+	starts  *starts
+
+	cancelEntries, cancelAgents context.CancelFunc
+	entriesDone, agentsDone     sync.WaitGroup
+	mu                          sync.Mutex
+	errs                        []error
 }
 
-// start brings up n engines with their agents, and one entry.
-func start(ctx context.Context, cfg *configurer.Configuration, n int, record func(entryserver.Bill)) (*deployment, error) {
-	d := &deployment{}
-	for i := range n {
-		engine, err := d.listen(ctx, enginefaker.New(enginefaker.WithInterval(time.Millisecond)))
-		if err != nil {
-			return nil, errors.Join(err, d.stop())
+// starts counts by nonce how often engines began an answer.
+type starts struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+var noncePattern = regexp.MustCompile(`nonce-\d{6}`)
+
+// text makes an answer repeat the nonce of its prompt, so that a misdelivered answer is seen.
+func (s *starts) text(prompt []byte, token int) string {
+	if token > 0 {
+		return "word "
+	}
+	nonce := string(noncePattern.Find(prompt))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts[nonce]++
+	return nonce + " "
+}
+
+func (s *starts) of(nonce string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts[nonce]
+}
+
+// start brings a deployment up and returns once every entry serves callers and knows the agents.
+func start(ctx context.Context, sh shape, cfg *configurer.Configuration, seed uint64) (*deployment, error) {
+	fakes, err := newPlatform(ctx, trueQuality(cfg), seed)
+	if err != nil {
+		return nil, err
+	}
+	d := &deployment{shape: sh, cfg: cfg, fakes: fakes, starts: &starts{counts: map[string]int{}}}
+	if err := d.bringUp(ctx); err != nil {
+		return nil, errors.Join(err, d.stop())
+	}
+	return d, nil
+}
+
+func (d *deployment) bringUp(ctx context.Context) error {
+	if _, err := distributor.Commit(ctx, storer.New(d.fakes.addresses.Table), 0, d.cfg, "demo"); err != nil {
+		return fmt.Errorf("demonstrator: commit configuration: %w", err)
+	}
+	for i := range d.shape.engines {
+		if err := d.addEngine(ctx, i); err != nil {
+			return err
+		}
+	}
+	for i := range d.shape.services {
+		if err := d.addService(ctx, i); err != nil {
+			return err
 		}
-		name := identifier.Upstream(fmt.Sprintf("upstream-%d", i+1))
-		agent, err := d.listen(ctx, agentserver.New(name, engine))
+	}
+	var all []identifier.DataCentre
+	for i := range d.shape.dataCentres {
+		all = append(all, d.dataCentre(i))
+	}
+	for i := range d.shape.dataCentres {
+		s := configurer.DefaultEntrySettings()
+		s.ProcessSettings = d.process(fmt.Sprintf("entry-%d", i+1), i)
+		s.CallerAddress, s.AdminAddress = loopback(), loopback()
+		e, err := assembler.NewEntry(ctx, s, assembler.WithDataCentres(all...), quiet())
 		if err != nil {
-			return nil, errors.Join(err, d.stop())
+			return fmt.Errorf("demonstrator: entry %d: %w", i+1, err)
 		}
-		d.upstreams = append(d.upstreams, entryserver.Upstream{Name: name, Agent: agent})
+		d.entries = append(d.entries, e)
 	}
-	entry, err := d.listen(ctx, entryserver.New(
-		entryserver.WithConfiguration(func() *configurer.Configuration { return cfg }),
-		entryserver.WithChoose(d.choose),
-		entryserver.WithRecord(record),
-	))
+	d.list()
+	return d.run(ctx)
+}
+
+func (d *deployment) dataCentre(i int) identifier.DataCentre {
+	return identifier.DataCentre(fmt.Sprintf("%s-%d", d.shape.region, i%d.shape.dataCentres+1))
+}
+
+func (d *deployment) process(name string, i int) configurer.ProcessSettings {
+	p := configurer.DefaultEntrySettings().ProcessSettings
+	p.Instance, p.DataCentre, p.Region = identifier.Instance(name), d.dataCentre(i), d.shape.region
+	p.ControlAddress, p.DebugAddress, p.Platform = loopback(), loopback(), d.fakes.addresses
+	return p
+}
+
+func (d *deployment) addEngine(ctx context.Context, i int) error {
+	engine := enginefaker.New(enginefaker.WithBatch(engineBatch, engineRate), enginefaker.WithTokens(engineTokens),
+		enginefaker.WithInterval(engineInterval))
+	engine.Text = d.starts.text
+	d.engines = append(d.engines, engine)
+	address, err := d.fakes.serve(ctx, engine)
 	if err != nil {
-		return nil, errors.Join(err, d.stop())
+		return err
 	}
-	d.Entry = entry
-	return d, nil
+	// Consecutive versions land on engines of all data centres in turn.
+	all := targets(d.cfg)
+	for k := range min(versionsPerEngine, len(all)) {
+		if err := load(ctx, address, all[(i+k)%len(all)]); err != nil {
+			return err
+		}
+	}
+	return d.addAgent(ctx, fmt.Sprintf("engine-%d", i+1), "", address, i)
 }
 
-// choose takes the upstreams in turn.
-func (d *deployment) choose(context.Context, entryserver.Choice) (entryserver.Upstream, error) {
-	return d.upstreams[d.next.Add(1)%uint64(len(d.upstreams))], nil
+func (d *deployment) addService(ctx context.Context, i int) error {
+	address, err := d.fakes.serve(ctx, enginefaker.NewService())
+	if err != nil {
+		return err
+	}
+	name := d.cfg.Services[i%len(d.cfg.Services)].Name
+	return d.addAgent(ctx, fmt.Sprintf("application-%d", i+1), name, address, i)
+}
+
+func (d *deployment) addAgent(
+	ctx context.Context, name string, service identifier.Service, upstream netip.AddrPort, i int,
+) error {
+	s := configurer.DefaultAgentSettings()
+	s.ProcessSettings = d.process("agent-"+name, i)
+	s.DataAddress = loopback()
+	s.Upstream.Name, s.Upstream.Address, s.Upstream.Service = identifier.Upstream(name), upstream, service
+	s.Upstream.Slots = engineBatch
+	a, err := assembler.NewAgent(ctx, s, quiet())
+	if err != nil {
+		return fmt.Errorf("demonstrator: agent of %s: %w", name, err)
+	}
+	d.agents = append(d.agents, a)
+	return nil
 }
 
-func (d *deployment) listen(ctx context.Context, h http.Handler) (netip.AddrPort, error) {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+// load orders an engine to load a version.
+func load(ctx context.Context, engine netip.AddrPort, t identifier.Target) error {
+	body, err := json.Marshal(enginefaker.Command{Token: 1, Target: t.String()})
+	if err != nil {
+		return fmt.Errorf("demonstrator: encode command: %w", err)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+engine.String()+"/control/load", bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("demonstrator: build command: %w", err)
+	}
+	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return netip.AddrPort{}, fmt.Errorf("demonstrator: listen: %w", err)
+		return fmt.Errorf("demonstrator: load %s: %w", t, err)
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: shutdownTime}
-	d.servers = append(d.servers, server)
-	go func() {
-		// Serve always returns an error; ErrServerClosed is the expected one.
-		_ = server.Serve(l)
-	}()
-	return netip.MustParseAddrPort(l.Addr().String()), nil
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("demonstrator: load %s: status %d", t, resp.StatusCode)
+	}
+	return nil
+}
+
+// quiet leaves the state changes of the many processes out of the demo's output.
+func quiet() assembler.Option {
+	return assembler.WithLog(slog.New(slog.DiscardHandler))
 }
 
-// stop shuts every server down, the entry first.
+// list puts every process on the platform's instance list.
+func (d *deployment) list() {
+	var list []storer.Instance
+	for i, e := range d.entries {
+		a := e.Addresses()
+		list = append(list, storer.Instance{
+			Instance: identifier.Instance(fmt.Sprintf("entry-%d", i+1)), DataCentre: d.dataCentre(i), Region: d.shape.region,
+			Role: "entry", Control: a.Control, Data: a.Caller,
+		})
+	}
+	for _, a := range d.agents {
+		x := a.Addresses()
+		list = append(list, storer.Instance{
+			Instance: a.Instance(), DataCentre: a.DataCentre(), Region: d.shape.region, Role: "agent",
+			Control: x.Control, Data: x.Data,
+		})
+	}
+	d.fakes.instances.Set(list)
+}
+
+// run starts the processes; agents stop after entries, so that entries can finish what is in progress.
+func (d *deployment) run(ctx context.Context) error {
+	entries, cancelEntries := context.WithCancel(context.WithoutCancel(ctx))
+	agents, cancelAgents := context.WithCancel(context.WithoutCancel(ctx))
+	d.cancelEntries, d.cancelAgents = cancelEntries, cancelAgents
+	var ready sync.WaitGroup
+	for _, a := range d.agents {
+		ready.Add(1)
+		d.agentsDone.Go(func() { d.fail(a.Run(agents, func(assembler.AgentAddresses) { ready.Done() })) })
+	}
+	for _, e := range d.entries {
+		ready.Add(1)
+		d.entriesDone.Go(func() { d.fail(e.Run(entries, func(assembler.EntryAddresses) { ready.Done() })) })
+	}
+	done := make(chan struct{})
+	go func() { ready.Wait(); close(done) }()
+	deadline := time.NewTimer(readyTime)
+	defer deadline.Stop()
+	select {
+	case <-done:
+	case <-deadline.C:
+		return errors.New("demonstrator: processes did not become ready")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return d.awaitUpstreams(ctx)
+}
+
+// awaitUpstreams waits until every entry knows all upstreams of the deployment.
+func (d *deployment) awaitUpstreams(ctx context.Context) error {
+	deadline := time.Now().Add(readyTime)
+	for _, e := range d.entries {
+		for e.Upstreams() < len(d.agents) {
+			if time.Now().After(deadline) {
+				return fmt.Errorf("demonstrator: an entry knows %d of %d upstreams", e.Upstreams(), len(d.agents))
+			}
+			select {
+			case <-time.After(20 * time.Millisecond):
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	}
+	return nil
+}
+
+func (d *deployment) fail(err error) {
+	if err == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.errs = append(d.errs, err)
+}
+
+// callers returns the caller addresses of all entries.
+func (d *deployment) callers() []netip.AddrPort {
+	list := make([]netip.AddrPort, 0, len(d.entries))
+	for _, e := range d.entries {
+		list = append(list, e.Addresses().Caller)
+	}
+	return list
+}
+
+// stop shuts the entries down, then the agents, then the fakes, and returns what failed.
 func (d *deployment) stop() error {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
-	defer cancel()
-	var errs []error
-	for i := len(d.servers) - 1; i >= 0; i-- {
-		errs = append(errs, d.servers[i].Shutdown(ctx))
+	if d.cancelEntries != nil {
+		d.cancelEntries()
+		d.entriesDone.Wait()
+		d.cancelAgents()
+		d.agentsDone.Wait()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return errors.Join(append(d.errs, d.fakes.stop())...)
+}
+
+// bills reads the union of all bills that became durable.
+func (d *deployment) bills() ([]biller.Bill, int, error) {
+	var batches [][]biller.Bill
+	records := 0
+	for _, row := range d.fakes.table.Rows("bill/") {
+		var batch []biller.Bill
+		if err := json.Unmarshal(row.Value, &batch); err != nil {
+			return nil, 0, fmt.Errorf("demonstrator: decode %s: %w", row.Key, err)
+		}
+		records += len(batch)
+		batches = append(batches, batch)
 	}
-	return errors.Join(errs...)
+	return biller.Union(batches...), records, nil
 }
--- /dev/null
+++ b/demonstrator/platform.go
@@ -0,0 +1,116 @@
+package demonstrator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/platformfaker"
+	"github.com/siskinfront/siskinfront/storer"
+)
+
+const (
+	// readHeaderTime bounds the reading of request headers on the listeners of the fakes.
+	readHeaderTime = 5 * time.Second
+	// listLag is how long a change stays invisible in the platform's instance list.
+	listLag = 300 * time.Millisecond
+	// ratingDelay is how long the rating of an answer takes.
+	ratingDelay = 200 * time.Millisecond
+	// ratingNoise is the half width of the error of a rating.
+	ratingNoise = 0.1
+)
+
+// loopback listens on any free port.
+func loopback() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+}
+
+// platform holds the fakes of the platform's services of one deployment.
+type platform struct {
+	table     *platformfaker.Table
+	objects   *platformfaker.Objects
+	rater     *platformfaker.Rater
+	instances *platformfaker.Instances
+	addresses configurer.PlatformSettings
+	servers   []*http.Server
+}
+
+// newPlatform starts the fakes; quality returns the true quality of an answer.
+func newPlatform(ctx context.Context, quality func(storer.Rating) float64, seed uint64) (*platform, error) {
+	p := &platform{
+		table: platformfaker.NewTable(), objects: platformfaker.NewObjects(),
+		rater:     platformfaker.NewRater(time.Now, rand.New(rand.NewPCG(seed, seed))),
+		instances: platformfaker.NewInstances(time.Now),
+	}
+	p.rater.Quality, p.rater.Noise = quality, ratingNoise
+	p.rater.Late = func() time.Duration { return ratingDelay }
+	p.instances.Lag = listLag
+	weights := platformfaker.NewWeights(&platformfaker.Faults{}, 1<<10, nil)
+	for _, x := range []struct {
+		h http.Handler
+		a *netip.AddrPort
+	}{
+		{p.table, &p.addresses.Table}, {p.objects, &p.addresses.Objects}, {weights, &p.addresses.Weights},
+		{p.rater, &p.addresses.Ratings}, {p.instances, &p.addresses.Instances},
+	} {
+		a, err := p.serve(ctx, x.h)
+		if err != nil {
+			return nil, errors.Join(err, p.stop())
+		}
+		*x.a = a
+	}
+	return p, nil
+}
+
+// serve starts a handler on a free port.
+func (p *platform) serve(ctx context.Context, h http.Handler) (netip.AddrPort, error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", loopback().String())
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("demonstrator: listen: %w", err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTime}
+	p.servers = append(p.servers, server)
+	go func() {
+		// Serve always returns an error; ErrServerClosed is the expected one.
+		_ = server.Serve(l)
+	}()
+	return netip.MustParseAddrPort(l.Addr().String()), nil
+}
+
+func (p *platform) stop() error {
+	var errs []error
+	for _, s := range p.servers {
+		errs = append(errs, s.Close())
+	}
+	return errors.Join(errs...)
+}
+
+// trueQuality rates an answer by the configured quality of its version, which the router has to learn from ratings.
+func trueQuality(cfg *configurer.Configuration) func(storer.Rating) float64 {
+	return func(r storer.Rating) float64 {
+		if v := cfg.Version(r.Target); v != nil {
+			return v.PriorQuality
+		}
+		return 0
+	}
+}
+
+// targets lists the versions of a configuration that may receive work.
+func targets(cfg *configurer.Configuration) []identifier.Target {
+	var list []identifier.Target
+	for _, m := range cfg.Models {
+		for _, v := range m.Versions {
+			if v.State != configurer.VersionWithdrawn {
+				list = append(list, identifier.Target{Model: m.Name, Version: v.Name})
+			}
+		}
+	}
+	return list
+}
--- a/enginefaker/completion.go
+++ b/enginefaker/completion.go
@@ -65,7 +65,7 @@
 		e.enqueue(s)
 		defer e.drop(s)
 	}
-	out := eventWriter{w: w, id: string(id), model: req.Model, created: e.Now().Unix()}
+	out := eventWriter{w: w, prompt: prompt, text: e.Text, id: string(id), model: req.Model, created: e.Now().Unix()}
 	for i := req.ResumeFrom; i < s.limit; i++ {
 		if !e.await(r.Context(), s, i) {
 			return
@@ -121,6 +121,8 @@
 
 type eventWriter struct {
 	w       http.ResponseWriter
+	prompt  []byte
+	text    func(prompt []byte, token int) string
 	id      string
 	model   string
 	created int64
@@ -146,9 +148,9 @@
 
 func (o *eventWriter) token(i int, last bool) {
 	o.head()
-	o.buf = append(o.buf, `,"choices":[{"index":0,"delta":{"role":"assistant","content":"t`...)
-	o.buf = strconv.AppendInt(o.buf, int64(i), 10)
-	o.buf = append(o.buf, ` "},"finish_reason":`...)
+	o.buf = append(o.buf, `,"choices":[{"index":0,"delta":{"role":"assistant","content":`...)
+	o.buf = strconv.AppendQuote(o.buf, o.text(o.prompt, i))
+	o.buf = append(o.buf, `},"finish_reason":`...)
 	if last {
 		o.buf = append(o.buf, `"stop"`...)
 	} else {
--- a/enginefaker/engine.go
+++ b/enginefaker/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 	// Now returns the current time.
 	Now func() time.Time
 
+	// Text returns one token of the answer to a prompt, in ASCII.
+	Text func(prompt []byte, token int) string
 	// Fail returns the status with which a request fails before it starts, or 0.
 	Fail func(r identifier.Request) int
 	// Stall reports whether the stream stops for good before a token.
@@ -71,6 +74,7 @@
 func New(opts ...Option) *Engine {
 	e := &Engine{
 		Tokens: defaultTokens, MaxBatch: defaultMaxBatch, CacheBlocks: defaultBlocks, Now: time.Now,
+		Text:       func(_ []byte, token int) string { return "t" + strconv.Itoa(token) + " " },
 		Fail:       func(identifier.Request) int { return 0 },
 		Stall:      func(identifier.Request, int) bool { return false },
 		Slow:       func(identifier.Request, int) time.Duration { return 0 },
--- /dev/null
+++ b/examples/doc.go
@@ -0,0 +1,2 @@
+// Package examples embeds the answers of the example deployments.
+package examples
