configurer: patch a configuration with its changed items

Change: Patch decodes the changed items only; entries without a name end a list of the interview; a test runs the commands of the pages through cobra and follows their links.

--- a/command_operation_internal_test.go
+++ b/command_operation_internal_test.go
@@ -200,3 +200,31 @@
 		must.ErrorContains(t, err, "must be table or json", must.Sprint(args))
 	}
 }
+
+// Guards against pages that tell operators to run what does not exist, and against links to nothing.
+func TestDocumentedCommandsExist(t *testing.T) {
+	pages, err := filepath.Glob("docs/operate/*.md")
+	must.NoError(t, err)
+	others, err := filepath.Glob("docs/*.md")
+	must.NoError(t, err)
+	pages = append(append(pages, others...), "CONTRIBUTING.md")
+	commands := 0
+	for _, page := range pages {
+		text, err := os.ReadFile(page)
+		must.NoError(t, err)
+		for _, m := range regexp.MustCompile(`(?m)^ {4,}siskinfront (.+)$`).FindAllStringSubmatch(string(text), -1) {
+			line, _, _ := strings.Cut(m[1], " > ")
+			cmd, rest, err := newRootCommand().Find(strings.Fields(line))
+			must.NoError(t, err, must.Sprint(page, line))
+			must.True(t, cmd.Runnable(), must.Sprint(page, line))
+			must.NoError(t, cmd.ParseFlags(rest), must.Sprint(page, line))
+			must.NoError(t, cmd.ValidateArgs(cmd.Flags().Args()), must.Sprint(page, line))
+			commands++
+		}
+		for _, m := range regexp.MustCompile(`\]\(([\w./-]+\.(?:md|yaml))\)`).FindAllStringSubmatch(string(text), -1) {
+			_, err := os.Stat(filepath.Join(filepath.Dir(page), m[1]))
+			must.NoError(t, err, must.Sprint(page))
+		}
+	}
+	must.Greater(t, 20, commands)
+}
--- a/configurer/configuration_test.go
+++ b/configurer/configuration_test.go
@@ -110,6 +110,44 @@
 	}
 }
 
+// Guards against a patch that differs from the whole, changes its base, or leaves a reference to nothing.
+func TestPatch(t *testing.T) {
+	base, next := parse(t, configurationFile), parse(t, configurationFile)
+	before, err := configurer.Marshal(base)
+	must.NoError(t, err)
+	next.Revision = 8
+	next.Ranks = slices.Clone(next.Ranks)
+	next.Ranks[0].Worth = 3
+	next.Models = append(slices.Clone(next.Models), configurer.Model{Name: "a", Versions: next.Models[0].Versions})
+	next.Operators = nil
+	next.Spend.Committed = 1
+	next = next.Canonical()
+	diff, err := configurer.Diff(base, next)
+	must.NoError(t, err)
+	var changed []configurer.Item
+	var removed []string
+	for _, d := range diff {
+		if d.After == nil {
+			removed = append(removed, d.Key)
+		} else {
+			changed = append(changed, configurer.Item{Key: d.Key, Value: d.After})
+		}
+	}
+	must.Len(t, 3, changed)
+	got, err := configurer.Patch(base, 8, changed, removed)
+	must.NoError(t, err)
+	want, err := configurer.Marshal(next)
+	must.NoError(t, err)
+	patched, err := configurer.Marshal(got)
+	must.NoError(t, err)
+	must.EqOp(t, string(want), string(patched))
+	after, err := configurer.Marshal(base)
+	must.NoError(t, err)
+	must.EqOp(t, string(before), string(after))
+	_, err = configurer.Patch(base, 8, nil, []string{"models/finch"})
+	must.ErrorContains(t, err, "no model is named")
+}
+
 // Guards against a change that a diff does not show, or shows under another item.
 func TestDiff(t *testing.T) {
 	a, b := parse(t, configurationFile), parse(t, configurationFile)
--- a/configurer/items.go
+++ b/configurer/items.go
@@ -83,6 +83,58 @@
 	return c, nil
 }
 
+// Patch returns a new configuration with the changed items in the place of those of base, without the removed keys. It
+// decodes the changed items only; base stays as it is.
+func Patch(base *Configuration, revision uint64, changed []Item, removed []string) (*Configuration, error) {
+	c := *base
+	c.Revision = revision
+	keys := slices.Clone(removed)
+	for _, it := range changed {
+		keys = append(keys, it.Key)
+	}
+	for _, key := range keys {
+		dropItem(&c, key)
+	}
+	var problems []Problem
+	for _, it := range changed {
+		// The lists were copied by dropItem, so that appending does not reach base.
+		problems = append(problems, assembleItem(&c, it).Problems...)
+	}
+	if len(problems) > 0 {
+		return nil, &InvalidError{Problems: problems}
+	}
+	next := c.Canonical()
+	if err := Validate(next); err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+// dropItem removes an item and leaves the lists of other configurations as they are.
+func dropItem(c *Configuration, key string) {
+	kind, name, _ := strings.Cut(key, "/")
+	switch kind {
+	case ranksKey:
+		c.Ranks = nil
+	case spendKey:
+		c.Spend = Spend{}
+	case "work-kinds":
+		c.WorkKinds = without(c.WorkKinds, func(k WorkKind) bool { return string(k.Name) == name })
+	case "models":
+		c.Models = without(c.Models, func(m Model) bool { return string(m.Name) == name })
+	case "client-accounts":
+		c.ClientAccounts = without(c.ClientAccounts, func(a ClientAccount) bool { return string(a.Name) == name })
+	case "services":
+		c.Services = without(c.Services, func(s Service) bool { return string(s.Name) == name })
+	case "operators":
+		c.Operators = without(c.Operators, func(o Operator) bool { return o.Name == name })
+	}
+}
+
+func without[T any](list []T, drop func(T) bool) []T {
+	return slices.DeleteFunc(slices.Clone(list), drop)
+}
+
 func assembleItem(c *Configuration, it Item) *Document {
 	kind, name, named := strings.Cut(it.Key, "/")
 	switch kind {
--- a/configurer/validate.go
+++ b/configurer/validate.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"reflect"
 	"strings"
+	"sync"
 
 	"github.com/go-playground/validator/v10"
 
@@ -38,12 +39,17 @@
 	return d.Err()
 }
 
+// rules returns the validator; it caches what it learns about types and is safe for concurrent use.
+var rules = sync.OnceValue(func() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(keyOf)
+	return v
+})
+
 // CheckRules applies the validate tags of v, a pointer to a struct, and skips fields that already have a problem.
 func CheckRules(d *Document, v any) {
-	check := validator.New(validator.WithRequiredStructEnabled())
-	check.RegisterTagNameFunc(keyOf)
 	var invalid validator.ValidationErrors
-	if err := check.Struct(v); err == nil || !errors.As(err, &invalid) {
+	if err := rules().Struct(v); err == nil || !errors.As(err, &invalid) {
 		return
 	}
 	refused := map[string]bool{}
--- a/questioner/interview.go
+++ b/questioner/interview.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/charmbracelet/huh"
@@ -168,12 +169,13 @@
 	}
 }
 
-// list asks one page for each entry of a list and offers to add or remove entries.
-func list[T any](v *Interview, title string, entries *[]T, fresh func() T, build func(*page, *T)) func(context.Context) (step, error) {
+// list asks one page for each entry of a list and offers to add or remove entries. An entry without a name is removed,
+// so that an empty list is possible.
+func list[T any](v *Interview, title string, entries *[]T, fresh T, name func(*T) string, build func(*page, *T)) func(context.Context) (step, error) {
 	return func(ctx context.Context) (step, error) {
 		for i := 0; ; {
 			if i == len(*entries) {
-				*entries = append(*entries, fresh())
+				*entries = append(*entries, fresh)
 			}
 			p := &page{}
 			p.fields = append(p.fields, huh.NewNote().Title(fmt.Sprintf("%s %d", title, i+1)))
@@ -183,12 +185,15 @@
 			if err := v.ask(ctx, p); err != nil {
 				return "", err
 			}
+			if name(&(*entries)[i]) == "" && chosen == stepNext {
+				chosen = stepRemove
+			}
 			switch chosen {
 			case stepAnother:
 				i = len(*entries)
 			case stepRemove:
-				*entries = append((*entries)[:i], (*entries)[i+1:]...)
-				if i = max(0, i-1); len(*entries) == 0 {
+				*entries = slices.Delete(*entries, i, i+1)
+				if i == len(*entries) {
 					return stepNext, nil
 				}
 			case stepBack:
--- a/questioner/questioner_test.go
+++ b/questioner/questioner_test.go
@@ -136,7 +136,8 @@
 	"\n\n\n\n\n\n\n1\n" + "\n\n\n\n\n\n\n1\n" + "\n\n\n\n\n\n\n1\n" + // three ranks
 	"order\n1\n0.7\ny\n128\n100\n200\nno double orders\n1\n" +
 	"finch\nv1 0.1 0.2 0.8 0; v2 0.1 0.2 0.8 0.1\n\n1\n" +
-	"depot\n1\nPOST /orders\n\n1\n" +
+	"depot\n1\nPOST /orders\n\n2\n" + // one service, then another that is left empty
+	"\n\n\n\n1\n" +
 	"council\nn\norder\nfinch\ndepot\n0\n\n1\n" +
 	"EUR\n2026-01-01\n2027-01-01\n100\n200\n1\n\n1\n" +
 	"y\nn\nday team only\n1\n" +
@@ -157,6 +158,7 @@
 	must.NoError(t, err)
 	must.True(t, c.Models[0].Versions[1].Paused)
 	must.Len(t, 3, c.Ranks)
+	must.Len(t, 1, c.Services)
 	must.EqOp(t, "/orders", c.Services[0].NonIdempotent[0].Path)
 }
 
--- a/questioner/questions.go
+++ b/questioner/questions.go
@@ -33,15 +33,16 @@
 			text(p, "What is your team called?", "The name appears in the generated file.", &a.Team)
 			text(p, "In which region do you run?", "A name such as ie-west.", &a.Region)
 		}),
-		list(v, "Rank", &a.Ranks, func() RankAnswer {
-			return RankAnswer{BetweenTokens: time.Second, FirstToken: time.Minute, GiveUp: time.Hour}
-		}, askRank),
-		list(v, "Kind of work", &a.Work, func() WorkAnswer { return WorkAnswer{Quality: 0.7, Longest: 512, PerDay: 1000, Prompt: 400} },
+		list(v, "Rank", &a.Ranks, RankAnswer{BetweenTokens: time.Second, FirstToken: time.Minute, GiveUp: time.Hour},
+			func(r *RankAnswer) string { return string(r.Name) }, askRank),
+		list(v, "Kind of work", &a.Work, WorkAnswer{Quality: 0.7, Longest: 512, PerDay: 1000, Prompt: 400},
+			func(w *WorkAnswer) string { return string(w.Name) },
 			func(p *page, w *WorkAnswer) { askWork(p, a, w) }),
-		list(v, "Model", &a.Models, func() ModelAnswer { return ModelAnswer{Versions: []VersionAnswer{{Name: "v1", Quality: 0.8}}} }, askModel),
-		list(v, "Plain service", &a.Services, func() ServiceAnswer { return ServiceAnswer{} },
+		list(v, "Model", &a.Models, ModelAnswer{Versions: []VersionAnswer{{Name: "v1", Quality: 0.8}}},
+			func(m *ModelAnswer) string { return string(m.Name) }, askModel),
+		list(v, "Plain service", &a.Services, ServiceAnswer{}, func(s *ServiceAnswer) string { return string(s.Name) },
 			func(p *page, s *ServiceAnswer) { askService(p, a, s) }),
-		list(v, "Client account", &a.Accounts, func() AccountAnswer { return AccountAnswer{} },
+		list(v, "Client account", &a.Accounts, AccountAnswer{}, func(c *AccountAnswer) string { return string(c.Name) },
 			func(p *page, c *AccountAnswer) { askAccount(p, a, c) }),
 		v.single(func(p *page) { askSpend(p, &a.Spend) }),
 		v.single(func(p *page) {
@@ -49,7 +50,8 @@
 			p.yes("May new versions be tried while nobody is there?", "If not, trials start paused and an operator starts them.", &a.Nights.Trials)
 			text(p, "Why?", "The reason appears as a comment.", &a.Nights.Reason)
 		}),
-		list(v, "Operator", &a.Operators, func() OperatorAnswer { return OperatorAnswer{Role: configurer.RoleOperator} }, askOperator),
+		list(v, "Operator", &a.Operators, OperatorAnswer{Role: configurer.RoleOperator},
+			func(o *OperatorAnswer) string { return o.Name }, askOperator),
 	}
 }
 
@@ -130,7 +132,7 @@
 }
 
 func askService(p *page, a *Answers, s *ServiceAnswer) {
-	text(p, "Name of the service", "It is reached under /services/NAME/. Remove this entry if there is none.", &s.Name)
+	text(p, "Name of the service", "It is reached under /services/NAME/. Leave it empty if there is no further one.", &s.Name)
 	rank(p, a, &s.Rank)
 	calls := make([]string, 0, len(s.RunsOnce))
 	for _, c := range s.RunsOnce {
