questioner: start the interview from earlier answers and show what changes

Cause: a team changes one answer far more often than it answers everything anew. Result: go test ./questioner . passes. Conclusion: a changed answer shows its effect before anything is written.

--- a/command_questionnaire.go
+++ b/command_questionnaire.go
@@ -18,7 +18,7 @@
 const fileMode = 0o600
 
 func newQuestionnaireCommand() *cobra.Command {
-	var answers, save, compare, output string
+	var answers, start, save, compare, output string
 	var accessible bool
 	cmd := &cobra.Command{
 		Use:   "questionnaire",
@@ -32,7 +32,7 @@
 			if err := checkOutput(output); err != nil {
 				return err
 			}
-			a, err := askOrRead(cmd, answers, accessible)
+			a, err := askOrRead(cmd, answers, start, accessible)
 			if err != nil {
 				return err
 			}
@@ -63,22 +63,21 @@
 		},
 	}
 	cmd.Flags().StringVar(&answers, "answers", "", "read the answers from this file instead of asking")
+	cmd.Flags().StringVar(&start, "start", "", "ask, starting from the answers in this file, and show what changes")
 	cmd.Flags().StringVar(&save, "save-answers", "", "write the answers to this file")
 	cmd.Flags().StringVar(&compare, "compare", "", "list on standard error what changed from this configuration")
+	cmd.MarkFlagsMutuallyExclusive("answers", "start")
 	cmd.Flags().BoolVar(&accessible, "accessible", false, "ask line by line, for screen readers")
 	addOutputFlag(cmd, &output)
 	return cmd
 }
 
-// askOrRead reads the answers from the file, or asks in a terminal with the defaults as a start.
-func askOrRead(cmd *cobra.Command, file string, accessible bool) (*questioner.Answers, error) {
+// askOrRead reads the answers from the file, or asks in a terminal with earlier answers or the defaults as a start.
+func askOrRead(cmd *cobra.Command, file, start string, accessible bool) (*questioner.Answers, error) {
 	if file != "" {
-		data, err := os.ReadFile(filepath.Clean(file))
-		if err != nil {
-			return nil, fmt.Errorf("questionnaire: %w", err)
-		}
-		return questioner.Parse(file, data)
+		return readAnswers(file)
 	}
+	first := questioner.Defaults(time.Now())
 	opts := []questioner.Option{questioner.WithInput(cmd.InOrStdin()), questioner.WithOutput(cmd.ErrOrStderr())}
 	if in, ok := cmd.InOrStdin().(*os.File); ok && !accessible && !isatty.IsTerminal(in.Fd()) {
 		return nil, errors.New("questionnaire: standard input is not a terminal; use --answers FILE or --accessible")
@@ -86,7 +85,27 @@
 	if accessible {
 		opts = append(opts, questioner.WithAccessible())
 	}
-	return questioner.NewInterview(opts...).Run(cmd.Context(), questioner.Defaults(time.Now()))
+	if start != "" {
+		earlier, err := readAnswers(start)
+		if err != nil {
+			return nil, err
+		}
+		before, err := questioner.Configuration(earlier)
+		if err != nil {
+			return nil, err
+		}
+		first = *earlier
+		opts = append(opts, questioner.WithBefore(before))
+	}
+	return questioner.NewInterview(opts...).Run(cmd.Context(), first)
+}
+
+func readAnswers(file string) (*questioner.Answers, error) {
+	data, err := os.ReadFile(filepath.Clean(file))
+	if err != nil {
+		return nil, fmt.Errorf("questionnaire: %w", err)
+	}
+	return questioner.Parse(file, data)
 }
 
 func saveAnswers(file string, a *questioner.Answers) error {
--- a/questioner/interview.go
+++ b/questioner/interview.go
@@ -11,6 +11,8 @@
 	"strings"
 
 	"github.com/charmbracelet/huh"
+
+	"github.com/siskinfront/siskinfront/configurer"
 )
 
 // ErrAborted is returned when the person ends the interview without writing.
@@ -21,6 +23,7 @@
 	in         io.Reader
 	out        io.Writer
 	accessible bool
+	before     *configurer.Configuration
 	ended      *bool
 }
 
@@ -36,6 +39,9 @@
 // WithAccessible asks line by line, for screen readers and input that is not a terminal.
 func WithAccessible() Option { return func(v *Interview) { v.accessible = true } }
 
+// WithBefore sets the configuration that the summary compares the answers with.
+func WithBefore(c *configurer.Configuration) Option { return func(v *Interview) { v.before = c } }
+
 // NewInterview returns an interview on standard input and standard error, which keeps standard output for the YAML.
 func NewInterview(opts ...Option) *Interview {
 	v := &Interview{in: os.Stdin, out: os.Stderr, ended: new(bool)}
@@ -109,17 +115,27 @@
 	return &a, nil
 }
 
-// confirm shows a summary, and either finishes or names what contradicts.
+// confirm shows a summary with the changed items, and either finishes or names what contradicts.
 func (v *Interview) confirm(ctx context.Context, a *Answers) (bool, error) {
 	if err := Check(a); err != nil {
 		fmt.Fprintln(v.out, err)
 		return false, v.ask(ctx, &page{fields: []huh.Field{huh.NewNote().Title("These answers contradict").
 			Description("Go back and change one of the two.")}})
 	}
+	summary := Summary(a)
+	if v.before != nil {
+		diff, err := configurer.Diff(v.before, build(a))
+		if err != nil {
+			return false, err
+		}
+		for _, d := range diff {
+			summary += "\n" + d.Kind() + " " + d.Key
+		}
+	}
 	write := true
-	fmt.Fprintln(v.out, Summary(a))
+	fmt.Fprintln(v.out, summary)
 	err := v.ask(ctx, &page{fields: []huh.Field{
-		huh.NewConfirm().Title("Write the configuration?").Description(Summary(a)).Affirmative("Write").Negative("Go back").Value(&write),
+		huh.NewConfirm().Title("Write the configuration?").Description(summary).Affirmative("Write").Negative("Go back").Value(&write),
 	}})
 	return write, err
 }
--- a/questioner/questioner_test.go
+++ b/questioner/questioner_test.go
@@ -162,6 +162,28 @@
 	must.EqOp(t, "/orders", c.Services[0].NonIdempotent[0].Path)
 }
 
+// Guards against an interview that starts anew instead of from earlier answers, or hides what they change.
+func TestInterviewStartsFromAnswers(t *testing.T) {
+	a, err := questioner.Parse("a", read(t, "muleta-certa", "answers.yaml"))
+	must.NoError(t, err)
+	before, err := questioner.Configuration(a)
+	must.NoError(t, err)
+	// The first rank gets a worth of 0.9; every other question keeps its answer.
+	lines := "\n\n\n" + "\n\n\n\n\n0.9\n\n\n" + strings.Repeat("\n", 400)
+	var out bytes.Buffer
+	v := questioner.NewInterview(questioner.WithInput(strings.NewReader(lines)), questioner.WithOutput(&out),
+		questioner.WithAccessible(), questioner.WithBefore(before))
+	got, err := v.Run(t.Context(), *a)
+	must.NoError(t, err, must.Sprint(out.String()))
+	c, err := questioner.Configuration(got)
+	must.NoError(t, err)
+	diff, err := configurer.Diff(before, c)
+	must.NoError(t, err)
+	must.Len(t, 1, diff)
+	must.EqOp(t, "ranks", diff[0].Key)
+	must.StrContains(t, out.String(), "\nchanged ranks\n")
+}
+
 // Guards against an interview that never ends when its input does.
 func TestInterviewEndsWithItsInput(t *testing.T) {
 	v := questioner.NewInterview(questioner.WithInput(strings.NewReader("Test team\n")), questioner.WithOutput(io.Discard), questioner.WithAccessible())
