questioner: keep the order of a page's choice and its answers explicit

Change: call first, then return; the interview test goes back from a list page to correct an answer.

--- a/administrator/client.go
+++ b/administrator/client.go
@@ -53,7 +53,8 @@
 	if err != nil {
 		return out, err
 	}
-	return out, c.decode(answer, &out)
+	err = c.decode(answer, &out)
+	return out, err
 }
 
 // History returns the changes that are kept, the newest first.
@@ -63,7 +64,8 @@
 		return nil, err
 	}
 	var out []ChangeReply
-	return out, c.decode(body, &out)
+	err = c.decode(body, &out)
+	return out, err
 }
 
 // Diff returns what differs between two revisions.
@@ -73,7 +75,8 @@
 		return nil, err
 	}
 	var out []configurer.Difference
-	return out, c.decode(body, &out)
+	err = c.decode(body, &out)
+	return out, err
 }
 
 func (c *Client) decode(body []byte, v any) error {
--- a/configurer/items.go
+++ b/configurer/items.go
@@ -88,14 +88,13 @@
 func Patch(base *Configuration, revision uint64, changed []Item, removed []string) (*Configuration, error) {
 	c := *base
 	c.Revision = revision
-	keys := slices.Clone(removed)
-	for _, it := range changed {
-		keys = append(keys, it.Key)
-	}
-	for _, key := range keys {
+	for _, key := range removed {
 		dropItem(&c, key)
 	}
-	var problems []Problem
+	for _, it := range changed {
+		dropItem(&c, it.Key)
+	}
+	problems := make([]Problem, 0, len(changed))
 	for _, it := range changed {
 		// The lists were copied by dropItem, so that appending does not reach base.
 		problems = append(problems, assembleItem(&c, it).Problems...)
--- a/questioner/interview.go
+++ b/questioner/interview.go
@@ -128,9 +128,11 @@
 		if err != nil {
 			return false, err
 		}
+		lines := []string{summary}
 		for _, d := range diff {
-			summary += "\n" + d.Kind() + " " + d.Key
+			lines = append(lines, d.Kind()+" "+d.Key)
 		}
+		summary = strings.Join(lines, "\n")
 	}
 	write := true
 	fmt.Fprintln(v.out, summary)
@@ -181,7 +183,8 @@
 		build(p)
 		chosen := stepNext
 		p.choose("Go on?", &chosen, stepNext, stepBack)
-		return chosen, v.ask(ctx, p)
+		err := v.ask(ctx, p)
+		return chosen, err
 	}
 }
 
@@ -204,23 +207,21 @@
 			if name(&(*entries)[i]) == "" && chosen == stepNext {
 				chosen = stepRemove
 			}
-			switch chosen {
-			case stepAnother:
+			switch {
+			case chosen == stepAnother:
 				i = len(*entries)
-			case stepRemove:
+				continue
+			case chosen == stepRemove:
 				*entries = slices.Delete(*entries, i, i+1)
-				if i == len(*entries) {
-					return stepNext, nil
-				}
-			case stepBack:
-				if i == 0 {
-					return stepBack, nil
-				}
+			case chosen == stepBack && i == 0:
+				return stepBack, nil
+			case chosen == stepBack:
 				i--
 			default:
-				if i++; i == len(*entries) {
-					return stepNext, nil
-				}
+				i++
+			}
+			if i == len(*entries) {
+				return stepNext, nil
 			}
 		}
 	}
--- a/questioner/questioner_test.go
+++ b/questioner/questioner_test.go
@@ -131,7 +131,8 @@
 }
 
 // The answers of one person who goes back once to correct the region. An empty line keeps the default.
-const session = "Test team\nwrong\n2\n" + // On the first page "back" leads to the same page.
+const session = "Test team\nwrong\n1\n" +
+	"\n\n\n\n\n\n\n3\n" + // back from the first rank
 	"\nie-west\n1\n" +
 	"\n\n\n\n\n\n\n1\n" + "\n\n\n\n\n\n\n1\n" + "\n\n\n\n\n\n\n1\n" + // three ranks
 	"order\n1\n0.7\ny\n128\n100\n200\nno double orders\n1\n" +
