--- a/questioner/interview.go
+++ b/questioner/interview.go
@@ -7,9 +7,12 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/charmbracelet/huh"
+
+	"github.com/siskinfront/siskinfront/configurer"
 )
 
 // ErrAborted is returned when the person ends the interview without writing.
@@ -20,6 +23,7 @@
 	in         io.Reader
 	out        io.Writer
 	accessible bool
+	before     *configurer.Configuration
 	ended      *bool
 }
 
@@ -35,6 +39,9 @@
 // WithAccessible asks line by line, for screen readers and input that is not a terminal.
 func WithAccessible() Option { return func(v *Interview) { v.accessible = true } }
 
+// WithBefore sets the configuration that the summary compares the answers with.
+func WithBefore(c *configurer.Configuration) Option { return func(v *Interview) { v.before = c } }
+
 // NewInterview returns an interview on standard input and standard error, which keeps standard output for the YAML.
 func NewInterview(opts ...Option) *Interview {
 	v := &Interview{in: os.Stdin, out: os.Stderr, ended: new(bool)}
@@ -108,17 +115,29 @@
 	return &a, nil
 }
 
-// confirm shows a summary, and either finishes or names what contradicts.
+// confirm shows a summary with the changed items, and either finishes or names what contradicts.
 func (v *Interview) confirm(ctx context.Context, a *Answers) (bool, error) {
 	if err := Check(a); err != nil {
 		fmt.Fprintln(v.out, err)
 		return false, v.ask(ctx, &page{fields: []huh.Field{huh.NewNote().Title("These answers contradict").
 			Description("Go back and change one of the two.")}})
 	}
+	summary := Summary(a)
+	if v.before != nil {
+		diff, err := configurer.Diff(v.before, build(a))
+		if err != nil {
+			return false, err
+		}
+		lines := []string{summary}
+		for _, d := range diff {
+			lines = append(lines, d.Kind()+" "+d.Key)
+		}
+		summary = strings.Join(lines, "\n")
+	}
 	write := true
-	fmt.Fprintln(v.out, Summary(a))
+	fmt.Fprintln(v.out, summary)
 	err := v.ask(ctx, &page{fields: []huh.Field{
-		huh.NewConfirm().Title("Write the configuration?").Description(Summary(a)).Affirmative("Write").Negative("Go back").Value(&write),
+		huh.NewConfirm().Title("Write the configuration?").Description(summary).Affirmative("Write").Negative("Go back").Value(&write),
 	}})
 	return write, err
 }
@@ -164,16 +183,18 @@
 		build(p)
 		chosen := stepNext
 		p.choose("Go on?", &chosen, stepNext, stepBack)
-		return chosen, v.ask(ctx, p)
+		err := v.ask(ctx, p)
+		return chosen, err
 	}
 }
 
-// list asks one page for each entry of a list and offers to add or remove entries.
-func list[T any](v *Interview, title string, entries *[]T, fresh func() T, build func(*page, *T)) func(context.Context) (step, error) {
+// list asks one page for each entry of a list and offers to add or remove entries. An entry without a name is removed,
+// so that an empty list is possible.
+func list[T any](v *Interview, title string, entries *[]T, fresh T, name func(*T) string, build func(*page, *T)) func(context.Context) (step, error) {
 	return func(ctx context.Context) (step, error) {
 		for i := 0; ; {
 			if i == len(*entries) {
-				*entries = append(*entries, fresh())
+				*entries = append(*entries, fresh)
 			}
 			p := &page{}
 			p.fields = append(p.fields, huh.NewNote().Title(fmt.Sprintf("%s %d", title, i+1)))
@@ -183,23 +204,24 @@
 			if err := v.ask(ctx, p); err != nil {
 				return "", err
 			}
-			switch chosen {
-			case stepAnother:
+			if name(&(*entries)[i]) == "" && chosen == stepNext {
+				chosen = stepRemove
+			}
+			switch {
+			case chosen == stepAnother:
 				i = len(*entries)
-			case stepRemove:
-				*entries = append((*entries)[:i], (*entries)[i+1:]...)
-				if i = max(0, i-1); len(*entries) == 0 {
-					return stepNext, nil
-				}
-			case stepBack:
-				if i == 0 {
-					return stepBack, nil
-				}
+				continue
+			case chosen == stepRemove:
+				*entries = slices.Delete(*entries, i, i+1)
+			case chosen == stepBack && i == 0:
+				return stepBack, nil
+			case chosen == stepBack:
 				i--
 			default:
-				if i++; i == len(*entries) {
-					return stepNext, nil
-				}
+				i++
+			}
+			if i == len(*entries) {
+				return stepNext, nil
 			}
 		}
 	}
--- a/questioner/questioner_test.go
+++ b/questioner/questioner_test.go
@@ -131,12 +131,14 @@
 }
 
 // The answers of one person who goes back once to correct the region. An empty line keeps the default.
-const session = "Test team\nwrong\n2\n" + // On the first page "back" leads to the same page.
+const session = "Test team\nwrong\n1\n" +
+	"\n\n\n\n\n\n\n3\n" + // back from the first rank
 	"\nie-west\n1\n" +
 	"\n\n\n\n\n\n\n1\n" + "\n\n\n\n\n\n\n1\n" + "\n\n\n\n\n\n\n1\n" + // three ranks
 	"order\n1\n0.7\ny\n128\n100\n200\nno double orders\n1\n" +
 	"finch\nv1 0.1 0.2 0.8 0; v2 0.1 0.2 0.8 0.1\n\n1\n" +
-	"depot\n1\nPOST /orders\n\n1\n" +
+	"depot\n1\nPOST /orders\n\n2\n" + // one service, then another that is left empty
+	"\n\n\n\n1\n" +
 	"council\nn\norder\nfinch\ndepot\n0\n\n1\n" +
 	"EUR\n2026-01-01\n2027-01-01\n100\n200\n1\n\n1\n" +
 	"y\nn\nday team only\n1\n" +
@@ -157,9 +159,32 @@
 	must.NoError(t, err)
 	must.True(t, c.Models[0].Versions[1].Paused)
 	must.Len(t, 3, c.Ranks)
+	must.Len(t, 1, c.Services)
 	must.EqOp(t, "/orders", c.Services[0].NonIdempotent[0].Path)
 }
 
+// Guards against an interview that starts anew instead of from earlier answers, or hides what they change.
+func TestInterviewStartsFromAnswers(t *testing.T) {
+	a, err := questioner.Parse("a", read(t, "muleta-certa", "answers.yaml"))
+	must.NoError(t, err)
+	before, err := questioner.Configuration(a)
+	must.NoError(t, err)
+	// The first rank gets a worth of 0.9; every other question keeps its answer.
+	lines := "\n\n\n" + "\n\n\n\n\n0.9\n\n\n" + strings.Repeat("\n", 400)
+	var out bytes.Buffer
+	v := questioner.NewInterview(questioner.WithInput(strings.NewReader(lines)), questioner.WithOutput(&out),
+		questioner.WithAccessible(), questioner.WithBefore(before))
+	got, err := v.Run(t.Context(), *a)
+	must.NoError(t, err, must.Sprint(out.String()))
+	c, err := questioner.Configuration(got)
+	must.NoError(t, err)
+	diff, err := configurer.Diff(before, c)
+	must.NoError(t, err)
+	must.Len(t, 1, diff)
+	must.EqOp(t, "ranks", diff[0].Key)
+	must.StrContains(t, out.String(), "\nchanged ranks\n")
+}
+
 // Guards against an interview that never ends when its input does.
 func TestInterviewEndsWithItsInput(t *testing.T) {
 	v := questioner.NewInterview(questioner.WithInput(strings.NewReader("Test team\n")), questioner.WithOutput(io.Discard), questioner.WithAccessible())
