agentserver: test every failure of a run in virtual time

Cause: outcomes, cancellation, drain and preemption were untested. Change: tests on an in-memory network; the silence limit of a stream counts only while its reader waits, because a slow caller is no fault of the connection.

--- /dev/null
+++ b/agentserver/server_test.go
@@ -0,0 +1,354 @@
+package agentserver_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/agentserver"
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/enginefaker"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+var (
+	engineAddress = netip.MustParseAddrPort("10.0.0.1:8000")
+	agentAddress  = netip.MustParseAddrPort("10.0.0.1:7000")
+)
+
+const body = `{"model":"auto","messages":[{"role":"user","content":"Summarise fault note 17."}]}`
+
+// bed is one engine with its agent on a network in memory.
+type bed struct {
+	net    *enginefaker.Network
+	engine *enginefaker.Engine
+	agent  *agentserver.Server
+	client *streamer.Client
+}
+
+func run(t *testing.T, f func(t *testing.T, b *bed), opts ...agentserver.Option) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		b := &bed{net: enginefaker.NewNetwork(), engine: enginefaker.New(enginefaker.WithInterval(100 * time.Millisecond))}
+		transport := &http.Transport{DialContext: b.net.Dial}
+		b.agent = agentserver.New("upstream-1", engineAddress, append(opts, agentserver.WithTransport(transport))...)
+		b.client = streamer.NewClient(streamer.WithDial(b.net.Dial))
+		serve(t, b.net, engineAddress, b.engine)
+		serve(t, b.net, agentAddress, b.agent)
+		f(t, b)
+		// The engine ends its last step.
+		time.Sleep(time.Second)
+		b.client.Close()
+		transport.CloseIdleConnections()
+	})
+}
+
+func serve(t *testing.T, n *enginefaker.Network, a netip.AddrPort, h http.Handler) {
+	t.Helper()
+	s := &http.Server{Handler: h}
+	l := n.Listen(a)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+}
+
+func order(id identifier.Request) *streamer.Order {
+	return &streamer.Order{
+		Request: id, Attempt: 1, ClientAccount: "galway-council", Rank: "normal", MaxTokens: 16, PromptTokens: 8,
+		Target: identifier.Target{Model: "finch-small", Version: "v1"}, Deadline: time.Now().Add(time.Minute), Revision: 1,
+	}
+}
+
+// finish reads to the final frame and returns it with the number of tokens.
+func finish(t *testing.T, s *streamer.Stream) (streamer.Frame, int) {
+	t.Helper()
+	defer s.Close()
+	tokens := 0
+	for {
+		f, err := s.Next(t.Context())
+		must.NoError(t, err)
+		if f.Kind == streamer.KindToken {
+			tokens++
+		}
+		if f.Final() {
+			f.Data = nil
+			return f, tokens
+		}
+	}
+}
+
+func (b *bed) open(t *testing.T, o *streamer.Order) *streamer.Stream {
+	t.Helper()
+	s, err := b.client.Open(t.Context(), agentAddress, o, []byte(body))
+	must.NoError(t, err)
+	return s
+}
+
+// Guards against a second run of the same attempt, and against bills that are lost before they are durable.
+func TestSecondPostAttaches(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		first := b.open(t, order("r-1"))
+		time.Sleep(500 * time.Millisecond)
+		second := b.open(t, order("r-1"))
+		f, tokens := finish(t, second)
+		must.Eq(t, streamer.KindDone, f.Kind)
+		must.Eq(t, 16, tokens)
+		first.Close()
+		must.Eq(t, 1, b.engine.Executions("r-1"))
+		bills := b.agent.PendingBills(10)
+		must.Len(t, 1, bills)
+		must.Eq(t, 16, bills[0].Usage.CompletionTokens)
+		must.True(t, bills[0].Final)
+		b.agent.BillsDurable([]string{bills[0].ID})
+		must.Len(t, 0, b.agent.PendingBills(10))
+		// After the frames are gone, a late copy of the order must still not run.
+		time.Sleep(30 * time.Second)
+		f, _ = finish(t, b.open(t, order("r-1")))
+		must.Eq(t, "run-ended", f.Code)
+		must.Eq(t, streamer.OutcomeRun, f.Outcome)
+		must.Eq(t, 1, b.engine.Executions("r-1"))
+	})
+}
+
+// Guards against refusals that are not true, and against work that starts in spite of one.
+func TestRefusals(t *testing.T) {
+	cfg := &configurer.Configuration{
+		Revision: 2,
+		Models: []configurer.Model{{Name: "finch-small", Versions: []configurer.Version{
+			{Name: "v1", State: configurer.VersionServing}, {Name: "v0", State: configurer.VersionWithdrawn},
+		}}},
+		ClientAccounts: []configurer.ClientAccount{{
+			Name: "galway-council", Allowed: []configurer.Allowed{{Model: "finch-small"}},
+		}},
+	}
+	loaded := func(t identifier.Target) bool { return t.Version != "v2" }
+	cases := []struct {
+		code   string
+		change func(o *streamer.Order)
+	}{
+		{"deadline-passed", func(o *streamer.Order) { o.Deadline = time.Now() }},
+		{"deadline-passed", func(o *streamer.Order) { o.Deadline = time.Time{} }},
+		{"version-withdrawn", func(o *streamer.Order) { o.Target.Version = "v0" }},
+		{"version-withdrawn", func(o *streamer.Order) { o.Target.Version = "v9" }},
+		{"version-not-allowed", func(o *streamer.Order) { o.ClientAccount = "other" }},
+		{"version-not-loaded", func(o *streamer.Order) { o.Target.Version, o.Revision = "v2", 3 }},
+	}
+	for _, tc := range cases {
+		run(t, func(t *testing.T, b *bed) {
+			o := order("r-1")
+			tc.change(o)
+			f, _ := finish(t, b.open(t, o))
+			must.Eq(t, streamer.KindRefused, f.Kind)
+			must.Eq(t, tc.code, f.Code)
+			must.Eq(t, streamer.OutcomeNotRun, f.Outcome)
+			must.Eq(t, 0, b.engine.Counters()["started"])
+		}, agentserver.WithConfiguration(func() *configurer.Configuration { return cfg }), agentserver.WithLoaded(loaded))
+	}
+}
+
+// Guards against work that runs after its deadline passed in the queue, and against an unbounded queue.
+func TestQueueDropsWorkPastItsDeadline(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		first := b.open(t, order("r-1"))
+		late := order("r-2")
+		late.Deadline = time.Now().Add(time.Second)
+		second := b.open(t, late)
+		synctest.Wait()
+		f, _ := finish(t, b.open(t, order("r-3")))
+		must.Eq(t, "queue-full", f.Code)
+		f, _ = finish(t, second)
+		must.Eq(t, "deadline-passed", f.Code)
+		must.Eq(t, streamer.OutcomeNotRun, f.Outcome)
+		f, _ = finish(t, first)
+		must.Eq(t, streamer.KindDone, f.Kind)
+		must.Eq(t, 0, b.engine.Executions("r-2"))
+	}, agentserver.WithQueue(1, 1))
+}
+
+// Guards against a cancellation that lies about its outcome or leaves the engine running.
+func TestCancel(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		running := b.open(t, order("r-1"))
+		queued := b.open(t, order("r-2"))
+		time.Sleep(time.Second)
+		must.Eq(t, streamer.OutcomeNotRun, queued.Cancel(t.Context()))
+		must.Eq(t, streamer.OutcomeRun, running.Cancel(t.Context()))
+		f, _ := finish(t, queued)
+		must.Eq(t, "cancelled", f.Code)
+		must.Eq(t, streamer.OutcomeNotRun, f.Outcome)
+		f, _ = finish(t, running)
+		must.Eq(t, streamer.OutcomeRun, f.Outcome)
+		synctest.Wait()
+		must.Eq(t, 1, b.engine.Counters()["cancelled"])
+		must.Eq(t, 0, b.engine.Executions("r-2"))
+		must.False(t, b.agent.PendingBills(1)[0].Final)
+	}, agentserver.WithQueue(1, 8))
+}
+
+// Guards against work for an entry that is gone, and against its end within the resume window.
+func TestEntryGone(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		b.engine.Tokens = 1000
+		long := func(id identifier.Request) *streamer.Order {
+			o := order(id)
+			o.MaxTokens = 1000
+			return o
+		}
+		back := b.open(t, long("r-1"))
+		b.open(t, long("r-2")).Close()
+		back.Close()
+		time.Sleep(5 * time.Second)
+		back = b.open(t, long("r-1"))
+		for begin := time.Now(); time.Since(begin) < 20*time.Second; {
+			_, err := back.Next(t.Context())
+			must.NoError(t, err)
+		}
+		must.Eq(t, 1, b.engine.Counters()["cancelled"])
+		must.Eq(t, 1, b.agent.Counters()["runs-failed"])
+		must.Eq(t, streamer.OutcomeRun, back.Cancel(t.Context()))
+		back.Close()
+	})
+}
+
+// Guards against a preempted run that starts anew, repeats or loses tokens, or keeps its slot.
+func TestPreemptedRunResumes(t *testing.T) {
+	var preempt chan struct{}
+	var finished []int
+	admitted := 0
+	admit := func(context.Context, agentserver.Item) (agentserver.Ticket, error) {
+		admitted++
+		ticket := agentserver.Ticket{Finish: func(n int) { finished = append(finished, n) }}
+		if admitted == 1 {
+			ticket.Preempted = preempt
+		}
+		return ticket, nil
+	}
+	run(t, func(t *testing.T, b *bed) {
+		preempt = make(chan struct{})
+		s := b.open(t, order("r-1"))
+		time.AfterFunc(850*time.Millisecond, func() { close(preempt) })
+		f, tokens := finish(t, s)
+		must.Eq(t, streamer.KindDone, f.Kind)
+		must.Eq(t, 16, tokens)
+		must.Eq(t, 16, f.Usage.CompletionTokens)
+		must.Eq(t, []int{8, 8}, finished)
+		must.Eq(t, 1, b.engine.Executions("r-1"))
+	}, agentserver.WithAdmit(admit, func() streamer.Load { return streamer.Load{} }))
+}
+
+// Guards against wrong outcomes when the engine fails before, at and after the start of the run.
+func TestEngineFailures(t *testing.T) {
+	cases := []struct {
+		name    string
+		induce  func(b *bed)
+		code    string
+		outcome streamer.Outcome
+	}{
+		{"unreachable", func(b *bed) { _ = b.net.Listen(engineAddress).Close() }, "upstream-unreachable", streamer.OutcomeNotRun},
+		{"error status", func(b *bed) {
+			b.engine.Fail = func(identifier.Request) int { return http.StatusInternalServerError }
+		}, "engine-refused", streamer.OutcomeUnknown},
+		{"cut mid-stream", func(b *bed) {
+			b.engine.Cut = func(_ identifier.Request, token int) bool { return token == 5 }
+		}, "engine-ended-early", streamer.OutcomeRun},
+		{"stalled", func(b *bed) {
+			b.engine.Stall = func(_ identifier.Request, token int) bool { return token == 5 }
+		}, "deadline-passed", streamer.OutcomeRun},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			run(t, func(t *testing.T, b *bed) {
+				tc.induce(b)
+				f, _ := finish(t, b.open(t, order("r-1")))
+				must.Eq(t, tc.code, f.Code)
+				must.Eq(t, tc.outcome, f.Outcome)
+			})
+		})
+	}
+}
+
+// Guards against a drain that interrupts running work or accepts new work.
+func TestDrain(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		s := b.open(t, order("r-1"))
+		drained := make(chan error, 1)
+		go func() { drained <- b.agent.Drain(t.Context()) }()
+		synctest.Wait()
+		f, _ := finish(t, b.open(t, order("r-2")))
+		must.Eq(t, "draining", f.Code)
+		must.Eq(t, streamer.OutcomeNotRun, f.Outcome)
+		must.True(t, f.Load.Leaving)
+		f, _ = finish(t, s)
+		must.Eq(t, streamer.KindDone, f.Kind)
+		must.NoError(t, <-drained)
+		must.NoError(t, b.agent.Drain(t.Context()))
+	})
+}
+
+// Guards against commands of a former lease holder at an engine that ignores fencing tokens.
+func TestFencing(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		command := func(body string) int {
+			w := httptest.NewRecorder()
+			b.agent.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/control/load", bytes.NewBufferString(body)))
+			return w.Code
+		}
+		must.Eq(t, http.StatusOK, command(`{"token":7,"target":"finch-small@v2"}`))
+		must.Eq(t, http.StatusConflict, command(`{"token":6,"target":"finch-small@v1"}`))
+		must.Eq(t, http.StatusOK, command(`{"token":7,"target":"finch-small@v2"}`))
+		must.Eq(t, http.StatusBadRequest, command(`{"target":"finch-small@v1"}`))
+		w := httptest.NewRecorder()
+		b.engine.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/load", http.NoBody))
+		var load enginefaker.LoadReport
+		must.NoError(t, json.Unmarshal(w.Body.Bytes(), &load))
+		must.Eq(t, []string{"finch-small@v2"}, load.Loaded)
+	})
+}
+
+// Guards against a truncated response of a plain service that passes as a complete one, and against double runs.
+func TestPlainServiceTruncated(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		runs := 0
+		serve(t, b.net, engineAddress, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			runs++
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "half")
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}))
+		o := order("r-1")
+		o.Service, o.NonIdempotent = "refunds", true
+		o.Call = &streamer.Call{Method: http.MethodGet, Path: "/bookings"}
+		f, _ := finish(t, b.open(t, o))
+		must.Eq(t, "upstream-ended-early", f.Code)
+		must.Eq(t, streamer.OutcomeRun, f.Outcome)
+		must.Eq(t, 1, runs)
+	})
+}
+
+// Guards against malformed orders that start work.
+func TestMalformedOrders(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		for _, in := range []string{"", "{", "{}\n{}", "null\n", `{"request-id":7}` + "\n"} {
+			w := httptest.NewRecorder()
+			b.agent.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/run", bytes.NewBufferString(in)))
+			must.Eq(t, http.StatusBadRequest, w.Code)
+			must.Eq(t, "not-run", w.Header().Get(streamer.HeaderOutcome))
+		}
+		must.Eq(t, 0, b.engine.Counters()["started"])
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err := b.client.Open(ctx, agentAddress, order("r-9"), nil)
+		must.True(t, errors.Is(err, context.Canceled) || errors.Is(err, streamer.ErrNotSent))
+	})
+}
--- a/streamer/client.go
+++ b/streamer/client.go
@@ -87,6 +87,8 @@
 	body   io.ReadCloser
 	cancel context.CancelFunc
 	silent *atomic.Bool
+	// idle is set while nobody waits for a frame, because a slow caller is no fault of the connection.
+	idle atomic.Bool
 	timer  *time.Timer
 	last   uint64
 }
@@ -142,7 +144,11 @@
 func (s *Stream) connect(ctx context.Context, h *http.Client, method, url string, payload []byte) error {
 	ctx, cancel := context.WithCancel(ctx)
 	silent := &atomic.Bool{}
+	s.idle.Store(false)
 	timer := time.AfterFunc(SilenceLimit, func() {
+		if s.idle.Load() {
+			return
+		}
 		silent.Store(true)
 		cancel()
 	})
@@ -218,10 +224,12 @@
 // Next returns the next frame, heartbeats included, and io.EOF after the final one. A broken or silent connection, a
 // missing or a foreign frame leads to a resume; ErrLost is returned when the agent cannot continue the stream.
 func (s *Stream) Next(ctx context.Context) (Frame, error) {
+	s.idle.Store(false)
+	defer s.idle.Store(true)
+	s.timer.Reset(SilenceLimit)
 	for tries := 0; ; tries++ {
 		f, err := s.reader.Next()
 		if err == nil {
-			s.timer.Reset(SilenceLimit)
 			if f.Kind != KindHeartbeat {
 				s.last = f.Sequence
 			}
@@ -278,6 +286,8 @@
 	}
 	if s.reader.final {
 		// Reading to the end of the reply lets the transport keep the connection; the timer bounds the read.
+		s.idle.Store(false)
+		s.timer.Reset(SilenceLimit)
 		_, _ = io.CopyN(io.Discard, s.body, 1)
 	}
 	s.disconnect()
