--- a/streamer/client.go
+++ b/streamer/client.go
@@ -88,9 +88,9 @@
 	cancel context.CancelFunc
 	silent *atomic.Bool
 	// idle is set while nobody waits for a frame, because a slow caller is no fault of the connection.
-	idle atomic.Bool
-	timer  *time.Timer
-	last   uint64
+	idle  atomic.Bool
+	timer *time.Timer
+	last  uint64
 }
 
 // Open sends the order with the caller's body. ErrNotSent means that the agent never had it; on any other trouble the
