--- a/command_bench.go
+++ b/command_bench.go
@@ -8,12 +8,14 @@
 
 	"github.com/siskinfront/siskinfront/bencher"
 	"github.com/siskinfront/siskinfront/costbencher"
+	"github.com/siskinfront/siskinfront/rolloutbencher"
 )
 
 // experiments lists the experiments of the bench command.
 func experiments() []bencher.Experiment {
 	return []bencher.Experiment{
 		costbencher.Experiment(),
+		rolloutbencher.Experiment(),
 	}
 }
 
--- a/promoter/test.go
+++ b/promoter/test.go
@@ -1,10 +1,8 @@
 package promoter
 
-import "math"
-
 const (
-	// betHalfLife is the number of pairs over which the bet adapts to a change.
-	betHalfLife = 30
+	// betRate is the weight of one pair in the means that decide the bet, so that it adapts within about 40 pairs.
+	betRate = 0.023
 	// maxBet keeps the wealth positive after the worst pair.
 	maxBet = 0.5
 	// restartPairs is the number of pairs after which another process starts; a version that turns bad late then does not
@@ -45,7 +43,7 @@
 	}
 	e.pairs++
 	// The first pairs weigh more, so that the bet does not start from an arbitrary mean.
-	rate := max(1-math.Exp2(-1.0/betHalfLife), 1/float64(e.pairs+4))
+	rate := max(betRate, 1/float64(e.pairs+4))
 	e.mean += rate * (d - e.mean)
 	e.square += rate * (d*d - e.square)
 }
--- /dev/null
+++ b/rolloutbencher/experiment.go
@@ -0,0 +1,232 @@
+package rolloutbencher
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/siskinfront/siskinfront/bencher"
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/promoter"
+)
+
+const (
+	// falseLimit is the stated limit of false rollbacks.
+	falseLimit = 0.01
+	// horizon bounds one rollout; a good version is confirmed well before.
+	horizon = 48 * time.Hour
+	// arrivals is the mean time between answers of the kind.
+	arrivals = 5 * time.Second
+	// lookInterval is the time between decisions.
+	lookInterval = time.Minute
+	ratedShare   = 0.5
+	badRuns      = 60
+	goodRuns     = 400
+	// otherRuns bounds the runs of the policies that are only there for comparison.
+	otherRuns = 20
+)
+
+// The two versions of the experiment.
+var (
+	serving   = identifier.Target{Model: "drafting", Version: "1"}
+	candidate = identifier.Target{Model: "drafting", Version: "2"}
+)
+
+// scenario describes the candidate version.
+type scenario struct {
+	name string
+	bad  bool
+	// late is set when the version turns bad some time after the rollout started.
+	late bool
+	// drop is the loss of quality, slow the factor of the latency, failures the share of failed answers.
+	drop, slow, failures float64
+}
+
+func scenarios() []scenario {
+	const usualFailures = 0.005
+	return []scenario{
+		{"bad at once", true, false, 0.15, 1, usualFailures},
+		{"bad at midday", true, true, 0.15, 1, usualFailures},
+		{"slow", true, false, 0, 1.6, usualFailures},
+		{"failing", true, false, 0, 1, 0.06},
+		{"failing at midday", true, true, 0, 1, 0.06},
+		{"good", false, false, 0, 1, usualFailures},
+		{"better", false, false, -0.03, 0.95, usualFailures},
+	}
+}
+
+// Experiment returns the experiment roll-out.
+func Experiment() bencher.Experiment {
+	return bencher.Experiment{Name: "roll-out", Short: "Detection of bad versions and false rollbacks of good ones", Run: run}
+}
+
+// result is the outcome of one rollout.
+type result struct {
+	rolledBack, confirmed bool
+	// hours is the time from turning bad, or from the start, to the rollback.
+	hours float64
+	// exposed is the share of the kind's answers in the day after it turned bad that came from the version.
+	exposed float64
+}
+
+func run(ctx context.Context, p bencher.Params) (bencher.Report, error) {
+	report := bencher.Report{
+		Columns: []string{"scenario", "policy", "runs", "rolled-back", "confirmed", "hours-to-rollback", "share-after-bad"},
+		XLabel:  "run", YLabel: "hours from turning bad to rollback",
+	}
+	var good, falsely float64
+	for i, s := range scenarios() {
+		runs := badRuns
+		if !s.bad {
+			runs = goodRuns
+		}
+		for _, c := range policies() {
+			runs := runs
+			if c.name != "promoter" {
+				runs = otherRuns
+			}
+			results := make([]result, runs)
+			g, gctx := errgroup.WithContext(ctx)
+			g.SetLimit(runtime.GOMAXPROCS(0))
+			for n := range results {
+				g.Go(func() error {
+					results[n] = simulate(s, c, rand.New(rand.NewPCG(p.Seed, uint64(i)<<32|uint64(n))))
+					return gctx.Err()
+				})
+			}
+			if err := g.Wait(); err != nil {
+				return report, fmt.Errorf("rolloutbencher: %s: %w", s.name, err)
+			}
+			back, line := addRow(&report, s, c, results)
+			if c.name != "promoter" {
+				continue
+			}
+			if s.bad {
+				report.Bounds = append(report.Bounds, bencher.Bound{Name: s.name + ": rolled back", Got: back / float64(runs), Limit: 1})
+				report.Series = append(report.Series, line)
+				continue
+			}
+			good += float64(runs)
+			falsely += back
+		}
+	}
+	report.Bounds = append(report.Bounds, bencher.Bound{Name: "false rollbacks", Got: falsely / good, Limit: falseLimit, AtMost: true})
+	return report, nil
+}
+
+// addRow adds the summary of one scenario under one policy; it returns the number of rollbacks and their times.
+func addRow(report *bencher.Report, s scenario, c policy, results []result) (float64, bencher.Series) {
+	back, confirmed, hours, exposed := 0.0, 0.0, 0.0, 0.0
+	line := bencher.Series{Name: s.name}
+	for n, r := range results {
+		exposed += r.exposed / float64(len(results))
+		if r.confirmed {
+			confirmed++
+		}
+		if r.rolledBack {
+			back++
+			hours += r.hours
+			line.Points = append(line.Points, bencher.Point{X: float64(n), Y: r.hours})
+		}
+	}
+	time, share := "-", "-"
+	if back > 0 {
+		time = fmt.Sprintf("%.2f", hours/back)
+	}
+	if s.bad {
+		share = fmt.Sprintf("%.4f", exposed)
+	}
+	n := float64(len(results))
+	report.Rows = append(report.Rows, []string{
+		s.name, c.name, fmt.Sprint(len(results)), fmt.Sprintf("%.4f", back/n), fmt.Sprintf("%.4f", confirmed/n), time, share,
+	})
+	return back, line
+}
+
+// simulate runs one rollout until it ends or the horizon is reached.
+func simulate(s scenario, c policy, rng *rand.Rand) result {
+	start := time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
+	now, turned := start, start
+	if s.late {
+		turned = start.Add(time.Duration(6+18*rng.Float64()) * time.Hour)
+	}
+	cfg := &configurer.Configuration{Models: []configurer.Model{{Name: serving.Model, Versions: []configurer.Version{
+		{Name: serving.Version, State: configurer.VersionServing}, {Name: candidate.Version, State: configurer.VersionCandidate},
+	}}}}
+	v := &cfg.Models[0].Versions[1]
+	observe, decide := c.make(func() time.Time { return now })
+	var r result
+	var waiting []promoter.Observation
+	look, answers, exposed := start, 0.0, 0.0
+	for now.Before(start.Add(horizon)) {
+		now = now.Add(time.Duration(rng.ExpFloat64() * float64(arrivals)))
+		arrived := 0
+		for arrived < len(waiting) && !waiting[arrived].At.After(now) {
+			observe(waiting[arrived])
+			arrived++
+		}
+		waiting = append(waiting[:0], waiting[arrived:]...)
+		if !now.Before(look) {
+			look = now.Add(lookInterval)
+			for _, change := range decide(cfg) {
+				v.State, v.Exposure = change.State, change.Exposure
+			}
+			if v.State == configurer.VersionWithdrawn && !r.rolledBack {
+				r.rolledBack, r.hours = true, now.Sub(turned).Hours()
+			}
+			r.confirmed = r.confirmed || v.State == configurer.VersionServing
+		}
+		own := v.State != configurer.VersionWithdrawn && rng.Float64() < v.Exposure
+		if day := now.Sub(turned); day >= 0 && day < 24*time.Hour {
+			answers++
+			if own {
+				exposed++
+			}
+		}
+		if v.State == configurer.VersionWithdrawn && now.Sub(turned) >= 24*time.Hour || r.confirmed && !s.bad {
+			break
+		}
+		o := s.answer(own, own && !now.Before(turned), now, start, rng)
+		observe(o)
+		if rng.Float64() < ratedShare {
+			// Ratings arrive in the order of the answers, two minutes late.
+			waiting = append(waiting, promoter.Observation{
+				WorkKind: o.WorkKind, Target: o.Target, Rated: true, Rating: o.Rating, At: now.Add(2 * time.Minute),
+			})
+		}
+	}
+	if answers > 0 {
+		r.exposed = exposed / answers
+	}
+	return r
+}
+
+// answer draws one answer. Difficulty and latency follow the hour for both versions, so that a comparison with earlier
+// hours misleads.
+func (s *scenario) answer(own, bad bool, now, start time.Time, rng *rand.Rand) promoter.Observation {
+	hour := now.Sub(start).Hours()
+	quality := 0.78 + 0.06*math.Sin(2*math.Pi*hour/24)
+	latency, failures := 0.4*(1.3+0.3*math.Sin(2*math.Pi*hour/24)), 0.005
+	o := promoter.Observation{WorkKind: "engineer-answer", Target: serving, Ended: true, At: now}
+	if own {
+		o.Target = candidate
+	}
+	if bad || own && !s.bad {
+		quality, latency, failures = quality-s.drop, latency*s.slow, s.failures
+	}
+	o.Rating = 0.92
+	// Unusable answers are rated 0.2 on average, so the mean of the ratings is the quality.
+	if rng.Float64() < (0.92-quality)/(0.92-0.2) {
+		o.Rating = 0.2
+	}
+	o.Rating = min(max(o.Rating+0.05*rng.NormFloat64(), 0), 1)
+	o.Latency = time.Duration(latency * math.Exp(0.4*rng.NormFloat64()) * float64(time.Second))
+	o.Failed = rng.Float64() < failures
+	return o
+}
