spendbencher: measure the use of the commitment and the hard limit

Cause: the bounds on committed spend need an experiment. Change: six periods with uneven demand, pacing, lost replies, crashes, pauses, outages and partitions; Take backs off. Conclusion: shares of crashed entries are not recovered from bills yet.

--- a/command_bench.go
+++ b/command_bench.go
@@ -9,6 +9,7 @@
 	"github.com/siskinfront/siskinfront/bencher"
 	"github.com/siskinfront/siskinfront/costbencher"
 	"github.com/siskinfront/siskinfront/rolloutbencher"
+	"github.com/siskinfront/siskinfront/spendbencher"
 )
 
 // experiments lists the experiments of the bench command.
@@ -16,6 +17,7 @@
 	return []bencher.Experiment{
 		costbencher.Experiment(),
 		rolloutbencher.Experiment(),
+		spendbencher.Experiment(),
 	}
 }
 
--- /dev/null
+++ b/spendbencher/experiment.go
@@ -0,0 +1,297 @@
+package spendbencher
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/siskinfront/siskinfront/bencher"
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/spender"
+)
+
+const (
+	// usedLimit is the stated part of the commitment that is used before any overflow.
+	usedLimit = 0.99
+	period    = 24 * time.Hour
+	committed = 1000.0
+	hardLimit = 1200.0
+	entries   = 12
+	// step is the virtual time between checks of each entry's shares.
+	step = time.Second
+	// largest is the price of the largest request.
+	largest = 0.2
+)
+
+// scenario is one period.
+type scenario struct {
+	name string
+	// demand is the spend wanted over the period relative to the commitment.
+	demand float64
+	// unlimited leaves the hard limit out.
+	unlimited bool
+	// faults adds lost replies, crashes, pauses, an outage of the table and a partition.
+	faults bool
+	// uneven sends most of the demand to one data centre.
+	uneven bool
+	// upgrades lets the demand rise while the price factor is low, as the selector does with spare commitment.
+	upgrades bool
+}
+
+func scenarios() []scenario {
+	return []scenario{
+		{name: "even demand", demand: 1.4},
+		{name: "uneven demand", demand: 1.4, uneven: true},
+		{name: "no hard limit", demand: 1.4, unlimited: true, uneven: true},
+		{name: "low demand, paced", demand: 0.8, upgrades: true},
+		{name: "low demand, not paced", demand: 0.8},
+		{name: "faults", demand: 1.4, faults: true, uneven: true},
+	}
+}
+
+// Experiment returns the experiment spend.
+func Experiment() bencher.Experiment {
+	return bencher.Experiment{Name: "spend", Short: "Use of the commitment before overflow, and the hard limit", Run: run}
+}
+
+// result is the outcome of one period.
+type result struct {
+	// most is the highest sum of the spend and what the running requests may add to it.
+	spent, beforeOverflow, most float64
+	overflowed                  bool
+	requests, refused, table    int
+	series                      bencher.Series
+}
+
+func run(ctx context.Context, p bencher.Params) (bencher.Report, error) {
+	report := bencher.Report{
+		Columns: []string{
+			"scenario", "spent", "used-of-commitment", "used-before-overflow", "beyond-hard-limit", "requests", "refused",
+			"table-calls", "naive-used-before-overflow",
+		},
+		XLabel: "hours", YLabel: "spent of the commitment",
+	}
+	beyond, least, faulty := 0.0, 1.0, 1.0
+	for i, s := range scenarios() {
+		r, err := simulate(ctx, s, p.Seed, uint64(i))
+		if err != nil {
+			return report, err
+		}
+		naive := naiveUse(s, p.Seed, uint64(i))
+		before := "-"
+		if r.overflowed {
+			before = fmt.Sprintf("%.4f", r.beforeOverflow/committed)
+			if s.faults {
+				faulty = r.beforeOverflow / committed
+			} else {
+				least = min(least, r.beforeOverflow/committed)
+			}
+		}
+		over := 0.0
+		if !s.unlimited {
+			// The tolerance covers the rounding of sums of some 10^5 prices.
+			over = max(0, r.most-hardLimit*(1+1e-9))
+		}
+		beyond = max(beyond, over)
+		report.Rows = append(report.Rows, []string{
+			s.name, fmt.Sprintf("%.2f", r.spent), fmt.Sprintf("%.4f", min(1, r.spent/committed)), before, fmt.Sprintf("%.4f", over),
+			fmt.Sprint(r.requests), fmt.Sprint(r.refused), fmt.Sprint(r.table), naive,
+		})
+		if s.upgrades {
+			report.Bounds = append(report.Bounds, bencher.Bound{
+				Name: s.name + ": used of the commitment", Got: min(1, r.spent/committed), Limit: usedLimit,
+			})
+		}
+		r.series.Name = s.name
+		report.Series = append(report.Series, r.series)
+	}
+	report.Bounds = append(report.Bounds,
+		bencher.Bound{Name: "used before overflow", Got: least, Limit: usedLimit},
+		bencher.Bound{Name: "used before overflow, with faults", Got: faulty, Limit: usedLimit},
+		bencher.Bound{Name: "beyond the hard limit", Got: beyond, Limit: 0, AtMost: true, Invariant: true},
+	)
+	return report, nil
+}
+
+// node is one entry with its running requests.
+type node struct {
+	*spender.Spender
+	centre  identifier.DataCentre
+	running []open
+	paused  time.Time
+}
+
+// open is a running request.
+type open struct {
+	spender.Reservation
+	end           time.Time
+	amount, price float64
+}
+
+// world is the state of one period.
+type world struct {
+	scenario
+	rng   *rand.Rand
+	table *table
+	cfg   *configurer.Configuration
+	now   time.Time
+	nodes []*node
+	ids   int
+	// spent is what the provider bills, crashed requests included, and inFlight the most the running ones can add.
+	spent, inFlight float64
+	result          result
+}
+
+func centres() []identifier.DataCentre { return []identifier.DataCentre{"dc-1", "dc-2", "dc-3"} }
+
+func simulate(ctx context.Context, s scenario, seed, stream uint64) (result, error) {
+	w := &world{scenario: s, rng: rand.New(rand.NewPCG(seed, stream)), now: time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)}
+	w.table = &table{rng: w.rng, rows: map[string]row{}, faults: s.faults}
+	w.cfg = &configurer.Configuration{Revision: 1, Spend: configurer.Spend{
+		Start: w.now, End: w.now.Add(period), Committed: committed, HardLimit: hardLimit, OverflowFactor: 1,
+	}}
+	if s.unlimited {
+		w.cfg.Spend.HardLimit = 0
+	}
+	for i := range entries {
+		w.nodes = append(w.nodes, w.boot(centres()[i%len(centres())]))
+	}
+	start := w.now
+	for tick := 0; w.now.Before(start.Add(period)); tick++ {
+		if ctx.Err() != nil {
+			return w.result, fmt.Errorf("spendbencher: %w", ctx.Err())
+		}
+		w.now = w.now.Add(step)
+		elapsed := w.now.Sub(start)
+		if s.faults {
+			w.fault(elapsed)
+		}
+		for _, n := range w.nodes {
+			if w.now.Before(n.paused) {
+				continue
+			}
+			w.settle(n)
+			// Step reports faults of the table; they are part of the experiment.
+			_ = n.Step(ctx)
+		}
+		w.arrive(elapsed)
+		w.result.most = max(w.result.most, w.spent+w.inFlight)
+		if !w.result.overflowed && w.spent > committed {
+			w.result.overflowed = true
+		}
+		if tick%600 == 0 {
+			w.result.series.Points = append(w.result.series.Points, bencher.Point{X: elapsed.Hours(), Y: w.spent / committed})
+		}
+	}
+	w.result.spent = w.spent
+	w.result.table = w.table.requests
+	return w.result, nil
+}
+
+// boot starts an entry without memory.
+func (w *world) boot(centre identifier.DataCentre) *node {
+	cfg := func() *configurer.Configuration { return w.cfg }
+	clock := func() time.Time { return w.now }
+	l := spender.NewTableLedger(cfg, w.table.access(centre), centre, centres(), spender.WithLedgerNow(clock), spender.WithFloor(largest),
+		spender.WithNewID(func() string { w.ids++; return fmt.Sprintf("share-%d", w.ids) }))
+	ledger := l.Ledger()
+	take := ledger.Take
+	ledger.Take = func(ctx context.Context, want float64, until time.Time) (spender.Share, error) {
+		share, err := take(ctx, want, until)
+		if err == nil && share.Overflow > 0 && w.result.beforeOverflow == 0 {
+			// The first share beyond the commitment is the earliest moment of overflow.
+			w.result.beforeOverflow, w.result.overflowed = min(w.spent, committed), true
+		}
+		return share, err
+	}
+	return &node{Spender: spender.New(cfg, ledger, spender.WithNow(clock), spender.WithMinimum(largest),
+		spender.WithRand(w.rng)), centre: centre}
+}
+
+// settle ends the requests whose time has come.
+func (w *world) settle(n *node) {
+	kept := n.running[:0]
+	for _, r := range n.running {
+		if r.end.After(w.now) {
+			kept = append(kept, r)
+			continue
+		}
+		r.Settle(r.price)
+		w.spent += r.price
+		w.inFlight -= r.amount
+	}
+	n.running = kept
+}
+
+// arrive sends the requests of one step.
+func (w *world) arrive(elapsed time.Duration) {
+	const mean = 0.04
+	hour := elapsed.Hours()
+	rate := w.demand * committed / period.Seconds() / mean * step.Seconds() * (1 + 0.6*math.Sin(2*math.Pi*(hour-9)/24))
+	for rate > 0 {
+		if w.rng.Float64() >= rate {
+			break
+		}
+		rate--
+		n := w.nodes[w.rng.IntN(len(w.nodes))]
+		if w.uneven && w.rng.Float64() < 0.7 {
+			n = w.nodes[len(centres())*w.rng.IntN(entries/len(centres()))]
+		}
+		price := min(mean*w.rng.ExpFloat64(), largest)
+		if w.upgrades {
+			// A better version costs up to twice as much; it is used while the commitment would go unused.
+			price = min(price*(2-n.PriceFactor()), largest)
+		}
+		amount := min(price*(1+0.3*w.rng.Float64()), largest)
+		w.result.requests++
+		r, err := n.Reserve(amount)
+		if err != nil {
+			w.result.refused++
+			continue
+		}
+		w.inFlight += amount
+		n.running = append(n.running, open{r, w.now.Add(time.Duration(1+w.rng.IntN(8)) * time.Second), amount, price})
+	}
+}
+
+// fault crashes and pauses entries, and cuts the table off for some minutes.
+func (w *world) fault(elapsed time.Duration) {
+	if w.rng.Float64() < 1.0/600 {
+		i := w.rng.IntN(len(w.nodes))
+		for _, r := range w.nodes[i].running {
+			// The provider bills what ran when the entry died.
+			w.spent += r.price
+			w.inFlight -= r.amount
+		}
+		w.nodes[i] = w.boot(w.nodes[i].centre)
+	}
+	if w.rng.Float64() < 1.0/300 {
+		w.nodes[w.rng.IntN(len(w.nodes))].paused = w.now.Add(time.Duration(w.rng.IntN(120)) * time.Second)
+	}
+	minute := int(elapsed.Minutes())
+	w.table.down = minute%240 >= 60 && minute%240 < 75
+	w.table.cut = minute%360 >= 200 && minute%360 < 230
+}
+
+// naiveUse returns the part of the commitment that a fixed even split over the entries uses before the first of them
+// overflows, or - if none does.
+func naiveUse(s scenario, seed, stream uint64) string {
+	rng := rand.New(rand.NewPCG(seed, stream))
+	spent, total := make([]float64, entries), 0.0
+	for total < s.demand*committed {
+		n := rng.IntN(entries)
+		if s.uneven && rng.Float64() < 0.7 {
+			n = len(centres()) * rng.IntN(entries/len(centres()))
+		}
+		price := min(0.04*rng.ExpFloat64(), largest)
+		if spent[n]+price > committed/entries {
+			return fmt.Sprintf("%.4f", total/committed)
+		}
+		spent[n] += price
+		total += price
+	}
+	return "-"
+}
--- /dev/null
+++ b/spendbencher/table.go
@@ -0,0 +1,59 @@
+package spendbencher
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"strings"
+
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/spender"
+)
+
+var errUnavailable = errors.New("spendbencher: table unavailable")
+
+type row struct {
+	value   json.RawMessage
+	version uint64
+}
+
+// table is a fake of the transactional table with lost replies, outages and a partition between data centres.
+type table struct {
+	rng      *rand.Rand
+	rows     map[string]row
+	faults   bool
+	down     bool
+	cut      bool
+	requests int
+}
+
+func (t *table) access(self identifier.DataCentre) spender.Table {
+	return spender.Table{
+		Read: func(_ context.Context, key string) (json.RawMessage, uint64, error) {
+			t.requests++
+			if t.down || t.cut && !strings.HasSuffix(key, "/"+string(self)) {
+				return nil, 0, errUnavailable
+			}
+			return t.rows[key].value, t.rows[key].version, nil
+		},
+		Write: func(_ context.Context, writes []spender.Write) error {
+			t.requests++
+			if t.down {
+				return errUnavailable
+			}
+			for _, w := range writes {
+				if t.rows[w.Key].version != w.Version {
+					return spender.ErrConflict
+				}
+			}
+			for _, w := range writes {
+				t.rows[w.Key] = row{w.Value, w.Version + 1}
+			}
+			if t.faults && t.rng.Float64() < 0.1 {
+				return errUnavailable
+			}
+			return nil
+		},
+	}
+}
--- a/spender/spender.go
+++ b/spender/spender.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -79,6 +80,7 @@
 	lease    time.Duration
 	interval time.Duration
 	minimum  float64
+	rng      *rand.Rand
 
 	mu      sync.Mutex
 	current *share
@@ -88,8 +90,11 @@
 	// largest is the largest recent reservation; a share must hold several of them.
 	largest float64
 	// rate is the recent spend per second, by which the next share is sized.
-	rate      float64
-	taken     time.Time
+	rate  float64
+	taken time.Time
+	// retryAt is the time of the next call of Take after a failure, backoff the time between the last two.
+	retryAt   time.Time
+	backoff   time.Duration
 	used      float64
 	committed float64
 	wake      chan struct{}
@@ -102,6 +107,9 @@
 // WithNow sets the clock.
 func WithNow(now func() time.Time) Option { return func(s *Spender) { s.now = now } }
 
+// WithRand sets the source of jitter.
+func WithRand(r *rand.Rand) Option { return func(s *Spender) { s.rng = r } }
+
 // WithLease sets the time for which shares are taken, and the time between checks.
 func WithLease(lease, interval time.Duration) Option {
 	return func(s *Spender) { s.lease, s.interval = lease, interval }
@@ -114,7 +122,7 @@
 func New(cfg func() *configurer.Configuration, l Ledger, opts ...Option) *Spender {
 	s := &Spender{
 		cfg: cfg, ledger: l, now: time.Now, lease: leaseTime, interval: runInterval, minimum: 0.01,
-		wake: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, o := range opts {
 		o(s)
@@ -241,7 +249,7 @@
 	err := s.settle(ctx, false)
 	s.mu.Lock()
 	now, c := s.now(), s.current
-	need := c == nil || c.free() < lowWater*c.Amount || now.Add(2*s.interval).After(c.Until)
+	need := !now.Before(s.retryAt) && (c == nil || c.free() < lowWater*c.Amount || now.Add(2*s.interval).After(c.Until))
 	want := s.want(now)
 	full := len(s.retired) >= maxRetired
 	s.mu.Unlock()
@@ -261,6 +269,9 @@
 	if takeErr != nil {
 		s.mu.Lock()
 		s.counters.failed++
+		// Without growing pauses every entry would call the table each second for the rest of an exhausted period.
+		s.backoff = min(max(2*s.backoff, s.interval), s.lease/2)
+		s.retryAt = now.Add(time.Duration((0.5 + s.rng.Float64()) * float64(s.backoff)))
 		s.mu.Unlock()
 		return errors.Join(err, fmt.Errorf("spender: take a share: %w", takeErr))
 	}
@@ -287,6 +298,7 @@
 	s.unleased = 0
 	s.taken = s.now()
 	s.used, s.committed = got.Used, got.Committed
+	s.retryAt, s.backoff = time.Time{}, 0
 	s.counters.taken++
 }
 
--- a/spender/spender_test.go
+++ b/spender/spender_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -102,7 +103,8 @@
 			clock := func() time.Time { return now.Add(e.skew) }
 			l := spender.NewTableLedger(config, table.table(centres[i%2], func() bool { return cut }), centres[i%2], centres,
 				spender.WithLedgerNow(clock), spender.WithFloor(3), spender.WithNewID(func() string { ids++; return fmt.Sprint(ids) }))
-			e.Spender = spender.New(config, l.Ledger(), spender.WithNow(clock), spender.WithMinimum(3))
+			e.Spender = spender.New(config, l.Ledger(), spender.WithNow(clock), spender.WithMinimum(3),
+				spender.WithRand(rand.New(rand.NewPCG(1, 2))))
 			return e
 		}
 		entries := []entry{boot(0), boot(1), boot(2), boot(3)}
