spendbencher: run the periods in parallel

Cause: the experiment took 37 s beside other load. Change: one goroutine per period; returns of shares back off like Take. Conclusion: none.

--- a/spendbencher/experiment.go
+++ b/spendbencher/experiment.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/siskinfront/siskinfront/bencher"
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/identifier"
@@ -75,11 +77,19 @@
 		XLabel: "hours", YLabel: "spent of the commitment",
 	}
 	beyond, least, faulty := 0.0, 1.0, 1.0
+	results := make([]result, len(scenarios()))
+	g, gctx := errgroup.WithContext(ctx)
 	for i, s := range scenarios() {
-		r, err := simulate(ctx, s, p.Seed, uint64(i))
-		if err != nil {
-			return report, err
-		}
+		g.Go(func() (err error) {
+			results[i], err = simulate(gctx, s, p.Seed, uint64(i))
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return report, err
+	}
+	for i, s := range scenarios() {
+		r := results[i]
 		naive := naiveUse(s, p.Seed, uint64(i))
 		before := "-"
 		if r.overflowed {
--- a/spender/spender.go
+++ b/spender/spender.go
@@ -92,7 +92,7 @@
 	// rate is the recent spend per second, by which the next share is sized.
 	rate  float64
 	taken time.Time
-	// retryAt is the time of the next call of Take after a failure, backoff the time between the last two.
+	// retryAt is the time of the next call of the ledger after a failure, backoff the time between the last two.
 	retryAt   time.Time
 	backoff   time.Duration
 	used      float64
@@ -268,10 +268,7 @@
 	got, takeErr := s.ledger.Take(callCtx, want, until)
 	if takeErr != nil {
 		s.mu.Lock()
-		s.counters.failed++
-		// Without growing pauses every entry would call the table each second for the rest of an exhausted period.
-		s.backoff = min(max(2*s.backoff, s.interval), s.lease/2)
-		s.retryAt = now.Add(time.Duration((0.5 + s.rng.Float64()) * float64(s.backoff)))
+		s.failed(now)
 		s.mu.Unlock()
 		return errors.Join(err, fmt.Errorf("spender: take a share: %w", takeErr))
 	}
@@ -279,6 +276,14 @@
 	return errors.Join(err, s.settle(ctx, false))
 }
 
+// failed delays the next call of the ledger; s.mu is held. Without growing pauses every entry would call the table each
+// second during an outage and for the rest of an exhausted period.
+func (s *Spender) failed(now time.Time) {
+	s.counters.failed++
+	s.backoff = min(max(2*s.backoff, s.interval), s.lease/2)
+	s.retryAt = now.Add(time.Duration((0.5 + s.rng.Float64()) * float64(s.backoff)))
+}
+
 // want sizes the next share from the recent rate, so that little is stranded in shares of idle entries; s.mu is held.
 func (s *Spender) want(now time.Time) float64 {
 	if c := s.current; c != nil && now.After(s.taken) {
@@ -306,6 +311,10 @@
 // running then counts as spent.
 func (s *Spender) settle(ctx context.Context, final bool) error {
 	s.mu.Lock()
+	if !final && s.now().Before(s.retryAt) {
+		s.mu.Unlock()
+		return nil
+	}
 	if c := s.current; c != nil && (final || !s.now().Before(c.Until)) {
 		s.retired = append(s.retired, c)
 		s.current = nil
@@ -330,7 +339,7 @@
 			s.counters.returned++
 			s.remove(r)
 		} else {
-			s.counters.failed++
+			s.failed(s.now())
 			errs = append(errs, fmt.Errorf("spender: return share %s: %w", r.ID, err))
 		}
 		s.mu.Unlock()
