--- a/spender/ledger.go
+++ b/spender/ledger.go
@@ -28,6 +28,8 @@
 	foldAfter = time.Hour
 	// spareShare is the part of the other data centre's free amount that one transfer moves.
 	spareShare = 0.5
+	// othersAge is the age at which the use of the other data centres is read again.
+	othersAge = time.Minute
 	// guidedShare is the part of what is left, divided by the number of holders, that one share may take. Shares
 	// that shrink with the rest keep the amount stranded in idle shares small.
 	guidedShare = 0.2
@@ -95,6 +97,10 @@
 	// pending is the ID of a Take whose write may have taken effect; the next Take adopts it.
 	pending       string
 	pendingPeriod string
+	// others is the use of the other data centres as of othersAt.
+	others       map[identifier.DataCentre]float64
+	othersAt     time.Time
+	othersPeriod string
 }
 
 // LedgerOption configures a TableLedger.
@@ -115,7 +121,8 @@
 func NewTableLedger(cfg func() *configurer.Configuration, t Table, self identifier.DataCentre,
 	all []identifier.DataCentre, opts ...LedgerOption,
 ) *TableLedger {
-	l := &TableLedger{cfg: cfg, table: t, self: self, all: slices.Clone(all), now: time.Now, newID: uuid.NewString, floor: 0.01}
+	l := &TableLedger{cfg: cfg, table: t, self: self, all: slices.Clone(all), now: time.Now, newID: uuid.NewString, floor: 0.01,
+		others: map[identifier.DataCentre]float64{}}
 	for _, o := range opts {
 		o(l)
 	}
@@ -311,18 +318,26 @@
 	})
 }
 
-// share describes a granted lease. The other rows are read for pacing only; an unreachable one counts as spent evenly.
+// share describes a granted lease. The use in the other data centres only serves pacing, so it is read once a minute; an
+// unreachable row keeps its last known use. l.mu is held.
 func (l *TableLedger) share(ctx context.Context, spend *configurer.Spend, own *versioned, lease Lease) Share {
-	s := Share{ID: lease.ID, Row: own.key, Amount: lease.Amount, Until: lease.Until, Used: own.granted(), Committed: own.Committed}
+	s := Share{ID: lease.ID, Row: own.key, Amount: lease.Amount, Until: lease.Until, Committed: spend.Committed}
 	s.Overflow = min(max(0, own.granted()-own.Committed), lease.Amount)
+	stale := l.othersPeriod != Period(spend) || l.now().After(l.othersAt.Add(othersAge))
+	if stale {
+		l.othersPeriod, l.othersAt = Period(spend), l.now()
+	}
+	s.Used = own.granted()
 	for _, d := range l.all {
 		if d == l.self {
 			continue
 		}
-		if other, err := l.read(ctx, spend, d); err == nil {
-			s.Used += other.granted()
-			s.Committed += other.Committed
+		if stale {
+			if other, err := l.read(ctx, spend, d); err == nil {
+				l.others[d] = other.granted()
+			}
 		}
+		s.Used += l.others[d]
 	}
 	return s
 }
