selector: keep the value of old decisions

Cause: after a version degraded, its earlier good answers were counted as bad and the goal rose to its bound for hours. Change: decisions are revalued with a half-life of 30 minutes and keep their value afterwards. Conclusion: detection of the degradation is too slow for kinds with few ratings.

--- a/selector/plan.go
+++ b/selector/plan.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/identifier"
@@ -26,6 +27,8 @@
 	catchUp = 0.03
 	// catchUpFloor is the number of requests over which a new plan makes up for a deficit.
 	catchUpFloor = 200
+	// revaluation is the half-life after which a decision keeps the value it was last estimated at.
+	revaluation = 30 * time.Minute
 	// perMillion converts prices per million tokens.
 	perMillion = 1e-6
 )
@@ -96,6 +99,9 @@
 	goal   atomic.Uint64
 	prompt atomic.Uint64
 	output atomic.Uint64
+	// frozen counts the older decisions, and frozenDeficit sums their missed quality; Selector.mu guards both and steeredAt.
+	frozen, frozenDeficit float64
+	steeredAt             time.Time
 	// entries count the decisions per option; only the holder of Selector.mu changes the list.
 	entries []*entry
 }
@@ -228,21 +234,34 @@
 	if s.estimator != nil {
 		goal *= 1 + margin
 	}
-	p.steer(goal)
+	p.steer(goal, q.Now)
 	return p
 }
 
 // steer corrects the goal for past decisions and sets the range of the price of quality.
-func (p *plan) steer(goal float64) {
+func (p *plan) steer(goal float64, now time.Time) {
 	c := p.control
+	freeze := 0.0
+	if !c.steeredAt.IsZero() {
+		freeze = 1 - math.Exp2(-float64(now.Sub(c.steeredAt))/float64(revaluation))
+	}
+	c.steeredAt = now
 	total, deficit := 0.0, 0.0
 	for _, e := range c.entries {
 		n := e.selected.Load()
 		e.weight += float64(n - e.settled)
 		e.settled = n
+		// Recent decisions are valued by what the estimate has become; older ones keep their value, because a version that
+		// degrades later was as good as it seemed when they were made.
+		frozen := e.weight * freeze
+		e.weight -= frozen
+		c.frozen += frozen
+		c.frozenDeficit += frozen * (goal - e.quality)
 		total += e.weight
 		deficit += e.weight * (goal - e.quality)
 	}
+	total += c.frozen
+	deficit += c.frozenDeficit
 	// The deficit is made up for over the next tenth of the traffic, with a floor that damps the first minutes.
 	goal += min(max(deficit/(total/10+catchUpFloor), -catchUp), catchUp)
 	store(&c.goal, goal)
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -160,7 +160,7 @@
 		for k, p := range snap.plans {
 			next.plans[k] = s.build(cfg, &Query{
 				ClientAccount: p.account, WorkKind: p.kind, Model: k.model,
-				PromptTokens: int(p.reference[0]), MaxTokens: int(p.reference[1]),
+				PromptTokens: int(p.reference[0]), MaxTokens: int(p.reference[1]), Now: q.Now,
 			}, p.control)
 		}
 	default:
