--- a/command_bench.go
+++ b/command_bench.go
@@ -11,6 +11,8 @@
 	"github.com/siskinfront/siskinfront/costbencher"
 	"github.com/siskinfront/siskinfront/faultsbencher"
 	"github.com/siskinfront/siskinfront/floodbencher"
+	"github.com/siskinfront/siskinfront/rolloutbencher"
+	"github.com/siskinfront/siskinfront/spendbencher"
 )
 
 // experiments lists the experiments of the bench command.
@@ -20,6 +22,8 @@
 		choicebencher.Experiment(),
 		floodbencher.Experiment(),
 		faultsbencher.Experiment(),
+		rolloutbencher.Experiment(),
+		spendbencher.Experiment(),
 	}
 }
 
