fairnessbencher: measure small accounts beside a large one

Change: an overloaded rank refuses from the longest queue first; preemption within a rank follows max-min fairness of slots instead of equal parts, which left unused parts of others to the large account.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -126,7 +126,7 @@
 	wait := a.estimate(rank, order.ClientAccount, t.item.Cost, now)
 	limit := a.waitLimit(rank, now)
 	if a.o.estimates {
-		if wait > limit || a.full(rank, now) {
+		if wait > limit || a.full(rank, now) && !a.makeRoom(q, weight, own+t.item.Cost, now) {
 			return &Refusal{Code: CodeWaitTooLong, RetryAt: now.Add(max(wait-limit, minRetry))}
 		}
 		if d := order.Deadline; !d.IsZero() && now.Add(wait+a.service.duration(t.item.Cost)).After(d) {
--- a/admitter/dispatch.go
+++ b/admitter/dispatch.go
@@ -31,6 +31,7 @@
 			return
 		}
 		v.preempting = true
+		v.flow.leaving++
 		close(v.preempted)
 		a.leaving++
 		if a.running-min(a.leaving, a.o.headroom) >= a.o.slots {
@@ -75,7 +76,7 @@
 }
 
 // preemption returns a waiting ticket and the running one that should make room for it, or nils. Ranks come first;
-// within a rank an account under its share of the slots takes one from an account over its share.
+// within a rank an account with few slots takes one from the account with the most.
 func (a *Admitter) preemption() (t, victim *Ticket) {
 	if a.paused >= pausedPerSlot*a.o.slots {
 		return nil, nil
@@ -96,15 +97,11 @@
 	return nil, nil
 }
 
-// neediest returns the waiting flow that stays within its share of the rank's slots with one more, or nil.
+// neediest returns the waiting flow with the fewest slots per weight, or nil.
 func (q *queue) neediest() *flow {
-	perWeight := float64(q.running) / q.totalWeight()
 	var best *flow
 	for _, f := range q.round {
-		if float64(f.running+1) > perWeight*f.weight {
-			continue
-		}
-		if best == nil || float64(f.running)/f.weight < float64(best.running)/best.weight {
+		if best == nil || float64(f.running+1)/f.weight < float64(best.running+1)/best.weight {
 			best = f
 		}
 	}
@@ -112,30 +109,39 @@
 }
 
 // victim returns the running ticket to preempt for work of a rank: of the lowest rank below it, or, with a flow, of
-// an account of the same rank that keeps its share without it. The latest start loses, since it has produced least.
+// the account of the same rank with the most slots per weight, if that still has as many without it as the flow has
+// with it (max-min fairness). The latest start loses, since it has produced least.
 func (a *Admitter) victim(rank int, f *flow) *Ticket {
-	perWeight := 0.0
-	if f != nil {
-		perWeight = float64(a.queues[rank].running) / a.queues[rank].totalWeight()
-	}
 	var best *Ticket
 	for _, t := range a.active {
 		if !t.item.Resumable || t.preempting || t.floored || t.item.Order.NonIdempotent {
 			continue
 		}
-		if f == nil && t.rank <= rank {
+		if f == nil {
+			if t.rank > rank && (best == nil || t.rank > best.rank || t.rank == best.rank && !t.grantedAt.Before(best.grantedAt)) {
+				best = t
+			}
+			continue
+		}
+		if t.rank != rank || t.flow == f || t.pauses >= maxPauses {
 			continue
 		}
-		if f != nil && (t.rank != rank || t.pauses >= maxPauses || t.flow == f || float64(t.flow.running-1) < perWeight*t.flow.weight) {
+		have := t.flow.slots()
+		if have < float64(f.running+1)/f.weight {
 			continue
 		}
-		if best == nil || t.rank > best.rank || t.rank == best.rank && !t.grantedAt.Before(best.grantedAt) {
+		if best == nil || have > best.flow.slots() || have == best.flow.slots() && !t.grantedAt.Before(best.grantedAt) {
 			best = t
 		}
 	}
 	return best
 }
 
+// slots returns what victim compares: the slots per weight of a flow after one more of its tickets has left.
+func (f *flow) slots() float64 {
+	return float64(f.running-f.leaving-1) / f.weight
+}
+
 // grant starts a waiting ticket.
 func (a *Admitter) grant(t *Ticket, floored bool, now time.Time) {
 	q := a.queues[t.rank]
@@ -191,6 +197,7 @@
 	a.running--
 	if t.preempting {
 		a.leaving--
+		f.leaving--
 		t.preempting = false
 	}
 	// The account pays for what its work produced instead of the estimate.
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -16,6 +16,7 @@
 	tokens  float64 // cost of the waiting items
 	deficit float64 // tokens that the flow may still be granted in this round
 	running int
+	leaving int // running tickets that were asked to pause
 }
 
 // queue is the work of one rank, served by deficit round robin between its flows.
@@ -128,15 +129,6 @@
 	}
 }
 
-// totalWeight is the sum of the weights of all flows with work.
-func (q *queue) totalWeight() float64 {
-	sum := 0.0
-	for _, f := range q.flows {
-		sum += f.weight
-	}
-	return sum
-}
-
 // oldest returns the time at which the longest waiting work was queued.
 func (q *queue) oldest() (time.Time, bool) {
 	var at time.Time
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -150,22 +150,23 @@
 	affinityMargin = 1
 )
 
-// better is the hot-cold rule: cold before hot; among cold ones the nearer, then the less loaded; among hot ones the
-// less loaded wherever it is.
+// The excess load in requests for which a farther upstream is left alone: a constant and a part of the mean. Within a
+// region the data centres are a millisecond or two apart, which is little beside the time of a token.
+var penalties = [distances]struct{ constant, relative float64 }{{0, 0}, {0.1, 0.02}, {1, 0.25}}
+
+// better is the hot-cold rule: cold before hot; else the less loaded, with the penalty of its distance.
 func (a option) better(o option) bool {
-	switch {
-	case o.c == nil:
+	if o.c == nil {
 		return true
-	case a.hot != o.hot:
+	}
+	if a.hot != o.hot {
 		return !a.hot
-	case !a.hot && a.c.distance != o.c.distance:
-		return a.c.distance < o.c.distance
-	default:
-		return a.load < o.load
 	}
+	return a.load < o.load
 }
 
-// pick compares a few candidates of the subset, and goes beyond the nearest distance and the subset only if it must.
+// pick compares a few candidates of the nearest distance, then some of each farther one; the rest of the list serves
+// only when no member of the subset is usable.
 func (b *Balancer) pick(p *pool, k *Key, mean float64, t time.Time, now int64) option {
 	var best option
 	from := 0
@@ -174,12 +175,9 @@
 		if to == from {
 			continue
 		}
-		// A second round at the same distance is cheaper than leaving it.
-		for range 2 {
-			best = b.draw(p, k, from, to, best, mean, t, now)
-			if best.trial || best.c != nil && !best.hot {
-				return best
-			}
+		best = b.draw(p, k, from, to, best, mean, t, now)
+		if best.trial {
+			return best
 		}
 		from = to
 	}
@@ -225,7 +223,9 @@
 
 func (b *Balancer) option(c *candidate, mean float64, now int64) option {
 	load := c.node.estimate(mean, now, &b.o)
-	return option{c: c, load: load, hot: load > mean*hotFactor+hotMargin}
+	hot := load > mean*hotFactor+hotMargin
+	far := penalties[c.distance]
+	return option{c: c, load: load + far.constant + far.relative*mean, hot: hot}
 }
 
 func (b *Balancer) usable(c *candidate, k *Key) bool {
@@ -253,7 +253,7 @@
 			continue
 		}
 		o := b.option(c, mean, now)
-		if o.hot || o.load > best.load+mean*affinityFactor+affinityMargin || c.distance > best.c.distance && !best.hot {
+		if o.hot && !best.hot || o.load > best.load+mean*affinityFactor+affinityMargin {
 			b.counters.yielded.Add(1)
 			continue
 		}
--- a/batchfaker/agent.go
+++ b/batchfaker/agent.go
@@ -25,6 +25,8 @@
 type Agent struct {
 	Engine   *Engine
 	Admitter *admitter.Admitter
+	// Unresumable is set when the engine cannot pause work.
+	Unresumable bool
 
 	loop    *Loop
 	running map[*admitter.Ticket]*run
@@ -60,7 +62,7 @@
 
 // Submit hands a call to the admitter.
 func (g *Agent) Submit(c *Call) {
-	_, err := g.Admitter.Offer(admitter.Item{Order: c.Order, Cost: c.Cost, Resumable: true}, func(t *admitter.Ticket, err error) {
+	_, err := g.Admitter.Offer(admitter.Item{Order: c.Order, Cost: c.Cost, Resumable: !g.Unresumable}, func(t *admitter.Ticket, err error) {
 		if err != nil {
 			c.OnRefused(admitter.IsRefusal(err))
 			return
--- a/command_bench.go
+++ b/command_bench.go
@@ -8,6 +8,7 @@
 
 	"github.com/siskinfront/siskinfront/bencher"
 	"github.com/siskinfront/siskinfront/choicebencher"
+	"github.com/siskinfront/siskinfront/fairnessbencher"
 	"github.com/siskinfront/siskinfront/floodbencher"
 )
 
@@ -15,6 +16,7 @@
 func experiments() []bencher.Experiment {
 	return []bencher.Experiment{
 		choicebencher.Experiment(),
+		fairnessbencher.Experiment(),
 		floodbencher.Experiment(),
 	}
 }
