balancer: choose from the latest samples and keep leaving upstreams out

Change: leaving is kept until the upstream is gone from the list; uses count as load; the choice compares the latest samples of the probe pool and one random candidate of each distance.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -165,20 +165,24 @@
 	return a.load < o.load
 }
 
-// pick compares a few candidates of the nearest distance, then some of each farther one; the rest of the list serves
-// only when no member of the subset is usable.
+// pick compares the latest samples of the probe pool and one random candidate of each distance; the rest of the list
+// serves only when no member of the subset is usable.
 func (b *Balancer) pick(p *pool, k *Key, mean float64, t time.Time, now int64) option {
-	var best option
+	best := b.latest(p, k, mean, now)
+	r := b.o.draw()
 	from := 0
-	for d := range p.ends {
-		to := p.ends[d]
+	for _, to := range p.ends {
 		if to == from {
 			continue
 		}
-		best = b.draw(p, k, from, to, best, mean, t, now)
-		if best.trial {
-			return best
+		o := b.draw(p, k, from, to, r, mean, t, now)
+		if o.trial {
+			return o
+		}
+		if o.c != nil && o.better(best) {
+			best = o
 		}
+		r = r>>17 | r<<47
 		from = to
 	}
 	if best.c == nil {
@@ -191,36 +195,46 @@
 	return best
 }
 
-// draw compares candidates between two indexes of the subset: half of them from the latest samples.
-func (b *Balancer) draw(p *pool, k *Key, from, to int, best option, mean float64, t time.Time, now int64) option {
-	r := b.o.draw()
-	for i := range b.o.choices {
-		at := from + int(uint32(r)%uint32(to-from))
-		if f := int(p.fresh[(r>>32)%freshSize].Load()); i%2 == 0 && f >= from && f < to {
-			at = f
-		}
-		r = r*6364136223846793005 + 1442695040888963407
-		for step := range to - from {
-			j := at + step
-			if j >= to {
-				j -= to - from
-			}
-			c := p.near[j]
-			if !b.usable(c, k) {
-				if !c.node.leaving.Load() && !excluded(c, k) && c.node.breaker.claimTrial(t) {
-					return option{c: c, load: mean, trial: true}
-				}
-				continue
-			}
-			if o := b.option(c, mean, now); c != best.c && o.better(best) {
-				best = o
-			}
+// latest returns the best of the latest samples that are neither too old nor used up.
+func (b *Balancer) latest(p *pool, k *Key, mean float64, now int64) option {
+	var best option
+	next := p.next.Load()
+	left := b.o.choices
+	for i := uint32(1); i <= freshSize && left > 0; i++ {
+		j := p.fresh[(next-i)%freshSize].Load()
+		if j < 0 {
 			break
 		}
+		c := p.near[j]
+		if now-c.node.sampleAt.Load() > int64(b.o.maxAge) || c.node.uses.Load() >= b.o.maxUses || !b.usable(c, k) {
+			continue
+		}
+		left--
+		if o := b.option(c, mean, now); o.better(best) {
+			best = o
+		}
 	}
 	return best
 }
 
+// draw returns a random usable candidate between two indexes of the subset, or a trial of one whose breaker cooled down.
+func (b *Balancer) draw(p *pool, k *Key, from, to int, r uint64, mean float64, t time.Time, now int64) option {
+	at := from + int(uint32(r)%uint32(to-from))
+	for range to - from {
+		c := p.near[at]
+		if b.usable(c, k) {
+			return b.option(c, mean, now)
+		}
+		if !c.node.leaving.Load() && !excluded(c, k) && c.node.breaker.claimTrial(t) {
+			return option{c: c, load: mean, trial: true}
+		}
+		if at++; at == to {
+			at = from
+		}
+	}
+	return option{}
+}
+
 func (b *Balancer) option(c *candidate, mean float64, now int64) option {
 	load := c.node.estimate(mean, now, &b.o)
 	hot := load > mean*hotFactor+hotMargin
@@ -328,7 +342,7 @@
 		return
 	}
 	if l.Leaving {
-		c.node.leaving.Store(true)
+		c.node.leaving.Store(true) // also when the load is older than the last
 	}
 	at := l.At.UnixNano()
 	before := c.node.sampleAt.Load()
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -107,7 +107,10 @@
 	region := b.region(ups)
 	for _, u := range ups {
 		n := b.nodeOf(u.Name)
-		n.leaving.Store(u.Leaving)
+		if u.Leaving {
+			// A list that lags behind must not bring back an upstream whose agent said that it leaves.
+			n.leaving.Store(true)
+		}
 		c := &candidate{upstream: u, node: n, distance: b.o.distance(b.self, region, u)}
 		s.byName[u.Name] = c
 		for int(n.number) >= len(s.byNumber) {
@@ -212,11 +215,11 @@
 	load := mean
 	if at := n.sampleAt.Load(); at != 0 {
 		age := time.Duration(max(now-at, 0))
-		uses := n.uses.Load()
-		if age < o.maxAge && uses < o.maxUses {
+		if age < o.maxAge && n.uses.Load() < o.maxUses {
 			weight := float64(o.halfAge) / float64(o.halfAge+age)
 			load = mean + (float64(n.load.Load())-mean)*weight
 		}
 	}
-	return max(load+float64(n.delta.Load()), 0)
+	// A choice counts before its request begins, or a burst of choices would see the same idle upstream.
+	return max(load+float64(max(n.delta.Load(), n.uses.Load())), 0)
 }
