--- a/command_bench.go
+++ b/command_bench.go
@@ -10,6 +10,7 @@
 	"github.com/siskinfront/siskinfront/choicebencher"
 	"github.com/siskinfront/siskinfront/costbencher"
 	"github.com/siskinfront/siskinfront/faultsbencher"
+	"github.com/siskinfront/siskinfront/fairnessbencher"
 	"github.com/siskinfront/siskinfront/floodbencher"
 	"github.com/siskinfront/siskinfront/rolloutbencher"
 	"github.com/siskinfront/siskinfront/spendbencher"
@@ -20,6 +21,7 @@
 	return []bencher.Experiment{
 		costbencher.Experiment(),
 		choicebencher.Experiment(),
+		fairnessbencher.Experiment(),
 		floodbencher.Experiment(),
 		faultsbencher.Experiment(),
 		rolloutbencher.Experiment(),
