distributor: keep two reads under way and pull from other data centres

Cause: put a revision into force after 7.08 s: reads of one data centre hung on lost replies. Change: readers run two staggered read loops and pull in turn from a remote instance; leases are released after an interrupted renewal.

--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -20,6 +20,8 @@
 const (
 	// 30 readers of 10 data centres read the head 60 times a second at this interval.
 	defaultPoll = 500 * time.Millisecond
+	// ReadLoops is the number of reads that a reader may have under way, so that one lost reply does not stop it.
+	ReadLoops = 2
 	// A process that a push missed learns of the change within two pulls, under the 7 s bound with one of them lost.
 	defaultPull = 2 * time.Second
 	// callTime bounds one exchange with the table or a peer.
@@ -38,6 +40,7 @@
 	table      *storer.Table
 	objects    *storer.Objects
 	members    func() []identifier.Instance
+	remotes    func() []identifier.Instance
 	push       func(context.Context, identifier.Instance, Update) error
 	pull       func(context.Context, identifier.Instance, uint64) (Update, error)
 	onChange   func(*configurer.Configuration)
@@ -87,6 +90,11 @@
 	return func(d *Distributor) { d.members = members }
 }
 
+// WithRemotes sets the source of live instances of other data centres, from which readers pull in turn.
+func WithRemotes(remotes func() []identifier.Instance) Option {
+	return func(d *Distributor) { d.remotes = remotes }
+}
+
 // WithPush sets how an update is handed to the connection of a peer, the method config-changes; it must not wait for
 // the reply, because one silent peer would then delay the others.
 func WithPush(push func(context.Context, identifier.Instance, Update) error) Option {
@@ -141,6 +149,7 @@
 		onChange: func(*configurer.Configuration) {}, accept: forwardOnly,
 	}
 	d.members = func() []identifier.Instance { return []identifier.Instance{d.self} }
+	d.remotes = func() []identifier.Instance { return nil }
 	for _, o := range opts {
 		o(d)
 	}
@@ -370,7 +379,12 @@
 
 func (d *Distributor) nextPeer() identifier.Instance {
 	members := d.members()
-	parent := d.tree().Parent(d.self)
+	tree := d.tree()
+	parent := tree.Parent(d.self)
+	remotes := []identifier.Instance(nil)
+	if tree.Reads(d.self) {
+		remotes = d.remotes()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if peer := d.ahead; peer != "" {
@@ -379,6 +393,9 @@
 		return peer
 	}
 	d.turn++
+	if d.turn%2 == 1 && len(remotes) > 0 {
+		return remotes[d.rand.IntN(len(remotes))]
+	}
 	if d.turn%2 == 1 || len(members) < 2 {
 		return parent
 	}
@@ -392,7 +409,9 @@
 // Run reads as a reader while this process is one and pulls from peers always, until ctx ends.
 func (d *Distributor) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
-	wg.Go(func() { d.repeat(ctx, d.poll, d.ReadStep) })
+	for range ReadLoops {
+		wg.Go(func() { d.repeat(ctx, ReadLoops*d.poll, d.ReadStep) })
+	}
 	wg.Go(func() { d.repeat(ctx, d.poll, d.PullStep) })
 	wg.Wait()
 	return nil
--- a/faultsbencher/checker.go
+++ b/faultsbencher/checker.go
@@ -57,7 +57,9 @@
 
 // Outcome is what the checks of one schedule found.
 type Outcome struct {
-	Kind    Kind
+	Kind Kind
+	// Faults lists the injected faults with their virtual time, the drawn instance and the duration.
+	Faults  []string
 	Checked map[Invariant]int
 	// Broken holds the violations with their virtual time.
 	Broken map[Invariant][]string
--- a/faultsbencher/experiment.go
+++ b/faultsbencher/experiment.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 const (
 	defaultSchedules = 1000
 	inForceAim       = 2 * time.Second
+	gcPercent        = 400
 )
 
 // Experiment returns the experiment "faults".
@@ -44,6 +46,8 @@
 	t := &total{
 		checked: map[Invariant]int{}, broken: map[Invariant]int{}, first: map[Invariant]string{}, kinds: map[Kind]*kindTotal{},
 	}
+	// Each schedule has a small live heap of its own, so a larger target saves most of the collections.
+	defer debug.SetGCPercent(debug.SetGCPercent(gcPercent))
 	// The clock bounds only how many schedules run; each one is determined by its seed.
 	stop := time.Now().Add(p.Duration)
 	for first := uint64(0); ctx.Err() == nil; first += defaultSchedules {
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -146,6 +146,12 @@
 	defer cancel()
 	rec := l.leaser.record(l.token)
 	rec.Holder = ""
-	// The term ends by itself if the release fails.
-	_, _ = l.leaser.table.Put(ctx, guard.Key, guard.Version, rec)
+	_, err := l.leaser.table.Put(ctx, guard.Key, guard.Version, rec)
+	if errors.Is(err, storer.ErrConflict) {
+		// A renewal that the end of its context interrupted may have changed the row.
+		if version, rerr := l.leaser.resolve(ctx, l.name, l.token, err); rerr == nil {
+			// The term ends by itself if this fails too.
+			_, _ = l.leaser.table.Put(ctx, guard.Key, version, rec)
+		}
+	}
 }
--- /dev/null
+++ b/storer/storer_test.go
@@ -0,0 +1,181 @@
+package storer_test
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/platformfaker"
+	"github.com/siskinfront/siskinfront/storer"
+)
+
+var local = netip.MustParseAddrPort("127.0.0.1:1")
+
+func newTable(opts ...platformfaker.Option) (*platformfaker.Table, *storer.Table) {
+	f := platformfaker.NewTable(opts...)
+	return f, storer.New(local, storer.WithDo(platformfaker.Exchange(f)))
+}
+
+// Guards against a wire format that works only in memory.
+func TestTableOverTCP(t *testing.T) {
+	srv := httptest.NewServer(platformfaker.NewTable())
+	defer srv.Close()
+	ctx := context.Background()
+	tb := storer.New(netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://")))
+	v, err := tb.Put(ctx, "claim/a b/%2F", 0, "x")
+	must.NoError(t, err)
+	row, err := tb.Get(ctx, "claim/a b/%2F")
+	must.NoError(t, err)
+	must.Eq(t, v, row.Version)
+	rows, err := tb.List(ctx, "claim/a")
+	must.NoError(t, err)
+	must.Len(t, 1, rows)
+	_, err = tb.Put(ctx, "claim/a b/%2F", 0, "y")
+	must.ErrorIs(t, err, storer.ErrConflict)
+	_, err = tb.Get(ctx, "none")
+	must.ErrorIs(t, err, storer.ErrNotFound)
+}
+
+// Guards against each induced failure being taken for another one.
+func TestFailures(t *testing.T) {
+	always := func(*http.Request) bool { return true }
+	for _, c := range []struct {
+		name   string
+		faults platformfaker.Faults
+		want   error
+	}{
+		{"outage", platformfaker.Faults{Out: always}, storer.ErrUnavailable},
+		{"replies lost", platformfaker.Faults{LoseReply: always}, storer.ErrUnknownOutcome},
+		{"slow", platformfaker.Faults{Delay: func(*http.Request) time.Duration { return time.Minute }}, storer.ErrUnknownOutcome},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, tb := newTable()
+				f.Faults = c.faults
+				_, err := tb.Put(t.Context(), "k", 0, 1)
+				must.ErrorIs(t, err, c.want)
+			})
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		_, tb := newTable(platformfaker.WithRates(1, 1))
+		tb2 := *tb
+		_, err := tb2.Put(t.Context(), "k", 0, 1)
+		must.NoError(t, err)
+		limited := 0
+		for range 20 {
+			if _, err := tb.Get(t.Context(), "k"); err != nil {
+				must.ErrorIs(t, err, storer.ErrRateLimited)
+				limited++
+			}
+		}
+		must.Positive(t, limited)
+	})
+}
+
+// Guards against a write that is applied twice, or reported as a conflict with itself, after its reply was lost.
+func TestRepeatAfterLostReply(t *testing.T) {
+	for _, forget := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f, tb := newTable()
+			f.ForgetTransactions = forget
+			first := true
+			f.LoseReply = func(*http.Request) bool { defer func() { first = false }(); return first }
+			_, err := tb.Put(t.Context(), "k", 0, 1)
+			if forget {
+				// The naive table shows that the check can fail.
+				must.ErrorIs(t, err, storer.ErrConflict)
+				return
+			}
+			must.NoError(t, err)
+			row, _ := f.Row("k")
+			must.Eq(t, 1, row.Version)
+		})
+	}
+}
+
+// Guards against repeats that multiply the load of a service which is out.
+func TestRepeatBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := platformfaker.NewTable()
+		f.Out = func(*http.Request) bool { return true }
+		tb := storer.New(local, storer.WithDo(platformfaker.Exchange(f)), storer.WithRand(rand.New(rand.NewPCG(1, 1))))
+		for range 1000 {
+			_, err := tb.Get(t.Context(), "k")
+			must.ErrorIs(t, err, storer.ErrUnavailable)
+		}
+		must.LessEq(t, 1020, tb.Counters()["calls"])
+	})
+}
+
+// Guards against a caller that waits beyond its own deadline.
+func TestDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, tb := newTable()
+		f.Delay = func(*http.Request) time.Duration { return 300 * time.Millisecond }
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		_, err := tb.Get(ctx, "k")
+		must.ErrorIs(t, err, storer.ErrUnavailable)
+		must.Less(t, time.Second, time.Since(began))
+	})
+}
+
+// Guards against fakes that lack the lag, lateness, limits and conditions of the services they stand for.
+func TestOtherServices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		of := platformfaker.NewObjects()
+		o := storer.NewObjects(local, storer.WithDo(platformfaker.Exchange(of)))
+		must.NoError(t, o.Create(ctx, "a/b", []byte("1")))
+		must.ErrorIs(t, o.Create(ctx, "a/b", []byte("2")), storer.ErrConflict)
+		must.NoError(t, o.Put(ctx, "a/b", []byte("3")))
+		b, err := o.Get(ctx, "a/b")
+		must.NoError(t, err)
+		must.Eq(t, "3", string(b))
+
+		wf := platformfaker.NewWeights(&platformfaker.Faults{}, 8, []string{"w"}, platformfaker.WithRates(1, 0))
+		w := storer.NewWeights(local, storer.WithDo(platformfaker.Exchange(wf)), storer.WithAttempts(1))
+		_, err = w.Fetch(ctx, "w")
+		must.NoError(t, err)
+		_, err = w.Fetch(ctx, "w")
+		must.ErrorIs(t, err, storer.ErrRateLimited)
+
+		rf := platformfaker.NewRater(time.Now, rand.New(rand.NewPCG(1, 1)))
+		rf.Late = func() time.Duration { return time.Minute }
+		r := storer.NewRater(local, storer.WithDo(platformfaker.Exchange(rf)))
+		must.NoError(t, r.Submit(ctx, storer.Rating{Request: "x"}))
+		must.NoError(t, r.Submit(ctx, storer.Rating{Request: "x"}))
+		list, err := r.After(ctx, 0)
+		must.NoError(t, err)
+		must.Len(t, 0, list)
+		time.Sleep(time.Minute)
+		list, err = r.After(ctx, 0)
+		must.NoError(t, err)
+		must.Len(t, 1, list)
+
+		inf := platformfaker.NewInstances(time.Now)
+		inf.Lag = 10 * time.Second
+		inf.Set([]storer.Instance{{Instance: "i"}})
+		i := storer.NewInstances(local, storer.WithDo(platformfaker.Exchange(inf)))
+		is, err := i.List(ctx)
+		must.NoError(t, err)
+		must.Len(t, 0, is)
+		time.Sleep(inf.Lag)
+		is, err = i.List(ctx)
+		must.NoError(t, err)
+		must.Len(t, 1, is)
+		_, err = json.Marshal(i.State())
+		must.NoError(t, err)
+	})
+}
