--- /dev/null
+++ b/detector/detector_test.go
@@ -0,0 +1,234 @@
+package detector_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/siskinfront/siskinfront/detector"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/storer"
+)
+
+func name(i int) identifier.Instance {
+	return identifier.Instance(fmt.Sprintf("ie-west-1-worker-%04d", i))
+}
+
+func list(n int) []storer.Instance {
+	l := make([]storer.Instance, n)
+	for i := range l {
+		l[i] = storer.Instance{Instance: name(i), DataCentre: "dc-1", Region: "ie-west", Role: "agent"}
+	}
+	return l
+}
+
+// cluster is n detectors in one bubble; drop tells which messages are lost.
+type cluster struct {
+	nodes  []*detector.Detector
+	paused map[int]bool
+	drop   func(from, to int) bool
+	bytes  int
+}
+
+func newCluster(n int, opts ...detector.Option) *cluster {
+	c := &cluster{paused: map[int]bool{}, drop: func(int, int) bool { return false }}
+	index := map[identifier.Instance]int{}
+	for i := range n {
+		index[name(i)] = i
+		c.nodes = append(c.nodes, nil)
+		c.start(i, index, list(n), opts)
+	}
+	return c
+}
+
+func (c *cluster) start(i int, index map[identifier.Instance]int, l []storer.Instance, opts []detector.Option) {
+	send := func(to identifier.Instance, m detector.Message) {
+		b, err := json.Marshal(m)
+		if err != nil {
+			panic(err)
+		}
+		c.bytes += len(b)
+		if j := index[to]; !c.drop(i, j) {
+			time.AfterFunc(time.Millisecond, func() { c.nodes[j].Receive(m) })
+		}
+	}
+	c.nodes[i] = detector.New(detector.Member{Instance: name(i), DataCentre: "dc-1"}, append([]detector.Option{
+		detector.WithSend(send), detector.WithRand(rand.New(rand.NewPCG(uint64(i), 1))),
+	}, opts...)...)
+	c.nodes[i].Merge(l)
+}
+
+// run ticks all nodes that are not paused for a number of seconds, each at its own offset.
+func (c *cluster) run(seconds int) {
+	for range seconds {
+		for i, d := range c.nodes {
+			if !c.paused[i] {
+				d.Tick()
+			}
+			time.Sleep(time.Second / time.Duration(len(c.nodes)))
+		}
+		synctest.Wait()
+	}
+}
+
+func (c *cluster) sees(target int, s detector.State) int {
+	n := 0
+	for i, d := range c.nodes {
+		if i != target && !c.paused[i] && d.StateOf(name(target)) == s {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a leaving or a dead instance that others learn of late or never, and against a restart taken for dead.
+func TestLeaveDieRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 253
+		c := newCluster(n)
+		c.run(3)
+		c.nodes[7].Leave()
+		c.run(2)
+		for i, d := range c.nodes {
+			must.Eq(t, detector.Leaving, d.StateOf(name(7)), must.Sprintf("at %d", i))
+		}
+		c.paused[9] = true
+		c.drop = func(from, to int) bool { return from == 9 || to == 9 }
+		c.run(10)
+		must.Eq(t, n-2, c.sees(9, detector.Dead))
+		c.paused[9] = false
+		c.drop = func(int, int) bool { return false }
+		c.run(8)
+		must.Eq(t, 0, c.sees(9, detector.Dead))
+		must.Positive(t, c.nodes[9].Counters()["refutations"])
+	})
+}
+
+// Guards against a paused process that accuses the others when it resumes; without local health it does.
+func TestPausedProcessDoesNotAccuse(t *testing.T) {
+	suspicions := func(opts ...detector.Option) (n int64) {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(12, opts...)
+			c.run(5)
+			c.paused[3] = true
+			// What arrives during the pause waits in the kernel; the first tick after it comes before the reads.
+			c.drop = func(_, to int) bool { return to == 3 }
+			c.run(8)
+			c.paused[3] = false
+			c.nodes[3].Tick()
+			n = c.nodes[3].Counters()["suspicions"]
+			c.drop = func(int, int) bool { return false }
+			c.run(20)
+			for i := range c.nodes {
+				must.Eq(t, 0, c.sees(i, detector.Dead))
+			}
+		})
+		return n
+	}
+	must.Eq(t, 0, suspicions())
+	must.Positive(t, suspicions(detector.WithoutLocalHealth()))
+}
+
+// Guards against one broken path between two processes that makes the whole data centre drop one of them.
+func TestBrokenPath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(12)
+		c.run(3)
+		for victim := range 3 {
+			c.drop = func(from, to int) bool { return from == victim && to%2 == 0 && to == (victim+2)%12 }
+			c.run(15)
+			must.Eq(t, 0, c.sees(victim, detector.Dead))
+		}
+	})
+}
+
+// Guards against cost per node that grows with the number of instances: 253 of a data centre against all 2,530.
+func TestCostPerNode(t *testing.T) {
+	cost := func(n int) (messages, size int) {
+		synctest.Test(t, func(t *testing.T) {
+			d := detector.New(detector.Member{Instance: name(0), DataCentre: "dc-1", Region: "ie-west", Role: "agent"},
+				detector.WithSend(func(_ identifier.Instance, m detector.Message) {
+					b, err := json.Marshal(m)
+					must.NoError(t, err)
+					messages++
+					size += len(b)
+				}))
+			d.Merge(list(n))
+			for i := range 60 {
+				// A storm of news: one instance leaves each second, far above 195 changes a day.
+				d.Heard(name(1+i), detector.Leaving, 1)
+				d.Tick()
+				for j := range n {
+					d.Receive(detector.Message{From: detector.Member{Instance: name(j), DataCentre: "dc-1", State: detector.Live, Incarnation: 1}})
+				}
+				time.Sleep(detector.Period)
+			}
+		})
+		return messages, size
+	}
+	m1, b1 := cost(253)
+	m2, b2 := cost(2530)
+	t.Logf("per node in 60 s: 253 instances %d messages, %d bytes; 2,530 instances %d messages, %d bytes", m1, b1, m2, b2)
+	must.LessEq(t, 60*7+8, m2)
+	must.LessEq(t, 60*3000, b2)
+	must.InDelta(t, float64(m1), float64(m2), 0.05*float64(m1))
+	must.InDelta(t, float64(b1), float64(b2), 0.05*float64(b1))
+}
+
+// Guards against a list that overrules what was heard: it lags, so it neither removes a live member nor revives a dead one.
+func TestLaggingList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := detector.New(detector.Member{Instance: name(0), DataCentre: "dc-1"})
+		d.Merge(list(3))
+		must.Len(t, 3, d.Members())
+		d.Heard(name(1), detector.Live, 5)
+		d.Heard(name(2), detector.Dead, 5)
+		d.Merge(list(3))
+		must.Eq(t, detector.Dead, d.StateOf(name(2)))
+		d.Merge(list(1))
+		must.Eq(t, detector.Live, d.StateOf(name(1)))
+		d.Receive(detector.Message{From: detector.Member{Instance: "new", DataCentre: "dc-1", State: detector.Live, Incarnation: 1}})
+		must.Eq(t, detector.Live, d.StateOf("new"))
+		d.Merge(list(1))
+		time.Sleep(2 * time.Minute)
+		d.Merge(list(1))
+		must.Len(t, 1, d.Members())
+	})
+}
+
+// Guards against news that takes effect in another order than that of incarnations: an older incarnation never
+// changes a member, and a dead one returns only with a higher incarnation.
+func TestIncarnations(t *testing.T) {
+	states := []detector.State{detector.Live, detector.Leaving, detector.Dead}
+	rapid.Check(t, func(rt *rapid.T) {
+		d := detector.New(detector.Member{Instance: name(0), DataCentre: "dc-1"})
+		d.Merge(list(2))
+		highest, dead, leaving := uint64(0), false, false
+		for range rapid.IntRange(1, 30).Draw(rt, "events") {
+			inc := rapid.Uint64Range(1, 4).Draw(rt, "incarnation")
+			s := rapid.SampledFrom(states).Draw(rt, "state")
+			d.Heard(name(1), s, inc)
+			if inc > highest {
+				highest, dead, leaving = inc, false, false
+			}
+			if inc == highest {
+				dead = dead || s == detector.Dead
+				leaving = leaving || s == detector.Leaving && !dead
+			}
+			want := detector.Live
+			switch {
+			case dead:
+				want = detector.Dead
+			case leaving:
+				want = detector.Leaving
+			}
+			must.Eq(rt, want, d.StateOf(name(1)))
+		}
+	})
+}
--- a/distributor/commit.go
+++ b/distributor/commit.go
@@ -32,6 +32,8 @@
 // Head is the value of the row config/head.
 type Head struct {
 	Revision uint64 `json:"revision"`
+	// Items are those that the revision changed, so that a reader one revision behind needs no second call.
+	Items []Item `json:"items"`
 }
 
 // Change is the value of the row config/change/{revision}.
@@ -68,11 +70,16 @@
 
 // readAll returns all items at one revision: the head must be the same before and after the list is read.
 func readAll(ctx context.Context, t *storer.Table) (map[string]Item, Head, uint64, error) {
+	before, _, err := readHead(ctx, t)
+	if err != nil {
+		return nil, Head{}, 0, err
+	}
+	return readAllSince(ctx, t, before)
+}
+
+// readAllSince is readAll for a caller that has just read the head.
+func readAllSince(ctx context.Context, t *storer.Table, before Head) (map[string]Item, Head, uint64, error) {
 	for range readAttempts {
-		before, _, err := readHead(ctx, t)
-		if err != nil {
-			return nil, Head{}, 0, err
-		}
 		rows, err := t.List(ctx, itemPrefix)
 		if err != nil {
 			return nil, Head{}, 0, fmt.Errorf("distributor: read items: %w", err)
@@ -81,7 +88,8 @@
 		if err != nil {
 			return nil, Head{}, 0, err
 		}
-		if head != before {
+		if head.Revision != before.Revision {
+			before = head
 			continue
 		}
 		items := make(map[string]Item, len(rows))
@@ -144,7 +152,7 @@
 		tx.Writes = append(tx.Writes, storer.Write{Key: key, Value: b})
 		return err
 	}
-	err := errors.Join(put(headKey, Head{Revision: c.Revision}), put(changeKey(c.Revision), c))
+	err := errors.Join(put(headKey, Head{Revision: c.Revision, Items: c.Items}), put(changeKey(c.Revision), c))
 	for _, it := range c.Items {
 		// Removed items stay as rows without a value, so that later readers learn of the removal.
 		err = errors.Join(err, put(itemPrefix+it.Key, it))
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -290,30 +290,44 @@
 		d.Offer(Update{Revision: head.Revision, Base: head.Revision, ConfirmedAt: at})
 		return nil
 	}
-	u := Update{Revision: head.Revision, Base: before, ConfirmedAt: at}
-	if before > 0 && head.Revision-before <= maxCatchUp {
-		for r := before + 1; r <= head.Revision; r++ {
+	u, err := d.fetch(ctx, head, before)
+	if err != nil {
+		return err
+	}
+	u.ConfirmedAt = at
+	if d.Offer(u) {
+		d.spread(ctx, before)
+		d.saveSnapshot(ctx)
+	}
+	return nil
+}
+
+// fetch reads what leads from a revision to the head, with as few calls as that takes.
+func (d *Distributor) fetch(ctx context.Context, head Head, before uint64) (Update, error) {
+	u := Update{Revision: head.Revision, Base: before}
+	switch {
+	case head.Revision == before+1:
+		u.Items = head.Items
+	case before > 0 && head.Revision-before <= maxCatchUp:
+		for r := before + 1; r < head.Revision; r++ {
 			c, err := readChange(ctx, d.table, r)
 			if err != nil {
-				return err
+				return Update{}, err
 			}
 			u.Items = append(u.Items, c.Items...)
 		}
-	} else {
-		items, whole, _, err := readAll(ctx, d.table)
+		u.Items = append(u.Items, head.Items...)
+	default:
+		items, whole, _, err := readAllSince(ctx, d.table, head)
 		if err != nil {
-			return err
+			return Update{}, err
 		}
-		u = Update{Revision: whole.Revision, ConfirmedAt: at}
+		u = Update{Revision: whole.Revision}
 		for _, it := range items {
 			u.Items = append(u.Items, it)
 		}
 	}
-	if d.Offer(u) {
-		d.spread(ctx, before)
-		d.saveSnapshot(ctx)
-	}
-	return nil
+	return u, nil
 }
 
 // saveSnapshot is best effort: a reader of a later revision writes the next one.
--- /dev/null
+++ b/distributor/distributor_test.go
@@ -0,0 +1,222 @@
+package distributor_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/distributor"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/platformfaker"
+	"github.com/siskinfront/siskinfront/storer"
+)
+
+var local = netip.MustParseAddrPort("127.0.0.1:1")
+
+func newTable() (*platformfaker.Table, *storer.Table) {
+	f := platformfaker.NewTable()
+	return f, storer.New(local, storer.WithDo(platformfaker.Exchange(f)))
+}
+
+func config(committed float64, kinds ...identifier.WorkKind) *configurer.Configuration {
+	c := &configurer.Configuration{Ranks: []configurer.Rank{{Name: "urgent"}}, Spend: configurer.Spend{Committed: committed}}
+	for _, k := range kinds {
+		c.WorkKinds = append(c.WorkKinds, configurer.WorkKind{Name: k, Rank: "urgent"})
+	}
+	return c
+}
+
+// Guards against a lost update between two operators, a retry reported as a conflict with itself, and an undo that
+// reverts the change of somebody else.
+func TestCommitHistoryUndo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		f, tb := newTable()
+		r, err := distributor.Commit(ctx, tb, 0, config(1, "tags"), "ann")
+		must.NoError(t, err)
+		must.Eq(t, 1, r)
+		lost := false
+		f.LoseReply = func(q *http.Request) bool {
+			defer func() { lost = true }()
+			return q.Method == http.MethodPost && !lost
+		}
+		r, err = distributor.Commit(ctx, tb, 1, config(2, "tags", "notes"), "bob")
+		must.NoError(t, err)
+		must.Eq(t, 2, r)
+		_, err = distributor.Commit(ctx, tb, 1, config(3), "ann")
+		must.ErrorIs(t, err, distributor.ErrConflict)
+		r, err = distributor.Commit(ctx, tb, 2, config(2, "tags", "notes"), "ann")
+		must.NoError(t, err)
+		must.Eq(t, 2, r)
+		r, err = distributor.Commit(ctx, tb, 2, config(4, "notes"), "ann")
+		must.NoError(t, err)
+		_, err = distributor.Undo(ctx, tb, 2, "eve")
+		must.ErrorIs(t, err, distributor.ErrConflict)
+		r, err = distributor.Undo(ctx, tb, r, "eve")
+		must.NoError(t, err)
+		must.Eq(t, 4, r)
+		history, err := distributor.History(ctx, tb)
+		must.NoError(t, err)
+		must.Len(t, 4, history)
+		must.Eq(t, "bob", history[1].By)
+		must.Eq(t, 3, history[3].Undoes)
+
+		d := distributor.New(distributor.WithSelf("a"), distributor.WithTable(tb))
+		must.NoError(t, d.Read(ctx))
+		must.Eq(t, 2, d.Current().Spend.Committed)
+		must.Len(t, 2, d.Current().WorkKinds)
+		must.Eq(t, time.Now(), d.ConfirmedAt())
+		tag, err := distributor.ParseETag(distributor.ETag(d.Revision()))
+		must.NoError(t, err)
+		must.Eq(t, 4, tag)
+	})
+}
+
+// Guards against a revision that goes back or skips a change, whatever order updates come in; the naive rule shows
+// that the check finds it.
+func TestOfferOnlyForward(t *testing.T) {
+	updates := []distributor.Update{}
+	synctest.Test(t, func(t *testing.T) {
+		_, tb := newTable()
+		source := distributor.New(distributor.WithSelf("a"), distributor.WithTable(tb))
+		for i := range uint64(6) {
+			kinds := []identifier.WorkKind{"tags", "notes", "orders"}[:i%3+1]
+			_, err := distributor.Commit(t.Context(), tb, i, config(float64(i+1), kinds...), "ann")
+			must.NoError(t, err)
+			must.NoError(t, source.Read(t.Context()))
+			for base := range i + 1 {
+				updates = append(updates, source.Since(base))
+			}
+		}
+	})
+	check := func(rt *rapid.T, opts ...distributor.Option) string {
+		d := distributor.New(opts...)
+		have := uint64(0)
+		for _, i := range rapid.SliceOfN(rapid.IntRange(0, len(updates)-1), 1, 30).Draw(rt, "order") {
+			d.Offer(updates[i])
+			c := d.Current()
+			switch {
+			case d.Revision() < have:
+				return "went back"
+			case c != nil && (c.Spend.Committed != float64(c.Revision) || len(c.WorkKinds) != int((c.Revision-1)%3)+1):
+				return "mixes revisions"
+			}
+			have = d.Revision()
+		}
+		return ""
+	}
+	rapid.Check(t, func(rt *rapid.T) { must.Eq(rt, "", check(rt)) })
+	found := map[string]bool{}
+	rapid.Check(t, func(rt *rapid.T) {
+		found[check(rt, distributor.WithAccept(func(uint64, distributor.Update) bool { return true }))] = true
+	})
+	must.True(t, found["went back"])
+	must.True(t, found["mixes revisions"])
+}
+
+// Guards against a snapshot that brings back what a peer has already left behind.
+func TestColdStartWithTableOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		f, tb := newTable()
+		o := storer.NewObjects(local, storer.WithDo(platformfaker.Exchange(platformfaker.NewObjects())))
+		opts := []distributor.Option{distributor.WithSelf("a"), distributor.WithTable(tb), distributor.WithObjects(o)}
+		_, err := distributor.Commit(ctx, tb, 0, config(1), "ann")
+		must.NoError(t, err)
+		must.NoError(t, distributor.New(opts...).Read(ctx))
+		f.Out = func(*http.Request) bool { return true }
+		peers := distributor.WithMembers(func() []identifier.Instance { return []identifier.Instance{"a", "b"} })
+		d := distributor.New(append(opts, peers)...)
+		must.ErrorIs(t, d.LoadSnapshot(ctx), distributor.ErrStaleSnapshot)
+		d.Hear("b", 2)
+		must.ErrorIs(t, d.LoadSnapshot(ctx), distributor.ErrStaleSnapshot)
+		must.Nil(t, d.Current())
+		d = distributor.New(append(opts, peers)...)
+		d.Hear("b", 1)
+		must.NoError(t, d.LoadSnapshot(ctx))
+		must.Eq(t, 1, d.Revision())
+		must.NoError(t, distributor.New(opts...).LoadSnapshot(ctx))
+	})
+}
+
+// Guards against table reads and messages that grow with the number of processes, and against a change that takes
+// longer than the bound at the target size of 10 data centres with 253 processes each, the calls of one taking 500 ms.
+func TestTargetSize(t *testing.T) {
+	const centres, perCentre = 10, 253
+	synctest.Test(t, func(t *testing.T) {
+		f, writer := newTable()
+		reads := 0
+		slow := func(ctx context.Context, r *http.Request) { _ = storer.Sleep(ctx, 500*time.Millisecond) }
+		ctx, stop := context.WithCancel(t.Context())
+		committed := map[uint64]time.Time{}
+		delays := []time.Duration{}
+		all := map[identifier.Instance]*distributor.Distributor{}
+		for dc := range centres {
+			members := make([]identifier.Instance, perCentre)
+			for i := range members {
+				members[i] = identifier.Instance(fmt.Sprintf("dc-%d-%d", dc, i))
+			}
+			exchange := platformfaker.Exchange(f)
+			tb := storer.New(local, storer.WithDo(func(r *http.Request) (*http.Response, error) {
+				reads++
+				if dc == 0 {
+					slow(r.Context(), r)
+				}
+				return exchange(r)
+			}))
+			for i, m := range members {
+				all[m] = distributor.New(distributor.WithSelf(m), distributor.WithTable(tb),
+					distributor.WithRand(rand.New(rand.NewPCG(uint64(dc), uint64(i)))),
+					distributor.WithMembers(func() []identifier.Instance { return members }),
+					distributor.WithPush(func(_ context.Context, to identifier.Instance, u distributor.Update) error {
+						time.AfterFunc(2*time.Millisecond, func() { all[to].Receive(ctx, u) })
+						return nil
+					}),
+					distributor.WithPull(func(_ context.Context, to identifier.Instance, r uint64) (distributor.Update, error) {
+						if all[to] == nil {
+							return distributor.Update{}, errors.New("no such peer")
+						}
+						return all[to].Since(r), nil
+					}),
+					distributor.WithOnChange(func(c *configurer.Configuration) {
+						delays = append(delays, time.Since(committed[c.Revision]))
+					}))
+			}
+		}
+		f.OnApply = func(storer.Transaction, uint64) { committed[uint64(len(committed))+1] = time.Now() }
+		for _, d := range all {
+			go func() { _ = d.Run(ctx) }()
+		}
+		const changes = 3
+		for i := range uint64(changes) {
+			time.Sleep(5 * time.Second)
+			_, err := distributor.Commit(ctx, writer, i, config(float64(i+1)), "ann")
+			must.NoError(t, err)
+		}
+		time.Sleep(5 * time.Second)
+		stop()
+		synctest.Wait()
+		must.Len(t, changes*centres*perCentre, delays)
+		late, most := 0, time.Duration(0)
+		for _, d := range delays {
+			most = max(most, d)
+			if d > 2*time.Second {
+				late++
+			}
+		}
+		t.Logf("%d of %d after 2 s, at most %v, %d reads in 20 s", late, len(delays), most, reads)
+		must.LessEq(t, len(delays)/100, late)
+		must.LessEq(t, 7*time.Second, most)
+		must.LessEq(t, 100*20, reads)
+	})
+}
--- a/faultsbencher/schedule_test.go
+++ b/faultsbencher/schedule_test.go
@@ -104,8 +104,8 @@
 			distributor.WithPull(nil),
 		}}, fb.ConfigInForce},
 		{"transaction IDs forgotten", fb.KindLostReply, fb.Weaken{ForgetTransactions: true}, fb.ConfigNoLostUpdate},
-		{"death without suspicion", fb.KindLostReply, fb.Weaken{Detector: []detector.Option{
-			detector.WithTimeouts(time.Second, 0),
+		{"death at the first missed heartbeat", fb.KindLostReply, fb.Weaken{Detector: []detector.Option{
+			detector.WithTimeouts(1500*time.Millisecond, -1),
 		}}, fb.MemberNotAccused},
 	} {
 		t.Run(c.name, func(t *testing.T) {
