--- a/agentserver/execute.go
+++ b/agentserver/execute.go
@@ -56,7 +56,7 @@
 		return refusedFrame(refusal)
 	}
 	for {
-		final, err := s.once(ctx, r, a, &ticket)
+		final, err := s.once(ctx, a, &ticket)
 		if !errors.Is(err, errPreempted) {
 			return final
 		}
@@ -71,7 +71,7 @@
 }
 
 // once runs the order in the current slot. It returns errPreempted if the slot was withdrawn before the end.
-func (s *Server) once(ctx context.Context, r *run, a attempt, ticket *Ticket) (streamer.Frame, error) {
+func (s *Server) once(ctx context.Context, a attempt, ticket *Ticket) (streamer.Frame, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if ticket.Preempted != nil {
