entryserver: repeat a stored response under the name of its request

Cause: a repeated response of a plain service carried the name of the repeat. Change: the stored headers include the request name.

--- a/entryserver/bed_test.go
+++ b/entryserver/bed_test.go
@@ -223,3 +223,9 @@
 		},
 	}, nil
 }
+
+func newClient(b *bed) *streamer.Client {
+	c := streamer.NewClient(streamer.WithDial(b.net.Dial))
+	b.stop = append(b.stop, c.Close)
+	return c
+}
--- a/entryserver/openai_test.go
+++ b/entryserver/openai_test.go
@@ -12,15 +12,8 @@
 
 	"github.com/siskinfront/siskinfront/decoder"
 	"github.com/siskinfront/siskinfront/identifier"
-	"github.com/siskinfront/siskinfront/streamer"
 )
 
-func newClient(b *bed) *streamer.Client {
-	c := streamer.NewClient(streamer.WithDial(b.net.Dial))
-	b.stop = append(b.stop, c.Close)
-	return c
-}
-
 // Guards against changes that break the published client library of callers.
 func TestPublishedClient(t *testing.T) {
 	run(t, func(t *testing.T, b *bed) {
--- a/entryserver/sink.go
+++ b/entryserver/sink.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 
 	"github.com/siskinfront/siskinfront/decoder"
@@ -80,7 +81,10 @@
 func (p *reply) fail(*decoder.Error) {}
 
 func (p *reply) result() Result {
+	// A repeat carries the name of the request that ran.
+	headers := map[string]string{decoder.HeaderRequestID: p.w.Header().Get(decoder.HeaderRequestID)}
+	maps.Copy(headers, p.head.Headers)
 	return Result{
-		Status: p.head.Status, ContentType: p.head.Headers["Content-Type"], Headers: p.head.Headers, Body: p.body,
+		Status: p.head.Status, ContentType: p.head.Headers["Content-Type"], Headers: headers, Body: p.body,
 	}
 }
