--- a/entryserver/bed_test.go
+++ b/entryserver/bed_test.go
@@ -43,11 +43,9 @@
 	http    *http.Client
 	claims  claims
 
-	mu    sync.Mutex
 	cfg   *configurer.Configuration
 	bills []entryserver.Bill
 	retry bool
-	plain bool
 	stop  []func()
 }
 
--- a/pathbencher/path.go
+++ b/pathbencher/path.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/netip"
 	"runtime"
+	"strconv"
 	"sync"
 	"time"
 
@@ -74,7 +75,8 @@
 func (s *stack) stop() {
 	s.client.CloseIdleConnections()
 	for _, server := range s.servers {
-		server.Close()
+		// The measurement is over; an error here changes nothing.
+		_ = server.Close()
 	}
 }
 
@@ -214,7 +216,7 @@
 		if err := errors.Join(direct.err, routed.err, ctx.Err()); err != nil {
 			return report, err
 		}
-		row := []string{fmt.Sprint(rate)}
+		row := []string{strconv.Itoa(rate)}
 		for i, q := range []float64{50, 99} {
 			d, r := float64(direct.first.ValueAtQuantile(q)), float64(routed.first.ValueAtQuantile(q))
 			row = append(row, fmt.Sprintf("%.0f", d), fmt.Sprintf("%.0f", r), fmt.Sprintf("%.0f", r-d),
