--- a/command_bench.go
+++ b/command_bench.go
@@ -14,6 +14,7 @@
 	"github.com/siskinfront/siskinfront/floodbencher"
 	"github.com/siskinfront/siskinfront/rolloutbencher"
 	"github.com/siskinfront/siskinfront/spendbencher"
+	"github.com/siskinfront/siskinfront/pathbencher"
 )
 
 // experiments lists the experiments of the bench command.
@@ -27,6 +28,7 @@
 		rolloutbencher.Experiment(),
 		spendbencher.Experiment(),
 	}
+	return []bencher.Experiment{pathbencher.Experiment()}
 }
 
 func newBenchCommand() *cobra.Command {
--- a/entryserver/bed_test.go
+++ b/entryserver/bed_test.go
@@ -43,11 +43,9 @@
 	http    *http.Client
 	claims  claims
 
-	mu    sync.Mutex
 	cfg   *configurer.Configuration
 	bills []entryserver.Bill
 	retry bool
-	plain bool
 	stop  []func()
 }
 
@@ -223,3 +221,9 @@
 		},
 	}, nil
 }
+
+func newClient(b *bed) *streamer.Client {
+	c := streamer.NewClient(streamer.WithDial(b.net.Dial))
+	b.stop = append(b.stop, c.Close)
+	return c
+}
