slopesbencher: measure slopes and extrapolate them to the target

Cause: CAPACITY.md needs figures from slopes. Change: slopes of memory, traffic and processor time of each part, roles and table load at the target size.

--- a/command_bench.go
+++ b/command_bench.go
@@ -9,17 +9,19 @@
 	"github.com/siskinfront/siskinfront/bencher"
 	"github.com/siskinfront/siskinfront/choicebencher"
 	"github.com/siskinfront/siskinfront/costbencher"
-	"github.com/siskinfront/siskinfront/faultsbencher"
 	"github.com/siskinfront/siskinfront/fairnessbencher"
+	"github.com/siskinfront/siskinfront/faultsbencher"
 	"github.com/siskinfront/siskinfront/floodbencher"
+	"github.com/siskinfront/siskinfront/pathbencher"
 	"github.com/siskinfront/siskinfront/rolloutbencher"
+	"github.com/siskinfront/siskinfront/slopesbencher"
 	"github.com/siskinfront/siskinfront/spendbencher"
-	"github.com/siskinfront/siskinfront/pathbencher"
 )
 
 // experiments lists the experiments of the bench command.
 func experiments() []bencher.Experiment {
 	return []bencher.Experiment{
+		slopesbencher.Experiment(),
 		costbencher.Experiment(),
 		choicebencher.Experiment(),
 		fairnessbencher.Experiment(),
--- /dev/null
+++ b/slopesbencher/capacity.go
@@ -0,0 +1,165 @@
+package slopesbencher
+
+// The target size, from the users' stated target.
+const (
+	entries        = 330.0
+	workers        = 2200.0
+	dataCentres    = 10.0
+	requestRate    = 1800.0
+	tokenRate      = 400000.0
+	changesPerDay  = 12000.0
+	secondsPerDay  = 86400.0
+	replacedPerDay = 195.0
+	maxCore        = 0.041
+	maxMemory      = 64e6
+	maxTraffic     = 3000.0
+	tableReads     = 2000.0
+	tableWrites    = 300.0
+)
+
+// Assumptions about the target that it does not state.
+const (
+	// accounts is the number of client accounts of the deployment.
+	accounts = 400.0
+	// kindsPerVersion is the number of kinds of work for which a version is used.
+	kindsPerVersion = 6.0
+	// nonIdempotentShare is the share of requests that need a claim.
+	nonIdempotentShare = 0.02
+	// sessionStarts is the number of sessions that start per second over all entries.
+	sessionStarts = 180.0
+	// sessionTime is the time in seconds for which a pin is kept after its last use.
+	sessionTime = 1800.0
+	// changeBytes is the size of one changed item on its way.
+	changeBytes = 900.0
+)
+
+// The mechanisms whose rates follow from constants of their packages.
+const (
+	perDataCentre     = (entries + workers) / dataCentres
+	entriesPerCentre  = entries / dataCentres
+	remoteAgents      = 8 * (dataCentres - 1)
+	knownUpstreams    = workers/dataCentres + remoteAgents
+	describeSeconds   = 60.0
+	descriptionBytes  = 450.0
+	listPollSeconds   = 5.0
+	unchangedBytes    = 260.0
+	qualitySeconds    = 60.0
+	judgeReadSeconds  = 10.0
+	billFlushSeconds  = 5.0
+	pinFlushSeconds   = 5.0
+	configurationPoll = 0.5
+	readersPerCentre  = 3.0
+	shareSeconds      = 30.0
+	leaseSeconds      = 5.0
+	bytesPerCall      = callOverhead
+	billOutageSeconds = 3600.0
+)
+
+// item is one line of the cost of a role.
+type costItem struct {
+	name string
+	// core is a share of one core, memory is in bytes, traffic in bytes per second sent and received.
+	core, memory, traffic float64
+}
+
+// role is the control cost of one node in one role.
+type role struct {
+	name  string
+	items []costItem
+}
+
+func (r *role) total() (core, memory, traffic float64) {
+	for _, it := range r.items {
+		core += it.core
+		memory += it.memory
+		traffic += it.traffic
+	}
+	return core, memory, traffic
+}
+
+const nanosecond = 1e-9
+
+// shared returns what every process spends on membership and configuration.
+func shared(s map[string]*Slope) []costItem {
+	heartbeats := s["heartbeats sent"].At(perDataCentre)
+	changes := changesPerDay / secondsPerDay
+	return []costItem{
+		{
+			name: "membership", core: s["membership"].At(perDataCentre) * nanosecond,
+			memory:  s["members in memory"].At(perDataCentre + remoteAgents + entries),
+			traffic: 2 * heartbeats,
+		},
+		{
+			name:    "instance list, unchanged or after a replacement",
+			traffic: unchangedBytes/listPollSeconds + s["instance list as sent"].At(perDataCentre)*2*replacedPerDay/dataCentres/secondsPerDay,
+		},
+		{
+			name: "configuration", core: s["configuration change put into force"].At(accounts) * nanosecond * changes,
+			memory: s["configuration in memory"].At(accounts), traffic: changes * 3 * (changeBytes + bytesPerCall),
+		},
+	}
+}
+
+// roles derives the control cost of each role at the target size.
+func roles(s map[string]*Slope) []role {
+	perEntry := requestRate / entries
+	perAgent := requestRate / workers
+	estimates := versions * kindsPerVersion
+	entry := role{name: "entry", items: append(shared(s),
+		costItem{name: "choice of version", core: perEntry * s["choice of a version"].At(accounts) * nanosecond,
+			memory: s["estimates of quality"].At(estimates), traffic: s["estimates of quality as sent"].At(estimates) / qualitySeconds},
+		costItem{name: "choice of upstream and probes", core: perEntry * s["choice of an upstream"].At(knownUpstreams) * nanosecond,
+			memory: s["upstreams known to an entry"].At(knownUpstreams), traffic: perEntry / 2 * bytesPerCall},
+		costItem{name: "descriptions of upstreams", traffic: knownUpstreams / describeSeconds * descriptionBytes},
+		costItem{name: "bills, one hour of table outage", memory: s["bills that wait"].PerUnit * perEntry * billOutageSeconds,
+			traffic: perEntry * s["bills as written"].PerUnit},
+		costItem{name: "session pins", memory: s["sessions pinned"].PerUnit * sessionStarts / entries * sessionTime,
+			traffic: sessionStarts / entries * 2 * bytesPerCall},
+	)}
+	agent := role{name: "agent", items: append(shared(s),
+		costItem{name: "admission", core: perAgent * s["order admitted and finished"].At(100) * nanosecond,
+			memory: s["orders that wait"].At(1000)},
+		costItem{name: "probes and descriptions answered",
+			traffic: perAgent/2*bytesPerCall + (entriesPerCentre+8*(dataCentres-1)*entriesPerCentre/(workers/dataCentres))/describeSeconds*descriptionBytes},
+		costItem{name: "bills, one hour of table outage", memory: s["bills that wait"].PerUnit * perAgent * billOutageSeconds},
+	)}
+	reader := role{name: "configuration reader", items: append(entry.items[:len(entry.items):len(entry.items)],
+		costItem{name: "polls of the head", traffic: bytesPerCall / configurationPoll})}
+	judge := role{name: "holder of the roll-out lease", items: append(entry.items[:len(entry.items):len(entry.items)],
+		costItem{name: "observations received", traffic: observationTraffic})}
+	return []role{entry, agent, reader, judge}
+}
+
+// observationTraffic is the bound that the forwarding of observations keeps at the holder, in bytes per second.
+const observationTraffic = 1000.0
+
+// tableRow is the load of one mechanism on the table.
+type tableRow struct {
+	name, mechanism string
+	reads, writes   float64
+}
+
+// table derives the load on the table at the target size.
+func table() []tableRow {
+	return []tableRow{
+		{"configuration head", "3 readers per data centre, the rest told", readersPerCentre * dataCentres / configurationPoll, 0},
+		{"configuration changes", "one transaction per change, read once per reader",
+			changesPerDay / secondsPerDay * (1 + readersPerCentre*dataCentres), changesPerDay / secondsPerDay},
+		{"bills", "one row per entry and flush", 0, entries / billFlushSeconds},
+		{"session pins", "one row per entry and flush", 0, entries / pinFlushSeconds},
+		{"claims", "claimed, started and done per non-idempotent request",
+			requestRate * nonIdempotentShare, 3 * requestRate * nonIdempotentShare},
+		{"committed spend", "a share per entry and interval", entries / shareSeconds, entries / shareSeconds},
+		{"leases", "renewed by the holder, watched by the others", 3 * entries / leaseSeconds, 3 / leaseSeconds},
+		{"quality", "one row, read by each entry", entries / qualitySeconds, 1 / qualitySeconds},
+		{"holder of the roll-out lease", "looked up by each entry", entries / judgeReadSeconds, 0},
+	}
+}
+
+func tableTotal() (reads, writes float64) {
+	for _, r := range table() {
+		reads += r.reads
+		writes += r.writes
+	}
+	return reads, writes
+}
--- /dev/null
+++ b/slopesbencher/doc.go
@@ -0,0 +1,3 @@
+// Package slopesbencher measures how the cost of each part grows with its size, fits straight lines, and extrapolates
+// them to the target size.
+package slopesbencher
--- /dev/null
+++ b/slopesbencher/experiment.go
@@ -0,0 +1,84 @@
+package slopesbencher
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/siskinfront/siskinfront/bencher"
+)
+
+// Experiment returns the experiment slopes. Its bounds are the limits of the target for the control of one node.
+func Experiment() bencher.Experiment {
+	return bencher.Experiment{
+		Name:  "slopes",
+		Short: "Measure how the cost of each part grows and extrapolate it to the target size",
+		Run:   run,
+	}
+}
+
+func run(ctx context.Context, _ bencher.Params) (bencher.Report, error) {
+	report := bencher.Report{
+		Columns: []string{"part", "unit", "sizes", "values", "intercept", "per unit", "residual"},
+		XLabel:  "size relative to the largest measured", YLabel: "value relative to the largest measured",
+	}
+	slopes := map[string]*Slope{}
+	for _, measure := range []func() []Slope{balancing, selecting, distributing, keeping, detecting, serving} {
+		if err := ctx.Err(); err != nil {
+			return report, err
+		}
+		for _, s := range measure() {
+			slopes[s.Name] = &s
+			report.Rows = append(report.Rows, []string{
+				s.Name, s.Unit, fmt.Sprint(s.Sizes), values(s.Values), fmt.Sprintf("%.4g", s.Intercept),
+				fmt.Sprintf("%.4g", s.PerUnit), fmt.Sprintf("%.1f%%", 100*s.Residual),
+			})
+			report.Series = append(report.Series, series(&s))
+		}
+	}
+	for _, role := range roles(slopes) {
+		for _, item := range role.items {
+			report.Rows = append(report.Rows, []string{
+				role.name + ": " + item.name, "", "", "", fmt.Sprintf("%.3f%% of a core", 100*item.core),
+				fmt.Sprintf("%.2f MB", item.memory/1e6), fmt.Sprintf("%.0f B/s", item.traffic),
+			})
+		}
+		core, memory, traffic := role.total()
+		report.Bounds = append(report.Bounds,
+			bencher.Bound{Name: role.name + " control, share of a core", Got: core, Limit: maxCore, AtMost: true},
+			bencher.Bound{Name: role.name + " control, MB", Got: memory / 1e6, Limit: maxMemory / 1e6, AtMost: true},
+			bencher.Bound{Name: role.name + " control, B/s", Got: traffic, Limit: maxTraffic, AtMost: true},
+		)
+	}
+	for _, row := range table() {
+		report.Rows = append(report.Rows, []string{
+			"table: " + row.name, "", "", row.mechanism, fmt.Sprintf("%.1f reads/s", row.reads), fmt.Sprintf("%.1f writes/s", row.writes), "",
+		})
+	}
+	reads, writes := tableTotal()
+	report.Bounds = append(report.Bounds,
+		bencher.Bound{Name: "table reads/s", Got: reads, Limit: tableReads, AtMost: true},
+		bencher.Bound{Name: "table writes/s", Got: writes, Limit: tableWrites, AtMost: true},
+	)
+	return report, nil
+}
+
+func values(list []float64) string {
+	text := ""
+	for i, v := range list {
+		if i > 0 {
+			text += " "
+		}
+		text += fmt.Sprintf("%.4g", v)
+	}
+	return text
+}
+
+func series(s *Slope) bencher.Series {
+	out := bencher.Series{Name: s.Name}
+	last := len(s.Sizes) - 1
+	largest := max(s.Values[last], 1)
+	for i := range s.Sizes {
+		out.Points = append(out.Points, bencher.Point{X: s.Sizes[i] / s.Sizes[last], Y: s.Values[i] / largest})
+	}
+	return out
+}
--- /dev/null
+++ b/slopesbencher/measure.go
@@ -0,0 +1,103 @@
+package slopesbencher
+
+import (
+	"fmt"
+	"runtime"
+	"syscall"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Slope is a straight line through measured points.
+type Slope struct {
+	Name string
+	// Unit is the unit of the values per unit of the size, such as ns per upstream.
+	Unit string
+	// Sizes and Values are the measured points.
+	Sizes, Values []float64
+	// Intercept and PerUnit are the fitted line.
+	Intercept, PerUnit float64
+	// Residual is the largest distance of a point from the line, relative to the largest value.
+	Residual float64
+}
+
+// At returns the value of the line at a size.
+func (s *Slope) At(size float64) float64 {
+	return s.Intercept + s.PerUnit*size
+}
+
+// fit measures value at each size and fits the line.
+func fit(name, unit string, sizes []int, value func(n int) float64) Slope {
+	s := Slope{Name: name, Unit: unit}
+	for _, n := range sizes {
+		s.Sizes = append(s.Sizes, float64(n))
+		s.Values = append(s.Values, value(n))
+	}
+	s.Intercept, s.PerUnit = stat.LinearRegression(s.Sizes, s.Values, nil, false)
+	largest, distance := 0.0, 0.0
+	for i, v := range s.Values {
+		largest = max(largest, v)
+		d := v - s.At(s.Sizes[i])
+		distance = max(distance, d, -d)
+	}
+	if largest > 0 {
+		s.Residual = distance / largest
+	}
+	return s
+}
+
+const (
+	// repeats is the number of measurements of which the least is taken, since other work only adds to a time.
+	repeats = 5
+	// rusageThread is RUSAGE_THREAD of Linux: the times of the calling thread alone.
+	rusageThread = 1
+)
+
+// processorTime returns the least processor time of one call of f in nanoseconds, from repeated runs of n calls. It
+// counts the time of the thread rather than the clock, so that other load on the machine does not enter it.
+func processorTime(n int, f func(i int)) float64 {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	least := 0.0
+	for k := range repeats {
+		begin := threadTime()
+		for i := range n {
+			f(i)
+		}
+		t := float64(threadTime()-begin) / float64(n)
+		if k == 0 || t < least {
+			least = t
+		}
+	}
+	return least
+}
+
+func threadTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(rusageThread, &u); err != nil {
+		panic(fmt.Sprintf("slopesbencher: read processor time: %v", err))
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// heapBytes returns the bytes that stay on the heap for what make builds.
+func heapBytes(build func() any) float64 {
+	before := liveHeap()
+	v := build()
+	after := liveHeap()
+	runtime.KeepAlive(v)
+	if after < before {
+		return 0
+	}
+	return float64(after - before)
+}
+
+func liveHeap() uint64 {
+	// The second collection frees what finalizers held at the first one.
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- /dev/null
+++ b/slopesbencher/serving.go
@@ -0,0 +1,67 @@
+package slopesbencher
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/siskinfront/siskinfront/admitter"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// serving measures the cost of answers on their way, and of waiting orders at an agent.
+func serving() []Slope {
+	return []Slope{
+		fit("token frame written and read", "ns of processor per token", []int{100, 400, 1600}, func(n int) float64 {
+			f := streamer.Frame{
+				Request: identifier.NewRequest(), Kind: streamer.KindToken,
+				Data: json.RawMessage(`{"id":"chatcmpl-1","object":"chat.completion.chunk","created":1,"model":"model-01@v1",` +
+					`"choices":[{"index":0,"delta":{"role":"assistant","content":"word "},"finish_reason":null}]}`),
+			}
+			var b bytes.Buffer
+			return float64(n) * processorTime(n, func(i int) {
+				f.Sequence = uint64(i + 1)
+				line, err := streamer.AppendFrame(b.AvailableBuffer(), &f)
+				if err != nil {
+					panic(fmt.Sprintf("slopesbencher: encode frame: %v", err))
+				}
+				if _, err := streamer.DecodeFrame(bytes.TrimSpace(line), f.Request); err != nil {
+					panic(fmt.Sprintf("slopesbencher: decode frame: %v", err))
+				}
+			})
+		}),
+		fit("order admitted and finished", "ns of processor per order and waiting order", []int{10, 100, 1000}, func(n int) float64 {
+			a := waiting(n)
+			return processorTime(calls, func(i int) {
+				t, err := a.Offer(item(i), func(*admitter.Ticket, error) {})
+				if err == nil && t != nil {
+					t.Finish(1)
+				}
+			})
+		}),
+		fit("orders that wait", "bytes per order", []int{100, 500, 1000}, func(n int) float64 {
+			return heapBytes(func() any { return waiting(n) })
+		}),
+	}
+}
+
+func item(i int) admitter.Item {
+	return admitter.Item{Cost: 100, Order: &streamer.Order{
+		Request: identifier.Request(fmt.Sprintf("request-%08d", i)), Rank: "normal", Target: target(i),
+		ClientAccount: identifier.ClientAccount(fmt.Sprintf("account-%04d", i%50)), Deadline: epoch().Add(time.Hour),
+	}}
+}
+
+// waiting returns an admitter with a full slot and n waiting orders.
+func waiting(n int) *admitter.Admitter {
+	cfg := configuration(1)
+	a := admitter.New(admitter.WithNow(epoch), admitter.WithRanks(cfg.Ranks), admitter.WithSlots(1),
+		admitter.WithQueue(1<<20, 1<<20), admitter.WithoutEstimates())
+	for i := range n + 1 {
+		// The ticket of a waiting order is kept by the admitter.
+		_, _ = a.Offer(item(i), func(*admitter.Ticket, error) {})
+	}
+	return a
+}
