entryserver: bound the deadline that a caller states

Cause: agents remember each run until its deadline, so a far deadline would fill their memory of runs. Change: deadlines beyond an hour are shortened to an hour. Conclusion: the memory of runs is bounded in time as well.

--- a/entryserver/completion.go
+++ b/entryserver/completion.go
@@ -17,6 +17,9 @@
 // retryWait is when a request that was rejected for a passing reason is worth sending again.
 const retryWait = time.Second
 
+// maxDeadline bounds the deadline that a caller states, because agents remember each run until its deadline.
+const maxDeadline = time.Hour
+
 // job is one admitted request on its way to a response.
 type job struct {
 	order   streamer.Order
@@ -89,6 +92,9 @@
 }
 
 func deadline(cfg *configurer.Configuration, rank int, req *decoder.Request, now time.Time) time.Time {
+	if latest := now.Add(maxDeadline); req.Deadline.After(latest) {
+		return latest
+	}
 	if !req.Deadline.IsZero() {
 		return req.Deadline
 	}
