selector, rolloutbencher: revalue decisions for four hours, split the simulation

Change: half-life of four hours, margin of 0.6%; ratings of the other kinds lose weight when a version changes.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -27,6 +27,8 @@
 	changeDeviations = 4.0
 	// changeRatings is the effective number of recent ratings below which no change is assumed.
 	changeRatings = 10.0
+	// doubtFactor is the part of their weight that the ratings of other kinds keep after a change.
+	doubtFactor = 0.2
 	// maxSeen bounds the request names kept to recognise a rating that is delivered twice.
 	maxSeen = 8192
 )
@@ -142,6 +144,18 @@
 	if changed(&c.fast, &c.own.Moments) {
 		c.own.Moments = c.fast
 		e.counters.restarts++
+		e.doubt(s)
+	}
+}
+
+// doubt lowers the weight of the other kinds of a target that has changed for one kind: a version that degrades usually
+// does so for every kind, and the kind with the most ratings shows it first.
+func (e *Estimator) doubt(s Sample) {
+	for k, c := range e.cells {
+		if k.target == s.Target && k.kind != s.WorkKind {
+			c.own.Moments.scale(doubtFactor)
+			c.own.Sequence++
+		}
 	}
 }
 
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -25,9 +25,10 @@
 		const halfLife = time.Hour
 		e := estimator.New(estimator.WithNow(func() time.Time { return now }), estimator.WithHalfLife(halfLife),
 			estimator.WithPrior(func(identifier.Target) float64 { return 0.6 }))
-		var samples []estimator.Sample
+		const most = 9
+		samples := make([]estimator.Sample, 0, most)
 		// 9 ratings stay below the number at which a change is assumed, which the naive version does not model.
-		for range rapid.IntRange(0, 9).Draw(t, "ratings") {
+		for range rapid.IntRange(0, most).Draw(t, "ratings") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "seconds")) * time.Second)
 			late := time.Duration(rapid.IntRange(0, 5000).Draw(t, "late")) * time.Second
 			s := estimator.Sample{WorkKind: "k", Target: target, Rating: rapid.Float64Range(0, 1).Draw(t, "rating"), At: now.Add(-late)}
--- a/rolloutbencher/experiment.go
+++ b/rolloutbencher/experiment.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"runtime"
+	"strconv"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -144,67 +145,98 @@
 	}
 	n := float64(len(results))
 	report.Rows = append(report.Rows, []string{
-		s.name, c.name, fmt.Sprint(len(results)), fmt.Sprintf("%.4f", back/n), fmt.Sprintf("%.4f", confirmed/n), time, share,
+		s.name, c.name, strconv.Itoa(len(results)), fmt.Sprintf("%.4f", back/n), fmt.Sprintf("%.4f", confirmed/n), time, share,
 	})
 	return back, line
 }
 
+// rollout is one run of a scenario.
+type rollout struct {
+	scenario
+	rng     *rand.Rand
+	cfg     *configurer.Configuration
+	version *configurer.Version
+	start   time.Time
+	now     time.Time
+	turned  time.Time
+	look    time.Time
+	observe func(promoter.Observation)
+	decide  func(*configurer.Configuration) []promoter.Change
+	waiting []promoter.Observation
+	result  result
+}
+
 // simulate runs one rollout until it ends or the horizon is reached.
 func simulate(s scenario, c policy, rng *rand.Rand) result {
-	start := time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
-	now, turned := start, start
+	r := &rollout{scenario: s, rng: rng, start: time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)}
+	r.now, r.turned, r.look = r.start, r.start, r.start
 	if s.late {
-		turned = start.Add(time.Duration(6+18*rng.Float64()) * time.Hour)
+		r.turned = r.start.Add(time.Duration(6+18*rng.Float64()) * time.Hour)
 	}
-	cfg := &configurer.Configuration{Models: []configurer.Model{{Name: serving.Model, Versions: []configurer.Version{
+	r.cfg = &configurer.Configuration{Models: []configurer.Model{{Name: serving.Model, Versions: []configurer.Version{
 		{Name: serving.Version, State: configurer.VersionServing}, {Name: candidate.Version, State: configurer.VersionCandidate},
 	}}}}
-	v := &cfg.Models[0].Versions[1]
-	observe, decide := c.make(func() time.Time { return now })
-	var r result
-	var waiting []promoter.Observation
-	look, answers, exposed := start, 0.0, 0.0
-	for now.Before(start.Add(horizon)) {
-		now = now.Add(time.Duration(rng.ExpFloat64() * float64(arrivals)))
-		arrived := 0
-		for arrived < len(waiting) && !waiting[arrived].At.After(now) {
-			observe(waiting[arrived])
-			arrived++
-		}
-		waiting = append(waiting[:0], waiting[arrived:]...)
-		if !now.Before(look) {
-			look = now.Add(lookInterval)
-			for _, change := range decide(cfg) {
-				v.State, v.Exposure = change.State, change.Exposure
-			}
-			if v.State == configurer.VersionWithdrawn && !r.rolledBack {
-				r.rolledBack, r.hours = true, now.Sub(turned).Hours()
-			}
-			r.confirmed = r.confirmed || v.State == configurer.VersionServing
-		}
-		own := v.State != configurer.VersionWithdrawn && rng.Float64() < v.Exposure
-		if day := now.Sub(turned); day >= 0 && day < 24*time.Hour {
+	r.version = &r.cfg.Models[0].Versions[1]
+	r.observe, r.decide = c.make(func() time.Time { return r.now })
+	answers, exposed := 0.0, 0.0
+	for r.now.Before(r.start.Add(horizon)) {
+		r.now = r.now.Add(time.Duration(rng.ExpFloat64() * float64(arrivals)))
+		r.deliver()
+		r.apply()
+		own := r.version.State != configurer.VersionWithdrawn && rng.Float64() < r.version.Exposure
+		since := r.now.Sub(r.turned)
+		if since >= 0 && since < 24*time.Hour {
 			answers++
 			if own {
 				exposed++
 			}
 		}
-		if v.State == configurer.VersionWithdrawn && now.Sub(turned) >= 24*time.Hour || r.confirmed && !s.bad {
+		if r.version.State == configurer.VersionWithdrawn && since >= 24*time.Hour || r.result.confirmed && !s.bad {
 			break
 		}
-		o := s.answer(own, own && !now.Before(turned), now, start, rng)
-		observe(o)
-		if rng.Float64() < ratedShare {
-			// Ratings arrive in the order of the answers, two minutes late.
-			waiting = append(waiting, promoter.Observation{
-				WorkKind: o.WorkKind, Target: o.Target, Rated: true, Rating: o.Rating, At: now.Add(2 * time.Minute),
-			})
-		}
+		r.serve(own)
 	}
 	if answers > 0 {
-		r.exposed = exposed / answers
+		r.result.exposed = exposed / answers
+	}
+	return r.result
+}
+
+// deliver passes on the ratings that have arrived.
+func (r *rollout) deliver() {
+	arrived := 0
+	for arrived < len(r.waiting) && !r.waiting[arrived].At.After(r.now) {
+		r.observe(r.waiting[arrived])
+		arrived++
+	}
+	r.waiting = append(r.waiting[:0], r.waiting[arrived:]...)
+}
+
+// apply puts the decisions of the policy into force.
+func (r *rollout) apply() {
+	if r.now.Before(r.look) {
+		return
+	}
+	r.look = r.now.Add(lookInterval)
+	for _, change := range r.decide(r.cfg) {
+		r.version.State, r.version.Exposure = change.State, change.Exposure
+	}
+	if r.version.State == configurer.VersionWithdrawn && !r.result.rolledBack {
+		r.result.rolledBack, r.result.hours = true, r.now.Sub(r.turned).Hours()
+	}
+	r.result.confirmed = r.result.confirmed || r.version.State == configurer.VersionServing
+}
+
+// serve draws one answer and queues its rating.
+func (r *rollout) serve(own bool) {
+	o := r.answer(own, own && !r.now.Before(r.turned), r.now, r.start, r.rng)
+	r.observe(o)
+	if r.rng.Float64() < ratedShare {
+		// Ratings arrive in the order of the answers, two minutes late.
+		r.waiting = append(r.waiting, promoter.Observation{
+			WorkKind: o.WorkKind, Target: o.Target, Rated: true, Rating: o.Rating, At: r.now.Add(2 * time.Minute),
+		})
 	}
-	return r
 }
 
 // answer draws one answer. Difficulty and latency follow the hour for both versions, so that a comparison with earlier
--- /dev/null
+++ b/rolloutbencher/experiment_test.go
@@ -0,0 +1,20 @@
+package rolloutbencher_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/bencher"
+	"github.com/siskinfront/siskinfront/rolloutbencher"
+)
+
+// Guards against a bad version that stays and good versions that are rolled back.
+func TestBounds(t *testing.T) {
+	report, err := rolloutbencher.Experiment().Run(context.Background(), bencher.Params{Seed: 2})
+	must.NoError(t, err)
+	for _, b := range report.Bounds {
+		must.True(t, b.Held(), must.Sprintf("%+v", b))
+	}
+}
--- a/selector/plan.go
+++ b/selector/plan.go
@@ -22,13 +22,13 @@
 	optimism = 2
 	// margin is the relative addition to the quality target: the estimates of the selected versions are biased upwards, because a
 	// version whose ratings happened to be good is selected more often.
-	margin = 0.003
+	margin = 0.006
 	// catchUp bounds the correction of the target for a past deficit or surplus.
 	catchUp = 0.03
 	// catchUpFloor is the number of requests over which a new plan makes up for a deficit.
 	catchUpFloor = 200
 	// revaluation is the half-life after which a decision keeps the value it was last estimated at.
-	revaluation = 30 * time.Minute
+	revaluation = 240 * time.Minute
 	// perMillion converts prices per million tokens.
 	perMillion = 1e-6
 )
--- a/spendbencher/experiment.go
+++ b/spendbencher/experiment.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -108,7 +109,7 @@
 		beyond = max(beyond, over)
 		report.Rows = append(report.Rows, []string{
 			s.name, fmt.Sprintf("%.2f", r.spent), fmt.Sprintf("%.4f", min(1, r.spent/committed)), before, fmt.Sprintf("%.4f", over),
-			fmt.Sprint(r.requests), fmt.Sprint(r.refused), fmt.Sprint(r.table), naive,
+			strconv.Itoa(r.requests), strconv.Itoa(r.refused), strconv.Itoa(r.table), naive,
 		})
 		if s.upgrades {
 			report.Bounds = append(report.Bounds, bencher.Bound{
