--- a/costbencher/experiment.go
+++ b/costbencher/experiment.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/siskinfront/siskinfront/bencher"
 	"github.com/siskinfront/siskinfront/estimator"
 	"github.com/siskinfront/siskinfront/identifier"
@@ -29,17 +31,19 @@
 		Columns: []string{"deployment", "kind", "requests", "target", "quality", "cost", "optimum", "ratio", "naive-quality", "naive-cost"},
 		XLabel:  "hour of the day", YLabel: "cost relative to the day's mean optimum",
 	}
+	days := make([]dayResult, len(deployments()))
+	g, gctx := errgroup.WithContext(ctx)
 	for i, d := range deployments() {
-		w := newWorld(d, rand.New(rand.NewPCG(p.Seed, uint64(i))))
-		routed, line, err := w.route(ctx, rand.New(rand.NewPCG(p.Seed, 100+uint64(i))))
-		if err != nil {
-			return report, err
-		}
-		naive, err := w.naive()
-		if err != nil {
-			return report, fmt.Errorf("costbencher: naive policy: %w", err)
-		}
-		best := w.optimum()
+		g.Go(func() (err error) {
+			days[i], err = serveDay(gctx, d, p.Seed, uint64(i))
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return report, err
+	}
+	for i, d := range deployments() {
+		w, routed, naive, best, line := days[i].world, days[i].routed, days[i].naive, days[i].best, days[i].line
 		var total, optimal, shortest = 0.0, 0.0, math.Inf(1)
 		for k := range best {
 			kind := &w.cfg.WorkKinds[k]
@@ -67,6 +71,27 @@
 	return report, nil
 }
 
+// dayResult is the outcome per kind of one deployment under each policy.
+type dayResult struct {
+	world               *world
+	routed, naive, best []outcome
+	line                bencher.Series
+}
+
+// serveDay runs one deployment.
+func serveDay(ctx context.Context, d deployment, seed, stream uint64) (dayResult, error) {
+	r := dayResult{world: newWorld(d, rand.New(rand.NewPCG(seed, stream)))}
+	var err error
+	if r.routed, r.line, err = r.world.route(ctx, rand.New(rand.NewPCG(seed, 100+stream))); err != nil {
+		return r, err
+	}
+	if r.naive, err = r.world.naive(); err != nil {
+		return r, fmt.Errorf("costbencher: naive policy: %w", err)
+	}
+	r.best = r.world.optimum()
+	return r, nil
+}
+
 // pending is a rating that arrives later.
 type pending struct {
 	due      time.Time
