--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -90,7 +90,7 @@
 	return func(d *Distributor) { d.members = members }
 }
 
-// WithRemotes sets the source of live instances of other data centres, from which readers pull in turn.
+// WithRemotes sets the source of live instances of other data centres, from which readers pull.
 func WithRemotes(remotes func() []identifier.Instance) Option {
 	return func(d *Distributor) { d.remotes = remotes }
 }
@@ -370,8 +370,8 @@
 	return nil
 }
 
-// Pull asks one peer for what it has beyond the own revision: one that is known to be ahead, else in turn the parent
-// and a random member.
+// Pull asks one peer for what it has beyond the own revision: one that is known to be ahead, for a reader an instance
+// of another data centre, else in turn the parent and a random member.
 func (d *Distributor) Pull(ctx context.Context) error {
 	peer := d.nextPeer()
 	if peer == "" || d.pull == nil {
@@ -407,7 +407,7 @@
 		return peer
 	}
 	d.turn++
-	if d.turn%2 == 1 && len(remotes) > 0 {
+	if len(remotes) > 0 {
 		return remotes[d.rand.IntN(len(remotes))]
 	}
 	if d.turn%2 == 1 || len(members) < 2 {
