leaser, biller, distributor: make the remaining deadlines options

Cause: deadlines of the real clock could end a call of a simulated schedule on a busy machine. Change: options for the deadlines of releases, batch writes and peer calls; the simulation sets them to an hour.

--- a/biller/biller.go
+++ b/biller/biller.go
@@ -84,6 +84,11 @@
 	return func(b *Biller) { b.interval = d }
 }
 
+// WithTimeout sets the time that the write of one batch may take, over all sinks.
+func WithTimeout(d time.Duration) Option {
+	return func(b *Biller) { b.timeout = d }
+}
+
 // WithOwnWindow lets Run leave a bill to the other holder for this time; an agent uses it while its entry lives.
 func WithOwnWindow(d time.Duration) Option {
 	return func(b *Biller) { b.ownWindow = d }
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -1,6 +1,7 @@
 package detector_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -239,3 +240,37 @@
 		}
 	})
 }
+
+// Guards against a process that ends without telling its monitors, and against a list outage that stops heartbeats.
+func TestRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		sent := map[detector.State]int{}
+		lists := 0
+		d := detector.New(detector.Member{Instance: name(0), DataCentre: "dc-1"},
+			detector.WithRand(rand.New(rand.NewPCG(1, 1))),
+			detector.WithList(func(context.Context) ([]storer.Instance, error) {
+				lists++
+				if lists > 1 {
+					return nil, storer.ErrUnavailable
+				}
+				return list(8), nil
+			}),
+			detector.WithSend(func(_ identifier.Instance, m detector.Message) {
+				mu.Lock()
+				defer mu.Unlock()
+				sent[m.From.State]++
+			}))
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- d.Run(ctx) }()
+		time.Sleep(30 * time.Second)
+		stop()
+		must.NoError(t, <-done)
+		// Nobody answers, so those that it monitors are suspected.
+		must.Positive(t, d.Counters()["suspicions"])
+		must.GreaterEq(t, 3*27, sent[detector.Live])
+		must.GreaterEq(t, detector.Monitors, sent[detector.Leaving])
+		must.Greater(t, 4, lists)
+	})
+}
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -24,8 +24,8 @@
 	ReadLoops = 2
 	// A process that a push missed learns of the change within two pulls, under the 7 s bound with one of them lost.
 	defaultPull = 2 * time.Second
-	// callTime bounds one exchange with the table or a peer.
-	callTime = 1500 * time.Millisecond
+	// defaultCallTime bounds one exchange with a peer; a read of the table may take twice as long.
+	defaultCallTime = 1500 * time.Millisecond
 	// staleAfter is the confirmed age from which a process may be drawn to read although it is no reader.
 	staleAfter = 4 * time.Second
 	// standInSteps spreads the reads of stand-ins over four polls: at most 15 reads/s in 10 data centres.
@@ -47,6 +47,7 @@
 	now        func() time.Time
 	sleep      func(context.Context, time.Duration) error
 	poll, pace time.Duration
+	callTime   time.Duration
 	accept     func(have uint64, u Update) bool
 
 	current atomic.Pointer[configurer.Configuration]
@@ -131,6 +132,11 @@
 	return func(d *Distributor) { d.poll, d.pace = poll, pull }
 }
 
+// WithCallTime sets the time that one exchange with a peer may take.
+func WithCallTime(limit time.Duration) Option {
+	return func(d *Distributor) { d.callTime = limit }
+}
+
 // WithAccept replaces the rule that decides which update may replace the revision in force.
 func WithAccept(accept func(have uint64, u Update) bool) Option {
 	return func(d *Distributor) { d.accept = accept }
@@ -144,7 +150,7 @@
 // New returns a distributor without a configuration.
 func New(opts ...Option) *Distributor {
 	d := &Distributor{
-		now: time.Now, sleep: storer.Sleep, poll: defaultPoll, pace: defaultPull, items: map[string]Item{},
+		now: time.Now, sleep: storer.Sleep, poll: defaultPoll, pace: defaultPull, callTime: defaultCallTime, items: map[string]Item{},
 		rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		onChange: func(*configurer.Configuration) {}, accept: forwardOnly,
 	}
@@ -377,7 +383,7 @@
 	if peer == "" || d.pull == nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTime)
+	ctx, cancel := context.WithTimeout(ctx, d.callTime)
 	defer cancel()
 	d.pulls.Add(1)
 	u, err := d.pull(ctx, peer, d.Revision())
@@ -449,7 +455,7 @@
 	if d.table == nil || !d.mayRead() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, 2*callTime)
+	ctx, cancel := context.WithTimeout(ctx, 2*d.callTime)
 	defer cancel()
 	err := d.Read(ctx)
 	if err != nil {
--- a/faultsbencher/billing.go
+++ b/faultsbencher/billing.go
@@ -21,7 +21,8 @@
 		table.Write = func(ctx context.Context, key string, batch []byte) error { return f(ctx, key, batch, write) }
 	}
 	return biller.New(n.name, []biller.Sink{table, biller.ObjectSink(n.objects)}, biller.WithNow(now),
-		biller.WithSleep(sleep), biller.WithRand(n.s.newRand()), biller.WithOwnWindow(n.window()))
+		biller.WithSleep(sleep), biller.WithRand(n.s.newRand()), biller.WithOwnWindow(n.window()),
+		biller.WithTimeout(time.Hour))
 }
 
 // window is 0 at the nodes that act as entries; the others are agents.
--- a/faultsbencher/node.go
+++ b/faultsbencher/node.go
@@ -88,7 +88,8 @@
 	sleep := func(_ context.Context, d time.Duration) error { s.sleep(d); return nil }
 	// No connection is opened; the address only makes valid requests.
 	platform := netip.MustParseAddrPort("127.0.0.1:1")
-	// The simulated exchange applies the deadline of a call in virtual time.
+	// The simulated exchange applies the deadline of a call in virtual time; the hour keeps deadlines of the real
+	// clock from ending a call on a busy machine.
 	opts := func(h http.Handler, cut func() bool) []storer.Option {
 		return []storer.Option{
 			storer.WithDo(n.exchange(platformfaker.Exchange(h), cut)), //nolint:bodyclose // The client closes the body.
@@ -99,7 +100,7 @@
 	n.table = storer.New(platform, opts(s.table, func() bool { return n.cutTable.covers(s.now) })...)
 	n.objects = storer.NewObjects(platform, opts(s.objects, func() bool { return false })...)
 	n.leaser = leaser.New(n.table, n.name, leaser.WithNow(now), leaser.WithWall(n.wall), leaser.WithSleep(sleep),
-		leaser.WithTerm(leaseTerm, leaseMargin))
+		leaser.WithTerm(leaseTerm, leaseMargin), leaser.WithReleaseTime(time.Hour))
 	n.claimer = claimer.New(n.table, claimer.WithNow(n.wall), claimer.WithBounds(8*time.Second, time.Hour))
 	n.biller = n.newBiller(now, sleep)
 	n.detector = detector.New(detector.Member{
@@ -155,7 +156,7 @@
 	s := n.s
 	opts := append([]distributor.Option{
 		distributor.WithSelf(n.name), distributor.WithTable(n.table), distributor.WithObjects(n.objects),
-		distributor.WithNow(now), distributor.WithRand(s.newRand()),
+		distributor.WithNow(now), distributor.WithRand(s.newRand()), distributor.WithCallTime(time.Hour),
 		distributor.WithMembers(n.peers), distributor.WithRemotes(n.remotes),
 		distributor.WithPush(func(ctx context.Context, to identifier.Instance, u distributor.Update) error {
 			s.send(n, s.byName[to], func(peer *node) { peer.dist.Receive(ctx, u) })
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -143,7 +143,7 @@
 	if !valid {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTime)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), l.leaser.releaseTime)
 	defer cancel()
 	rec := l.leaser.record(l.token)
 	rec.Holder = ""
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -22,8 +22,8 @@
 const (
 	defaultTerm = 10 * time.Second
 	// The margin covers the difference between the rates of two monotonic clocks over one term.
-	defaultMargin = 2 * time.Second
-	releaseTime   = 2 * time.Second
+	defaultMargin  = 2 * time.Second
+	defaultRelease = 2 * time.Second
 )
 
 // Record is the value of the row lease/{name}.
@@ -40,6 +40,7 @@
 	table        *storer.Table
 	holder       string
 	term, margin time.Duration
+	releaseTime  time.Duration
 	now, wall    func() time.Time
 	sleep        func(context.Context, time.Duration) error
 
@@ -79,11 +80,17 @@
 	return func(l *Leaser) { l.term, l.margin = term, margin }
 }
 
+// WithReleaseTime sets the time that a release may take.
+func WithReleaseTime(d time.Duration) Option {
+	return func(l *Leaser) { l.releaseTime = d }
+}
+
 // New returns a leaser; each process run is a holder of its own, so a restart does not inherit leases.
 func New(table *storer.Table, instance identifier.Instance, opts ...Option) *Leaser {
 	l := &Leaser{
 		table: table, holder: string(instance) + "/" + storer.NewID(), term: defaultTerm, margin: defaultMargin,
-		now: time.Now, wall: time.Now, sleep: storer.Sleep, seen: map[string]sighting{}, held: map[string]*Lease{},
+		releaseTime: defaultRelease,
+		now:         time.Now, wall: time.Now, sleep: storer.Sleep, seen: map[string]sighting{}, held: map[string]*Lease{},
 	}
 	for _, o := range opts {
 		o(l)
