--- a/faultsbencher/experiment.go
+++ b/faultsbencher/experiment.go
@@ -109,7 +109,7 @@
 }
 
 func (t *total) report() bencher.Report {
-	r := bencher.Report{Columns: []string{
+	r := bencher.Report{XLabel: "quantile", YLabel: "time until a revision is in force, s", Columns: []string{
 		"fault", "schedules", "checked", "broken", "lease gap max", "answer p99", "unknown", "in force p99", "in force max",
 		"crash known max", "leaving known max", "bills lost, all holders dead",
 	}}
@@ -136,6 +136,7 @@
 			strconv.Itoa(k.unknown), seconds(quantile(k.force, 0.99)), seconds(quantile(k.force, 1)),
 			seconds(quantile(k.detected, 1)), seconds(quantile(k.leaving, 1)), strconv.Itoa(k.bothDied),
 		})
+		r.Series = append(r.Series, inForceSeries(name, k.force))
 		if name == KindSlowCentre {
 			r.Bounds = append(r.Bounds,
 				bencher.Bound{Name: "config in force p99 s, one data centre slow", Got: quantile(k.force, 0.99).Seconds(),
@@ -149,6 +150,15 @@
 	return r
 }
 
+// inForceSeries returns the quantiles of the times until a revision is in force.
+func inForceSeries(name Kind, force []time.Duration) bencher.Series {
+	s := bencher.Series{Name: string(name)}
+	for q := 0.0; q <= 1; q += 1.0 / 64 {
+		s.Points = append(s.Points, bencher.Point{X: q, Y: quantile(force, q).Seconds()})
+	}
+	return s
+}
+
 // quantile returns the q-quantile, or 0 of no values.
 func quantile(list []time.Duration, q float64) time.Duration {
 	if len(list) == 0 {
