--- a/biller/biller.go
+++ b/biller/biller.go
@@ -84,6 +84,11 @@
 	return func(b *Biller) { b.interval = d }
 }
 
+// WithTimeout sets the time that the write of one batch may take, over all sinks.
+func WithTimeout(d time.Duration) Option {
+	return func(b *Biller) { b.timeout = d }
+}
+
 // WithOwnWindow lets Run leave a bill to the other holder for this time; an agent uses it while its entry lives.
 func WithOwnWindow(d time.Duration) Option {
 	return func(b *Biller) { b.ownWindow = d }
@@ -321,8 +326,8 @@
 	}
 }
 
-// BillerState is the state dump of a biller.
-type BillerState struct {
+// State is the state dump of a biller.
+type State struct {
 	Bills int `json:"bills"`
 	Bytes int `json:"bytes"`
 }
@@ -331,5 +336,5 @@
 func (b *Biller) State() any {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return BillerState{Bills: len(b.pending), Bytes: b.bytes}
+	return State{Bills: len(b.pending), Bytes: b.bytes}
 }
