--- a/slopesbencher/measure.go
+++ b/slopesbencher/measure.go
@@ -3,9 +3,9 @@
 import (
 	"fmt"
 	"runtime"
-	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gonum.org/v1/gonum/stat"
 )
 
@@ -50,8 +50,6 @@
 const (
 	// repeats is the number of measurements of which the least is taken, since other work only adds to a time.
 	repeats = 5
-	// rusageThread is RUSAGE_THREAD of Linux: the times of the calling thread alone.
-	rusageThread = 1
 )
 
 // processorTime returns the least processor time of one call of f in nanoseconds, from repeated runs of n calls. It
@@ -74,11 +72,11 @@
 }
 
 func threadTime() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(rusageThread, &u); err != nil {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &t); err != nil {
 		panic(fmt.Sprintf("slopesbencher: read processor time: %v", err))
 	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	return time.Duration(t.Nano())
 }
 
 // heapBytes returns the bytes that stay on the heap for what make builds.
