--- a/promoter/chart.go
+++ b/promoter/chart.go
@@ -40,7 +40,7 @@
 // of the same hours tell a bad version from a hard hour; the rest follows when the version is confirmed.
 func stages() []stage {
 	return []stage{
-		{StateNew, 0, 0}, {StateCanary, 0.02, 50}, {StateSmall, 0.1, 100}, {StateHalf, 0.5, 200}, {StateFull, 0.9, 0},
+		{StateNew, 0, 0}, {StateCanary, 0.02, 50}, {StateSmall, 0.1, 100}, {StateHalf, 0.5, 200}, {StateFull, 0.9, 200},
 	}
 }
 
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -296,7 +296,7 @@
 	case value > suspicion:
 	case current.state == StateNew:
 		event, reason = EventStart, "rollout starts"
-	case current.state == StateFull && age >= confirmTime:
+	case current.state == StateFull && age >= confirmTime && g.pairs >= current.pairs:
 		event, reason = EventConfirm, fmt.Sprintf("no worse for %s at full exposure", confirmTime)
 	case current.state != StateFull && g.pairs >= current.pairs && age >= stageTime:
 		event, reason = EventEvidence, fmt.Sprintf("no worse in %d rated pairs", g.pairs)
--- a/promoter/promoter_test.go
+++ b/promoter/promoter_test.go
@@ -93,3 +93,16 @@
 		}
 	})
 }
+
+// Guards against a confirmation without a comparison, after an exposure that leaves no work to the serving version.
+func TestNoConfirmationWithoutControl(t *testing.T) {
+	now := start
+	p := promoter.New(promoter.Chart(), promoter.WithNow(func() time.Time { return now }))
+	cfg := configuration(1)
+	_ = p.Decide(cfg)
+	for range 1000 {
+		p.Observe(promoter.Observation{WorkKind: "k", Target: newOne, Rated: true, Rating: 0.1})
+	}
+	now = now.Add(48 * time.Hour)
+	must.SliceEmpty(t, p.Decide(cfg))
+}
