--- a/command_bench.go
+++ b/command_bench.go
@@ -21,16 +21,16 @@
 // experiments lists the experiments of the bench command.
 func experiments() []bencher.Experiment {
 	return []bencher.Experiment{
-		slopesbencher.Experiment(),
-		costbencher.Experiment(),
 		choicebencher.Experiment(),
+		costbencher.Experiment(),
 		fairnessbencher.Experiment(),
-		floodbencher.Experiment(),
 		faultsbencher.Experiment(),
+		floodbencher.Experiment(),
+		pathbencher.Experiment(),
 		rolloutbencher.Experiment(),
+		slopesbencher.Experiment(),
 		spendbencher.Experiment(),
 	}
-	return []bencher.Experiment{pathbencher.Experiment()}
 }
 
 func newBenchCommand() *cobra.Command {
