assembler, slopesbencher: bound ratings and observations, measure membership

Cause: one lease holder would receive 1,800 ratings and observations a second at the target, and membership was measured on one process that hears nobody. Change: samplers give each entry its part of 10 ratings and 20 observations a second, observations travel in at most 5 calls a second, the count of entries is kept; slopes run whole clusters of detectors.

--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -52,6 +53,8 @@
 	retries   *limiter.Budget
 	quality   *quality
 	rollouts  *rollouts
+	// liveEntries is the number of live entries of the deployment, kept so that no request has to count them.
+	liveEntries atomic.Int64
 }
 
 type entryListeners struct {
@@ -182,9 +185,22 @@
 
 // membersChanged is called by the detector, also while the entry is still being built.
 func (e *Entry) membersChanged() {
-	if e.directory != nil {
-		e.directory.wake()
+	if e.directory == nil {
+		return
 	}
+	n := 0
+	for _, m := range e.detector.Members() {
+		if m.Role == detector.RoleEntry {
+			n++
+		}
+	}
+	e.liveEntries.Store(int64(n))
+	e.directory.wake()
+}
+
+// entryCount returns the number of live entries of the deployment, this one included.
+func (e *Entry) entryCount() int {
+	return max(1, int(e.liveEntries.Load()))
 }
 
 // regionEntries returns the live entries of the own region, among which sessions are divided.
@@ -202,13 +218,7 @@
 
 // shareOfLimits divides the limit of a client account evenly among the live entries of the deployment.
 func (e *Entry) shareOfLimits(*configurer.ClientAccount) float64 {
-	n := 0
-	for _, m := range e.detector.Members() {
-		if m.Role == detector.RoleEntry && m.State != detector.Dead {
-			n++
-		}
-	}
-	return 1 / float64(max(1, n))
+	return 1 / float64(e.entryCount())
 }
 
 // Run serves until ctx ends or a drain is asked for; it then finishes the requests in progress, hands over what is
--- a/assembler/quality.go
+++ b/assembler/quality.go
@@ -18,8 +18,9 @@
 	pendingRatings = 1024
 	// collectInterval is how often the holder of the lease fetches ratings.
 	collectInterval = time.Second
-	// qualityInterval is how often counts are written, and read by every other entry.
-	qualityInterval = 10 * time.Second
+	// qualityInterval is how often counts are written, and read by every other entry. A row of 19 versions with 6 kinds of
+	// work each has 35 kB, which at this interval is a fifth of the control traffic of an entry.
+	qualityInterval = 60 * time.Second
 	// qualityKey is the row of the merged counts.
 	qualityKey = "quality/counts"
 	// qualityMemory is the age after which the counts of a former lease holder are dropped.
@@ -31,6 +32,7 @@
 type quality struct {
 	e       *Entry
 	pending *buffer.Ring[storer.Rating]
+	sample  *sampler
 	// next is the sequence after which ratings are fetched; only collect uses it.
 	next    uint64
 	loaded  bool
@@ -46,10 +48,15 @@
 }
 
 func newQuality(e *Entry) *quality {
-	return &quality{e: e, pending: buffer.NewRing[storer.Rating](pendingRatings)}
+	return &quality{
+		e: e, pending: buffer.NewRing[storer.Rating](pendingRatings), sample: newSampler(ratingRate, e.entryCount),
+	}
 }
 
 func (q *quality) offer(r storer.Rating) {
+	if !q.sample.allow(time.Now()) {
+		return
+	}
 	// An answer that does not fit goes unrated; ratings are a sample anyway.
 	_ = q.pending.Offer(r)
 }
--- a/assembler/rollout.go
+++ b/assembler/rollout.go
@@ -21,8 +21,10 @@
 	judgeInterval = time.Second
 	// holderInterval is how often an entry looks up who the holder is.
 	holderInterval = 10 * time.Second
-	// forwardInterval is how often observations are sent to the holder.
+	// forwardInterval is how often an entry of a small deployment sends observations to the holder, and forwardSpread the
+	// calls per second that the holder receives at most: with 330 entries each sends every 66 s.
 	forwardInterval = time.Second
+	forwardSpread   = 5
 	// pendingObservations bounds the observations of one interval; further ones are not counted.
 	pendingObservations = 2048
 )
@@ -32,11 +34,13 @@
 	e        *Entry
 	promoter *promoter.Promoter
 	pending  *buffer.Ring[promoter.Observation]
+	sample   *sampler
 }
 
 func newRollouts(e *Entry) *rollouts {
 	return &rollouts{
 		e: e, promoter: promoter.New(promoter.Chart()), pending: buffer.NewRing[promoter.Observation](pendingObservations),
+		sample: newSampler(observationRate, e.entryCount),
 	}
 }
 
@@ -47,6 +51,9 @@
 	if m == nil || len(m.Versions) < 2 {
 		return
 	}
+	if !r.sample.allow(o.At) {
+		return
+	}
 	// What does not fit is evidence lost, never evidence invented.
 	_ = r.pending.Offer(o)
 }
@@ -94,8 +101,8 @@
 // forward sends observations to the holder.
 func (r *rollouts) forward(ctx context.Context) error {
 	var (
-		holder   identifier.Instance
-		lookupAt time.Time
+		holder           identifier.Instance
+		lookupAt, sendAt time.Time
 	)
 	return every(ctx, forwardInterval, func(ctx context.Context) {
 		if now := time.Now(); !now.Before(lookupAt) {
@@ -104,6 +111,11 @@
 			}
 			lookupAt = now.Add(holderInterval)
 		}
+		now := time.Now()
+		if now.Before(sendAt) {
+			return
+		}
+		sendAt = now.Add(max(forwardInterval, time.Duration(r.e.entryCount())*time.Second/forwardSpread))
 		list := r.drain()
 		switch {
 		case len(list) == 0 || holder == "":
--- a/distributor/item.go
+++ b/distributor/item.go
@@ -38,8 +38,8 @@
 	itemOperator = "operator/"
 )
 
-// split encodes a configuration as items without revisions.
-func split(c *configurer.Configuration) (map[string]json.RawMessage, error) {
+// Split encodes a configuration as items without revisions.
+func Split(c *configurer.Configuration) (map[string]json.RawMessage, error) {
 	values := map[string]any{itemRanks: c.Ranks, itemSpend: c.Spend}
 	for i := range c.WorkKinds {
 		values[itemWorkKind+string(c.WorkKinds[i].Name)] = c.WorkKinds[i]
--- a/slopesbencher/capacity.go
+++ b/slopesbencher/capacity.go
@@ -81,13 +81,12 @@
 
 // shared returns what every process spends on membership and configuration.
 func shared(s map[string]*Slope) []costItem {
-	heartbeats := s["heartbeats sent"].At(perDataCentre)
 	changes := changesPerDay / secondsPerDay
 	return []costItem{
 		{
 			name: "membership", core: s["membership"].At(perDataCentre) * nanosecond,
 			memory:  s["members in memory"].At(perDataCentre + remoteAgents + entries),
-			traffic: 2 * heartbeats,
+			traffic: s["heartbeats"].At(perDataCentre),
 		},
 		{
 			name:    "instance list, unchanged or after a replacement",
--- a/slopesbencher/parts.go
+++ b/slopesbencher/parts.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/siskinfront/siskinfront/balancer"
@@ -113,17 +115,23 @@
 
 // update returns the whole of a configuration as the table holds it.
 func update(cfg *configurer.Configuration) distributor.Update {
-	items, err := configurer.Split(cfg)
+	items, err := distributor.Split(cfg)
 	if err != nil {
 		panic(fmt.Sprintf("slopesbencher: split configuration: %v", err))
 	}
 	u := distributor.Update{Revision: cfg.Revision, ConfirmedAt: epoch()}
-	for _, it := range items {
-		u.Items = append(u.Items, distributor.Item{Key: it.Key, Value: it.Value, Revision: cfg.Revision})
+	for _, key := range slices.Sorted(maps.Keys(items)) {
+		u.Items = append(u.Items, distributor.Item{Key: key, Value: items[key], Revision: cfg.Revision})
 	}
 	return u
 }
 
+func offer(d *distributor.Distributor, u distributor.Update) {
+	if !d.Offer(u) {
+		panic("slopesbencher: the configuration was refused")
+	}
+}
+
 // distributing measures the application of one change and the memory of the configuration.
 func distributing() []Slope {
 	sizes := []int{50, 200, 400, 1000}
@@ -132,13 +140,13 @@
 			cfg := configuration(n)
 			d := distributor.New(distributor.WithSelf("entry-1"), distributor.WithNow(epoch))
 			u := update(cfg)
-			d.Offer(u)
+			offer(d, u)
 			changed := u.Items[0]
 			const changes = 20
 			return processorTime(changes, func(int) {
 				revision := d.Revision() + 1
 				changed.Revision = revision
-				d.Offer(distributor.Update{
+				offer(d, distributor.Update{
 					Revision: revision, Base: revision - 1, Items: []distributor.Item{changed}, ConfirmedAt: epoch(),
 				})
 			})
@@ -146,7 +154,7 @@
 		fit("configuration in memory", "bytes per client account", sizes, func(n int) float64 {
 			return heapBytes(func() any {
 				d := distributor.New(distributor.WithSelf("entry-1"), distributor.WithNow(epoch))
-				d.Offer(update(configuration(n)))
+				offer(d, update(configuration(n)))
 				return d
 			})
 		}),
@@ -260,34 +268,9 @@
 // detecting measures what membership costs one process.
 func detecting() []Slope {
 	sizes := []int{25, 100, 253, 506}
-	type cost struct{ bytes, nanoseconds float64 }
-	measure := func(n int) cost {
-		now := epoch()
-		var sent float64
-		d := detector.New(detector.Member{Instance: "instance-0000", DataCentre: "r-1-1", Region: "r-1", Role: detector.RoleAgent,
-			Control: address(0), Data: address(0)},
-			detector.WithNow(func() time.Time { return now }), detector.WithRand(rand.New(rand.NewPCG(1, 2))),
-			detector.WithSend(func(_ identifier.Instance, m detector.Message) { sent += encodedSize(m) + callOverhead }))
-		list := members(n)
-		d.Merge(list)
-		var seconds float64
-		t := processorTime(60, func(int) {
-			now = now.Add(time.Second)
-			seconds++
-			// Heartbeats of the members that this process monitors.
-			for i := 1; i <= min(detector.Monitors, n-1); i++ {
-				d.Receive(detector.Message{From: detector.Member{
-					Instance: list[i].Instance, DataCentre: "r-1-1", Region: "r-1", Role: detector.RoleAgent,
-					Control: list[i].Control, Data: list[i].Data, State: detector.Live, Incarnation: 1,
-				}, Revision: 1})
-			}
-			d.Tick()
-		})
-		return cost{bytes: sent / seconds, nanoseconds: t}
-	}
 	return []Slope{
-		fit("heartbeats sent", "bytes/s per member of the data centre", sizes, func(n int) float64 { return measure(n).bytes }),
-		fit("membership", "ns of processor per second and member", sizes, func(n int) float64 { return measure(n).nanoseconds }),
+		fit("heartbeats", "bytes/s per member of the data centre", sizes, func(n int) float64 { return cluster(n).bytes }),
+		fit("membership", "ns of processor per second and member", sizes, func(n int) float64 { return cluster(n).nanoseconds }),
 		fit("members in memory", "bytes per member", sizes, func(n int) float64 {
 			return heapBytes(func() any {
 				d := detector.New(detector.Member{Instance: "instance-0000", DataCentre: "r-1-1"}, detector.WithNow(epoch))
