assembler: read lagging lists of other data centres again at once

Cause: at the start of a deployment the list lags by 300 ms, so the first read of the other data centres was empty and the next came 60 s later: the demo ended with 'an entry knows 6 of 24 upstreams'.

--- a/assembler/list.go
+++ b/assembler/list.go
@@ -45,7 +45,8 @@
 	now := time.Now()
 	due := !now.Before(l.refreshAt)
 	for _, d := range l.others {
-		if due {
+		// An empty list is read again at once: after a start of the whole deployment it lags.
+		if due || len(l.remote[d]) == 0 {
 			if remote, err := l.source(ctx, d); err == nil {
 				l.remote[d] = remote
 			}
--- a/slopesbencher/experiment.go
+++ b/slopesbencher/experiment.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 
 	"github.com/siskinfront/siskinfront/bencher"
 )
@@ -63,14 +64,11 @@
 }
 
 func values(list []float64) string {
-	text := ""
+	texts := make([]string, len(list))
 	for i, v := range list {
-		if i > 0 {
-			text += " "
-		}
-		text += fmt.Sprintf("%.4g", v)
+		texts[i] = fmt.Sprintf("%.4g", v)
 	}
-	return text
+	return strings.Join(texts, " ")
 }
 
 func series(s *Slope) bencher.Series {
