entryserver: reserve the committed spend of each attempt

Cause: requests were sent without a share of the committed spend, so the hard limit did not bind. Change: Server.Reserve sets aside the list price of prompt and maximum output before every attempt and is settled once at its end; a refused first attempt is answered 429 spend-limit, not-run. The assembler wires it to the spender. Conclusion: the hard limit holds up to the error of the prompt estimate, which the spender counts as overruns.

--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -151,7 +151,8 @@
 		entryserver.WithConfiguration(current), entryserver.WithSelect(e.selectTarget), entryserver.WithPin(e.pinner.Pin),
 		entryserver.WithChoose(e.choose), entryserver.WithClaim(e.claim), entryserver.WithRecord(e.record),
 		entryserver.WithRetry(e.retries.Allow, e.retries.Success), entryserver.WithExplain(e.explain),
-		entryserver.WithLimit(e.accounts.Allow), entryserver.WithAttempts(e.balancer.Begin, e.attemptEnded, e.balancer.Report),
+		entryserver.WithLimit(e.accounts.Allow), entryserver.WithReserve(e.reserve),
+		entryserver.WithAttempts(e.balancer.Begin, e.attemptEnded, e.balancer.Report),
 	)
 	messenger.Handle(e.mux, methodPin, func(ctx context.Context, _ messenger.Peer, q pinner.Question) (identifier.Target, error) {
 		return e.pinner.Answer(ctx, q)
--- a/assembler/entry_seam.go
+++ b/assembler/entry_seam.go
@@ -99,6 +99,27 @@
 	return 0
 }
 
+// reserve sets aside an amount of the spend at list price, times the overflow factor once the commitment is used. The
+// price factor does not tell that: it is also 1 while the pace of the period merely projects that the commitment will
+// be used.
+func (e *Entry) reserve(amount float64) (func(actual float64), error) {
+	spend := &e.distributor.Current().Spend
+	factor := 1.0
+	snapshot, _ := e.spender.State().(spender.Snapshot)
+	if snapshot.Used >= snapshot.Committed && snapshot.Used > 0 && spend.OverflowFactor > 0 {
+		factor = spend.OverflowFactor
+	}
+	r, err := e.spender.Reserve(amount * factor)
+	switch {
+	case err == nil:
+		return func(actual float64) { r.Settle(actual * factor) }, nil
+	case snapshot.Used >= spend.HardLimit:
+		return nil, fmt.Errorf("%w: %w", &entryserver.SpendLimitError{RetryAt: spend.End}, err)
+	}
+	// The refusal has asked for the next lease, which arrives within a step of the spender.
+	return nil, fmt.Errorf("%w: %w", &entryserver.SpendLimitError{}, err)
+}
+
 func (e *Entry) explain(x entryserver.Explanation) {
 	steps := make([]explainer.Step, 0, len(x.Steps))
 	for _, s := range x.Steps {
--- a/entryserver/dispatch.go
+++ b/entryserver/dispatch.go
@@ -25,6 +25,8 @@
 	err *decoder.Error
 	// elsewhere is set when another upstream may do better.
 	elsewhere bool
+	// final is set when the agent ended a run whose output it knows, so that the usage is known.
+	final bool
 }
 
 // dispatch sends the order to one upstream after another until there is a complete response, and returns the error for
@@ -44,10 +46,19 @@
 				Message: "no upstream can take the request", Cause: err, RetryAt: s.Now().Add(retryWait),
 			}
 		}
+		// Every attempt may cost its maximum, so each has a reservation of its own.
+		settle, refused := s.reserve(j)
+		if refused != nil {
+			if last != nil {
+				refused = last
+			}
+			refused.Outcome = outcome
+			return refused
+		}
 		j.order.Attempt = n
 		j.upstream = u.Name
 		j.explain("attempt-"+strconv.Itoa(n), string(u.Name))
-		f := s.attempt(ctx, u, j)
+		f := s.attempt(ctx, u, j, settle)
 		if f == nil {
 			return nil
 		}
@@ -86,8 +97,8 @@
 	return streamer.OutcomeNotRun
 }
 
-// attempt sends the order to u and copies the response to the sink.
-func (s *Server) attempt(ctx context.Context, u Upstream, j *job) *failure {
+// attempt sends the order to u, copies the response to the sink and settles the reservation.
+func (s *Server) attempt(ctx context.Context, u Upstream, j *job, settle func(*Attempt, bool)) *failure {
 	record := Attempt{
 		Request: j.order.Request, Upstream: u.Name, Target: j.order.Target, Service: j.order.Service, Begin: s.Now(),
 	}
@@ -98,6 +109,7 @@
 		record.Code, record.Outcome = f.err.Code, f.err.TrueOutcome()
 	}
 	s.End(record)
+	settle(&record, f == nil || f.final)
 	return f
 }
 
@@ -128,8 +140,12 @@
 			if record.FirstToken.IsZero() {
 				record.FirstToken = s.Now()
 			}
+			record.Usage.CompletionTokens++
 			err = j.sink.token(&f)
 		case streamer.KindRefused, streamer.KindFailed:
+			if f.Usage != nil {
+				record.Usage = *f.Usage
+			}
 			return frameFailure(&f)
 		case streamer.KindDone:
 			return s.done(j, &f, record)
@@ -227,5 +243,5 @@
 			e.Message = "the upstream refused the request under load"
 		}
 	}
-	return &failure{err: e, elsewhere: elsewhere}
+	return &failure{err: e, elsewhere: elsewhere, final: f.Outcome == streamer.OutcomeRun}
 }
--- a/entryserver/option.go
+++ b/entryserver/option.go
@@ -62,6 +62,11 @@
 	return func(s *Server) { s.Explain = f }
 }
 
+// WithReserve sets the reservation of spend.
+func WithReserve(f func(amount float64) (settle func(actual float64), err error)) Option {
+	return func(s *Server) { s.Reserve = f }
+}
+
 // WithLimit sets the limits of client accounts.
 func WithLimit(f func(*configurer.ClientAccount, int, time.Time) (time.Time, bool)) Option {
 	return func(s *Server) { s.Limit = f }
--- a/entryserver/seam.go
+++ b/entryserver/seam.go
@@ -20,6 +20,17 @@
 // ErrClaimMismatch is returned by Claim when the key was used with another body.
 var ErrClaimMismatch = errors.New("entryserver: idempotency key was used with another request")
 
+// SpendLimitError is returned by Reserve when the hard limit of the spend leaves no room for a run.
+type SpendLimitError struct {
+	// RetryAt is the end of the period or the time of the next lease; the zero value means soon.
+	RetryAt time.Time
+}
+
+// Error states the limit.
+func (e *SpendLimitError) Error() string {
+	return "entryserver: spend limit"
+}
+
 // Upstream is an upstream as the entry reaches it, through its agent.
 type Upstream struct {
 	Name       identifier.Upstream
--- a/entryserver/server.go
+++ b/entryserver/server.go
@@ -45,6 +45,9 @@
 	Explain func(Explanation)
 	// Limit reports whether the client account may use so many tokens now, and else when to try again.
 	Limit func(acc *configurer.ClientAccount, tokens int, now time.Time) (retryAt time.Time, ok bool)
+	// Reserve sets aside the list price of an attempt with its maximum output before it is sent, in the currency of the
+	// spend. settle is called once, with the list price of the real usage. An error refuses the attempt.
+	Reserve func(amount float64) (settle func(actual float64), err error)
 	// Begin and End surround each attempt at an upstream, and Report passes on the load in its frames.
 	Begin  func(identifier.Upstream)
 	End    func(Attempt)
@@ -59,7 +62,7 @@
 }
 
 type counters struct {
-	requests, answered, rejected, broken, retried, repeated, left, claimsOpen atomic.Int64
+	requests, answered, rejected, broken, retried, repeated, left, claimsOpen, spendLimited atomic.Int64
 }
 
 // New returns a server whose routes are ready to serve. Without WithClaim, a non-idempotent request with a key is
@@ -83,6 +86,7 @@
 		Limit: func(*configurer.ClientAccount, int, time.Time) (time.Time, bool) {
 			return time.Time{}, true
 		},
+		Reserve: func(float64) (func(float64), error) { return func(float64) {}, nil },
 		Begin:   func(identifier.Upstream) {},
 		End:     func(Attempt) {},
 		Report:  func(identifier.Upstream, streamer.Load) {},
@@ -181,6 +185,7 @@
 		"requests": c.requests.Load(), "answered": c.answered.Load(), "rejected": c.rejected.Load(),
 		"streams-broken": c.broken.Load(), "attempts-repeated": c.retried.Load(),
 		"results-repeated": c.repeated.Load(), "callers-left": c.left.Load(), "claims-left-open": c.claimsOpen.Load(),
+		"spend-limited": c.spendLimited.Load(),
 	}
 	for name, n := range s.streams.Counters() {
 		m[name] = n
