entryserver: run cascades of versions

Cause: the entry ignored the later steps of a decision, and its queries had no deadline, so no cascade was ever planned. Change: Select returns a selector.Decision; for unary idempotent requests for model auto the entry rates each answer with Server.Rate and runs the next step while it is below the quality target. Each step is a run with its own name and bill. storer.Rater.Wait and GET /ratings/{request} answer one rating as soon as it exists.

--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -148,10 +148,10 @@
 	e.rollouts = newRollouts(e)
 	e.admin = administrator.New(e.adminStore(), administrator.WithLog(e.log))
 	e.server = entryserver.New(
-		entryserver.WithConfiguration(current), entryserver.WithSelect(e.selectTarget), entryserver.WithPin(e.pinner.Pin),
+		entryserver.WithConfiguration(current), entryserver.WithSelect(e.selector.Select), entryserver.WithPin(e.pinner.Pin),
 		entryserver.WithChoose(e.choose), entryserver.WithClaim(e.claim), entryserver.WithRecord(e.record),
 		entryserver.WithRetry(e.retries.Allow, e.retries.Success), entryserver.WithExplain(e.explain),
-		entryserver.WithLimit(e.accounts.Allow), entryserver.WithReserve(e.reserve),
+		entryserver.WithLimit(e.accounts.Allow), entryserver.WithReserve(e.reserve), entryserver.WithRate(e.rate),
 		entryserver.WithAttempts(e.balancer.Begin, e.attemptEnded, e.balancer.Report),
 	)
 	messenger.Handle(e.mux, methodPin, func(ctx context.Context, _ messenger.Peer, q pinner.Question) (identifier.Target, error) {
--- a/assembler/entry_seam.go
+++ b/assembler/entry_seam.go
@@ -11,7 +11,6 @@
 	"github.com/siskinfront/siskinfront/balancer"
 	"github.com/siskinfront/siskinfront/biller"
 	"github.com/siskinfront/siskinfront/claimer"
-	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/entryserver"
 	"github.com/siskinfront/siskinfront/explainer"
 	"github.com/siskinfront/siskinfront/identifier"
@@ -30,11 +29,6 @@
 	pinPrefix = "pin/"
 )
 
-func (e *Entry) selectTarget(cfg *configurer.Configuration, q selector.Query) (identifier.Target, error) {
-	d, err := e.selector.Select(cfg, q)
-	return d.Target, err
-}
-
 func (e *Entry) choose(_ context.Context, c entryserver.Choice) (entryserver.Upstream, error) {
 	u, err := e.balancer.Choose(balancer.Key{
 		Target: c.Target, Service: c.Service, Prefix: c.Prefix, Session: c.Session, Rank: c.Rank, Exclude: c.Exclude,
@@ -91,6 +85,17 @@
 	}
 }
 
+// rate submits the answer of a cascade step and waits for its rating. Its bill submits it too, which the rating service
+// recognises by the request.
+func (e *Entry) rate(ctx context.Context, x entryserver.RatingInput) (float64, error) {
+	err := e.rater.Submit(ctx, storer.Rating{Request: x.Request, WorkKind: x.WorkKind, Target: x.Target, At: x.At})
+	if err != nil {
+		return 0, err
+	}
+	r, err := e.rater.Wait(ctx, x.Request)
+	return r.Value, err
+}
+
 // price returns the list price of a run.
 func (e *Entry) price(t identifier.Target, u streamer.Usage) float64 {
 	if v := e.distributor.Current().Version(t); v != nil {
--- a/entryserver/completion.go
+++ b/entryserver/completion.go
@@ -28,6 +28,7 @@
 	request *decoder.Request
 	account *configurer.ClientAccount
 	sink    sink
+	cascade cascade
 	steps   []Step
 	// upstream is the one of the latest attempt.
 	upstream identifier.Upstream
@@ -60,27 +61,37 @@
 	if req.MaxTokens > 0 {
 		q.MaxTokens = min(q.MaxTokens, req.MaxTokens)
 	}
-	target, err := s.target(r.Context(), cfg, &q, now)
+	rank := cfg.RankIndex(kind.Rank)
+	end := deadline(cfg, rank, req, now)
+	nonIdempotent := req.NonIdempotent || kind.NonIdempotent
+	// The tokens of a stream cannot be taken back, a non-idempotent request runs once, and a caller who names a model or
+	// a session gets it. Without a deadline the selector plans no cascade.
+	if s.Rate != nil && req.Model == identifier.ModelAuto && req.Session == "" && !req.Stream && !nonIdempotent {
+		q.Deadline = end
+	}
+	decision, err := s.target(r.Context(), cfg, &q, now)
 	if err != nil {
 		return err
 	}
+	target := decision.Target
 	w.Header().Set(decoder.HeaderModel, string(target.Model))
 	w.Header().Set(decoder.HeaderVersion, string(target.Version))
 	if retryAt, ok := s.Limit(account, q.PromptTokens+q.MaxTokens, now); !ok {
 		return rateLimited(retryAt)
 	}
-	rank := cfg.RankIndex(kind.Rank)
 	j := &job{
 		order: streamer.Order{
 			Request: id, ClientAccount: account.Name, WorkKind: kind.Name, Rank: kind.Rank, Target: target,
-			Session: req.Session, Deadline: deadline(cfg, rank, req, now),
-			NonIdempotent: req.NonIdempotent || kind.NonIdempotent,
-			PromptTokens:  q.PromptTokens, MaxTokens: q.MaxTokens, Revision: cfg.Revision,
+			Session: req.Session, Deadline: end, NonIdempotent: nonIdempotent,
+			PromptTokens: q.PromptTokens, MaxTokens: q.MaxTokens, Revision: cfg.Revision,
 		},
 		body: req.Body, request: req, account: account, sink: newAnswer(w, req),
 		choice: Choice{Target: target, Prefix: req.Prefix, Session: req.Session, Rank: rank, Query: q},
 	}
-	j.explain("select", target.String())
+	if !q.Deadline.IsZero() {
+		j.cascade = cascade{targets: decision.Cascade, kind: kind, run: runTime(&cfg.Ranks[rank], q.MaxTokens)}
+	}
+	j.explain("select", target.String()+" "+decision.Reason)
 	return s.serve(w, r, j)
 }
 
@@ -117,39 +128,40 @@
 // target selects the version, and for a session the one that it started on.
 func (s *Server) target(
 	ctx context.Context, cfg *configurer.Configuration, q *selector.Query, now time.Time,
-) (identifier.Target, error) {
-	proposed, err := s.Select(cfg, *q)
+) (selector.Decision, error) {
+	decision, err := s.Select(cfg, *q)
 	if err != nil {
-		return proposed, selectionError(err, now)
+		return decision, selectionError(err, now)
 	}
 	if q.Session == "" {
-		return proposed, nil
+		return decision, nil
 	}
+	proposed := decision.Target
 	pinned, err := s.Pin(ctx, q.ClientAccount.Name, q.Session, proposed, cfg.Revision)
 	if err != nil {
-		return pinned, &decoder.Error{
+		return decision, &decoder.Error{
 			Status: http.StatusServiceUnavailable, Code: "session-unavailable", Type: decoder.TypeServer,
 			Message: "the version of the session is not known at present", Cause: err, RetryAt: now.Add(retryWait),
 		}
 	}
 	if pinned == proposed {
-		return pinned, nil
+		return decision, nil
 	}
 	switch v := cfg.Version(pinned); {
 	case v == nil || v.State == configurer.VersionWithdrawn:
-		return pinned, &decoder.Error{
+		return decision, &decoder.Error{
 			Status: http.StatusConflict, Code: "session-version-withdrawn", Type: decoder.TypeInvalidRequest,
 			Message: "the version of the session was withdrawn; start a new session",
 		}
 	case !q.ClientAccount.Allows(pinned):
-		return pinned, selectionError(selector.ErrNotAllowed, now)
+		return decision, selectionError(selector.ErrNotAllowed, now)
 	case q.Model != identifier.ModelAuto && q.Model != pinned.Model:
-		return pinned, &decoder.Error{
+		return decision, &decoder.Error{
 			Status: http.StatusConflict, Code: "session-model-differs", Type: decoder.TypeInvalidRequest,
 			Message: "the session runs on another model; start a new session",
 		}
 	}
-	return pinned, nil
+	return selector.Decision{Target: pinned, Reason: selector.ReasonPinned}, nil
 }
 
 func selectionError(err error, now time.Time) error {
--- a/entryserver/option.go
+++ b/entryserver/option.go
@@ -24,7 +24,7 @@
 }
 
 // WithSelect sets the selection of the version.
-func WithSelect(f func(*configurer.Configuration, selector.Query) (identifier.Target, error)) Option {
+func WithSelect(f func(*configurer.Configuration, selector.Query) (selector.Decision, error)) Option {
 	return func(s *Server) { s.Select = f }
 }
 
@@ -62,6 +62,11 @@
 	return func(s *Server) { s.Explain = f }
 }
 
+// WithRate sets the rating of answers, without which there are no cascades.
+func WithRate(f func(context.Context, RatingInput) (float64, error)) Option {
+	return func(s *Server) { s.Rate = f }
+}
+
 // WithReserve sets the reservation of spend.
 func WithReserve(f func(amount float64) (settle func(actual float64), err error)) Option {
 	return func(s *Server) { s.Reserve = f }
--- a/entryserver/seam.go
+++ b/entryserver/seam.go
@@ -52,7 +52,8 @@
 	Query   selector.Query
 }
 
-// Bill is the record of one completed request; the agent's bill has the same ID.
+// Bill is the record of one completed run; the agent's bill has the same ID. Each step of a cascade is a run with an
+// ID and a Request of its own, as returned by StepID.
 type Bill struct {
 	ID            string
 	Request       identifier.Request
@@ -86,6 +87,15 @@
 	Release func(ctx context.Context) error
 }
 
+// RatingInput names the answer of one cascade step to the rating service.
+type RatingInput struct {
+	// Request is the name of the run, as returned by StepID.
+	Request  identifier.Request
+	WorkKind identifier.WorkKind
+	Target   identifier.Target
+	At       time.Time
+}
+
 // Attempt is the record of one order that was sent to one upstream.
 type Attempt struct {
 	Request  identifier.Request
--- a/entryserver/serve.go
+++ b/entryserver/serve.go
@@ -15,9 +15,10 @@
 
 // serve runs an admitted request. A returned error has not been written yet; a begun stream reports its own.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, j *job) error {
+	request := j.order.Request
 	defer func() {
 		s.Explain(Explanation{
-			Request: j.order.Request, At: s.Now(), Target: j.order.Target, Upstream: j.upstream, Steps: j.steps,
+			Request: request, At: s.Now(), Target: j.order.Target, Upstream: j.upstream, Steps: j.steps,
 		})
 	}()
 	ctx := r.Context()
@@ -33,7 +34,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.order.Deadline)
 	defer cancel()
-	failed := s.dispatch(ctx, j)
+	failed := s.climb(ctx, w, j)
 	if claim != nil {
 		s.settle(context.WithoutCancel(ctx), claim, j, failed)
 	}
--- a/entryserver/server.go
+++ b/entryserver/server.go
@@ -26,8 +26,11 @@
 	Now func() time.Time
 	// Configuration returns the configuration in force.
 	Configuration func() *configurer.Configuration
-	// Select chooses the version that answers.
-	Select func(*configurer.Configuration, selector.Query) (identifier.Target, error)
+	// Select chooses the version that answers, and the later steps of a cascade. Its query has a deadline only if a
+	// cascade is possible: model auto, no session, unary and idempotent.
+	Select func(*configurer.Configuration, selector.Query) (selector.Decision, error)
+	// Rate returns the rating of an answer, from 0 to 1, as soon as it exists; nil rules out cascades.
+	Rate func(context.Context, RatingInput) (float64, error)
 	// Pin returns the version of a session, which is the proposed one if the session is new.
 	Pin func(ctx context.Context, acc identifier.ClientAccount, s identifier.Session, proposed identifier.Target,
 		revision uint64) (identifier.Target, error)
@@ -62,15 +65,18 @@
 }
 
 type counters struct {
-	requests, answered, rejected, broken, retried, repeated, left, claimsOpen, spendLimited atomic.Int64
+	requests, answered, rejected, broken, retried, repeated, left, claimsOpen, spendLimited, escalated, unrated atomic.Int64
 }
 
 // New returns a server whose routes are ready to serve. Without WithClaim, a non-idempotent request with a key is
 // rejected, because nothing could guarantee that it runs at most once.
 func New(opts ...Option) *Server {
 	s := &Server{
-		Now:    time.Now,
-		Select: selector.Cheapest,
+		Now: time.Now,
+		Select: func(cfg *configurer.Configuration, q selector.Query) (selector.Decision, error) {
+			t, err := selector.Cheapest(cfg, q)
+			return selector.Decision{Target: t, Reason: selector.ReasonCheapest}, err
+		},
 		Pin: func(_ context.Context, _ identifier.ClientAccount, _ identifier.Session, proposed identifier.Target,
 			_ uint64,
 		) (identifier.Target, error) {
@@ -185,7 +191,7 @@
 		"requests": c.requests.Load(), "answered": c.answered.Load(), "rejected": c.rejected.Load(),
 		"streams-broken": c.broken.Load(), "attempts-repeated": c.retried.Load(),
 		"results-repeated": c.repeated.Load(), "callers-left": c.left.Load(), "claims-left-open": c.claimsOpen.Load(),
-		"spend-limited": c.spendLimited.Load(),
+		"spend-limited": c.spendLimited.Load(), "cascade-steps": c.escalated.Load(), "ratings-missed": c.unrated.Load(),
 	}
 	for name, n := range s.streams.Counters() {
 		m[name] = n
--- a/platformfaker/service.go
+++ b/platformfaker/service.go
@@ -99,19 +99,20 @@
 	mu      sync.Mutex
 	now     func() time.Time
 	rand    *rand.Rand
-	known   map[identifier.Request]bool
+	known   map[identifier.Request]storer.Rating
 	waiting []storer.Rating
 	ready   []storer.Rating
 }
 
 // NewRater returns a rating service with its own clock and random source.
 func NewRater(now func() time.Time, r *rand.Rand, opts ...Option) *Rater {
-	x := &Rater{now: now, rand: r, known: map[identifier.Request]bool{}}
+	x := &Rater{now: now, rand: r, known: map[identifier.Request]storer.Rating{}}
 	x.Quality = func(storer.Rating) float64 { return 1 }
 	x.Late = func() time.Duration { return 0 }
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /ratings", x.submit)
 	mux.HandleFunc("GET /ratings", x.after)
+	mux.HandleFunc("GET /ratings/{request}", x.one)
 	x.Handler = newGuard(&x.Faults, mux, opts)
 	return x
 }
@@ -124,15 +125,44 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.known[v.Request] {
+	if _, ok := x.known[v.Request]; ok {
 		return
 	}
-	x.known[v.Request] = true
 	v.Value = min(1, max(0, x.Quality(v)+x.Noise*(2*x.rand.Float64()-1)))
 	v.At = x.now().Add(x.Late())
+	x.known[v.Request] = v
 	x.waiting = append(x.waiting, v)
 }
 
+// one answers the rating of one response as soon as it exists, or 204 after the time that the caller is ready to wait.
+func (x *Rater) one(w http.ResponseWriter, r *http.Request) {
+	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
+	if err != nil {
+		http.Error(w, "malformed wait", http.StatusBadRequest)
+		return
+	}
+	x.mu.Lock()
+	v, ok := x.known[identifier.Request(r.PathValue("request"))]
+	late := v.At.Sub(x.now())
+	x.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	timer := time.NewTimer(min(late, wait))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.Context().Done():
+		return
+	}
+	if late > wait {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	reply(w, v)
+}
+
 func (x *Rater) after(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
--- a/storer/service.go
+++ b/storer/service.go
@@ -88,6 +88,18 @@
 	return decode[[]Rating](r.call(ctx, exchange{method: http.MethodGet, path: path, repeatable: true}))
 }
 
+// Wait returns the rating of one submitted response as soon as it exists, without its sequence number. It asks again
+// until ctx ends, because each call may last only for the call timeout.
+func (r *Rater) Wait(ctx context.Context, request identifier.Request) (Rating, error) {
+	path := "/ratings/" + url.PathEscape(string(request)) + "?wait=" + (r.callTimeout / 2).String()
+	for {
+		b, err := r.call(ctx, exchange{method: http.MethodGet, path: path, repeatable: true})
+		if err != nil || len(b) > 0 {
+			return decode[Rating](b, err)
+		}
+	}
+}
+
 // Instance is one entry of the platform's instance list.
 type Instance struct {
 	Instance   identifier.Instance   `json:"instance"`
--- a/storer/storer_test.go
+++ b/storer/storer_test.go
@@ -179,3 +179,26 @@
 		must.NoError(t, err)
 	})
 }
+
+// Guards against a wait for a rating that ends before the rating exists, misses it, or outlasts its context.
+func TestWaitForRating(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := platformfaker.NewRater(time.Now, rand.New(rand.NewPCG(1, 1)))
+		f.Late = func() time.Duration { return 3 * time.Second }
+		f.Quality = func(storer.Rating) float64 { return 0.25 }
+		r := storer.NewRater(local, storer.WithDo(platformfaker.Exchange(f)))
+		must.NoError(t, r.Submit(t.Context(), storer.Rating{Request: "r-1/2"}))
+		begin := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		_, err := r.Wait(ctx, "r-1/2")
+		must.ErrorIs(t, err, storer.ErrUnavailable)
+		must.LessEq(t, 2*time.Second, time.Since(begin))
+		got, err := r.Wait(t.Context(), "r-1/2")
+		must.NoError(t, err)
+		must.Eq(t, 0.25, got.Value)
+		must.Eq(t, 3*time.Second, time.Since(begin))
+		_, err = r.Wait(t.Context(), "unknown")
+		must.ErrorIs(t, err, storer.ErrNotFound)
+	})
+}
--- a/streamer/client.go
+++ b/streamer/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -126,7 +127,7 @@
 }
 
 func (s *Stream) runURL(after uint64) string {
-	return s.url("/run/" + string(s.request) + "?attempt=" + strconv.Itoa(s.attempt) +
+	return s.url("/run/" + url.PathEscape(string(s.request)) + "?attempt=" + strconv.Itoa(s.attempt) +
 		"&after=" + strconv.FormatUint(after, 10))
 }
 
