messenger: ping only while a call waits

Cause: a ping each second on every open connection takes more than the 3 KB/s that a node has for control traffic. Change: a connection is pinged only while a call has waited 1 s without traffic, and closed after 3 s without any; idle connections are closed after 10 s, and a call that times out without traffic closes its connection. Notify sends notifications.

--- a/messenger/conn.go
+++ b/messenger/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -14,25 +15,23 @@
 )
 
 const (
-	// pingAfter is the time without traffic after which a connection is pinged.
-	pingAfter = time.Second
-	// silentAfter is the time without a byte from the peer after which a connection is closed.
-	silentAfter = 3 * time.Second
 	// callTime is the deadline of a call whose context has none.
 	callTime = 3 * time.Second
-	// idleAfter is the time without a call after which a pool closes a connection, to save its pings.
-	idleAfter = 30 * time.Second
+	// idleAfter is the time without a call or notification after which a pool closes a connection.
+	idleAfter = 10 * time.Second
+	// abandonedAfter is the time without a byte after which a listener closes a connection. It is longer than idleAfter, so
+	// that the end that calls closes first and no call meets a connection that is being closed.
+	abandonedAfter = 15 * time.Second
 )
 
 // Conn is one control connection; it is safe for concurrent use.
 type Conn struct {
 	rpc  *jsonrpc2.Conn
 	peer Peer
-	// received and called hold the time of the last byte from the peer and of the last call, in nanoseconds.
+	// received holds the time of the last byte from the peer in nanoseconds.
 	received atomic.Int64
-	called   atomic.Int64
-	idle     time.Duration
 	now      func() time.Time
+	keeper   keeper
 }
 
 // link notes each received byte and bounds each write, so that a black-holed peer never blocks a caller for long.
@@ -58,49 +57,18 @@
 	return l.Conn.Write(b)
 }
 
-// newConn serves mux on c and keeps it alive. A positive idle closes it after that time without an outgoing call.
-func newConn(ctx context.Context, c net.Conn, m *Mux, peer Peer, idle time.Duration, now func() time.Time) *Conn {
-	conn := &Conn{peer: peer, idle: idle, now: now}
+// newConn serves mux on c. The connection of a pool closes when its own calls are idle, an accepted one when its peer is.
+func newConn(ctx context.Context, c net.Conn, m *Mux, peer Peer, accepted bool, now func() time.Time) *Conn {
+	conn := &Conn{peer: peer, now: now}
 	conn.received.Store(now().UnixNano())
-	conn.called.Store(now().UnixNano())
 	stream := jsonrpc2.NewBufferedStream(link{c, conn}, codec{})
 	d := &dispatcher{mux: m, peer: peer, busy: make(chan struct{}, maxConcurrent)}
 	// Errors reach the callers; the library would also print each one.
 	conn.rpc = jsonrpc2.NewConn(ctx, stream, d, jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
-	go conn.keepAlive()
+	conn.keeper.start(conn, accepted)
 	return conn
 }
 
-// keepAlive pings a quiet peer and closes the connection once it is silent or unused.
-func (c *Conn) keepAlive() {
-	ticker := time.NewTicker(pingAfter)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-c.rpc.DisconnectNotify():
-			return
-		}
-		now := c.now().UnixNano()
-		quiet := time.Duration(now - c.received.Load())
-		unused := time.Duration(now - c.called.Load())
-		if quiet >= silentAfter || c.idle > 0 && unused >= c.idle {
-			c.Close()
-			return
-		}
-		if quiet >= pingAfter {
-			go c.ping()
-		}
-	}
-}
-
-func (c *Conn) ping() {
-	ctx, cancel := context.WithTimeout(context.Background(), silentAfter)
-	defer cancel()
-	// The reply itself counts as traffic; without one, keepAlive closes the connection.
-	_ = c.rpc.Call(ctx, methodPing, struct{}{}, nil)
-}
-
 // Peer returns the other end.
 func (c *Conn) Peer() Peer {
 	return c.peer
@@ -113,11 +81,13 @@
 
 // Close closes the connection; calls in progress fail.
 func (c *Conn) Close() {
+	c.keeper.stop()
 	// The connection is gone either way.
 	_ = c.rpc.Close()
 }
 
-// Call calls a method of the peer. Without a deadline in ctx, the call ends after 3 s.
+// Call calls a method of the peer. Without a deadline in ctx, the call ends after 3 s. A call that ends without a reply
+// while nothing came from the peer closes the connection, so that the next one connects anew.
 func Call[P, R any](ctx context.Context, c *Conn, method string, p P) (R, error) {
 	var result R
 	if _, ok := ctx.Deadline(); !ok {
@@ -125,13 +95,33 @@
 		ctx, cancel = context.WithTimeout(ctx, callTime)
 		defer cancel()
 	}
-	c.called.Store(c.now().UnixNano())
-	if err := c.rpc.Call(ctx, method, p, &result); err != nil {
+	if err := c.call(ctx, method, p, &result); err != nil {
 		return result, callError(method, c.peer.Address, err)
 	}
 	return result, nil
 }
 
+func (c *Conn) call(ctx context.Context, method string, params, result any) error {
+	begin := c.now().UnixNano()
+	c.keeper.begin()
+	defer c.keeper.end()
+	err := c.rpc.Call(ctx, method, params, result)
+	// After traffic from the peer the connection is sound and only the handler is slow; closing it would fail other calls.
+	if errors.Is(err, context.DeadlineExceeded) && c.received.Load() <= begin {
+		c.Close()
+	}
+	return err
+}
+
+// Notify sends a notification, to which there is no reply: a nil error does not mean that it arrived.
+func Notify[P any](ctx context.Context, c *Conn, method string, p P) error {
+	c.keeper.notified()
+	if err := c.rpc.Notify(ctx, method, p); err != nil {
+		return callError(method, c.peer.Address, err)
+	}
+	return nil
+}
+
 // addressOf returns the address of the other end, or the zero value for a connection without one.
 func addressOf(c net.Conn) netip.AddrPort {
 	a, err := netip.ParseAddrPort(c.RemoteAddr().String())
--- a/messenger/pool.go
+++ b/messenger/pool.go
@@ -38,29 +38,51 @@
 
 // Conn returns the connection to a peer and connects if there is none.
 func (p *Pool) Conn(ctx context.Context, a netip.AddrPort) (*Conn, error) {
+	for {
+		s, err := p.slot(ctx, a)
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case <-s.ready:
+		case <-ctx.Done():
+			return nil, dialError(a, ctx.Err())
+		}
+		if s.err != nil || s.conn.keeper.reserve() {
+			return s.conn, s.err
+		}
+		// The connection has just been closed for being idle or silent.
+		p.drop(a, s)
+	}
+}
+
+// slot returns the slot of a peer and starts to connect if there is none.
+func (p *Pool) slot(ctx context.Context, a netip.AddrPort) (*slot, error) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.closed {
-		p.mu.Unlock()
 		return nil, ErrPoolClosed
 	}
-	s := p.conns[a]
-	if s == nil {
-		if len(p.conns) >= p.maxOpen {
-			p.mu.Unlock()
-			return nil, dialError(a, ErrTooManyPeers)
-		}
-		s = &slot{ready: make(chan struct{})}
-		p.conns[a] = s
-		p.dials++
-		// The attempt serves all callers that wait, so it does not end with the first one's context.
-		go p.connect(context.WithoutCancel(ctx), a, s)
+	if s := p.conns[a]; s != nil {
+		return s, nil
 	}
-	p.mu.Unlock()
-	select {
-	case <-s.ready:
-		return s.conn, s.err
-	case <-ctx.Done():
-		return nil, dialError(a, ctx.Err())
+	if len(p.conns) >= p.maxOpen {
+		return nil, dialError(a, ErrTooManyPeers)
+	}
+	s := &slot{ready: make(chan struct{})}
+	p.conns[a] = s
+	p.dials++
+	// The attempt serves all callers that wait, so it does not end with the first one's context.
+	go p.connect(context.WithoutCancel(ctx), a, s)
+	return s, nil
+}
+
+// drop forgets a slot whose connection is closed.
+func (p *Pool) drop(a netip.AddrPort, s *slot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns[a] == s {
+		delete(p.conns, a)
 	}
 }
 
@@ -81,11 +103,7 @@
 		return
 	}
 	<-s.conn.Closed()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conns[a] == s {
-		delete(p.conns, a)
-	}
+	p.drop(a, s)
 }
 
 func (p *Pool) open(ctx context.Context, a netip.AddrPort) (*Conn, error) {
@@ -105,7 +123,7 @@
 		peer.Name = certificateName(t)
 		c = t
 	}
-	return newConn(ctx, c, p.mux, peer, idleAfter, p.now), nil
+	return newConn(ctx, c, p.mux, peer, false, p.now), nil
 }
 
 // Close closes all connections; later calls of Conn fail.
--- a/messenger/serve.go
+++ b/messenger/serve.go
@@ -107,7 +107,7 @@
 		peer.Name = certificateName(t)
 		c = t
 	}
-	conn := newConn(ctx, c, m, peer, 0, o.now)
+	conn := newConn(ctx, c, m, peer, true, o.now)
 	select {
 	case <-conn.Closed():
 	case <-ctx.Done():
