--- a/assembler/entry_seam.go
+++ b/assembler/entry_seam.go
@@ -11,7 +11,6 @@
 	"github.com/siskinfront/siskinfront/balancer"
 	"github.com/siskinfront/siskinfront/biller"
 	"github.com/siskinfront/siskinfront/claimer"
-	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/entryserver"
 	"github.com/siskinfront/siskinfront/explainer"
 	"github.com/siskinfront/siskinfront/identifier"
@@ -30,11 +29,6 @@
 	pinPrefix = "pin/"
 )
 
-func (e *Entry) selectTarget(cfg *configurer.Configuration, q selector.Query) (identifier.Target, error) {
-	d, err := e.selector.Select(cfg, q)
-	return d.Target, err
-}
-
 func (e *Entry) choose(_ context.Context, c entryserver.Choice) (entryserver.Upstream, error) {
 	u, err := e.balancer.Choose(balancer.Key{
 		Target: c.Target, Service: c.Service, Prefix: c.Prefix, Session: c.Session, Rank: c.Rank, Exclude: c.Exclude,
@@ -91,6 +85,17 @@
 	}
 }
 
+// rate submits the answer of a cascade step and waits for its rating. Its bill submits it too, which the rating service
+// recognises by the request.
+func (e *Entry) rate(ctx context.Context, x entryserver.RatingInput) (float64, error) {
+	err := e.rater.Submit(ctx, storer.Rating{Request: x.Request, WorkKind: x.WorkKind, Target: x.Target, At: x.At})
+	if err != nil {
+		return 0, err
+	}
+	r, err := e.rater.Wait(ctx, x.Request)
+	return r.Value, err
+}
+
 // price returns the list price of a run.
 func (e *Entry) price(t identifier.Target, u streamer.Usage) float64 {
 	if v := e.distributor.Current().Version(t); v != nil {
@@ -99,6 +104,27 @@
 	return 0
 }
 
+// reserve sets aside an amount of the spend at list price, times the overflow factor once the commitment is used. The
+// price factor does not tell that: it is also 1 while the pace of the period merely projects that the commitment will
+// be used.
+func (e *Entry) reserve(amount float64) (func(actual float64), error) {
+	spend := &e.distributor.Current().Spend
+	factor := 1.0
+	snapshot, _ := e.spender.State().(spender.Snapshot)
+	if snapshot.Used >= snapshot.Committed && snapshot.Used > 0 && spend.OverflowFactor > 0 {
+		factor = spend.OverflowFactor
+	}
+	r, err := e.spender.Reserve(amount * factor)
+	switch {
+	case err == nil:
+		return func(actual float64) { r.Settle(actual * factor) }, nil
+	case snapshot.Used >= spend.HardLimit:
+		return nil, fmt.Errorf("%w: %w", &entryserver.SpendLimitError{RetryAt: spend.End}, err)
+	}
+	// The refusal has asked for the next lease, which arrives within a step of the spender.
+	return nil, fmt.Errorf("%w: %w", &entryserver.SpendLimitError{}, err)
+}
+
 func (e *Entry) explain(x entryserver.Explanation) {
 	steps := make([]explainer.Step, 0, len(x.Steps))
 	for _, s := range x.Steps {
--- a/entryserver/seam.go
+++ b/entryserver/seam.go
@@ -20,6 +20,17 @@
 // ErrClaimMismatch is returned by Claim when the key was used with another body.
 var ErrClaimMismatch = errors.New("entryserver: idempotency key was used with another request")
 
+// SpendLimitError is returned by Reserve when the hard limit of the spend leaves no room for a run.
+type SpendLimitError struct {
+	// RetryAt is the end of the period or the time of the next lease; the zero value means soon.
+	RetryAt time.Time
+}
+
+// Error states the limit.
+func (e *SpendLimitError) Error() string {
+	return "entryserver: spend limit"
+}
+
 // Upstream is an upstream as the entry reaches it, through its agent.
 type Upstream struct {
 	Name       identifier.Upstream
@@ -41,7 +52,8 @@
 	Query   selector.Query
 }
 
-// Bill is the record of one completed request; the agent's bill has the same ID.
+// Bill is the record of one completed run; the agent's bill has the same ID. Each step of a cascade is a run with an
+// ID and a Request of its own, as returned by StepID.
 type Bill struct {
 	ID            string
 	Request       identifier.Request
@@ -75,6 +87,15 @@
 	Release func(ctx context.Context) error
 }
 
+// RatingInput names the answer of one cascade step to the rating service.
+type RatingInput struct {
+	// Request is the name of the run, as returned by StepID.
+	Request  identifier.Request
+	WorkKind identifier.WorkKind
+	Target   identifier.Target
+	At       time.Time
+}
+
 // Attempt is the record of one order that was sent to one upstream.
 type Attempt struct {
 	Request  identifier.Request
