distributor: keep up to three pulls under way

The trace shows instance-2 knowing of revision 9 from a heartbeat after 0.6 s and then losing four pulls in a row; each was waited for until its call time ended before the next one began. Two pushes of later revisions were refused because they left a gap.

--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -22,6 +22,9 @@
 	defaultPoll = 500 * time.Millisecond
 	// ReadLoops is the number of reads that a reader may have under way, so that one lost reply does not stop it.
 	ReadLoops = 2
+	// PullLoops is the number of pulls that a process may have under way, so that lost replies, each waited for until
+	// the call time ends, do not stop a process that knows it is behind.
+	PullLoops = 3
 	// A process that a push missed learns of the change within two pulls, under the 7 s bound with one of them lost.
 	defaultPull = 2 * time.Second
 	// defaultCallTime bounds one exchange with a peer; a read of the table may take twice as long.
@@ -432,7 +435,9 @@
 	for range ReadLoops {
 		wg.Go(func() { d.repeat(ctx, ReadLoops*d.poll, d.ReadStep) })
 	}
-	wg.Go(func() { d.repeat(ctx, d.poll, d.PullStep) })
+	for range PullLoops {
+		wg.Go(func() { d.repeat(ctx, d.poll, d.PullStep) })
+	}
 	wg.Wait()
 	return nil
 }
--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -229,3 +229,36 @@
 		must.LessEq(t, 100*20, reads.Load())
 	})
 }
+
+// Guards against a process that knows it is behind and waits for one lost reply after another: with one pull under way
+// at a time, four lost replies of 1.5 s each delayed a revision beyond 7 s.
+func TestLostPulls(t *testing.T) {
+	const lost = 4
+	synctest.Test(t, func(t *testing.T) {
+		ahead := distributor.New(distributor.WithSelf("a"))
+		must.True(t, ahead.Offer(distributor.Update{Revision: 1}))
+		pulls := atomic.Int64{}
+		began, inForce := time.Now(), time.Duration(0)
+		d := distributor.New(distributor.WithSelf("b"), distributor.WithRand(rand.New(rand.NewPCG(1, 2))),
+			distributor.WithMembers(func() []identifier.Instance { return []identifier.Instance{"a", "b"} }),
+			distributor.WithPull(func(ctx context.Context, _ identifier.Instance, r uint64) (distributor.Update, error) {
+				if pulls.Add(1) <= lost {
+					<-ctx.Done()
+					return distributor.Update{}, ctx.Err()
+				}
+				return ahead.Since(r), nil
+			}),
+			distributor.WithOnChange(func(*configurer.Configuration) { inForce = time.Since(began) }))
+		ctx, stop := context.WithCancel(t.Context())
+		go func() { _ = d.Run(ctx) }()
+		for range 10 {
+			d.Hear("a", 1)
+			time.Sleep(time.Second)
+		}
+		stop()
+		synctest.Wait()
+		t.Logf("in force after %v with %d lost pulls", inForce, lost)
+		must.Positive(t, inForce)
+		must.LessEq(t, 7*time.Second, inForce)
+	})
+}
--- a/faultsbencher/node.go
+++ b/faultsbencher/node.go
@@ -121,7 +121,9 @@
 	for range distributor.ReadLoops {
 		s.spawn(n, func() { n.repeat(time.Second, func() { n.dist.ReadStep(context.Background()) }) })
 	}
-	s.spawn(n, func() { n.repeat(500*time.Millisecond, func() { n.dist.PullStep(context.Background()) }) })
+	for range distributor.PullLoops {
+		s.spawn(n, func() { n.repeat(500*time.Millisecond, func() { n.dist.PullStep(context.Background()) }) })
+	}
 	s.spawn(n, func() {
 		// Run ends only with the process.
 		_ = n.biller.Run(context.Background())
