--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -63,11 +63,10 @@
 	Caller, Admin, Control, Debug netip.AddrPort
 }
 
-// NewEntry opens the listeners of the settings, where port 0 lets the system choose, and builds the process. The data
-// centres of the deployment divide the committed spend and must be the same in all entries.
+// NewEntry opens the listeners of the settings, where port 0 lets the system choose, and builds the process.
 func NewEntry(ctx context.Context, s configurer.EntrySettings, opts ...Option) (*Entry, error) {
 	e := &Entry{holders: newBillHolders()}
-	o := options{log: slog.Default(), dataCentres: []identifier.DataCentre{s.DataCentre}}
+	o := options{log: slog.Default()}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -84,7 +83,7 @@
 		return nil, errors.Join(err, e.Close())
 	}
 	e.process = p
-	e.build(o)
+	e.build()
 	return e, nil
 }
 
@@ -122,7 +121,7 @@
 	return EntryAddresses{Caller: s.CallerAddress, Admin: s.AdminAddress, Control: s.ControlAddress, Debug: s.DebugAddress}
 }
 
-func (e *Entry) build(o options) {
+func (e *Entry) build() {
 	s := &e.settings
 	current := e.distributor.Current
 	e.directory = newDirectory(e.process)
@@ -130,7 +129,7 @@
 		balancer.WithProbe(e.directory.probe))
 	e.directory.update = e.balancer.Update
 	e.estimator = estimator.New(estimator.WithSource(s.Instance), estimator.WithPrior(e.prior))
-	ledger := spender.NewTableLedger(current, e.spendTable(), s.DataCentre, o.dataCentres)
+	ledger := spender.NewTableLedger(current, e.spendTable(), s.DataCentre, s.DataCentres)
 	e.spender = spender.New(current, ledger.Ledger())
 	e.selector = selector.New(selector.WithEstimator(e.estimator), selector.WithPriceFactor(e.spender.PriceFactor))
 	e.claimer = claimer.New(e.table)
--- a/command.go
+++ b/command.go
@@ -4,8 +4,6 @@
 	"fmt"
 
 	"github.com/spf13/cobra"
-
-	"github.com/siskinfront/siskinfront/demonstrator"
 )
 
 // programVersion is the released version of the program.
@@ -20,32 +18,20 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(
+		newAgentCommand(),
 		newBenchCommand(),
 		newConfigCommand(),
 		newDemoCommand(),
+		newEntryCommand(),
 		newExplainCommand(),
 		newQuestionnaireCommand(),
+		newReplayCommand(),
 		newStateCommand(),
 		newVersionCommand(),
 	)
 	return root
 }
 
-func newDemoCommand() *cobra.Command {
-	var seed uint64
-	cmd := &cobra.Command{
-		Use:     "demo",
-		Short:   "Run a deployment on embedded stand-ins and print one row per rank",
-		Example: "  siskinfront demo",
-		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return demonstrator.Run(cmd.Context(), cmd.OutOrStdout(), seed)
-		},
-	}
-	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the traces")
-	return cmd
-}
-
 func newVersionCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:     "version",
--- /dev/null
+++ b/command_replay.go
@@ -0,0 +1,222 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/replayer"
+)
+
+// errBroken is returned by a replay in which a stated outcome or an invariant was broken.
+var errBroken = errors.New("replay: a stated outcome or an invariant was broken")
+
+// keyFile is a file with the secret keys of client accounts.
+type keyFile struct {
+	Keys []accountKey `yaml:"keys" validate:"required,min=1,dive"`
+}
+
+type accountKey struct {
+	ClientAccount identifier.ClientAccount `yaml:"client-account" validate:"required"`
+	Key           string                   `yaml:"key" validate:"required"`
+}
+
+func newReplayCommand() *cobra.Command {
+	var (
+		against                     []string
+		keys, configuration, output string
+		speed                       float64
+	)
+	cmd := &cobra.Command{
+		Use:   "replay TRACE",
+		Short: "Play a trace against entries and check what its callers see",
+		Long: "Send the requests of a trace to entries at their recorded times, and compare what the callers see with the\n" +
+			"outcomes that the trace states and with the configuration. Exits with status 1 if one was broken.",
+		Example: "  siskinfront replay examples/solas-sraide/trace.ndjson --against 127.0.0.1:7002 \\\n" +
+			"    --keys examples/solas-sraide/keys.yaml --configuration examples/solas-sraide/configuration.yaml",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := checkOutput(output); err != nil {
+				return err
+			}
+			if speed <= 0 {
+				return fmt.Errorf("replay: --speed is %v; it must be more than 0", speed)
+			}
+			player, cfg, trace, err := prepareReplay(args[0], against, keys, configuration)
+			if err != nil {
+				return err
+			}
+			player.Speed = speed
+			results := player.Play(cmd.Context(), trace)
+			if err := cmd.Context().Err(); err != nil {
+				return fmt.Errorf("replay: %w", err)
+			}
+			return writeReplay(cmd, output, trace, cfg, results)
+		},
+	}
+	cmd.Flags().StringSliceVar(&against, "against", nil, "caller addresses of entries, which take requests in turn")
+	cmd.Flags().StringVar(&keys, "keys", "", "YAML file with the keys of the client accounts")
+	cmd.Flags().StringVar(&configuration, "configuration", "", "YAML file with the configuration in force")
+	cmd.Flags().Float64Var(&speed, "speed", 1, "factor by which the trace plays faster")
+	addOutputFlag(cmd, &output)
+	for _, name := range []string{"against", "keys", "configuration"} {
+		if err := cmd.MarkFlagRequired(name); err != nil {
+			// The flag was defined above.
+			panic("replay: " + err.Error())
+		}
+	}
+	return cmd
+}
+
+// prepareReplay reads and checks every input before anything is sent.
+func prepareReplay(
+	file string, against []string, keys, configuration string,
+) (*replayer.Player, *configurer.Configuration, *replayer.Trace, error) {
+	entries := make([]netip.AddrPort, 0, len(against))
+	for _, text := range against {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, nil, nil, fmt.Errorf("replay: --against: %w", err)
+		}
+		entries = append(entries, a)
+	}
+	cfg, err := readConfiguration(configuration)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	f, err := os.Open(filepath.Clean(file))
+	if err != nil {
+		return nil, nil, nil, fmt.Errorf("replay: %w", err)
+	}
+	defer f.Close()
+	trace, err := replayer.Read(f)
+	if err != nil {
+		return nil, nil, nil, fmt.Errorf("%s: %w", file, err)
+	}
+	secrets, err := readKeys(keys, trace)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	player := replayer.NewPlayer(entries, func(a identifier.ClientAccount) string { return secrets[a] })
+	return player, cfg, trace, nil
+}
+
+// readKeys reads the keys and refuses a file without that of a client account of the trace.
+func readKeys(file string, trace *replayer.Trace) (map[identifier.ClientAccount]string, error) {
+	data, err := os.ReadFile(filepath.Clean(file))
+	if err != nil {
+		return nil, fmt.Errorf("replay: %w", err)
+	}
+	var keys keyFile
+	d := configurer.Decode(file, data, &keys)
+	configurer.CheckRules(d, &keys)
+	secrets := make(map[identifier.ClientAccount]string, len(keys.Keys))
+	for i, k := range keys.Keys {
+		if _, ok := secrets[k.ClientAccount]; ok && k.ClientAccount != "" {
+			d.Refuse(fmt.Sprintf("keys[%d].client-account", i), "the name %q appears twice", string(k.ClientAccount))
+		}
+		secrets[k.ClientAccount] = k.Key
+	}
+	missing := map[identifier.ClientAccount]bool{}
+	for i := range trace.Entries {
+		name := trace.Entries[i].ClientAccount
+		if _, ok := secrets[name]; !ok && !missing[name] {
+			missing[name] = true
+			d.Refuse("keys", "the key of client account %q is missing", string(name))
+		}
+	}
+	return secrets, d.Err()
+}
+
+// replayRow counts the requests of one rank.
+type replayRow struct {
+	Rank     identifier.Rank `json:"rank"`
+	Sent     int             `json:"sent"`
+	Answered int             `json:"answered"`
+	Refused  int             `json:"refused"`
+	// Failed counts requests without any response.
+	Failed int `json:"failed"`
+	// FirstP95 is the 95th percentile of the time to the first token of streams, in milliseconds.
+	FirstP95 float64 `json:"first-token-p95-ms"`
+}
+
+// replayResult is the JSON form of a replay.
+type replayResult struct {
+	Ranks      []*replayRow `json:"ranks"`
+	Violations []string     `json:"violations"`
+}
+
+func writeReplay(
+	cmd *cobra.Command, output string, trace *replayer.Trace, cfg *configurer.Configuration, results []replayer.Result,
+) error {
+	result := replayResult{Ranks: countRanks(trace, cfg, results), Violations: []string{}}
+	for _, v := range replayer.Verify(trace, cfg, results) {
+		result.Violations = append(result.Violations, v.String())
+	}
+	rows := make([][]string, 0, len(result.Ranks))
+	for _, x := range result.Ranks {
+		rows = append(rows, []string{
+			string(x.Rank), strconv.Itoa(x.Sent), strconv.Itoa(x.Answered), strconv.Itoa(x.Refused), strconv.Itoa(x.Failed),
+			strconv.FormatFloat(x.FirstP95, 'f', 1, 64) + "ms",
+		})
+	}
+	columns := []string{"rank", "sent", "answered", "refused", "failed", "first p95"}
+	if err := writeRows(cmd.OutOrStdout(), output, result, columns, rows); err != nil {
+		return err
+	}
+	if len(result.Violations) == 0 {
+		return nil
+	}
+	if output == outputTable {
+		fmt.Fprintln(cmd.OutOrStdout(), strings.Join(result.Violations, "\n"))
+	}
+	return fmt.Errorf("%w: %d violations", errBroken, len(result.Violations))
+}
+
+// countRanks returns one row for each rank of the configuration, and one without a name for entries that have none.
+func countRanks(trace *replayer.Trace, cfg *configurer.Configuration, results []replayer.Result) []*replayRow {
+	rows := make([]*replayRow, 0, len(cfg.Ranks)+1)
+	for _, r := range cfg.Ranks {
+		rows = append(rows, &replayRow{Rank: r.Name})
+	}
+	firsts := map[identifier.Rank][]time.Duration{}
+	for i := range results {
+		x, e := &results[i], &trace.Entries[i]
+		rank := e.Rank(cfg)
+		at := slices.IndexFunc(rows, func(r *replayRow) bool { return r.Rank == rank })
+		if at < 0 {
+			at = len(rows)
+			rows = append(rows, &replayRow{Rank: rank})
+		}
+		row := rows[at]
+		row.Sent++
+		switch {
+		case x.Err != nil:
+			row.Failed++
+		case x.Status == 200:
+			row.Answered++
+		default:
+			row.Refused++
+		}
+		if e.Stream && !x.FirstToken.IsZero() {
+			firsts[rank] = append(firsts[rank], x.FirstToken.Sub(x.Sent))
+		}
+	}
+	for _, row := range rows {
+		if list := firsts[row.Rank]; len(list) > 0 {
+			slices.Sort(list)
+			row.FirstP95 = float64(list[(len(list)-1)*95/100]) / float64(time.Millisecond)
+		}
+	}
+	return rows
+}
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -66,6 +67,9 @@
 // EntrySettings are the settings of an entry.
 type EntrySettings struct {
 	ProcessSettings `yaml:",inline"`
+	// DataCentres lists all data centres of the deployment, among which entries divide the committed spend; it holds the
+	// own data centre and is the same in all entries.
+	DataCentres []identifier.DataCentre `yaml:"data-centres" validate:"required,min=1,dive,required"`
 	// CallerAddress is the listener for callers behind the load balancer.
 	CallerAddress netip.AddrPort `yaml:"caller-address" validate:"required"`
 	// AdminAddress is the listener for the administration API.
@@ -147,8 +151,10 @@
 // ParseEntrySettings reads the settings of an entry strictly.
 func ParseEntrySettings(file string, data []byte) (EntrySettings, error) {
 	s := DefaultEntrySettings()
-	err := Check(file, data, &s)
-	return s, err
+	d := Decode(file, data, &s)
+	CheckRules(d, &s)
+	checkDataCentres(d, &s)
+	return s, d.Err()
 }
 
 // ParseAgentSettings reads the settings of an agent strictly.
@@ -157,3 +163,18 @@
 	err := Check(file, data, &s)
 	return s, err
 }
+
+// checkDataCentres refuses a data centre that is listed twice, which would get two shares of the spend, and a list
+// without the own one, whose entries would get none.
+func checkDataCentres(d *Document, s *EntrySettings) {
+	seen := make(map[identifier.DataCentre]bool, len(s.DataCentres))
+	for i, name := range s.DataCentres {
+		if seen[name] && name != "" {
+			d.Refuse(fmt.Sprintf("data-centres[%d]", i), "the name %q appears twice", string(name))
+		}
+		seen[name] = true
+	}
+	if len(seen) > 0 {
+		refer(d, "data-centre", "entry of data-centres", s.DataCentre, seen)
+	}
+}
--- a/demonstrator/assess.go
+++ b/demonstrator/assess.go
@@ -8,73 +8,102 @@
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/replayer"
 	"github.com/siskinfront/siskinfront/selector"
+	"github.com/siskinfront/siskinfront/streamer"
 )
 
-// assess compares what callers saw with the trace, the bills and what the engines ran.
-func assess(d *deployment, trace *replayer.Trace, results []replayer.Result) (*report, error) {
-	bills, records, err := d.bills()
+// assessment compares what callers saw with the trace, the bills, and what the engines and services ran.
+type assessment struct {
+	d      *deployment
+	trace  *replayer.Trace
+	report *Report
+	// bills lists the final bills of each request.
+	bills map[identifier.Request][]biller.Bill
+	spent float64
+}
+
+func assess(d *deployment, trace *replayer.Trace, results []replayer.Result) (*Report, error) {
+	bills, err := d.bills()
 	if err != nil {
 		return nil, err
 	}
-	r := newReport(d.cfg)
-	r.records = records
-	r.committed = d.cfg.Spend.Committed
-	r.violations = replayer.Verify(trace, d.cfg, results)
-	byRequest := make(map[identifier.Request]*biller.Bill, len(bills))
+	a := &assessment{d: d, trace: trace, report: newReport(d.cfg), bills: map[identifier.Request][]biller.Bill{}}
 	for i := range bills {
-		byRequest[bills[i].Request] = &bills[i]
+		a.spent += bills[i].Amount
+		if bills[i].Final {
+			a.bills[bills[i].Request] = append(a.bills[bills[i].Request], bills[i])
+		}
+	}
+	for _, v := range replayer.Verify(trace, d.cfg, results) {
+		a.violate(v.Entry, v.Rule, v.Detail)
 	}
 	for i := range results {
-		r.add(d, trace, &results[i], byRequest)
+		a.add(&results[i])
 	}
 	for i := range trace.Entries {
 		e := &trace.Entries[i]
-		kind := d.cfg.WorkKind(e.WorkKind)
-		nonce := replayer.Nonce(i)
-		if kind.NonIdempotent && e.Expect.SameAnswerAs == 0 && d.starts.of(nonce) > 1 {
-			r.violate(i, "at-most-once", fmt.Sprintf("ran %d times", d.starts.of(nonce)))
+		if n := d.starts.of(replayer.Nonce(i)); n > 1 && e.NonIdempotent(d.cfg) && e.Expect.SameAnswerAs == 0 {
+			a.violate(i, "at-most-once", fmt.Sprintf("ran %d times", n))
 		}
 	}
-	return r, nil
+	a.report.Spend = []Spend{{
+		Deployment: d.shape.name, Currency: d.cfg.Spend.Currency, Used: a.spent, Committed: d.cfg.Spend.Committed,
+	}}
+	return a.report, nil
+}
+
+func (a *assessment) violate(entry int, rule, detail string) {
+	a.report.Violations = append(a.report.Violations, Violation{
+		Deployment: a.d.shape.name, Entry: entry + 1, Rule: rule, Detail: detail,
+	})
 }
 
 // add counts one result.
-func (r *report) add(d *deployment, trace *replayer.Trace, x *replayer.Result, bills map[identifier.Request]*biller.Bill) {
-	e := &trace.Entries[x.Entry]
-	row := r.row(d.cfg.WorkKind(e.WorkKind).Rank)
-	row.sent++
+func (a *assessment) add(x *replayer.Result) {
+	e := &a.trace.Entries[x.Entry]
+	row := a.report.row(e.Rank(a.d.cfg))
+	row.Sent++
+	if n := len(a.bills[x.Request]); n > 1 {
+		a.violate(x.Entry, "billed-once", fmt.Sprintf("has %d final bills", n))
+	}
 	if x.Status != 200 {
-		row.refused++
+		row.Refused++
+		// A repeat shares the nonce of the request that ran, so it says nothing about its own outcome.
+		ran := a.d.starts.of(replayer.Nonce(x.Entry))
+		if x.Outcome == string(streamer.OutcomeNotRun) && e.Expect.SameAnswerAs == 0 && ran > 0 {
+			a.violate(x.Entry, "truthful-not-run", fmt.Sprintf("ran %d times", ran))
+		}
 		return
 	}
-	row.answered++
+	row.Answered++
 	if !x.FirstToken.IsZero() && e.Stream {
 		row.firstToken.record(x.FirstToken.Sub(x.Sent))
 	}
 	for _, gap := range x.Gaps {
 		row.between.record(gap)
 	}
-	b := bills[x.Request]
+	bills := a.bills[x.Request]
 	switch {
 	case e.Expect.SameAnswerAs > 0:
 		// A repeated result is billed under the request that ran.
-		row.repeated++
-	case b != nil && b.Final:
-		row.billed++
-		row.cost += b.Amount
-		row.cheapest += cheapest(d, e, b)
+		row.Repeated++
+	case len(bills) == 0:
+		a.violate(x.Entry, "billed-once", "answered without a final bill")
 	default:
-		r.violate(x.Entry, "billed-once", "answered without a final bill")
+		row.Billed++
+		row.Cost += bills[0].Amount
+		if e.Call == nil {
+			row.Cheapest += a.cheapest(e, &bills[0])
+		}
 	}
 }
 
 // cheapest returns the price of a run on the cheapest version that the client account allows.
-func cheapest(d *deployment, e *replayer.Entry, b *biller.Bill) float64 {
-	account := d.cfg.ClientAccount(e.ClientAccount)
+func (a *assessment) cheapest(e *replayer.Entry, b *biller.Bill) float64 {
+	account := a.d.cfg.ClientAccount(e.ClientAccount)
 	best := math.Inf(1)
-	for _, t := range targets(d.cfg) {
+	for _, t := range targets(a.d.cfg) {
 		if account.Allows(t) {
-			best = min(best, selector.ListPrice(d.cfg.Version(t), b.Usage.PromptTokens, b.Usage.CompletionTokens))
+			best = min(best, selector.ListPrice(a.d.cfg.Version(t), b.Usage.PromptTokens, b.Usage.CompletionTokens))
 		}
 	}
 	return best
--- a/demonstrator/deployment.go
+++ b/demonstrator/deployment.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/netip"
@@ -83,6 +84,22 @@
 	return nonce + " "
 }
 
+// count wraps a plain service and counts the calls by the nonce of their body.
+func (s *starts) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			http.Error(w, "demonstrator: unreadable body", http.StatusBadRequest)
+			return
+		}
+		s.mu.Lock()
+		s.counts[string(noncePattern.Find(body))]++
+		s.mu.Unlock()
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (s *starts) of(nonce string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -123,8 +140,9 @@
 	for i := range d.shape.dataCentres {
 		s := configurer.DefaultEntrySettings()
 		s.ProcessSettings = d.process(fmt.Sprintf("entry-%d", i+1), i)
+		s.DataCentres = all
 		s.CallerAddress, s.AdminAddress = loopback(), loopback()
-		e, err := assembler.NewEntry(ctx, s, assembler.WithDataCentres(all...), quiet())
+		e, err := assembler.NewEntry(ctx, s, quiet())
 		if err != nil {
 			return fmt.Errorf("demonstrator: entry %d: %w", i+1, err)
 		}
@@ -165,7 +183,7 @@
 }
 
 func (d *deployment) addService(ctx context.Context, i int) error {
-	address, err := d.fakes.serve(ctx, enginefaker.NewService())
+	address, err := d.fakes.serve(ctx, d.starts.count(enginefaker.NewService()))
 	if err != nil {
 		return err
 	}
@@ -313,16 +331,14 @@
 }
 
 // bills reads the union of all bills that became durable.
-func (d *deployment) bills() ([]biller.Bill, int, error) {
+func (d *deployment) bills() ([]biller.Bill, error) {
 	var batches [][]biller.Bill
-	records := 0
 	for _, row := range d.fakes.table.Rows("bill/") {
 		var batch []biller.Bill
 		if err := json.Unmarshal(row.Value, &batch); err != nil {
-			return nil, 0, fmt.Errorf("demonstrator: decode %s: %w", row.Key, err)
+			return nil, fmt.Errorf("demonstrator: decode %s: %w", row.Key, err)
 		}
-		records += len(batch)
 		batches = append(batches, batch)
 	}
-	return biller.Union(batches...), records, nil
+	return biller.Union(batches...), nil
 }
--- a/demonstrator/report.go
+++ b/demonstrator/report.go
@@ -1,6 +1,7 @@
 package demonstrator
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"text/tabwriter"
@@ -10,7 +11,6 @@
 
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/identifier"
-	"github.com/siskinfront/siskinfront/replayer"
 )
 
 // maxLatency and precision bound the histograms of the report.
@@ -38,80 +38,124 @@
 	return time.Duration(l.ValueAtQuantile(q)) * time.Microsecond
 }
 
-// row counts the requests of one rank.
-type row struct {
-	rank                                      identifier.Rank
-	sent, answered, refused, billed, repeated int
-	firstToken, between                       latencies
-	cost, cheapest                            float64
+func (l latencies) milliseconds(q float64) float64 {
+	return float64(l.quantile(q)) / float64(time.Millisecond)
 }
 
-// report is the outcome of one or more deployments.
-type report struct {
-	rows       []*row
-	records    int
-	committed  float64
-	violations []replayer.Violation
+// Row counts the requests of one rank.
+type Row struct {
+	Rank     identifier.Rank `json:"rank"`
+	Sent     int             `json:"sent"`
+	Answered int             `json:"answered"`
+	Refused  int             `json:"refused"`
+	// Billed is the number of answers with exactly one final bill.
+	Billed int `json:"billed-once"`
+	// Repeated is the number of answers that repeat an earlier result under the same idempotency key.
+	Repeated int `json:"repeated"`
+	// Cost is at list prices; Cheapest is that of the same tokens on the cheapest allowed version.
+	Cost     float64 `json:"cost"`
+	Cheapest float64 `json:"cheapest"`
+
+	firstToken, between latencies
 }
 
-func newReport(cfg *configurer.Configuration) *report {
-	r := &report{}
+// MarshalJSON adds the latencies in milliseconds.
+func (r *Row) MarshalJSON() ([]byte, error) {
+	type plain Row
+	return json.Marshal(struct {
+		*plain
+		FirstP50   float64 `json:"first-token-p50-ms"`
+		FirstP95   float64 `json:"first-token-p95-ms"`
+		BetweenP50 float64 `json:"between-tokens-p50-ms"`
+		BetweenP95 float64 `json:"between-tokens-p95-ms"`
+	}{
+		(*plain)(r), r.firstToken.milliseconds(50), r.firstToken.milliseconds(95), r.between.milliseconds(50),
+		r.between.milliseconds(95),
+	})
+}
+
+// Spend is the use of the commitment of one deployment, plain services included.
+type Spend struct {
+	Deployment string  `json:"deployment"`
+	Currency   string  `json:"currency"`
+	Used       float64 `json:"used"`
+	Committed  float64 `json:"committed"`
+}
+
+// Violation is something that must never happen.
+type Violation struct {
+	Deployment string `json:"deployment"`
+	// Entry is the position in the trace, the first being 1.
+	Entry  int    `json:"entry"`
+	Rule   string `json:"rule"`
+	Detail string `json:"detail"`
+}
+
+// String returns the violation as one line.
+func (v Violation) String() string {
+	return fmt.Sprintf("%s: entry %d: %s: %s", v.Deployment, v.Entry, v.Rule, v.Detail)
+}
+
+// Report is the outcome of one or more deployments.
+type Report struct {
+	Rows       []*Row      `json:"ranks"`
+	Spend      []Spend     `json:"spend"`
+	Violations []Violation `json:"violations"`
+}
+
+func newReport(cfg *configurer.Configuration) *Report {
+	r := &Report{Violations: []Violation{}}
 	for _, rank := range cfg.Ranks {
 		r.row(rank.Name)
 	}
 	return r
 }
 
-func (r *report) row(rank identifier.Rank) *row {
-	for _, x := range r.rows {
-		if x.rank == rank {
+func (r *Report) row(rank identifier.Rank) *Row {
+	for _, x := range r.Rows {
+		if x.Rank == rank {
 			return x
 		}
 	}
-	x := &row{rank: rank, firstToken: newLatencies(), between: newLatencies()}
-	r.rows = append(r.rows, x)
+	x := &Row{Rank: rank, firstToken: newLatencies(), between: newLatencies()}
+	r.Rows = append(r.Rows, x)
 	return x
 }
 
-func (r *report) violate(entry int, rule, detail string) {
-	r.violations = append(r.violations, replayer.Violation{Entry: entry, Rule: rule, Detail: detail})
-}
-
-func (r *report) merge(o *report) {
-	for _, x := range o.rows {
-		y := r.row(x.rank)
-		y.sent += x.sent
-		y.answered += x.answered
-		y.refused += x.refused
-		y.billed += x.billed
-		y.repeated += x.repeated
-		y.cost += x.cost
-		y.cheapest += x.cheapest
+func (r *Report) merge(o *Report) {
+	for _, x := range o.Rows {
+		y := r.row(x.Rank)
+		y.Sent += x.Sent
+		y.Answered += x.Answered
+		y.Refused += x.Refused
+		y.Billed += x.Billed
+		y.Repeated += x.Repeated
+		y.Cost += x.Cost
+		y.Cheapest += x.Cheapest
 		y.firstToken.Merge(x.firstToken.Histogram)
 		y.between.Merge(x.between.Histogram)
 	}
-	r.records += o.records
-	r.committed += o.committed
-	r.violations = append(r.violations, o.violations...)
+	r.Spend = append(r.Spend, o.Spend...)
+	r.Violations = append(r.Violations, o.Violations...)
 }
 
-// write prints one row per rank, the spend and the violations.
-func (r *report) write(w io.Writer) error {
+// Write prints one row per rank, the spend of each deployment and the violations.
+func (r *Report) Write(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(t, "rank\tsent\tanswered\trefused\tfirst p50\tfirst p95\tbetween p50\tbetween p95\tcost\tcheapest\tbilled once\trepeated")
-	cost := 0.0
-	for _, x := range r.rows {
-		cost += x.cost
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%.4f\t%.4f\t%d\t%d\n", x.rank, x.sent, x.answered, x.refused,
+	for _, x := range r.Rows {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%.4f\t%.4f\t%d\t%d\n", x.Rank, x.Sent, x.Answered, x.Refused,
 			rounded(x.firstToken.quantile(50)), rounded(x.firstToken.quantile(95)),
-			rounded(x.between.quantile(50)), rounded(x.between.quantile(95)), x.cost, x.cheapest, x.billed, x.repeated)
+			rounded(x.between.quantile(50)), rounded(x.between.quantile(95)), x.Cost, x.Cheapest, x.Billed, x.Repeated)
 	}
 	if err := t.Flush(); err != nil {
 		return fmt.Errorf("demonstrator: write table: %w", err)
 	}
-	fmt.Fprintf(w, "committed spend used: %.4f of %.0f (%.6f%%)\n", cost, r.committed, 100*cost/r.committed)
-	fmt.Fprintf(w, "wrong, lost, doubled or unbilled answers: %d\n", len(r.violations))
-	for _, v := range r.violations[:min(len(r.violations), shownViolations)] {
+	for _, s := range r.Spend {
+		fmt.Fprintf(w, "%s: committed spend used: %.4f of %.0f %s\n", s.Deployment, s.Used, s.Committed, s.Currency)
+	}
+	fmt.Fprintf(w, "violations of the invariants: %d\n", len(r.Violations))
+	for _, v := range r.Violations[:min(len(r.Violations), shownViolations)] {
 		fmt.Fprintln(w, " ", v)
 	}
 	return nil
--- a/replayer/generator.go
+++ b/replayer/generator.go
@@ -22,6 +22,8 @@
 	Large int
 	// RepeatShare is the share of non-idempotent requests that a caller sends a second time with the same key.
 	RepeatShare float64
+	// ServiceShare is the share of requests, from 0 to 1, that call a plain service.
+	ServiceShare float64
 }
 
 // Generate returns a trace of a shape for the client accounts and kinds of work of a configuration; the same seed gives
@@ -58,6 +60,10 @@
 		return
 	}
 	account := g.account()
+	if g.shape.ServiceShare > 0 && g.rng.Float64() < g.shape.ServiceShare && len(account.Services) > 0 {
+		g.call(at, account)
+		return
+	}
 	kind := g.cfg.WorkKind(account.WorkKinds[g.rng.IntN(len(account.WorkKinds))])
 	n := len(g.trace.Entries)
 	e := Entry{
@@ -78,6 +84,24 @@
 	g.trace.Entries = append(g.trace.Entries, e)
 }
 
+// call adds a call to a plain service of the account: a non-idempotent one where the service has any, else a look-up.
+func (g *generator) call(at time.Duration, account *configurer.ClientAccount) {
+	service := g.cfg.Service(account.Services[g.rng.IntN(len(account.Services))])
+	n := len(g.trace.Entries)
+	e := Entry{
+		Offset: Offset(at.Round(time.Millisecond)), ClientAccount: account.Name, Prompt: string(service.Name) + " " + Nonce(n),
+		Call:   &Call{Service: service.Name, Method: http.MethodPost, Path: "/look-ups"},
+		Expect: Expect{Statuses: permitted()},
+	}
+	if len(service.NonIdempotent) > 0 && g.rng.IntN(2) == 0 {
+		c := service.NonIdempotent[0]
+		e.Call.Method, e.Call.Path = c.Method, fmt.Sprintf("%s/%06d", c.Path, n)
+		e.IdempotencyKey = fmt.Sprintf("%s-%06d", service.Name, n)
+		g.pending = append(g.pending, n)
+	}
+	g.trace.Entries = append(g.trace.Entries, e)
+}
+
 // repeat sends an earlier non-idempotent request again, as a caller does that lost the reply.
 func (g *generator) repeat(at time.Duration) {
 	first := g.pending[0]
--- a/replayer/player.go
+++ b/replayer/player.go
@@ -154,6 +154,8 @@
 	switch {
 	case resp.StatusCode != http.StatusOK:
 		result.Code = errorCode(resp.Body)
+	case e.Call != nil:
+		result.Err = result.readReply(resp)
 	case e.Stream:
 		result.Err = result.readStream(resp.Body)
 	default:
@@ -163,20 +165,26 @@
 }
 
 func (p *Player) request(ctx context.Context, i int, e *Entry) (*http.Request, error) {
-	body, err := json.Marshal(sendBody{
-		Model: e.Model, Messages: []sendMessage{{Role: "user", Content: e.Prompt}},
-		MaxTokens: e.MaxTokens, Stream: e.Stream,
-	})
-	if err != nil {
-		return nil, fmt.Errorf("replayer: entry %d: encode: %w", i+1, err)
+	method, path, contentType, body := http.MethodPost, "/v1/chat/completions", "application/json", []byte(e.Prompt)
+	if e.Call != nil {
+		method, path, contentType = e.Call.Method, "/services/"+string(e.Call.Service)+e.Call.Path, "text/plain"
+	} else {
+		var err error
+		body, err = json.Marshal(sendBody{
+			Model: e.Model, Messages: []sendMessage{{Role: "user", Content: e.Prompt}},
+			MaxTokens: e.MaxTokens, Stream: e.Stream,
+		})
+		if err != nil {
+			return nil, fmt.Errorf("replayer: entry %d: encode: %w", i+1, err)
+		}
 	}
-	url := "http://" + p.Entries[i%len(p.Entries)].String() + "/v1/chat/completions"
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	url := "http://" + p.Entries[i%len(p.Entries)].String() + path
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("replayer: entry %d: build request: %w", i+1, err)
 	}
 	r.Header.Set("Authorization", "Bearer "+p.Key(e.ClientAccount))
-	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Content-Type", contentType)
 	for name, value := range map[string]string{
 		decoder.HeaderWorkKind:       string(e.WorkKind),
 		decoder.HeaderSession:        string(e.Session),
@@ -229,6 +237,20 @@
 	return nil
 }
 
+// readReply reads the reply of a plain service, whose end the declared length confirms.
+func (r *Result) readReply(resp *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return fmt.Errorf("replayer: entry %d: read reply: %w", r.Entry+1, err)
+	}
+	r.Text, r.FirstToken = string(body), time.Now()
+	r.LastToken, r.Complete = r.FirstToken, resp.ContentLength < 0 || resp.ContentLength == int64(len(body))
+	return nil
+}
+
+// maxReply bounds the reply of a plain service that is read, in bytes.
+const maxReply = 8 << 20
+
 type streamChunk struct {
 	errorAnswer
 	Choices []struct {
--- a/replayer/trace.go
+++ b/replayer/trace.go
@@ -8,8 +8,10 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/identifier"
 )
 
@@ -24,17 +26,53 @@
 	// Offset is the time of the request after the start of the trace.
 	Offset        Offset                   `json:"offset"`
 	ClientAccount identifier.ClientAccount `json:"client-account"`
-	WorkKind      identifier.WorkKind      `json:"work-kind"`
-	Model         identifier.Model         `json:"model"`
-	Session       identifier.Session       `json:"session,omitempty"`
+	// Call is set for a call to a plain service, whose body is the prompt; WorkKind and Model are then empty.
+	Call     *Call               `json:"call,omitempty"`
+	WorkKind identifier.WorkKind `json:"work-kind,omitempty"`
+	Model    identifier.Model    `json:"model,omitempty"`
+	Session  identifier.Session  `json:"session,omitempty"`
 	// IdempotencyKey makes a repeat of the entry return the first result.
 	IdempotencyKey string `json:"idempotency-key,omitempty"`
 	Stream         bool   `json:"stream,omitempty"`
-	MaxTokens      int    `json:"max-tokens"`
+	MaxTokens      int    `json:"max-tokens,omitempty"`
 	Prompt         string `json:"prompt"`
 	Expect         Expect `json:"expect"`
 }
 
+// Call names one call to a plain service.
+type Call struct {
+	Service identifier.Service `json:"service"`
+	Method  string             `json:"method"`
+	// Path starts with a slash.
+	Path string `json:"path"`
+}
+
+// Rank returns the rank that a configuration gives the entry, or an empty one if its kind of work or service is unknown.
+func (e *Entry) Rank(cfg *configurer.Configuration) identifier.Rank {
+	if e.Call != nil {
+		if s := cfg.Service(e.Call.Service); s != nil {
+			return s.Rank
+		}
+		return ""
+	}
+	if k := cfg.WorkKind(e.WorkKind); k != nil {
+		return k.Rank
+	}
+	return ""
+}
+
+// NonIdempotent reports whether a configuration lets the entry run at most once.
+func (e *Entry) NonIdempotent(cfg *configurer.Configuration) bool {
+	if e.Call == nil {
+		k := cfg.WorkKind(e.WorkKind)
+		return k != nil && k.NonIdempotent
+	}
+	s := cfg.Service(e.Call.Service)
+	return s != nil && slices.ContainsFunc(s.NonIdempotent, func(c configurer.Call) bool {
+		return strings.EqualFold(c.Method, e.Call.Method) && strings.HasPrefix(e.Call.Path, c.Path)
+	})
+}
+
 // Expect states the outcome that a caller must see.
 type Expect struct {
 	// Statuses lists the permitted status codes.
@@ -113,6 +151,10 @@
 	switch {
 	case e.ClientAccount == "":
 		return fmt.Errorf("%w: client-account is missing", ErrTrace)
+	case e.Call != nil && (e.Call.Service == "" || e.Call.Method == "" || !strings.HasPrefix(e.Call.Path, "/")):
+		return fmt.Errorf("%w: call needs a service, a method and a path that starts with a slash", ErrTrace)
+	case e.Call != nil && e.Stream:
+		return fmt.Errorf("%w: call cannot be a stream", ErrTrace)
 	case len(e.Expect.Statuses) == 0:
 		return fmt.Errorf("%w: expect.statuses is empty", ErrTrace)
 	case e.Expect.SameAnswerAs < 0 || e.Expect.SameAnswerAs > len(t.Entries):
--- a/replayer/verdict.go
+++ b/replayer/verdict.go
@@ -30,6 +30,7 @@
 	RuleSession      = "session-version"
 	RuleSameAnswer   = "same-answer"
 	RuleOutcomeGiven = "outcome-given"
+	RuleWithdrawn    = "withdrawn-version"
 )
 
 // Nonce returns the text that the prompt of entry i carries and that its answer must repeat.
@@ -87,7 +88,13 @@
 		!strings.Contains(r.Text, nonce) {
 		add(RuleOwnAnswer, "the answer does not repeat %s", nonce)
 	}
+	if e.Call != nil {
+		return
+	}
 	account := cfg.ClientAccount(e.ClientAccount)
+	if v := cfg.Version(r.Target); v != nil && v.State == configurer.VersionWithdrawn {
+		add(RuleWithdrawn, "%s was withdrawn before the trace was played", r.Target)
+	}
 	if account == nil || !account.Allows(r.Target) {
 		add(RuleAllowed, "%s is not allowed for %s", r.Target, e.ClientAccount)
 	}
