--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -58,7 +58,7 @@
 // NewAgent opens the listeners of the settings, where port 0 lets the system choose, and builds the process.
 func NewAgent(ctx context.Context, s configurer.AgentSettings, opts ...Option) (*Agent, error) {
 	a := &Agent{}
-	o := options{log: slog.Default()}
+	o := options{log: slog.Default(), dataCentres: []identifier.DataCentre{s.DataCentre}}
 	for _, opt := range opts {
 		opt(&o)
 	}
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -69,7 +69,7 @@
 // NewEntry opens the listeners of the settings, where port 0 lets the system choose, and builds the process.
 func NewEntry(ctx context.Context, s configurer.EntrySettings, opts ...Option) (*Entry, error) {
 	e := &Entry{holders: newBillHolders()}
-	o := options{log: slog.Default()}
+	o := options{log: slog.Default(), dataCentres: s.DataCentres}
 	for _, opt := range opts {
 		opt(&o)
 	}
