assembler: cut the control traffic and the lease reads of entries

Change: load reports carry a hash of the loaded versions, so descriptions are asked for each 300 s or on a change; 3 entries per data centre ask for a lease; counts of quality are read at 120 B/s.

--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -118,7 +118,7 @@
 	a.engine = newEngineWatch(s.Upstream.Address, s.Upstream.Service)
 	a.server = agentserver.New(s.Upstream.Name, s.Upstream.Address,
 		agentserver.WithConfiguration(a.distributor.Current),
-		agentserver.WithAdmit(a.admission.admit, a.admission.load), agentserver.WithLoaded(a.engine.has),
+		agentserver.WithAdmit(a.admission.admit, a.currentLoad), agentserver.WithLoaded(a.engine.has),
 	)
 	a.biller = biller.New(s.Instance, []biller.Sink{biller.TableSink(a.table), biller.ObjectSink(a.objects)},
 		biller.WithOwnWindow(ownBillWindow))
@@ -145,6 +145,7 @@
 func (a *Agent) currentLoad() streamer.Load {
 	l := a.admission.load()
 	l.Leaving = l.Leaving || !a.engine.healthy()
+	l.Loaded = a.engine.hash()
 	return l
 }
 
--- a/assembler/directory.go
+++ b/assembler/directory.go
@@ -18,9 +18,9 @@
 const (
 	// remoteAgents is the number of agents that an entry knows in each other data centre, for when its own fails.
 	remoteAgents = 8
-	// describeAge is the age after which a description is asked for again; orders that name a version which is no
-	// longer loaded are refused by the agent meanwhile.
-	describeAge = 60 * time.Second
+	// describeAge is the age after which a description is asked for again although nothing has told of a change. Each
+	// load report carries a hash of the loaded versions, and 292 descriptions a minute would take 2.2 KB/s.
+	describeAge = 300 * time.Second
 	// describePace bounds the descriptions asked for per second.
 	describePace = 20
 	// directoryStep is the time between two rounds.
@@ -190,6 +190,15 @@
 	d.update(ups)
 }
 
+// observe takes a load report; one with other versions than those described makes the description due.
+func (d *directory) observe(u identifier.Upstream, l streamer.Load) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if x := d.known[d.byUp[u]]; x != nil && x.valid && x.Load.Loaded != l.Loaded {
+		x.refreshAt = time.Time{}
+	}
+}
+
 // agentOf returns the agent of an upstream.
 func (d *directory) agentOf(u identifier.Upstream) (identifier.Instance, bool) {
 	d.mu.Lock()
@@ -204,7 +213,11 @@
 	if !ok {
 		return streamer.Load{}, fmt.Errorf("%w: agent of %s", errUnknownPeer, u.Name)
 	}
-	return ask[None, streamer.Load](ctx, d.peers, name, methodProbe, None{})
+	l, err := ask[None, streamer.Load](ctx, d.peers, name, methodProbe, None{})
+	if err == nil {
+		d.observe(u.Name, l)
+	}
+	return l, err
 }
 
 // count returns the number of described upstreams.
--- a/assembler/engine.go
+++ b/assembler/engine.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/siskinfront/siskinfront/identifier"
 )
 
@@ -96,6 +98,18 @@
 	return slices.Clone(w.loaded)
 }
 
+// hash returns a value that changes when the loaded versions do.
+func (w *engineWatch) hash() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	h := xxhash.New()
+	for _, t := range w.loaded {
+		// Writes to a hash never fail.
+		_, _ = h.WriteString(t.String() + "\n")
+	}
+	return h.Sum64()
+}
+
 // has reports whether the engine has a version loaded as far as is known.
 func (w *engineWatch) has(t identifier.Target) bool {
 	w.mu.Lock()
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -154,7 +154,7 @@
 		entryserver.WithChoose(e.choose), entryserver.WithClaim(e.claim), entryserver.WithRecord(e.record),
 		entryserver.WithRetry(e.retries.Allow, e.retries.Success), entryserver.WithExplain(e.explain),
 		entryserver.WithLimit(e.accounts.Allow), entryserver.WithReserve(e.reserve), entryserver.WithRate(e.rate),
-		entryserver.WithAttempts(e.balancer.Begin, e.attemptEnded, e.balancer.Report),
+		entryserver.WithAttempts(e.balancer.Begin, e.attemptEnded, e.loadReported),
 	)
 	messenger.Handle(e.mux, methodPin, func(ctx context.Context, _ messenger.Peer, q pinner.Question) (identifier.Target, error) {
 		return e.pinner.Answer(ctx, q)
--- a/assembler/entry_seam.go
+++ b/assembler/entry_seam.go
@@ -14,6 +14,7 @@
 	"github.com/siskinfront/siskinfront/entryserver"
 	"github.com/siskinfront/siskinfront/explainer"
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/leaser"
 	"github.com/siskinfront/siskinfront/pinner"
 	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/selector"
@@ -133,6 +134,12 @@
 	e.explainer.Add(explainer.Record{Request: x.Request, At: x.At, Target: x.Target, Upstream: x.Upstream, Steps: steps})
 }
 
+// loadReported takes the load in a frame of an answer.
+func (e *Entry) loadReported(u identifier.Upstream, l streamer.Load) {
+	e.balancer.Report(u, l)
+	e.directory.observe(u, l)
+}
+
 // attemptEnded tells the parts that learn from attempts.
 func (e *Entry) attemptEnded(a entryserver.Attempt) {
 	e.balancer.End(a.Upstream, resultOf(&a))
@@ -200,7 +207,7 @@
 
 // sweepClaims removes expired claims while this process holds the lease for it.
 func (e *Entry) sweepClaims(ctx context.Context) error {
-	return keepLease(ctx, e.leaser, "claims", sweepInterval, func(ctx context.Context) {
+	return e.keepLease(ctx, "claims", sweepInterval, func(ctx context.Context, _ *leaser.Lease) {
 		// What is left is removed by the next sweep.
 		_, _ = e.claimer.Sweep(ctx)
 	})
--- a/assembler/quality.go
+++ b/assembler/quality.go
@@ -9,6 +9,7 @@
 
 	"github.com/siskinfront/siskinfront/buffer"
 	"github.com/siskinfront/siskinfront/estimator"
+	"github.com/siskinfront/siskinfront/leaser"
 	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/storer"
 )
@@ -18,9 +19,11 @@
 	pendingRatings = 1024
 	// collectInterval is how often the holder of the lease fetches ratings.
 	collectInterval = time.Second
-	// qualityInterval is how often counts are written, and read by every other entry. A row of 19 versions with 6 kinds of
-	// work each has 35 kB, which at this interval is a fifth of the control traffic of an entry.
-	qualityInterval = 60 * time.Second
+	// qualityWrite is how often the lease holder writes the counts, so that its successor continues from them.
+	qualityWrite = 10 * time.Second
+	// qualityTraffic bounds what every other entry reads of them, in bytes per second: a row of 19 versions with 6 kinds of
+	// work each has 35 kB and is read each 290 s, a row of 2 kB each 17 s.
+	qualityTraffic = 120
 	// qualityKey is the row of the merged counts.
 	qualityKey = "quality/counts"
 	// qualityMemory is the age after which the counts of a former lease holder are dropped.
@@ -45,6 +48,8 @@
 	// Next is the sequence of the last rating that is part of the counts.
 	Next   uint64            `json:"next"`
 	Counts []estimator.Count `json:"counts"`
+	// size is the encoded size in bytes.
+	size int
 }
 
 func newQuality(e *Entry) *quality {
@@ -75,7 +80,7 @@
 
 // collect fetches ratings while this process holds the lease.
 func (q *quality) collect(ctx context.Context) error {
-	return keepLease(ctx, q.e.leaser, "ratings", collectInterval, q.step)
+	return q.e.keepLease(ctx, "ratings", collectInterval, func(ctx context.Context, _ *leaser.Lease) { q.step(ctx) })
 }
 
 func (q *quality) step(ctx context.Context) {
@@ -102,7 +107,7 @@
 	}
 	if now := time.Now(); !now.Before(q.writeAt) {
 		q.write(ctx)
-		q.writeAt = now.Add(qualityInterval)
+		q.writeAt = now.Add(qualityWrite)
 	}
 }
 
@@ -136,14 +141,23 @@
 	if err := json.Unmarshal(row.Value, &v); err != nil {
 		return qualityRow{}, 0, err
 	}
+	v.size = len(row.Value)
 	return v, row.Version, nil
 }
 
-// follow merges the counts of the lease holder into the own estimates.
+// follow merges the counts of the lease holder into the own estimates, at an interval that follows their size.
 func (q *quality) follow(ctx context.Context) error {
-	return every(ctx, qualityInterval, func(ctx context.Context) {
-		if row, _, err := q.read(ctx); err == nil {
-			q.e.estimator.Merge(row.Counts)
+	interval := qualityWrite
+	for ctx.Err() == nil {
+		if pause(ctx, interval) != nil {
+			break
 		}
-	})
+		row, _, err := q.read(ctx)
+		if err != nil {
+			continue
+		}
+		q.e.estimator.Merge(row.Counts)
+		interval = max(qualityWrite, time.Duration(row.size)*time.Second/qualityTraffic)
+	}
+	return nil
 }
--- a/assembler/rollout.go
+++ b/assembler/rollout.go
@@ -66,7 +66,7 @@
 
 // judge decides and commits while this process holds the lease; the commit is conditional on the revision it judged.
 func (r *rollouts) judge(ctx context.Context) error {
-	return keepLease(ctx, r.e.leaser, rolloutLease, judgeInterval, r.step)
+	return r.e.keepLease(ctx, rolloutLease, judgeInterval, func(ctx context.Context, _ *leaser.Lease) { r.step(ctx) })
 }
 
 func (r *rollouts) step(ctx context.Context) {
--- a/slopesbencher/capacity.go
+++ b/slopesbencher/capacity.go
@@ -39,11 +39,11 @@
 	entriesPerCentre  = entries / dataCentres
 	remoteAgents      = 8 * (dataCentres - 1)
 	knownUpstreams    = workers/dataCentres + remoteAgents
-	describeSeconds   = 60.0
+	describeSeconds   = 300.0
 	descriptionBytes  = 450.0
 	listPollSeconds   = 5.0
 	unchangedBytes    = 260.0
-	qualitySeconds    = 60.0
+	qualitySeconds    = 300.0
 	judgeReadSeconds  = 10.0
 	billFlushSeconds  = 5.0
 	pinFlushSeconds   = 5.0
@@ -51,6 +51,9 @@
 	readersPerCentre  = 3.0
 	shareSeconds      = 30.0
 	leaseSeconds      = 5.0
+	leaseCandidates   = 3.0
+	leases            = 4.0
+	probesPerSecond   = 4.0
 	bytesPerCall      = callOverhead
 	billOutageSeconds = 3600.0
 )
@@ -108,7 +111,7 @@
 		costItem{name: "choice of version", core: perEntry * s["choice of a version"].At(accounts) * nanosecond,
 			memory: s["estimates of quality"].At(estimates), traffic: s["estimates of quality as sent"].At(estimates) / qualitySeconds},
 		costItem{name: "choice of upstream and probes", core: perEntry * s["choice of an upstream"].At(knownUpstreams) * nanosecond,
-			memory: s["upstreams known to an entry"].At(knownUpstreams), traffic: perEntry / 2 * bytesPerCall},
+			memory: s["upstreams known to an entry"].At(knownUpstreams), traffic: probesPerSecond * bytesPerCall},
 		costItem{name: "descriptions of upstreams", traffic: knownUpstreams / describeSeconds * descriptionBytes},
 		costItem{name: "bills, one hour of table outage", memory: s["bills that wait"].PerUnit * perEntry * billOutageSeconds,
 			traffic: perEntry * s["bills as written"].PerUnit},
@@ -149,7 +152,8 @@
 		{"claims", "claimed, started and done per non-idempotent request",
 			requestRate * nonIdempotentShare, 3 * requestRate * nonIdempotentShare},
 		{"committed spend", "a share per entry and interval", entries / shareSeconds, entries / shareSeconds},
-		{"leases", "renewed by the holder, watched by the others", 3 * entries / leaseSeconds, 3 / leaseSeconds},
+		{"leases", "renewed by the holder, watched by 3 entries per data centre",
+			leases * leaseCandidates * dataCentres / leaseSeconds, leases / leaseSeconds},
 		{"quality", "one row, read by each entry", entries / qualitySeconds, 1 / qualitySeconds},
 		{"holder of the roll-out lease", "looked up by each entry", entries / judgeReadSeconds, 0},
 	}
--- a/streamer/frame.go
+++ b/streamer/frame.go
@@ -87,6 +87,8 @@
 	// Wait is the estimated time until a new request of the lowest rank starts.
 	Wait    time.Duration `json:"wait"`
 	Leaving bool          `json:"leaving"`
+	// Loaded is a hash of the versions that the engine has loaded; it changes when they do.
+	Loaded uint64 `json:"loaded,omitempty"`
 }
 
 // Frame is one part of an answer; frames are numbered from 1 without gaps.
