messenger, assembler: send what needs no reply as notifications

Cause: heartbeats and configuration changes were calls whose replies took 110 bytes each, and nothing but a reply would show a black-holed connection.

--- a/assembler/peers.go
+++ b/assembler/peers.go
@@ -56,12 +56,9 @@
 	return result, nil
 }
 
-// tell queues a call whose result does not matter; it never waits and drops the call when the queue is full.
+// tell queues a notification; it never waits and drops the notification when the queue is full.
 func tell[P any](p *peers, name identifier.Instance, method string, params P) error {
-	err := p.calls.Offer(func(ctx context.Context) error {
-		_, err := ask[P, None](ctx, p, name, method, params)
-		return err
-	})
+	err := p.calls.Offer(func(ctx context.Context) error { return notify(ctx, p, name, method, params) })
 	if err != nil {
 		p.dropped.Add(1)
 		return fmt.Errorf("assembler: queue %s for %s: %w", method, name, err)
@@ -69,6 +66,23 @@
 	return nil
 }
 
+func notify[P any](ctx context.Context, p *peers, name identifier.Instance, method string, params P) error {
+	address, ok := p.address(name)
+	if !ok {
+		return fmt.Errorf("%w: %s at %s", errUnknownPeer, method, name)
+	}
+	conn, err := p.pool.Conn(ctx, address)
+	if err == nil {
+		p.sent.Add(1)
+		err = messenger.Notify(ctx, conn, method, params)
+	}
+	if err != nil {
+		p.failed.Add(1)
+		return fmt.Errorf("assembler: %s at %s: %w", method, name, err)
+	}
+	return nil
+}
+
 // run sends queued calls until ctx ends.
 func (p *peers) run(ctx context.Context) error {
 	var g errgroup.Group
--- a/messenger/serve.go
+++ b/messenger/serve.go
@@ -28,7 +28,7 @@
 )
 
 func newOptions(opts []Option) options {
-	o := options{now: time.Now, mux: NewMux(), dial: (&net.Dialer{}).DialContext, maxOpen: defaultOpen}
+	o := options{now: time.Now, mux: NewMux(), dial: dialer(), maxOpen: defaultOpen}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -55,6 +55,20 @@
 	return func(o *options) { o.dial = dial }
 }
 
+// WithObserveDial sets a function that is given each connection to a peer before it is used.
+func WithObserveDial(f func(net.Conn)) Option {
+	return func(o *options) {
+		dial := o.dial
+		o.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dial(ctx, network, address)
+			if err == nil {
+				f(c)
+			}
+			return c, err
+		}
+	}
+}
+
 // WithMaxOpen bounds the open connections.
 func WithMaxOpen(n int) Option {
 	return func(o *options) { o.maxOpen = n }
--- a/slopesbencher/capacity.go
+++ b/slopesbencher/capacity.go
@@ -25,12 +25,14 @@
 	kindsPerVersion = 6.0
 	// nonIdempotentShare is the share of requests that need a claim.
 	nonIdempotentShare = 0.02
+	// sessionShare is the share of requests that belong to a session.
+	sessionShare = 1.0 / 3
+	// frameBytes is the size of one token frame.
+	frameBytes = 330.0
 	// sessionStarts is the number of sessions that start per second over all entries.
 	sessionStarts = 180.0
 	// sessionTime is the time in seconds for which a pin is kept after its last use.
 	sessionTime = 1800.0
-	// changeBytes is the size of one changed item on its way.
-	changeBytes = 900.0
 )
 
 // The mechanisms whose rates follow from constants of their packages.
@@ -63,6 +65,8 @@
 	name string
 	// core is a share of one core, memory is in bytes, traffic in bytes per second sent and received.
 	core, memory, traffic float64
+	// perRequest is set for traffic that goes with requests, as their content does, and is no control.
+	perRequest bool
 }
 
 // role is the control cost of one node in one role.
@@ -75,7 +79,9 @@
 	for _, it := range r.items {
 		core += it.core
 		memory += it.memory
-		traffic += it.traffic
+		if !it.perRequest {
+			traffic += it.traffic
+		}
 	}
 	return core, memory, traffic
 }
@@ -97,7 +103,7 @@
 		},
 		{
 			name: "configuration", core: s["configuration change put into force"].At(accounts) * nanosecond * changes,
-			memory: s["configuration in memory"].At(accounts), traffic: changes * 3 * (changeBytes + bytesPerCall),
+			memory: s["configuration in memory"].At(accounts), traffic: changes * 2 * (s["configuration change as sent"].At(1) + notificationOverhead),
 		},
 	}
 }
@@ -114,9 +120,11 @@
 			memory: s["upstreams known to an entry"].At(knownUpstreams), traffic: probesPerSecond * bytesPerCall},
 		costItem{name: "descriptions of upstreams", traffic: knownUpstreams / describeSeconds * descriptionBytes},
 		costItem{name: "bills, one hour of table outage", memory: s["bills that wait"].PerUnit * perEntry * billOutageSeconds,
-			traffic: perEntry * s["bills as written"].PerUnit},
+			traffic: perEntry * s["bills as written"].PerUnit, perRequest: true},
 		costItem{name: "session pins", memory: s["sessions pinned"].PerUnit * sessionStarts / entries * sessionTime,
-			traffic: sessionStarts / entries * 2 * bytesPerCall},
+			traffic: requestRate * sessionShare / entries * 2 * bytesPerCall, perRequest: true},
+		costItem{name: "answers on their way", core: tokenRate / entries * s["token frame written and read"].PerUnit * nanosecond,
+			traffic: tokenRate / entries * 2 * frameBytes, perRequest: true},
 	)}
 	agent := role{name: "agent", items: append(shared(s),
 		costItem{name: "admission", core: perAgent * s["order admitted and finished"].At(100) * nanosecond,
--- a/slopesbencher/cluster.go
+++ b/slopesbencher/cluster.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"time"
 
 	"github.com/siskinfront/siskinfront/detector"
@@ -52,6 +53,9 @@
 		step(0)
 	}
 	bytes = 0
+	runtime.GC()
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
 	begin := threadTime()
 	for range clusterSeconds / 2 {
 		step(0)
--- a/slopesbencher/experiment.go
+++ b/slopesbencher/experiment.go
@@ -38,8 +38,12 @@
 	}
 	for _, role := range roles(slopes) {
 		for _, item := range role.items {
+			kind := "control"
+			if item.perRequest {
+				kind = "with requests"
+			}
 			report.Rows = append(report.Rows, []string{
-				role.name + ": " + item.name, "", "", "", fmt.Sprintf("%.3f%% of a core", 100*item.core),
+				role.name + ": " + item.name, kind, "", "", fmt.Sprintf("%.3f%% of a core", 100*item.core),
 				fmt.Sprintf("%.2f MB", item.memory/1e6), fmt.Sprintf("%.0f B/s", item.traffic),
 			})
 		}
--- a/slopesbencher/parts.go
+++ b/slopesbencher/parts.go
@@ -151,6 +151,10 @@
 				})
 			})
 		}),
+		fit("configuration change as sent", "bytes per changed client account", []int{1, 2, 4}, func(n int) float64 {
+			u := update(configuration(50))
+			return encodedSize(distributor.Update{Revision: 2, Base: 1, Items: u.Items[:n], ConfirmedAt: epoch()})
+		}),
 		fit("configuration in memory", "bytes per client account", sizes, func(n int) float64 {
 			return heapBytes(func() any {
 				d := distributor.New(distributor.WithSelf("entry-1"), distributor.WithNow(epoch))
