promoter: test every value, retreat from full exposure on weak evidence

Cause: a version bad at once was rolled back after 10.9 h, one that turned bad after 4.4 h. Change: bets on the side a value comes from use every rating and latency; failures are compared with the failure rate of the serving versions. Three scales of harm run at once. Weak evidence leads from exposure 0.9 back to 0.5. The canary grows after 10 rated answers. Paused stops growth only.

--- a/promoter/chart.go
+++ b/promoter/chart.go
@@ -26,6 +26,7 @@
 	EventStart    interpreter.Event = "start"
 	EventEvidence interpreter.Event = "evidence"
 	EventConfirm  interpreter.Event = "confirm"
+	EventDoubt    interpreter.Event = "doubt"
 	EventBad      interpreter.Event = "bad"
 )
 
@@ -34,13 +35,20 @@
 	state    interpreter.State
 	exposure float64
 	pairs    int
+	// former is set when weak evidence leads back to the former stage. The smaller stages stay,
+	// because the rollback needs their answers as evidence.
+	former bool
 }
 
 // stages lists the stages in order. Full exposure leaves a tenth of the work to the serving versions, because only answers
 // of the same hours tell a bad version from a hard hour; the rest follows when the version is confirmed.
 func stages() []stage {
 	return []stage{
-		{StateNew, 0, 0}, {StateCanary, 0.02, 50}, {StateSmall, 0.1, 100}, {StateHalf, 0.5, 200}, {StateFull, 0.9, 200},
+		{state: StateNew},
+		{state: StateCanary, exposure: 0.02, pairs: 10},
+		{state: StateSmall, exposure: 0.1, pairs: 100},
+		{state: StateHalf, exposure: 0.5, pairs: 200},
+		{state: StateFull, exposure: 0.9, pairs: 200, former: true},
 	}
 }
 
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -18,14 +18,10 @@
 	// falseRollback is the probability that a version that is no worse is ever rolled back; half of the target of 1 in 100
 	// is left for what the model of the test does not cover.
 	falseRollback = 0.005
-	// suspicion is the evidence above which the exposure does not grow.
-	suspicion = 4
-	// ratingTolerance, failureTolerance and slowTolerance are the differences that count as no worse.
-	ratingTolerance  = 0.02
-	failureTolerance = 0.01
-	slowTolerance    = 0.1
-	// slower is the ratio from which one answer counts as slower than another.
-	slower = 1.25
+	// suspicion is the recent evidence above which the exposure does not grow, and retreat that above which it falls back to the
+	// former stage. A retreat by mistake costs only the time of one stage.
+	suspicion = 5
+	retreat   = 300
 	// confirmTime is the time at full exposure after which a version is confirmed.
 	confirmTime = 24 * time.Hour
 	// stageTime is the least time of a stage, which covers the delay of the ratings.
@@ -70,44 +66,24 @@
 
 func (m metric) String() string { return [...]string{"rating", "failures", "latency"}[m] }
 
-// tally sums the values that wait for a value of the other side.
-type tally struct {
-	sum   float64
-	count int
-}
-
-func (t *tally) take() float64 {
-	mean := t.sum / float64(t.count)
-	*t = tally{}
-	return mean
-}
-
-func (t *tally) add(v float64) {
-	t.sum += v
-	t.count++
-}
-
-// comparison pairs a candidate with the serving versions of its model for one kind and metric. A pair is the mean of the
-// values of each side since the last pair, so that pairs are independent and come from the same minutes.
-type comparison struct {
-	candidate, baseline tally
-	evidence            evidence
-}
-
 type streamKey struct {
 	target identifier.Target
 	kind   identifier.WorkKind
 }
 
-type stream [metricCount]comparison
+type stream [metricCount]evidence
 
 // progress is what a target has gathered in its current stage.
 type progress struct {
 	exposure float64
 	since    time.Time
-	pairs    int
+	// own and control count the ratings of the candidate and of the serving versions.
+	own, control int
 }
 
+// pairs returns the ratings of the side that has fewer.
+func (g *progress) pairs() int { return min(g.own, g.control) }
+
 // Promoter judges rollouts; it is safe for concurrent use.
 type Promoter struct {
 	chart *interpreter.Chart
@@ -118,7 +94,7 @@
 	// candidates holds per model the versions under observation, as of the last Decide.
 	candidates map[identifier.Model][]identifier.Target
 	stages     map[identifier.Target]progress
-	counters   struct{ observed, ignored, pairs, grown, rolledBack, confirmed int64 }
+	counters   struct{ observed, ignored, grown, retreated, rolledBack, confirmed int64 }
 }
 
 // Option configures a Promoter.
@@ -159,19 +135,31 @@
 			p.counters.ignored++
 			continue
 		}
-		if o.Rated {
-			p.pair(t, &s[metricRating], own, min(max(o.Rating, 0), 1))
-		}
-		if o.Ended {
-			failed := 0.0
-			if o.Failed {
-				failed = 1
-			}
-			p.pair(t, &s[metricFailure], own, -failed)
+		p.judgeObservation(t, s, own, &o)
+	}
+}
+
+// judgeObservation passes the values of o to the tests of the candidate t.
+func (p *Promoter) judgeObservation(t identifier.Target, s *stream, own bool, o *Observation) {
+	g, now := p.stages[t], p.now()
+	if o.Rated {
+		s[metricRating].add(own, min(max(o.Rating, 0), 1), g.exposure, now)
+		if own {
+			g.own++
+		} else {
+			g.control++
 		}
-		if o.Latency > 0 {
-			p.pair(t, &s[metricLatency], own, -math.Log(o.Latency.Seconds()))
+		p.stages[t] = g
+	}
+	if o.Ended {
+		succeeded := 1.0
+		if o.Failed {
+			succeeded = 0
 		}
+		s[metricFailure].add(own, succeeded, g.exposure, now)
+	}
+	if o.Latency > 0 {
+		s[metricLatency].add(own, -math.Log(o.Latency.Seconds()), g.exposure, now)
 	}
 }
 
@@ -184,46 +172,13 @@
 		return nil
 	}
 	s := &stream{}
-	for m, tolerance := range [metricCount]float64{ratingTolerance, failureTolerance, slowTolerance} {
-		s[m].evidence.tolerance = tolerance
+	for m, measure := range measures() {
+		s[m].measure = measure
 	}
 	p.streams[k] = s
 	return s
 }
 
-// pair adds a value, of which more is better, to one side and judges the pair once both sides have one.
-func (p *Promoter) pair(t identifier.Target, c *comparison, own bool, value float64) {
-	if own {
-		c.candidate.add(value)
-	} else {
-		c.baseline.add(value)
-	}
-	if c.candidate.count == 0 || c.baseline.count == 0 {
-		return
-	}
-	difference := c.baseline.take() - c.candidate.take()
-	if c.evidence.tolerance == slowTolerance {
-		difference = sign(difference, math.Log(slower))
-	}
-	c.evidence.add(difference)
-	p.counters.pairs++
-	if g, ok := p.stages[t]; ok && c.evidence.tolerance == ratingTolerance {
-		g.pairs++
-		p.stages[t] = g
-	}
-}
-
-// sign maps a difference beyond width to 1 or -1, so that the tail of the latency does not dominate.
-func sign(difference, width float64) float64 {
-	switch {
-	case difference > width:
-		return 1
-	case difference < -width:
-		return -1
-	}
-	return 0
-}
-
 // Decide returns the changes that follow from the evidence, at most one per version, ordered by target. It changes no
 // configuration; called again with the same configuration it returns the same changes until they are in force. It
 // notes the exposures of cfg, by which stages are timed: a new holder of the lease starts a stage anew.
@@ -265,6 +220,7 @@
 			p.candidates[m.Name] = append(p.candidates[m.Name], t)
 			if g, ok := p.stages[t]; !ok || g.exposure != v.Exposure {
 				p.stages[t] = progress{exposure: v.Exposure, since: p.now()}
+				p.forgetDoubt(t)
 			}
 		}
 	}
@@ -280,6 +236,18 @@
 	}
 }
 
+// forgetDoubt drops the recent evidence about t, so that each stage is judged by its own.
+func (p *Promoter) forgetDoubt(t identifier.Target) {
+	for k, s := range p.streams {
+		if k.target != t {
+			continue
+		}
+		for m := range s {
+			s[m].recent = [scales]float64{}
+		}
+	}
+}
+
 // judge fires the event that follows from the evidence about t.
 func (p *Promoter) judge(t identifier.Target, v *configurer.Version) (Change, bool) {
 	current, g := stageOf(v), p.stages[t]
@@ -287,19 +255,23 @@
 	if err != nil {
 		return Change{}, false
 	}
-	value, reason := p.against(t)
+	value, doubt, reason := p.against(t)
 	age := p.now().Sub(g.since)
 	event := interpreter.Event("")
 	switch {
 	case value >= 1/falseRollback:
 		event = EventBad
-	case value > suspicion:
+	case doubt >= retreat && current.former:
+		event, reason = EventDoubt, "doubt: "+reason
+	case v.Paused:
+	case doubt > suspicion && current.state != StateCanary || value > suspicion:
+		// The canary grows despite recent doubt: at its exposure the certain test would take most of a day.
 	case current.state == StateNew:
 		event, reason = EventStart, "rollout starts"
-	case current.state == StateFull && age >= confirmTime && g.pairs >= current.pairs:
+	case current.state == StateFull && age >= confirmTime && g.pairs() >= current.pairs:
 		event, reason = EventConfirm, fmt.Sprintf("no worse for %s at full exposure", confirmTime)
-	case current.state != StateFull && g.pairs >= current.pairs && age >= stageTime:
-		event, reason = EventEvidence, fmt.Sprintf("no worse in %d rated pairs", g.pairs)
+	case current.state != StateFull && g.pairs() >= current.pairs && age >= stageTime:
+		event, reason = EventEvidence, fmt.Sprintf("no worse in %d rated pairs", g.pairs())
 	}
 	if event == "" || machine.Fire(event) != nil {
 		return Change{}, false
@@ -313,14 +285,18 @@
 		c.State, c.Exposure = configurer.VersionServing, 1
 		p.counters.confirmed++
 	default:
-		p.counters.grown++
+		if event == EventDoubt {
+			p.counters.retreated++
+		} else {
+			p.counters.grown++
+		}
 	}
 	return c, true
 }
 
-// against returns the evidence that t is worse, with its main reason. The mean over metrics and kinds of always-valid
-// evidence is always-valid itself, so that many kinds do not add up to a false rollback.
-func (p *Promoter) against(t identifier.Target) (value float64, reason string) {
+// against returns the evidence that t is worse, the recent doubt and the main reason. The mean over metrics and kinds of
+// always-valid evidence is always-valid itself, so that many kinds do not add up to a false rollback.
+func (p *Promoter) against(t identifier.Target) (value, doubt float64, reason string) {
 	keys := make([]streamKey, 0, len(p.streams))
 	for k := range p.streams {
 		if k.target == t {
@@ -331,14 +307,15 @@
 	most := 0.0
 	for _, k := range keys {
 		for m := range metricCount {
-			v := p.streams[k][m].evidence.value() / float64(len(keys)*int(metricCount))
-			value += v
-			if v > most {
+			e := &p.streams[k][m]
+			value += e.value() / float64(len(keys)*int(metricCount))
+			doubt += e.doubt() / float64(len(keys)*int(metricCount))
+			if v := e.value() + e.doubt(); v > most {
 				most, reason = v, fmt.Sprintf("worse %s of kind %s", m, k.kind)
 			}
 		}
 	}
-	return value, reason
+	return value, doubt, reason
 }
 
 // Counters returns monotonic counters; changes are counted each time Decide returns them.
@@ -346,7 +323,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return map[string]int64{
-		"observations": p.counters.observed, "observations-ignored": p.counters.ignored, "pairs": p.counters.pairs,
+		"observations": p.counters.observed, "observations-ignored": p.counters.ignored, "stages-retreated": p.counters.retreated,
 		"stages-grown": p.counters.grown, "rollbacks": p.counters.rolledBack, "confirmations": p.counters.confirmed,
 	}
 }
@@ -358,6 +335,7 @@
 	Since    time.Time         `json:"since"`
 	Pairs    int               `json:"pairs"`
 	Evidence float64           `json:"evidence"`
+	Doubt    float64           `json:"doubt"`
 }
 
 // State returns []RolloutState, ordered by target.
@@ -366,8 +344,8 @@
 	defer p.mu.Unlock()
 	rows := make([]RolloutState, 0, len(p.stages))
 	for t, g := range p.stages {
-		value, _ := p.against(t)
-		rows = append(rows, RolloutState{t, g.exposure, g.since, g.pairs, value})
+		value, doubt, _ := p.against(t)
+		rows = append(rows, RolloutState{t, g.exposure, g.since, g.pairs(), value, doubt})
 	}
 	slices.SortFunc(rows, func(a, b RolloutState) int { return strings.Compare(a.Target.String(), b.Target.String()) })
 	return rows
