floodbencher: several engines behind entries that bind late

Cause: late binding must not multiply the messages of an overload, and the experiment had one engine.

--- a/balancer/option.go
+++ b/balancer/option.go
@@ -22,9 +22,9 @@
 	defaultMaxUses = 1
 )
 
-// DefaultProbeRate is the number of probes per second of an entry. At 250 bytes for a probe and its reply it costs 750
-// bytes/s of the 1 KB/s that probes may take.
-const DefaultProbeRate = 3
+// DefaultProbeRate is the number of probes per second of an entry. At 250 bytes for a probe and its reply it costs 250
+// bytes/s. The frames of requests refresh the load, so a higher rate did not shorten the time to the first token.
+const DefaultProbeRate = 1
 
 type options struct {
 	now       func() time.Time
--- a/floodbencher/experiment.go
+++ b/floodbencher/experiment.go
@@ -58,6 +58,8 @@
 type variant struct {
 	loads   loads
 	naive   bool
+	fleet   bool // several engines behind entries
+	bind    bool // the entries bind late
 	options []admitter.Option
 }
 
@@ -66,6 +68,7 @@
 	t      *traffic
 	start  time.Time
 	budget []*limiter.Budget
+	fleet  *fleet
 }
 
 func simulate(seed uint64, v variant) *result {
@@ -78,15 +81,22 @@
 	if v.naive {
 		t.sink = &batchfaker.Fifo{Engine: engine, Slots: s.Knee}
 	} else {
-		opts := append([]admitter.Option{
-			admitter.WithRanks(ranks()), admitter.WithSlots(s.Knee), admitter.WithNow(loop.Now),
-		}, v.options...)
-		t.sink = batchfaker.NewAgent(loop, engine, admitter.New(opts...))
 		for range kinds() {
 			r.budget = append(r.budget, limiter.NewBudget(limiter.WithNow(loop.Now)))
 		}
 		t.budget = func(k int) *limiter.Budget { return r.budget[k] }
 	}
+	switch {
+	case v.naive:
+	case v.fleet:
+		r.fleet = newFleet(loop, seed, v.bind, v.options)
+		t.sink = r.fleet
+	default:
+		opts := append([]admitter.Option{
+			admitter.WithRanks(ranks()), admitter.WithSlots(s.Knee), admitter.WithNow(loop.Now),
+		}, v.options...)
+		t.sink = batchfaker.NewAgent(loop, engine, admitter.New(opts...))
+	}
 	if v.loads == urgentAlone {
 		t.arrivals(urgent, kinds()[urgent].baseLoad, 0, end)
 	} else {
@@ -192,15 +202,21 @@
 // tolerance widens the times to the first token with which calls after a flood are compared.
 const tolerance = 1.5
 
+// maxSends bounds the orders that late binding sends for a call in an overload, like the 10% that bound retries.
+const maxSends = 1.1
+
 func run(_ context.Context, p bencher.Params) (bencher.Report, error) {
 	unloaded := simulate(p.Seed, variant{loads: urgentAlone})
 	calm := simulate(p.Seed, variant{loads: baseLoad})
 	routed := simulate(p.Seed, variant{})
+	late := simulate(p.Seed, variant{fleet: true, bind: true})
 	variants := []struct {
 		name string
 		r    *result
 	}{
 		{"routed", routed},
+		{"late binding, 4 engines", late},
+		{"no late binding, 4 engines", simulate(p.Seed, variant{fleet: true})},
 		{"without estimates", simulate(p.Seed, variant{options: []admitter.Option{admitter.WithoutEstimates()}})},
 		{"without shrinking timeouts", simulate(p.Seed, variant{options: []admitter.Option{admitter.WithShrink(1)}})},
 		{"first come first served", simulate(p.Seed, variant{naive: true})},
@@ -243,7 +259,22 @@
 		})
 		report.Series = append(report.Series, v.r.series(v.name))
 	}
-	report.Bounds = bounds(routed, calm, baseFirst, baseBetween)
+	report.Bounds = append(bounds(routed, calm, baseFirst, baseBetween),
+		bencher.Bound{
+			Name: "late binding: orders sent / call in the batch flood", Got: late.fleet.sends(batchFrom, batchTo),
+			Limit: maxSends, AtMost: true,
+		}, bencher.Bound{
+			Name: "late binding: orders sent / call in the urgent flood", Got: late.fleet.sends(urgentFrom, urgentTo),
+			Limit: maxSends, AtMost: true,
+		})
+	for _, b := range bounds(late, calm, baseFirst, baseBetween) {
+		b.Name = "4 engines: " + b.Name
+		report.Bounds = append(report.Bounds, b)
+	}
+	report.Rows = append(report.Rows, []string{
+		"late binding, 4 engines", "orders sent / call", "no / batch / urgent flood", "", "", "", "", fmt.Sprintf("%.3f / %.3f / %.3f",
+			late.fleet.sends(0, batchFrom), late.fleet.sends(batchFrom, batchTo), late.fleet.sends(urgentFrom, urgentTo)),
+	})
 	return report, nil
 }
 
--- /dev/null
+++ b/floodbencher/fleet.go
@@ -0,0 +1,148 @@
+package floodbencher
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/siskinfront/siskinfront/admitter"
+	"github.com/siskinfront/siskinfront/balancer"
+	"github.com/siskinfront/siskinfront/batchfaker"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+const (
+	fleetEngines = 4
+	fleetEntries = 3
+	// fleetNetwork is the time from an entry to an agent.
+	fleetNetwork = time.Millisecond
+)
+
+var fleetTarget = identifier.Target{Model: "model", Version: "v1"}
+
+// fleet is several engines with the capacity of one, behind entries that bind orders late.
+type fleet struct {
+	late    bool
+	loop    *batchfaker.Loop
+	rng     *rand.Rand
+	agents  map[identifier.Upstream]*batchfaker.Agent
+	entries []*balancer.Balancer
+	start   time.Time
+	counts  []count // by the second
+}
+
+// count is what the entries did in one second.
+type count struct {
+	submitted, sent, busy int
+}
+
+func newFleet(loop *batchfaker.Loop, seed uint64, late bool, options []admitter.Option) *fleet {
+	f := &fleet{
+		late: late, loop: loop, rng: rand.New(rand.NewPCG(seed, 2)), agents: make(map[identifier.Upstream]*batchfaker.Agent),
+		start: loop.Now(), counts: make([]count, int(end.Seconds())+1),
+	}
+	s := shape()
+	s.Knee /= fleetEngines
+	var ups []balancer.Upstream
+	for i := range fleetEngines {
+		u := balancer.Upstream{
+			Name: identifier.Upstream(fmt.Sprintf("upstream-%d", i)), DataCentre: "dc", Region: "region",
+			Targets: []identifier.Target{fleetTarget},
+		}
+		ups = append(ups, u)
+		f.agents[u.Name] = batchfaker.NewAgent(loop, batchfaker.NewEngine(loop, s), admitter.New(append([]admitter.Option{
+			admitter.WithRanks(ranks()), admitter.WithSlots(s.Knee), admitter.WithNow(loop.Now),
+		}, options...)...))
+	}
+	for i := range fleetEntries {
+		b := balancer.New("dc", balancer.WithNow(loop.Now), balancer.WithRand(rand.New(rand.NewPCG(seed, 3+uint64(i)))),
+			balancer.WithInstance(identifier.Instance(fmt.Sprintf("entry-%d", i))))
+		b.Update(ups)
+		f.entries = append(f.entries, b)
+		loop.Every(time.Duration(float64(time.Second)/balancer.DefaultProbeRate), func() bool {
+			if u, ok := b.NextProbe(); ok {
+				f.report(b, u.Name)
+			}
+			return true
+		})
+	}
+	return f
+}
+
+func (f *fleet) count() *count {
+	return &f.counts[min(int(f.loop.Now().Sub(f.start).Seconds()), len(f.counts)-1)]
+}
+
+// report shows an entry the present load of an upstream after the network time.
+func (f *fleet) report(b *balancer.Balancer, u identifier.Upstream) {
+	l := f.agents[u].Admitter.Load()
+	f.loop.After(fleetNetwork, func() { b.Report(u, l) })
+}
+
+// Submit sends a call through a random entry.
+func (f *fleet) Submit(c *batchfaker.Call) {
+	f.count().submitted++
+	f.bind(f.entries[f.rng.IntN(len(f.entries))], c, balancer.Key{Target: fleetTarget})
+}
+
+// bind sends a call to one upstream after another, as dispatch of entryserver does.
+func (f *fleet) bind(b *balancer.Balancer, c *batchfaker.Call, k balancer.Key) {
+	u, startBy, err := b.Bind(k)
+	if errors.Is(err, balancer.ErrNoUpstream) && k.Busy > 0 {
+		k.Exclude, k.Busy = nil, fleetEngines
+		u, startBy, err = b.Bind(k)
+	}
+	if err != nil {
+		panic("floodbencher: " + err.Error())
+	}
+	if !f.late {
+		startBy = time.Time{}
+	}
+	f.count().sent++
+	b.Begin(u.Name)
+	order, sent := *c.Order, *c
+	order.StartBy = startBy
+	sent.Order = &order
+	sent.OnDone = func() {
+		f.report(b, u.Name)
+		b.End(u.Name, balancer.ResultSuccess)
+		c.OnDone()
+	}
+	sent.OnBroken = func() {
+		b.End(u.Name, balancer.ResultCanceled)
+		c.OnBroken()
+	}
+	sent.OnRefused = func(r *admitter.Refusal) {
+		l := f.agents[u.Name].Admitter.Load()
+		f.loop.After(fleetNetwork, func() {
+			b.Report(u.Name, l)
+			if r.Code != streamer.CodeBusy {
+				b.End(u.Name, balancer.ResultRefused)
+				c.OnRefused(r)
+				return
+			}
+			f.count().busy++
+			b.End(u.Name, balancer.ResultBusy)
+			k.Busy++
+			k.Exclude = append(slices.Clone(k.Exclude), u.Name)
+			f.bind(b, c, k)
+		})
+	}
+	f.loop.After(fleetNetwork, func() {
+		f.report(b, u.Name)
+		f.agents[u.Name].Submit(&sent)
+	})
+}
+
+// sends returns the orders sent per submitted call in an interval.
+func (f *fleet) sends(from, to time.Duration) float64 {
+	var sum count
+	for _, c := range f.counts[int(from.Seconds()):int(to.Seconds())] {
+		sum.submitted += c.submitted
+		sum.sent += c.sent
+	}
+	return float64(sum.sent) / float64(max(sum.submitted, 1))
+}
