--- a/admitter/dispatch.go
+++ b/admitter/dispatch.go
@@ -263,14 +263,20 @@
 				if a.expired(t, now) || t.paused {
 					continue
 				}
-				if by := t.item.Order.StartBy; !by.IsZero() && now.After(by) {
-					a.drop(t, CodeBusy, now, minRetry)
-					continue
-				}
-				if now.Sub(t.queuedAt) > limit {
-					a.drop(t, CodeQueueTimeout, now, limit)
-				}
+				a.dropLate(t, limit, now)
 			}
 		}
 	}
 }
+
+// dropLate drops waiting work that is past its start-by or the wait limit of its rank.
+func (a *Admitter) dropLate(t *Ticket, limit time.Duration, now time.Time) {
+	by := t.item.Order.StartBy
+	switch {
+	case !by.IsZero() && now.After(by) && now.After(t.queuedAt):
+		// Work queued at this moment may still be granted, whatever the clock of its sender.
+		a.drop(t, CodeBusy, now, minRetry)
+	case now.Sub(t.queuedAt) > limit:
+		a.drop(t, CodeQueueTimeout, now, limit)
+	}
+}
--- /dev/null
+++ b/balancer/bind_test.go
@@ -0,0 +1,55 @@
+package balancer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/balancer"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// Guards against late binding that multiplies the orders of an overload, that goes on after two refusals, and that
+// refuses a request whose only upstream is busy.
+func TestBind(t *testing.T) {
+	now := start
+	b := balancer.New("dc-0", seeded(1), balancer.WithNow(func() time.Time { return now }))
+	ups := fleet(4, 1)
+	b.Update(ups)
+	k := balancer.Key{Target: target(0)}
+	_, by, err := b.Bind(k)
+	must.NoError(t, err)
+	must.True(t, by.After(now))
+
+	k.Busy = 2
+	_, by, err = b.Bind(k)
+	must.NoError(t, err)
+	must.True(t, by.IsZero())
+
+	k = balancer.Key{Target: target(0), Exclude: []identifier.Upstream{"u0", "u1", "u2"}}
+	_, by, err = b.Bind(k)
+	must.NoError(t, err)
+	must.True(t, by.IsZero())
+
+	// Refusals as busy teach the slots; when all are taken the order may wait.
+	now = now.Add(time.Second)
+	for _, u := range ups {
+		b.Begin(u.Name)
+		b.Report(u.Name, streamer.Load{At: now, Running: 8, Queued: []int{0}})
+		b.End(u.Name, balancer.ResultBusy)
+	}
+	now = now.Add(10 * time.Millisecond)
+	_, by, err = b.Bind(balancer.Key{Target: target(0)})
+	must.NoError(t, err)
+	must.True(t, by.IsZero())
+
+	// Room elsewhere is preferred to waiting.
+	now = now.Add(time.Millisecond)
+	b.Report("u2", streamer.Load{At: now, Running: 3, Queued: []int{0}})
+	u, by, err := b.Bind(balancer.Key{Target: target(0)})
+	must.NoError(t, err)
+	must.Eq(t, "u2", u.Name)
+	must.False(t, by.IsZero())
+}
--- /dev/null
+++ b/entryserver/busy_test.go
@@ -0,0 +1,77 @@
+package entryserver_test
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/agentserver"
+	"github.com/siskinfront/siskinfront/entryserver"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// Guards against a request that waits at a busy upstream while another has room, against attempts after a refusal as busy
+// that draw on the retry budget or go on without bound, and against a second attempt of a request that has only one.
+func TestBusyUpstreams(t *testing.T) {
+	cases := []struct {
+		name     string
+		busy     []bool // by upstream
+		headers  []string
+		upstream int
+		orders   int
+	}{
+		{"first busy", []bool{true, false}, nil, 1, 2},
+		{"both busy, the first one lets it wait", []bool{true, true}, nil, 0, 3},
+		{"none busy", []bool{false, false}, nil, 0, 1},
+		{
+			"non-idempotent without a key has one attempt", []bool{true, false},
+			[]string{"Siskinfront-Idempotent", "false"}, 0, 1,
+		},
+		{
+			"non-idempotent with a key", []bool{true, false},
+			[]string{"Siskinfront-Idempotent", "false", "Idempotency-Key", "k"}, 1, 2,
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			var b *bed
+			choose := func(_ context.Context, c entryserver.Choice) (entryserver.Upstream, error) {
+				for i, a := range b.agents {
+					if !slices.Contains(c.Exclude, a.Upstream) {
+						u := entryserver.Upstream{Name: a.Upstream, Agent: address(i+1, 7000)}
+						if c.Busy < 2 {
+							u.StartBy = time.Now().Add(20 * time.Millisecond)
+						}
+						return u, nil
+					}
+				}
+				return entryserver.Upstream{}, entryserver.ErrNoUpstream
+			}
+			run(t, func(t *testing.T, made *bed) {
+				b = made
+				b.retry = false
+				orders := map[identifier.Upstream]int{}
+				for i, a := range b.agents {
+					a.Admit = func(_ context.Context, it agentserver.Item) (agentserver.Ticket, error) {
+						orders[a.Upstream]++
+						if tc.busy[i] && !it.Order.StartBy.IsZero() {
+							return agentserver.Ticket{}, &agentserver.RefusalError{Code: streamer.CodeBusy}
+						}
+						return agentserver.Ticket{Finish: func(int) {}}, nil
+					}
+				}
+				r := b.ask(t, question, tc.headers...)
+				must.Eq(t, http.StatusOK, r.status)
+				must.Eq(t, 1, b.started())
+				must.Eq(t, int64(1), b.engines[tc.upstream].Counters()["started"])
+				must.Eq(t, tc.orders, orders["upstream-1"]+orders["upstream-2"])
+				must.Len(t, 1, b.bills)
+			}, entryserver.WithChoose(choose))
+		})
+	}
+}
--- a/floodbencher/fleet.go
+++ b/floodbencher/fleet.go
@@ -46,7 +46,7 @@
 	}
 	s := shape()
 	s.Knee /= fleetEngines
-	var ups []balancer.Upstream
+	ups := make([]balancer.Upstream, 0, fleetEngines)
 	for i := range fleetEngines {
 		u := balancer.Upstream{
 			Name: identifier.Upstream(fmt.Sprintf("upstream-%d", i)), DataCentre: "dc", Region: "region",
