limiter: eviction forgives no debt

Cause: a bucket in debt could be evicted, and after one window the account started with a full one.

Change: the bucket evicted is the least recently used one without debt. While all buckets are in debt a new account waits until the first debt is paid. A new bucket starts with what an evicted one could have earned since the last eviction.

--- a/limiter/accounts.go
+++ b/limiter/accounts.go
@@ -80,8 +80,9 @@
 	var own *bucket
 	var wait time.Duration
 	if acc.TokensPerSecond > 0 {
-		own = a.bucketOf(acc, now)
-		wait = own.wait(cost)
+		if own, wait = a.bucketOf(acc, cost, now); own != nil {
+			wait = own.wait(cost)
+		}
 	}
 	if a.total != nil {
 		a.total.refill(now)
@@ -114,7 +115,8 @@
 	}
 }
 
-func (a *Accounts) bucketOf(acc *configurer.ClientAccount, now time.Time) *bucket {
+// bucketOf returns the bucket of an account, or nil and the time until there is room for it and its first cost.
+func (a *Accounts) bucketOf(acc *configurer.ClientAccount, cost float64, now time.Time) (*bucket, time.Duration) {
 	rate := max(acc.TokensPerSecond*a.o.share(acc), minRate)
 	burst := rate * a.o.window.Seconds()
 	if e, ok := a.byName[acc.Name]; ok {
@@ -122,35 +124,48 @@
 		b := &e.Value.(*account).bucket
 		b.refill(now)
 		b.rate, b.burst, b.level = rate, burst, min(b.level, burst)
-		return b
-	}
-	if a.recent.Len() >= a.o.maxAccounts {
-		a.evict(now)
+		return b, 0
 	}
 	level := burst
-	if !a.evictAt.IsZero() && now.Sub(a.evictAt) < a.o.window {
-		// The account may be one whose debt was evicted a moment ago; a full bucket would forgive it.
-		level = 0
+	if !a.evictAt.IsZero() {
+		// The account may be one whose bucket was evicted at that time, without debt but possibly empty.
+		level = min(now.Sub(a.evictAt).Seconds()*rate, burst)
+	}
+	if a.recent.Len() >= a.o.maxAccounts {
+		if wait := a.evict(now); wait > 0 {
+			missing := max(min(cost, burst)-level, 0)
+			return nil, max(wait, time.Duration(min(missing/rate, maxWait.Seconds())*float64(time.Second))+1)
+		}
 	}
 	e := a.recent.PushFront(&account{name: acc.Name, bucket: bucket{level: level, rate: rate, burst: burst, updatedAt: now}})
 	a.byName[acc.Name] = e
-	return &e.Value.(*account).bucket
+	return &e.Value.(*account).bucket, 0
 }
 
 // minRate in tokens per second keeps the arithmetic finite when the entry's share is zero.
 const minRate = 1e-3
 
-// evict drops the account used least recently; a full bucket loses nothing by it.
-func (a *Accounts) evict(now time.Time) {
-	e := a.recent.Back()
-	last := e.Value.(*account)
-	last.bucket.refill(now)
-	if last.bucket.level < last.bucket.burst {
-		a.evictAt = now
-	}
-	a.recent.Remove(e)
-	delete(a.byName, last.name)
-	a.evicted++
+// evict drops the account used least recently of those without debt. If all are in debt, it drops none and returns the
+// time until the first debt is paid, since dropping a bucket would forgive it.
+func (a *Accounts) evict(now time.Time) time.Duration {
+	wait := maxWait
+	for e := a.recent.Back(); e != nil; e = e.Prev() {
+		last := e.Value.(*account)
+		b := &last.bucket
+		b.refill(now)
+		if b.level < -levelTolerance {
+			wait = min(wait, time.Duration(-b.level/b.rate*float64(time.Second))+1)
+			continue
+		}
+		if b.level < b.burst {
+			a.evictAt = now
+		}
+		a.recent.Remove(e)
+		delete(a.byName, last.name)
+		a.evicted++
+		return 0
+	}
+	return wait
 }
 
 // Counters returns the monotonic counters of the limits.
