biller, entryserver, agentserver: bill a run from its start at both holders

Cause: the entry recorded a bill only for a complete response and the agent only at the end of a run, so a request in mid-stream had no bill if its agent or entry died. moveBills removed a bill by ID after it had copied it, which loses a final bill that arrives in between. Change: entryserver.Bill has Final; the entry and the agent record a bill that is not final at the start, and the entry again with the tokens seen when a started run is lost or fails. The biller leaves bills that are not final alone for 5 s. agentserver.BillsMoved removes only bills that have not grown. A report of durable bills first moves the bills of the runs.

--- a/agentserver/bill.go
+++ b/agentserver/bill.go
@@ -38,7 +38,8 @@
 	if b.bills == nil {
 		b.bills = map[string]Bill{}
 	}
-	if old, ok := b.bills[bill.ID]; ok && old.Final && !bill.Final {
+	if old, ok := b.bills[bill.ID]; ok && !bill.Final &&
+		(old.Final || old.Usage.CompletionTokens > bill.Usage.CompletionTokens) {
 		return
 	}
 	b.bills[bill.ID] = bill
@@ -80,6 +81,17 @@
 	return bills
 }
 
+// BillsMoved forgets bills that another holder in this process took; one that has grown since it was read stays.
+func (s *Server) BillsMoved(bills []Bill) {
+	s.bills.mu.Lock()
+	defer s.bills.mu.Unlock()
+	for i := range bills {
+		if s.bills.bills[bills[i].ID] == bills[i] {
+			delete(s.bills.bills, bills[i].ID)
+		}
+	}
+}
+
 // BillsDurable forgets bills that are durable elsewhere.
 func (s *Server) BillsDurable(ids []string) {
 	s.bills.mu.Lock()
--- a/agentserver/engine.go
+++ b/agentserver/engine.go
@@ -42,6 +42,7 @@
 	a.r.respond()
 	if !a.started {
 		a.started = true
+		a.s.addBill(a.r, nil, false)
 		if err := a.r.replay.Append(ctx, streamer.Frame{Kind: streamer.KindStarted}); err != nil {
 			return a.stopped(ctx)
 		}
--- a/agentserver/service.go
+++ b/agentserver/service.go
@@ -38,6 +38,7 @@
 	}
 	defer resp.Body.Close()
 	a.r.respond()
+	a.s.addBill(a.r, &streamer.Usage{}, false)
 	reply := streamer.Reply{Status: resp.StatusCode, Headers: map[string]string{}}
 	for _, name := range []string{"Content-Type", "Content-Language", "ETag", "Location", "Echo-Path"} {
 		if v := resp.Header.Get(name); v != "" {
--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -130,7 +130,9 @@
 			Upstream: s.Upstream.Name, Service: s.Upstream.Service, Targets: a.engine.targets(), Load: a.currentLoad(),
 		}, nil
 	})
-	messenger.Handle(a.mux, methodBillsDurable, func(_ context.Context, _ messenger.Peer, b BillsDurable) (None, error) {
+	messenger.Handle(a.mux, methodBillsDurable, func(ctx context.Context, _ messenger.Peer, b BillsDurable) (None, error) {
+		// A final bill that is still with the runs would leave its earlier part behind in the biller.
+		a.moveBills(ctx)
 		a.server.BillsDurable(b.IDs)
 		a.biller.Settle(b.IDs)
 		return None{}, nil
@@ -206,7 +208,7 @@
 
 // moveBills hands the bills of the runs to the biller, which keeps them until they are durable.
 func (a *Agent) moveBills(context.Context) {
-	moved := []string{}
+	moved := []agentserver.Bill{}
 	for _, b := range a.server.PendingBills(billBatch) {
 		err := a.biller.Record(biller.Bill{
 			ID: b.ID, Request: b.Request, ClientAccount: b.ClientAccount, WorkKind: b.WorkKind, Rank: b.Rank,
@@ -216,9 +218,9 @@
 			// The runs keep the rest; once they are full the agent refuses new orders.
 			break
 		}
-		moved = append(moved, b.ID)
+		moved = append(moved, b)
 	}
-	a.server.BillsDurable(moved)
+	a.server.BillsMoved(moved)
 }
 
 func (a *Agent) price(b *agentserver.Bill) float64 {
--- a/assembler/entry_seam.go
+++ b/assembler/entry_seam.go
@@ -78,15 +78,15 @@
 	return out, nil
 }
 
-// record takes the bill of a completed request and submits the answer for rating.
+// record takes the bill of a request that runs and submits a complete answer for rating.
 func (e *Entry) record(b entryserver.Bill) {
 	x := biller.Bill{
 		ID: b.ID, Request: b.Request, ClientAccount: b.ClientAccount, WorkKind: b.WorkKind, Rank: b.Rank, Target: b.Target,
-		Service: b.Service, Usage: b.Usage, Amount: e.price(b.Target, b.Usage), Final: true, At: b.At,
+		Service: b.Service, Usage: b.Usage, Amount: e.price(b.Target, b.Usage), Final: b.Final, At: b.At,
 	}
 	// A bill that does not fit stays with its agent, which writes it; the biller counts the refusal.
 	_ = e.biller.Record(x)
-	if b.Service == "" {
+	if b.Final && b.Service == "" {
 		e.quality.offer(storer.Rating{Request: b.Request, WorkKind: b.WorkKind, Target: b.Target, At: b.At})
 	}
 }
--- a/biller/biller.go
+++ b/biller/biller.go
@@ -26,6 +26,9 @@
 	maxBackoff      = 15 * time.Second
 	batchBills      = 512
 	durableReports  = 64
+	// partialWindow is how long a bill that is not final is left to grow before Run writes it: most runs end sooner and
+	// are then written once. Until then it has two holders.
+	partialWindow = 5 * time.Second
 )
 
 // Biller keeps the bills of one writer until they are durable, safe for concurrent use.
@@ -197,14 +200,19 @@
 // and the other holder then flushes these bills itself, which Union makes harmless.
 func (b *Biller) Durable() <-chan []string { return b.durable }
 
-// take returns the oldest bills that have been held for the window.
-func (b *Biller) take(window time.Duration) []Bill {
+// take returns the oldest bills that have been held for the window, or for the window of partial bills.
+func (b *Biller) take(window, partial time.Duration) []Bill {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	due := b.now().Add(-window)
+	now := b.now()
 	list := []Bill{}
 	for _, id := range b.order {
-		if h := b.pending[id]; len(list) < batchBills && !h.since.After(due) {
+		h := b.pending[id]
+		held := window
+		if !h.bill.Final {
+			held = partial
+		}
+		if len(list) < batchBills && now.Sub(h.since) >= held {
 			list = append(list, h.bill)
 		}
 	}
@@ -214,7 +222,7 @@
 // Flush writes everything held, whatever its age, until ctx ends or no sink accepts a batch.
 func (b *Biller) Flush(ctx context.Context) error {
 	for {
-		n, err := b.flush(ctx, 0)
+		n, err := b.flush(ctx, 0, 0)
 		if err != nil || n == 0 {
 			return err
 		}
@@ -222,7 +230,7 @@
 }
 
 // flush writes at most one batch and returns its number of bills; it waits for a flush that runs already.
-func (b *Biller) flush(ctx context.Context, window time.Duration) (int, error) {
+func (b *Biller) flush(ctx context.Context, window, partial time.Duration) (int, error) {
 	for !b.begin() {
 		if err := b.sleep(ctx, b.interval/100); err != nil {
 			return 0, err
@@ -233,7 +241,7 @@
 		b.flushing = false
 		b.mu.Unlock()
 	}()
-	batch := b.take(window)
+	batch := b.take(window, partial)
 	if len(batch) == 0 {
 		return 0, nil
 	}
@@ -303,7 +311,7 @@
 			defer cancel()
 			return b.Flush(last)
 		}
-		if _, err := b.flush(ctx, b.ownWindow); err != nil {
+		if _, err := b.flush(ctx, b.ownWindow, max(b.ownWindow, partialWindow)); err != nil {
 			failures++
 			continue
 		}
--- a/biller/biller_test.go
+++ b/biller/biller_test.go
@@ -167,6 +167,26 @@
 	})
 }
 
+// Guards against two records of each run that ends within seconds, and against a run in progress that is never written.
+func TestPartialBillWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		entry := biller.New("entry", p.sinks())
+		ctx, stop := context.WithCancel(t.Context())
+		go func() { _ = entry.Run(ctx) }()
+		must.NoError(t, entry.Record(bill("short", 1, false)))
+		must.NoError(t, entry.Record(bill("long", 1, false)))
+		time.Sleep(4 * time.Second)
+		must.Len(t, 0, p.read(t))
+		must.NoError(t, entry.Record(bill("short", 9, true)))
+		time.Sleep(5 * time.Second)
+		must.Len(t, 2, p.read(t))
+		must.Eq(t, 2, entry.Counters()["bills-written"])
+		stop()
+		synctest.Wait()
+	})
+}
+
 // Guards against all writers of a deployment flushing at the same moment after an outage.
 func TestNoStampede(t *testing.T) {
 	run := func(naive bool) int {
--- a/entryserver/dispatch.go
+++ b/entryserver/dispatch.go
@@ -96,6 +96,9 @@
 	record.End, record.Outcome = s.Now(), streamer.OutcomeRun
 	if f != nil {
 		record.Code, record.Outcome = f.err.Code, f.err.TrueOutcome()
+		if record.started && !record.billed {
+			s.bill(j, &record, false)
+		}
 	}
 	s.End(record)
 	return f
@@ -123,11 +126,15 @@
 		}
 		switch f.Kind {
 		case streamer.KindStarted:
+			s.begun(j, record)
 			err = j.sink.started(&f)
 		case streamer.KindToken:
 			if record.FirstToken.IsZero() {
 				record.FirstToken = s.Now()
 			}
+			if j.order.Service == "" {
+				record.Usage.CompletionTokens++
+			}
 			err = j.sink.token(&f)
 		case streamer.KindRefused, streamer.KindFailed:
 			return frameFailure(&f)
@@ -140,16 +147,30 @@
 	}
 }
 
-// done bills and finishes a complete response.
-func (s *Server) done(j *job, f *streamer.Frame, record *Attempt) *failure {
-	if f.Usage != nil {
-		record.Usage = *f.Usage
+// begun takes the bill of a run that has started, so that it has two holders while it runs.
+func (s *Server) begun(j *job, record *Attempt) {
+	record.started = true
+	if j.order.Service == "" {
+		record.Usage.PromptTokens = j.order.PromptTokens
 	}
+	s.bill(j, record, false)
+}
+
+func (s *Server) bill(j *job, record *Attempt, final bool) {
 	o := &j.order
 	s.Record(Bill{
 		ID: string(o.Request), Request: o.Request, ClientAccount: o.ClientAccount, WorkKind: o.WorkKind, Rank: o.Rank,
-		Target: o.Target, Service: o.Service, Usage: record.Usage, At: s.Now(),
+		Target: o.Target, Service: o.Service, Usage: record.Usage, Final: final, At: s.Now(),
 	})
+}
+
+// done bills and finishes a complete response.
+func (s *Server) done(j *job, f *streamer.Frame, record *Attempt) *failure {
+	if f.Usage != nil {
+		record.Usage = *f.Usage
+	}
+	record.billed = true
+	s.bill(j, record, true)
 	if err := j.sink.finish(record.Usage); err != nil {
 		return &failure{err: &decoder.Error{
 			Status: http.StatusBadGateway, Code: "response-invalid", Type: decoder.TypeServer,
--- a/entryserver/seam.go
+++ b/entryserver/seam.go
@@ -41,7 +41,7 @@
 	Query   selector.Query
 }
 
-// Bill is the record of one completed request; the agent's bill has the same ID.
+// Bill is the record of one request that ran; the agent's bill has the same ID.
 type Bill struct {
 	ID            string
 	Request       identifier.Request
@@ -51,7 +51,9 @@
 	Target        identifier.Target
 	Service       identifier.Service
 	Usage         streamer.Usage
-	At            time.Time
+	// Final is set for a complete response; an earlier bill covers the tokens seen so far.
+	Final bool
+	At    time.Time
 }
 
 // Result is the stored response of a non-idempotent request.
@@ -89,6 +91,8 @@
 	// FirstToken is zero if there was none.
 	FirstToken time.Time
 	End        time.Time
+	// started is set once the upstream has begun the run, billed once its final bill is recorded.
+	started, billed bool
 }
 
 // Explanation is the record of the decisions about one request.
