biller: compress batches

Cause: a bill took 333 bytes in a batch (bench slopes), 1.8 KB/s per entry at the target size. Change: EncodeBatch writes gzip in a JSON string, DecodeBatch reads it and the plain arrays of earlier versions. The reader of the table, demonstrator, faultsbencher and slopesbencher use them.

--- a/biller/biller.go
+++ b/biller/biller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -273,9 +272,9 @@
 func (b *Biller) write(ctx context.Context, batch []Bill) error {
 	ctx, cancel := context.WithTimeout(ctx, b.timeout)
 	defer cancel()
-	body, err := json.Marshal(batch)
+	body, err := EncodeBatch(batch)
 	if err != nil {
-		return fmt.Errorf("biller: encode batch: %w", err)
+		return err
 	}
 	for _, s := range b.sinks {
 		// An earlier process of the same name, or an attempt with a lost reply, may have taken the number.
--- a/biller/sink.go
+++ b/biller/sink.go
@@ -50,8 +50,8 @@
 	}
 	decoded := make([][]Bill, len(batches))
 	for i, b := range batches {
-		if err := json.Unmarshal(b, &decoded[i]); err != nil {
-			return nil, fmt.Errorf("biller: decode batch: %w", err)
+		if decoded[i], err = DecodeBatch(b); err != nil {
+			return nil, err
 		}
 	}
 	return Union(decoded...), nil
--- a/demonstrator/deployment.go
+++ b/demonstrator/deployment.go
@@ -317,8 +317,8 @@
 	var batches [][]biller.Bill
 	records := 0
 	for _, row := range d.fakes.table.Rows("bill/") {
-		var batch []biller.Bill
-		if err := json.Unmarshal(row.Value, &batch); err != nil {
+		batch, err := biller.DecodeBatch(row.Value)
+		if err != nil {
 			return nil, 0, fmt.Errorf("demonstrator: decode %s: %w", row.Key, err)
 		}
 		records += len(batch)
--- a/faultsbencher/checker.go
+++ b/faultsbencher/checker.go
@@ -427,7 +427,9 @@
 }
 
 func (c *checker) batch(b []byte) []biller.Bill {
-	var list []biller.Bill
-	c.decode(b, &list)
+	list, err := biller.DecodeBatch(b)
+	if err != nil {
+		panic("faultsbencher: decode batch: " + err.Error())
+	}
 	return list
 }
--- a/slopesbencher/parts.go
+++ b/slopesbencher/parts.go
@@ -234,7 +234,11 @@
 			for i := range list {
 				list[i] = bill(i)
 			}
-			return encodedSize(list)
+			b, err := biller.EncodeBatch(list)
+			if err != nil {
+				panic(fmt.Sprintf("slopesbencher: encode bills: %v", err))
+			}
+			return float64(len(b))
 		}),
 		fit("sessions pinned", "bytes per session", sizes, func(n int) float64 {
 			return heapBytes(func() any {
