--- a/demonstrator/deployment.go
+++ b/demonstrator/deployment.go
@@ -334,8 +334,8 @@
 func (d *deployment) bills() ([]biller.Bill, error) {
 	var batches [][]biller.Bill
 	for _, row := range d.fakes.table.Rows("bill/") {
-		var batch []biller.Bill
-		if err := json.Unmarshal(row.Value, &batch); err != nil {
+		batch, err := biller.DecodeBatch(row.Value)
+		if err != nil {
 			return nil, fmt.Errorf("demonstrator: decode %s: %w", row.Key, err)
 		}
 		batches = append(batches, batch)
