--- a/assembler/directory.go
+++ b/assembler/directory.go
@@ -135,6 +135,10 @@
 		defer d.wake()
 	}
 	x.Description, x.valid, x.refreshAt = desc, true, time.Now().Add(describeAge)
+	if desc.Load.Leaving || desc.Service == "" && len(desc.Targets) == 0 {
+		// An agent that has just started says so until it has its configuration and its engine has answered.
+		x.refreshAt = time.Now().Add(leaseRetry)
+	}
 	d.byUp[desc.Upstream] = name
 }
 
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -164,7 +164,7 @@
 		"spender": e.spender, "claimer": e.claimer, "biller": e.biller, "pinner": e.pinner, "explainer": e.explainer,
 		"account-limits": e.accounts, "retry-budget": e.retries, "promoter": e.rollouts.promoter,
 	} {
-		e.register(name, x)
+		e.registerConfigured(name, x)
 	}
 	e.debug.Handle("GET "+explainer.PathPrefix, e.explainer)
 }
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -144,6 +144,22 @@
 	p.meter.Register(name, x.Counters)
 }
 
+// Starting is the state of a part that waits for the first configuration.
+type Starting struct {
+	Starting bool `json:"starting"`
+}
+
+// registerConfigured shows a part whose state needs a configuration, which a starting process does not have yet.
+func (p *process) registerConfigured(name string, x part) {
+	p.dumper.Register(name, func() any {
+		if p.distributor.Current() == nil {
+			return Starting{Starting: true}
+		}
+		return x.State()
+	})
+	p.meter.Register(name, x.Counters)
+}
+
 func (p *process) handleControl() {
 	messenger.Handle(p.mux, methodHeartbeat,
 		func(_ context.Context, _ messenger.Peer, m detector.Message) (None, error) {
--- a/demonstrator/serve.go
+++ b/demonstrator/serve.go
@@ -96,7 +96,7 @@
 	for _, role := range []configurer.Role{configurer.RoleAdministrator, configurer.RoleOperator, configurer.RoleViewer} {
 		i := slices.IndexFunc(cfg.Operators, func(o configurer.Operator) bool { return o.Role == role })
 		if i >= 0 {
-			in.operatorKey = questioner.ExampleKey(answers.Team, cfg.Operators[i].Name)
+			in.operatorKey = questioner.OperatorKey(answers.Team, cfg.Operators[i].Name)
 			return in, nil
 		}
 	}
