--- a/assembler/process_test.go
+++ b/assembler/process_test.go
@@ -128,6 +128,14 @@
 	b.eventually("the resumed entry has the new configuration", inForce, func() bool {
 		return b.procs[paused].revision() >= revision
 	})
+	// Nobody was heard during the pause, so the resumed entry may know no live upstream at first; it must say so truthfully.
+	b.eventually("the resumed entry answers", patience, func() bool {
+		a := b.send(call{entry: paused, kind: "counter-answer", model: "melro", nonce: "nonce-resuming-1"})
+		if a.status != http.StatusOK {
+			must.EqOp(t, "not-run", a.outcome, must.Sprintf("%+v", a))
+		}
+		return a.good("nonce-resuming-1")
+	})
 	for range 30 {
 		must.EqOp(t, other, instanceOf(b.lease("rollouts")))
 		must.GreaterEq(t, revision, b.procs[paused].revision())
@@ -230,9 +238,13 @@
 	b.tableOut.Store(false)
 	for n := range 5 {
 		order := call{entry: "entry-2", kind: "refund-booking", nonce: fmt.Sprintf("nonce-order-%d", n), key: fmt.Sprintf("order-%d", n)}
+		var last answer
 		b.eventually("orders run again", patience, func() bool {
-			a := b.send(order)
-			return a.good(order.nonce)
+			if last.status != 0 && !last.good(order.nonce) {
+				t.Logf("%s: %d %s %s", order.key, last.status, last.code, last.outcome)
+			}
+			last = b.send(order)
+			return last.good(order.nonce)
 		})
 		must.EqOp(t, 1, b.starts.of(order.nonce))
 		must.EqOp(t, 1, b.starts.of(fmt.Sprintf("nonce-keyless-%d", n)))
