assembler: let a restarted agent and a recovered engine take work again

Cause: the balancer never lets a leaving upstream return. A starting agent, an agent with a silent engine and a restarted agent were reported as leaving, so an entry that saw one of these sent it no work until the entry itself was restarted. Change: a starting agent is described only once it is ready, a restarted one is left out of the list once, and an agent whose engine is silent refuses with engine-silent, on which entries open their breaker. Conclusion: the state of leaving is now said only by agents that stop.

--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -34,6 +34,9 @@
 	noticeTime = 2 * time.Second
 )
 
+// codeEngineSilent is the code of refusals while the engine does not answer; entries open their breaker on it.
+const codeEngineSilent = "engine-silent"
+
 // Agent is an agent process.
 type Agent struct {
 	*process
@@ -118,16 +121,16 @@
 	a.engine = newEngineWatch(s.Upstream.Address, s.Upstream.Service)
 	a.server = agentserver.New(s.Upstream.Name, s.Upstream.Address,
 		agentserver.WithConfiguration(a.distributor.Current),
-		agentserver.WithAdmit(a.admission.admit, a.admission.load), agentserver.WithLoaded(a.engine.has),
+		agentserver.WithAdmit(a.admit, a.admission.load), agentserver.WithLoaded(a.engine.has),
 	)
 	a.biller = biller.New(s.Instance, []biller.Sink{biller.TableSink(a.table), biller.ObjectSink(a.objects)},
 		biller.WithOwnWindow(ownBillWindow))
 	messenger.Handle(a.mux, methodProbe, func(context.Context, messenger.Peer, None) (streamer.Load, error) {
-		return a.currentLoad(), nil
+		return a.admission.load(), nil
 	})
 	messenger.Handle(a.mux, methodDescribe, func(context.Context, messenger.Peer, None) (Description, error) {
 		return Description{
-			Upstream: s.Upstream.Name, Service: s.Upstream.Service, Targets: a.engine.targets(), Load: a.currentLoad(),
+			Upstream: s.Upstream.Name, Service: s.Upstream.Service, Targets: a.engine.targets(), Load: a.admission.load(),
 		}, nil
 	})
 	messenger.Handle(a.mux, methodBillsDurable, func(_ context.Context, _ messenger.Peer, b BillsDurable) (None, error) {
@@ -141,11 +144,13 @@
 	a.register("engine", a.engine)
 }
 
-// currentLoad is the load of the admission; an engine that does not answer takes no new work.
-func (a *Agent) currentLoad() streamer.Load {
-	l := a.admission.load()
-	l.Leaving = l.Leaving || !a.engine.healthy()
-	return l
+// admit waits for a slot; an engine that does not answer takes no new work. Such an agent is not leaving, because an
+// entry never lets a leaving upstream return.
+func (a *Agent) admit(ctx context.Context, it agentserver.Item) (agentserver.Ticket, error) {
+	if !a.engine.healthy() {
+		return agentserver.Ticket{}, &agentserver.RefusalError{Code: codeEngineSilent, RetryAt: time.Now().Add(leaseRetry)}
+	}
+	return a.admission.admit(ctx, it)
 }
 
 // Run serves until ctx ends or a drain is asked for; it then refuses new orders, finishes what runs, makes its bills
--- a/assembler/directory.go
+++ b/assembler/directory.go
@@ -93,7 +93,8 @@
 			d.known[m.Instance] = x
 		}
 		if x.incarnation != m.Incarnation {
-			x.incarnation, x.refreshAt = m.Incarnation, now
+			// The balancer never lets a leaving upstream return, so a restarted one is left out once and starts afresh.
+			x.incarnation, x.refreshAt, x.valid = m.Incarnation, now, false
 		}
 		if !x.asking && !now.Before(x.refreshAt) && len(ask) < describePace/int(time.Second/directoryStep) {
 			x.asking = true
@@ -102,10 +103,11 @@
 	}
 	d.forget(agents)
 	d.mu.Unlock()
+	// Upstreams of restarted agents are left out before they can be described again.
+	d.publish(agents)
 	for i := range ask {
 		go d.describe(ctx, ask[i].Instance)
 	}
-	d.publish(agents)
 }
 
 // forget drops agents that are no longer members; the caller holds mu.
@@ -131,14 +133,15 @@
 		x.refreshAt = time.Now().Add(leaseRetry)
 		return
 	}
+	if !x.valid && (desc.Load.Leaving || desc.Service == "" && len(desc.Targets) == 0) {
+		// An agent that has just started says so until it has its configuration and its engine has answered.
+		x.refreshAt = time.Now().Add(leaseRetry)
+		return
+	}
 	if !x.valid || !slices.Equal(x.Targets, desc.Targets) {
 		defer d.wake()
 	}
 	x.Description, x.valid, x.refreshAt = desc, true, time.Now().Add(describeAge)
-	if desc.Load.Leaving || desc.Service == "" && len(desc.Targets) == 0 {
-		// An agent that has just started says so until it has its configuration and its engine has answered.
-		x.refreshAt = time.Now().Add(leaseRetry)
-	}
 	d.byUp[desc.Upstream] = name
 }
 
@@ -211,7 +214,7 @@
 	return ask[None, streamer.Load](ctx, d.peers, name, methodProbe, None{})
 }
 
-// count returns the number of described upstreams.
+// count returns the number of upstreams that were described at least once.
 func (d *directory) count() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/assembler/entry_seam.go
+++ b/assembler/entry_seam.go
@@ -131,7 +131,7 @@
 	case "caller-left", "cancelled", "deadline-exceeded", "deadline-passed", "malformed-body", "invalid-call",
 		"version-withdrawn", "version-not-allowed", "response-invalid":
 		return balancer.ResultCanceled
-	case "upstream-unreachable", "upstream-lost":
+	case "upstream-unreachable", "upstream-lost", codeEngineSilent:
 		return balancer.ResultFailure
 	}
 	if a.Outcome == streamer.OutcomeNotRun {
