--- a/entryserver/spend_test.go
+++ b/entryserver/spend_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -81,6 +82,7 @@
 				_, err := b.call(ctx, 0, http.MethodPost, "/v1/chat/completions", question)
 				must.Eq(t, tc.timeout > 0, err != nil)
 				time.Sleep(5 * time.Second)
+				synctest.Wait()
 				must.Len(t, len(tc.settled), p.settled)
 				for i, want := range tc.settled {
 					must.Eq(t, maximum, p.reserved[i])
