entryserver: guard the recorded bills of the tests

Cause: go test -race reported that a test read the recorded bills while a handler appended to them. Change: the test bed takes and reads bills under a lock, and the test checks what a timer saw in its own goroutine. The expectations are the same.

--- a/entryserver/bed_test.go
+++ b/entryserver/bed_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -44,6 +45,7 @@
 	claims  claims
 
 	cfg   *configurer.Configuration
+	mu    sync.Mutex
 	bills []entryserver.Bill
 	retry bool
 	stop  []func()
@@ -97,7 +99,7 @@
 			b.serve(address(100+i, 80), entryserver.New(append([]entryserver.Option{
 				entryserver.WithStreams(client), entryserver.WithChoose(b.choose), entryserver.WithClaim(b.claims.claim),
 				entryserver.WithConfiguration(func() *configurer.Configuration { return b.cfg }),
-				entryserver.WithRecord(func(bill entryserver.Bill) { b.bills = append(b.bills, bill) }),
+				entryserver.WithRecord(b.record),
 				entryserver.WithRetry(func() bool { return b.retry }, func() {}),
 			}, opts...)...))
 		}
@@ -121,6 +123,19 @@
 	b.stop = append(b.stop, func() { _ = s.Close() })
 }
 
+func (b *bed) record(bill entryserver.Bill) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bills = append(b.bills, bill)
+}
+
+// recorded returns the bills that the entries have taken.
+func (b *bed) recorded() []entryserver.Bill {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.bills)
+}
+
 func (b *bed) choose(_ context.Context, c entryserver.Choice) (entryserver.Upstream, error) {
 	if c.Service != "" {
 		return entryserver.Upstream{Name: "refunds-1", Agent: address(3, 7000)}, nil
--- a/entryserver/bill_test.go
+++ b/entryserver/bill_test.go
@@ -71,7 +71,7 @@
 				var fromEntry []entryserver.Bill
 				var agents []*agentserver.Server
 				if tc.survivors&entry != 0 {
-					fromEntry = b.bills
+					fromEntry = b.recorded()
 				}
 				for i, bit := range []int{firstAgent, secondAgent} {
 					if tc.survivors&bit != 0 {
@@ -94,19 +94,23 @@
 // holder of its bill before its end.
 func TestBillsOfRepeatAndOfRunInProgress(t *testing.T) {
 	run(t, func(t *testing.T, b *bed) {
+		entry, agent := make(chan []entryserver.Bill, 1), make(chan []agentserver.Bill, 1)
 		time.AfterFunc(time.Second, func() {
-			must.Len(t, 1, b.bills)
-			must.False(t, b.bills[0].Final)
-			must.Len(t, 1, b.agents[0].PendingBills(9))
-			must.False(t, b.agents[0].PendingBills(9)[0].Final)
+			entry <- b.recorded()
+			agent <- b.agents[0].PendingBills(9)
 		})
 		key := []string{"Siskinfront-Work-Kind", "energisation-order", "Idempotency-Key", "order-17"}
 		must.Eq(t, 200, b.ask(t, question, key...).status)
-		before := len(b.bills)
-		must.Len(t, 1, union(b.bills, b.agents...))
+		atEntry, atAgent := <-entry, <-agent
+		must.Len(t, 1, atEntry)
+		must.False(t, atEntry[0].Final)
+		must.Len(t, 1, atAgent)
+		must.False(t, atAgent[0].Final)
+		before := len(b.recorded())
+		must.Len(t, 1, union(b.recorded(), b.agents...))
 		must.Eq(t, 200, b.ask(t, question, key...).status)
 		must.Eq(t, 1, b.started())
-		must.Len(t, before, b.bills)
-		must.Len(t, 1, union(b.bills, b.agents...))
+		must.Len(t, before, b.recorded())
+		must.Len(t, 1, union(b.recorded(), b.agents...))
 	})
 }
--- a/entryserver/server_test.go
+++ b/entryserver/server_test.go
@@ -59,7 +59,7 @@
 			must.NotEq(t, "", r.header.Get(decoder.HeaderRequestID))
 		}
 		must.Eq(t, 0, b.started())
-		must.Len(t, 0, b.bills)
+		must.Len(t, 0, b.recorded())
 	})
 }
 
@@ -118,9 +118,9 @@
 				tc.induce(b)
 				r := b.ask(t, tc.body)
 				must.Eq(t, tc.started, b.started())
-				bills := union(b.bills)
+				bills := union(b.recorded())
 				if tc.billed < 0 {
-					must.Len(t, 0, b.bills)
+					must.Len(t, 0, b.recorded())
 				} else {
 					must.Len(t, 1, bills)
 					must.Eq(t, tc.billed, bills[0].Usage.CompletionTokens)
