--- a/entryserver/bed_test.go
+++ b/entryserver/bed_test.go
@@ -46,7 +46,7 @@
 
 	cfg   *configurer.Configuration
 	mu    sync.Mutex
-	taken []entryserver.Bill
+	bills []entryserver.Bill
 	retry bool
 	stop  []func()
 }
@@ -123,6 +123,19 @@
 	b.stop = append(b.stop, func() { _ = s.Close() })
 }
 
+func (b *bed) record(bill entryserver.Bill) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bills = append(b.bills, bill)
+}
+
+// recorded returns the bills that the entries have taken.
+func (b *bed) recorded() []entryserver.Bill {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.bills)
+}
+
 func (b *bed) choose(_ context.Context, c entryserver.Choice) (entryserver.Upstream, error) {
 	if c.Service != "" {
 		return entryserver.Upstream{Name: "refunds-1", Agent: address(3, 7000)}, nil
@@ -229,17 +242,3 @@
 	b.stop = append(b.stop, c.Close)
 	return c
 }
-
-// record takes a bill as the entries do it, from any goroutine.
-func (b *bed) record(bill entryserver.Bill) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.taken = append(b.taken, bill)
-}
-
-// bills returns the bills taken so far.
-func (b *bed) bills() []entryserver.Bill {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return slices.Clone(b.taken)
-}
--- a/entryserver/cascade_test.go
+++ b/entryserver/cascade_test.go
@@ -113,7 +113,7 @@
 				must.StrContains(t, r.body, tc.want.String())
 				must.Eq(t, 1, strings.Count(r.body, "t15 "))
 				// A step that fails after its start leaves a bill that is not final for the tokens it produced.
-				bills := slices.DeleteFunc(union(b.bills()), func(x biller.Bill) bool { return !x.Final })
+				bills := slices.DeleteFunc(union(b.recorded()), func(x biller.Bill) bool { return !x.Final })
 				must.Len(t, tc.bills, bills)
 				id := r.header.Get(decoder.HeaderRequestID)
 				must.Eq(t, id, bills[0].ID)
