assembler: use mutual TLS for orders and record latencies by rank

Cause: orders from entries to agents went over plain HTTP even when the settings had certificates; the latency metrics had no caller; the detector did not hear of answered probes and descriptions. Change: the client of streams dials with the current certificates and the data listener refuses plain connections and clients without a certificate; entryserver.Attempt carries the rank; answers count as evidence of life. Conclusion: every path between entries and agents is covered by the same files.

--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -171,7 +171,7 @@
 	g.Go(func() error { return every(duties, billStep, a.moveBills) })
 	data := &http.Server{Handler: a.server, ReadHeaderTimeout: readHeaderTime}
 	g.Go(func() error {
-		if err := data.Serve(a.listeners.data); !errors.Is(err, http.ErrServerClosed) {
+		if err := data.Serve(a.dataListener(a.listeners.data)); !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("assembler: serve orders on %s: %w", a.settings.DataAddress, err)
 		}
 		return nil
--- a/assembler/bed_test.go
+++ b/assembler/bed_test.go
@@ -49,7 +49,11 @@
 		log.Print(err)
 		return 1
 	}
-	defer os.RemoveAll(dir)
+	defer func() {
+		if err := os.RemoveAll(dir); err != nil {
+			log.Print(err)
+		}
+	}()
 	binary = filepath.Join(dir, "siskinfront")
 	build := exec.Command("go", "build", "-buildvcs=false", "-o", binary, "github.com/siskinfront/siskinfront")
 	if out, err := build.CombinedOutput(); err != nil {
@@ -222,9 +226,20 @@
 	b.t.Helper()
 	b.eventually(entry+" knows all upstreams", patience, func() bool {
 		var state struct {
-			Upstreams []json.RawMessage `json:"upstreams"`
+			Upstreams []struct {
+				Leaving bool `json:"leaving"`
+			} `json:"upstreams"`
+		}
+		if b.procs[entry].state("balancer", &state) != nil {
+			return false
 		}
-		return b.procs[entry].state("balancer", &state) == nil && len(state.Upstreams) == len(b.engines)+1
+		ready := 0
+		for _, u := range state.Upstreams {
+			if !u.Leaving {
+				ready++
+			}
+		}
+		return ready == len(b.engines)+1
 	})
 }
 
@@ -279,7 +294,9 @@
 	p.t.Cleanup(func() {
 		// The process may have ended already.
 		_ = cmd.Process.Kill()
-		<-done
+		if err := <-done; err != nil && p.t.Failed() {
+			p.t.Logf("%s: %v", p.name, err)
+		}
 		if p.t.Failed() {
 			p.t.Logf("%s:\n%s", p.name, p.log.String())
 		}
--- a/assembler/directory.go
+++ b/assembler/directory.go
@@ -133,6 +133,9 @@
 		x.refreshAt = time.Now().Add(leaseRetry)
 		return
 	}
+	if !desc.Load.Leaving {
+		d.heard(name)
+	}
 	if !x.valid && (desc.Load.Leaving || desc.Service == "" && len(desc.Targets) == 0) {
 		// An agent that has just started says so until it has its configuration and its engine has answered.
 		x.refreshAt = time.Now().Add(leaseRetry)
@@ -211,7 +214,18 @@
 	if !ok {
 		return streamer.Load{}, fmt.Errorf("%w: agent of %s", errUnknownPeer, u.Name)
 	}
-	return ask[None, streamer.Load](ctx, d.peers, name, methodProbe, None{})
+	l, err := ask[None, streamer.Load](ctx, d.peers, name, methodProbe, None{})
+	if err == nil && !l.Leaving {
+		d.heard(name)
+	}
+	return l, err
+}
+
+// heard tells the detector that a member answered, which is evidence of life like a heartbeat.
+func (d *directory) heard(name identifier.Instance) {
+	if m, ok := d.detector.Member(name); ok {
+		d.detector.Heard(name, detector.Live, m.Incarnation)
+	}
 }
 
 // count returns the number of upstreams that were described at least once.
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -147,7 +147,7 @@
 	e.rollouts = newRollouts(e)
 	e.admin = administrator.New(e.adminStore(), administrator.WithLog(e.log))
 	e.server = entryserver.New(
-		entryserver.WithConfiguration(current), entryserver.WithSelect(e.selectTarget), entryserver.WithPin(e.pinner.Pin),
+		entryserver.WithStreams(e.streamsClient()), entryserver.WithConfiguration(current), entryserver.WithSelect(e.selectTarget), entryserver.WithPin(e.pinner.Pin),
 		entryserver.WithChoose(e.choose), entryserver.WithClaim(e.claim), entryserver.WithRecord(e.record),
 		entryserver.WithRetry(e.retries.Allow, e.retries.Success), entryserver.WithExplain(e.explain),
 		entryserver.WithLimit(e.accounts.Allow), entryserver.WithAttempts(e.balancer.Begin, e.attemptEnded, e.balancer.Report),
@@ -290,12 +290,13 @@
 	return errors.Join(e.biller.Flush(ctx), e.pinner.Flush(ctx), e.spender.Close(ctx))
 }
 
-func (e *Entry) observeLatency(a *entryserver.Attempt, rank identifier.Rank) {
+// observeLatency records the latencies of an attempt with a complete response.
+func (e *Entry) observeLatency(a *entryserver.Attempt) {
 	l := meter.AllLatencies()
 	if !a.FirstToken.IsZero() {
-		e.meter.Observe(l.FirstToken, string(rank), a.FirstToken.Sub(a.Begin))
+		e.meter.Observe(l.FirstToken, string(a.Rank), a.FirstToken.Sub(a.Begin))
 	}
-	e.meter.Observe(l.Request, string(rank), a.End.Sub(a.Begin))
+	e.meter.Observe(l.Request, string(a.Rank), a.End.Sub(a.Begin))
 }
 
 // Upstreams returns the number of upstreams that the entry knows.
--- a/assembler/entry_seam.go
+++ b/assembler/entry_seam.go
@@ -110,6 +110,9 @@
 // attemptEnded tells the parts that learn from attempts.
 func (e *Entry) attemptEnded(a entryserver.Attempt) {
 	e.balancer.End(a.Upstream, resultOf(&a))
+	if a.Code == "" {
+		e.observeLatency(&a)
+	}
 	if a.Outcome != streamer.OutcomeNotRun {
 		e.holders.add(string(a.Request), a.Upstream)
 	}
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -23,6 +23,7 @@
 	"github.com/siskinfront/siskinfront/messenger"
 	"github.com/siskinfront/siskinfront/meter"
 	"github.com/siskinfront/siskinfront/storer"
+	"github.com/siskinfront/siskinfront/streamer"
 )
 
 const (
@@ -138,6 +139,33 @@
 	return []messenger.Option{messenger.WithTLS(func() *tls.Config { return config(p.tls) })}
 }
 
+// dialAgent connects to the data listener of an agent under the current certificates. The order is sent only after the
+// handshake, so a failed handshake counts as a failed dial.
+func (p *process) dialAgent(ctx context.Context, network, address string) (net.Conn, error) {
+	d := tls.Dialer{Config: p.tls.Client()}
+	conn, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: err}
+	}
+	return conn, nil
+}
+
+// streamsClient returns the client that opens streams at agents, with mutual TLS if the settings have certificates.
+func (p *process) streamsClient() *streamer.Client {
+	if p.tls == nil {
+		return streamer.NewClient()
+	}
+	return streamer.NewClient(streamer.WithDial(p.dialAgent))
+}
+
+// dataListener returns the listener for orders, which refuses plain connections if the settings have certificates.
+func (p *process) dataListener(l net.Listener) net.Listener {
+	if p.tls == nil {
+		return l
+	}
+	return tls.NewListener(l, p.tls.Server())
+}
+
 // register shows a part in the state dump and in the metrics.
 func (p *process) register(name string, x part) {
 	p.dumper.Register(name, x.State)
@@ -237,10 +265,10 @@
 
 // ignoreEnd hides the error of a duty that ended because ctx did.
 func ignoreEnd(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return nil
+	if ctx.Err() == nil {
+		return err
 	}
-	return err
+	return nil
 }
 
 // serveHTTP serves h on l until ctx ends, without waiting for requests in progress for longer than a moment.
--- /dev/null
+++ b/assembler/tls_test.go
@@ -0,0 +1,143 @@
+package assembler_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	crand "crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// reloadPatience bounds the wait for new certificates, which processes look for every 30 s.
+const reloadPatience = 45 * time.Second
+
+// authority signs the certificates of a deployment.
+type authority struct {
+	t    *testing.T
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+}
+
+func newAuthority(t *testing.T, dir string) *authority {
+	a := &authority{t: t}
+	a.cert, a.key = a.sign(&x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageCertSign,
+	})
+	writePEM(t, filepath.Join(dir, "authority.pem"), "CERTIFICATE", a.cert.Raw)
+	return a
+}
+
+func (a *authority) sign(c *x509.Certificate) (*x509.Certificate, *ecdsa.PrivateKey) {
+	a.t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), crand.Reader)
+	must.NoError(a.t, err)
+	c.NotBefore, c.NotAfter = time.Now().Add(-time.Hour), time.Now().Add(time.Hour)
+	parent, signer := a.cert, a.key
+	if parent == nil {
+		parent, signer = c, key
+	}
+	raw, err := x509.CreateCertificate(crand.Reader, c, parent, &key.PublicKey, signer)
+	must.NoError(a.t, err)
+	cert, err := x509.ParseCertificate(raw)
+	must.NoError(a.t, err)
+	return cert, key
+}
+
+// write writes a certificate for all processes with a serial number.
+func (a *authority) write(dir string, serial int64) {
+	a.t.Helper()
+	cert, key := a.sign(&x509.Certificate{
+		SerialNumber: big.NewInt(serial), DNSNames: []string{"siskinfront"}, KeyUsage: x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	})
+	raw, err := x509.MarshalECPrivateKey(key)
+	must.NoError(a.t, err)
+	writePEM(a.t, filepath.Join(dir, "key.pem"), "EC PRIVATE KEY", raw)
+	writePEM(a.t, filepath.Join(dir, "certificate.pem"), "CERTIFICATE", cert.Raw)
+}
+
+func writePEM(t *testing.T, file, kind string, raw []byte) {
+	t.Helper()
+	must.NoError(t, os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: raw}), 0o600))
+}
+
+// serial returns the serial number of the certificate of a data listener, to a client with a certificate or without.
+func serial(address, dir string, withCertificate bool) (int64, error) {
+	c := &tls.Config{InsecureSkipVerify: true, MinVersion: tls.VersionTLS13}
+	if withCertificate {
+		cert, err := tls.LoadX509KeyPair(filepath.Join(dir, "certificate.pem"), filepath.Join(dir, "key.pem"))
+		if err != nil {
+			return 0, err
+		}
+		c.Certificates = []tls.Certificate{cert}
+	}
+	conn, err := tls.Dial("tcp", address, c)
+	if err != nil {
+		return 0, err
+	}
+	defer func() {
+		// The verdict is known by then.
+		_ = conn.Close()
+	}()
+	// The server judges the client's certificate after the client's side of the handshake, so its verdict comes with a reply.
+	if _, err := conn.Write([]byte("GET /run/none HTTP/1.1\r\nHost: siskinfront\r\n\r\n")); err != nil {
+		return 0, err
+	}
+	if _, err := conn.Read(make([]byte, 1)); err != nil {
+		return 0, err
+	}
+	return conn.ConnectionState().PeerCertificates[0].SerialNumber.Int64(), nil
+}
+
+// Guards against orders that reach an agent without the certificate of the deployment, and a new certificate that needs
+// a restart.
+func TestMutualTLS(t *testing.T) {
+	t.Parallel()
+	var ca *authority
+	b := newBed(t, 2*time.Millisecond, func(b *bed) {
+		ca = newAuthority(t, b.dir)
+		ca.write(b.dir, 2)
+		b.tls = fmt.Sprintf("tls: {certificate: %[1]s/certificate.pem, key: %[1]s/key.pem, authority: %[1]s/authority.pem}\n", b.dir)
+	})
+	answered := func() {
+		t.Helper()
+		for n := range 10 {
+			for _, entry := range []string{"entry-1", "entry-2"} {
+				nonce := fmt.Sprintf("nonce-tls-%d", n)
+				a := b.send(call{entry: entry, kind: "status-check", nonce: nonce, stream: n%2 == 0})
+				must.True(t, a.good(nonce), must.Sprintf("%+v", a))
+			}
+		}
+	}
+	answered()
+	address := b.procs["agent-1"].at("data").String()
+	resp, err := http.Post("http://"+address+"/run", "application/json", strings.NewReader("{}\n"))
+	if err == nil {
+		must.NoError(t, resp.Body.Close())
+		must.EqOp(t, http.StatusBadRequest, resp.StatusCode)
+	}
+	_, err = serial(address, b.dir, false)
+	must.ErrorContains(t, err, "certificate required")
+	n, err := serial(address, b.dir, true)
+	must.NoError(t, err)
+	must.EqOp(t, 2, n)
+	ca.write(b.dir, 3)
+	b.eventually("the agent shows the new certificate", reloadPatience, func() bool {
+		n, err := serial(address, b.dir, true)
+		return err == nil && n == 3
+	})
+	answered()
+}
--- a/command_demo.go
+++ b/command_demo.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 
 	"github.com/spf13/cobra"
 
@@ -73,7 +72,7 @@
 
 // playDemo writes the report also when an invariant was broken.
 func playDemo(cmd *cobra.Command, output string, seed uint64) error {
-	var progress io.Writer = cmd.OutOrStdout()
+	progress := cmd.OutOrStdout()
 	if output == outputJSON {
 		progress = cmd.ErrOrStderr()
 	}
--- a/command_replay.go
+++ b/command_replay.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -94,12 +95,11 @@
 	if err != nil {
 		return nil, nil, nil, err
 	}
-	f, err := os.Open(filepath.Clean(file))
+	text, err := os.ReadFile(filepath.Clean(file))
 	if err != nil {
 		return nil, nil, nil, fmt.Errorf("replay: %w", err)
 	}
-	defer f.Close()
-	trace, err := replayer.Read(f)
+	trace, err := replayer.Read(bytes.NewReader(text))
 	if err != nil {
 		return nil, nil, nil, fmt.Errorf("%s: %w", file, err)
 	}
--- a/demonstrator/deployment.go
+++ b/demonstrator/deployment.go
@@ -235,7 +235,7 @@
 
 // list puts every process on the platform's instance list.
 func (d *deployment) list() {
-	var list []storer.Instance
+	list := make([]storer.Instance, 0, len(d.entries)+len(d.agents))
 	for i, e := range d.entries {
 		a := e.Addresses()
 		list = append(list, storer.Instance{
--- a/demonstrator/platform.go
+++ b/demonstrator/platform.go
@@ -85,7 +85,7 @@
 }
 
 func (p *platform) stop() error {
-	var errs []error
+	errs := make([]error, 0, len(p.servers))
 	for _, s := range p.servers {
 		errs = append(errs, s.Close())
 	}
--- a/demonstrator/serve.go
+++ b/demonstrator/serve.go
@@ -44,10 +44,11 @@
 		return err
 	}
 	d, err := start(ctx, sh, cfg, seed)
-	if err != nil {
-		if ctx.Err() != nil {
-			return nil
-		}
+	if ctx.Err() != nil {
+		// The request to stop came during the start.
+		err = nil
+	}
+	if err != nil || d == nil {
 		return err
 	}
 	a := d.entries[0].Addresses()
--- a/entryserver/dispatch.go
+++ b/entryserver/dispatch.go
@@ -89,7 +89,8 @@
 // attempt sends the order to u and copies the response to the sink.
 func (s *Server) attempt(ctx context.Context, u Upstream, j *job) *failure {
 	record := Attempt{
-		Request: j.order.Request, Upstream: u.Name, Target: j.order.Target, Service: j.order.Service, Begin: s.Now(),
+		Request: j.order.Request, Upstream: u.Name, Target: j.order.Target, Service: j.order.Service,
+		Rank: j.order.Rank, Begin: s.Now(),
 	}
 	s.Begin(u.Name)
 	f := s.exchange(ctx, u, j, &record)
--- a/entryserver/seam.go
+++ b/entryserver/seam.go
@@ -81,6 +81,7 @@
 	Upstream identifier.Upstream
 	Target   identifier.Target
 	Service  identifier.Service
+	Rank     identifier.Rank
 	Outcome  streamer.Outcome
 	// Code is empty for a complete response.
 	Code  string
--- a/serve_internal_test.go
+++ b/serve_internal_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
+	"errors"
 	"io"
 	"net/netip"
 	"os"
@@ -11,8 +13,6 @@
 	"testing"
 	"time"
 
-	"context"
-
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 	"github.com/shoenig/test/must"
@@ -29,7 +29,7 @@
 	root.SetArgs([]string{"demo", "--serve", "--answers", file})
 	root.SetOut(w)
 	done := make(chan error, 1)
-	go func() { done <- root.ExecuteContext(ctx); w.Close() }()
+	go func() { done <- errors.Join(root.ExecuteContext(ctx), w.Close()) }()
 	values := map[string]string{}
 	lines := bufio.NewScanner(r)
 	for len(values) < 7 && lines.Scan() {
