main: test replay against a served deployment

Cause: nothing showed that replay passes on a healthy deployment and fails on a broken promise. Change: a test replays the committed trace, and a part of it under a configuration that had withdrawn its versions; the JSON report of demo lists no violations as an empty list. Conclusion: the exit status of replay can be relied on.

--- a/demonstrator/demo.go
+++ b/demonstrator/demo.go
@@ -97,7 +97,7 @@
 	if err := g.Wait(); err != nil {
 		return nil, err
 	}
-	total := &Report{}
+	total := &Report{Violations: []Violation{}}
 	for _, r := range reports {
 		total.merge(r)
 	}
--- a/serve_internal_test.go
+++ b/serve_internal_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/netip"
@@ -96,3 +97,36 @@
 		must.StrContains(t, string(page), command)
 	}
 }
+
+// Guards against a replay that reports no violation whatever its callers see, or one where there is none.
+func TestReplayAgainstServe(t *testing.T) {
+	const dir = "examples/solas-sraide/"
+	values, stop := serveAnswers(t, dir+"answers.yaml")
+	args := []string{
+		"replay", dir + "trace.ndjson", "--against", values["caller-address"], "--keys", dir + "keys.yaml", "--speed", "2",
+		"--output", "json", "--configuration",
+	}
+	out, _, err := execute(t, append(args, dir+"configuration.yaml")...)
+	must.NoError(t, err, must.Sprint(out))
+	var result replayResult
+	must.NoError(t, json.Unmarshal([]byte(out), &result))
+	must.EqOp(t, 3, len(result.Ranks))
+	for _, row := range result.Ranks {
+		must.Greater(t, 0, row.Answered)
+		must.EqOp(t, row.Sent, row.Answered+row.Refused)
+	}
+	// Under a configuration that withdrew a version before the trace was played, its answers are violations.
+	text, err := os.ReadFile(dir + "configuration.yaml")
+	must.NoError(t, err)
+	withdrawn := filepath.Join(t.TempDir(), "configuration.yaml")
+	must.NoError(t, os.WriteFile(withdrawn, bytes.Replace(text, []byte("state: candidate"), []byte("state: withdrawn"), -1), 0o600))
+	short, err := os.ReadFile(dir + "trace.ndjson")
+	must.NoError(t, err)
+	args[1] = filepath.Join(t.TempDir(), "trace.ndjson")
+	must.NoError(t, os.WriteFile(args[1], bytes.Join(bytes.SplitAfterN(short, []byte("\n"), 201)[:200], nil), 0o600))
+	// Answers under stored keys of the first replay need no run, so the violations come from the other requests.
+	out, _, err = execute(t, append(args, withdrawn)...)
+	must.ErrorIs(t, err, errBroken, must.Sprint(out))
+	must.StrContains(t, out, "withdrawn-version")
+	must.NoError(t, stop())
+}
