assembler: test admission, bill holders and silent engines with small fakes

Cause: only whole deployments exercised these parts. Conclusion: a change of ranks at run time keeps admitted work and a drain.

--- /dev/null
+++ b/assembler/parts_internal_test.go
@@ -0,0 +1,98 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/agentserver"
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// Guards against a durable bill that is reported to the wrong agent or twice, and against growth without bound.
+func TestBillHolders(t *testing.T) {
+	h := newBillHolders()
+	h.add("a", "engine-1")
+	h.add("b", "engine-2")
+	h.add("c", "engine-1")
+	got := h.take([]string{"a", "b", "c", "unknown"})
+	must.MapEq(t, map[identifier.Upstream][]string{"engine-1": {"a", "c"}, "engine-2": {"b"}}, got)
+	must.MapEmpty(t, h.take([]string{"a", "b", "c"}))
+	for i := range maxHolders + 10 {
+		h.add(strconv.Itoa(i), "engine-1")
+	}
+	must.MapLen(t, maxHolders, h.agents)
+}
+
+func order(rank identifier.Rank) agentserver.Item {
+	return agentserver.Item{Cost: 1, Order: &streamer.Order{
+		Request: "r", ClientAccount: "a", Rank: rank, WorkKind: "k", Deadline: time.Now().Add(time.Minute),
+	}}
+}
+
+func ranked(names ...identifier.Rank) *configurer.Configuration {
+	c := &configurer.Configuration{}
+	for _, n := range names {
+		c.Ranks = append(c.Ranks, configurer.Rank{Name: n, Deadline: time.Minute})
+	}
+	return c
+}
+
+// Guards against work that a change of the ranks loses, a new rank that is not known, and a drain that such a change
+// takes back.
+func TestAdmissionChangesRanks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := configurer.DefaultAgentSettings()
+		a := newAdmission(&s)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var refused *agentserver.RefusalError
+		_, err := a.admit(ctx, order("urgent"))
+		must.True(t, errors.As(err, &refused), must.Sprint(err))
+		must.EqOp(t, "no-configuration", refused.Code)
+		must.True(t, a.load().Leaving)
+
+		a.configure(ranked("urgent"))
+		running, err := a.admit(ctx, order("urgent"))
+		must.NoError(t, err)
+		before := a.current.Load()
+		a.configure(ranked("urgent"))
+		must.True(t, before == a.current.Load())
+		a.configure(ranked("urgent", "batch"))
+		must.EqOp(t, 1, a.replaced)
+		ticket, err := a.admit(ctx, order("batch"))
+		must.NoError(t, err)
+		ticket.Finish(1)
+		running.Finish(1)
+
+		a.drain()
+		a.configure(ranked("batch"))
+		must.True(t, a.load().Leaving)
+		_, err = a.admit(ctx, order("batch"))
+		must.True(t, errors.As(err, &refused), must.Sprint(err))
+	})
+}
+
+// Guards against a silent engine that takes work, and one that recovered and takes none.
+func TestSilentEngineTakesNoWork(t *testing.T) {
+	s := configurer.DefaultAgentSettings()
+	a := &Agent{admission: newAdmission(&s), engine: newEngineWatch(s.Upstream.Address, "")}
+	a.admission.configure(ranked("urgent"))
+	a.engine.misses = engineMisses
+	_, err := a.admit(t.Context(), order("urgent"))
+	var refused *agentserver.RefusalError
+	must.True(t, errors.As(err, &refused), must.Sprint(err))
+	must.EqOp(t, codeEngineSilent, refused.Code)
+	must.False(t, a.admission.load().Leaving)
+	a.engine.misses = 0
+	ticket, err := a.admit(t.Context(), order("urgent"))
+	must.NoError(t, err)
+	ticket.Finish(1)
+}
