assembler: keep an upstream whose first incarnation is heard of

Cause: the first heartbeat of an agent counted as a restart, so its upstream was left out until it was described again. Change: only a change from a known incarnation leaves the upstream out. Conclusion: an entry keeps its upstreams while it learns of their incarnations.

--- a/assembler/directory.go
+++ b/assembler/directory.go
@@ -93,8 +93,10 @@
 			d.known[m.Instance] = x
 		}
 		if x.incarnation != m.Incarnation {
-			// The balancer never lets a leaving upstream return, so a restarted one is left out once and starts afresh.
-			x.incarnation, x.refreshAt, x.valid = m.Incarnation, now, false
+			// The balancer never lets a leaving upstream return, so a restarted one is left out once and starts afresh. The
+			// first incarnation that is heard of is no restart.
+			x.valid = x.valid && x.incarnation == 0
+			x.incarnation, x.refreshAt = m.Incarnation, now
 		}
 		if !x.asking && !now.Before(x.refreshAt) && len(ask) < describePace/int(time.Second/directoryStep) {
 			x.asking = true
--- a/serve_internal_test.go
+++ b/serve_internal_test.go
@@ -119,7 +119,7 @@
 	text, err := os.ReadFile(dir + "configuration.yaml")
 	must.NoError(t, err)
 	withdrawn := filepath.Join(t.TempDir(), "configuration.yaml")
-	must.NoError(t, os.WriteFile(withdrawn, bytes.Replace(text, []byte("state: candidate"), []byte("state: withdrawn"), -1), 0o600))
+	must.NoError(t, os.WriteFile(withdrawn, bytes.ReplaceAll(text, []byte("state: candidate"), []byte("state: withdrawn")), 0o600))
 	short, err := os.ReadFile(dir + "trace.ndjson")
 	must.NoError(t, err)
 	args[1] = filepath.Join(t.TempDir(), "trace.ndjson")
