--- a/assembler/directory.go
+++ b/assembler/directory.go
@@ -93,8 +93,10 @@
 			d.known[m.Instance] = x
 		}
 		if x.incarnation != m.Incarnation {
-			// The balancer never lets a leaving upstream return, so a restarted one is left out once and starts afresh.
-			x.incarnation, x.refreshAt, x.valid = m.Incarnation, now, false
+			// The balancer never lets a leaving upstream return, so a restarted one is left out once and starts afresh. The
+			// first incarnation that is heard of is no restart.
+			x.valid = x.valid && x.incarnation == 0
+			x.incarnation, x.refreshAt = m.Incarnation, now
 		}
 		if !x.asking && !now.Before(x.refreshAt) && len(ask) < describePace/int(time.Second/directoryStep) {
 			x.asking = true
@@ -133,6 +135,9 @@
 		x.refreshAt = time.Now().Add(leaseRetry)
 		return
 	}
+	if !desc.Load.Leaving {
+		d.heard(name)
+	}
 	if !x.valid && (desc.Load.Leaving || desc.Service == "" && len(desc.Targets) == 0) {
 		// An agent that has just started says so until it has its configuration and its engine has answered.
 		x.refreshAt = time.Now().Add(leaseRetry)
@@ -221,10 +226,21 @@
 		return streamer.Load{}, fmt.Errorf("%w: agent of %s", errUnknownPeer, u.Name)
 	}
 	l, err := ask[None, streamer.Load](ctx, d.peers, name, methodProbe, None{})
-	if err == nil {
-		d.observe(u.Name, l)
+	if err != nil {
+		return l, err
+	}
+	d.observe(u.Name, l)
+	if !l.Leaving {
+		d.heard(name)
+	}
+	return l, nil
+}
+
+// heard tells the detector that a member answered, which is evidence of life like a heartbeat.
+func (d *directory) heard(name identifier.Instance) {
+	if m, ok := d.detector.Member(name); ok {
+		d.detector.Heard(name, detector.Live, m.Incarnation)
 	}
-	return l, err
 }
 
 // count returns the number of upstreams that were described at least once.
