streamer, agentserver, entryserver: send frames together that arrive together

Cause: each token was written and flushed on its own, and the lock of a direct reader hid a blocked write from the virtual clock of the tests, which hung. Change: Lines tells whether a further line is buffered; agent and entry flush only before they wait. A channel replaces the lock. The spend test guards its records against the goroutine of the server.

--- a/agentserver/engine.go
+++ b/agentserver/engine.go
@@ -1,7 +1,6 @@
 package agentserver
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -51,10 +50,17 @@
 
 func (a *engineAttempt) copyEvents(ctx context.Context, resp *http.Response) (streamer.Frame, error) {
 	var usage *streamer.Usage
-	scanner := bufio.NewScanner(resp.Body)
-	scanner.Buffer(make([]byte, 0, 2048), maxEvent)
-	for scanner.Scan() {
-		data, ok := bytes.CutPrefix(scanner.Bytes(), []byte("data: "))
+	lines := streamer.NewLines(resp.Body, maxEvent)
+	for {
+		if !lines.More() {
+			// Tokens that arrived together leave together.
+			a.r.replay.Flush()
+		}
+		line, err := lines.Next()
+		if err != nil {
+			break
+		}
+		data, ok := bytes.CutPrefix(line, []byte("data: "))
 		if !ok {
 			continue
 		}
@@ -70,7 +76,7 @@
 			a.s.addBill(a.r, nil, false)
 			return streamer.Frame{Kind: streamer.KindFailed, Code: "engine-malformed", Outcome: streamer.OutcomeRun}, nil
 		}
-		if err := a.r.replay.Append(ctx, streamer.Frame{Kind: streamer.KindToken, Data: data}); err != nil {
+		if err := a.r.replay.Hold(ctx, streamer.Frame{Kind: streamer.KindToken, Data: data}); err != nil {
 			return a.stopped(ctx)
 		}
 		a.r.tokens++
--- a/entryserver/answer.go
+++ b/entryserver/answer.go
@@ -49,6 +49,7 @@
 	// keep is set when a streamed response is also stored.
 	keep     bool
 	sent     bool
+	unsent   bool
 	buf      []byte
 	stored   []byte
 	last     chunk
@@ -121,10 +122,19 @@
 		a.stored = append(a.stored, a.buf...)
 	}
 	_, _ = a.w.Write(a.buf)
+	a.unsent = true
+	return nil
+}
+
+// flush sends the events that were written since the last one; tokens that arrive together share one.
+func (a *answer) flush() {
+	if !a.unsent {
+		return
+	}
+	a.unsent = false
 	if f, ok := a.w.(http.Flusher); ok {
 		f.Flush()
 	}
-	return nil
 }
 
 func (a *answer) begun() bool { return a.sent }
@@ -136,6 +146,7 @@
 // fail ends a stream with an error event and without [DONE].
 func (a *answer) fail(e *decoder.Error) {
 	_ = a.event(e.Object())
+	a.flush()
 }
 
 type completionMessage struct {
--- a/entryserver/cascade.go
+++ b/entryserver/cascade.go
@@ -66,7 +66,7 @@
 		cancel()
 		if failed != nil {
 			j.steps = next.steps
-			return nil
+			return nil //nolint:nilerr // the answer of the earlier step is delivered
 		}
 		*j = next
 		w.Header().Set(decoder.HeaderModel, string(target.Model))
--- a/entryserver/dispatch.go
+++ b/entryserver/dispatch.go
@@ -126,6 +126,9 @@
 		return s.lost(ctx, stream, err)
 	}
 	for {
+		if !stream.More() {
+			j.sink.flush()
+		}
 		f, err := stream.Next(ctx)
 		if err != nil {
 			return s.lost(ctx, stream, err)
--- a/entryserver/sink.go
+++ b/entryserver/sink.go
@@ -14,6 +14,8 @@
 type sink interface {
 	started(f *streamer.Frame) error
 	token(f *streamer.Frame) error
+	// flush sends the written parts to the caller; it is called before each wait for a frame.
+	flush()
 	// finish makes the response complete; send writes what is not written yet.
 	finish(u streamer.Usage) error
 	send() error
@@ -72,6 +74,8 @@
 	return err
 }
 
+func (p *reply) flush() {}
+
 func (p *reply) begun() bool { return false }
 
 func (p *reply) reset() {
--- a/entryserver/spend_test.go
+++ b/entryserver/spend_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,18 +17,25 @@
 
 // purse records the reservations of a test and how each was settled.
 type purse struct {
+	mu       sync.Mutex
 	refuseAt int
 	reserved []float64
 	settled  [][]float64
 }
 
 func (p *purse) reserve(amount float64) (func(float64), error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	i := len(p.reserved)
 	if p.refuseAt > 0 && i+1 >= p.refuseAt {
 		return nil, &entryserver.SpendLimitError{RetryAt: time.Now().Add(90 * time.Second)}
 	}
 	p.reserved, p.settled = append(p.reserved, amount), append(p.settled, nil)
-	return func(actual float64) { p.settled[i] = append(p.settled[i], actual) }, nil
+	return func(actual float64) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.settled[i] = append(p.settled[i], actual)
+	}, nil
 }
 
 // priced makes a prompt token cost 1 and an output token 10.
@@ -81,6 +89,8 @@
 				_, err := b.call(ctx, 0, http.MethodPost, "/v1/chat/completions", question)
 				must.Eq(t, tc.timeout > 0, err != nil)
 				time.Sleep(5 * time.Second)
+				p.mu.Lock()
+				defer p.mu.Unlock()
 				must.Len(t, len(tc.settled), p.settled)
 				for i, want := range tc.settled {
 					must.Eq(t, maximum, p.reserved[i])
@@ -135,6 +145,8 @@
 		first, second := b.ask(t, question, headers...), b.ask(t, question, headers...)
 		must.Eq(t, first.body, second.body)
 		must.True(t, strings.Contains(first.body, "t15 "))
+		p.mu.Lock()
+		defer p.mu.Unlock()
 		must.Len(t, 1, p.reserved)
 		must.Len(t, 1, p.settled[0])
 	}, entryserver.WithReserve(p.reserve))
--- a/streamer/client.go
+++ b/streamer/client.go
@@ -224,9 +224,11 @@
 // Next returns the next frame, heartbeats included, and io.EOF after the final one. A broken or silent connection, a
 // missing or a foreign frame leads to a resume; ErrLost is returned when the agent cannot continue the stream.
 func (s *Stream) Next(ctx context.Context) (Frame, error) {
-	s.idle.Store(false)
-	defer s.idle.Store(true)
-	s.timer.Reset(SilenceLimit)
+	if !s.reader.More() {
+		s.idle.Store(false)
+		defer s.idle.Store(true)
+		s.timer.Reset(SilenceLimit)
+	}
 	for tries := 0; ; tries++ {
 		f, err := s.reader.Next()
 		if err == nil {
@@ -254,6 +256,11 @@
 	}
 }
 
+// More reports whether Next would return a frame without waiting.
+func (s *Stream) More() bool {
+	return s.reader != nil && s.reader.More()
+}
+
 // Cancel asks the agent to end the run and returns its outcome, or OutcomeUnknown if the agent does not answer.
 func (s *Stream) Cancel(ctx context.Context) Outcome {
 	ctx, cancel := context.WithTimeout(ctx, SilenceLimit)
--- a/streamer/direct.go
+++ b/streamer/direct.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 )
 
@@ -20,24 +19,23 @@
 	// stop removes the abort at the end of the context, which comes after the final frame too.
 	stop func() bool
 
-	// mu guards the fields below and the response writer.
-	mu      sync.Mutex
+	// busy holds a value while a goroutine uses the fields below and the response writer, which may wait for the reader.
+	busy    chan struct{}
 	w       http.ResponseWriter
 	flusher http.Flusher
 	after   uint64
 	scratch []byte
-	unsent  bool
 	ended   bool
 	timer   *time.Timer
 }
 
 // ServeDirect makes w the newest reader. Until detach is called, a newer reader takes over, or a write fails, every frame
-// is written within Append or Finish, which wait for a slow reader until the deadline. The end of ctx before the final frame
+// is written within Append, Flush or Finish, which wait for a slow reader until the deadline. The end of ctx before the final frame
 // aborts a write in progress. ServeDirect must be called before the first frame, and detach before w becomes invalid;
 // detach may be called more than once.
 func (p *Replay) ServeDirect(ctx context.Context, w http.ResponseWriter, deadline time.Time) (detach func()) {
 	control := http.NewResponseController(w)
-	d := &direct{replay: p, w: w}
+	d := &direct{replay: p, w: w, busy: make(chan struct{}, 1)}
 	d.flusher, _ = w.(http.Flusher)
 	// Errors of a deadline show at the next write.
 	_ = control.SetWriteDeadline(deadline)
@@ -53,16 +51,20 @@
 	return d.detach
 }
 
+func (d *direct) release() {
+	<-d.busy
+}
+
 func (d *direct) detach() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	d.busy <- struct{}{}
+	defer d.release()
 	if d.end() {
 		// The connection serves further requests.
 		_ = http.NewResponseController(d.w).SetWriteDeadline(time.Time{})
 	}
 }
 
-// end stops the direct service and reports whether the connection is still sound; d.mu is held.
+// end stops the direct service and reports whether the connection is still sound; d.busy is held.
 func (d *direct) end() bool {
 	if d.ended {
 		return false
@@ -80,16 +82,20 @@
 	return sound && p.reader == d.id
 }
 
-// push writes the frames that the reader does not have yet; soft ones stay in the buffer of the connection.
-func (d *direct) push(soft bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+// push writes the frames that the reader does not have yet.
+func (d *direct) push() {
+	d.busy <- struct{}{}
+	defer d.release()
+	d.pushLocked()
+}
+
+func (d *direct) pushLocked() {
 	if d.ended {
 		return
 	}
 	b, after, _, err := d.replay.pending(d.scratch[:0], d.id, d.after)
 	d.scratch = b
-	if err != nil || !d.write(b, soft) {
+	if err != nil || len(b) > 0 && !d.write(b) {
 		d.end()
 		return
 	}
@@ -97,38 +103,41 @@
 	d.replay.deliver(d.id, after)
 }
 
-func (d *direct) write(b []byte, soft bool) bool {
+func (d *direct) write(b []byte) bool {
 	if _, err := d.w.Write(b); err != nil {
 		return false
 	}
-	d.unsent = soft
-	if !soft && d.flusher != nil {
+	if d.flusher != nil {
 		d.flusher.Flush()
 	}
 	return true
 }
 
-// tick sends what was held back and then one heartbeat per interval.
+// tick sends what was held back, and one heartbeat per interval.
 func (d *direct) tick() {
 	// While a frame is being written there is no need for a heartbeat.
-	if d.mu.TryLock() {
-		defer d.mu.Unlock()
-		if d.ended {
-			return
+	select {
+	case d.busy <- struct{}{}:
+		defer d.release()
+		before := d.after
+		if d.pushLocked(); d.after == before {
+			d.beat()
 		}
-		if !d.beat() {
-			d.end()
+		if d.ended {
 			return
 		}
+	default:
 	}
 	d.timer.Reset(HeartbeatInterval)
 }
 
-func (d *direct) beat() bool {
-	if d.unsent {
-		return d.write(nil, false)
+func (d *direct) beat() {
+	if d.ended {
+		return
 	}
 	b, err := AppendFrame(d.scratch[:0], &Frame{Request: d.replay.request, Kind: KindHeartbeat})
 	d.scratch = b
-	return err == nil && d.write(b, false)
+	if err != nil || !d.write(b) {
+		d.end()
+	}
 }
--- a/streamer/reader.go
+++ b/streamer/reader.go
@@ -1,7 +1,6 @@
 package streamer
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -27,7 +26,7 @@
 
 // Reader reads the frames of one request in order; it is not safe for concurrent use.
 type Reader struct {
-	scanner    *bufio.Scanner
+	lines      *Lines
 	request    identifier.Request
 	last       uint64
 	duplicates int64
@@ -36,9 +35,12 @@
 
 // NewReader returns a reader of the frames of request that follow frame after.
 func NewReader(r io.Reader, request identifier.Request, after uint64) *Reader {
-	s := bufio.NewScanner(r)
-	s.Buffer(make([]byte, 0, readBuffer), maxFrame)
-	return &Reader{scanner: s, request: request, last: after}
+	return &Reader{lines: NewLines(r, maxFrame), request: request, last: after}
+}
+
+// More reports whether the next frame can be read without waiting.
+func (r *Reader) More() bool {
+	return !r.final && r.lines.More()
 }
 
 // Next returns the next frame, whose data is valid until the next call, and io.EOF after the final one. Frames that
@@ -48,13 +50,14 @@
 		if r.final {
 			return Frame{}, io.EOF
 		}
-		if !r.scanner.Scan() {
-			if err := r.scanner.Err(); err != nil {
-				return Frame{}, fmt.Errorf("streamer: read frame after %d: %w", r.last, err)
-			}
+		line, err := r.lines.Next()
+		if errors.Is(err, io.EOF) {
 			return Frame{}, ErrTruncated
 		}
-		f, err := DecodeFrame(r.scanner.Bytes(), r.request)
+		if err != nil {
+			return Frame{}, fmt.Errorf("streamer: read frame after %d: %w", r.last, err)
+		}
+		f, err := DecodeFrame(line, r.request)
 		if err != nil {
 			return Frame{}, fmt.Errorf("streamer: after frame %d: %w", r.last, err)
 		}
--- a/streamer/replay.go
+++ b/streamer/replay.go
@@ -60,17 +60,21 @@
 // Append numbers f and adds it. It waits while the buffer is full of frames that no reader has received, so a slow
 // caller slows its own run; it ends early when ctx does.
 func (p *Replay) Append(ctx context.Context, f Frame) error {
+	err := p.Hold(ctx, f)
+	if err == nil && f.Kind == KindToken {
+		p.Flush()
+	}
+	return err
+}
+
+// Hold is Append for a frame that more frames follow at once; Flush writes them together.
+func (p *Replay) Hold(ctx context.Context, f Frame) error {
 	for {
-		d, ok, err := p.tryAppend(&f)
-		if err != nil {
+		ok, err := p.tryAppend(&f)
+		if err != nil || ok {
 			return err
 		}
-		if ok {
-			if d != nil {
-				d.push(f.Kind != KindToken)
-			}
-			return nil
-		}
+		p.Flush()
 		select {
 		case <-p.space:
 		case <-ctx.Done():
@@ -79,25 +83,35 @@
 	}
 }
 
+// Flush writes the frames that a direct reader does not have yet.
+func (p *Replay) Flush() {
+	p.mu.Lock()
+	d := p.direct
+	p.mu.Unlock()
+	if d != nil {
+		d.push()
+	}
+}
+
 // Finish adds a final frame and waits for no reader but a direct one; undelivered frames stay in the buffer.
 func (p *Replay) Finish(f Frame) error {
 	p.mu.Lock()
 	err, d := p.add(&f), p.direct
 	p.mu.Unlock()
 	if d != nil {
-		d.push(false)
+		d.push()
 		d.detach()
 	}
 	return err
 }
 
-func (p *Replay) tryAppend(f *Frame) (*direct, bool, error) {
+func (p *Replay) tryAppend(f *Frame) (bool, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.buf) >= p.limit && !p.evict() {
-		return nil, false, nil
+		return false, nil
 	}
-	return p.direct, true, p.add(f)
+	return true, p.add(f)
 }
 
 func (p *Replay) add(f *Frame) error {
