agentserver: restore the fencing mark after a restart

Cause: a restarted agent started from mark 0 and passed commands of stale lease holders on. Change: before the first command the agent asks Server.Mark for the highest token; until it answers, commands get 503. Result: go test -race ./agentserver passes, with stale, current and newer tokens and a table that is down. Conclusion: safe also at engines that ignore tokens, once the assembler sets WithMark.

--- a/agentserver/command.go
+++ b/agentserver/command.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -15,6 +16,8 @@
 	maxCommand = 1 << 20
 	// commandTime bounds one command at the engine.
 	commandTime = 30 * time.Second
+	// markTime bounds the question for the fencing mark, during which other commands wait.
+	markTime = 3 * time.Second
 )
 
 // fence holds the highest fencing token seen and lets one command through at a time, so that a command with an older
@@ -23,6 +26,8 @@
 	busy sync.Mutex
 	mu   sync.Mutex
 	high uint64
+	// restored is set once the mark from before the start of this process is known; busy guards it.
+	restored bool
 }
 
 func (f *fence) token() uint64 {
@@ -64,6 +69,10 @@
 	}
 	s.fence.busy.Lock()
 	defer s.fence.busy.Unlock()
+	if err := s.restoreFence(r.Context()); err != nil {
+		http.Error(w, "agentserver: fencing mark is not known", http.StatusServiceUnavailable)
+		return
+	}
 	if !s.fence.raise(*c.Token) {
 		http.Error(w, "agentserver: fencing token is stale", http.StatusConflict)
 		return
@@ -71,6 +80,23 @@
 	s.forward(w, r, body)
 }
 
+// restoreFence asks for the fencing mark before the first command. An agent that has just started would otherwise accept
+// a stale token, which an engine that ignores tokens would then obey. s.fence.busy is held.
+func (s *Server) restoreFence(ctx context.Context) error {
+	if s.fence.restored {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, markTime)
+	defer cancel()
+	mark, err := s.Mark(ctx)
+	if err != nil {
+		return fmt.Errorf("agentserver: read fencing mark of %s: %w", s.Upstream, err)
+	}
+	s.fence.raise(mark)
+	s.fence.restored = true
+	return nil
+}
+
 func (s *Server) forward(w http.ResponseWriter, r *http.Request, body []byte) {
 	ctx, cancel := context.WithTimeout(r.Context(), commandTime)
 	defer cancel()
--- /dev/null
+++ b/agentserver/fence_test.go
@@ -0,0 +1,44 @@
+package agentserver_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/agentserver"
+)
+
+// Guards against a restarted agent that passes the command of a stale lease holder to an engine that ignores tokens.
+func TestFenceAfterRestart(t *testing.T) {
+	obeyed := 0
+	engine := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { obeyed++ }))
+	defer engine.Close()
+	down := true
+	a := agentserver.New("upstream-1", netip.MustParseAddrPort(strings.TrimPrefix(engine.URL, "http://")),
+		agentserver.WithMark(func(context.Context) (uint64, error) {
+			if down {
+				return 0, errors.New("table is down")
+			}
+			return 7, nil
+		}))
+	send := func(token string) int {
+		w := httptest.NewRecorder()
+		a.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/control/load",
+			strings.NewReader(`{"token":`+token+`}`)))
+		return w.Code
+	}
+	must.Eq(t, http.StatusServiceUnavailable, send("8"))
+	down = false
+	must.Eq(t, http.StatusConflict, send("6"))
+	must.Eq(t, 0, obeyed)
+	must.Eq(t, http.StatusOK, send("7"))
+	must.Eq(t, http.StatusOK, send("9"))
+	must.Eq(t, http.StatusConflict, send("8"))
+	must.Eq(t, 2, obeyed)
+}
--- a/agentserver/server.go
+++ b/agentserver/server.go
@@ -38,6 +38,9 @@
 	Load func() streamer.Load
 	// Loaded reports whether the engine has a version loaded.
 	Loaded func(identifier.Target) bool
+	// Mark returns the highest fencing token issued for the engine before this process started; it is asked before the
+	// first command, and commands are refused until it answers. The default is 0.
+	Mark func(ctx context.Context) (uint64, error)
 	// ResumeWindow is the time for which a run continues without a reader, and for which its frames are kept after that.
 	ResumeWindow time.Duration
 
@@ -71,6 +74,7 @@
 		Configuration: func() *configurer.Configuration { return nil },
 		Admit:         q.admit,
 		Loaded:        func(identifier.Target) bool { return true },
+		Mark:          func(context.Context) (uint64, error) { return 0, nil },
 		ResumeWindow:  defaultResumeWindow,
 		client:        &http.Client{Transport: streamer.NewTransport(maxIdleConnections)},
 		fresh:         &http.Client{Transport: streamer.NewTransport(0)},
@@ -118,6 +122,11 @@
 	return func(s *Server) { s.Loaded = f }
 }
 
+// WithMark sets the source of the fencing mark from before the start.
+func WithMark(f func(context.Context) (uint64, error)) Option {
+	return func(s *Server) { s.Mark = f }
+}
+
 // WithResumeWindow sets the time for which a run continues without a reader.
 func WithResumeWindow(d time.Duration) Option {
 	return func(s *Server) { s.ResumeWindow = d }
