--- a/promoter/evidence.go
+++ b/promoter/evidence.go
@@ -20,10 +20,19 @@
 	// longer memory of the control would lag behind the hour by more than the tolerance.
 	controlMemory = 60
 	shareMemory   = 100
-	// longMemory and shortMemory are the numbers of values behind the two failure rates of the serving versions; the larger rate
-	// is the reference, so that an incident that strikes all versions is not held against the candidate.
+	// longMemory and shortMemory are the numbers of values behind the two failure rates of the serving versions. The recent test
+	// uses the larger rate, so that an incident that strikes all versions is not held against the candidate.
 	longMemory  = 2000
 	shortMemory = 20
+	// leastStake and stakeStep are the parts of the wealth that the paired tests bet; at a stake of 1 one failure of a serving
+	// version could end a test.
+	leastStake = 0.3
+	stakeStep  = 0.3
+	// blockControl is the number of values of the serving versions in a block of the recent test, and blockGain bounds the factor
+	// of one block. In an incident many values of the candidate arrive before the first failure of a serving version shows
+	// that all are struck.
+	blockControl = 5
+	blockGain    = 4
 	// leastControl is the number of values of the serving versions before the first bet.
 	leastControl = 10
 	// leastRatio keeps one value from ending a test.
@@ -39,9 +48,9 @@
 	harms     [scales]float64
 	// leastVariance bounds the estimated variance of the control from below.
 	leastVariance float64
-	// reference sets the certain test against the long-run mean of the serving versions in place of the share of the values.
-	// It suits what does not follow the hour, and needs fewer values when the serving versions get little work.
-	reference bool
+	// paired sets the certain test on differences of concurrent means in place of the share of the values. For rare events it
+	// keeps the tolerance a difference of rates, where the share would make it a multiple of the rate.
+	paired bool
 	// gaussian selects the likelihood ratio of a shifted normal distribution.
 	gaussian bool
 }
@@ -49,7 +58,7 @@
 func measures() [metricCount]measure {
 	return [metricCount]measure{
 		metricRating:  {tolerance: 0.02, harms: [scales]float64{0.06, 0.12, 0.25}, leastVariance: 0.04},
-		metricFailure: {tolerance: 0.01, harms: [scales]float64{0.03, 0.1, 0.4}, leastVariance: 0.002, reference: true},
+		metricFailure: {tolerance: 0.01, harms: [scales]float64{0.03, 0.1, 0.4}, leastVariance: 0.002, paired: true},
 		metricLatency: {
 			tolerance: math.Log(1.1), harms: [scales]float64{math.Log(1.3), math.Log(1.6), math.Log(3)},
 			leastVariance: 0.04, gaussian: true,
@@ -77,6 +86,10 @@
 	long, short float64
 	// share is the recent share of the values that come from the candidate.
 	share float64
+	// own and serving sum the values since the last pair.
+	own, serving tally
+	// block sums the values of the candidate and of the serving versions since the last block.
+	block [2]tally
 	// seen counts the values of both sides.
 	seen float64
 	// startAt is the time of the next start, and starts counts the later ones.
@@ -94,7 +107,7 @@
 // add takes one value of the candidate, if own is set, or of a serving version.
 func (e *evidence) add(own bool, value, exposure float64, now time.Time) {
 	e.start(now)
-	if e.control >= leastControl {
+	if e.control >= leastControl && !e.paired {
 		e.bet(own, value, exposure)
 	}
 	e.seen++
@@ -103,6 +116,9 @@
 		side = 1
 	}
 	e.share += max(1/e.seen, 1.0/shareMemory) * (side - e.share)
+	if e.paired {
+		defer e.pair(own, value)
+	}
 	if own {
 		return
 	}
@@ -129,35 +145,64 @@
 	cautious := deviation - math.Sqrt(variance/min(e.control, 2*controlMemory))
 	// A share above the true one would favour the evidence, as after a retreat from a larger exposure.
 	p := min(e.share, exposure)
-	sided := p >= leastShare && p <= 1-leastShare
-	failures := min(1-min(e.long, e.short)+e.uncertainty(), 0.5)
 	for i, harm := range e.harms {
 		worse := e.ratio(harm, deviation, variance)
-		switch {
-		case e.reference && own:
-			// A value is 1 or 0, and 1 less its mean is the rate of failures.
-			factor := (1 - min(failures+harm, 0.95)) / (1 - failures - e.tolerance)
-			if value == 0 {
-				factor = min(failures+harm, 0.95) / (failures + e.tolerance)
-			}
-			e.certain[i] *= factor
-			e.recent[i] *= factor
-		case e.reference:
-		default:
-			if sided {
-				factor := (p*tolerated + 1 - p) / (p*worse + 1 - p)
-				if own {
-					factor *= worse / tolerated
-				}
-				e.certain[i] *= factor
-			}
+		if p >= leastShare && p <= 1-leastShare {
+			factor := (p*tolerated + 1 - p) / (p*worse + 1 - p)
 			if own {
-				e.recent[i] *= e.ratio(harm, cautious, variance) / e.ratio(e.tolerance, cautious, variance)
+				factor *= worse / tolerated
 			}
+			e.certain[i] *= factor
+		}
+		if own {
+			e.recent[i] *= e.ratio(harm, cautious, variance) / e.ratio(e.tolerance, cautious, variance)
 		}
 	}
 }
 
+// pair adds a value, 1 for a success and 0 for a failure, and judges the pair once both sides have one.
+func (e *evidence) pair(own bool, value float64) {
+	if own {
+		e.own.add(value)
+		e.block[0].add(value)
+	} else {
+		e.serving.add(value)
+		e.block[1].add(value)
+	}
+	if e.own.count > 0 && e.serving.count > 0 {
+		difference := e.serving.mean() - e.own.mean() - e.tolerance
+		e.own, e.serving = tally{}, tally{}
+		for i := range e.certain {
+			e.certain[i] *= 1 + (leastStake+stakeStep*float64(i))*difference
+		}
+	}
+	if e.control >= leastControl && e.block[0].count > 0 && e.block[1].count >= blockControl {
+		e.judgeBlock(e.block[0])
+		e.block = [2]tally{}
+	}
+}
+
+// judgeBlock compares the failures of the candidate in one block with the failure rate of the serving versions.
+func (e *evidence) judgeBlock(own tally) {
+	failures := min(1-min(e.long, e.short)+e.uncertainty(), 0.5)
+	tolerated := failures + e.tolerance
+	for i, harm := range e.harms {
+		rate := min(failures+harm, 0.95)
+		gain := math.Pow(rate/tolerated, own.count-own.sum) * math.Pow((1-rate)/(1-tolerated), own.sum)
+		e.recent[i] *= min(gain, blockGain)
+	}
+}
+
+// tally sums the values of one side.
+type tally struct{ sum, count float64 }
+
+func (t *tally) add(v float64) {
+	t.sum += v
+	t.count++
+}
+
+func (t *tally) mean() float64 { return t.sum / t.count }
+
 // uncertainty returns two standard errors of the long-run failure rate of the serving versions.
 func (e *evidence) uncertainty() float64 {
 	n := min(e.control, longMemory)
--- a/promoter/promoter_test.go
+++ b/promoter/promoter_test.go
@@ -109,3 +109,30 @@
 	now = now.Add(48 * time.Hour)
 	must.SliceEmpty(t, p.Decide(cfg))
 }
+
+// Guards against a paused roll-out that grows, and against a pause that keeps a bad version in service.
+func TestPausedRollout(t *testing.T) {
+	for name, c := range map[string]struct {
+		rating float64
+		want   []promoter.Change
+	}{
+		"no worse": {rating: 0.7},
+		"worse":    {rating: 0.2, want: []promoter.Change{{Target: newOne, State: configurer.VersionWithdrawn, Reason: "worse rating of kind k"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := start
+			p := promoter.New(promoter.Chart(), promoter.WithNow(func() time.Time { return now }))
+			cfg := configuration(0.5)
+			cfg.Models[0].Versions[1].Paused = true
+			_ = p.Decide(cfg)
+			for range 300 {
+				now = now.Add(time.Minute)
+				p.Observe(promoter.Observation{WorkKind: "k", Target: oldOne, Rated: true, Rating: 0.7})
+				p.Observe(promoter.Observation{WorkKind: "k", Target: newOne, Rated: true, Rating: c.rating})
+			}
+			must.Eq(t, c.want, p.Decide(cfg))
+			cfg.Models[0].Versions[1].Paused = false
+			must.SliceLen(t, 1, p.Decide(cfg))
+		})
+	}
+}
--- a/rolloutbencher/experiment.go
+++ b/rolloutbencher/experiment.go
@@ -20,19 +20,26 @@
 const (
 	// falseLimit is the stated limit of false rollbacks.
 	falseLimit = 0.01
-	// horizon bounds one rollout; a good version is confirmed well before.
-	horizon = 48 * time.Hour
+	// horizon bounds one rollout; a good version is confirmed before.
+	horizon = 72 * time.Hour
 	// arrivals is the mean time between answers of the kind.
 	arrivals = 5 * time.Second
 	// lookInterval is the time between decisions.
 	lookInterval = time.Minute
 	ratedShare   = 0.5
-	badRuns      = 60
-	goodRuns     = 200
-	// otherRuns bounds the runs of the policies that are only there for comparison.
-	otherRuns = 20
+	// sampled is the part of the observations that reaches the lease holder in the scenarios with a bounded sample.
+	sampled = 0.5
+	// incidentFailures is the share of failed answers of both versions during a shared incident.
+	incidentFailures = 0.2
 )
 
+// sizes are the numbers of runs.
+type sizes struct {
+	bad, good int
+	// other bounds the runs of the policies that are only there for comparison.
+	other int
+}
+
 // The two versions of the experiment.
 var (
 	serving   = identifier.Target{Model: "drafting", Version: "1"}
@@ -47,24 +54,39 @@
 	late bool
 	// drop is the loss of quality, slow the factor of the latency, failures the share of failed answers.
 	drop, slow, failures float64
+	// sample is the part of the observations that the policy sees.
+	sample float64
+	// incident makes both versions fail often for the first ten minutes of each hour.
+	incident bool
 }
 
 func scenarios() []scenario {
 	const usualFailures = 0.005
 	return []scenario{
-		{"bad at once", true, false, 0.15, 1, usualFailures},
-		{"bad at midday", true, true, 0.15, 1, usualFailures},
-		{"slow", true, false, 0, 1.6, usualFailures},
-		{"failing", true, false, 0, 1, 0.06},
-		{"failing at midday", true, true, 0, 1, 0.06},
-		{"good", false, false, 0, 1, usualFailures},
-		{"better", false, false, -0.03, 0.95, usualFailures},
+		{name: "bad at once", bad: true, drop: 0.15, slow: 1, failures: usualFailures, sample: 1},
+		{name: "bad at midday", bad: true, late: true, drop: 0.15, slow: 1, failures: usualFailures, sample: 1},
+		{name: "slow", bad: true, slow: 1.6, failures: usualFailures, sample: 1},
+		{name: "failing", bad: true, slow: 1, failures: 0.06, sample: 1},
+		{name: "failing at midday", bad: true, late: true, slow: 1, failures: 0.06, sample: 1},
+		{name: "good", slow: 1, failures: usualFailures, sample: 1},
+		{name: "better", drop: -0.03, slow: 0.95, failures: usualFailures, sample: 1},
+		{name: "good, shared incidents", slow: 1, failures: usualFailures, sample: 1, incident: true},
+		{name: "slow, sampled", bad: true, slow: 1.6, failures: usualFailures, sample: sampled},
+		{name: "failing at midday, sampled", bad: true, late: true, slow: 1, failures: 0.06, sample: sampled},
+		{name: "bad at midday, sampled", bad: true, late: true, drop: 0.15, slow: 1, failures: usualFailures, sample: sampled},
 	}
 }
 
 // Experiment returns the experiment roll-out.
-func Experiment() bencher.Experiment {
-	return bencher.Experiment{Name: "roll-out", Short: "Detection of bad versions and false rollbacks of good ones", Run: run}
+func Experiment() bencher.Experiment { return ExperimentOf(60, 200, 20) }
+
+// ExperimentOf returns the experiment with other numbers of runs per bad version, per good version and per policy that is only
+// there for comparison.
+func ExperimentOf(bad, good, other int) bencher.Experiment {
+	return bencher.Experiment{
+		Name: "roll-out", Short: "Detection of bad versions and false rollbacks of good ones",
+		Run: sizes{bad: bad, good: good, other: other}.run,
+	}
 }
 
 // result is the outcome of one rollout.
@@ -76,21 +98,21 @@
 	exposed float64
 }
 
-func run(ctx context.Context, p bencher.Params) (bencher.Report, error) {
+func (z sizes) run(ctx context.Context, p bencher.Params) (bencher.Report, error) {
 	report := bencher.Report{
 		Columns: []string{"scenario", "policy", "runs", "rolled-back", "confirmed", "hours-to-rollback", "share-after-bad"},
 		XLabel:  "run", YLabel: "hours from turning bad to rollback",
 	}
 	var good, falsely float64
 	for i, s := range scenarios() {
-		runs := badRuns
+		runs := z.bad
 		if !s.bad {
-			runs = goodRuns
+			runs = z.good
 		}
 		for _, c := range policies() {
 			runs := runs
 			if c.name != "promoter" {
-				runs = otherRuns
+				runs = min(runs, z.other)
 			}
 			results := make([]result, runs)
 			g, gctx := errgroup.WithContext(ctx)
@@ -177,7 +199,13 @@
 		{Name: serving.Version, State: configurer.VersionServing}, {Name: candidate.Version, State: configurer.VersionCandidate},
 	}}}}
 	r.version = &r.cfg.Models[0].Versions[1]
-	r.observe, r.decide = c.make(func() time.Time { return r.now })
+	observe, decide := c.make(func() time.Time { return r.now })
+	r.decide = decide
+	r.observe = func(o promoter.Observation) {
+		if s.sample >= 1 || rng.Float64() < s.sample {
+			observe(o)
+		}
+	}
 	answers, exposed := 0.0, 0.0
 	for r.now.Before(r.start.Add(horizon)) {
 		r.now = r.now.Add(time.Duration(rng.ExpFloat64() * float64(arrivals)))
@@ -252,6 +280,9 @@
 	if bad || own && !s.bad {
 		quality, latency, failures = quality-s.drop, latency*s.slow, s.failures
 	}
+	if s.incident && now.Sub(start)%time.Hour < 10*time.Minute {
+		failures = incidentFailures
+	}
 	o.Rating = 0.92
 	// Unusable answers are rated 0.2 on average, so the mean of the ratings is the quality.
 	if rng.Float64() < (0.92-quality)/(0.92-0.2) {
--- a/rolloutbencher/policy.go
+++ b/rolloutbencher/policy.go
@@ -20,6 +20,7 @@
 			p := promoter.New(promoter.Chart(), promoter.WithNow(now))
 			return p.Observe, p.Decide
 		}},
+		{"former promoter", newFormer},
 		{"t-test each look", newAlternative(func(a *alternative) bool {
 			return worse(&a.ratings, 1, 0) || worse(&a.failures, -1, 0) || worse(&a.latencies, -1, 0)
 		})},
