--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -48,8 +48,10 @@
 }
 
 type cell struct {
-	own     Count
-	fast    Moments
+	own  Count
+	fast Moments
+	// changes counts the restarts of this cell and of others that cast doubt on it.
+	changes int64
 	sources map[identifier.Instance]Count
 	// used is the time of the last change, by which the least recently changed cell is evicted.
 	used time.Time
@@ -143,6 +145,7 @@
 	e.counters.added++
 	if changed(&c.fast, &c.own.Moments) {
 		c.own.Moments = c.fast
+		c.changes++
 		e.counters.restarts++
 		e.doubt(s)
 	}
@@ -154,6 +157,7 @@
 	for k, c := range e.cells {
 		if k.target == s.Target && k.kind != s.WorkKind {
 			c.own.Moments.scale(doubtFactor)
+			c.changes++
 			c.own.Sequence++
 		}
 	}
@@ -253,6 +257,17 @@
 	return m.mean(e.prior(t)), math.Sqrt(m.variance() / (priorWeight + n)), n
 }
 
+// Changes returns how often the quality of t for k has been assumed to have changed; estimates before and after a change are
+// of different qualities.
+func (e *Estimator) Changes(k identifier.WorkKind, t identifier.Target) int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c, ok := e.cells[cellKey{k, t}]; ok {
+		return c.changes
+	}
+	return 0
+}
+
 // Shortfall returns the share of answers rated below threshold and the mean rating of the others, to the accuracy of a
 // histogram bucket. Without ratings it returns 1 and 0, so that nothing relies on an unknown distribution.
 func (e *Estimator) Shortfall(k identifier.WorkKind, t identifier.Target, threshold float64) (share, meanAbove float64) {
--- a/selector/plan.go
+++ b/selector/plan.go
@@ -22,13 +22,18 @@
 	optimism = 2
 	// margin is the relative addition to the quality target: the estimates of the selected versions are biased upwards, because a
 	// version whose ratings happened to be good is selected more often.
-	margin = 0.006
+	margin = 0.002
+	// ratingBudget is the part of the cost of the answers that are chosen by quality that ratings asked for may cost.
+	ratingBudget = 0.02
 	// catchUp bounds the correction of the target for a past deficit or surplus.
 	catchUp = 0.03
 	// catchUpFloor is the number of requests over which a new plan makes up for a deficit.
 	catchUpFloor = 200
-	// revaluation is the half-life after which a decision keeps the value it was last estimated at.
-	revaluation = 240 * time.Minute
+	// changeLag is the half-life after which a decision is taken to be earlier than a change that is only now noticed.
+	changeLag = 20 * time.Minute
+	// memory is the half-life of the deficit. Over some days the mean of a kind meets the target, and the deficit of a long-lived
+	// process still moves the goal.
+	memory = 72 * time.Hour
 	// perMillion converts prices per million tokens.
 	perMillion = 1e-6
 )
@@ -60,6 +65,8 @@
 	quality, deviation, ratings float64
 	// short is the share of answers below the kind's target, and above the mean rating of the others.
 	short, above float64
+	// changes counts the assumed changes of the quality.
+	changes int64
 }
 
 // evidenceKey identifies evidence within one refresh.
@@ -80,6 +87,7 @@
 	var e evidence
 	e.quality, e.deviation, e.ratings = s.estimator.Quality(kind.Name, t)
 	e.short, e.above = s.estimator.Shortfall(kind.Name, t, kind.QualityTarget)
+	e.changes = s.estimator.Changes(kind.Name, t)
 	s.known[key] = e
 	return e
 }
@@ -96,10 +104,12 @@
 	// scale is the unit of lambda's steps as float64 bits.
 	scale atomic.Uint64
 	// goal is the corrected quality target as float64 bits.
-	goal   atomic.Uint64
+	goal atomic.Uint64
+	// base is the goal before that correction, as float64 bits.
+	base   atomic.Uint64
 	prompt atomic.Uint64
 	output atomic.Uint64
-	// frozen counts the older decisions, and frozenDeficit sums their missed quality; Selector.mu guards both and steeredAt.
+	// frozen counts the decisions before a change, and frozenDeficit sums their missed quality; Selector.mu guards both and steeredAt.
 	frozen, frozenDeficit float64
 	steeredAt             time.Time
 	// entries count the decisions per option; only the holder of Selector.mu changes the list.
@@ -111,9 +121,12 @@
 	target, next identifier.Target
 	quality      float64
 	selected     atomic.Int64
-	// settled is the part of selected that is included in weight; weight forgets old decisions.
+	// settled is the part of selected that is included in weight; weight excludes the decisions before a change.
 	settled int64
 	weight  float64
+	// recent is the part of weight whose decisions may be later than a change that is only now noticed.
+	recent  float64
+	changes int64
 }
 
 // entry returns the entry of o with its quality updated.
@@ -127,10 +140,53 @@
 		i = len(c.entries)
 		c.entries = append(c.entries, &entry{target: o.target, next: next})
 	}
-	c.entries[i].quality = o.quality
+	c.entries[i].revalue(c, &o.evidence)
 	return c.entries[i]
 }
 
+// revalue gives the decisions of e the value of the current estimate.
+func (e *entry) revalue(c *control, v *evidence) {
+	if e.changes != v.changes {
+		// Decisions before a change keep the value they had: the version was as good as it seemed when they were made.
+		frozen := e.weight - e.recent
+		c.frozen += frozen
+		c.frozenDeficit += frozen * (load(&c.base) - e.quality)
+		e.weight, e.changes = e.recent, v.changes
+	}
+	e.quality = v.quality
+}
+
+// revalue updates the entries whose options the plan no longer compares; the answers they gave count all the same.
+func (s *Selector) revalue(cfg *configurer.Configuration, p *plan) {
+	for _, e := range p.control.entries {
+		if s.estimator == nil || slices.Contains(p.entries, e) || slices.Contains(p.tried, e) {
+			continue
+		}
+		low := cfg.Version(e.target)
+		if low == nil {
+			continue
+		}
+		v := s.evidence(p.kind, e.target, low)
+		if e.next != (identifier.Target{}) {
+			high := cfg.Version(e.next)
+			if high == nil {
+				continue
+			}
+			next := s.evidence(p.kind, e.next, high)
+			v = cascaded(&v, &next)
+		}
+		e.revalue(p.control, &v)
+	}
+}
+
+// cascaded returns the evidence about a cascade of low and high.
+func cascaded(low, high *evidence) evidence {
+	return evidence{
+		quality: (1-low.short)*low.above + low.short*high.quality,
+		ratings: low.ratings, changes: low.changes + high.changes,
+	}
+}
+
 // plan is what a decision reads; it is immutable but for its control.
 type plan struct {
 	err     error
@@ -234,6 +290,7 @@
 	if s.estimator != nil {
 		goal *= 1 + margin
 	}
+	s.revalue(cfg, p)
 	p.steer(goal, q.Now)
 	return p
 }
@@ -241,22 +298,21 @@
 // steer corrects the goal for past decisions and sets the range of the price of quality.
 func (p *plan) steer(goal float64, now time.Time) {
 	c := p.control
-	freeze := 0.0
+	fade, keep := 1.0, 1.0
+	store(&c.base, goal)
 	if !c.steeredAt.IsZero() {
-		freeze = 1 - math.Exp2(-float64(now.Sub(c.steeredAt))/float64(revaluation))
+		fade = math.Exp2(-float64(now.Sub(c.steeredAt)) / float64(changeLag))
+		keep = math.Exp2(-float64(now.Sub(c.steeredAt)) / float64(memory))
 	}
 	c.steeredAt = now
+	c.frozen *= keep
+	c.frozenDeficit *= keep
 	total, deficit := 0.0, 0.0
 	for _, e := range c.entries {
 		n := e.selected.Load()
-		e.weight += float64(n - e.settled)
+		e.weight = e.weight*keep + float64(n-e.settled)
+		e.recent = min(e.recent*fade+float64(n-e.settled), e.weight)
 		e.settled = n
-		// Recent decisions are valued by what the estimate has become; older ones keep their value, because a version that
-		// degrades later was as good as it seemed when they were made.
-		frozen := e.weight * freeze
-		e.weight -= frozen
-		c.frozen += frozen
-		c.frozenDeficit += frozen * (goal - e.quality)
 		total += e.weight
 		deficit += e.weight * (goal - e.quality)
 	}
@@ -343,7 +399,7 @@
 			o := option{
 				target: low.target, cascade: []identifier.Target{high.target}, exposure: 1, rating: s.ratingPrice,
 				input: low.input + share*high.input, output: low.output + share*high.output,
-				evidence: evidence{quality: (1-share)*low.above + share*high.quality, ratings: low.ratings},
+				evidence: cascaded(&low.evidence, &high.evidence),
 			}
 			found = append(found, scored{o, o.price(p.reference[0], p.reference[1]) - lambda*o.quality})
 		}
--- a/selector/query.go
+++ b/selector/query.go
@@ -44,6 +44,9 @@
 	// slice is shared and must not be changed.
 	Cascade []identifier.Target
 	Reason  string
+	// Rate asks for a rating of the answer at the price of one: its version is chosen by quality, and the rating is cheap
+	// beside the answer.
+	Rate bool
 }
 
 // The reasons of a decision.
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -94,15 +94,19 @@
 // it returns the best one with ReasonUnreachable.
 func (s *Selector) Select(cfg *configurer.Configuration, q Query) (Decision, error) {
 	s.decisions.Add(1)
-	if q.Pinned != (identifier.Target{}) {
-		return pinned(cfg, &q)
-	}
 	if q.Now.IsZero() {
 		q.Now = s.now()
 	}
 	if q.MaxTokens == 0 {
 		q.MaxTokens = q.WorkKind.MaxTokens
 	}
+	if q.Pinned != (identifier.Target{}) {
+		d, err := pinned(cfg, &q)
+		if err == nil {
+			s.plan(cfg, &q).count(&q)
+		}
+		return d, err
+	}
 	p := s.plan(cfg, &q)
 	if p.err != nil {
 		return Decision{}, p.err
@@ -110,6 +114,24 @@
 	return s.decide(cfg, p, &q)
 }
 
+// count enters a request that follows its session in the control, because its answer counts towards the target like any other.
+func (p *plan) count(q *Query) {
+	for i := range p.entries {
+		if o := &p.options[i]; o.target == q.Pinned && o.cascade == nil {
+			p.entries[i].selected.Add(1)
+			p.control.settle(o.quality, float64(q.PromptTokens), float64(q.MaxTokens))
+			return
+		}
+	}
+	for i := range p.candidates {
+		if p.candidates[i].target == q.Pinned {
+			p.tried[i].selected.Add(1)
+			p.control.settle(p.candidates[i].quality, float64(q.PromptTokens), float64(q.MaxTokens))
+			return
+		}
+	}
+}
+
 func pinned(cfg *configurer.Configuration, q *Query) (Decision, error) {
 	v := cfg.Version(q.Pinned)
 	switch {
@@ -221,7 +243,11 @@
 	if chosen.cascade != nil {
 		s.cascaded.Add(1)
 	}
-	return Decision{Target: chosen.target, Cascade: chosen.cascade, Reason: reason}, nil
+	d := Decision{Target: chosen.target, Cascade: chosen.cascade, Reason: reason}
+	if chosen.cascade == nil && s.ratingPrice > 0 && w.quality > 0 {
+		d.Rate = unit(mix(u^0x51ed270b9f1a3c5d)) < ratingBudget*chosen.price(prompt, output)/s.ratingPrice
+	}
+	return d, nil
 }
 
 // cheapest returns the index of the option with the lowest score, or -1 without options.
