--- a/spendbencher/experiment.go
+++ b/spendbencher/experiment.go
@@ -23,8 +23,6 @@
 	committed = 1000.0
 	hardLimit = 1200.0
 	entries   = 12
-	// step is the virtual time between checks of each entry's shares.
-	step = time.Second
 	// largest is the price of the largest request.
 	largest = 0.2
 )
@@ -56,8 +54,15 @@
 }
 
 // Experiment returns the experiment spend.
-func Experiment() bencher.Experiment {
-	return bencher.Experiment{Name: "spend", Short: "Use of the commitment before overflow, and the hard limit", Run: run}
+func Experiment() bencher.Experiment { return ExperimentOf(time.Second) }
+
+// ExperimentOf returns the experiment with another virtual time between checks of each entry's shares; its requests stay the same
+// in number.
+func ExperimentOf(step time.Duration) bencher.Experiment {
+	return bencher.Experiment{
+		Name: "spend", Short: "Use of the commitment before overflow, and the hard limit",
+		Run: func(ctx context.Context, p bencher.Params) (bencher.Report, error) { return run(ctx, p, step) },
+	}
 }
 
 // result is the outcome of one period.
@@ -69,7 +74,7 @@
 	series                      bencher.Series
 }
 
-func run(ctx context.Context, p bencher.Params) (bencher.Report, error) {
+func run(ctx context.Context, p bencher.Params, step time.Duration) (bencher.Report, error) {
 	report := bencher.Report{
 		Columns: []string{
 			"scenario", "spent", "used-of-commitment", "used-before-overflow", "beyond-hard-limit", "requests", "refused",
@@ -82,7 +87,7 @@
 	g, gctx := errgroup.WithContext(ctx)
 	for i, s := range scenarios() {
 		g.Go(func() (err error) {
-			results[i], err = simulate(gctx, s, p.Seed, uint64(i))
+			results[i], err = simulate(gctx, s, step, p.Seed, uint64(i))
 			return err
 		})
 	}
@@ -131,6 +136,7 @@
 type node struct {
 	*spender.Spender
 	centre  identifier.DataCentre
+	holder  string
 	running []open
 	paused  time.Time
 }
@@ -145,12 +151,16 @@
 // world is the state of one period.
 type world struct {
 	scenario
+	step  time.Duration
 	rng   *rand.Rand
 	table *table
 	cfg   *configurer.Configuration
 	now   time.Time
 	nodes []*node
 	ids   int
+	// billed sums the bills per share, and dead holds the ended incarnations of entries.
+	billed map[string]float64
+	dead   map[string]bool
 	// spent is what the provider bills, crashed requests included, and inFlight the most the running ones can add.
 	spent, inFlight float64
 	result          result
@@ -158,8 +168,9 @@
 
 func centres() []identifier.DataCentre { return []identifier.DataCentre{"dc-1", "dc-2", "dc-3"} }
 
-func simulate(ctx context.Context, s scenario, seed, stream uint64) (result, error) {
-	w := &world{scenario: s, rng: rand.New(rand.NewPCG(seed, stream)), now: time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)}
+func simulate(ctx context.Context, s scenario, step time.Duration, seed, stream uint64) (result, error) {
+	w := &world{scenario: s, step: step, rng: rand.New(rand.NewPCG(seed, stream)), now: time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC),
+		billed: map[string]float64{}, dead: map[string]bool{}}
 	w.table = &table{rng: w.rng, rows: map[string]row{}, faults: s.faults}
 	w.cfg = &configurer.Configuration{Revision: 1, Spend: configurer.Spend{
 		Start: w.now, End: w.now.Add(period), Committed: committed, HardLimit: hardLimit, OverflowFactor: 1,
@@ -193,7 +204,7 @@
 		if !w.result.overflowed && w.spent > committed {
 			w.result.overflowed = true
 		}
-		if tick%600 == 0 {
+		if tick%max(1, int(10*time.Minute/step)) == 0 {
 			w.result.series.Points = append(w.result.series.Points, bencher.Point{X: elapsed.Hours(), Y: w.spent / committed})
 		}
 	}
@@ -206,8 +217,12 @@
 func (w *world) boot(centre identifier.DataCentre) *node {
 	cfg := func() *configurer.Configuration { return w.cfg }
 	clock := func() time.Time { return w.now }
+	w.ids++
+	holder := fmt.Sprintf("entry-%d", w.ids)
+	// Requests run for at most 9 s and their bills are durable 5 s later, well before a share may be recovered.
+	billed := func(l spender.Lease) (float64, bool) { return w.billed[l.ID], w.dead[l.Holder] }
 	l := spender.NewTableLedger(cfg, w.table.access(centre), centre, centres(), spender.WithLedgerNow(clock), spender.WithFloor(largest),
-		spender.WithNewID(func() string { w.ids++; return fmt.Sprintf("share-%d", w.ids) }))
+		spender.WithRecovery(holder, billed), spender.WithNewID(func() string { w.ids++; return fmt.Sprintf("share-%d", w.ids) }))
 	ledger := l.Ledger()
 	take := ledger.Take
 	ledger.Take = func(ctx context.Context, want float64, until time.Time) (spender.Share, error) {
@@ -219,7 +234,7 @@
 		return share, err
 	}
 	return &node{Spender: spender.New(cfg, ledger, spender.WithNow(clock), spender.WithMinimum(largest),
-		spender.WithRand(w.rng)), centre: centre}
+		spender.WithRand(w.rng)), centre: centre, holder: holder}
 }
 
 // settle ends the requests whose time has come.
@@ -231,6 +246,7 @@
 			continue
 		}
 		r.Settle(r.price)
+		w.billed[r.Share()] += r.price
 		w.spent += r.price
 		w.inFlight -= r.amount
 	}
@@ -241,7 +257,7 @@
 func (w *world) arrive(elapsed time.Duration) {
 	const mean = 0.04
 	hour := elapsed.Hours()
-	rate := w.demand * committed / period.Seconds() / mean * step.Seconds() * (1 + 0.6*math.Sin(2*math.Pi*(hour-9)/24))
+	rate := w.demand * committed / period.Seconds() / mean * w.step.Seconds() * (1 + 0.6*math.Sin(2*math.Pi*(hour-9)/24))
 	for rate > 0 {
 		if w.rng.Float64() >= rate {
 			break
@@ -270,16 +286,18 @@
 
 // fault crashes and pauses entries, and cuts the table off for some minutes.
 func (w *world) fault(elapsed time.Duration) {
-	if w.rng.Float64() < 1.0/600 {
+	if w.rng.Float64() < w.step.Seconds()/600 {
 		i := w.rng.IntN(len(w.nodes))
 		for _, r := range w.nodes[i].running {
 			// The provider bills what ran when the entry died.
+			w.billed[r.Share()] += r.price
 			w.spent += r.price
 			w.inFlight -= r.amount
 		}
+		w.dead[w.nodes[i].holder] = true
 		w.nodes[i] = w.boot(w.nodes[i].centre)
 	}
-	if w.rng.Float64() < 1.0/300 {
+	if w.rng.Float64() < w.step.Seconds()/300 {
 		w.nodes[w.rng.IntN(len(w.nodes))].paused = w.now.Add(time.Duration(w.rng.IntN(120)) * time.Second)
 	}
 	minute := int(elapsed.Minutes())
