--- a/limiter/split_share_test.go
+++ b/limiter/split_share_test.go
@@ -13,7 +13,7 @@
 
 // served sends 1.2 times the limit of an account through some of the entries for a minute and returns the part of the
 // limit that passed.
-func served(entries, used int, share func(entry int) float64) float64 {
+func served(used int, share func(entry int) float64) float64 {
 	acc := configurer.ClientAccount{Name: "a", TokensPerSecond: 33_000}
 	const tokens, duration = 100, time.Minute
 	passed := 0
@@ -43,8 +43,8 @@
 			demands[i] = 1.2 * 33_000 / float64(used)
 		}
 		shares := limiter.Split(33_000, demands)
-		equal := served(entries, used, func(int) float64 { return 1.0 / entries })
-		byDemand := served(entries, used, func(i int) float64 { return shares[i] / 33_000 })
+		equal := served(used, func(int) float64 { return 1.0 / entries })
+		byDemand := served(used, func(i int) float64 { return shares[i] / 33_000 })
 		t.Logf("%d of %d entries used: equal shares pass %.3f of the limit, shares by demand %.3f", used, entries, equal, byDemand)
 		must.Between(t, 0.98, byDemand, 1+bursts+0.01)
 		// The measured loss of equal shares is the part of the entries that the caller does not use.
