spender: keep a reserve of the commitment for partitions

Cause: a data centre that was cut off from the other rows overflowed while they had commitment to spare. Change: a row below 6% of the commitment evens out with the one that has the most to spare.

--- a/spender/ledger.go
+++ b/spender/ledger.go
@@ -33,6 +33,9 @@
 	recoverInterval = 30 * time.Second
 	// spareShare is the part of the other data centre's free amount that one transfer moves.
 	spareShare = 0.5
+	// reservePart is the part of the commitment that a row keeps for a time in which the other rows cannot be reached; below it the
+	// row evens out with the one that has the most to spare.
+	reservePart = 0.06
 	// othersAge is the age at which the use of the other data centres is read again.
 	othersAge = time.Minute
 	// guidedShare is the part of what is left, divided by the number of holders, that one share may take. Shares
@@ -277,17 +280,44 @@
 	return amount
 }
 
-// donate moves commitment and limit from the data centre with the most to spare into own when own has too little left.
-// The returned row must be written in the same transaction. An unreachable row is no donor.
+// donate moves commitment and limit from the data centre with the most to spare into own when own has too little left, or
+// less than a reserve for a partition. The returned row must be written in the same transaction. An unreachable row is no donor.
 func (l *TableLedger) donate(ctx context.Context, spend *configurer.Spend, own *versioned, want float64) (*versioned, error) {
 	granted := own.granted()
-	short := own.Committed-granted < want
-	if !own.Unlimited {
-		short = short || own.Limit-granted < want
+	left := own.Committed - granted
+	limitLeft := own.Limit - granted
+	short := left < want || !own.Unlimited && limitLeft < want
+	if !short && left >= reservePart*spend.Committed {
+		return nil, nil
+	}
+	best, err := l.richest(ctx, spend, left >= want && short)
+	if err != nil || best == nil {
+		return nil, err
 	}
+	committed, limit := max(0, best.Committed-best.granted()), max(0, best.Limit-best.granted())
 	if !short {
-		return nil, nil
+		// Evening out moves half of the difference, so that two rows do not pass the same amount to and fro.
+		committed, limit = committed-max(0, left), limit-max(0, limitLeft)
+		if committed < want {
+			return nil, nil
+		}
+	}
+	// A limit moves with the commitment, so that the receiver may spend what it received.
+	if !short || left < want {
+		best.Committed -= committed * spareShare
+		own.Committed += committed * spareShare
+	}
+	if !own.Unlimited {
+		limit = max(0, limit)
+		best.Limit -= limit * spareShare
+		own.Limit += limit * spareShare
 	}
+	return best, nil
+}
+
+// richest returns the row of another data centre with the most commitment to spare, or the most of the limit if limitOnly is set
+// or no commitment is left there; nil means that no reachable row has any.
+func (l *TableLedger) richest(ctx context.Context, spend *configurer.Spend, limitOnly bool) (*versioned, error) {
 	var best *versioned
 	bestSpare := 0.0
 	for _, d := range l.all {
@@ -302,29 +332,16 @@
 			continue
 		}
 		spare := other.Committed - other.granted()
-		if own.Committed-granted >= want || spare <= 0 {
+		if limitOnly || spare <= 0 {
 			spare = 0
 			if !other.Unlimited {
 				spare = other.Limit - other.granted()
 			}
 		}
-		if best == nil || spare > bestSpare {
+		if spare > bestSpare {
 			best, bestSpare = &other, spare
 		}
 	}
-	if best == nil || bestSpare <= 0 {
-		return nil, nil
-	}
-	// A limit moves with the commitment, so that the receiver may spend what it received.
-	if committed := max(0, best.Committed-best.granted()) * spareShare; own.Committed-granted < want {
-		best.Committed -= committed
-		own.Committed += committed
-	}
-	if !own.Unlimited {
-		limit := max(0, best.Limit-best.granted()) * spareShare
-		best.Limit -= limit
-		own.Limit += limit
-	}
 	return best, nil
 }
 
