--- a/assembler/entry_seam.go
+++ b/assembler/entry_seam.go
@@ -31,13 +31,14 @@
 )
 
 func (e *Entry) choose(_ context.Context, c entryserver.Choice) (entryserver.Upstream, error) {
-	u, err := e.balancer.Choose(balancer.Key{
+	u, startBy, err := e.balancer.Bind(balancer.Key{
 		Target: c.Target, Service: c.Service, Prefix: c.Prefix, Session: c.Session, Rank: c.Rank, Exclude: c.Exclude,
+		Busy: c.Busy,
 	})
 	if err != nil {
 		return entryserver.Upstream{}, fmt.Errorf("%w: %w", entryserver.ErrNoUpstream, err)
 	}
-	return entryserver.Upstream{Name: u.Name, DataCentre: u.DataCentre, Agent: u.Agent}, nil
+	return entryserver.Upstream{Name: u.Name, DataCentre: u.DataCentre, Agent: u.Agent, StartBy: startBy}, nil
 }
 
 func (e *Entry) claim(
@@ -169,6 +170,8 @@
 		return balancer.ResultCanceled
 	case "upstream-unreachable", "upstream-lost", codeEngineSilent:
 		return balancer.ResultFailure
+	case streamer.CodeBusy:
+		return balancer.ResultBusy
 	}
 	if a.Outcome == streamer.OutcomeNotRun {
 		return balancer.ResultRefused
