streamer: start the timer of a direct reader after its field is set

Cause: the race detector found the first tick reading the timer field while ServeDirect wrote it (demonstrator test).

--- a/streamer/direct.go
+++ b/streamer/direct.go
@@ -47,7 +47,9 @@
 	p.direct = d
 	p.mu.Unlock()
 	d.stop = context.AfterFunc(ctx, d.abort)
-	d.timer = time.AfterFunc(softDelay, d.tick)
+	// The first tick reads the field, so the timer starts only once the field is set.
+	d.timer = time.AfterFunc(time.Hour, d.tick)
+	d.timer.Reset(softDelay)
 	return d.detach
 }
 
