--- a/streamer/client.go
+++ b/streamer/client.go
@@ -49,16 +49,17 @@
 }
 
 // ClientOption configures a Client.
-type ClientOption func(*Transport)
+type ClientOption func(*http.Transport)
 
 // WithDial sets the function that connects to agents.
 func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) ClientOption {
-	return func(t *Transport) { t.DialContext = dial }
+	return func(t *http.Transport) { t.DialContext = dial }
 }
 
 // NewClient returns a client with its own pool of connections.
 func NewClient(opts ...ClientOption) *Client {
-	pooled, fresh := NewTransport(maxIdleConnections), NewTransport(0)
+	pooled := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true}
+	fresh := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	for _, opt := range opts {
 		opt(pooled)
 		opt(fresh)
