--- a/entryserver/server_test.go
+++ b/entryserver/server_test.go
@@ -110,7 +110,7 @@
 		{"stream, engine cut", cutAt(5), asStream, "engine-ended-early", "run", 1, 5},
 		{"stream, engine cut before the first token", cutAt(0), asStream, "", "", 2, 16},
 		{"stream, connection silent", silentAt(time.Second), asStream, "", "", 1, 16},
-		{"stream, agent gone", goneAt(time.Second), asStream, "upstream-lost", "unknown", 1, 9},
+		{"stream, agent gone", goneAt(950 * time.Millisecond), asStream, "upstream-lost", "unknown", 1, 9},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
