pinner: restore the pins of a shard when its owner changes

Cause: pins were written to the table and never read back, so a roll-out step after the death of an owner moved sessions. Pins in use are written again after half of the expiry. Conclusion: a session keeps its version when its owner dies, while the table answers.

--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -48,6 +48,7 @@
 	biller    *biller.Biller
 	holders   *billHolders
 	pinner    *pinner.Pinner
+	pinRows   *pinRows
 	explainer *explainer.Explainer
 	accounts  *limiter.Accounts
 	retries   *limiter.Budget
@@ -138,11 +139,12 @@
 	e.claimer = claimer.New(e.table)
 	e.biller = biller.New(s.Instance, []biller.Sink{biller.TableSink(e.table), biller.ObjectSink(e.objects)},
 		biller.WithMaxBytes(int(s.Limits.MaxBillBytes)))
+	e.pinRows = newPinRows(e.table, s.Region, s.Instance)
 	e.pinner = pinner.New(pinner.WithInstances(s.Instance, e.regionEntries), pinner.WithConfiguration(current),
 		pinner.WithAsk(func(ctx context.Context, owner identifier.Instance, q pinner.Question) (identifier.Target, error) {
 			return ask[pinner.Question, identifier.Target](ctx, e.peers, owner, methodPin, q)
 		}),
-		pinner.WithWrite(e.writePins))
+		pinner.WithWrite(e.pinRows.write), pinner.WithRead(e.pinRows.read))
 	e.explainer = explainer.New(s.Limits.DecisionRecords)
 	e.accounts = limiter.NewAccounts(limiter.WithShare(e.shareOfLimits))
 	e.retries = limiter.NewBudget()
@@ -289,7 +291,7 @@
 
 func (e *Entry) startDuties(ctx context.Context, g *errgroup.Group) {
 	for _, duty := range []func(context.Context) error{
-		e.directory.run, e.balancer.Run, e.spender.Run, e.biller.Run, e.pinner.Run, e.reportDurable, e.sweepClaims,
+		e.directory.run, e.balancer.Run, e.spender.Run, e.biller.Run, e.pinner.Run, e.pinRows.run, e.reportDurable, e.sweepClaims,
 		e.quality.submit, e.quality.collect, e.quality.follow, e.rollouts.judge, e.rollouts.forward,
 	} {
 		g.Go(func() error { return ignoreEnd(ctx, duty(ctx)) })
--- a/assembler/entry_seam.go
+++ b/assembler/entry_seam.go
@@ -15,7 +15,6 @@
 	"github.com/siskinfront/siskinfront/explainer"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/leaser"
-	"github.com/siskinfront/siskinfront/pinner"
 	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/selector"
 	"github.com/siskinfront/siskinfront/spender"
@@ -23,12 +22,8 @@
 	"github.com/siskinfront/siskinfront/streamer"
 )
 
-const (
-	// sweepInterval is how often expired claims are looked for; one holder of a lease does it for the deployment.
-	sweepInterval = 10 * time.Minute
-	// pinPrefix starts the keys of the rows with session pins.
-	pinPrefix = "pin/"
-)
+// sweepInterval is how often expired claims are looked for; one holder of a lease does it for the deployment.
+const sweepInterval = 10 * time.Minute
 
 func (e *Entry) choose(_ context.Context, c entryserver.Choice) (entryserver.Upstream, error) {
 	u, err := e.balancer.Choose(balancer.Key{
@@ -201,13 +196,6 @@
 	}
 }
 
-// writePins writes the pins of one interval as one row, whose key never repeats.
-func (e *Entry) writePins(ctx context.Context, pins []pinner.Pin) error {
-	key := pinPrefix + string(e.settings.Instance) + "/" + storer.NewID()
-	_, err := e.table.Put(ctx, key, 0, pins)
-	return err
-}
-
 // sweepClaims removes expired claims while this process holds the lease for it.
 func (e *Entry) sweepClaims(ctx context.Context) error {
 	return e.keepLease(ctx, "claims", sweepInterval, func(ctx context.Context, _ *leaser.Lease) {
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -47,7 +47,9 @@
 	Session       identifier.Session       `json:"session"`
 	Target        identifier.Target        `json:"target"`
 	Revision      uint64                   `json:"revision"`
-	// Used is the time of the last request of the session.
+	// Began is the time of the first request of the session.
+	Began time.Time `json:"began"`
+	// Used is the time of the last request of the session; a written pin is at most half of the expiry behind.
 	Used time.Time `json:"used"`
 }
 
@@ -56,6 +58,12 @@
 	session identifier.Session
 }
 
+// stored is a pin with the time at which it was last queued to be written.
+type stored struct {
+	Pin
+	queued time.Time
+}
+
 // Pinner maps sessions to versions; it is safe for concurrent use.
 type Pinner struct {
 	now           func() time.Time
@@ -63,14 +71,19 @@
 	instances     func() []identifier.Instance
 	ask           func(ctx context.Context, owner identifier.Instance, q Question) (identifier.Target, error)
 	write         func(ctx context.Context, batch []Pin) error
+	read          func(ctx context.Context, shard int) ([]Pin, error)
 	configuration func() *configurer.Configuration
 	expiry        time.Duration
 
-	pinned, asked, derived, dropped atomic.Int64
+	pinned, asked, derived, dropped, restored, failedReads atomic.Int64
 
 	mu      sync.Mutex
-	pins    map[key]*Pin
+	pins    map[key]*stored
 	pending []Pin
+	shards  [Shards]shard
+	// seen are the instances for which owned lists the own shards.
+	seen  []identifier.Instance
+	owned []int
 }
 
 // Option configures a Pinner.
@@ -84,7 +97,8 @@
 		write:         func(context.Context, []Pin) error { return nil },
 		configuration: func() *configurer.Configuration { return nil },
 		expiry:        defaultExpiry,
-		pins:          map[key]*Pin{},
+		pins:          map[key]*stored{},
+		read:          func(context.Context, int) ([]Pin, error) { return nil, nil },
 	}
 	p.ask = func(context.Context, identifier.Instance, Question) (identifier.Target, error) {
 		return identifier.Target{}, ErrNotOwner
@@ -133,7 +147,7 @@
 	q := Question{ClientAccount: acc, Session: s, Proposed: proposed, Revision: cfg}
 	owner := Owner(p.instances(), acc, s)
 	if owner == "" || owner == p.self {
-		return p.own(q), nil
+		return p.own(ctx, q), nil
 	}
 	asking, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
@@ -150,11 +164,11 @@
 }
 
 // Answer returns the version of a session to another entry, or ErrNotOwner.
-func (p *Pinner) Answer(_ context.Context, q Question) (identifier.Target, error) {
+func (p *Pinner) Answer(ctx context.Context, q Question) (identifier.Target, error) {
 	if owner := Owner(p.instances(), q.ClientAccount, q.Session); owner != "" && owner != p.self {
 		return identifier.Target{}, ErrNotOwner
 	}
-	return p.own(q), nil
+	return p.own(ctx, q), nil
 }
 
 // derive returns the version on which the session starts under the configuration in force.
@@ -168,32 +182,64 @@
 }
 
 // own returns the stored version, or stores the derived one.
-func (p *Pinner) own(q Question) identifier.Target {
-	now := p.now()
+func (p *Pinner) own(ctx context.Context, q Question) identifier.Target {
 	k := key{q.ClientAccount, q.Session}
+	if t, ok := p.find(k); ok {
+		return t
+	}
+	p.restore(ctx, Shard(q.ClientAccount, q.Session))
+	if t, ok := p.find(k); ok {
+		return t
+	}
+	now := p.now()
+	pin := &stored{Pin: Pin{
+		ClientAccount: q.ClientAccount, Session: q.Session, Target: p.derive(q), Revision: q.Revision, Began: now, Used: now,
+	}}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if pin := p.pins[k]; pin != nil && now.Sub(pin.Used) < p.expiry {
-		pin.Used = now
-		return pin.Target
+	have := p.pins[k]
+	if have != nil && now.Sub(have.Used) < p.expiry {
+		// Another request of the session was first.
+		return have.Target
 	}
-	pin := Pin{ClientAccount: q.ClientAccount, Session: q.Session, Target: p.derive(q), Revision: q.Revision, Used: now}
-	if p.pins[k] == nil && len(p.pins) >= maxPins {
+	if have == nil && len(p.pins) >= maxPins {
 		p.dropped.Add(1)
 		return pin.Target
 	}
-	p.pins[k] = &pin
+	p.pins[k] = pin
 	p.pinned.Add(1)
+	p.queue(pin, now)
+	return pin.Target
+}
+
+// find returns the version of a session that is known and not expired, and notes its use.
+func (p *Pinner) find(k key) (identifier.Target, bool) {
+	now := p.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pin := p.pins[k]
+	if pin == nil || now.Sub(pin.Used) >= p.expiry {
+		return identifier.Target{}, false
+	}
+	pin.Used = now
+	if now.Sub(pin.queued) >= p.expiry/2 {
+		p.queue(pin, now)
+	}
+	return pin.Target, true
+}
+
+// queue adds a pin to those that are to be written; the caller holds mu.
+func (p *Pinner) queue(pin *stored, now time.Time) {
+	pin.queued = now
 	if len(p.pending) < maxPending {
-		p.pending = append(p.pending, pin)
+		p.pending = append(p.pending, pin.Pin)
 	} else {
 		p.dropped.Add(1)
 	}
-	return pin.Target
 }
 
-// Restore adds pins that an earlier owner wrote; a pin that is known already stays, except that the older revision wins,
-// because that is the version on which the session started.
+// Restore adds pins that were written. Of two pins of one session, the one with the older revision wins, because that is
+// the version on which the session started, unless the session had expired before the other one began.
 func (p *Pinner) Restore(pins []Pin) {
 	now := p.now()
 	p.mu.Lock()
@@ -201,12 +247,33 @@
 	for _, pin := range pins {
 		k := key{pin.ClientAccount, pin.Session}
 		have := p.pins[k]
-		if now.Sub(pin.Used) >= p.expiry || have != nil && have.Revision <= pin.Revision ||
-			have == nil && len(p.pins) >= maxPins {
+		if now.Sub(pin.Used) >= p.expiry+p.expiry/2 || have == nil && len(p.pins) >= maxPins ||
+			have != nil && !p.precedes(&pin, &have.Pin) {
 			continue
 		}
-		p.pins[k] = &pin
+		p.restored.Add(1)
+		next := &stored{Pin: pin, queued: pin.Used}
+		// The last use may be later than the written one by half of the expiry.
+		next.Used = pin.Used.Add(p.expiry / 2)
+		if next.Used.After(now) {
+			next.Used = now
+		}
+		if have != nil && have.Used.After(next.Used) {
+			next.Used = have.Used
+		}
+		p.pins[k] = next
+	}
+}
+
+// precedes reports whether pin a replaces pin b of the same session.
+func (p *Pinner) precedes(a, b *Pin) bool {
+	switch {
+	case a.Began.Sub(b.Used) >= p.expiry:
+		return true
+	case b.Began.Sub(a.Used) >= p.expiry:
+		return false
 	}
+	return a.Revision < b.Revision
 }
 
 // Run writes new pins in batches and forgets expired ones until ctx ends, and then writes the rest.
@@ -215,8 +282,12 @@
 	defer flush.Stop()
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
+	take := time.NewTicker(takeStep)
+	defer take.Stop()
 	for {
 		select {
+		case <-take.C:
+			p.take(ctx)
 		case <-flush.C:
 			// A failed batch stays pending for the next interval.
 			_ = p.Flush(ctx)
@@ -263,7 +334,8 @@
 func (p *Pinner) Counters() map[string]int64 {
 	return map[string]int64{
 		"sessions-pinned": p.pinned.Load(), "owners-asked": p.asked.Load(), "versions-derived": p.derived.Load(),
-		"pins-dropped": p.dropped.Load(),
+		"pins-dropped":  p.dropped.Load(),
+		"pins-restored": p.restored.Load(), "shard-reads-failed": p.failedReads.Load(),
 	}
 }
 
--- a/pinner/version.go
+++ b/pinner/version.go
@@ -49,16 +49,3 @@
 	}
 	return serving, serving.Version != ""
 }
-
-// Owner returns the instance that owns a session by rendezvous hashing, or an empty name without instances. When an
-// instance leaves, only its own sessions move.
-func Owner(instances []identifier.Instance, acc identifier.ClientAccount, s identifier.Session) identifier.Instance {
-	var owner identifier.Instance
-	var best uint64
-	for _, i := range instances {
-		if h := hash(string(i), string(acc), string(s)); owner == "" || h > best || h == best && i < owner {
-			owner, best = i, h
-		}
-	}
-	return owner
-}
