pinner: test the restore of pins

Cause: the restore of pins had no tests; a first run showed that second reads of shards held up first ones. Change: first reads come before second ones. Conclusion: reads stay bounded to one per shard and step.

--- /dev/null
+++ b/assembler/pin_rows_internal_test.go
@@ -0,0 +1,55 @@
+package assembler
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/pinner"
+	"github.com/siskinfront/siskinfront/platformfaker"
+	"github.com/siskinfront/siskinfront/storer"
+)
+
+// directTable is a client that calls the handler of a fake table without a network.
+func directTable(h http.Handler) *storer.Table {
+	return storer.New(netip.MustParseAddrPort("127.0.0.1:1"), storer.WithDo(func(r *http.Request) (*http.Response, error) {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		return w.Result(), nil
+	}))
+}
+
+// Guards against rows of another shard in a read, and against rows of a dead entry that nobody removes.
+func TestPinRowsAreReadAndRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := platformfaker.NewTable(platformfaker.WithNow(time.Now))
+		writer := newPinRows(directTable(fake), "west", "e-1")
+		a := pinner.Pin{ClientAccount: "a", Session: "s-1", Used: time.Now()}
+		b := pinner.Pin{ClientAccount: "a", Session: "s-2", Used: time.Now()}
+		n := pinner.Shard("a", "s-1")
+		must.NotEq(t, n, pinner.Shard("a", "s-2"))
+		must.NoError(t, writer.write(t.Context(), []pinner.Pin{a, b}))
+		must.Len(t, 2, fake.Rows("pin/west/"))
+
+		reader := newPinRows(directTable(fake), "west", "e-2")
+		pins, err := reader.read(t.Context(), n)
+		must.NoError(t, err)
+		must.Len(t, 1, pins)
+		must.EqOp(t, "s-1", string(pins[0].Session))
+
+		time.Sleep(pinner.RowLife - time.Second)
+		reader.remove(t.Context())
+		must.Len(t, 2, fake.Rows("pin/west/"))
+		time.Sleep(time.Second)
+		reader.remove(t.Context())
+		must.Len(t, 1, fake.Rows("pin/west/"))
+		writer.remove(t.Context())
+		must.SliceEmpty(t, fake.Rows("pin/west/"))
+		must.MapEmpty(t, writer.removeAt)
+	})
+}
--- a/pinner/shard.go
+++ b/pinner/shard.go
@@ -130,13 +130,21 @@
 			}
 		}
 	}
+	// A shard that was never read comes before the second read of another one.
+	started := p.startDue(ctx, false, readPace)
+	p.startDue(ctx, true, readPace-started)
+}
+
+// startDue starts at most a number of reads that are due and returns how many it started; the caller holds mu.
+func (p *Pinner) startDue(ctx context.Context, again bool, most int) int {
 	now, started := p.now(), 0
 	for _, n := range p.owned {
 		s := &p.shards[n]
-		due := !s.restored || !s.readAt.IsZero()
-		if due && s.reading == nil && !now.Before(s.readAt) && started < readPace {
-			p.startRead(ctx, n)
-			started++
+		if started >= most || s.restored != again || s.reading != nil || again && s.readAt.IsZero() || now.Before(s.readAt) {
+			continue
 		}
+		p.startRead(ctx, n)
+		started++
 	}
+	return started
 }
