assembler: place versions on engines under a lease

Cause: placer.Plan was not wired, so engines kept what they were started with. Change: an entry holds placement/{data-centre}, plans from the directory and its own use, and sends orders as the control call command; agentserver.Command fences them for both paths and lets the runs of a version end before its unload.

--- a/agentserver/command.go
+++ b/agentserver/command.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -47,37 +48,105 @@
 	return true
 }
 
-// handleControl passes a command of a current lease holder to the engine.
-func (s *Server) handleControl(w http.ResponseWriter, r *http.Request) {
-	switch r.PathValue("command") {
+// CommandError is the refusal of a command by the agent, with the status that answers it over HTTP.
+type CommandError struct {
+	Status int
+	Reason string
+}
+
+// Error returns the reason.
+func (c *CommandError) Error() string {
+	return "agentserver: " + c.Reason
+}
+
+// CommandReply is the reply of the engine to a command.
+type CommandReply struct {
+	Status int    `json:"status"`
+	Type   string `json:"content-type,omitempty"`
+	Body   []byte `json:"body,omitempty"`
+}
+
+// Command passes a command of a current lease holder to the engine. Before an unload it refuses new orders for the
+// version and waits for its runs, for at most the time of WithUnloadWait. The error is a *CommandError if the agent
+// refuses the command or the engine does not answer.
+func (s *Server) Command(ctx context.Context, name string, body []byte) (CommandReply, error) {
+	switch name {
 	case "load", "unload", "role", "export", "import":
 	default:
-		http.NotFound(w, r)
-		return
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCommand))
-	if err != nil {
-		http.Error(w, "agentserver: command is unreadable", http.StatusBadRequest)
-		return
+		return CommandReply{}, &CommandError{http.StatusNotFound, "command is unknown"}
 	}
 	var c struct {
-		Token *uint64 `json:"token"`
+		Token  *uint64 `json:"token"`
+		Target string  `json:"target"`
 	}
 	if err := json.Unmarshal(body, &c); err != nil || c.Token == nil {
-		http.Error(w, "agentserver: command has no fencing token", http.StatusBadRequest)
-		return
+		return CommandReply{}, &CommandError{http.StatusBadRequest, "command has no fencing token"}
+	}
+	if name == "unload" {
+		// The token is checked before the wait, so that a stale one stops no work, and again after it.
+		if err := s.checkToken(ctx, *c.Token); err != nil {
+			return CommandReply{}, err
+		}
+		if err := s.closeVersion(ctx, c.Target); err != nil {
+			return CommandReply{}, err
+		}
+	}
+	reply, err := s.fenced(ctx, name, *c.Token, body)
+	switch ok := err == nil && reply.Status == http.StatusOK; {
+	case name == "unload" && !ok, name == "load" && ok:
+		s.openVersion(c.Target)
 	}
+	return reply, err
+}
+
+func (s *Server) checkToken(ctx context.Context, token uint64) error {
 	s.fence.busy.Lock()
 	defer s.fence.busy.Unlock()
-	if err := s.restoreFence(r.Context()); err != nil {
-		http.Error(w, "agentserver: fencing mark is not known", http.StatusServiceUnavailable)
+	return s.raise(ctx, token)
+}
+
+// raise refuses a stale token; s.fence.busy is held.
+func (s *Server) raise(ctx context.Context, token uint64) error {
+	if err := s.restoreFence(ctx); err != nil {
+		return &CommandError{http.StatusServiceUnavailable, "fencing mark is not known"}
+	}
+	if !s.fence.raise(token) {
+		return &CommandError{http.StatusConflict, "fencing token is stale"}
+	}
+	return nil
+}
+
+// fenced sends a command to the engine if its token is current.
+func (s *Server) fenced(ctx context.Context, name string, token uint64, body []byte) (CommandReply, error) {
+	s.fence.busy.Lock()
+	defer s.fence.busy.Unlock()
+	if err := s.raise(ctx, token); err != nil {
+		return CommandReply{}, err
+	}
+	return s.forward(ctx, name, body)
+}
+
+// handleControl passes a command that came over HTTP on.
+func (s *Server) handleControl(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCommand))
+	if err != nil {
+		http.Error(w, "agentserver: command is unreadable", http.StatusBadRequest)
 		return
 	}
-	if !s.fence.raise(*c.Token) {
-		http.Error(w, "agentserver: fencing token is stale", http.StatusConflict)
+	reply, err := s.Command(r.Context(), r.PathValue("command"), body)
+	var refused *CommandError
+	switch {
+	case errors.As(err, &refused):
+		http.Error(w, err.Error(), refused.Status)
+		return
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	s.forward(w, r, body)
+	w.Header().Set("Content-Type", reply.Type)
+	w.WriteHeader(reply.Status)
+	// The sender may have gone; commands are idempotent and it will repeat them.
+	_, _ = w.Write(reply.Body)
 }
 
 // restoreFence asks for the fencing mark before the first command. An agent that has just started would otherwise accept
@@ -97,24 +166,23 @@
 	return nil
 }
 
-func (s *Server) forward(w http.ResponseWriter, r *http.Request, body []byte) {
-	ctx, cancel := context.WithTimeout(r.Context(), commandTime)
+func (s *Server) forward(ctx context.Context, name string, body []byte) (CommandReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, commandTime)
 	defer cancel()
-	hr, err := http.NewRequestWithContext(ctx, http.MethodPost,
-		"http://"+s.address.String()+"/control/"+r.PathValue("command"), bytes.NewReader(body))
+	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.address.String()+"/control/"+name,
+		bytes.NewReader(body))
 	if err != nil {
-		http.Error(w, "agentserver: command is invalid", http.StatusBadRequest)
-		return
+		return CommandReply{}, &CommandError{http.StatusBadRequest, "command is invalid"}
 	}
 	hr.Header.Set("Content-Type", "application/json")
 	resp, err := s.client.Do(hr)
 	if err != nil {
-		http.Error(w, "agentserver: engine does not answer", http.StatusBadGateway)
-		return
+		return CommandReply{}, &CommandError{http.StatusBadGateway, "engine does not answer"}
 	}
 	defer resp.Body.Close()
-	w.Header().Set("Content-Type", resp.Header.Get("Content-Type"))
-	w.WriteHeader(resp.StatusCode)
-	// The sender may have gone; commands are idempotent and it will repeat them.
-	_, _ = io.Copy(w, io.LimitReader(resp.Body, maxCommand))
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxCommand))
+	if err != nil {
+		return CommandReply{}, &CommandError{http.StatusBadGateway, "engine does not answer"}
+	}
+	return CommandReply{Status: resp.StatusCode, Type: resp.Header.Get("Content-Type"), Body: b}, nil
 }
--- a/agentserver/run.go
+++ b/agentserver/run.go
@@ -138,12 +138,16 @@
 	if err := s.check(order); err != nil {
 		return nil, false, err
 	}
+	if s.closed[order.Target] != nil && order.Service == "" {
+		return nil, false, &RefusalError{Code: "version-not-loaded"}
+	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	r := &run{
 		key: key, order: order, payload: payload, replay: streamer.NewReplay(order.Request), ctx: ctx, cancel: cancel,
 	}
 	s.runs[key] = r
 	s.active++
+	s.countRun(order.Target, 1)
 	return r, true, nil
 }
 
@@ -191,6 +195,7 @@
 	}
 	s.mu.Lock()
 	s.active--
+	s.countRun(r.order.Target, -1)
 	if s.active == 0 && s.draining {
 		close(s.idle)
 	}
--- a/agentserver/server.go
+++ b/agentserver/server.go
@@ -57,6 +57,12 @@
 	draining bool
 	idle     chan struct{}
 	active   int
+	// activeOf counts the active runs of each version.
+	activeOf map[identifier.Target]int
+	// closed holds the versions that take no new orders before and after their unload, each with a channel that is closed
+	// when its last run ends.
+	closed     map[identifier.Target]chan struct{}
+	unloadWait time.Duration
 }
 
 type counters struct {
@@ -81,6 +87,9 @@
 		mux:           http.NewServeMux(),
 		runs:          map[runKey]*run{},
 		idle:          make(chan struct{}),
+		activeOf:      map[identifier.Target]int{},
+		closed:        map[identifier.Target]chan struct{}{},
+		unloadWait:    defaultUnloadWait,
 	}
 	s.Load = func() streamer.Load { return q.load(s.Now()) }
 	for _, opt := range opts {
--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -122,6 +122,7 @@
 	a.server = agentserver.New(s.Upstream.Name, s.Upstream.Address,
 		agentserver.WithConfiguration(a.distributor.Current),
 		agentserver.WithAdmit(a.admit, a.currentLoad), agentserver.WithLoaded(a.engine.has),
+		agentserver.WithMark(a.commandMark),
 	)
 	a.biller = biller.New(s.Instance, []biller.Sink{biller.TableSink(a.table), biller.ObjectSink(a.objects)},
 		biller.WithOwnWindow(ownBillWindow))
@@ -129,9 +130,7 @@
 		return a.currentLoad(), nil
 	})
 	messenger.Handle(a.mux, methodDescribe, func(context.Context, messenger.Peer, None) (Description, error) {
-		return Description{
-			Upstream: s.Upstream.Name, Service: s.Upstream.Service, Targets: a.engine.targets(), Load: a.currentLoad(),
-		}, nil
+		return a.describe(), nil
 	})
 	messenger.Handle(a.mux, methodBillsDurable, func(ctx context.Context, _ messenger.Peer, b BillsDurable) (None, error) {
 		// A final bill that is still with the runs would leave its earlier part behind in the biller.
@@ -140,6 +139,9 @@
 		a.biller.Settle(b.IDs)
 		return None{}, nil
 	})
+	messenger.Handle(a.mux, methodCommand, func(ctx context.Context, _ messenger.Peer, c EngineCommand) (None, error) {
+		return None{}, a.command(ctx, c)
+	})
 	a.register("agent", a.server)
 	a.register("biller", a.biller)
 	a.register("admission", a.admission)
@@ -149,7 +151,8 @@
 // currentLoad is the load of the admission with a hash of the loaded versions.
 func (a *Agent) currentLoad() streamer.Load {
 	l := a.admission.load()
-	l.Loaded = a.engine.hash()
+	serving, _ := a.targets()
+	l.Loaded = hashOf(serving)
 	return l
 }
 
--- a/assembler/control.go
+++ b/assembler/control.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"encoding/json"
 	"time"
 
 	"github.com/siskinfront/siskinfront/identifier"
@@ -18,6 +19,7 @@
 	methodBillsDurable  = "bills-durable"
 	methodObservations  = "observations"
 	methodDrain         = "drain"
+	methodCommand       = "command"
 )
 
 // None is the result of a method that returns nothing.
@@ -35,6 +37,10 @@
 	// Service is empty for a model engine.
 	Service identifier.Service  `json:"service,omitempty"`
 	Targets []identifier.Target `json:"targets,omitempty"`
+	// Unloading lists loaded versions that take no new orders.
+	Unloading []identifier.Target `json:"unloading,omitempty"`
+	// Places is the number of versions that fit into the engine; it is 0 until the engine has answered.
+	Places int `json:"places,omitempty"`
 	Load    streamer.Load       `json:"load"`
 }
 
@@ -43,6 +49,13 @@
 	IDs []string `json:"ids"`
 }
 
+// EngineCommand asks an agent to pass a command to its engine.
+type EngineCommand struct {
+	Name string `json:"name"`
+	// Body is that of the engine's control call; it holds the fencing token of the sender's lease.
+	Body json.RawMessage `json:"body"`
+}
+
 // Drain asks a process to stop gracefully.
 type Drain struct {
 	Deadline time.Time `json:"deadline"`
--- a/assembler/directory.go
+++ b/assembler/directory.go
@@ -12,6 +12,7 @@
 	"github.com/siskinfront/siskinfront/balancer"
 	"github.com/siskinfront/siskinfront/detector"
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/placer"
 	"github.com/siskinfront/siskinfront/streamer"
 )
 
@@ -138,7 +139,7 @@
 	if !desc.Load.Leaving {
 		d.heard(name)
 	}
-	if !x.valid && (desc.Load.Leaving || desc.Service == "" && len(desc.Targets) == 0) {
+	if !x.valid && (desc.Load.Leaving || desc.Service == "" && desc.Places == 0) {
 		// An agent that has just started says so until it has its configuration and its engine has answered.
 		x.refreshAt = time.Now().Add(leaseRetry)
 		return
@@ -243,6 +244,33 @@
 	}
 }
 
+// engines returns the described engines of the own data centre.
+func (d *directory) engines() []placer.Engine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []placer.Engine
+	for name, x := range d.known {
+		m, ok := d.detector.Member(name)
+		if !ok || !x.valid || x.Service != "" || m.DataCentre != d.settings.DataCentre {
+			continue
+		}
+		list = append(list, placer.Engine{
+			Upstream: x.Upstream, Loaded: slices.Concat(x.Targets, x.Unloading), Places: x.Places,
+			Leaving: x.Load.Leaving || m.State != detector.Live,
+		})
+	}
+	return list
+}
+
+// refresh makes the description of an upstream due.
+func (d *directory) refresh(u identifier.Upstream) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if x := d.known[d.byUp[u]]; x != nil {
+		x.refreshAt = time.Time{}
+	}
+}
+
 // count returns the number of upstreams that were described at least once.
 func (d *directory) count() int {
 	d.mu.Lock()
--- a/assembler/engine.go
+++ b/assembler/engine.go
@@ -35,6 +35,8 @@
 	mu     sync.Mutex
 	loaded []identifier.Target
 	misses int
+	// answered is set once the engine has reported its versions.
+	answered bool
 
 	asked, missed atomic.Int64
 }
@@ -61,7 +63,7 @@
 		w.misses++
 		return
 	}
-	w.loaded, w.misses = loaded, 0
+	w.loaded, w.misses, w.answered = loaded, 0, true
 }
 
 // engineLoad is the part of the engine's load report that is used.
@@ -98,12 +100,10 @@
 	return slices.Clone(w.loaded)
 }
 
-// hash returns a value that changes when the loaded versions do.
-func (w *engineWatch) hash() uint64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+// hashOf returns a value that changes when the versions do.
+func hashOf(targets []identifier.Target) uint64 {
 	h := xxhash.New()
-	for _, t := range w.loaded {
+	for _, t := range targets {
 		// Writes to a hash never fail.
 		_, _ = h.WriteString(t.String() + "\n")
 	}
@@ -117,6 +117,13 @@
 	return slices.Contains(w.loaded, t)
 }
 
+// hasAnswered reports whether the loaded versions are known.
+func (w *engineWatch) hasAnswered() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.answered
+}
+
 func (w *engineWatch) healthy() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -26,6 +26,7 @@
 	"github.com/siskinfront/siskinfront/messenger"
 	"github.com/siskinfront/siskinfront/meter"
 	"github.com/siskinfront/siskinfront/pinner"
+	"github.com/siskinfront/siskinfront/placer"
 	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/selector"
 	"github.com/siskinfront/siskinfront/spender"
@@ -54,6 +55,7 @@
 	retries   *limiter.Budget
 	quality   *quality
 	rollouts  *rollouts
+	use       *placer.Use
 	// liveEntries is the number of live entries of the deployment, kept so that no request has to count them.
 	liveEntries atomic.Int64
 }
@@ -150,6 +152,7 @@
 	e.retries = limiter.NewBudget()
 	e.quality = newQuality(e)
 	e.rollouts = newRollouts(e)
+	e.use = placer.NewUse(time.Now)
 	e.admin = administrator.New(e.adminStore(), administrator.WithLog(e.log))
 	e.server = entryserver.New(
 		entryserver.WithStreams(e.streamsClient()), entryserver.WithConfiguration(current),
@@ -293,6 +296,7 @@
 	for _, duty := range []func(context.Context) error{
 		e.directory.run, e.balancer.Run, e.spender.Run, e.biller.Run, e.pinner.Run, e.pinRows.run, e.reportDurable, e.sweepClaims,
 		e.quality.submit, e.quality.collect, e.quality.follow, e.rollouts.judge, e.rollouts.forward,
+		e.place,
 	} {
 		g.Go(func() error { return ignoreEnd(ctx, duty(ctx)) })
 	}
--- a/assembler/entry_seam.go
+++ b/assembler/entry_seam.go
@@ -77,6 +77,7 @@
 	// A bill that does not fit stays with its agent, which writes it; the biller counts the refusal.
 	_ = e.biller.Record(x)
 	if b.Final && b.Service == "" {
+		e.use.Add(b.Target, b.Usage.PromptTokens+b.Usage.CompletionTokens)
 		e.quality.offer(storer.Rating{Request: b.Request, WorkKind: b.WorkKind, Target: b.Target, At: b.At})
 	}
 }
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -111,6 +111,8 @@
 	Service identifier.Service `yaml:"service"`
 	// Slots is the number of requests that run at once.
 	Slots int `yaml:"slots" validate:"gt=0"`
+	// Versions is the number of versions that fit into the engine at once.
+	Versions int `yaml:"versions" validate:"gt=0"`
 	// FencesCommands tells whether the engine rejects a command with a stale fencing token.
 	FencesCommands bool `yaml:"fences-commands"`
 }
@@ -143,7 +145,7 @@
 func DefaultAgentSettings() AgentSettings {
 	return AgentSettings{
 		ProcessSettings: ProcessSettings{Timings: defaultTimings()},
-		Upstream:        UpstreamSettings{Slots: 8},
+		Upstream:        UpstreamSettings{Slots: 8, Versions: 2},
 		Limits:          AgentLimits{MaxQueued: 1024, MaxStreamBytes: 1 << 20, DecisionRecords: 1024},
 	}
 }
