assembler: test placement with fake engines

Cause: the placement duty had no tests. Change: a candidate gets two engines, a withdrawn version is unloaded after its run, a former holder's token is refused. Conclusion: planned unloads cut no run.

--- a/assembler/bed_test.go
+++ b/assembler/bed_test.go
@@ -197,12 +197,15 @@
 	}
 	for i, e := range b.engines {
 		address := b.serve(e)
+		versions := 0
 		for _, m := range b.cfg.Models {
 			for _, v := range m.Versions {
+				versions++
 				b.load(address, identifier.Target{Model: m.Name, Version: v.Name})
 			}
 		}
-		add(fmt.Sprintf("agent-%d", i+1), "agent", "data", fmt.Sprintf("upstream: {name: engine-%d, address: %s, slots: 64}\n", i+1, address))
+		add(fmt.Sprintf("agent-%d", i+1), "agent", "data", fmt.Sprintf(
+			"upstream: {name: engine-%d, address: %s, slots: 64, versions: %d}\n", i+1, address, versions))
 	}
 	service := b.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b.starts.add([]byte(r.URL.Path))
--- a/assembler/control.go
+++ b/assembler/control.go
@@ -40,8 +40,8 @@
 	// Unloading lists loaded versions that take no new orders.
 	Unloading []identifier.Target `json:"unloading,omitempty"`
 	// Places is the number of versions that fit into the engine; it is 0 until the engine has answered.
-	Places int `json:"places,omitempty"`
-	Load    streamer.Load       `json:"load"`
+	Places int           `json:"places,omitempty"`
+	Load   streamer.Load `json:"load"`
 }
 
 // BillsDurable tells an agent which bills another process has made durable.
--- /dev/null
+++ b/assembler/placement_internal_test.go
@@ -0,0 +1,172 @@
+package assembler
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/agentserver"
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/enginefaker"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/placer"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+var (
+	versionOne = identifier.Target{Model: "finch", Version: "v1"}
+	versionTwo = identifier.Target{Model: "finch", Version: "v2"}
+)
+
+// placed is a data centre of fake engines with their agents on a network in memory.
+type placed struct {
+	cfg     *configurer.Configuration
+	network *enginefaker.Network
+	engines map[identifier.Upstream]*enginefaker.Engine
+	agents  map[identifier.Upstream]*agentserver.Server
+
+	mu   sync.Mutex
+	errs []error
+}
+
+func newPlaced(t *testing.T, names ...identifier.Upstream) *placed {
+	t.Helper()
+	p := &placed{
+		cfg: &configurer.Configuration{Models: []configurer.Model{{Name: "finch", Versions: []configurer.Version{
+			{Name: "v1", State: configurer.VersionServing}, {Name: "v2", State: configurer.VersionCandidate},
+		}}}},
+		network: enginefaker.NewNetwork(), engines: map[identifier.Upstream]*enginefaker.Engine{},
+		agents: map[identifier.Upstream]*agentserver.Server{},
+	}
+	transport := &http.Transport{DialContext: p.network.Dial}
+	t.Cleanup(transport.CloseIdleConnections)
+	for i, name := range names {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 8000)
+		p.engines[name] = enginefaker.New(enginefaker.WithInterval(100*time.Millisecond), enginefaker.WithTokens(100))
+		s := &http.Server{Handler: p.engines[name]}
+		l := p.network.Listen(address)
+		go func() { _ = s.Serve(l) }()
+		t.Cleanup(func() { _ = s.Close() })
+		p.agents[name] = agentserver.New(name, address, agentserver.WithTransport(transport))
+		_, err := p.agents[name].Command(t.Context(), "load", []byte(`{"token":1,"target":"finch@v1"}`))
+		must.NoError(t, err)
+	}
+	return p
+}
+
+func (p *placed) loaded(name identifier.Upstream) []identifier.Target {
+	w := httptest.NewRecorder()
+	p.engines[name].ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/load", http.NoBody))
+	var report engineLoad
+	_ = json.Unmarshal(w.Body.Bytes(), &report)
+	var list []identifier.Target
+	for _, x := range report.Loaded {
+		model, version, _ := strings.Cut(x, "@")
+		list = append(list, identifier.Target{Model: identifier.Model(model), Version: identifier.Version(version)})
+	}
+	return list
+}
+
+// count returns the number of engines that have a version loaded.
+func (p *placed) count(t identifier.Target) int {
+	n := 0
+	for name := range p.engines {
+		if slices.Contains(p.loaded(name), t) {
+			n++
+		}
+	}
+	return n
+}
+
+// holder returns the duty of a lease holder with a fencing token.
+func (p *placed) holder(token uint64) *placement {
+	return &placement{
+		configuration: func() *configurer.Configuration { return p.cfg },
+		engines: func() []placer.Engine {
+			var list []placer.Engine
+			for name := range p.engines {
+				list = append(list, placer.Engine{Upstream: name, Loaded: p.loaded(name), Places: 2})
+			}
+			return list
+		},
+		use:   func() map[identifier.Target]float64 { return map[identifier.Target]float64{versionOne: 100} },
+		valid: func() bool { return true },
+		token: token,
+		order: func(ctx context.Context, o placer.Order, token uint64) error {
+			body, err := json.Marshal(engineOrder{Token: token, Target: o.Target.String()})
+			if err == nil {
+				_, err = p.agents[o.Upstream].Command(ctx, string(o.Action), body)
+			}
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.errs = append(p.errs, err)
+			return err
+		},
+	}
+}
+
+// Guards against a candidate that no engine gets, a planned unload that cuts a run, and a former holder that moves
+// versions after its successor.
+func TestPlacement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlaced(t, "engine-1", "engine-2", "engine-3")
+		first, second := p.holder(2), p.holder(3)
+		first.step(t.Context())
+		first.step(t.Context())
+		must.GreaterEq(t, 2, p.count(versionTwo))
+		var engine identifier.Upstream
+		for name := range p.agents {
+			if slices.Contains(p.loaded(name), versionTwo) {
+				engine = name
+			}
+		}
+		answered := make(chan string, 1)
+		go func() {
+			order, _ := json.Marshal(streamer.Order{
+				Request: "r-1", Attempt: 1, Target: versionTwo, MaxTokens: 50, Deadline: time.Now().Add(time.Minute),
+			})
+			w := httptest.NewRecorder()
+			p.agents[engine].ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/run",
+				strings.NewReader(string(order)+"\n"+`{"messages":[]}`)))
+			answered <- w.Body.String()
+		}()
+		synctest.Wait()
+		p.cfg.Models[0].Versions[1].State = configurer.VersionWithdrawn
+		go second.step(t.Context())
+		time.Sleep(time.Second)
+		must.SliceContains(t, p.loaded(engine), versionTwo)
+		must.StrContains(t, <-answered, `"kind":"done"`)
+		time.Sleep(time.Second)
+		must.SliceNotContains(t, p.loaded(engine), versionTwo)
+		second.step(t.Context())
+		must.EqOp(t, 0, p.count(versionTwo))
+		for _, err := range p.errs {
+			must.NoError(t, err)
+		}
+
+		p.cfg.Models[0].Versions[1].State = configurer.VersionCandidate
+		p.errs = nil
+		first.step(t.Context())
+		must.SliceNotEmpty(t, p.errs)
+		for _, err := range p.errs {
+			var refused *agentserver.CommandError
+			must.True(t, errors.As(err, &refused))
+			must.EqOp(t, http.StatusConflict, refused.Status)
+		}
+		must.EqOp(t, 0, p.count(versionTwo))
+		second.step(t.Context())
+		must.GreaterEq(t, 2, p.count(versionTwo))
+		time.Sleep(time.Minute)
+	})
+}
