--- a/assembler/pin_rows.go
+++ b/assembler/pin_rows.go
@@ -15,8 +15,8 @@
 
 const (
 	// pinRemoval is the time between two removals of old pin rows.
-	pinRemoval = 10 * time.Second
-	// pinRemovalBatch bounds the rows of one removal; a flush of an entry of the target writes about 3 rows in 5 s.
+	pinRemoval = 30 * time.Second
+	// pinRemovalBatch bounds the rows of one removal; an entry of the target writes about 18 in that time.
 	pinRemovalBatch = 64
 	// maxPinRows bounds the rows whose removal an entry remembers; further ones are left to the next owner of the shard.
 	maxPinRows = 20_000
--- a/assembler/quality.go
+++ b/assembler/quality.go
@@ -148,16 +148,11 @@
 // follow merges the counts of the lease holder into the own estimates, at an interval that follows their size.
 func (q *quality) follow(ctx context.Context) error {
 	interval := qualityWrite
-	for ctx.Err() == nil {
-		if pause(ctx, interval) != nil {
-			break
+	for pause(ctx, interval) == nil {
+		if row, _, err := q.read(ctx); err == nil {
+			q.e.estimator.Merge(row.Counts)
+			interval = max(qualityWrite, time.Duration(row.size)*time.Second/qualityTraffic)
 		}
-		row, _, err := q.read(ctx)
-		if err != nil {
-			continue
-		}
-		q.e.estimator.Merge(row.Counts)
-		interval = max(qualityWrite, time.Duration(row.size)*time.Second/qualityTraffic)
 	}
 	return nil
 }
--- a/slopesbencher/capacity.go
+++ b/slopesbencher/capacity.go
@@ -49,6 +49,7 @@
 	judgeReadSeconds  = 10.0
 	billFlushSeconds  = 5.0
 	pinFlushSeconds   = 5.0
+	pinRemovalSeconds = 30.0
 	configurationPoll = 0.5
 	readersPerCentre  = 3.0
 	shareSeconds      = 30.0
@@ -156,12 +157,14 @@
 		{"configuration changes", "one transaction per change, read once per reader",
 			changesPerDay / secondsPerDay * (1 + readersPerCentre*dataCentres), changesPerDay / secondsPerDay},
 		{"bills", "one row per entry and flush", 0, entries / billFlushSeconds},
-		{"session pins", "one row per entry and flush", 0, entries / pinFlushSeconds},
+		{"session pins", "one transaction per entry and flush", 0, entries / pinFlushSeconds},
+		{"session pins, removal", "one transaction per entry and 30 s", 0, entries / pinRemovalSeconds},
 		{"claims", "claimed, started and done per non-idempotent request",
 			requestRate * nonIdempotentShare, 3 * requestRate * nonIdempotentShare},
 		{"committed spend", "a share per entry and interval", entries / shareSeconds, entries / shareSeconds},
 		{"leases", "renewed by the holder, watched by 3 entries per data centre",
 			leases * leaseCandidates * dataCentres / leaseSeconds, leases / leaseSeconds},
+		{"placement leases", "one per data centre", dataCentres * leaseCandidates / leaseSeconds, dataCentres / leaseSeconds},
 		{"quality", "one row, read by each entry", entries / qualitySeconds, 1 / qualitySeconds},
 		{"holder of the roll-out lease", "looked up by each entry", entries / judgeReadSeconds, 0},
 	}
