assembler: split the long functions of construction

Cause: Entry.build, Entry.Run and newProcess did many things each. Change: one function per group of parts; no change of behaviour. Result: go test ./assembler -run 'TestGraceful|TestOperators|TestTableOut' passes. Conclusion: the order of construction is readable.

--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -128,6 +128,19 @@
 }
 
 func (e *Entry) build() {
+	e.buildChoice()
+	e.buildRecords()
+	e.quality = newQuality(e)
+	e.rollouts = newRollouts(e)
+	e.use = placer.NewUse(time.Now)
+	e.admin = administrator.New(e.adminStore(), administrator.WithLog(e.log))
+	e.buildServer()
+	e.handleCalls()
+	e.registerParts()
+}
+
+// buildChoice builds the parts that choose the version and the upstream of a request.
+func (e *Entry) buildChoice() {
 	s := &e.settings
 	current := e.distributor.Current
 	e.directory = newDirectory(e.process)
@@ -138,30 +151,39 @@
 	ledger := spender.NewTableLedger(current, e.spendTable(), s.DataCentre, s.DataCentres)
 	e.spender = spender.New(current, ledger.Ledger())
 	e.selector = selector.New(selector.WithEstimator(e.estimator), selector.WithPriceFactor(e.spender.PriceFactor))
-	e.claimer = claimer.New(e.table)
-	e.biller = biller.New(s.Instance, []biller.Sink{biller.TableSink(e.table), biller.ObjectSink(e.objects)},
-		biller.WithMaxBytes(int(s.Limits.MaxBillBytes)))
 	e.pinRows = newPinRows(e.table, s.Region, s.Instance)
 	e.pinner = pinner.New(pinner.WithInstances(s.Instance, e.regionEntries), pinner.WithConfiguration(current),
 		pinner.WithAsk(func(ctx context.Context, owner identifier.Instance, q pinner.Question) (identifier.Target, error) {
 			return ask[pinner.Question, identifier.Target](ctx, e.peers, owner, methodPin, q)
 		}),
 		pinner.WithWrite(e.pinRows.write), pinner.WithRead(e.pinRows.read))
-	e.explainer = explainer.New(s.Limits.DecisionRecords)
 	e.accounts = limiter.NewAccounts(limiter.WithShare(e.shareOfLimits))
 	e.retries = limiter.NewBudget()
-	e.quality = newQuality(e)
-	e.rollouts = newRollouts(e)
-	e.use = placer.NewUse(time.Now)
-	e.admin = administrator.New(e.adminStore(), administrator.WithLog(e.log))
+}
+
+// buildRecords builds the parts that keep claims, bills and decision records.
+func (e *Entry) buildRecords() {
+	s := &e.settings
+	e.claimer = claimer.New(e.table)
+	e.biller = biller.New(s.Instance, []biller.Sink{biller.TableSink(e.table), biller.ObjectSink(e.objects)},
+		biller.WithMaxBytes(int(s.Limits.MaxBillBytes)))
+	e.explainer = explainer.New(s.Limits.DecisionRecords)
+}
+
+// buildServer builds the server for callers.
+func (e *Entry) buildServer() {
 	e.server = entryserver.New(
-		entryserver.WithStreams(e.streamsClient()), entryserver.WithConfiguration(current),
+		entryserver.WithStreams(e.streamsClient()), entryserver.WithConfiguration(e.distributor.Current),
 		entryserver.WithSelect(e.selector.Select), entryserver.WithPin(e.pinner.Pin),
 		entryserver.WithChoose(e.choose), entryserver.WithClaim(e.claim), entryserver.WithRecord(e.record),
 		entryserver.WithRetry(e.retries.Allow, e.retries.Success), entryserver.WithExplain(e.explain),
 		entryserver.WithLimit(e.accounts.Allow), entryserver.WithReserve(e.reserve), entryserver.WithRate(e.rate),
 		entryserver.WithAttempts(e.balancer.Begin, e.attemptEnded, e.loadReported),
 	)
+}
+
+// handleCalls takes the control calls that only entries receive.
+func (e *Entry) handleCalls() {
 	messenger.Handle(e.mux, methodPin, func(ctx context.Context, _ messenger.Peer, q pinner.Question) (identifier.Target, error) {
 		return e.pinner.Answer(ctx, q)
 	})
@@ -169,6 +191,10 @@
 		e.rollouts.receive(list)
 		return None{}, nil
 	})
+}
+
+// registerParts shows the parts in the state dump and the metrics.
+func (e *Entry) registerParts() {
 	for name, x := range map[string]part{
 		"entry": e.server, "administrator": e.admin, "balancer": e.balancer, "estimator": e.estimator, "selector": e.selector,
 		"spender": e.spender, "claimer": e.claimer, "biller": e.biller, "pinner": e.pinner, "explainer": e.explainer,
@@ -245,14 +271,8 @@
 	serving, stopServing := context.WithCancel(ctx)
 	defer stopServing()
 	g.Go(func() error {
-		select {
-		case d := <-e.drain:
-			e.log.InfoContext(duties, "draining", "deadline", d.Deadline)
-			stopServing()
-		case <-duties.Done():
-			stopServing()
-		case <-serving.Done():
-		}
+		e.awaitStop(duties, serving)
+		stopServing()
 		return nil
 	})
 	if ready != nil {
@@ -271,6 +291,16 @@
 	return err
 }
 
+// awaitStop returns when a drain is asked for, a duty has failed or serving has ended.
+func (e *Entry) awaitStop(duties, serving context.Context) {
+	select {
+	case d := <-e.drain:
+		e.log.InfoContext(duties, "draining", "deadline", d.Deadline)
+	case <-duties.Done():
+	case <-serving.Done():
+	}
+}
+
 // serveCallers returns when every request in progress has its response, or after the shutdown time.
 func (e *Entry) serveCallers(ctx context.Context) error {
 	leave := context.AfterFunc(ctx, e.detector.Leave)
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -83,7 +83,16 @@
 	p.pool = messenger.NewPool(p.messengerOptions((*authenticator.TLS).Client)...)
 	p.peers = newPeers(p.pool, p.controlAddress)
 	p.leaser = leaser.New(p.table, s.Instance)
-	p.distributor = distributor.New(
+	p.distributor = p.newDistributor(onChange)
+	p.detector = p.newDetector(self, o.dataCentres, onMembers)
+	p.handleControl()
+	p.registerCommon()
+	return p, nil
+}
+
+func (p *process) newDistributor(onChange func(*configurer.Configuration)) *distributor.Distributor {
+	s := &p.settings
+	return distributor.New(
 		distributor.WithSelf(s.Instance), distributor.WithTable(p.table), distributor.WithObjects(p.objects),
 		distributor.WithMembers(p.neighbours), distributor.WithOnChange(onChange),
 		distributor.WithPush(func(_ context.Context, peer identifier.Instance, u distributor.Update) error {
@@ -93,15 +102,24 @@
 			return ask[ConfigSince, distributor.Update](ctx, p.peers, peer, methodConfigSince, ConfigSince{From: s.Instance, Revision: revision})
 		}),
 	)
-	p.detector = detector.New(self,
-		detector.WithList(newMemberList(p.instances.ListIn, s.DataCentre, o.dataCentres).read), detector.WithRevision(p.distributor.Revision),
+}
+
+func (p *process) newDetector(
+	self detector.Member, all []identifier.DataCentre, onMembers func(),
+) *detector.Detector {
+	return detector.New(self,
+		detector.WithList(newMemberList(p.instances.ListIn, p.settings.DataCentre, all).read),
+		detector.WithRevision(p.distributor.Revision),
 		detector.WithOnChange(onMembers),
 		detector.WithSend(func(peer identifier.Instance, m detector.Message) {
 			// A dropped heartbeat is counted and looks like a lost one.
 			_ = tell(p.peers, peer, methodHeartbeat, m)
 		}),
 	)
-	p.handleControl()
+}
+
+// registerCommon shows the parts of every process in the state dump and the metrics.
+func (p *process) registerCommon() {
 	p.register("table", p.table)
 	p.register("object-store", p.objects)
 	p.register("detector", p.detector)
@@ -111,7 +129,6 @@
 	p.meter.Register("peers", p.peers.Counters)
 	p.debug.Handle("GET "+dumper.Path, p.dumper)
 	p.debug.Handle("GET "+meter.Path, p.meter)
-	return p, nil
 }
 
 func (p *process) loadTLS() error {
