assembler: let an engine command outlive its control call

Cause: a control call is handled for at most 10 s, so an unload would have given up before the 30 s for its runs.

--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -46,6 +46,7 @@
 	server    *agentserver.Server
 	admission *admission
 	engine    *engineWatch
+	commands  *commands
 	biller    *biller.Biller
 }
 
@@ -118,6 +119,7 @@
 
 func (a *Agent) build() {
 	s := &a.settings
+	a.commands = newCommands(a.command)
 	a.engine = newEngineWatch(s.Upstream.Address, s.Upstream.Service)
 	a.server = agentserver.New(s.Upstream.Name, s.Upstream.Address,
 		agentserver.WithConfiguration(a.distributor.Current),
@@ -140,7 +142,7 @@
 		return None{}, nil
 	})
 	messenger.Handle(a.mux, methodCommand, func(ctx context.Context, _ messenger.Peer, c EngineCommand) (None, error) {
-		return None{}, a.command(ctx, c)
+		return None{}, a.commands.run(ctx, c)
 	})
 	a.register("agent", a.server)
 	a.register("biller", a.biller)
--- a/assembler/placement.go
+++ b/assembler/placement.go
@@ -19,8 +19,15 @@
 const (
 	// placementInterval is the time between two plans; an engine takes longer than that to load a version.
 	placementInterval = 10 * time.Second
-	// orderTime bounds one order; an unload waits up to 30 s for the runs of its version.
-	orderTime = 40 * time.Second
+	// orderTime bounds one order; the agent replies within replyTime.
+	orderTime = 8 * time.Second
+	// replyTime is the time after which an agent replies although a command still runs, because a control call is
+	// handled for at most 10 s and an unload waits up to 30 s for the runs of its version.
+	replyTime = 5 * time.Second
+	// commandTime bounds one command at the agent: 30 s of waiting for runs and 30 s at the engine.
+	commandTime = 65 * time.Second
+	// maxCommands bounds the commands that an agent has in progress.
+	maxCommands = 4
 )
 
 func placementLease(d identifier.DataCentre) string {
@@ -88,7 +95,45 @@
 	Target string `json:"target"`
 }
 
-var errEngineRefused = errors.New("assembler: engine refused the command")
+var (
+	errEngineRefused = errors.New("assembler: engine refused the command")
+	errCommandRuns   = errors.New("assembler: command still runs")
+	errManyCommands  = errors.New("assembler: too many commands in progress")
+)
+
+// commands runs the commands of an agent, which may take longer than a control call.
+type commands struct {
+	running errgroup.Group
+	pass    func(context.Context, EngineCommand) error
+}
+
+func newCommands(pass func(context.Context, EngineCommand) error) *commands {
+	c := &commands{pass: pass}
+	c.running.SetLimit(maxCommands)
+	return c
+}
+
+// run starts a command and waits for its result for at most replyTime; the command goes on after that.
+func (c *commands) run(ctx context.Context, x EngineCommand) error {
+	done := make(chan error, 1)
+	started := c.running.TryGo(func() error {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), commandTime)
+		defer cancel()
+		done <- c.pass(ctx, x)
+		return nil
+	})
+	if !started {
+		return errManyCommands
+	}
+	t := time.NewTimer(replyTime)
+	defer t.Stop()
+	select {
+	case err := <-done:
+		return err
+	case <-t.C:
+		return errCommandRuns
+	}
+}
 
 // command passes a command to the engine and looks at once what it has loaded.
 func (a *Agent) command(ctx context.Context, c EngineCommand) error {
--- a/assembler/placement_internal_test.go
+++ b/assembler/placement_internal_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -116,6 +117,36 @@
 	}
 }
 
+// Guards against a long unload that ends with its control call, a call that waits longer than it may, and commands
+// without bound.
+func TestCommandOutlivesItsCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ended atomic.Int64
+		c := newCommands(func(ctx context.Context, _ EngineCommand) error {
+			err := pause(ctx, 30*time.Second)
+			if err == nil {
+				ended.Add(1)
+			}
+			return err
+		})
+		for range maxCommands {
+			go func() {
+				ctx, cancel := context.WithTimeout(t.Context(), replyTime)
+				defer cancel()
+				_ = c.run(ctx, EngineCommand{})
+			}()
+		}
+		synctest.Wait()
+		must.ErrorIs(t, c.run(t.Context(), EngineCommand{}), errManyCommands)
+		must.NoError(t, c.running.Wait())
+		must.EqOp(t, maxCommands, ended.Load())
+		began := time.Now()
+		must.ErrorIs(t, c.run(t.Context(), EngineCommand{}), errCommandRuns)
+		must.EqOp(t, replyTime, time.Since(began))
+		must.NoError(t, c.running.Wait())
+	})
+}
+
 // Guards against a candidate that no engine gets, a planned unload that cuts a run, and a former holder that moves
 // versions after its successor.
 func TestPlacement(t *testing.T) {
