slopesbencher: derive the load of lease holders and bills from the code

Change: rates come from the constants of assembler and balancer; entries flush bills each 5 s as the design says; observations and ratings are measured.

--- a/assembler/quality.go
+++ b/assembler/quality.go
@@ -54,7 +54,7 @@
 
 func newQuality(e *Entry) *quality {
 	return &quality{
-		e: e, pending: buffer.NewRing[storer.Rating](pendingRatings), sample: newSampler(ratingRate, e.entryCount),
+		e: e, pending: buffer.NewRing[storer.Rating](pendingRatings), sample: newSampler(RatingRate, e.entryCount),
 	}
 }
 
--- a/assembler/rollout.go
+++ b/assembler/rollout.go
@@ -21,10 +21,10 @@
 	judgeInterval = time.Second
 	// holderInterval is how often an entry looks up who the holder is.
 	holderInterval = 10 * time.Second
-	// forwardInterval is how often an entry of a small deployment sends observations to the holder, and forwardSpread the
+	// forwardInterval is how often an entry of a small deployment sends observations to the holder, and ForwardSpread the
 	// calls per second that the holder receives at most: with 330 entries each sends every 66 s.
 	forwardInterval = time.Second
-	forwardSpread   = 5
+	ForwardSpread   = 5
 	// pendingObservations bounds the observations of one interval; further ones are not counted.
 	pendingObservations = 2048
 )
@@ -40,7 +40,7 @@
 func newRollouts(e *Entry) *rollouts {
 	return &rollouts{
 		e: e, promoter: promoter.New(promoter.Chart()), pending: buffer.NewRing[promoter.Observation](pendingObservations),
-		sample: newSampler(observationRate, e.entryCount),
+		sample: newSampler(ObservationRate, e.entryCount),
 	}
 }
 
@@ -115,7 +115,7 @@
 		if now.Before(sendAt) {
 			return
 		}
-		sendAt = now.Add(max(forwardInterval, time.Duration(r.e.entryCount())*time.Second/forwardSpread))
+		sendAt = now.Add(max(forwardInterval, time.Duration(r.e.entryCount())*time.Second/ForwardSpread))
 		list := r.drain()
 		switch {
 		case len(list) == 0 || holder == "":
--- a/assembler/sampler.go
+++ b/assembler/sampler.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// ratingRate bounds the answers per second that the whole deployment submits for rating, because one lease holder
+	// RatingRate bounds the answers per second that the whole deployment submits for rating, because one lease holder
 	// fetches all ratings: at 230 bytes each they take 2.3 KB/s there.
-	ratingRate = 10
-	// observationRate bounds the observations per second that the holder of the roll-out lease receives.
-	observationRate = 20
+	RatingRate = 10
+	// ObservationRate bounds the observations per second that the holder of the roll-out lease receives.
+	ObservationRate = 20
 	// samplerBurst bounds what one entry sends at once after a quiet time.
 	samplerBurst = 8
 )
--- a/slopesbencher/capacity.go
+++ b/slopesbencher/capacity.go
@@ -1,5 +1,10 @@
 package slopesbencher
 
+import (
+	"github.com/siskinfront/siskinfront/assembler"
+	"github.com/siskinfront/siskinfront/balancer"
+)
+
 // The target size, from the users' stated target.
 const (
 	entries        = 330.0
@@ -47,7 +52,6 @@
 	unchangedBytes    = 260.0
 	qualitySeconds    = 300.0
 	judgeReadSeconds  = 10.0
-	billFlushSeconds  = 5.0
 	pinFlushSeconds   = 5.0
 	pinRemovalSeconds = 30.0
 	configurationPoll = 0.5
@@ -56,7 +60,7 @@
 	leaseSeconds      = 5.0
 	leaseCandidates   = 3.0
 	leases            = 4.0
-	probesPerSecond   = 4.0
+	probesPerSecond   = balancer.DefaultProbeRate
 	bytesPerCall      = callOverhead
 	billOutageSeconds = 3600.0
 )
@@ -121,7 +125,7 @@
 			memory: s["upstreams known to an entry"].At(knownUpstreams), traffic: probesPerSecond * bytesPerCall},
 		costItem{name: "descriptions of upstreams", traffic: knownUpstreams / describeSeconds * descriptionBytes},
 		costItem{name: "bills, one hour of table outage", memory: s["bills that wait"].PerUnit * perEntry * billOutageSeconds,
-			traffic: perEntry * s["bills as written"].PerUnit, perRequest: true},
+			traffic: s["bills as written"].At(perEntry*assembler.BillInterval.Seconds()) / assembler.BillInterval.Seconds(), perRequest: true},
 		costItem{name: "session pins", memory: s["sessions pinned"].PerUnit * sessionStarts / entries * sessionTime,
 			traffic: requestRate * sessionShare / entries * 2 * bytesPerCall, perRequest: true},
 		costItem{name: "answers on their way", core: tokenRate / entries * s["token frame written and read"].PerUnit * nanosecond,
@@ -137,13 +141,13 @@
 	reader := role{name: "configuration reader", items: append(entry.items[:len(entry.items):len(entry.items)],
 		costItem{name: "polls of the head", traffic: bytesPerCall / configurationPoll})}
 	judge := role{name: "holder of the roll-out lease", items: append(entry.items[:len(entry.items):len(entry.items)],
-		costItem{name: "observations received", traffic: observationTraffic})}
-	return []role{entry, agent, reader, judge}
+		costItem{name: "observations received", traffic: assembler.ObservationRate*s["observation as sent"].PerUnit +
+			assembler.ForwardSpread*notificationOverhead})}
+	rater := role{name: "holder of the ratings lease", items: append(entry.items[:len(entry.items):len(entry.items)],
+		costItem{name: "ratings received", traffic: assembler.RatingRate*s["rating as sent"].PerUnit + bytesPerCall})}
+	return []role{entry, agent, reader, judge, rater}
 }
 
-// observationTraffic is the bound that the forwarding of observations keeps at the holder, in bytes per second.
-const observationTraffic = 1000.0
-
 // tableRow is the load of one mechanism on the table.
 type tableRow struct {
 	name, mechanism string
@@ -156,7 +160,7 @@
 		{"configuration head", "3 readers per data centre, the rest told", readersPerCentre * dataCentres / configurationPoll, 0},
 		{"configuration changes", "one transaction per change, read once per reader",
 			changesPerDay / secondsPerDay * (1 + readersPerCentre*dataCentres), changesPerDay / secondsPerDay},
-		{"bills", "one row per entry and flush", 0, entries / billFlushSeconds},
+		{"bills", "one row per entry and flush", 0, entries / assembler.BillInterval.Seconds()},
 		{"session pins", "one transaction per entry and flush", 0, entries / pinFlushSeconds},
 		{"session pins, removal", "one transaction per entry and 30 s", 0, entries / pinRemovalSeconds},
 		{"claims", "claimed, started and done per non-idempotent request",
--- a/slopesbencher/experiment.go
+++ b/slopesbencher/experiment.go
@@ -23,7 +23,7 @@
 		XLabel:  "size relative to the largest measured", YLabel: "value relative to the largest measured",
 	}
 	slopes := map[string]*Slope{}
-	for _, measure := range []func() []Slope{balancing, selecting, distributing, keeping, detecting, serving} {
+	for _, measure := range []func() []Slope{balancing, selecting, distributing, keeping, observing, detecting, serving} {
 		if err := ctx.Err(); err != nil {
 			return report, err
 		}
