--- a/assembler/rollout.go
+++ b/assembler/rollout.go
@@ -87,15 +87,12 @@
 	}
 }
 
-// apply returns a copy of the configuration with the changed versions.
+// apply returns a configuration with the changed versions; cfg is in force and stays as it is.
 func apply(cfg *configurer.Configuration, changes []promoter.Change) *configurer.Configuration {
-	next := cfg.Canonical()
 	for _, c := range changes {
-		if v := next.Version(c.Target); v != nil {
-			v.State, v.Exposure = c.State, c.Exposure
-		}
+		cfg = cfg.WithVersion(c.Target, func(v *configurer.Version) { v.State, v.Exposure = c.State, c.Exposure })
 	}
-	return next
+	return cfg
 }
 
 // forward sends observations to the holder.
--- a/configurer/encode.go
+++ b/configurer/encode.go
@@ -11,10 +11,13 @@
 	"time"
 
 	"github.com/goccy/go-yaml"
+
+	"github.com/siskinfront/siskinfront/identifier"
 )
 
 // Canonical returns a copy whose lists are sorted by name; the order of ranks, versions and an account's kinds of work
-// carries meaning and stays.
+// carries meaning and stays. The parts of an item, such as the versions of a model, are shared with c and must not be
+// changed; WithVersion changes one.
 func (c *Configuration) Canonical() *Configuration {
 	n := *c
 	n.WorkKinds = sortedBy(c.WorkKinds, func(k WorkKind) string { return string(k.Name) })
@@ -25,6 +28,20 @@
 	return &n
 }
 
+// WithVersion returns a configuration in which change was applied to the version that t names; c stays as it is. Without
+// such a version it returns c.
+func (c *Configuration) WithVersion(t identifier.Target, change func(*Version)) *Configuration {
+	if c.Version(t) == nil {
+		return c
+	}
+	n := *c
+	n.Models = slices.Clone(c.Models)
+	m := n.Model(t.Model)
+	m.Versions = slices.Clone(m.Versions)
+	change(n.Version(t))
+	return &n
+}
+
 func sortedBy[T any](list []T, name func(T) string) []T {
 	list = slices.Clone(list)
 	slices.SortStableFunc(list, func(a, b T) int { return cmp.Compare(name(a), name(b)) })
