entryserver, agentserver: use one type of bill, shorten dispatch

Cause: three packages declared the same bill and assembler converted between them; dispatch had grown to 60 lines with four duties. Change: biller.Bill everywhere; choosing and reserving is a function of its own. Conclusion: no behaviour changed.

--- a/agentserver/bill.go
+++ b/agentserver/bill.go
@@ -2,41 +2,25 @@
 
 import (
 	"sync"
-	"time"
 
-	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/biller"
 	"github.com/siskinfront/siskinfront/streamer"
 )
 
 // maxBills bounds the bills that are not yet durable; at about 250 bytes each they take 16 MB.
 const maxBills = 1 << 16
 
-// Bill is the record of one run; all runs of a request share its ID, so that the request is billed once.
-type Bill struct {
-	ID            string                   `json:"id"`
-	Request       identifier.Request       `json:"request-id"`
-	ClientAccount identifier.ClientAccount `json:"client-account"`
-	WorkKind      identifier.WorkKind      `json:"work-kind"`
-	Rank          identifier.Rank          `json:"rank"`
-	Target        identifier.Target        `json:"target"`
-	Service       identifier.Service       `json:"service,omitempty"`
-	Usage         streamer.Usage           `json:"usage"`
-	// Final is set when the run was complete.
-	Final bool      `json:"final"`
-	At    time.Time `json:"at"`
-}
-
 // billBook holds bills until they are durable; it is safe for concurrent use.
 type billBook struct {
 	mu    sync.Mutex
-	bills map[string]Bill
+	bills map[string]biller.Bill
 }
 
-func (b *billBook) add(bill Bill) {
+func (b *billBook) add(bill biller.Bill) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.bills == nil {
-		b.bills = map[string]Bill{}
+		b.bills = map[string]biller.Bill{}
 	}
 	if old, ok := b.bills[bill.ID]; ok && !bill.Final &&
 		(old.Final || old.Usage.CompletionTokens > bill.Usage.CompletionTokens) {
@@ -61,17 +45,17 @@
 		u = &streamer.Usage{PromptTokens: r.order.PromptTokens, CompletionTokens: r.tokens}
 	}
 	o := r.order
-	s.bills.add(Bill{
+	s.bills.add(biller.Bill{
 		ID: string(o.Request), Request: o.Request, ClientAccount: o.ClientAccount, WorkKind: o.WorkKind, Rank: o.Rank,
 		Target: o.Target, Service: o.Service, Usage: *u, Final: final, At: s.Now(),
 	})
 }
 
 // PendingBills returns at most n bills that are not yet known to be durable.
-func (s *Server) PendingBills(n int) []Bill {
+func (s *Server) PendingBills(n int) []biller.Bill {
 	s.bills.mu.Lock()
 	defer s.bills.mu.Unlock()
-	bills := make([]Bill, 0, min(n, len(s.bills.bills)))
+	bills := make([]biller.Bill, 0, min(n, len(s.bills.bills)))
 	for _, b := range s.bills.bills {
 		if len(bills) == n {
 			break
@@ -82,7 +66,7 @@
 }
 
 // BillsMoved forgets bills that another holder in this process took; one that has grown since it was read stays.
-func (s *Server) BillsMoved(bills []Bill) {
+func (s *Server) BillsMoved(bills []biller.Bill) {
 	s.bills.mu.Lock()
 	defer s.bills.mu.Unlock()
 	for i := range bills {
--- a/agentserver/bill_internal_test.go
+++ b/agentserver/bill_internal_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/siskinfront/siskinfront/biller"
 	"github.com/siskinfront/siskinfront/streamer"
 )
 
@@ -16,7 +17,7 @@
 func TestRefusalAtBillCapacity(t *testing.T) {
 	s := New("upstream-1", netip.MustParseAddrPort("10.0.0.1:8000"))
 	for i := range maxBills {
-		s.bills.add(Bill{ID: strconv.Itoa(i)})
+		s.bills.add(biller.Bill{ID: strconv.Itoa(i)})
 	}
 	o := &streamer.Order{Request: "r-1", Attempt: 1, Deadline: time.Now().Add(time.Minute)}
 	_, _, err := s.begin(o, nil)
--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -225,12 +225,11 @@
 
 // moveBills hands the bills of the runs to the biller, which keeps them until they are durable.
 func (a *Agent) moveBills(context.Context) {
-	moved := []agentserver.Bill{}
+	moved := []biller.Bill{}
 	for _, b := range a.server.PendingBills(billBatch) {
-		err := a.biller.Record(biller.Bill{
-			ID: b.ID, Request: b.Request, ClientAccount: b.ClientAccount, WorkKind: b.WorkKind, Rank: b.Rank,
-			Target: b.Target, Service: b.Service, Usage: b.Usage, Amount: a.price(&b), Final: b.Final, At: b.At,
-		})
+		priced := b
+		priced.Amount = a.price(&b)
+		err := a.biller.Record(priced)
 		if err != nil {
 			// The runs keep the rest; once they are full the agent refuses new orders.
 			break
@@ -240,7 +239,7 @@
 	a.server.BillsMoved(moved)
 }
 
-func (a *Agent) price(b *agentserver.Bill) float64 {
+func (a *Agent) price(b *biller.Bill) float64 {
 	if v := a.distributor.Current().Version(b.Target); v != nil {
 		return selector.ListPrice(v, b.Usage.PromptTokens, b.Usage.CompletionTokens)
 	}
--- a/assembler/entry_seam.go
+++ b/assembler/entry_seam.go
@@ -70,13 +70,10 @@
 }
 
 // record takes the bill of a request that runs and submits a complete answer for rating.
-func (e *Entry) record(b entryserver.Bill) {
-	x := biller.Bill{
-		ID: b.ID, Request: b.Request, ClientAccount: b.ClientAccount, WorkKind: b.WorkKind, Rank: b.Rank, Target: b.Target,
-		Service: b.Service, Usage: b.Usage, Amount: e.price(b.Target, b.Usage), Final: b.Final, At: b.At,
-	}
+func (e *Entry) record(b biller.Bill) {
+	b.Amount = e.price(b.Target, b.Usage)
 	// A bill that does not fit stays with its agent, which writes it; the biller counts the refusal.
-	_ = e.biller.Record(x)
+	_ = e.biller.Record(b)
 	if b.Final && b.Service == "" {
 		e.use.Add(b.Target, b.Usage.PromptTokens+b.Usage.CompletionTokens)
 		e.quality.offer(storer.Rating{Request: b.Request, WorkKind: b.WorkKind, Target: b.Target, At: b.At})
--- a/entryserver/bed_test.go
+++ b/entryserver/bed_test.go
@@ -18,6 +18,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/siskinfront/siskinfront/agentserver"
+	"github.com/siskinfront/siskinfront/biller"
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/enginefaker"
 	"github.com/siskinfront/siskinfront/entryserver"
@@ -46,7 +47,7 @@
 
 	cfg   *configurer.Configuration
 	mu    sync.Mutex
-	bills []entryserver.Bill
+	bills []biller.Bill
 	retry bool
 	stop  []func()
 }
@@ -123,14 +124,14 @@
 	b.stop = append(b.stop, func() { _ = s.Close() })
 }
 
-func (b *bed) record(bill entryserver.Bill) {
+func (b *bed) record(bill biller.Bill) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.bills = append(b.bills, bill)
 }
 
 // recorded returns the bills that the entries have taken.
-func (b *bed) recorded() []entryserver.Bill {
+func (b *bed) recorded() []biller.Bill {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return slices.Clone(b.bills)
--- a/entryserver/bill_test.go
+++ b/entryserver/bill_test.go
@@ -1,6 +1,7 @@
 package entryserver_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -8,19 +9,13 @@
 
 	"github.com/siskinfront/siskinfront/agentserver"
 	"github.com/siskinfront/siskinfront/biller"
-	"github.com/siskinfront/siskinfront/entryserver"
 )
 
 // union returns what the bills of an entry and of the agents given amount to.
-func union(entry []entryserver.Bill, agents ...*agentserver.Server) []biller.Bill {
-	list := []biller.Bill{}
-	for _, b := range entry {
-		list = append(list, biller.Bill{ID: b.ID, Request: b.Request, Target: b.Target, Usage: b.Usage, Final: b.Final, At: b.At})
-	}
+func union(entry []biller.Bill, agents ...*agentserver.Server) []biller.Bill {
+	list := slices.Clone(entry)
 	for _, a := range agents {
-		for _, b := range a.PendingBills(100) {
-			list = append(list, biller.Bill{ID: b.ID, Request: b.Request, Target: b.Target, Usage: b.Usage, Final: b.Final, At: b.At})
-		}
+		list = append(list, a.PendingBills(100)...)
 	}
 	return biller.Union(list)
 }
@@ -68,7 +63,7 @@
 				b.ask(t, tc.body)
 				// The agent waits for its entry before it ends the run.
 				time.Sleep(time.Minute)
-				var fromEntry []entryserver.Bill
+				var fromEntry []biller.Bill
 				var agents []*agentserver.Server
 				if tc.survivors&entry != 0 {
 					fromEntry = b.recorded()
@@ -94,7 +89,7 @@
 // holder of its bill before its end.
 func TestBillsOfRepeatAndOfRunInProgress(t *testing.T) {
 	run(t, func(t *testing.T, b *bed) {
-		entry, agent := make(chan []entryserver.Bill, 1), make(chan []agentserver.Bill, 1)
+		entry, agent := make(chan []biller.Bill, 1), make(chan []biller.Bill, 1)
 		time.AfterFunc(time.Second, func() {
 			entry <- b.recorded()
 			agent <- b.agents[0].PendingBills(9)
--- a/entryserver/completion.go
+++ b/entryserver/completion.go
@@ -32,6 +32,8 @@
 	steps   []Step
 	// busy lists the upstreams that refused the request because it would have waited there.
 	busy []identifier.Upstream
+	// refused counts the attempts of the present run that ended so; they are no retries.
+	refused int
 	// upstream is the one of the latest attempt.
 	upstream identifier.Upstream
 }
--- a/entryserver/dispatch.go
+++ b/entryserver/dispatch.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/siskinfront/siskinfront/biller"
 	"github.com/siskinfront/siskinfront/decoder"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/streamer"
@@ -38,36 +39,17 @@
 func (s *Server) dispatch(ctx context.Context, j *job) *decoder.Error {
 	outcome := streamer.OutcomeNotRun
 	var last *decoder.Error
-	refused := 0 // attempts that were refused as busy
+	j.refused = 0
 	for n := 1; ; n++ {
-		u, err := s.Choose(ctx, j.choice)
-		if err != nil && j.waitAnywhere() {
-			u, err = s.Choose(ctx, j.choice)
-		}
+		u, settle, err := s.prepare(ctx, j)
 		if err != nil {
 			if last != nil {
-				last.Outcome = outcome
-				return last
-			}
-			return &decoder.Error{
-				Status: http.StatusServiceUnavailable, Code: "no-upstream", Type: decoder.TypeServer,
-				Message: "no upstream can take the request", Cause: err, RetryAt: s.Now().Add(retryWait),
-			}
-		}
-		// Every attempt may cost its maximum, so each has a reservation of its own.
-		settle, limited := s.reserve(j)
-		if limited != nil {
-			if last != nil {
-				limited = last
+				err = last
 			}
-			limited.Outcome = outcome
-			return limited
+			err.Outcome = outcome
+			return err
 		}
 		j.order.Attempt = n
-		j.order.StartBy = u.StartBy
-		if j.choice.Busy >= maxBusy || !j.resendable() {
-			j.order.StartBy = time.Time{}
-		}
 		j.upstream = u.Name
 		j.explain("attempt-"+strconv.Itoa(n), string(u.Name))
 		f := s.attempt(ctx, u, j, settle)
@@ -77,26 +59,48 @@
 		last = f.err
 		outcome = worse(outcome, last.TrueOutcome())
 		j.explain("failed-"+strconv.Itoa(n), last.Code+" "+string(last.TrueOutcome()))
-		if busy(j, f) && ctx.Err() == nil {
+		switch {
+		case busy(j, f) && ctx.Err() == nil:
 			// Nothing ran and the number of such attempts is bounded, so they draw on no retry budget.
 			s.counters.busy.Add(1)
 			j.choice.Busy++
-			refused++
-			j.choice.Exclude = append(j.choice.Exclude, u.Name)
+			j.refused++
 			j.busy = append(j.busy, u.Name)
-			j.sink.reset()
-			continue
-		}
-		if !s.repeatable(ctx, j, f, n-refused) {
+		case s.repeatable(ctx, j, f, n-j.refused):
+			s.counters.retried.Add(1)
+		default:
 			last.Outcome = outcome
 			return last
 		}
-		s.counters.retried.Add(1)
 		j.choice.Exclude = append(j.choice.Exclude, u.Name)
 		j.sink.reset()
 	}
 }
 
+// prepare chooses the upstream of the next attempt and sets aside what it can cost.
+func (s *Server) prepare(ctx context.Context, j *job) (Upstream, func(*Attempt, bool), *decoder.Error) {
+	u, err := s.Choose(ctx, j.choice)
+	if err != nil && j.waitAnywhere() {
+		u, err = s.Choose(ctx, j.choice)
+	}
+	if err != nil {
+		return u, nil, &decoder.Error{
+			Status: http.StatusServiceUnavailable, Code: "no-upstream", Type: decoder.TypeServer,
+			Message: "no upstream can take the request", Cause: err, RetryAt: s.Now().Add(retryWait),
+		}
+	}
+	// Every attempt may cost its maximum, so each has a reservation of its own.
+	settle, limited := s.reserve(j)
+	if limited != nil {
+		return u, nil, limited
+	}
+	j.order.StartBy = u.StartBy
+	if j.choice.Busy >= maxBusy || !j.resendable() {
+		j.order.StartBy = time.Time{}
+	}
+	return u, settle, nil
+}
+
 // resendable reports whether the request may be sent again after a truthful not-run. A non-idempotent one without a key
 // has one attempt.
 func (j *job) resendable() bool {
@@ -224,7 +228,7 @@
 
 func (s *Server) bill(j *job, record *Attempt, final bool) {
 	o := &j.order
-	s.Record(Bill{
+	s.Record(biller.Bill{
 		ID: string(o.Request), Request: o.Request, ClientAccount: o.ClientAccount, WorkKind: o.WorkKind, Rank: o.Rank,
 		Target: o.Target, Service: o.Service, Usage: record.Usage, Final: final, At: s.Now(),
 	})
--- a/entryserver/option.go
+++ b/entryserver/option.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/siskinfront/siskinfront/biller"
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/selector"
@@ -48,7 +49,7 @@
 }
 
 // WithRecord sets the receiver of bills.
-func WithRecord(f func(Bill)) Option {
+func WithRecord(f func(biller.Bill)) Option {
 	return func(s *Server) { s.Record = f }
 }
 
--- a/entryserver/seam.go
+++ b/entryserver/seam.go
@@ -56,22 +56,6 @@
 	Query selector.Query
 }
 
-// Bill is the record of one run; the agent's bill has the same ID. Each step of a cascade is a run with an ID and a
-// Request of its own, as returned by StepID.
-type Bill struct {
-	ID            string
-	Request       identifier.Request
-	ClientAccount identifier.ClientAccount
-	WorkKind      identifier.WorkKind
-	Rank          identifier.Rank
-	Target        identifier.Target
-	Service       identifier.Service
-	Usage         streamer.Usage
-	// Final is set for a complete response; an earlier bill covers the tokens seen so far.
-	Final bool
-	At    time.Time
-}
-
 // Result is the stored response of a non-idempotent request.
 type Result struct {
 	Outcome     streamer.Outcome
--- a/entryserver/server.go
+++ b/entryserver/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/siskinfront/siskinfront/authenticator"
+	"github.com/siskinfront/siskinfront/biller"
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/decoder"
 	"github.com/siskinfront/siskinfront/identifier"
@@ -40,7 +41,7 @@
 	Claim func(ctx context.Context, acc identifier.ClientAccount, key string, fingerprint [32]byte,
 		r identifier.Request) (Claim, error)
 	// Record takes the bill of a completed request.
-	Record func(Bill)
+	Record func(biller.Bill)
 	// Retry reports whether the retry budget allows one more attempt, and Succeeded adds to it.
 	Retry     func() bool
 	Succeeded func()
@@ -85,7 +86,7 @@
 		Claim: func(context.Context, identifier.ClientAccount, string, [32]byte, identifier.Request) (Claim, error) {
 			return Claim{}, ErrClaimUnavailable
 		},
-		Record:    func(Bill) {},
+		Record:    func(biller.Bill) {},
 		Retry:     func() bool { return true },
 		Succeeded: func() {},
 		Explain:   func(Explanation) {},
