--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/interpreter"
 	"github.com/siskinfront/siskinfront/streamer"
@@ -166,15 +164,6 @@
 	return best.c.upstream, best, nil
 }
 
-// option is one candidate of a choice with its expected load.
-type option struct {
-	c     *candidate
-	load  float64
-	hot   bool
-	full  bool // the last sample showed no free slot
-	trial bool
-}
-
 const (
 	// hotFactor and hotMargin: an upstream whose slots are unknown is hot when its expected load exceeds the mean by a
 	// half and two requests. One that has shown its slots is hot when they are expected to be taken.
@@ -190,149 +179,6 @@
 // hot, or requests would wait there for want of a start-by after an overload.
 const fullTime = 10 * time.Second
 
-// The excess load in requests for which a farther upstream is left alone: a constant and a part of the mean. Within a
-// region the data centres are a millisecond or two apart, which is little beside the time of a token.
-var penalties = [distances]struct{ constant, relative float64 }{{0, 0}, {0.1, 0.02}, {1, 0.25}}
-
-// better is the hot-cold rule: cold before hot, and one not seen full before one that was; else the less loaded, with the penalty of its distance.
-func (a option) better(o option) bool {
-	if o.c == nil {
-		return true
-	}
-	if a.hot != o.hot {
-		return !a.hot
-	}
-	if a.full != o.full {
-		return !a.full
-	}
-	return a.load < o.load
-}
-
-// pick compares the latest samples of the probe pool and one random candidate of each distance; the rest of the list
-// serves only when no member of the subset is usable.
-func (b *Balancer) pick(p *pool, k *Key, mean float64, t time.Time, now int64) option {
-	best := b.latest(p, k, mean, now)
-	r := b.o.draw()
-	from := 0
-	for _, to := range p.ends {
-		if to == from {
-			continue
-		}
-		o := b.draw(p, k, from, to, r, mean, t, now)
-		if o.trial {
-			return o
-		}
-		if o.c != nil && o.better(best) {
-			best = o
-		}
-		r = r>>17 | r<<47
-		from = to
-	}
-	if best.c == nil {
-		for i, n := 0, len(p.rest); i < n; i++ {
-			if c := p.rest[(i+int(uint64(now)%uint64(n)))%n]; b.usable(c, k) {
-				return option{c: c, load: mean}
-			}
-		}
-	}
-	return best
-}
-
-// latest returns the best of the latest samples that are neither too old nor used up.
-func (b *Balancer) latest(p *pool, k *Key, mean float64, now int64) option {
-	var best option
-	next := p.next.Load()
-	left := b.o.choices
-	for i := uint32(1); i <= freshSize && left > 0; i++ {
-		j := p.fresh[(next-i)%freshSize].Load()
-		if j < 0 {
-			break
-		}
-		c := p.near[j]
-		if now-c.node.sampleAt.Load() > int64(b.o.maxAge) || c.node.uses.Load() >= b.o.maxUses || !b.usable(c, k) {
-			continue
-		}
-		left--
-		if o := b.option(c, mean, now); o.better(best) {
-			best = o
-		}
-	}
-	return best
-}
-
-// draw returns a random usable candidate between two indexes of the subset, or a trial of one whose breaker cooled down.
-func (b *Balancer) draw(p *pool, k *Key, from, to int, r uint64, mean float64, t time.Time, now int64) option {
-	at := from + int(uint32(r)%uint32(to-from))
-	for range to - from {
-		c := p.near[at]
-		if b.usable(c, k) {
-			return b.option(c, mean, now)
-		}
-		if !c.node.leaving.Load() && !excluded(c, k) && c.node.breaker.claimTrial(t) {
-			return option{c: c, load: mean, trial: true}
-		}
-		if at++; at == to {
-			at = from
-		}
-	}
-	return option{}
-}
-
-func (b *Balancer) option(c *candidate, mean float64, now int64) option {
-	load := c.node.estimate(mean, now, &b.o)
-	hot, full := load > mean*hotFactor+hotMargin, false
-	if slots := c.node.slots.Load(); slots > 0 {
-		// A sample too old for a load still tells that the upstream was full, and a stuck one stays full.
-		full = c.node.load.Load() >= slots && now-c.node.sampleAt.Load() < int64(fullTime)
-		hot = load >= float64(slots)
-	}
-	far := penalties[c.distance]
-	return option{c: c, load: load + far.constant + far.relative*mean, hot: hot, full: full}
-}
-
-func (b *Balancer) usable(c *candidate, k *Key) bool {
-	return !c.node.leaving.Load() && c.node.breaker.retryAt.Load() == 0 && !excluded(c, k)
-}
-
-func excluded(c *candidate, k *Key) bool {
-	return len(k.Exclude) > 0 && slices.Contains(k.Exclude, c.upstream.Name)
-}
-
-// affine replaces the best candidate by the one that holds the session or the prefix unless that is overloaded.
-func (b *Balancer) affine(s *snapshot, p *pool, k *Key, session uint64, best option, mean float64, t time.Time,
-	now int64,
-) option {
-	for _, key := range [...]uint64{session, k.Prefix} {
-		if key == 0 {
-			continue
-		}
-		number, _, ok := b.cache.get(key, t)
-		if !ok || int(number) >= len(s.byNumber) {
-			continue
-		}
-		c := s.byNumber[number]
-		if c == nil || !slices.Contains(c.pools, p) || !b.usable(c, k) {
-			continue
-		}
-		o := b.option(c, mean, now)
-		if o.hot && !best.hot || o.full && !best.full || o.load > best.load+mean*affinityFactor+affinityMargin {
-			b.counters.yielded.Add(1)
-			continue
-		}
-		b.counters.affine.Add(1)
-		return o
-	}
-	return best
-}
-
-func sessionKey(s identifier.Session) uint64 {
-	if s == "" {
-		return 0
-	}
-	// The bit keeps sessions apart from prefixes that have the same hash.
-	return xxhash.Sum64String(string(s)) | 1<<63
-}
-
 // Begin records that a request to an upstream starts.
 func (b *Balancer) Begin(u identifier.Upstream) {
 	if c := b.current.Load().byName[u]; c != nil {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/estimator"
 	"github.com/siskinfront/siskinfront/identifier"
@@ -56,26 +54,6 @@
 	decisions, explored, exposed, cascaded, unreachable, rebuilt atomic.Int64
 }
 
-// Option configures a Selector.
-type Option func(*Selector)
-
-// WithEstimator sets the source of quality estimates; without one the configured prior quality is used.
-func WithEstimator(e *estimator.Estimator) Option { return func(s *Selector) { s.estimator = e } }
-
-// WithPriceFactor sets the factor between list price and real cost; the default is 1.
-func WithPriceFactor(f func() float64) Option { return func(s *Selector) { s.priceFactor = f } }
-
-// WithNow sets the clock for queries that carry no time.
-func WithNow(now func() time.Time) Option { return func(s *Selector) { s.now = now } }
-
-// WithRating sets the price, in the currency of the spend, and the delay of rating one answer within a cascade.
-func WithRating(price float64, delay time.Duration) Option {
-	return func(s *Selector) { s.ratingPrice, s.ratingDelay = price, delay }
-}
-
-// WithRefresh sets the age at which plans are rebuilt from the estimates.
-func WithRefresh(d time.Duration) Option { return func(s *Selector) { s.refreshing = d } }
-
 // New returns a selector without plans; the first query of each kind builds its plan.
 func New(opts ...Option) *Selector {
 	s := &Selector{
@@ -280,17 +258,6 @@
 	return best, ReasonCheapest
 }
 
-// weights are the factors of cost and quality in a score.
-type weights struct{ cost, quality float64 }
-
-// weights returns the factors for one request: at list price the price of quality that meets the target, and for the
-// share of the cost that the commitment covers anyway, the worth of the answer.
-func (s *Selector) weights(p *plan, u uint64) weights {
-	f := min(max(s.priceFactor(), 0), 1)
-	lambda := load(&p.control.lambda) * (1 + spread*(unit(u)-0.5))
-	return weights{cost: f, quality: f*lambda + (1-f)*p.worth}
-}
-
 // cascadeFits reports whether two runs and a rating between them end before the deadline at the rank's target speed. A
 // session keeps its version, so a cascade is only for requests without one.
 func (s *Selector) cascadeFits(cfg *configurer.Configuration, q *Query) bool {
@@ -369,27 +336,6 @@
 	}
 }
 
-// draw returns the hash of the session, or the next number of a sequence for a request without one.
-func (s *Selector) draw(q *Query) uint64 {
-	if q.Session == "" {
-		return mix(s.sequence.Add(1))
-	}
-	return mix(xxhash.Sum64String(string(q.Session)) ^ xxhash.Sum64String(string(q.ClientAccount.Name)))
-}
-
-func hashTarget(t identifier.Target) uint64 { return xxhash.Sum64String(t.String()) }
-
-// mix is the finaliser of SplitMix64.
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
-// unit maps x to [0, 1).
-func unit(x uint64) float64 { return float64(x>>11) / (1 << 53) }
-
 // Counters returns monotonic counters.
 func (s *Selector) Counters() map[string]int64 {
 	return map[string]int64{
--- a/spender/ledger.go
+++ b/spender/ledger.go
@@ -43,57 +43,6 @@
 	guidedShare = 0.2
 )
 
-// Table is the access to the platform's table. Read returns a nil value and version 0 for a missing row. Write applies all
-// rows if none has changed, and reports ErrConflict otherwise; any other error leaves open whether it took effect.
-type Table struct {
-	Read  func(ctx context.Context, key string) (value json.RawMessage, version uint64, err error)
-	Write func(ctx context.Context, rows []Write) error
-}
-
-// Write is one conditional write; Version 0 creates the row.
-type Write struct {
-	Key     string
-	Value   json.RawMessage
-	Version uint64
-}
-
-// Row is the value of spend/{period}/{data-centre}. The sum of Limit over the rows of a period never exceeds the hard
-// limit, and Spent plus the amounts of all Leases never exceeds Limit; a Limit of 0 with Unlimited set has no bound.
-type Row struct {
-	Limit     float64 `json:"limit"`
-	Unlimited bool    `json:"unlimited"`
-	// Committed is this data centre's part of the commitment.
-	Committed float64 `json:"committed"`
-	// Revision is the configuration from which BaseLimit and BaseCommitted, the even parts, were taken; a newer
-	// configuration moves Limit and Committed by the difference.
-	Revision      uint64  `json:"revision"`
-	BaseLimit     float64 `json:"base-limit"`
-	BaseCommitted float64 `json:"base-committed"`
-	// Spent is the sum of settled shares and of expired ones that were not returned.
-	Spent  float64 `json:"spent"`
-	Leases []Lease `json:"leases"`
-}
-
-// Lease is one share that is not settled. It counts as spent in full until its own holder returns it, or until another holder
-// recovers it by its bills; the deadline only ends the holder's right to make new reservations, so that skewed clocks cannot
-// free an amount twice.
-type Lease struct {
-	ID     string    `json:"id"`
-	Amount float64   `json:"amount"`
-	Until  time.Time `json:"until"`
-	// Holder names the holding process and its incarnation; a lease without it is never recovered.
-	Holder string `json:"holder,omitempty"`
-}
-
-// granted returns all that is spent or may be spent by holders.
-func (r *Row) granted() float64 {
-	sum := r.Spent
-	for _, l := range r.Leases {
-		sum += l.Amount
-	}
-	return sum
-}
-
 // TableLedger keeps the row of one data centre.
 type TableLedger struct {
 	cfg   func() *configurer.Configuration
@@ -144,6 +93,7 @@
 // evenly over all data centres, a list that must be the same on each instance for the whole period; amounts move between the
 // rows in one transaction when one is used up.
 func NewTableLedger(cfg func() *configurer.Configuration, t Table, self identifier.DataCentre,
+
 	all []identifier.DataCentre, opts ...LedgerOption,
 ) *TableLedger {
 	l := &TableLedger{cfg: cfg, table: t, self: self, all: slices.Clone(all), now: time.Now, newID: uuid.NewString, floor: 0.01,
@@ -265,109 +215,6 @@
 	return l.share(ctx, spend, &own, lease), nil
 }
 
-// grant returns the size of the next share: all of want while there is plenty, and a part of the rest, but not less than
-// floor, towards the end of the commitment and of the limit.
-func grant(r *Row, want, floor float64) float64 {
-	granted, holders := r.granted(), float64(len(r.Leases)+1)
-	amount := want
-	if left := r.Committed - granted; left > 0 {
-		amount = min(amount, max(left*guidedShare/holders, floor))
-	}
-	if !r.Unlimited {
-		left := r.Limit - granted
-		amount = min(amount, max(left*guidedShare/holders, floor), left)
-	}
-	return amount
-}
-
-// donate moves commitment and limit from the data centre with the most to spare into own when own has too little left, or
-// less than a reserve for a partition. The returned row must be written in the same transaction. An unreachable row is no donor.
-func (l *TableLedger) donate(ctx context.Context, spend *configurer.Spend, own *versioned, want float64) (*versioned, error) {
-	granted := own.granted()
-	left := own.Committed - granted
-	limitLeft := own.Limit - granted
-	short := left < want || !own.Unlimited && limitLeft < want
-	if !short && left >= reservePart*spend.Committed {
-		return nil, nil
-	}
-	best, err := l.richest(ctx, spend, left >= want && short)
-	if err != nil || best == nil {
-		return nil, err
-	}
-	committed, limit := max(0, best.Committed-best.granted()), max(0, best.Limit-best.granted())
-	if !short {
-		// Evening out moves half of the difference, so that two rows do not pass the same amount to and fro.
-		committed, limit = committed-max(0, left), limit-max(0, limitLeft)
-		if committed < want {
-			return nil, nil
-		}
-	}
-	// A limit moves with the commitment, so that the receiver may spend what it received.
-	if !short || left < want {
-		best.Committed -= committed * spareShare
-		own.Committed += committed * spareShare
-	}
-	if !own.Unlimited {
-		limit = max(0, limit)
-		best.Limit -= limit * spareShare
-		own.Limit += limit * spareShare
-	}
-	return best, nil
-}
-
-// richest returns the row of another data centre with the most commitment to spare, or the most of the limit if limitOnly is set
-// or no commitment is left there; nil means that no reachable row has any.
-func (l *TableLedger) richest(ctx context.Context, spend *configurer.Spend, limitOnly bool) (*versioned, error) {
-	var best *versioned
-	bestSpare := 0.0
-	for _, d := range l.all {
-		if d == l.self {
-			continue
-		}
-		other, err := l.read(ctx, spend, d)
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil, err
-			}
-			continue
-		}
-		spare := other.Committed - other.granted()
-		if limitOnly || spare <= 0 {
-			spare = 0
-			if !other.Unlimited {
-				spare = other.Limit - other.granted()
-			}
-		}
-		if spare > bestSpare {
-			best, bestSpare = &other, spare
-		}
-	}
-	return best, nil
-}
-
-// fold settles the shares of dead holders by their bills, and adds other long expired shares to the spent amount, so that the
-// row stays small.
-func (l *TableLedger) fold(r *Row) {
-	now := l.now()
-	recovering := l.billed != nil && !now.Before(l.recoverAt)
-	if recovering {
-		l.recoverAt = now.Add(recoverInterval)
-	}
-	r.Leases = slices.DeleteFunc(r.Leases, func(x Lease) bool {
-		if recovering && x.Holder != "" && x.Holder != l.holder && now.After(x.Until.Add(recoverAfter)) {
-			if spent, ok := l.billed(x); ok {
-				r.Spent += spent
-				return true
-			}
-		}
-		expired := now.After(x.Until.Add(foldAfter))
-		if expired {
-			r.Spent += x.Amount
-		}
-		return expired
-	})
-}
-
 // share describes a granted lease. The use in the other data centres only serves pacing, so it is read once a minute; an
 // unreachable row keeps its last known use. l.mu is held.
 func (l *TableLedger) share(ctx context.Context, spend *configurer.Spend, own *versioned, lease Lease) Share {
--- a/spender/spender.go
+++ b/spender/spender.go
@@ -4,13 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/siskinfront/siskinfront/configurer"
-	"github.com/siskinfront/siskinfront/identifier"
 )
 
 // ErrHardLimit is returned when the amount cannot be spent without the risk of exceeding the hard limit: the limit is
@@ -130,51 +128,6 @@
 	return s
 }
 
-// Reservation is an amount set aside for one request; the zero value is a reservation without a share.
-type Reservation struct {
-	spender *Spender
-	share   *share
-	amount  float64
-	settled *bool
-}
-
-// Reserve sets aside the most that a request can cost. It returns ErrHardLimit when the current share does not suffice and
-// the period has a hard limit; it never waits for the ledger.
-func (s *Spender) Reserve(amount float64) (Reservation, error) {
-	if math.IsNaN(amount) || amount < 0 {
-		return Reservation{}, fmt.Errorf("spender: reserve %v: amount is negative or not a number", amount)
-	}
-	limited := s.cfg().Spend.HardLimit > 0
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.largest = max(s.largest*largestDecay, amount)
-	c := s.current
-	usable := c != nil && s.now().Before(c.Until) && c.free() >= amount
-	if c == nil || c.free()-amount < lowWater*c.Amount {
-		s.signal()
-	}
-	if !usable && limited {
-		s.counters.refused++
-		return Reservation{}, ErrHardLimit
-	}
-	s.counters.reserved++
-	r := Reservation{spender: s, amount: amount, settled: new(bool)}
-	if usable {
-		c.reserved += amount
-		c.running++
-		r.share = c
-	}
-	return r, nil
-}
-
-// signal wakes Run without waiting.
-func (s *Spender) signal() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
-
 // Share returns the name of the share that covers the reservation, to be carried in its bill; it is empty without one.
 func (r Reservation) Share() string {
 	if r.share == nil {
@@ -183,59 +136,6 @@
 	return r.share.ID
 }
 
-// Settle replaces the reserved amount by the actual cost; a second call changes nothing. An actual cost above the reserved
-// amount is recorded as it is and counted as an overrun, because the provider bills it.
-func (r Reservation) Settle(actual float64) {
-	s := r.spender
-	if s == nil {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if *r.settled {
-		return
-	}
-	*r.settled = true
-	actual = max(actual, 0)
-	if actual > r.amount {
-		s.counters.overruns++
-	}
-	if r.share == nil {
-		s.unleased += actual
-		return
-	}
-	r.share.reserved -= r.amount
-	r.share.running--
-	r.share.spent += actual
-}
-
-// PriceFactor returns the factor between list price and real cost: near 0 while the commitment is projected to go
-// unused, rising to 1 as the projection reaches it, and 1 once the commitment is used or without a commitment.
-func (s *Spender) PriceFactor() float64 {
-	spend := &s.cfg().Spend
-	s.mu.Lock()
-	committed, used := s.committed, s.used
-	if committed == 0 {
-		committed = spend.Committed
-	}
-	s.mu.Unlock()
-	return paceFactor(spend, s.now(), used, committed)
-}
-
-// paceFactor projects the use at the end of the period from the mean rate since its start.
-func paceFactor(spend *configurer.Spend, now time.Time, used, committed float64) float64 {
-	if committed <= 0 || used >= committed || !now.Before(spend.End) {
-		return 1
-	}
-	length := spend.End.Sub(spend.Start)
-	elapsed := float64(now.Sub(spend.Start)) / float64(length)
-	if elapsed <= 0 || length <= 0 {
-		return freeFactor
-	}
-	projected := used / committed / elapsed
-	return min(max((projected-1+paceWidth)/paceWidth, freeFactor), 1)
-}
-
 // Run keeps a share at hand until ctx ends, and then returns the shares. It returns the error of the last return.
 func (s *Spender) Run(ctx context.Context) error {
 	t := time.NewTicker(s.interval)
@@ -401,11 +301,3 @@
 	}
 	return snap
 }
-
-// Period names the period of a spend in row keys.
-func Period(spend *configurer.Spend) string { return spend.Start.UTC().Format("20060102t150405") }
-
-// Key returns the key of the row of one data centre.
-func Key(spend *configurer.Spend, d identifier.DataCentre) string {
-	return "spend/" + Period(spend) + "/" + string(d)
-}
