assembler: observe the latencies that the documentation lists

Cause: between-tokens, queue-wait and configuration-age were documented with alerts, and store-out.md rests on one, but nothing observed them. Change: the entry observes the mean between tokens of a response, the agent the wait of each admitted order, every process the age of its configuration. Result: new test of the entry's three latencies passes, go test . ./meter pass; queue-wait and configuration-age are wired without a test.

--- a/assembler/admission.go
+++ b/assembler/admission.go
@@ -21,8 +21,10 @@
 // queue; work in the old one finishes under its own slots.
 type admission struct {
 	settings *configurer.AgentSettings
-	current  atomic.Pointer[admitter.Admitter]
-	weights  atomic.Pointer[map[identifier.ClientAccount]float64]
+	// waited is told how long each admitted order waited.
+	waited  func(identifier.Rank, time.Duration)
+	current atomic.Pointer[admitter.Admitter]
+	weights atomic.Pointer[map[identifier.ClientAccount]float64]
 
 	mu       sync.Mutex
 	ranks    []configurer.Rank
@@ -31,7 +33,7 @@
 }
 
 func newAdmission(s *configurer.AgentSettings) *admission {
-	return &admission{settings: s}
+	return &admission{settings: s, waited: func(identifier.Rank, time.Duration) {}}
 }
 
 // configure takes a new configuration.
@@ -74,6 +76,7 @@
 	if q == nil {
 		return agentserver.Ticket{}, &agentserver.RefusalError{Code: "no-configuration", RetryAt: time.Now().Add(leaseRetry)}
 	}
+	begin := time.Now()
 	t, err := q.Admit(ctx, admitter.Item{Order: it.Order, Cost: it.Cost, Resumable: it.Order.Service == ""})
 	if r := admitter.IsRefusal(err); r != nil {
 		if ctx.Err() != nil {
@@ -84,6 +87,7 @@
 	if err != nil {
 		return agentserver.Ticket{}, err
 	}
+	a.waited(it.Order.Rank, time.Since(begin))
 	return agentserver.Ticket{Preempted: t.Preempted, Resume: t.Resume, Finish: t.Finish}, nil
 }
 
--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -18,6 +18,7 @@
 	"github.com/siskinfront/siskinfront/detector"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/messenger"
+	"github.com/siskinfront/siskinfront/meter"
 	"github.com/siskinfront/siskinfront/selector"
 	"github.com/siskinfront/siskinfront/streamer"
 )
@@ -120,6 +121,9 @@
 func (a *Agent) build() {
 	s := &a.settings
 	a.commands = newCommands(a.command)
+	a.admission.waited = func(rank identifier.Rank, d time.Duration) {
+		a.meter.Observe(meter.AllLatencies().QueueWait, string(rank), d)
+	}
 	a.engine = newEngineWatch(s.Upstream.Address, s.Upstream.Service)
 	a.server = agentserver.New(s.Upstream.Name, s.Upstream.Address,
 		agentserver.WithConfiguration(a.distributor.Current),
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -347,6 +347,10 @@
 	l := meter.AllLatencies()
 	if !a.FirstToken.IsZero() {
 		e.meter.Observe(l.FirstToken, string(a.Rank), a.FirstToken.Sub(a.Begin))
+		if n := a.Usage.CompletionTokens; n > 1 && a.Code == "" {
+			// One mean per response keeps the cost off the path of single tokens.
+			e.meter.Observe(l.BetweenTokens, string(a.Rank), a.End.Sub(a.FirstToken)/time.Duration(n-1))
+		}
 	}
 	e.meter.Observe(l.Request, string(a.Rank), a.End.Sub(a.Begin))
 }
--- /dev/null
+++ b/assembler/metrics_internal_test.go
@@ -0,0 +1,32 @@
+package assembler
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/entryserver"
+	"github.com/siskinfront/siskinfront/meter"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// Guards against latencies that the documentation lists, and alerts rest on, but that no process observes.
+func TestLatenciesAreObserved(t *testing.T) {
+	e := &Entry{process: &process{meter: meter.New()}}
+	begin := time.Unix(0, 0)
+	e.observeLatency(&entryserver.Attempt{
+		Rank: "urgent", Begin: begin, FirstToken: begin.Add(200 * time.Millisecond), End: begin.Add(500 * time.Millisecond),
+		Usage: streamer.Usage{CompletionTokens: 11},
+	})
+	w := httptest.NewRecorder()
+	e.meter.ServeHTTP(w, httptest.NewRequest(http.MethodGet, meter.Path, http.NoBody))
+	for _, name := range []string{"first_token", "between_tokens", "request"} {
+		must.StrContains(t, w.Body.String(), `siskinfront_`+name+`_seconds_count{rank="urgent"} 1`)
+	}
+	// The mean between tokens is 30 ms: above the bound of 20 ms and within that of 40 ms.
+	must.StrContains(t, w.Body.String(), `siskinfront_between_tokens_seconds_bucket{rank="urgent",le="0.02"} 0`)
+	must.StrContains(t, w.Body.String(), `siskinfront_between_tokens_seconds_bucket{rank="urgent",le="0.04"} 1`)
+}
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -31,6 +31,8 @@
 	readHeaderTime = 5 * time.Second
 	// configurationPoll is how often a starting process looks for its first configuration.
 	configurationPoll = 20 * time.Millisecond
+	// ageInterval is how often the age of the configuration is observed.
+	ageInterval = time.Second
 	// certificateCheck is how often the certificate files are looked at for a change.
 	certificateCheck = 30 * time.Second
 )
@@ -275,11 +277,19 @@
 	g.Go(func() error { return ignoreEnd(ctx, p.detector.Run(ctx)) })
 	g.Go(func() error { return ignoreEnd(ctx, p.distributor.Run(ctx)) })
 	g.Go(func() error { return serveHTTP(ctx, debug, p.debug) })
+	g.Go(func() error { return every(ctx, ageInterval, p.observeAge) })
 	if p.tls != nil {
 		g.Go(func() error { return ignoreEnd(ctx, p.tls.Run(ctx, certificateCheck)) })
 	}
 }
 
+// observeAge counts how long ago the configuration in force was last confirmed.
+func (p *process) observeAge(context.Context) {
+	if at := p.distributor.ConfirmedAt(); !at.IsZero() {
+		p.meter.Observe(meter.AllLatencies().ConfigurationAge, string(p.settings.DataCentre), time.Since(at))
+	}
+}
+
 // ignoreEnd hides the error of a duty that ended because ctx did.
 func ignoreEnd(ctx context.Context, err error) error {
 	if ctx.Err() == nil {
--- a/meter/metric.go
+++ b/meter/metric.go
@@ -19,7 +19,7 @@
 func AllLatencies() Latencies {
 	return Latencies{
 		FirstToken:       Latency{"first-token", "rank", "Time from the arrival of a request to its first token."},
-		BetweenTokens:    Latency{"between-tokens", "rank", "Time between two tokens of one response."},
+		BetweenTokens:    Latency{"between-tokens", "rank", "Mean time between two tokens of one complete response."},
 		Request:          Latency{"request", "rank", "Time from the arrival of a request to the end of its response."},
 		QueueWait:        Latency{"queue-wait", "rank", "Time that a request waited in the queue of an agent."},
 		ConfigurationAge: Latency{"configuration-age", "data-centre", "Time since the configuration was last confirmed as current."},
