--- a/assembler/bed_test.go
+++ b/assembler/bed_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
 	"log"
@@ -18,7 +17,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -27,7 +25,6 @@
 	"github.com/siskinfront/siskinfront/biller"
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/distributor"
-	"github.com/siskinfront/siskinfront/dumper"
 	"github.com/siskinfront/siskinfront/enginefaker"
 	"github.com/siskinfront/siskinfront/examples"
 	"github.com/siskinfront/siskinfront/identifier"
@@ -111,18 +108,6 @@
 	return c.counts[nonce]
 }
 
-// proc is one process of the program with the addresses of its settings.
-type proc struct {
-	t        *testing.T
-	name     string
-	role     string
-	settings string
-	host     string
-	cmd      *exec.Cmd
-	log      bytes.Buffer
-	done     chan error
-}
-
 // newBed starts a deployment whose engines put the interval between tokens, and waits until both entries can use every
 // upstream.
 func newBed(t *testing.T, interval time.Duration, opts ...func(*bed)) *bed {
@@ -258,100 +243,6 @@
 // hosts numbers the loopback hosts of the processes of this test binary.
 var hosts atomic.Int32
 
-// newProc writes the settings of a process. Each process has a loopback host of its own, from which the system never
-// takes the port of an outgoing connection, so that the ports are free again after a restart.
-func (b *bed) newProc(name, role, rest string) *proc {
-	n := hosts.Add(1)
-	p := &proc{
-		t: b.t, name: name, role: role, settings: filepath.Join(b.dir, name+".yaml"),
-		host: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, os.Getpid()/128%250, n),
-	}
-	text := fmt.Sprintf("instance: %s\ndata-centre: pt-centro-1\nregion: pt-centro\nplatform:\n%s%s%s", name, b.platform, rest, b.tls)
-	listeners := map[string][]string{"entry": {"control", "debug", "caller", "admin"}, "agent": {"control", "debug", "data"}}
-	for _, l := range listeners[role] {
-		text += fmt.Sprintf("%s-address: %s\n", l, p.at(l))
-	}
-	must.NoError(b.t, os.WriteFile(p.settings, []byte(text), 0o600))
-	b.procs[name] = p
-	return p
-}
-
-// at returns the address of a listener.
-func (p *proc) at(listener string) netip.AddrPort {
-	ports := map[string]uint16{"control": 20001, "debug": 20002, "caller": 20003, "admin": 20004, "data": 20005}
-	return netip.AddrPortFrom(netip.MustParseAddr(p.host), ports[listener])
-}
-
-func (p *proc) start() {
-	p.t.Helper()
-	p.cmd = exec.Command(binary, p.role, "--settings", p.settings, "--log-level", "warn")
-	p.log.Reset()
-	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
-	// Without this, processes would outlive a test binary that is killed at its time limit.
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	must.NoError(p.t, p.cmd.Start())
-	done := make(chan error, 1)
-	p.done = done
-	cmd := p.cmd
-	go func() { done <- cmd.Wait(); close(done) }()
-	p.t.Cleanup(func() {
-		// The process may have ended already.
-		_ = cmd.Process.Kill()
-		if err := <-done; err != nil && p.t.Failed() {
-			p.t.Logf("%s: %v", p.name, err)
-		}
-		if p.t.Failed() {
-			p.t.Logf("%s:\n%s", p.name, p.log.String())
-		}
-	})
-}
-
-func (p *proc) signal(s syscall.Signal) {
-	p.t.Helper()
-	must.NoError(p.t, p.cmd.Process.Signal(s))
-}
-
-// wait returns the error with which the process ended.
-func (p *proc) wait() error {
-	p.t.Helper()
-	select {
-	case err := <-p.done:
-		return err
-	case <-time.After(patience):
-		p.t.Fatalf("%s did not end", p.name)
-		return nil
-	}
-}
-
-// terminate stops the process and expects that it drained.
-func (p *proc) terminate() {
-	p.t.Helper()
-	p.signal(syscall.SIGTERM)
-	must.NoError(p.t, p.wait(), must.Sprint(p.name))
-}
-
-// state reads one part of the state dump.
-func (p *proc) state(part string, v any) error {
-	ctx, cancel := context.WithTimeout(p.t.Context(), 5*time.Second)
-	defer cancel()
-	d, err := dumper.Fetch(ctx, p.at("debug"))
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(d.Parts[part], v)
-}
-
-// revision returns the revision in force, or 0 while the process does not answer.
-func (p *proc) revision() uint64 {
-	var s struct {
-		Revision uint64 `json:"revision"`
-	}
-	if p.state("distributor", &s) != nil {
-		return 0
-	}
-	return s.Revision
-}
-
 // eventually polls a condition until it holds or the time is over.
 func (b *bed) eventually(what string, within time.Duration, condition func() bool) {
 	b.t.Helper()
@@ -364,96 +255,9 @@
 	}
 }
 
-// call is one request of a caller.
-type call struct {
-	entry, kind, model, key, nonce string
-	stream                         bool
-	// onToken is called with the number of each token of a stream.
-	onToken func(n int)
-}
-
-// answer is what the caller saw.
-type answer struct {
-	status  int
-	code    string
-	outcome string
-	request identifier.Request
-	version string
-	text    string
-	// complete is set when the answer or the error ended as the API says it ends.
-	complete bool
-	err      error
-	took     time.Duration
-}
-
-// send sends a request and reads the whole response; it is safe for concurrent use.
-func (b *bed) send(c call) answer {
-	if c.model == "" {
-		c.model = "pardal"
-	}
-	begin := time.Now()
-	body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":%q}],"max_tokens":24,"stream":%t}`, c.model, c.nonce, c.stream)
-	r, err := http.NewRequest(http.MethodPost, "http://"+b.procs[c.entry].at("caller").String()+"/v1/chat/completions", strings.NewReader(body))
-	if err != nil {
-		return answer{err: err}
-	}
-	r.Header.Set("Authorization", "Bearer "+questioner.ExampleKey(b.answers.Team, account))
-	r.Header.Set("Siskinfront-Work-Kind", c.kind)
-	if c.key != "" {
-		r.Header.Set("Idempotency-Key", c.key)
-	}
-	resp, err := b.client.Do(r)
-	if err != nil {
-		return answer{err: err, took: time.Since(begin)}
-	}
-	defer resp.Body.Close()
-	a := answer{
-		status: resp.StatusCode, outcome: resp.Header.Get("Siskinfront-Outcome"), version: resp.Header.Get("Siskinfront-Version"),
-		request: identifier.Request(resp.Header.Get("Siskinfront-Request-Id")),
-	}
-	a.read(resp, c.onToken)
-	a.took = time.Since(begin)
-	return a
-}
-
 var contents = regexp.MustCompile(`"content":"([^"]*)"`)
-var codes = regexp.MustCompile(`"code":"([^"]*)"`)
 
-func (a *answer) read(resp *http.Response, onToken func(int)) {
-	var all bytes.Buffer
-	part, tokens := make([]byte, 4096), 0
-	for {
-		n, err := resp.Body.Read(part)
-		all.Write(part[:n])
-		if onToken != nil {
-			for ; tokens < len(contents.FindAll(all.Bytes(), -1)); tokens++ {
-				onToken(tokens)
-			}
-		}
-		if err != nil {
-			if err.Error() != "EOF" {
-				a.err = err
-			}
-			break
-		}
-	}
-	for _, m := range contents.FindAllSubmatch(all.Bytes(), -1) {
-		a.text += string(m[1])
-	}
-	if m := codes.FindSubmatch(all.Bytes()); m != nil {
-		a.code = string(m[1])
-	}
-	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		a.complete = a.err == nil && bytes.HasSuffix(bytes.TrimSpace(all.Bytes()), []byte("[DONE]")) && a.code == ""
-	} else {
-		a.complete = a.err == nil && json.Valid(all.Bytes())
-	}
-}
-
-// good reports whether the caller got its own complete answer.
-func (a *answer) good(nonce string) bool {
-	return a.status == http.StatusOK && a.complete && strings.Contains(a.text, nonce)
-}
+var codes = regexp.MustCompile(`"code":"([^"]*)"`)
 
 // bills returns the union of all durable bills by request.
 func (b *bed) bills() map[identifier.Request][]biller.Bill {
@@ -471,46 +275,6 @@
 	return byRequest
 }
 
-// load sends requests in turn to entries at a rate until stop is called, which returns what their callers saw.
-type traffic struct {
-	b       *bed
-	stop    chan struct{}
-	wg      sync.WaitGroup
-	mu      sync.Mutex
-	answers map[string]answer
-}
-
-func (b *bed) traffic(interval time.Duration, name string, calls ...call) *traffic {
-	x := &traffic{b: b, stop: make(chan struct{}), answers: map[string]answer{}}
-	x.wg.Go(func() {
-		t := time.NewTicker(interval)
-		defer t.Stop()
-		for n := 0; ; n++ {
-			c := calls[n%len(calls)]
-			c.nonce = fmt.Sprintf("nonce-%s-%d", name, n)
-			x.wg.Go(func() {
-				a := b.send(c)
-				x.mu.Lock()
-				defer x.mu.Unlock()
-				x.answers[c.nonce] = a
-			})
-			select {
-			case <-t.C:
-			case <-x.stop:
-				return
-			}
-		}
-	})
-	return x
-}
-
-// end stops sending and returns all answers by nonce.
-func (x *traffic) end() map[string]answer {
-	close(x.stop)
-	x.wg.Wait()
-	return x.answers
-}
-
 // freeListener reports whether an address can be listened on, which means that its process is gone.
 func freeListener(a netip.AddrPort) bool {
 	l, err := net.Listen("tcp", a.String())
--- a/assembler/metrics_internal_test.go
+++ b/assembler/metrics_internal_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/distributor"
 	"github.com/siskinfront/siskinfront/entryserver"
 	"github.com/siskinfront/siskinfront/meter"
 	"github.com/siskinfront/siskinfront/streamer"
@@ -30,3 +32,23 @@
 	must.StrContains(t, w.Body.String(), `siskinfront_between_tokens_seconds_bucket{rank="urgent",le="0.02"} 0`)
 	must.StrContains(t, w.Body.String(), `siskinfront_between_tokens_seconds_bucket{rank="urgent",le="0.04"} 1`)
 }
+
+// Guards against an age of the configuration that is not observed, on which the alert for an outage of the store rests.
+func TestConfigurationAgeIsObserved(t *testing.T) {
+	p := &process{meter: meter.New(), distributor: distributor.New()}
+	p.settings.DataCentre = "ie-west-1"
+	p.observeAge(t.Context())
+	cfg := &configurer.Configuration{Revision: 1}
+	items, err := distributor.Split(cfg)
+	must.NoError(t, err)
+	u := distributor.Update{Revision: 1, ConfirmedAt: time.Now().Add(-time.Minute)}
+	for key, value := range items {
+		u.Items = append(u.Items, distributor.Item{Key: key, Value: value, Revision: 1})
+	}
+	must.True(t, p.distributor.Offer(u))
+	p.observeAge(t.Context())
+	w := httptest.NewRecorder()
+	p.meter.ServeHTTP(w, httptest.NewRequest(http.MethodGet, meter.Path, http.NoBody))
+	const name = `siskinfront_configuration_age_seconds`
+	must.StrContains(t, w.Body.String(), name+`_count{data_centre="ie-west-1"} 1`)
+}
--- a/assembler/parts_internal_test.go
+++ b/assembler/parts_internal_test.go
@@ -96,3 +96,28 @@
 	must.NoError(t, err)
 	ticket.Finish(1)
 }
+
+// Guards against a queue wait that is never observed, or observed for refused work, which the alert on floods rests on.
+func TestAdmissionTellsTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := configurer.DefaultAgentSettings()
+		s.Upstream.Slots = 1
+		a := newAdmission(&s)
+		var waits []time.Duration
+		a.waited = func(_ identifier.Rank, d time.Duration) { waits = append(waits, d) }
+		cfg := ranked("urgent")
+		// Work may wait for half of the target of its rank.
+		cfg.Ranks[0].FirstToken = 2 * time.Second
+		a.configure(cfg)
+		first, err := a.admit(t.Context(), order("urgent"))
+		must.NoError(t, err)
+		time.AfterFunc(200*time.Millisecond, func() { first.Finish(1) })
+		second, err := a.admit(t.Context(), order("urgent"))
+		must.NoError(t, err)
+		second.Finish(1)
+		a.drain()
+		_, err = a.admit(t.Context(), order("urgent"))
+		must.Error(t, err)
+		must.Eq(t, []time.Duration{0, 200 * time.Millisecond}, waits)
+	})
+}
--- /dev/null
+++ b/assembler/proc_test.go
@@ -0,0 +1,125 @@
+package assembler_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/dumper"
+)
+
+// proc is one process of the program with the addresses of its settings.
+type proc struct {
+	t        *testing.T
+	name     string
+	role     string
+	settings string
+	host     string
+	cmd      *exec.Cmd
+	log      bytes.Buffer
+	done     chan error
+}
+
+// newProc writes the settings of a process. Each process has a loopback host of its own, from which the system never
+// takes the port of an outgoing connection, so that the ports are free again after a restart.
+func (b *bed) newProc(name, role, rest string) *proc {
+	n := hosts.Add(1)
+	p := &proc{
+		t: b.t, name: name, role: role, settings: filepath.Join(b.dir, name+".yaml"),
+		host: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, os.Getpid()/128%250, n),
+	}
+	text := fmt.Sprintf("instance: %s\ndata-centre: pt-centro-1\nregion: pt-centro\nplatform:\n%s%s%s", name, b.platform, rest, b.tls)
+	listeners := map[string][]string{"entry": {"control", "debug", "caller", "admin"}, "agent": {"control", "debug", "data"}}
+	for _, l := range listeners[role] {
+		text += fmt.Sprintf("%s-address: %s\n", l, p.at(l))
+	}
+	must.NoError(b.t, os.WriteFile(p.settings, []byte(text), 0o600))
+	b.procs[name] = p
+	return p
+}
+
+// at returns the address of a listener.
+func (p *proc) at(listener string) netip.AddrPort {
+	ports := map[string]uint16{"control": 20001, "debug": 20002, "caller": 20003, "admin": 20004, "data": 20005}
+	return netip.AddrPortFrom(netip.MustParseAddr(p.host), ports[listener])
+}
+
+func (p *proc) start() {
+	p.t.Helper()
+	p.cmd = exec.Command(binary, p.role, "--settings", p.settings, "--log-level", "warn")
+	p.log.Reset()
+	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
+	// Without this, processes would outlive a test binary that is killed at its time limit.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	must.NoError(p.t, p.cmd.Start())
+	done := make(chan error, 1)
+	p.done = done
+	cmd := p.cmd
+	go func() { done <- cmd.Wait(); close(done) }()
+	p.t.Cleanup(func() {
+		// The process may have ended already.
+		_ = cmd.Process.Kill()
+		if err := <-done; err != nil && p.t.Failed() {
+			p.t.Logf("%s: %v", p.name, err)
+		}
+		if p.t.Failed() {
+			p.t.Logf("%s:\n%s", p.name, p.log.String())
+		}
+	})
+}
+
+func (p *proc) signal(s syscall.Signal) {
+	p.t.Helper()
+	must.NoError(p.t, p.cmd.Process.Signal(s))
+}
+
+// wait returns the error with which the process ended.
+func (p *proc) wait() error {
+	p.t.Helper()
+	select {
+	case err := <-p.done:
+		return err
+	case <-time.After(patience):
+		p.t.Fatalf("%s did not end", p.name)
+		return nil
+	}
+}
+
+// terminate stops the process and expects that it drained.
+func (p *proc) terminate() {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	must.NoError(p.t, p.wait(), must.Sprint(p.name))
+}
+
+// state reads one part of the state dump.
+func (p *proc) state(part string, v any) error {
+	ctx, cancel := context.WithTimeout(p.t.Context(), 5*time.Second)
+	defer cancel()
+	d, err := dumper.Fetch(ctx, p.at("debug"))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(d.Parts[part], v)
+}
+
+// revision returns the revision in force, or 0 while the process does not answer.
+func (p *proc) revision() uint64 {
+	var s struct {
+		Revision uint64 `json:"revision"`
+	}
+	if p.state("distributor", &s) != nil {
+		return 0
+	}
+	return s.Revision
+}
