pinner: guard the fake table of the shard tests

Ruled out: pinner itself, every access in the trace is to fields of the test's region. Change: rows, outage flag and read count are guarded by the same mutex; the test sets and reads them through methods.

--- a/pinner/shard_test.go
+++ b/pinner/shard_test.go
@@ -20,9 +20,9 @@
 	cfg     *configurer.Configuration
 	live    []identifier.Instance
 	pinners map[identifier.Instance]*pinner.Pinner
-	rows    map[int][]pinner.Pin
-	// mu guards the fields below, which reads in the background use.
+	// mu guards the fields below, which reads and flushes in the background use.
 	mu    sync.Mutex
+	rows  map[int][]pinner.Pin
 	out   bool
 	reads int
 }
@@ -45,6 +45,8 @@
 			return r.pinners[owner].Answer(ctx, q)
 		}),
 		pinner.WithWrite(func(_ context.Context, batch []pinner.Pin) error {
+			r.mu.Lock()
+			defer r.mu.Unlock()
 			if r.out {
 				return errDown
 			}
@@ -65,6 +67,19 @@
 		}))
 }
 
+// setTable takes the table out or brings it back, and restarts the count of its reads.
+func (r *region) setTable(out bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.out, r.reads = out, 0
+}
+
+func (r *region) tableReads() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reads
+}
+
 func (r *region) stop(name identifier.Instance) {
 	r.live = slices.DeleteFunc(r.live, func(x identifier.Instance) bool { return x == name })
 }
@@ -96,12 +111,12 @@
 		r := newRegion("e-1", "e-2", "e-3")
 		first := r.begin(t, 300)
 		r.stop("e-2")
-		r.reads = 0
+		r.setTable(false)
 		for i, want := range first {
 			must.Eq(t, want, r.pin(t, "e-3", i, 2))
 		}
 		// Each shard is read once, although it has more than one session.
-		must.LessEq(t, pinner.Shards, r.reads)
+		must.LessEq(t, pinner.Shards, r.tableReads())
 		r.start("e-2")
 		for i, want := range first {
 			must.Eq(t, want, r.pin(t, "e-1", i, 2))
@@ -115,7 +130,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRegion("e-1", "e-2")
 		first := r.begin(t, 100)
-		r.out, r.reads = true, 0
+		r.setTable(true)
 		r.stop("e-2")
 		r.pinners["e-1"] = nil
 		r.live = nil
@@ -128,11 +143,9 @@
 			}
 		}
 		must.Positive(t, moved)
-		must.LessEq(t, 100, r.reads)
+		must.LessEq(t, 100, r.tableReads())
 		must.LessEq(t, time.Second, time.Since(began))
-		r.mu.Lock()
-		r.out = false
-		r.mu.Unlock()
+		r.setTable(false)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- r.pinners["e-3"].Run(ctx) }()
