redirector, entryserver: send refused requests to another allowed version

Cause: a request for which the caller leaves the version open was refused while the upstreams of its version were full or out, although another allowed version at the quality target had room. Ruled out: the choice of upstream, which sees one version only; the retry budget, which repeats at the same version. Change: entries keep a share of requests per client account, rank and version that falls with refusals and rises with time; a request that is not offered to its version, or truthfully did not run there, goes to the cheapest alternative at its quality target and worth, over at most three versions. Attempts are numbered over all versions, so that an agent of two versions does not take the second order for a repetition.

--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -28,6 +28,7 @@
 	"github.com/siskinfront/siskinfront/pinner"
 	"github.com/siskinfront/siskinfront/placer"
 	"github.com/siskinfront/siskinfront/promoter"
+	"github.com/siskinfront/siskinfront/redirector"
 	"github.com/siskinfront/siskinfront/selector"
 	"github.com/siskinfront/siskinfront/spender"
 )
@@ -42,24 +43,25 @@
 	settings  configurer.EntrySettings
 	listeners entryListeners
 
-	server    *entryserver.Server
-	admin     *administrator.Server
-	balancer  *balancer.Balancer
-	directory *directory
-	estimator *estimator.Estimator
-	selector  *selector.Selector
-	spender   *spender.Spender
-	claimer   *claimer.Claimer
-	biller    *biller.Biller
-	holders   *billHolders
-	pinner    *pinner.Pinner
-	pinRows   *pinRows
-	explainer *explainer.Explainer
-	accounts  *limiter.Accounts
-	retries   *limiter.Budget
-	quality   *quality
-	rollouts  *rollouts
-	use       *placer.Use
+	server     *entryserver.Server
+	admin      *administrator.Server
+	balancer   *balancer.Balancer
+	directory  *directory
+	estimator  *estimator.Estimator
+	selector   *selector.Selector
+	spender    *spender.Spender
+	claimer    *claimer.Claimer
+	biller     *biller.Biller
+	holders    *billHolders
+	pinner     *pinner.Pinner
+	pinRows    *pinRows
+	explainer  *explainer.Explainer
+	accounts   *limiter.Accounts
+	retries    *limiter.Budget
+	redirector *redirector.Redirector
+	quality    *quality
+	rollouts   *rollouts
+	use        *placer.Use
 	// liveEntries is the number of live entries of the deployment, kept so that no request has to count them.
 	liveEntries atomic.Int64
 }
@@ -137,6 +139,7 @@
 	e.quality = newQuality(e)
 	e.rollouts = newRollouts(e)
 	e.use = placer.NewUse(time.Now)
+	e.redirector = redirector.New()
 	e.admin = administrator.New(e.adminStore(), administrator.WithLog(e.log))
 	e.buildServer()
 	e.handleCalls()
@@ -182,6 +185,7 @@
 		entryserver.WithChoose(e.choose), entryserver.WithClaim(e.claim), entryserver.WithRecord(e.record),
 		entryserver.WithRetry(e.retries.Allow, e.retries.Success), entryserver.WithExplain(e.explain),
 		entryserver.WithLimit(e.accounts.Allow), entryserver.WithReserve(e.reserve), entryserver.WithRate(e.rate),
+		entryserver.WithRedirect(e.selector.Alternatives, e.redirector.Offer, e.redirector.Refused),
 		entryserver.WithAttempts(e.balancer.Begin, e.attemptEnded, e.loadReported),
 	)
 }
@@ -203,6 +207,7 @@
 		"entry": e.server, "administrator": e.admin, "balancer": e.balancer, "estimator": e.estimator, "selector": e.selector,
 		"spender": e.spender, "claimer": e.claimer, "biller": e.biller, "pinner": e.pinner, "explainer": e.explainer,
 		"account-limits": e.accounts, "retry-budget": e.retries, "promoter": e.rollouts.promoter,
+		"redirector": e.redirector,
 	} {
 		e.registerConfigured(name, x)
 	}
--- a/command_bench.go
+++ b/command_bench.go
@@ -13,6 +13,7 @@
 	"github.com/siskinfront/siskinfront/faultsbencher"
 	"github.com/siskinfront/siskinfront/floodbencher"
 	"github.com/siskinfront/siskinfront/pathbencher"
+	"github.com/siskinfront/siskinfront/poolsbencher"
 	"github.com/siskinfront/siskinfront/rolloutbencher"
 	"github.com/siskinfront/siskinfront/slopesbencher"
 	"github.com/siskinfront/siskinfront/spendbencher"
@@ -27,6 +28,7 @@
 		faultsbencher.Experiment(),
 		floodbencher.Experiment(),
 		pathbencher.Experiment(),
+		poolsbencher.Experiment(),
 		rolloutbencher.Experiment(),
 		slopesbencher.Experiment(),
 		spendbencher.Experiment(),
--- a/entryserver/cascade.go
+++ b/entryserver/cascade.go
@@ -42,7 +42,7 @@
 // the job at the step whose answer is delivered; a later step that fails never costs the answer of an earlier one.
 func (s *Server) climb(ctx context.Context, w http.ResponseWriter, j *job) *decoder.Error {
 	request, end := j.order.Request, j.order.Deadline
-	if failed := s.dispatch(ctx, j); failed != nil {
+	if failed := s.place(ctx, w, j); failed != nil {
 		return failed
 	}
 	for i, target := range j.cascade.targets {
@@ -58,6 +58,7 @@
 		next.order.Request, next.order.Target = StepID(request, i+2), target
 		next.order.Deadline = end.Add(-answerMargin)
 		next.choice.Target, next.choice.Exclude = target, nil
+		next.attempts = 0
 		next.sink = newAnswer(w, j.request)
 		next.explain("cascade", target.String())
 		s.counters.escalated.Add(1)
--- a/entryserver/completion.go
+++ b/entryserver/completion.go
@@ -34,6 +34,8 @@
 	busy []identifier.Upstream
 	// refused counts the attempts of the present run that ended so; they are no retries.
 	refused int
+	// attempts counts the orders sent for the present run, so that an agent never takes one for another.
+	attempts int
 	// upstream is the one of the latest attempt.
 	upstream identifier.Upstream
 }
--- a/entryserver/dispatch.go
+++ b/entryserver/dispatch.go
@@ -49,16 +49,17 @@
 			err.Outcome = outcome
 			return err
 		}
-		j.order.Attempt = n
+		j.attempts++
+		j.order.Attempt = j.attempts
 		j.upstream = u.Name
-		j.explain("attempt-"+strconv.Itoa(n), string(u.Name))
+		j.explain("attempt-"+strconv.Itoa(j.attempts), string(u.Name))
 		f := s.attempt(ctx, u, j, settle)
 		if f == nil {
 			return nil
 		}
 		last = f.err
 		outcome = worse(outcome, last.TrueOutcome())
-		j.explain("failed-"+strconv.Itoa(n), last.Code+" "+string(last.TrueOutcome()))
+		j.explain("failed-"+strconv.Itoa(j.attempts), last.Code+" "+string(last.TrueOutcome()))
 		switch {
 		case busy(j, f) && ctx.Err() == nil:
 			// Nothing ran and the number of such attempts is bounded, so they draw on no retry budget.
--- a/entryserver/option.go
+++ b/entryserver/option.go
@@ -7,6 +7,7 @@
 	"github.com/siskinfront/siskinfront/biller"
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/redirector"
 	"github.com/siskinfront/siskinfront/selector"
 	"github.com/siskinfront/siskinfront/streamer"
 )
@@ -78,6 +79,14 @@
 	return func(s *Server) { s.Limit = f }
 }
 
+// WithRedirect sets the versions that a request may run on while others refuse it, and the record of the refusals.
+func WithRedirect(
+	alternatives func(*configurer.Configuration, selector.Query) []identifier.Target,
+	offer func(redirector.Pool) bool, refused func(redirector.Pool),
+) Option {
+	return func(s *Server) { s.Alternatives, s.Offer, s.Refused = alternatives, offer, refused }
+}
+
 // WithAttempts sets the observers of attempts.
 func WithAttempts(
 	begin func(identifier.Upstream), end func(Attempt), report func(identifier.Upstream, streamer.Load),
--- /dev/null
+++ b/entryserver/redirect.go
@@ -0,0 +1,96 @@
+package entryserver
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"github.com/siskinfront/siskinfront/decoder"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/redirector"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// maxTargets bounds the versions that one request is sent to after refusals.
+const maxTargets = 3
+
+// place sends the order to its version, and to other versions that the request may run on while upstreams refuse it without
+// having run anything. A version that refused the account's work of this rank lately is passed over; if all did, the
+// selected one decides, because only its agents know rank and fair share.
+func (s *Server) place(ctx context.Context, w http.ResponseWriter, j *job) *decoder.Error {
+	if j.order.Service != "" {
+		return s.dispatch(ctx, j)
+	}
+	tried := []identifier.Target{j.order.Target}
+	if !s.Offer(j.pool()) {
+		if next, ok := s.alternative(j, tried); ok {
+			s.redirect(w, j, next)
+			tried = append(tried, next)
+		}
+	}
+	for {
+		failed := s.dispatch(ctx, j)
+		if failed == nil || !refusedByPool(failed) {
+			return failed
+		}
+		s.Refused(j.pool())
+		if len(tried) == maxTargets || ctx.Err() != nil || !j.resendable() {
+			return failed
+		}
+		next, ok := s.alternative(j, tried)
+		if !ok {
+			return failed
+		}
+		s.redirect(w, j, next)
+		tried = append(tried, next)
+	}
+}
+
+// pool names the upstreams of the job's version as its account and rank find them.
+func (j *job) pool() redirector.Pool {
+	return redirector.Pool{ClientAccount: j.order.ClientAccount, Target: j.order.Target, Rank: j.choice.Rank}
+}
+
+// alternative returns the cheapest other version that the configuration in force allows and that may be offered the request.
+func (s *Server) alternative(j *job, tried []identifier.Target) (identifier.Target, bool) {
+	cfg, q := s.Configuration(), j.choice.Query
+	q.ClientAccount, q.WorkKind = cfg.ClientAccount(j.order.ClientAccount), cfg.WorkKind(j.order.WorkKind)
+	if q.ClientAccount == nil || q.WorkKind == nil {
+		return identifier.Target{}, false
+	}
+	for _, t := range s.Alternatives(cfg, q) {
+		if slices.Contains(tried, t) {
+			continue
+		}
+		if s.Offer(redirector.Pool{ClientAccount: j.order.ClientAccount, Target: t, Rank: j.choice.Rank}) {
+			j.order.Revision = cfg.Revision
+			return t, true
+		}
+	}
+	return identifier.Target{}, false
+}
+
+// redirect moves the job to another version, whose answer meets the quality target by itself and so ends the cascade.
+func (s *Server) redirect(w http.ResponseWriter, j *job, t identifier.Target) {
+	s.counters.redirected.Add(1)
+	j.explain("redirect", t.String()+" because "+j.order.Target.String()+" refuses work")
+	j.order.Target = t
+	j.choice.Target, j.choice.Exclude, j.choice.Busy = t, nil, 0
+	j.busy = nil
+	j.cascade.targets = nil
+	j.sink.reset()
+	w.Header().Set(decoder.HeaderModel, string(t.Model))
+	w.Header().Set(decoder.HeaderVersion, string(t.Version))
+}
+
+// refusedByPool reports whether no upstream of the version took the request and nothing ran.
+func refusedByPool(e *decoder.Error) bool {
+	if e.TrueOutcome() != streamer.OutcomeNotRun {
+		return false
+	}
+	switch e.Code {
+	case "deadline-passed", "deadline-exceeded", "caller-left", "cancelled", "malformed-body", "invalid-call", codeSpendLimit:
+		return false
+	}
+	return true
+}
--- a/entryserver/server.go
+++ b/entryserver/server.go
@@ -14,6 +14,7 @@
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/decoder"
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/redirector"
 	"github.com/siskinfront/siskinfront/selector"
 	"github.com/siskinfront/siskinfront/streamer"
 )
@@ -32,6 +33,11 @@
 	Select func(*configurer.Configuration, selector.Query) (selector.Decision, error)
 	// Rate returns the rating of an answer, from 0 to 1, as soon as it exists; nil rules out cascades.
 	Rate func(context.Context, RatingInput) (float64, error)
+	// Alternatives returns the versions that may answer while others refuse the request, in the order of preference. Offer
+	// reports whether a pool may be offered a request, and Refused notes that it refused one.
+	Alternatives func(*configurer.Configuration, selector.Query) []identifier.Target
+	Offer        func(redirector.Pool) bool
+	Refused      func(redirector.Pool)
 	// Pin returns the version of a session, which is the proposed one if the session is new.
 	Pin func(ctx context.Context, acc identifier.ClientAccount, s identifier.Session, proposed identifier.Target,
 		revision uint64) (identifier.Target, error)
@@ -66,7 +72,7 @@
 }
 
 type counters struct {
-	requests, answered, rejected, broken, retried, busy, repeated, left, claimsOpen, spendLimited, escalated, unrated atomic.Int64
+	requests, answered, rejected, broken, retried, busy, repeated, left, claimsOpen, spendLimited, escalated, unrated, redirected atomic.Int64
 }
 
 // New returns a server whose routes are ready to serve. Without WithClaim, a non-idempotent request with a key is
@@ -86,10 +92,13 @@
 		Claim: func(context.Context, identifier.ClientAccount, string, [32]byte, identifier.Request) (Claim, error) {
 			return Claim{}, ErrClaimUnavailable
 		},
-		Record:    func(biller.Bill) {},
-		Retry:     func() bool { return true },
-		Succeeded: func() {},
-		Explain:   func(Explanation) {},
+		Alternatives: func(*configurer.Configuration, selector.Query) []identifier.Target { return nil },
+		Offer:        func(redirector.Pool) bool { return true },
+		Refused:      func(redirector.Pool) {},
+		Record:       func(biller.Bill) {},
+		Retry:        func() bool { return true },
+		Succeeded:    func() {},
+		Explain:      func(Explanation) {},
 		Limit: func(*configurer.ClientAccount, int, time.Time) (time.Time, bool) {
 			return time.Time{}, true
 		},
@@ -193,6 +202,7 @@
 		"streams-broken": c.broken.Load(), "attempts-repeated": c.retried.Load(), "attempts-busy": c.busy.Load(),
 		"results-repeated": c.repeated.Load(), "callers-left": c.left.Load(), "claims-left-open": c.claimsOpen.Load(),
 		"spend-limited": c.spendLimited.Load(), "cascade-steps": c.escalated.Load(), "ratings-missed": c.unrated.Load(),
+		"requests-redirected": c.redirected.Load(),
 	}
 	for name, n := range s.streams.Counters() {
 		m[name] = n
--- a/entryserver/spend.go
+++ b/entryserver/spend.go
@@ -9,6 +9,9 @@
 	"github.com/siskinfront/siskinfront/streamer"
 )
 
+// codeSpendLimit is the code of a request that the spend of the period leaves no room for.
+const codeSpendLimit = "spend-limit"
+
 // reserve sets aside the most that the next attempt of j can cost, and returns the function that settles it. Plain
 // services cost the committed spend nothing.
 func (s *Server) reserve(j *job) (func(record *Attempt, final bool), *decoder.Error) {
@@ -46,7 +49,7 @@
 
 func (s *Server) spendLimited(err error) *decoder.Error {
 	e := &decoder.Error{
-		Status: http.StatusTooManyRequests, Code: "spend-limit", Type: decoder.TypeRateLimit,
+		Status: http.StatusTooManyRequests, Code: codeSpendLimit, Type: decoder.TypeRateLimit,
 		Message: "the spend of the period has reached its hard limit", Cause: err, RetryAt: s.Now().Add(retryWait),
 	}
 	var limit *SpendLimitError
--- /dev/null
+++ b/poolsbencher/experiment_test.go
@@ -0,0 +1,20 @@
+package poolsbencher_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/bencher"
+	"github.com/siskinfront/siskinfront/poolsbencher"
+)
+
+// Guards against requests that are refused beside idle versions, versions that cost more than they must, and orders that
+// multiply in a flood.
+func TestBounds(t *testing.T) {
+	report, err := poolsbencher.Experiment().Run(t.Context(), bencher.Params{Seed: 3})
+	must.NoError(t, err)
+	for _, b := range report.Bounds {
+		must.True(t, b.Held(), must.Sprintf("%+v", b))
+	}
+}
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -229,3 +229,42 @@
 		})
 	}
 }
+
+// Guards against a request that moves to a version that is withdrawn, not allowed, below its quality target or dearer than its
+// worth, and against one that passes over a version that could answer.
+func TestAlternativesAgainstList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := configuration(rapid.IntRange(1, 6).Draw(t, "models"))
+		cfg.Ranks[0].Worth = rapid.SampledFrom([]float64{0, 0.0005, 0.002}).Draw(t, "worth")
+		acc := &cfg.ClientAccounts[0]
+		acc.Allowed = acc.Allowed[rapid.IntRange(0, len(acc.Allowed)).Draw(t, "disallowed"):]
+		want := map[identifier.Target]bool{}
+		for i := range cfg.Models {
+			v := &cfg.Models[i].Versions[0]
+			v.State = rapid.SampledFrom([]configurer.VersionState{configurer.VersionServing, configurer.VersionWithdrawn}).Draw(t, "state")
+			v.PriorQuality = rapid.Float64Range(0, 1).Draw(t, "quality")
+			target := identifier.Target{Model: cfg.Models[i].Name, Version: v.Name}
+			affordable := cfg.Ranks[0].Worth == 0 || selector.ListPrice(v, 200, 100) <= cfg.Ranks[0].Worth
+			if v.State == configurer.VersionServing && acc.Allows(target) && v.PriorQuality >= 0.7 && affordable {
+				want[target] = true
+			}
+		}
+		got := selector.New().Alternatives(cfg, query(cfg))
+		if len(got) != len(want) {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+		last := 0.0
+		for _, target := range got {
+			price := selector.ListPrice(cfg.Version(target), 200, 100)
+			if !want[target] || price < last {
+				t.Fatalf("got %v, want %v, the cheapest first", got, want)
+			}
+			last = price
+		}
+		q := query(cfg)
+		q.Session = "s"
+		if got := selector.New().Alternatives(cfg, q); got != nil {
+			t.Fatalf("a session moved to %v", got)
+		}
+	})
+}
