--- a/assembler/process.go
+++ b/assembler/process.go
@@ -129,6 +129,7 @@
 	p.register("leaser", p.leaser)
 	p.register("connections", p.pool)
 	p.meter.Register("peers", p.peers.Counters)
+	p.meter.Register("dumper", p.dumper.Counters)
 	p.debug.Handle("GET "+dumper.Path, p.dumper)
 	p.debug.Handle("GET "+meter.Path, p.meter)
 }
