--- a/entryserver/cascade.go
+++ b/entryserver/cascade.go
@@ -9,6 +9,7 @@
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/decoder"
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/responder"
 )
 
 // answerMargin is the time before the deadline that stays free to deliver an earlier answer after a later step failed,
@@ -59,7 +60,7 @@
 		next.order.Deadline = end.Add(-answerMargin)
 		next.choice.Target, next.choice.Exclude = target, nil
 		next.attempts = 0
-		next.sink = newAnswer(w, j.request)
+		next.response = responder.NewCompletion(w, j.request)
 		next.explain("cascade", target.String())
 		s.counters.escalated.Add(1)
 		stepCtx, cancel := context.WithDeadline(ctx, next.order.Deadline)
--- a/entryserver/completion.go
+++ b/entryserver/completion.go
@@ -10,6 +10,7 @@
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/decoder"
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/responder"
 	"github.com/siskinfront/siskinfront/selector"
 	"github.com/siskinfront/siskinfront/streamer"
 )
@@ -22,14 +23,14 @@
 
 // job is one admitted request on its way to a response.
 type job struct {
-	order   streamer.Order
-	body    []byte
-	choice  Choice
-	request *decoder.Request
-	account *configurer.ClientAccount
-	sink    sink
-	cascade cascade
-	steps   []Step
+	order    streamer.Order
+	body     []byte
+	choice   Choice
+	request  *decoder.Request
+	account  *configurer.ClientAccount
+	response responder.Response
+	cascade  cascade
+	steps    []Step
 	// busy lists the upstreams that refused the request because it would have waited there.
 	busy []identifier.Upstream
 	// refused counts the attempts of the present run that ended so; they are no retries.
@@ -91,7 +92,7 @@
 			Session: req.Session, Deadline: end, NonIdempotent: nonIdempotent,
 			PromptTokens: q.PromptTokens, MaxTokens: q.MaxTokens, Revision: cfg.Revision,
 		},
-		body: req.Body, request: req, account: account, sink: newAnswer(w, req),
+		body: req.Body, request: req, account: account, response: responder.NewCompletion(w, req),
 		choice: Choice{Target: target, Prefix: req.Prefix, Session: req.Session, Rank: rank, Query: q},
 	}
 	if !q.Deadline.IsZero() {
--- a/entryserver/dispatch.go
+++ b/entryserver/dispatch.go
@@ -74,7 +74,7 @@
 			return last
 		}
 		j.choice.Exclude = append(j.choice.Exclude, u.Name)
-		j.sink.reset()
+		j.response.Reset()
 	}
 }
 
@@ -130,7 +130,7 @@
 // repeatable reports whether a failed attempt may be followed by one at another upstream.
 func (s *Server) repeatable(ctx context.Context, j *job, f *failure, n int) bool {
 	switch {
-	case n == maxAttempts || !f.elsewhere || ctx.Err() != nil || j.sink.begun():
+	case n == maxAttempts || !f.elsewhere || ctx.Err() != nil || j.response.Begun():
 		return false
 	case !j.resendable() || j.order.NonIdempotent && f.err.TrueOutcome() != streamer.OutcomeNotRun:
 		return false
@@ -149,7 +149,7 @@
 	return streamer.OutcomeNotRun
 }
 
-// attempt sends the order to u, copies the response to the sink and settles the reservation.
+// attempt sends the order to u, copies the response to the response and settles the reservation.
 func (s *Server) attempt(ctx context.Context, u Upstream, j *job, settle func(*Attempt, bool)) *failure {
 	record := Attempt{
 		Request: j.order.Request, Upstream: u.Name, Target: j.order.Target, Service: j.order.Service,
@@ -183,7 +183,7 @@
 	}
 	for {
 		if !stream.More() {
-			j.sink.flush()
+			j.response.Flush()
 		}
 		f, err := stream.Next(ctx)
 		if err != nil {
@@ -195,7 +195,7 @@
 		switch f.Kind {
 		case streamer.KindStarted:
 			s.begun(j, record)
-			err = j.sink.started(&f)
+			err = j.response.Started(&f)
 		case streamer.KindToken:
 			if record.FirstToken.IsZero() {
 				record.FirstToken = s.Now()
@@ -203,7 +203,7 @@
 			if j.order.Service == "" {
 				record.Usage.CompletionTokens++
 			}
-			err = j.sink.token(&f)
+			err = j.response.Token(&f)
 		case streamer.KindRefused, streamer.KindFailed:
 			if f.Usage != nil {
 				record.Usage = *f.Usage
@@ -213,7 +213,7 @@
 			return s.done(j, &f, record)
 		}
 		if err != nil {
-			return s.sinkFailed(ctx, stream, err)
+			return s.responseFailed(ctx, stream, err)
 		}
 	}
 }
@@ -242,7 +242,7 @@
 	}
 	record.billed = true
 	s.bill(j, record, true)
-	if err := j.sink.finish(record.Usage); err != nil {
+	if err := j.response.Finish(record.Usage); err != nil {
 		return &failure{err: &decoder.Error{
 			Status: http.StatusBadGateway, Code: "response-invalid", Type: decoder.TypeServer,
 			Message: "the response of the upstream is not valid", Outcome: streamer.OutcomeRun, Cause: err,
@@ -251,8 +251,8 @@
 	return nil
 }
 
-// sinkFailed ends a run whose response cannot be passed on.
-func (s *Server) sinkFailed(ctx context.Context, stream *streamer.Stream, err error) *failure {
+// responseFailed ends a run whose response cannot be passed on.
+func (s *Server) responseFailed(ctx context.Context, stream *streamer.Stream, err error) *failure {
 	outcome := s.cancel(ctx, stream)
 	if outcome == streamer.OutcomeNotRun {
 		// Frames of this run have been read, so it was given to the upstream.
--- a/entryserver/redirect.go
+++ b/entryserver/redirect.go
@@ -78,7 +78,7 @@
 	j.choice.Target, j.choice.Exclude, j.choice.Busy = t, nil, 0
 	j.busy = nil
 	j.cascade.targets = nil
-	j.sink.reset()
+	j.response.Reset()
 	w.Header().Set(decoder.HeaderModel, string(t.Model))
 	w.Header().Set(decoder.HeaderVersion, string(t.Version))
 }
--- a/entryserver/serve.go
+++ b/entryserver/serve.go
@@ -7,12 +7,10 @@
 	"net/http"
 
 	"github.com/siskinfront/siskinfront/decoder"
+	"github.com/siskinfront/siskinfront/responder"
 	"github.com/siskinfront/siskinfront/streamer"
 )
 
-// maxStored bounds the response that is stored with a claim, in bytes; a longer one is not repeated.
-const maxStored = 256 << 10
-
 // serve runs an admitted request. A returned error has not been written yet; a begun stream reports its own.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, j *job) error {
 	request := j.order.Request
@@ -42,12 +40,12 @@
 		s.counters.answered.Add(1)
 		s.Succeeded()
 		// The caller may have gone; the work is done and billed all the same.
-		_ = j.sink.send()
+		_ = j.response.Send()
 		return nil
 	}
-	if j.sink.begun() {
+	if j.response.Begun() {
 		s.counters.broken.Add(1)
-		j.sink.fail(failed)
+		j.response.Fail(failed)
 		return nil
 	}
 	return failed
@@ -133,15 +131,17 @@
 	var result Result
 	switch {
 	case failed == nil:
-		result = j.sink.result()
-		result.Outcome = streamer.OutcomeRun
+		r := j.response.Stored()
+		result = Result{
+			Outcome: streamer.OutcomeRun, Status: r.Status, ContentType: r.ContentType, Headers: r.Headers, Body: r.Body,
+		}
 	case failed.TrueOutcome() == streamer.OutcomeNotRun:
 		s.release(ctx, c)
 		return
 	default:
 		result.Outcome = failed.TrueOutcome()
 	}
-	if len(result.Body) > maxStored {
+	if len(result.Body) > responder.MaxStored {
 		result = Result{Outcome: streamer.OutcomeRun}
 	}
 	if err := c.Finish(ctx, result); err != nil {
--- a/entryserver/service.go
+++ b/entryserver/service.go
@@ -8,6 +8,7 @@
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/decoder"
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/responder"
 	"github.com/siskinfront/siskinfront/streamer"
 )
 
@@ -63,7 +64,7 @@
 			NonIdempotent: req.NonIdempotent || nonIdempotent(service, r.Method, r.PathValue("path")),
 			PromptTokens:  1, Revision: cfg.Revision, Call: call,
 		},
-		body: req.Body, request: req, account: account, sink: newReply(w),
+		body: req.Body, request: req, account: account, response: responder.NewReply(w),
 		choice: Choice{Service: name, Rank: rank},
 	}
 	return s.serve(w, r, j)
