faultsbencher: check withdrawal, leaving, stops and not-run of work

Change: The schedules withdraw versions and send idempotent orders through entries and agents, which use the distributor, the detector and agentserver.Contradiction (the configuration check of the agent, taken out of Server.check). The checker has four more invariants with its own record of withdrawals, departures and open requests. Weaken replaces each protection. A leaving process ends when its work has. agentserver and entryserver show that their stop tests see a server that is closed at once.

--- a/agentserver/run.go
+++ b/agentserver/run.go
@@ -156,14 +156,8 @@
 	if order.Service != "" {
 		return nil
 	}
-	if cfg := s.Configuration(); cfg != nil && cfg.Revision >= order.Revision {
-		v := cfg.Version(order.Target)
-		if v == nil || v.State == configurer.VersionWithdrawn {
-			return &RefusalError{Code: "version-withdrawn"}
-		}
-		if a := cfg.ClientAccount(order.ClientAccount); a == nil || !a.Allows(order.Target) {
-			return &RefusalError{Code: "version-not-allowed"}
-		}
+	if err := Contradiction(s.Configuration(), order); err != nil {
+		return err
 	}
 	if !s.Loaded(order.Target) {
 		return &RefusalError{Code: "version-not-loaded"}
@@ -171,6 +165,21 @@
 	return nil
 }
 
+// Contradiction returns a *RefusalError if the order's decision contradicts a configuration that is at least as new as
+// it, and nil otherwise or without a configuration.
+func Contradiction(cfg *configurer.Configuration, order *streamer.Order) error {
+	if cfg == nil || cfg.Revision < order.Revision {
+		return nil
+	}
+	if v := cfg.Version(order.Target); v == nil || v.State == configurer.VersionWithdrawn {
+		return &RefusalError{Code: "version-withdrawn"}
+	}
+	if a := cfg.ClientAccount(order.ClientAccount); a == nil || !a.Allows(order.Target) {
+		return &RefusalError{Code: "version-not-allowed"}
+	}
+	return nil
+}
+
 // end records the outcome, adds the final frame and schedules the removal of the run.
 func (s *Server) end(r *run, f streamer.Frame) {
 	r.mu.Lock()
--- a/agentserver/server_test.go
+++ b/agentserver/server_test.go
@@ -284,6 +284,43 @@
 	})
 }
 
+// Guards against a planned stop that cuts a run, and against a check that does not see the cut: without the drain it must.
+func TestStopCutsNothing(t *testing.T) {
+	own := netip.AddrPortFrom(agentAddress.Addr().Next(), agentAddress.Port())
+	for _, tc := range []struct {
+		name  string
+		stop  func(context.Context, *agentserver.Server, *http.Server) error
+		whole bool
+	}{
+		{"drained", func(ctx context.Context, a *agentserver.Server, server *http.Server) error {
+			return errors.Join(a.Drain(ctx), server.Shutdown(ctx))
+		}, true},
+		{"closed at once", func(_ context.Context, _ *agentserver.Server, server *http.Server) error {
+			return server.Close()
+		}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			run(t, func(t *testing.T, b *bed) {
+				server := &http.Server{Handler: b.agent}
+				l := b.net.Listen(own)
+				go func() { _ = server.Serve(l) }()
+				s, err := b.client.Open(t.Context(), own, order("r-1"), []byte(body))
+				must.NoError(t, err)
+				time.Sleep(500 * time.Millisecond)
+				stopped := make(chan error, 1)
+				go func() { stopped <- tc.stop(t.Context(), b.agent, server) }()
+				var f streamer.Frame
+				for err = nil; err == nil && !f.Final(); {
+					f, err = s.Next(t.Context())
+				}
+				must.Eq(t, tc.whole, err == nil && f.Kind == streamer.KindDone, must.Sprintf("%+v: %v", f, err))
+				s.Close()
+				must.NoError(t, <-stopped)
+			})
+		})
+	}
+}
+
 // Guards against commands of a former lease holder at an engine that ignores fencing tokens.
 func TestFencing(t *testing.T) {
 	run(t, func(t *testing.T, b *bed) {
--- a/entryserver/server_test.go
+++ b/entryserver/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -271,24 +272,39 @@
 
 // Guards against a shutdown that interrupts a request in progress.
 func TestShutdownFinishesRequests(t *testing.T) {
-	run(t, func(t *testing.T, b *bed) {
-		entry := entryserver.New(entryserver.WithChoose(b.choose),
-			entryserver.WithConfiguration(func() *configurer.Configuration { return b.cfg }),
-			entryserver.WithStreams(newClient(b)))
-		ctx, cancel := context.WithCancel(t.Context())
-		served := make(chan error, 1)
-		l := b.net.Listen(address(109, 80))
-		go func() { served <- entry.Serve(ctx, l) }()
-		time.AfterFunc(time.Second, cancel)
-		r, err := b.call(t.Context(), 9, http.MethodPost, "/v1/chat/completions", asStream)
-		must.NoError(t, err)
-		must.StrContains(t, r.body, "t15 ")
-		must.StrContains(t, r.body, "[DONE]")
-		must.NoError(t, <-served)
-		_, err = b.call(t.Context(), 9, http.MethodPost, "/v1/chat/completions", question)
-		must.Error(t, err)
-		synctest.Wait()
-	})
+	for _, tc := range []struct {
+		name  string
+		serve func(*entryserver.Server, context.Context, net.Listener) error
+		whole bool
+	}{
+		{"graceful", (*entryserver.Server).Serve, true},
+		// The check must see the cut without the protection.
+		{"closed at once", func(s *entryserver.Server, ctx context.Context, l net.Listener) error {
+			server := &http.Server{Handler: s}
+			context.AfterFunc(ctx, func() { _ = server.Close() })
+			return server.Serve(l)
+		}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			run(t, func(t *testing.T, b *bed) {
+				entry := entryserver.New(entryserver.WithChoose(b.choose),
+					entryserver.WithConfiguration(func() *configurer.Configuration { return b.cfg }),
+					entryserver.WithStreams(newClient(b)))
+				ctx, cancel := context.WithCancel(t.Context())
+				served := make(chan error, 1)
+				l := b.net.Listen(address(109, 80))
+				go func() { served <- tc.serve(entry, ctx, l) }()
+				time.AfterFunc(time.Second, cancel)
+				r, err := b.call(t.Context(), 9, http.MethodPost, "/v1/chat/completions", asStream)
+				must.Eq(t, tc.whole, err == nil)
+				must.Eq(t, tc.whole, strings.Contains(r.body, "t15 ") && strings.Contains(r.body, "[DONE]"))
+				must.Eq(t, tc.whole, <-served == nil)
+				_, err = b.call(t.Context(), 9, http.MethodPost, "/v1/chat/completions", question)
+				must.Error(t, err)
+				synctest.Wait()
+			})
+		})
+	}
 }
 
 // Guards against limits that are ignored, or that start work.
--- a/faultsbencher/checker.go
+++ b/faultsbencher/checker.go
@@ -36,6 +36,10 @@
 	ConfigInForce        Invariant = "config-in-force-within-7s"
 	MemberNotAccused     Invariant = "member-healthy-not-dead"
 	MemberLeaving        Invariant = "member-leaving-known-within-2s"
+	WithdrawnNoWork      Invariant = "version-withdrawn-no-new-work"
+	WorkNotRunTrue       Invariant = "work-not-run-is-true"
+	LeavingNoWork        Invariant = "upstream-leaving-no-new-work"
+	StopCutsNothing      Invariant = "stop-cuts-no-request"
 )
 
 // Invariants returns all invariants in the order of the report.
@@ -43,6 +47,7 @@
 	return []Invariant{
 		LeaseTokensGrow, LeaseOneHolder, LeaseFenced, ClaimRunsOnce, ClaimNotRunTrue, ClaimSameResult, BillKept, BillOnce,
 		ConfigForward, ConfigSameEverywhere, ConfigNoLostUpdate, ConfigInForce, MemberNotAccused, MemberLeaving,
+		WithdrawnNoWork, WorkNotRunTrue, LeavingNoWork, StopCutsNothing,
 	}
 }
 
@@ -111,6 +116,7 @@
 	conflicting map[float64]bool
 	departures  []departure
 	crashes     []departure
+	work        workBook
 }
 
 func newChecker(s *schedule) *checker {
@@ -118,8 +124,8 @@
 		s: s, served: s.now, executions: map[string]int{}, bodies: map[string]string{}, ran: map[identifier.Request]bool{},
 		refused: map[identifier.Request]bool{}, stored: map[string]bool{}, bills: map[string][]billHolder{},
 		commits: map[uint64]time.Time{}, marks: map[uint64]float64{}, accepted: map[float64]uint64{},
-		conflicting: map[float64]bool{},
-		outcome:     Outcome{Checked: map[Invariant]int{}, Broken: map[Invariant][]string{}},
+		conflicting: map[float64]bool{}, work: newWorkBook(),
+		outcome: Outcome{Checked: map[Invariant]int{}, Broken: map[Invariant][]string{}},
 	}
 }
 
@@ -164,6 +170,7 @@
 					c.decode(it.Value, &spend)
 					c.marks[ch.Revision] = spend.Committed
 				}
+				c.work.changed(c, it)
 			}
 		}
 	}
@@ -281,10 +288,13 @@
 
 func (c *checker) crashed(n *node) {
 	c.crashes = append(c.crashes, departure{n, n.life, c.s.now})
+	delete(c.work.open, n)
+	delete(c.work.left, n)
 }
 
 func (c *checker) left(n *node) {
 	c.departures = append(c.departures, departure{n, n.life, c.s.now})
+	c.work.left[n] = c.s.now
 }
 
 // sample judges what must hold at any moment.
--- a/faultsbencher/node.go
+++ b/faultsbencher/node.go
@@ -25,8 +25,10 @@
 	settleTime = 5 * time.Second
 	// agentWindow is how long an agent leaves its bills to the entry before it flushes them itself.
 	agentWindow = 4 * time.Second
-	centres     = 2
-	perCentre   = 6
+	// noticeTime is how long a leaving process stays at least, so that the others learn of it.
+	noticeTime = 4 * time.Second
+	centres    = 2
+	perCentre  = 6
 )
 
 // node is one simulated instance; it runs the real code of the safety packages.
@@ -35,9 +37,11 @@
 	name   identifier.Instance
 	centre int
 	// life counts the process runs; a crash raises it.
-	life        int
-	up          bool
-	leaving     bool
+	life    int
+	up      bool
+	leaving bool
+	// active counts the requests and runs in progress, as the process itself does.
+	active      int
 	pausedUntil time.Time
 	// pauseNext pauses the node when it next writes as a lease holder, while writing is set.
 	writing    bool
@@ -83,7 +87,7 @@
 // start makes a process run of the node with empty memory.
 func (n *node) start() {
 	s := n.s
-	n.up, n.leaving, n.revision, n.lease, n.members = true, false, 0, nil, nil
+	n.up, n.leaving, n.active, n.revision, n.lease, n.members = true, false, 0, 0, nil, nil
 	now := func() time.Time { return s.now }
 	sleep := func(_ context.Context, d time.Duration) error { s.sleep(d); return nil }
 	// No connection is opened; the address only makes valid requests.
@@ -166,13 +170,13 @@
 		}),
 		distributor.WithPull(func(_ context.Context, to identifier.Instance, revision uint64) (distributor.Update, error) {
 			peer := s.byName[to]
-			s.sleep(s.latency(n, peer))
-			if !s.reaches(n, peer) || s.now.Before(peer.pausedUntil) {
+			s.sleep(s.latency(s.rand, n, peer))
+			if !s.reaches(s.rand, n, peer) || s.now.Before(peer.pausedUntil) {
 				s.sleep(callTimeout)
 				return distributor.Update{}, platformfaker.ErrLost
 			}
 			u := peer.dist.Since(revision)
-			s.sleep(s.latency(peer, n))
+			s.sleep(s.latency(s.rand, peer, n))
 			return u, nil
 		}),
 		distributor.WithOnChange(func(c *configurer.Configuration) { s.check.inForce(n, c) }),
@@ -225,21 +229,31 @@
 	if !n.up || n.leaving {
 		return
 	}
-	n.disturb(d + 4*time.Second)
+	n.disturb(d + noticeTime)
 	n.leaving = true
 	n.s.check.left(n)
-	n.detector.Leave()
-	life := n.life
+	announce, mayEnd := (*detector.Detector).Leave, func(active int) bool { return active == 0 }
+	if f := n.s.weaken.Announce; f != nil {
+		announce = f
+	}
+	if f := n.s.weaken.MayEnd; f != nil {
+		mayEnd = f
+	}
+	announce(n.detector)
 	n.s.spawn(n, func() {
 		if n.lease != nil {
 			n.lease.Release(context.Background())
 		}
 		_ = n.biller.Flush(context.Background()) // Bills that stay are with the other holder.
 	})
-	n.s.after(4*time.Second, func() {
-		if n.life == life {
-			n.crash(d)
+	n.s.spawn(n, func() {
+		n.s.sleep(noticeTime)
+		for !mayEnd(n.active) {
+			n.disturb(0)
+			n.s.sleep(100 * time.Millisecond)
 		}
+		n.s.check.stopped(n)
+		n.crash(d)
 	})
 }
 
@@ -247,30 +261,35 @@
 	return rand.New(rand.NewPCG(s.rand.Uint64(), s.rand.Uint64()))
 }
 
-func (s *schedule) latency(a, b *node) time.Duration {
-	d := s.between(200*time.Microsecond, 2*time.Millisecond)
+func (s *schedule) latency(r *rand.Rand, a, b *node) time.Duration {
+	d := between(r, 200*time.Microsecond, 2*time.Millisecond)
 	if a.centre != b.centre {
 		d += time.Millisecond
 	}
 	if s.faults.slow.covers(s.now) && (a.centre == s.faults.slowCentre || b.centre == s.faults.slowCentre) {
-		d += s.between(50*time.Millisecond, 300*time.Millisecond)
+		d += between(r, 50*time.Millisecond, 300*time.Millisecond)
 	}
 	return d
 }
 
 // reaches reports whether a message from a arrives at b if it is sent now.
-func (s *schedule) reaches(a, b *node) bool {
+func (s *schedule) reaches(r *rand.Rand, a, b *node) bool {
 	return b != nil && a.up && b.up && !a.cutPeers.covers(s.now) && !b.cutPeers.covers(s.now) &&
-		(!s.faults.lost.covers(s.now) || s.rand.Float64() >= 0.2)
+		(!s.faults.lost.covers(s.now) || r.Float64() >= 0.2)
 }
 
 // send delivers a message later, or never; a paused node gets it when it resumes.
 func (s *schedule) send(from, to *node, f func(*node)) {
-	if to == nil || !s.reaches(from, to) {
+	s.sendBy(s.rand, from, to, f)
+}
+
+// sendBy sends with the delays of another random source.
+func (s *schedule) sendBy(r *rand.Rand, from, to *node, f func(*node)) {
+	if to == nil || !s.reaches(r, from, to) {
 		return
 	}
 	life := to.life
-	s.after(s.latency(from, to), func() { s.deliver(to, life, f) })
+	s.after(s.latency(r, from, to), func() { s.deliver(to, life, f) })
 }
 
 func (s *schedule) deliver(to *node, life int, f func(*node)) {
--- a/faultsbencher/schedule.go
+++ b/faultsbencher/schedule.go
@@ -50,6 +50,16 @@
 	NoPeerBills bool
 	// ForgetTransactions makes the table apply the repeat of a transaction as a new one.
 	ForgetTransactions bool
+	// Contradiction replaces the check of an order against the configuration of the agent.
+	Contradiction func(*configurer.Configuration, *streamer.Order) error
+	// Refuse replaces the decision of an agent whether it refuses new orders.
+	Refuse func(leaving bool) bool
+	// Announce replaces the announcement of a process that it is leaving.
+	Announce func(*detector.Detector)
+	// MayEnd replaces the decision whether a leaving process may end.
+	MayEnd func(active int) bool
+	// Unanswered replaces the outcome that an entry tells when no agent replied.
+	Unanswered func() streamer.Outcome
 	// Acquire replaces the acquisition of a lease.
 	Acquire func(ctx context.Context, t *storer.Table, l *leaser.Leaser, wall time.Time) (*leaser.Lease, error)
 }
@@ -68,11 +78,12 @@
 	unreachable []span
 	check       *checker
 	committed   int
+	work        work
 }
 
 // Run runs one schedule with faults of the given kinds and returns what its checks found.
 func Run(seed uint64, kinds []Kind, weaken Weaken) Outcome {
-	s := &schedule{world: newWorld(seed), weaken: weaken, byName: map[identifier.Instance]*node{}}
+	s := &schedule{world: newWorld(seed), weaken: weaken, byName: map[identifier.Instance]*node{}, work: newWork(seed)}
 	s.check = newChecker(s)
 	s.table, s.objects = platformfaker.NewTable(), platformfaker.NewObjects()
 	s.table.ForgetTransactions = weaken.ForgetTransactions
@@ -105,6 +116,7 @@
 	for i := range freeBills {
 		s.spawn(nil, func() { s.billLoop("bill-" + strconv.Itoa(i)) })
 	}
+	s.spawn(nil, s.workLoop)
 	s.after(0, s.check.sample)
 	s.run(faultTime + healTime)
 	s.check.finish()
@@ -191,13 +203,16 @@
 		s.sleep(s.between(time.Second, 4*time.Second))
 		n := s.anyNode()
 		s.spawn(n, func() {
-			next := configurer.Configuration{Ranks: []configurer.Rank{{Name: "urgent"}}}
+			next := firstConfiguration()
 			if c := n.dist.Current(); c != nil {
 				next = *c
 			}
 			s.committed++
 			mark := float64(s.committed)
 			next.Spend.Committed = mark
+			if s.committed%withdrawEvery == 0 {
+				withdrawOldest(&next)
+			}
 			commit := distributor.Commit
 			if s.weaken.Commit != nil {
 				commit = s.weaken.Commit
@@ -224,7 +239,9 @@
 		req := identifier.Request(key + "/" + strconv.Itoa(attempt))
 		var got *reply
 		s.spawn(entry, func() {
+			entry.begin(string(req))
 			r := entry.answer(key, req)
+			entry.end(string(req))
 			got = &r
 		})
 		for wait := 0; got == nil && wait < 80; wait++ {
@@ -257,11 +274,14 @@
 	}
 	refused := 0
 	var got *reply
-	for range orders {
+	for i := range orders {
 		agent := s.anyNode(n)
 		s.send(n, agent, func(a *node) {
 			s.spawn(a, func() {
+				id := "run " + string(cl.Request) + " " + strconv.Itoa(i)
+				a.begin(id)
 				r := a.runOrder(n, key, cl)
+				a.end(id)
 				s.send(a, n, func(*node) {
 					if r.outcome == streamer.OutcomeNotRun {
 						refused++
@@ -283,7 +303,7 @@
 		_ = n.claimer.Release(ctx, cl)
 		return reply{outcome: streamer.OutcomeNotRun}
 	}
-	return reply{outcome: streamer.OutcomeUnknown, running: true}
+	return reply{outcome: s.unanswered(), running: true}
 }
 
 // runOrder is the part of an agent: start durably, run, store the result, bill.
--- a/faultsbencher/schedule_test.go
+++ b/faultsbencher/schedule_test.go
@@ -15,6 +15,7 @@
 	fb "github.com/siskinfront/siskinfront/faultsbencher"
 	"github.com/siskinfront/siskinfront/leaser"
 	"github.com/siskinfront/siskinfront/storer"
+	"github.com/siskinfront/siskinfront/streamer"
 )
 
 // Guards against any invariant broken by one kind of fault alone.
@@ -68,7 +69,8 @@
 	must.NotEq(t, a.History, fb.Run(8, fb.Kinds(), fb.Weaken{}).History)
 }
 
-// Guards against checks that cannot fail: with one protection off, the schedules must find its violation.
+// Guards against checks that cannot fail: the schedules must find the violation with one protection off, and none with
+// it.
 func TestChecksFindMissingProtection(t *testing.T) {
 	unfenced := func(ctx context.Context, tb *storer.Table, le *leaser.Lease, tx storer.Transaction) error {
 		if !le.Valid() {
@@ -109,40 +111,57 @@
 	}
 	for _, c := range []struct {
 		name   string
-		kind   fb.Kind
+		kinds  []fb.Kind
 		weaken fb.Weaken
 		broken fb.Invariant
 		// first is the seed from which violations are searched; it spares seeds that are known to find none.
 		first uint64
 	}{
-		{"write without fencing", fb.KindPause, fb.Weaken{Write: unfenced}, fb.LeaseFenced, 0},
-		{"lease by wall clock", fb.KindClockStep, fb.Weaken{Acquire: steal}, fb.LeaseOneHolder, 35},
-		{"run without durable start", fb.KindLostReply, fb.Weaken{
+		{"write without fencing", []fb.Kind{fb.KindPause}, fb.Weaken{Write: unfenced}, fb.LeaseFenced, 0},
+		{"lease by wall clock", []fb.Kind{fb.KindClockStep}, fb.Weaken{Acquire: steal}, fb.LeaseOneHolder, 35},
+		{"run without durable start", []fb.Kind{fb.KindLostReply}, fb.Weaken{
 			Start: func(context.Context, *claimer.Claimer, claimer.Claim) error { return nil },
 		}, fb.ClaimRunsOnce, 0},
-		{"batch acknowledged before it is durable", fb.KindOutage, fb.Weaken{
+		{"batch acknowledged before it is durable", []fb.Kind{fb.KindOutage}, fb.Weaken{
 			Sink: func(ctx context.Context, key string, b []byte, write func(context.Context, string, []byte) error) error {
 				_ = write(ctx, key, b)
 				return nil
 			},
 		}, fb.BillKept, 0},
-		{"commit without condition", fb.KindSlowCentre, fb.Weaken{Commit: unconditional}, fb.ConfigNoLostUpdate, 0},
-		{"any update accepted", fb.KindCutPeers, fb.Weaken{Distributor: []distributor.Option{
+		{"commit without condition", []fb.Kind{fb.KindSlowCentre}, fb.Weaken{Commit: unconditional}, fb.ConfigNoLostUpdate, 0},
+		{"any update accepted", []fb.Kind{fb.KindCutPeers}, fb.Weaken{Distributor: []distributor.Option{
 			distributor.WithAccept(func(have uint64, u distributor.Update) bool { return u.Revision != have }),
 		}}, fb.ConfigForward, 0},
-		{"no pulls and no reads by stand-ins", fb.KindCutPeers, fb.Weaken{Distributor: []distributor.Option{
+		{"no pulls and no reads by stand-ins", []fb.Kind{fb.KindCutPeers}, fb.Weaken{Distributor: []distributor.Option{
 			distributor.WithPull(nil),
 		}}, fb.ConfigInForce, 25},
-		{"transaction IDs forgotten", fb.KindLostReply, fb.Weaken{ForgetTransactions: true}, fb.ConfigNoLostUpdate, 0},
-		{"death at the first missed heartbeat", fb.KindLostReply, fb.Weaken{Detector: []detector.Option{
+		{"transaction IDs forgotten", []fb.Kind{fb.KindLostReply}, fb.Weaken{ForgetTransactions: true}, fb.ConfigNoLostUpdate, 0},
+		{"death at the first missed heartbeat", []fb.Kind{fb.KindLostReply}, fb.Weaken{Detector: []detector.Option{
 			detector.WithTimeouts(1500*time.Millisecond, -1),
 		}}, fb.MemberNotAccused, 0},
+		{"orders not compared with the configuration", []fb.Kind{fb.KindSlowCentre}, fb.Weaken{
+			Contradiction: func(*configurer.Configuration, *streamer.Order) error { return nil },
+		}, fb.WithdrawnNoWork, 0},
+		{"leaving not announced", []fb.Kind{fb.KindLeave}, fb.Weaken{Announce: func(*detector.Detector) {}}, fb.LeavingNoWork, 0},
+		{"orders accepted while leaving", []fb.Kind{fb.KindSlowCentre, fb.KindLeave}, fb.Weaken{
+			Refuse: func(bool) bool { return false },
+		}, fb.LeavingNoWork, 0},
+		{"no answer taken for not run", []fb.Kind{fb.KindLostReply}, fb.Weaken{
+			Unanswered: func() streamer.Outcome { return streamer.OutcomeNotRun },
+		}, fb.WorkNotRunTrue, 0},
+		{"claimed order without answer taken for not run", []fb.Kind{fb.KindLostReply}, fb.Weaken{
+			Unanswered: func() streamer.Outcome { return streamer.OutcomeNotRun },
+		}, fb.ClaimNotRunTrue, 0},
+		{"stop without waiting for work", []fb.Kind{fb.KindLeave}, fb.Weaken{
+			MayEnd: func(int) bool { return true },
+		}, fb.StopCutsNothing, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := c.first; seed < c.first+60; seed++ {
-				if broken := fb.Run(seed, []fb.Kind{c.kind}, c.weaken).Broken[c.broken]; len(broken) > 0 {
+				if broken := fb.Run(seed, c.kinds, c.weaken).Broken[c.broken]; len(broken) > 0 {
 					t.Logf("seed %d: %s", seed, broken[0])
+					must.SliceEmpty(t, fb.Run(seed, c.kinds, fb.Weaken{}).Broken[c.broken], must.Sprintf("seed %d", seed))
 					return
 				}
 			}
--- a/faultsbencher/world.go
+++ b/faultsbencher/world.go
@@ -154,5 +154,10 @@
 
 // between draws a duration evenly.
 func (w *world) between(low, high time.Duration) time.Duration {
-	return low + time.Duration(w.rand.Int64N(int64(high-low)+1))
+	return between(w.rand, low, high)
+}
+
+// between draws a duration evenly.
+func between(r *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(r.Int64N(int64(high-low)+1))
 }
