linearizer, faultsbencher: check histories of claims, leases and commits

Cause: The random schedules check properties that someone thought of; nothing checked that the replies of all callers together have an order that a sequential claim, lease or configuration could give.

Change: Package linearizer records calls with virtual begin and end and checks them per key with porcupine (Wing and Gong search with memoization) against three small models. A call whose reply was lost has no end; its model follows both states at once, because a deterministic model would try each combination of the calls of an outage. The bounds after which a claim or lease may be passed over are part of the models. faultsbencher records every claim, start, finish, release, acquisition, renewal, holder's write and commit of a schedule and prints three more invariants.

An observer now reads the guarded row four times a second.

--- a/faultsbencher/checker.go
+++ b/faultsbencher/checker.go
@@ -40,6 +40,9 @@
 	WorkNotRunTrue       Invariant = "work-not-run-is-true"
 	LeavingNoWork        Invariant = "upstream-leaving-no-new-work"
 	StopCutsNothing      Invariant = "stop-cuts-no-request"
+	ClaimLinearizable    Invariant = "claim-linearizable"
+	LeaseLinearizable    Invariant = "lease-linearizable"
+	ConfigLinearizable   Invariant = "config-linearizable"
 )
 
 // Invariants returns all invariants in the order of the report.
@@ -47,7 +50,8 @@
 	return []Invariant{
 		LeaseTokensGrow, LeaseOneHolder, LeaseFenced, ClaimRunsOnce, ClaimNotRunTrue, ClaimSameResult, BillKept, BillOnce,
 		ConfigForward, ConfigSameEverywhere, ConfigNoLostUpdate, ConfigInForce, MemberNotAccused, MemberLeaving,
-		WithdrawnNoWork, WorkNotRunTrue, LeavingNoWork, StopCutsNothing,
+		WithdrawnNoWork, WorkNotRunTrue, LeavingNoWork, StopCutsNothing, ClaimLinearizable, LeaseLinearizable,
+		ConfigLinearizable,
 	}
 }
 
@@ -117,6 +121,7 @@
 	departures  []departure
 	crashes     []departure
 	work        workBook
+	histories   histories
 }
 
 func newChecker(s *schedule) *checker {
@@ -307,6 +312,7 @@
 		}
 	}
 	c.expect(LeaseOneHolder, valid <= 1, "%d holders believe in their lease", valid)
+	c.readGuarded()
 	from := now.Add(-quietTime)
 	for _, a := range c.s.nodes {
 		for _, b := range c.s.nodes {
--- a/faultsbencher/fault.go
+++ b/faultsbencher/fault.go
@@ -125,6 +125,7 @@
 	case KindSlowCentre:
 		s.faults.slow, s.faults.slowCentre = window, s.rand.IntN(centres)
 	case KindClockStep:
+		s.stepped = true
 		n.wallOffset += s.between(-time.Hour, time.Hour)
 	case KindNone, KindSeveral:
 	}
--- a/faultsbencher/final.go
+++ b/faultsbencher/final.go
@@ -14,6 +14,7 @@
 	c.finishConfiguration()
 	c.finishClaims()
 	c.finishBills()
+	c.finishHistories()
 }
 
 func (c *checker) finishConfiguration() {
--- a/faultsbencher/node.go
+++ b/faultsbencher/node.go
@@ -105,7 +105,7 @@
 	n.objects = storer.NewObjects(platform, opts(s.objects, func() bool { return false })...)
 	n.leaser = leaser.New(n.table, n.name, leaser.WithNow(now), leaser.WithWall(n.wall), leaser.WithSleep(sleep),
 		leaser.WithTerm(leaseTerm, leaseMargin), leaser.WithReleaseTime(time.Hour))
-	n.claimer = claimer.New(n.table, claimer.WithNow(n.wall), claimer.WithBounds(8*time.Second, time.Hour))
+	n.claimer = claimer.New(n.table, claimer.WithNow(n.wall), claimer.WithBounds(runBound, time.Hour))
 	n.biller = n.newBiller(now, sleep)
 	n.detector = detector.New(detector.Member{
 		Instance: n.name, DataCentre: n.member().DataCentre, Role: detector.RoleEntry,
@@ -242,7 +242,7 @@
 	announce(n.detector)
 	n.s.spawn(n, func() {
 		if n.lease != nil {
-			n.lease.Release(context.Background())
+			n.releaseLease(context.Background())
 		}
 		_ = n.biller.Flush(context.Background()) // Bills that stay are with the other holder.
 	})
--- a/faultsbencher/schedule.go
+++ b/faultsbencher/schedule.go
@@ -37,6 +37,9 @@
 type Weaken struct {
 	// Write replaces the fenced write of a lease holder.
 	Write func(context.Context, *storer.Table, *leaser.Lease, storer.Transaction) error
+	// Claim replaces the claim of a key.
+	Claim func(c *claimer.Claimer, ctx context.Context, acc identifier.ClientAccount, key string, fingerprint [32]byte,
+		req identifier.Request) (claimer.Claim, error)
 	// Start replaces the durable start of a claimed request.
 	Start func(context.Context, *claimer.Claimer, claimer.Claim) error
 	// Sink replaces the write of a batch of bills to the table.
@@ -78,7 +81,9 @@
 	unreachable []span
 	check       *checker
 	committed   int
-	work        work
+	// stepped is set once a wall clock was moved.
+	stepped bool
+	work    work
 }
 
 // Run runs one schedule with faults of the given kinds and returns what its checks found.
@@ -164,11 +169,7 @@
 func (n *node) keepLease() {
 	ctx := context.Background()
 	for !n.leaving {
-		acquire := n.leaser.Acquire
-		if f := n.s.weaken.Acquire; f != nil {
-			acquire = func(ctx context.Context, _ string) (*leaser.Lease, error) { return f(ctx, n.table, n.leaser, n.wall()) }
-		}
-		le, err := acquire(ctx, leaseName)
+		le, err := n.acquireLease(ctx)
 		if err != nil {
 			n.s.sleep(n.s.between(500*time.Millisecond, time.Second))
 			continue
@@ -180,19 +181,11 @@
 				panic("faultsbencher: encode guarded row: " + err.Error())
 			}
 			tx := storer.Transaction{Writes: []storer.Write{{Key: guardedKey, Value: b}}}
-			n.writing = true
-			if f := n.s.weaken.Write; f != nil {
-				err = f(ctx, n.table, le, tx)
-			} else {
-				err = le.Transact(ctx, tx)
-			}
-			n.writing = false
-			if err == nil {
+			if n.writeAsHolder(ctx, le, tx) == nil {
 				n.s.check.leaseServed()
 			}
 			n.s.sleep(n.s.between(400*time.Millisecond, 800*time.Millisecond))
-			// A failed renewal is repeated until the term ends.
-			_ = le.Renew(ctx)
+			n.renewLease(ctx, le)
 		}
 	}
 }
@@ -213,11 +206,7 @@
 			if s.committed%withdrawEvery == 0 {
 				withdrawOldest(&next)
 			}
-			commit := distributor.Commit
-			if s.weaken.Commit != nil {
-				commit = s.weaken.Commit
-			}
-			revision, err := commit(context.Background(), n.table, next.Revision, &next, string(n.name))
+			revision, err := n.commit(context.Background(), &next)
 			s.check.committed(mark, revision, err)
 		})
 	}
@@ -261,7 +250,7 @@
 // answer is the part of an entry: claim, hand to an agent, tell the truth.
 func (n *node) answer(key string, req identifier.Request) reply {
 	s, ctx := n.s, context.Background()
-	cl, err := n.claimer.Claim(ctx, "account", key, [32]byte{1}, req)
+	cl, err := n.claim(ctx, key, req)
 	if err != nil {
 		return reply{outcome: streamer.OutcomeNotRun}
 	}
@@ -299,8 +288,7 @@
 	case got != nil:
 		return *got
 	case refused == orders:
-		// The key is free again, or the row stays until its start bound ends.
-		_ = n.claimer.Release(ctx, cl)
+		n.releaseClaim(ctx, key, cl)
 		return reply{outcome: streamer.OutcomeNotRun}
 	}
 	return reply{outcome: s.unanswered(), running: true}
@@ -309,11 +297,7 @@
 // runOrder is the part of an agent: start durably, run, store the result, bill.
 func (n *node) runOrder(entry *node, key string, cl claimer.Claim) reply {
 	s, ctx := n.s, context.Background()
-	start := func(ctx context.Context, c *claimer.Claimer, cl claimer.Claim) error { return c.Started(ctx, cl) }
-	if s.weaken.Start != nil {
-		start = s.weaken.Start
-	}
-	if err := start(ctx, n.claimer, cl); err != nil {
+	if err := n.startClaim(ctx, key, cl); err != nil {
 		return reply{outcome: streamer.OutcomeNotRun}
 	}
 	body := s.check.executed(key, cl.Request)
@@ -323,7 +307,7 @@
 	n.record(key, true)
 	s.sendBills(n, entry)
 	for range 4 {
-		err := n.claimer.Finish(ctx, cl, claimer.Result{Outcome: streamer.OutcomeRun, Status: http.StatusOK, Body: []byte(body)})
+		err := n.finishClaim(ctx, key, cl, claimer.Result{Outcome: streamer.OutcomeRun, Status: http.StatusOK, Body: []byte(body)})
 		if err == nil {
 			s.check.finished(key)
 			break
--- a/faultsbencher/schedule_test.go
+++ b/faultsbencher/schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/siskinfront/siskinfront/detector"
 	"github.com/siskinfront/siskinfront/distributor"
 	fb "github.com/siskinfront/siskinfront/faultsbencher"
+	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/leaser"
 	"github.com/siskinfront/siskinfront/storer"
 	"github.com/siskinfront/siskinfront/streamer"
@@ -109,6 +111,15 @@
 		}
 		return head.Revision, tb.Transact(ctx, storer.Transaction{Writes: []storer.Write{{Key: "config/head", Value: b}}})
 	}
+	grantTwice := func(c *claimer.Claimer, ctx context.Context, acc identifier.ClientAccount, key string, print [32]byte,
+		req identifier.Request,
+	) (claimer.Claim, error) {
+		cl, err := c.Claim(ctx, acc, key, print, req)
+		if p := cl.Previous; p != nil && p.Running {
+			return claimer.Claim{Key: cl.Key, Request: req}, nil
+		}
+		return cl, err
+	}
 	for _, c := range []struct {
 		name   string
 		kinds  []fb.Kind
@@ -155,6 +166,19 @@
 		{"stop without waiting for work", []fb.Kind{fb.KindLeave}, fb.Weaken{
 			MayEnd: func(int) bool { return true },
 		}, fb.StopCutsNothing, 0},
+		{"claim granted twice", []fb.Kind{fb.KindLostReply}, fb.Weaken{Claim: grantTwice}, fb.ClaimLinearizable, 0},
+		{"start granted twice", []fb.Kind{fb.KindLostReply}, fb.Weaken{
+			Start: func(ctx context.Context, c *claimer.Claimer, cl claimer.Claim) error {
+				if err := c.Started(ctx, cl); !errors.Is(err, claimer.ErrLost) {
+					return err
+				}
+				return nil
+			},
+		}, fb.ClaimLinearizable, 0},
+		{"write under an old token", []fb.Kind{fb.KindPause}, fb.Weaken{Write: unfenced}, fb.LeaseLinearizable, 0},
+		{"lease taken within its term", []fb.Kind{fb.KindClockStep}, fb.Weaken{Acquire: steal}, fb.LeaseLinearizable, 35},
+		{"commit that reverts", []fb.Kind{fb.KindSlowCentre}, fb.Weaken{Commit: unconditional}, fb.ConfigLinearizable, 0},
+		{"accepted commit reported as refused", []fb.Kind{fb.KindLostReply}, fb.Weaken{ForgetTransactions: true}, fb.ConfigLinearizable, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
