--- a/assembler/bed_test.go
+++ b/assembler/bed_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -80,10 +81,15 @@
 	tableOut  atomic.Bool
 	dir       string
 	tls       string
+	// centres holds the data centres of processes outside the first one.
+	centres map[string]string
+	// listed returns the address under which the platform lists a listener, by default its own.
+	listed func(netip.AddrPort) netip.AddrPort
 
 	engines []*enginefaker.Engine
 	service *enginefaker.Service
 	starts  counter
+	runs    runs
 	procs   map[string]*proc
 	client  *http.Client
 }
@@ -115,6 +121,8 @@
 	b := &bed{
 		t: t, table: platformfaker.NewTable(), instances: platformfaker.NewInstances(time.Now), dir: t.TempDir(),
 		service: enginefaker.NewService(), starts: counter{counts: map[string]int{}}, procs: map[string]*proc{},
+		centres: map[string]string{}, listed: func(a netip.AddrPort) netip.AddrPort { return a },
+		runs:   runs{byID: map[identifier.Request]ran{}},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
 	t.Cleanup(b.client.CloseIdleConnections)
@@ -176,12 +184,12 @@
 	add := func(name, role, data, rest string) {
 		p := b.newProc(name, role, rest)
 		list = append(list, storer.Instance{
-			Instance: identifier.Instance(name), DataCentre: "pt-centro-1", Region: "pt-centro", Role: role,
-			Control: p.at("control"), Data: p.at(data),
+			Instance: identifier.Instance(name), DataCentre: identifier.DataCentre(b.centre(name)), Region: "pt-centro", Role: role,
+			Control: b.listed(p.at("control")), Data: b.listed(p.at(data)),
 		})
 	}
 	for i, e := range b.engines {
-		address := b.serve(e)
+		address := b.serve(b.runs.watch(fmt.Sprintf("agent-%d", i+1), e))
 		versions := 0
 		for _, m := range b.cfg.Models {
 			for _, v := range m.Versions {
@@ -198,7 +206,7 @@
 	}))
 	add("agent-3", "agent", "data", fmt.Sprintf("upstream: {name: refunds-1, address: %s, service: refunds}\n", service))
 	for _, name := range []string{"entry-1", "entry-2"} {
-		add(name, "entry", "caller", "data-centres: [pt-centro-1]\n")
+		add(name, "entry", "caller", "data-centres: ["+b.allCentres()+"]\n")
 	}
 	b.instances.Set(list)
 	for _, p := range b.procs {
@@ -209,6 +217,24 @@
 	}
 }
 
+// centre returns the data centre of a process.
+func (b *bed) centre(name string) string {
+	if c := b.centres[name]; c != "" {
+		return c
+	}
+	return "pt-centro-1"
+}
+
+func (b *bed) allCentres() string {
+	list := []string{"pt-centro-1"}
+	for _, c := range b.centres {
+		if !slices.Contains(list, c) {
+			list = append(list, c)
+		}
+	}
+	return strings.Join(list, ", ")
+}
+
 // awaitUpstreams waits until an entry can choose every upstream.
 func (b *bed) awaitUpstreams(entry string) {
 	b.t.Helper()
--- a/assembler/proc_test.go
+++ b/assembler/proc_test.go
@@ -38,7 +38,7 @@
 		t: b.t, name: name, role: role, settings: filepath.Join(b.dir, name+".yaml"),
 		host: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, os.Getpid()/128%250, n),
 	}
-	text := fmt.Sprintf("instance: %s\ndata-centre: pt-centro-1\nregion: pt-centro\nplatform:\n%s%s%s", name, b.platform, rest, b.tls)
+	text := fmt.Sprintf("instance: %s\ndata-centre: %s\nregion: pt-centro\nplatform:\n%s%s%s", name, b.centre(name), b.platform, rest, b.tls)
 	listeners := map[string][]string{"entry": {"control", "debug", "caller", "admin"}, "agent": {"control", "debug", "data"}}
 	for _, l := range listeners[role] {
 		text += fmt.Sprintf("%s-address: %s\n", l, p.at(l))
