administrator, assembler: serve the administration API with TLS

Cause: The administration API did not encrypt, so operator keys crossed the network in the clear unless something beside it encrypted.

Change: Entry settings have admin.certificate, admin.key and admin.allow-plain. authenticator.LoadServerTLS reads a certificate for a listener whose clients have none, and the entry looks for changed files every 30 s, as for control connections. An admin-address that is not loopback is refused with file, line and field, and by NewEntry for settings made in code, unless it has a certificate or allow-plain is set.

TestMutualTLS now also reads the configuration with TLS, is refused without it and with another name, and sees a new certificate in use without a restart. TestConfigWithCAFile counts that no refused call reached the API.

Conclusion: Keys cross a network in the clear only if the settings say so. Settings with an admin-address on a network and without TLS do not start any more and need one of the three keys.

--- a/administrator/client.go
+++ b/administrator/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -21,12 +22,28 @@
 type Client struct {
 	address netip.AddrPort
 	key     string
+	scheme  string
 	http    *http.Client
 }
 
+// ClientOption configures a Client.
+type ClientOption func(*Client)
+
+// WithTLS makes the client connect with TLS.
+func WithTLS(config *tls.Config) ClientOption {
+	return func(c *Client) {
+		c.scheme = "https"
+		c.http.Transport = &http.Transport{TLSClientConfig: config, Proxy: http.ProxyFromEnvironment}
+	}
+}
+
 // NewClient returns a client with the secret of an operator's key.
-func NewClient(address netip.AddrPort, key string) *Client {
-	return &Client{address: address, key: key, http: &http.Client{Timeout: clientTimeout}}
+func NewClient(address netip.AddrPort, key string, opts ...ClientOption) *Client {
+	c := &Client{address: address, key: key, scheme: "http", http: &http.Client{Timeout: clientTimeout}}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
 }
 
 // Configuration returns the configuration of a revision, or the current one for nil.
@@ -88,7 +105,7 @@
 
 // do returns the body of a successful answer, or an APIError.
 func (c *Client) do(ctx context.Context, method, path, match string, body []byte) ([]byte, error) {
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.address.String()+"/admin/v1/"+path, bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+c.address.String()+"/admin/v1/"+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("administrator: %s %s at %s: %w", method, path, c.address, err)
 	}
--- a/assembler/admin.go
+++ b/assembler/admin.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/siskinfront/siskinfront/administrator"
+	"github.com/siskinfront/siskinfront/authenticator"
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/distributor"
 )
@@ -36,6 +37,25 @@
 	}
 }
 
+// errAdminExposed is returned for settings that would send operator keys over a network without TLS.
+var errAdminExposed = errors.New("assembler: the administration API needs TLS or admin.allow-plain on an address that is not loopback")
+
+// loadAdminTLS reads the certificate of the administration API, or refuses to do without on a network.
+func (e *Entry) loadAdminTLS(s *configurer.EntrySettings) error {
+	if s.AdminExposed() {
+		return fmt.Errorf("%w: %s", errAdminExposed, s.AdminAddress)
+	}
+	if s.Admin.Certificate == "" {
+		return nil
+	}
+	t, err := authenticator.LoadServerTLS(s.Admin.Certificate, s.Admin.Key)
+	if err != nil {
+		return fmt.Errorf("assembler: load certificate of the administration API of %s: %w", s.Instance, err)
+	}
+	e.adminTLS = t
+	return nil
+}
+
 // history rebuilds the configuration after each change by taking the changes back one by one.
 func (e *Entry) history(ctx context.Context) ([]administrator.Change, error) {
 	if err := e.distributor.Read(ctx); err != nil {
--- a/assembler/bed_test.go
+++ b/assembler/bed_test.go
@@ -81,6 +81,8 @@
 	tableOut  atomic.Bool
 	dir       string
 	tls       string
+	// adminTLS is the section admin of the entries.
+	adminTLS string
 	// centres holds the data centres of processes outside the first one.
 	centres map[string]string
 	// listed returns the address under which the platform lists a listener, by default its own.
@@ -206,7 +208,7 @@
 	}))
 	add("agent-3", "agent", "data", fmt.Sprintf("upstream: {name: refunds-1, address: %s, service: refunds}\n", service))
 	for _, name := range []string{"entry-1", "entry-2"} {
-		add(name, "entry", "caller", "data-centres: ["+b.allCentres()+"]\n")
+		add(name, "entry", "caller", "data-centres: ["+b.allCentres()+"]\n"+b.adminTLS)
 	}
 	b.instances.Set(list)
 	for _, p := range b.procs {
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -13,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/siskinfront/siskinfront/administrator"
+	"github.com/siskinfront/siskinfront/authenticator"
 	"github.com/siskinfront/siskinfront/balancer"
 	"github.com/siskinfront/siskinfront/biller"
 	"github.com/siskinfront/siskinfront/claimer"
@@ -42,8 +44,10 @@
 	settings  configurer.EntrySettings
 	listeners entryListeners
 
-	server    *entryserver.Server
-	admin     *administrator.Server
+	server *entryserver.Server
+	admin  *administrator.Server
+	// adminTLS is nil while the administration API is served without TLS.
+	adminTLS  *authenticator.TLS
 	balancer  *balancer.Balancer
 	directory *directory
 	estimator *estimator.Estimator
@@ -80,6 +84,9 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
+	if err := e.loadAdminTLS(&s); err != nil {
+		return nil, err
+	}
 	if err := e.listen(ctx, &s); err != nil {
 		return nil, errors.Join(err, e.Close())
 	}
@@ -334,7 +341,12 @@
 	} {
 		g.Go(func() error { return ignoreEnd(ctx, duty(ctx)) })
 	}
-	g.Go(func() error { return serveHTTP(ctx, e.listeners.admin, e.admin) })
+	admin := e.listeners.admin
+	if e.adminTLS != nil {
+		admin = tls.NewListener(admin, e.adminTLS.Server())
+		g.Go(func() error { return ignoreEnd(ctx, e.adminTLS.Run(ctx, certificateCheck)) })
+	}
+	g.Go(func() error { return serveHTTP(ctx, admin, e.admin) })
 }
 
 // handOver makes durable what only this process holds.
--- a/assembler/tls_test.go
+++ b/assembler/tls_test.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/administrator"
 )
 
 // reloadPatience bounds the wait for new certificates, which processes look for every 30 s.
@@ -56,6 +58,13 @@
 	return cert, key
 }
 
+// pool returns the certificate of the authority.
+func (a *authority) pool() *x509.CertPool {
+	p := x509.NewCertPool()
+	p.AddCert(a.cert)
+	return p
+}
+
 // write writes a certificate for all processes with a serial number.
 func (a *authority) write(dir string, serial int64) {
 	a.t.Helper()
@@ -102,8 +111,8 @@
 	return conn.ConnectionState().PeerCertificates[0].SerialNumber.Int64(), nil
 }
 
-// Guards against orders that reach an agent without the certificate of the deployment, and a new certificate that needs
-// a restart.
+// Guards against orders that reach an agent without the certificate of the deployment, operator keys that are sent in
+// the clear, and a new certificate that needs a restart.
 func TestMutualTLS(t *testing.T) {
 	t.Parallel()
 	var ca *authority
@@ -111,6 +120,7 @@
 		ca = newAuthority(t, b.dir)
 		ca.write(b.dir, 2)
 		b.tls = fmt.Sprintf("tls: {certificate: %[1]s/certificate.pem, key: %[1]s/key.pem, authority: %[1]s/authority.pem}\n", b.dir)
+		b.adminTLS = fmt.Sprintf("admin: {certificate: %[1]s/certificate.pem, key: %[1]s/key.pem}\n", b.dir)
 	})
 	answered := func() {
 		t.Helper()
@@ -134,7 +144,24 @@
 	n, err := serial(address, b.dir, true)
 	must.NoError(t, err)
 	must.EqOp(t, 2, n)
+	admin := b.procs["entry-1"].at("admin").String()
+	// Operators have no certificate, and the API does not answer without TLS.
+	n, err = serial(admin, b.dir, false)
+	must.NoError(t, err)
+	must.EqOp(t, 2, n)
+	_, err = b.admin("entry-1").Configuration(t.Context(), nil)
+	must.Error(t, err)
+	for name, ok := range map[string]bool{"siskinfront": true, "other": false} {
+		_, err = b.admin("entry-1", administrator.WithTLS(&tls.Config{
+			MinVersion: tls.VersionTLS13, RootCAs: ca.pool(), ServerName: name,
+		})).Configuration(t.Context(), nil)
+		must.EqOp(t, ok, err == nil, must.Sprint(err))
+	}
 	ca.write(b.dir, 3)
+	b.eventually("the administration API shows the new certificate", reloadPatience, func() bool {
+		n, err := serial(admin, b.dir, false)
+		return err == nil && n == 3
+	})
 	b.eventually("the agent shows the new certificate", reloadPatience, func() bool {
 		n, err := serial(address, b.dir, true)
 		return err == nil && n == 3
--- a/authenticator/tls.go
+++ b/authenticator/tls.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"path/filepath"
 	"sync/atomic"
 	"time"
 )
@@ -25,10 +26,12 @@
 	ServerName string `yaml:"server-name" json:"server-name" validate:"required"`
 }
 
-// TLS provides mutual TLS from files that are read again without a restart; it is safe for concurrent use.
+// TLS provides TLS from files that are read again without a restart; it is safe for concurrent use.
 type TLS struct {
-	files   Files
-	current atomic.Pointer[material]
+	files Files
+	// anonymous is set for a listener whose clients have no certificate.
+	anonymous bool
+	current   atomic.Pointer[material]
 }
 
 type material struct {
@@ -36,7 +39,29 @@
 	pool        *x509.CertPool
 }
 
-// LoadTLS reads the files.
+// LoadServerTLS reads the certificate of a listener whose clients have none and are known by a key.
+func LoadServerTLS(certificate, key string) (*TLS, error) {
+	t := &TLS{files: Files{Certificate: certificate, Key: key}, anonymous: true}
+	if err := t.Reload(); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// LoadAuthority reads the certificates that a peer is checked against.
+func LoadAuthority(file string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(filepath.Clean(file))
+	if err != nil {
+		return nil, fmt.Errorf("authenticator: load authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("authenticator: load authority %s: %w", file, errNoCertificate)
+	}
+	return pool, nil
+}
+
+// LoadTLS reads the files of mutual TLS.
 func LoadTLS(files Files) (*TLS, error) {
 	t := &TLS{files: files}
 	if err := t.Reload(); err != nil {
@@ -51,13 +76,13 @@
 	if err != nil {
 		return fmt.Errorf("authenticator: load certificate: %w", err)
 	}
-	pem, err := os.ReadFile(t.files.Authority)
-	if err != nil {
-		return fmt.Errorf("authenticator: load authority: %w", err)
+	if t.anonymous {
+		t.current.Store(&material{certificate: certificate})
+		return nil
 	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return fmt.Errorf("authenticator: load authority %s: %w", t.files.Authority, errNoCertificate)
+	pool, err := LoadAuthority(t.files.Authority)
+	if err != nil {
+		return err
 	}
 	t.current.Store(&material{certificate, pool})
 	return nil
@@ -88,10 +113,11 @@
 		MinVersion: tls.VersionTLS13,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 			m := t.current.Load()
-			return &tls.Config{
-				MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{m.certificate},
-				ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: m.pool,
-			}, nil
+			c := &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{m.certificate}}
+			if !t.anonymous {
+				c.ClientAuth, c.ClientCAs = tls.RequireAndVerifyClientCert, m.pool
+			}
+			return c, nil
 		},
 	}
 }
--- a/command_config.go
+++ b/command_config.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/siskinfront/siskinfront/administrator"
+	"github.com/siskinfront/siskinfront/authenticator"
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/questioner"
 )
@@ -25,11 +27,16 @@
 type adminFlags struct {
 	address string
 	keyFile string
+	caFile  string
+	// serverName is empty if the certificate carries the IP address.
+	serverName string
 }
 
 func (f *adminFlags) add(cmd *cobra.Command) {
 	cmd.Flags().StringVar(&f.address, "address", "", "IP address and port of the administration API of any entry")
 	cmd.Flags().StringVar(&f.keyFile, "key-file", "", "file with the operator key; without it $"+operatorKeyVariable+" is used")
+	cmd.Flags().StringVar(&f.caFile, "ca-file", "", "PEM file that the certificate of the API is checked against; without it the API is called without TLS")
+	cmd.Flags().StringVar(&f.serverName, "server-name", "", "name in the certificate of the API, if it does not carry the IP address")
 }
 
 func (f *adminFlags) client() (*administrator.Client, error) {
@@ -48,7 +55,19 @@
 	if key = strings.TrimSpace(key); key == "" {
 		return nil, errors.New("config: no operator key; set $" + operatorKeyVariable + " or use --key-file")
 	}
-	return administrator.NewClient(address, key), nil
+	if f.caFile == "" {
+		if f.serverName != "" {
+			return nil, errors.New("config: --server-name needs --ca-file")
+		}
+		return administrator.NewClient(address, key), nil
+	}
+	authority, err := authenticator.LoadAuthority(f.caFile)
+	if err != nil {
+		return nil, fmt.Errorf("config: --ca-file: %w", err)
+	}
+	return administrator.NewClient(address, key, administrator.WithTLS(&tls.Config{
+		MinVersion: tls.VersionTLS13, RootCAs: authority, ServerName: f.serverName,
+	})), nil
 }
 
 func newConfigCommand() *cobra.Command {
@@ -159,8 +178,8 @@
 		Short: "Make a file the configuration, if nobody has changed it since",
 		Long: "Make a file the configuration. The revision in the file, or --base, names the configuration that the file was\n" +
 			"made from; if another change came first, nothing is applied.",
-		Example: "  siskinfront config show --address 10.0.0.4:7003 > c.yaml\n" +
-			"  siskinfront config apply --address 10.0.0.4:7003 --dry-run c.yaml",
+		Example: "  siskinfront config show --address 10.0.0.4:7003 --ca-file ca.pem > c.yaml\n" +
+			"  siskinfront config apply --address 10.0.0.4:7003 --ca-file ca.pem --dry-run c.yaml",
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if err := checkOutput(output); err != nil {
@@ -217,8 +236,8 @@
 	cmd := &cobra.Command{
 		Use:   "show",
 		Short: "Print the configuration as YAML or JSON",
-		Example: "  siskinfront config show --address 10.0.0.4:7003\n" +
-			"  siskinfront config show --address 10.0.0.4:7003 --revision 41",
+		Example: "  siskinfront config show --address 10.0.0.4:7003 --ca-file ca.pem\n" +
+			"  siskinfront config show --address 10.0.0.4:7003 --ca-file ca.pem --revision 41",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			client, err := admin.client()
@@ -262,7 +281,7 @@
 		Use:   "diff [FILE FILE]",
 		Short: "Show what differs between two files or two revisions",
 		Example: "  siskinfront config diff old.yaml new.yaml\n" +
-			"  siskinfront config diff --address 10.0.0.4:7003 --from 41 --to 42",
+			"  siskinfront config diff --address 10.0.0.4:7003 --ca-file ca.pem --from 41 --to 42",
 		Args: func(_ *cobra.Command, args []string) error {
 			if len(args) != 0 && len(args) != 2 {
 				return errors.New("config: diff needs two files, or none with --from and --to")
@@ -311,7 +330,7 @@
 	cmd := &cobra.Command{
 		Use:     "history",
 		Short:   "List who changed what and when, the newest first",
-		Example: "  siskinfront config history --address 10.0.0.4:7003",
+		Example: "  siskinfront config history --address 10.0.0.4:7003 --ca-file ca.pem",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if err := checkOutput(output); err != nil {
--- a/command_operation_internal_test.go
+++ b/command_operation_internal_test.go
@@ -2,14 +2,24 @@
 
 import (
 	"bytes"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
+	"encoding/pem"
+	"errors"
 	"log/slog"
+	"math/big"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,6 +68,59 @@
 	}
 }
 
+// Guards against an operator key that is sent without TLS or to a server that the CA file does not vouch for.
+func TestConfigWithCAFile(t *testing.T) {
+	t.Setenv(operatorKeyVariable, "key")
+	var reached atomic.Int32
+	ours := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		reached.Add(1)
+		_, _ = w.Write([]byte("[]")) // A client that is gone has no verdict.
+	}))
+	ours.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
+	ours.StartTLS()
+	t.Cleanup(ours.Close)
+	address := strings.TrimPrefix(ours.URL, "https://")
+	file := filepath.Join(t.TempDir(), "ca.pem")
+	must.NoError(t, os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: ours.Certificate().Raw}), 0o600))
+	_, _, err := execute(t, "config", "history", "--address", address, "--ca-file", file)
+	must.NoError(t, err)
+	must.EqOp(t, 1, reached.Load())
+	_, _, err = execute(t, "config", "history", "--address", address, "--ca-file", file, "--server-name", "example.com")
+	must.NoError(t, err)
+	for name, args := range map[string][]string{
+		"without TLS": {}, "other name": {"--ca-file", file, "--server-name", "other.invalid"},
+		"name without file": {"--server-name", "example.com"}, "no certificate": {"--ca-file", "go.mod"},
+		"no file": {"--ca-file", file + "x"},
+	} {
+		_, _, err = execute(t, append([]string{"config", "history", "--address", address}, args...)...)
+		must.Error(t, err, must.Sprint(name))
+	}
+	must.EqOp(t, 2, reached.Load())
+	// The authority of the file did not sign the certificate of another server.
+	other := httptest.NewUnstartedServer(http.NotFoundHandler())
+	other.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
+	other.TLS = &tls.Config{Certificates: []tls.Certificate{selfSigned(t)}, MinVersion: tls.VersionTLS13}
+	other.StartTLS()
+	t.Cleanup(other.Close)
+	_, _, err = execute(t, "config", "history", "--address", strings.TrimPrefix(other.URL, "https://"), "--ca-file", file)
+	var unknown x509.UnknownAuthorityError
+	must.True(t, errors.As(err, &unknown), must.Sprint(err))
+}
+
+// selfSigned returns a certificate for the loopback address that no authority signed.
+func selfSigned(t *testing.T) tls.Certificate {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	must.NoError(t, err)
+	c := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, c, c, &key.PublicKey, key)
+	must.NoError(t, err)
+	return tls.Certificate{Certificate: [][]byte{raw}, PrivateKey: key}
+}
+
 // Guards against a refusal without its place, in the table and in JSON.
 func TestConfigCheckRefuses(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "c.yaml")
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -74,10 +74,27 @@
 	CallerAddress netip.AddrPort `yaml:"caller-address" validate:"required"`
 	// AdminAddress is the listener for the administration API.
 	AdminAddress netip.AddrPort `yaml:"admin-address" validate:"required"`
+	// Admin holds the files for TLS of the administration API.
+	Admin AdminSettings `yaml:"admin"`
 	// Limits holds the bounds on memory and work.
 	Limits EntryLimits `yaml:"limits"`
 }
 
+// AdminSettings protect the administration API; its clients are known by their operator key.
+type AdminSettings struct {
+	// Certificate is the path of the certificate, which is read again while the entry runs.
+	Certificate string `yaml:"certificate" validate:"required_with=Key"`
+	// Key is the path of the private key of the certificate.
+	Key string `yaml:"key" validate:"required_with=Certificate"`
+	// AllowPlain permits an address that is not loopback without TLS, where operator keys can be read on the way.
+	AllowPlain bool `yaml:"allow-plain"`
+}
+
+// AdminExposed reports whether operator keys would cross a network without TLS although the settings do not permit it.
+func (s *EntrySettings) AdminExposed() bool {
+	return !s.AdminAddress.Addr().IsLoopback() && s.Admin.Certificate == "" && !s.Admin.AllowPlain
+}
+
 // EntryLimits bound the memory and work of an entry.
 type EntryLimits struct {
 	// MaxBodyBytes is the largest accepted request body in bytes.
@@ -156,6 +173,9 @@
 	d := Decode(file, data, &s)
 	CheckRules(d, &s)
 	checkDataCentres(d, &s)
+	if s.AdminAddress.IsValid() && s.AdminExposed() {
+		d.Refuse("admin-address", "needs admin.certificate and admin.key, or admin.allow-plain, because it is not loopback")
+	}
 	return s, d.Err()
 }
 
--- a/configurer/settings_test.go
+++ b/configurer/settings_test.go
@@ -53,6 +53,9 @@
 		"agent's key":  {"limits:", "upstream: {}\nlimits:", "e.yaml:16: upstream: unknown key"},
 		"not a list":   {"region: ie-west", "region: [ie-west]", "e.yaml:3: region: needs text"},
 		"not a map":    {"timings:\n  shutdown: 20s", "timings: 20s", "e.yaml:14: timings: needs a mapping"},
+		"admin plain":  {"admin-address: 127.0.0.1:7003", "admin-address: 10.0.0.4:7003", "e.yaml:7: admin-address: needs admin.certificate and admin.key, or admin.allow-plain"},
+		"admin any":    {"admin-address: 127.0.0.1:7003", "admin-address: 0.0.0.0:7003", "e.yaml:7: admin-address: needs admin.certificate"},
+		"admin no key": {"admin-address: 127.0.0.1:7003", "admin-address: 127.0.0.1:7003\nadmin: {certificate: c.pem}", "e.yaml:8: admin.key: is missing"},
 		"empty":        {entryFile, "", "e.yaml: the file is empty"},
 		"only a value": {entryFile, "7", "e.yaml:1: needs a mapping"},
 	} {
@@ -64,6 +67,15 @@
 	}
 }
 
+// Guards against a refusal of an administration address that settings protect or permit.
+func TestAdminAddressPermitted(t *testing.T) {
+	for _, admin := range []string{"{certificate: c.pem, key: k.pem}", "{allow-plain: true}"} {
+		text := strings.Replace(entryFile, "admin-address: 127.0.0.1:7003", "admin-address: 10.0.0.4:7003\nadmin: "+admin, 1)
+		_, err := configurer.ParseEntrySettings("e.yaml", []byte(text))
+		must.NoError(t, err, must.Sprint(admin))
+	}
+}
+
 // Guards against a setting without documentation, and documentation of a setting that is gone.
 func TestSettingsAreDocumented(t *testing.T) {
 	page, err := os.ReadFile("../docs/settings.md")
