streamer: give up an agent that is silent on a new connection too

Cause: A frozen process accepts connections and answers none. A stream tried four new connections with 3 s of silence each, so a request waited until its deadline of 8 s and could not be sent elsewhere.

Change: A new connection that stays silent for 3 s ends the resume; the stream is lost, and the entry decides as for a dead agent. Connections that fail at once are still tried four times.

Result: `go test ./streamer -run FrozenAgent`: lost after exactly 6 s of virtual time, before the first frame and in mid-stream. `go test ./assembler -run TestConnectionsSilent`: 12 of 12 requests got a whole answer, as before.

Conclusion: 6 s are within the deadline of urgent work but far from 1 s. Less needs either a shorter silence, which a loaded agent can break, or streams that end when the detector takes their agent for dead.

--- a/streamer/client.go
+++ b/streamer/client.go
@@ -215,7 +215,9 @@
 		}
 		cause = errors.Join(cause, err)
 		var status *statusError
-		if errors.As(err, &status) {
+		// A new connection that stays silent leads to an agent that is frozen or cut off; further ones would use up the
+		// deadline, within which another upstream can still answer.
+		if errors.As(err, &status) || errors.Is(err, errSilent) {
 			break
 		}
 	}
--- a/streamer/replay_test.go
+++ b/streamer/replay_test.go
@@ -183,6 +183,41 @@
 	}
 }
 
+// Guards against a request that waits out its deadline at an agent that accepts connections and answers none.
+func TestClientGivesUpFrozenAgent(t *testing.T) {
+	agent := netip.MustParseAddrPort("10.0.0.1:7000")
+	for _, frames := range []uint64{0, 4} {
+		synctest.Test(t, func(t *testing.T) {
+			n := enginefaker.NewNetwork()
+			serve(t, n, agent, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				// The server sees the end of a connection only after the body.
+				_, _ = io.Copy(io.Discard, r.Body)
+				for i := uint64(1); i <= frames && r.Method == http.MethodPost; i++ {
+					_, _ = io.WriteString(w, line(t, token(i)))
+					w.(http.Flusher).Flush()
+				}
+				<-r.Context().Done()
+			}))
+			c := streamer.NewClient(streamer.WithDial(n.Dial))
+			defer c.Close()
+			begin := time.Now()
+			s, err := c.Open(t.Context(), agent, &streamer.Order{Request: request, Attempt: 1}, nil)
+			for range frames {
+				must.NoError(t, err)
+				_, err = s.Next(t.Context())
+			}
+			if frames > 0 {
+				must.NoError(t, err)
+				_, err = s.Next(t.Context())
+			}
+			must.ErrorIs(t, err, streamer.ErrLost)
+			must.Eq(t, 2*streamer.SilenceLimit, time.Since(begin))
+			s.Close()
+			n.Cut(agent)
+		})
+	}
+}
+
 // Guards against a not-run claim for an order that may have arrived, and the reverse.
 func TestClientTellsNotSentFromLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
