--- a/faultsbencher/schedule.go
+++ b/faultsbencher/schedule.go
@@ -37,6 +37,9 @@
 type Weaken struct {
 	// Write replaces the fenced write of a lease holder.
 	Write func(context.Context, *storer.Table, *leaser.Lease, storer.Transaction) error
+	// Claim replaces the claim of a key.
+	Claim func(c *claimer.Claimer, ctx context.Context, acc identifier.ClientAccount, key string, fingerprint [32]byte,
+		req identifier.Request) (claimer.Claim, error)
 	// Start replaces the durable start of a claimed request.
 	Start func(context.Context, *claimer.Claimer, claimer.Claim) error
 	// Sink replaces the write of a batch of bills to the table.
@@ -50,6 +53,16 @@
 	NoPeerBills bool
 	// ForgetTransactions makes the table apply the repeat of a transaction as a new one.
 	ForgetTransactions bool
+	// Contradiction replaces the check of an order against the configuration of the agent.
+	Contradiction func(*configurer.Configuration, *streamer.Order) error
+	// Refuse replaces the decision of an agent whether it refuses new orders.
+	Refuse func(leaving bool) bool
+	// Announce replaces the announcement of a process that it is leaving.
+	Announce func(*detector.Detector)
+	// MayEnd replaces the decision whether a leaving process may end.
+	MayEnd func(active int) bool
+	// Unanswered replaces the outcome that an entry tells when no agent replied.
+	Unanswered func() streamer.Outcome
 	// Acquire replaces the acquisition of a lease.
 	Acquire func(ctx context.Context, t *storer.Table, l *leaser.Leaser, wall time.Time) (*leaser.Lease, error)
 }
@@ -68,11 +81,14 @@
 	unreachable []span
 	check       *checker
 	committed   int
+	// stepped is set once a wall clock was moved.
+	stepped bool
+	work    work
 }
 
 // Run runs one schedule with faults of the given kinds and returns what its checks found.
 func Run(seed uint64, kinds []Kind, weaken Weaken) Outcome {
-	s := &schedule{world: newWorld(seed), weaken: weaken, byName: map[identifier.Instance]*node{}}
+	s := &schedule{world: newWorld(seed), weaken: weaken, byName: map[identifier.Instance]*node{}, work: newWork(seed)}
 	s.check = newChecker(s)
 	s.table, s.objects = platformfaker.NewTable(), platformfaker.NewObjects()
 	s.table.ForgetTransactions = weaken.ForgetTransactions
@@ -105,6 +121,7 @@
 	for i := range freeBills {
 		s.spawn(nil, func() { s.billLoop("bill-" + strconv.Itoa(i)) })
 	}
+	s.spawn(nil, s.workLoop)
 	s.after(0, s.check.sample)
 	s.run(faultTime + healTime)
 	s.check.finish()
@@ -152,11 +169,7 @@
 func (n *node) keepLease() {
 	ctx := context.Background()
 	for !n.leaving {
-		acquire := n.leaser.Acquire
-		if f := n.s.weaken.Acquire; f != nil {
-			acquire = func(ctx context.Context, _ string) (*leaser.Lease, error) { return f(ctx, n.table, n.leaser, n.wall()) }
-		}
-		le, err := acquire(ctx, leaseName)
+		le, err := n.acquireLease(ctx)
 		if err != nil {
 			n.s.sleep(n.s.between(500*time.Millisecond, time.Second))
 			continue
@@ -168,19 +181,11 @@
 				panic("faultsbencher: encode guarded row: " + err.Error())
 			}
 			tx := storer.Transaction{Writes: []storer.Write{{Key: guardedKey, Value: b}}}
-			n.writing = true
-			if f := n.s.weaken.Write; f != nil {
-				err = f(ctx, n.table, le, tx)
-			} else {
-				err = le.Transact(ctx, tx)
-			}
-			n.writing = false
-			if err == nil {
+			if n.writeAsHolder(ctx, le, tx) == nil {
 				n.s.check.leaseServed()
 			}
 			n.s.sleep(n.s.between(400*time.Millisecond, 800*time.Millisecond))
-			// A failed renewal is repeated until the term ends.
-			_ = le.Renew(ctx)
+			n.renewLease(ctx, le)
 		}
 	}
 }
@@ -191,18 +196,17 @@
 		s.sleep(s.between(time.Second, 4*time.Second))
 		n := s.anyNode()
 		s.spawn(n, func() {
-			next := configurer.Configuration{Ranks: []configurer.Rank{{Name: "urgent"}}}
+			next := firstConfiguration()
 			if c := n.dist.Current(); c != nil {
 				next = *c
 			}
 			s.committed++
 			mark := float64(s.committed)
 			next.Spend.Committed = mark
-			commit := distributor.Commit
-			if s.weaken.Commit != nil {
-				commit = s.weaken.Commit
+			if s.committed%withdrawEvery == 0 {
+				withdrawOldest(&next)
 			}
-			revision, err := commit(context.Background(), n.table, next.Revision, &next, string(n.name))
+			revision, err := n.commit(context.Background(), &next)
 			s.check.committed(mark, revision, err)
 		})
 	}
@@ -224,7 +228,9 @@
 		req := identifier.Request(key + "/" + strconv.Itoa(attempt))
 		var got *reply
 		s.spawn(entry, func() {
+			entry.begin(string(req))
 			r := entry.answer(key, req)
+			entry.end(string(req))
 			got = &r
 		})
 		for wait := 0; got == nil && wait < 80; wait++ {
@@ -244,7 +250,7 @@
 // answer is the part of an entry: claim, hand to an agent, tell the truth.
 func (n *node) answer(key string, req identifier.Request) reply {
 	s, ctx := n.s, context.Background()
-	cl, err := n.claimer.Claim(ctx, "account", key, [32]byte{1}, req)
+	cl, err := n.claim(ctx, key, req)
 	if err != nil {
 		return reply{outcome: streamer.OutcomeNotRun}
 	}
@@ -257,11 +263,14 @@
 	}
 	refused := 0
 	var got *reply
-	for range orders {
+	for i := range orders {
 		agent := s.anyNode(n)
 		s.send(n, agent, func(a *node) {
 			s.spawn(a, func() {
+				id := "run " + string(cl.Request) + " " + strconv.Itoa(i)
+				a.begin(id)
 				r := a.runOrder(n, key, cl)
+				a.end(id)
 				s.send(a, n, func(*node) {
 					if r.outcome == streamer.OutcomeNotRun {
 						refused++
@@ -279,21 +288,16 @@
 	case got != nil:
 		return *got
 	case refused == orders:
-		// The key is free again, or the row stays until its start bound ends.
-		_ = n.claimer.Release(ctx, cl)
+		n.releaseClaim(ctx, key, cl)
 		return reply{outcome: streamer.OutcomeNotRun}
 	}
-	return reply{outcome: streamer.OutcomeUnknown, running: true}
+	return reply{outcome: s.unanswered(), running: true}
 }
 
 // runOrder is the part of an agent: start durably, run, store the result, bill.
 func (n *node) runOrder(entry *node, key string, cl claimer.Claim) reply {
 	s, ctx := n.s, context.Background()
-	start := func(ctx context.Context, c *claimer.Claimer, cl claimer.Claim) error { return c.Started(ctx, cl) }
-	if s.weaken.Start != nil {
-		start = s.weaken.Start
-	}
-	if err := start(ctx, n.claimer, cl); err != nil {
+	if err := n.startClaim(ctx, key, cl); err != nil {
 		return reply{outcome: streamer.OutcomeNotRun}
 	}
 	body := s.check.executed(key, cl.Request)
@@ -303,7 +307,7 @@
 	n.record(key, true)
 	s.sendBills(n, entry)
 	for range 4 {
-		err := n.claimer.Finish(ctx, cl, claimer.Result{Outcome: streamer.OutcomeRun, Status: http.StatusOK, Body: []byte(body)})
+		err := n.finishClaim(ctx, key, cl, claimer.Result{Outcome: streamer.OutcomeRun, Status: http.StatusOK, Body: []byte(body)})
 		if err == nil {
 			s.check.finished(key)
 			break
