faultsbencher: list a restarted instance

Cause: crash set the platform's list before it started the process again, while the node still counted as down. The restarted instance was missing from the list until another fault changed it, and processes that were no monitors of it never learned of it. Change: the list is set after the start, as the comment of the platform's list says: it lags, but shows live instances. No check and no bound changes. An instance that the list never shows is known only to its monitors, as docs/membership.md says for an outage of the list.

--- a/faultsbencher/node.go
+++ b/faultsbencher/node.go
@@ -214,8 +214,9 @@
 	n.s.check.crashed(n)
 	n.pausedUntil, n.pauseNext = time.Time{}, 0
 	n.s.after(d, func() {
-		n.s.list.Set(n.s.members())
+		// The platform lists an instance once it is up.
 		n.start()
+		n.s.list.Set(n.s.members())
 	})
 	n.s.list.Set(n.s.members())
 }
