observer: relay observations per data centre in compact batches

Each observation took 169 bytes, each entry called the holder itself, and every model with two versions took part in the sample, although promoter ignores models without a candidate. Ratings passed the sample of one entry once more: at 330 entries 0.06 of 10 ratings/s were left. Change: the transport of observations moves from assembler to a package of its own. Entries send to a relay of their data centre, the entry with the least hash, and relays send to the holder. A batch names each series of target, kind and metric once and keeps every value in the order observed, on which the sequential tests depend. Only models with a candidate are sampled, and ratings are not sampled again. A batch from a relay is passed on to nobody, so that two relays with different views cannot loop. Ratings are fetched each 5 s, and the fake service offers gzip, for which net/http asks. `go test ./observer ./assembler ./storer ./slopesbencher` passes.

--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -25,9 +25,9 @@
 	"github.com/siskinfront/siskinfront/limiter"
 	"github.com/siskinfront/siskinfront/messenger"
 	"github.com/siskinfront/siskinfront/meter"
+	"github.com/siskinfront/siskinfront/observer"
 	"github.com/siskinfront/siskinfront/pinner"
 	"github.com/siskinfront/siskinfront/placer"
-	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/selector"
 	"github.com/siskinfront/siskinfront/spender"
 )
@@ -191,9 +191,8 @@
 	messenger.Handle(e.mux, methodPin, func(ctx context.Context, _ messenger.Peer, q pinner.Question) (identifier.Target, error) {
 		return e.pinner.Answer(ctx, q)
 	})
-	messenger.Handle(e.mux, methodObservations, func(_ context.Context, _ messenger.Peer, list []promoter.Observation) (None, error) {
-		e.rollouts.receive(list)
-		return None{}, nil
+	messenger.Handle(e.mux, methodObservations, func(_ context.Context, _ messenger.Peer, b observer.Batch) (None, error) {
+		return None{}, e.rollouts.observer.Receive(b)
 	})
 }
 
@@ -202,7 +201,7 @@
 	for name, x := range map[string]part{
 		"entry": e.server, "administrator": e.admin, "balancer": e.balancer, "estimator": e.estimator, "selector": e.selector,
 		"spender": e.spender, "claimer": e.claimer, "biller": e.biller, "pinner": e.pinner, "explainer": e.explainer,
-		"account-limits": e.accounts, "retry-budget": e.retries, "promoter": e.rollouts.promoter,
+		"account-limits": e.accounts, "retry-budget": e.retries, "promoter": e.rollouts.promoter, "observer": e.rollouts.observer,
 	} {
 		e.registerConfigured(name, x)
 	}
--- a/assembler/entry_seam.go
+++ b/assembler/entry_seam.go
@@ -150,7 +150,7 @@
 	if !a.FirstToken.IsZero() {
 		o.Latency = a.FirstToken.Sub(a.Begin)
 	}
-	e.rollouts.observe(o)
+	e.rollouts.observer.Observe(o)
 }
 
 // resultOf tells the balancer what an attempt says about its upstream.
--- a/assembler/quality.go
+++ b/assembler/quality.go
@@ -10,6 +10,7 @@
 	"github.com/siskinfront/siskinfront/buffer"
 	"github.com/siskinfront/siskinfront/estimator"
 	"github.com/siskinfront/siskinfront/leaser"
+	"github.com/siskinfront/siskinfront/observer"
 	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/storer"
 )
@@ -17,8 +18,9 @@
 const (
 	// pendingRatings bounds the answers that wait to be submitted for rating; further ones are not rated.
 	pendingRatings = 1024
-	// collectInterval is how often the holder of the lease fetches ratings.
-	collectInterval = time.Second
+	// CollectInterval is how often the holder of the lease fetches ratings. A reply with 5 s of ratings compresses better than
+	// five replies, and has one set of headers.
+	CollectInterval = 5 * time.Second
 	// qualityWrite is how often the lease holder writes the counts, so that its successor continues from them.
 	qualityWrite = 10 * time.Second
 	// qualityTraffic bounds what every other entry reads of them, in bytes per second: a row of 19 versions with 6 kinds of
@@ -35,7 +37,7 @@
 type quality struct {
 	e       *Entry
 	pending *buffer.Ring[storer.Rating]
-	sample  *sampler
+	sample  *observer.Sampler
 	// next is the sequence after which ratings are fetched; only collect uses it.
 	next    uint64
 	loaded  bool
@@ -54,12 +56,12 @@
 
 func newQuality(e *Entry) *quality {
 	return &quality{
-		e: e, pending: buffer.NewRing[storer.Rating](pendingRatings), sample: newSampler(RatingRate, e.entryCount),
+		e: e, pending: buffer.NewRing[storer.Rating](pendingRatings), sample: observer.NewSampler(observer.RatingRate, e.entryCount),
 	}
 }
 
 func (q *quality) offer(r storer.Rating) {
-	if !q.sample.allow(time.Now()) {
+	if !q.sample.Allow(time.Now()) {
 		return
 	}
 	// An answer that does not fit goes unrated; ratings are a sample anyway.
@@ -80,7 +82,7 @@
 
 // collect fetches ratings while this process holds the lease.
 func (q *quality) collect(ctx context.Context) error {
-	return q.e.keepLease(ctx, "ratings", collectInterval, func(ctx context.Context, _ *leaser.Lease) { q.step(ctx) })
+	return q.e.keepLease(ctx, "ratings", CollectInterval, func(ctx context.Context, _ *leaser.Lease) { q.step(ctx) })
 }
 
 func (q *quality) step(ctx context.Context) {
@@ -100,7 +102,7 @@
 		q.e.estimator.Add(estimator.Sample{
 			WorkKind: r.WorkKind, Target: r.Target, Rating: r.Value, At: r.At, Request: r.Request,
 		})
-		q.e.rollouts.observe(promoter.Observation{
+		q.e.rollouts.observer.Rated(promoter.Observation{
 			WorkKind: r.WorkKind, Target: r.Target, Rated: true, Rating: r.Value, At: r.At,
 		})
 		q.next = max(q.next, r.Sequence)
--- a/assembler/rollout.go
+++ b/assembler/rollout.go
@@ -6,11 +6,12 @@
 	"errors"
 	"time"
 
-	"github.com/siskinfront/siskinfront/buffer"
 	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/detector"
 	"github.com/siskinfront/siskinfront/distributor"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/leaser"
+	"github.com/siskinfront/siskinfront/observer"
 	"github.com/siskinfront/siskinfront/promoter"
 )
 
@@ -19,49 +20,23 @@
 	rolloutLease = "rollouts"
 	// judgeInterval is how often the holder decides.
 	judgeInterval = time.Second
-	// holderInterval is how often an entry looks up who the holder is.
-	holderInterval = 10 * time.Second
-	// forwardInterval is how often an entry of a small deployment sends observations to the holder.
-	forwardInterval = time.Second
-	// ForwardSpread bounds the calls per second that the holder receives: with 330 entries each sends every 66 s.
-	ForwardSpread = 5
-	// pendingObservations bounds the observations of one interval; further ones are not counted.
-	pendingObservations = 2048
 )
 
 // rollouts sends what this entry observes to the lease holder, and judges while it is the holder itself.
 type rollouts struct {
 	e        *Entry
 	promoter *promoter.Promoter
-	pending  *buffer.Ring[promoter.Observation]
-	sample   *sampler
+	observer *observer.Observer
 }
 
 func newRollouts(e *Entry) *rollouts {
-	return &rollouts{
-		e: e, promoter: promoter.New(promoter.Chart()), pending: buffer.NewRing[promoter.Observation](pendingObservations),
-		sample: newSampler(ObservationRate, e.entryCount),
-	}
-}
-
-// observe queues an observation if its model has a roll-out under way, which spares the holder the others.
-func (r *rollouts) observe(o promoter.Observation) {
-	cfg := r.e.distributor.Current()
-	m := cfg.Model(o.Target.Model)
-	if m == nil || len(m.Versions) < 2 {
-		return
-	}
-	if !r.sample.allow(o.At) {
-		return
-	}
-	// What does not fit is evidence lost, never evidence invented.
-	_ = r.pending.Offer(o)
-}
-
-func (r *rollouts) receive(list []promoter.Observation) {
-	for i := range list {
-		r.promoter.Observe(list[i])
-	}
+	r := &rollouts{e: e, promoter: promoter.New(promoter.Chart())}
+	r.observer = observer.New(e.settings.Instance, e.entryCount,
+		observer.WithConfiguration(e.distributor.Current), observer.WithView(e.observerView), observer.WithHolder(r.holder),
+		observer.WithJudge(r.promoter.Observe),
+		observer.WithSend(func(to identifier.Instance, b observer.Batch) error { return tell(e.peers, to, methodObservations, b) }),
+	)
+	return r
 }
 
 // judge decides and commits while this process holds the lease; the commit is conditional on the revision it judged.
@@ -95,49 +70,32 @@
 	return cfg
 }
 
-// forward sends observations to the holder.
+// forward sends observations on their way to the holder.
 func (r *rollouts) forward(ctx context.Context) error {
-	var (
-		holder           identifier.Instance
-		lookupAt, sendAt time.Time
-	)
-	return every(ctx, forwardInterval, func(ctx context.Context) {
-		if now := time.Now(); !now.Before(lookupAt) {
-			if name, err := r.holder(ctx); err == nil {
-				holder = name
-			}
-			lookupAt = now.Add(holderInterval)
-		}
-		now := time.Now()
-		if now.Before(sendAt) {
-			return
-		}
-		sendAt = now.Add(max(forwardInterval, time.Duration(r.e.entryCount())*time.Second/ForwardSpread))
-		list := r.drain()
-		switch {
-		case len(list) == 0 || holder == "":
-		case holder == r.e.settings.Instance:
-			r.receive(list)
-		default:
-			// Lost observations slow a roll-out down; they do not mislead it.
-			_ = tell(r.e.peers, holder, methodObservations, list)
-		}
-	})
+	return every(ctx, observer.StepInterval, r.observer.Step)
 }
 
-func (r *rollouts) drain() []promoter.Observation {
-	n := r.pending.Len()
-	list := make([]promoter.Observation, 0, n)
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	for range n {
-		o, err := r.pending.Take(ctx)
-		if err != nil {
-			break
+// observerView counts the live entries of the own data centre and the data centres with entries. The relay is the entry
+// with the least hash, so that all entries of a data centre agree on it without a lease.
+func (e *Entry) observerView() observer.View {
+	v := observer.View{Relay: e.settings.Instance}
+	least := leaseWeight(methodObservations, v.Relay)
+	centres := map[identifier.DataCentre]struct{}{}
+	for _, m := range e.detector.Members() {
+		if m.Role != detector.RoleEntry || m.State == detector.Leaving {
+			continue
+		}
+		centres[m.DataCentre] = struct{}{}
+		if m.DataCentre != e.settings.DataCentre {
+			continue
+		}
+		v.Entries++
+		if w := leaseWeight(methodObservations, m.Instance); w < least {
+			v.Relay, least = m.Instance, w
 		}
-		list = append(list, o)
 	}
-	return list
+	v.DataCentres = len(centres)
+	return v
 }
 
 func (r *rollouts) holder(ctx context.Context) (identifier.Instance, error) {
--- /dev/null
+++ b/observer/doc.go
@@ -0,0 +1,3 @@
+// Package observer carries sampled observations of responses to the holder of the lease rollouts, through one relay entry
+// per data centre.
+package observer
--- /dev/null
+++ b/observer/observer_test.go
@@ -0,0 +1,212 @@
+package observer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/observer"
+	"github.com/siskinfront/siskinfront/promoter"
+)
+
+var (
+	start     = time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
+	serving   = identifier.Target{Model: "finch", Version: "v1"}
+	candidate = identifier.Target{Model: "finch", Version: "v2"}
+	settled   = identifier.Target{Model: "wren", Version: "v1"}
+	errFree   = errors.New("lease is free")
+)
+
+func current() *configurer.Configuration {
+	return &configurer.Configuration{Models: []configurer.Model{
+		{Name: "finch", Versions: []configurer.Version{
+			{Name: "v1", State: configurer.VersionServing}, {Name: "v2", State: configurer.VersionCandidate, Exposure: 0.1},
+		}},
+		{Name: "wren", Versions: []configurer.Version{
+			{Name: "v0", State: configurer.VersionWithdrawn}, {Name: "v1", State: configurer.VersionServing},
+		}},
+	}}
+}
+
+// Guards against values that are lost, changed beyond the rounding or reordered on the way: the sequential tests of promoter
+// depend on the order in which the two sides alternate.
+func TestPackKeepsValuesAndOrder(t *testing.T) {
+	targets := []identifier.Target{serving, candidate, settled}
+	rapid.Check(t, func(t *rapid.T) {
+		var list []promoter.Observation
+		for range rapid.IntRange(0, 40).Draw(t, "count") {
+			o := promoter.Observation{
+				Target:   rapid.SampledFrom(targets).Draw(t, "target"),
+				WorkKind: rapid.SampledFrom([]identifier.WorkKind{"", "kind-01"}).Draw(t, "kind"),
+			}
+			if o.Rated = rapid.Bool().Draw(t, "rated"); o.Rated {
+				o.Rating = rapid.Float64Range(0, 1).Draw(t, "rating")
+			} else {
+				o.Ended, o.Failed = true, rapid.Bool().Draw(t, "failed")
+				o.Latency = time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "latency"))
+			}
+			list = append(list, o)
+		}
+		b := observer.Pack(list)
+		got, err := b.Unpack(start)
+		must.NoError(t, err)
+		must.SliceLen(t, len(list), got)
+		for i, o := range got {
+			want := list[i]
+			must.Eq(t, start, o.At)
+			must.InDelta(t, want.Rating, o.Rating, 0.00005+1e-12)
+			must.Eq(t, want.Latency > 0, o.Latency > 0)
+			must.LessEq(t, time.Millisecond, (want.Latency - o.Latency).Abs())
+			o.At, o.Rating, o.Latency = want.At, want.Rating, want.Latency
+			must.Eq(t, want, o)
+		}
+	})
+}
+
+// Guards against a rating that is not a number, which JSON cannot carry, and against a malformed batch that is judged in part.
+func TestMalformedBatches(t *testing.T) {
+	nan := observer.Pack([]promoter.Observation{{Target: serving, Rated: true, Rating: math.NaN()}})
+	must.SliceEmpty(t, nan.Order)
+	series := []observer.Series{{Target: serving, Metric: observer.MetricRated}}
+	for name, b := range map[string]observer.Batch{
+		"more values than order": {Series: series, Order: []int{0}, Values: []float64{1, 1}},
+		"index beyond series":    {Series: series, Order: []int{0, 1}, Values: []float64{1, 1}},
+		"negative index":         {Series: series, Order: []int{0, -1}, Values: []float64{1, 1}},
+		"unknown metric":         {Series: []observer.Series{{Metric: "cost"}}, Order: []int{0}, Values: []float64{1}},
+		"too many":               {Series: series, Order: make([]int, 5000), Values: make([]float64, 5000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			judged := 0
+			o := observer.New("entry-1", func() int { return 1 }, observer.WithJudge(func(promoter.Observation) { judged++ }))
+			b.Relayed = true
+			must.Error(t, o.Receive(b))
+			must.Zero(t, judged)
+		})
+	}
+}
+
+// deployment is the entries of several data centres that exchange batches in memory.
+type deployment struct {
+	now      time.Time
+	entries  map[identifier.Instance]*observer.Observer
+	order    []identifier.Instance
+	holder   identifier.Instance
+	judged   map[identifier.Instance]int
+	received map[identifier.Instance]int
+	// relays overrides the relay that an entry takes for the right one.
+	relays map[identifier.Instance]identifier.Instance
+}
+
+func newDeployment(centres, perCentre int) *deployment {
+	d := &deployment{
+		now: start, entries: map[identifier.Instance]*observer.Observer{}, judged: map[identifier.Instance]int{},
+		received: map[identifier.Instance]int{}, relays: map[identifier.Instance]identifier.Instance{},
+	}
+	for c := range centres {
+		relay := identifier.Instance(fmt.Sprintf("entry-%d-0", c))
+		for i := range perCentre {
+			name := identifier.Instance(fmt.Sprintf("entry-%d-%d", c, i))
+			d.relays[name] = relay
+			d.order = append(d.order, name)
+			d.entries[name] = observer.New(name, func() int { return centres * perCentre },
+				observer.WithConfiguration(current), observer.WithNow(func() time.Time { return d.now }),
+				observer.WithView(func() observer.View {
+					return observer.View{Relay: d.relays[name], Entries: perCentre, DataCentres: centres}
+				}),
+				observer.WithHolder(func(context.Context) (identifier.Instance, error) {
+					if d.holder == "" {
+						return "", errFree
+					}
+					return d.holder, nil
+				}),
+				observer.WithJudge(func(promoter.Observation) { d.judged[name]++ }),
+				observer.WithSend(func(to identifier.Instance, b observer.Batch) error {
+					d.received[to]++
+					return d.entries[to].Receive(b)
+				}))
+		}
+	}
+	return d
+}
+
+func (d *deployment) run(seconds int, each func(*observer.Observer)) {
+	for range seconds {
+		for _, name := range d.order {
+			each(d.entries[name])
+			d.entries[name].Step(context.Background())
+		}
+		d.now = d.now.Add(observer.StepInterval)
+	}
+}
+
+func idle(*observer.Observer) {}
+
+// Guards against observations that are lost or judged twice on their way, against more than one batch a second at a relay
+// and at the lease holder, and against evidence on models without a decision that takes the place of the others.
+func TestRelay(t *testing.T) {
+	const centres, perCentre, seconds = 10, 33, 600
+	d := newDeployment(centres, perCentre)
+	d.holder = "entry-4-7"
+	d.run(seconds, func(o *observer.Observer) {
+		o.Observe(promoter.Observation{Target: settled, Ended: true})
+		o.Observe(promoter.Observation{Target: candidate, Ended: true})
+	})
+	d.run(60, idle)
+	queued := int64(0)
+	for _, o := range d.entries {
+		queued += o.Counters()["observed"]
+		must.Zero(t, o.Counters()["dropped"])
+	}
+	must.Eq(t, 1, len(d.judged))
+	// A relay counts the observations that it receives once more.
+	must.Eq(t, queued, 2*int64(d.judged[d.holder]))
+	sampled := float64(seconds * observer.ObservationRate)
+	must.Between(t, sampled, float64(d.judged[d.holder]), sampled+8*centres*perCentre)
+	must.LessEq(t, seconds+60, d.received[d.holder])
+	for c := range centres {
+		must.LessEq(t, seconds+60, d.received[identifier.Instance(fmt.Sprintf("entry-%d-0", c))])
+	}
+}
+
+// Guards against ratings cut down to one entry's part of the sample: one entry fetches those of the whole deployment.
+func TestRatingsAreNotSampledTwice(t *testing.T) {
+	d := newDeployment(10, 33)
+	d.holder = "entry-0-0"
+	o := d.entries["entry-3-3"]
+	for range 500 {
+		o.Rated(promoter.Observation{Target: candidate, Rated: true, Rating: 0.5})
+		o.Rated(promoter.Observation{Target: settled, Rated: true, Rating: 0.5})
+	}
+	d.run(60, idle)
+	must.Eq(t, 500, d.judged[d.holder])
+}
+
+// Guards against relays with different views that pass a batch to and fro, and against observations lost while nobody
+// holds the lease.
+func TestViewsThatDiffer(t *testing.T) {
+	d := newDeployment(2, 2)
+	d.relays["entry-0-0"], d.relays["entry-0-1"] = "entry-0-1", "entry-0-0"
+	for _, name := range []identifier.Instance{"entry-0-0", "entry-0-1"} {
+		d.entries[name].Observe(promoter.Observation{Target: candidate, Ended: true})
+	}
+	d.run(20, idle)
+	must.MapEmpty(t, d.judged)
+	d.holder = "entry-1-1"
+	d.run(20, idle)
+	must.Eq(t, map[identifier.Instance]int{"entry-1-1": 2}, d.judged)
+	// A batch from a relay that reaches a former holder ends there.
+	b := observer.Pack([]promoter.Observation{{Target: candidate, Ended: true}})
+	b.Relayed = true
+	must.NoError(t, d.entries["entry-0-0"].Receive(b))
+	d.run(20, idle)
+	must.Eq(t, 1, d.judged["entry-0-0"])
+	must.Eq(t, 2, d.judged["entry-1-1"])
+}
--- a/platformfaker/service.go
+++ b/platformfaker/service.go
@@ -183,7 +183,7 @@
 		x.ready = append(x.ready, v)
 	}
 	x.waiting = rest
-	reply(w, x.ready[min(after, uint64(len(x.ready))):])
+	replyCompressed(w, r, x.ready[min(after, uint64(len(x.ready))):])
 }
 
 // Instances fakes the instance list, which shows a change only after a lag.
--- a/platformfaker/table.go
+++ b/platformfaker/table.go
@@ -1,6 +1,7 @@
 package platformfaker
 
 import (
+	"compress/gzip"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -159,3 +160,17 @@
 	// The connection may be gone; the caller then sees a lost reply.
 	_ = json.NewEncoder(w).Encode(v)
 }
+
+// replyCompressed answers with the content encoding gzip if the caller accepts it.
+func replyCompressed(w http.ResponseWriter, r *http.Request, v any) {
+	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		reply(w, v)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Encoding", "gzip")
+	z := gzip.NewWriter(w)
+	// The connection may be gone; the caller then sees a lost reply.
+	_ = json.NewEncoder(z).Encode(v)
+	_ = z.Close()
+}
--- a/slopesbencher/capacity.go
+++ b/slopesbencher/capacity.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/siskinfront/siskinfront/assembler"
 	"github.com/siskinfront/siskinfront/balancer"
+	"github.com/siskinfront/siskinfront/observer"
 )
 
 // The target size, from the users' stated target.
@@ -27,7 +28,7 @@
 	// accounts is the number of client accounts of the deployment.
 	accounts = 400.0
 	// kindsPerVersion is the number of kinds of work for which a version is used.
-	kindsPerVersion = 6.0
+	kindsPerVersion = 6
 	// nonIdempotentShare is the share of requests that need a claim.
 	nonIdempotentShare = 0.02
 	// sessionShare is the share of requests that belong to a session.
@@ -51,7 +52,6 @@
 	listPollSeconds   = 5.0
 	unchangedBytes    = 260.0
 	qualitySeconds    = 300.0
-	judgeReadSeconds  = 10.0
 	pinFlushSeconds   = 5.0
 	pinRemovalSeconds = 30.0
 	configurationPoll = 0.5
@@ -62,6 +62,8 @@
 	leases            = 4.0
 	probesPerSecond   = balancer.DefaultProbeRate
 	bytesPerCall      = callOverhead
+	// httpOverhead is the size in bytes of the headers of an HTTP request and its reply, and those of TCP and IP.
+	httpOverhead      = 400.0
 	billOutageSeconds = 3600.0
 )
 
@@ -117,7 +119,7 @@
 func roles(s map[string]*Slope) []role {
 	perEntry := requestRate / entries
 	perAgent := requestRate / workers
-	estimates := versions * kindsPerVersion
+	estimates := float64(versions * kindsPerVersion)
 	entry := role{name: "entry", items: append(shared(s),
 		costItem{name: "choice of version", core: perEntry * s["choice of a version"].At(accounts) * nanosecond,
 			memory: s["estimates of quality"].At(estimates), traffic: s["estimates of quality as sent"].At(estimates) / qualitySeconds},
@@ -140,12 +142,34 @@
 	)}
 	reader := role{name: "configuration reader", items: append(entry.items[:len(entry.items):len(entry.items)],
 		costItem{name: "polls of the head", traffic: bytesPerCall / configurationPoll})}
+	relay := role{name: "relay of observations", items: append(entry.items[:len(entry.items):len(entry.items)],
+		costItem{name: "observations passed on", traffic: relayTraffic(s)})}
 	judge := role{name: "holder of the roll-out lease", items: append(entry.items[:len(entry.items):len(entry.items)],
-		costItem{name: "observations received", traffic: assembler.ObservationRate*s["observation as sent"].PerUnit +
-			assembler.ForwardSpread*notificationOverhead})}
+		costItem{name: "observations received", traffic: judgeTraffic(s)})}
+	collect := assembler.CollectInterval.Seconds()
 	rater := role{name: "holder of the ratings lease", items: append(entry.items[:len(entry.items):len(entry.items)],
-		costItem{name: "ratings received", traffic: assembler.RatingRate*s["rating as sent"].PerUnit + bytesPerCall})}
-	return []role{entry, agent, reader, judge, rater}
+		costItem{name: "ratings received", traffic: (s["rating as sent"].At(observer.RatingRate*collect) + httpOverhead) / collect},
+		costItem{name: "ratings passed on", traffic: (s["rating as passed on"].At(observer.RatingRate*entriesPerCentre) + notificationOverhead) /
+			entriesPerCentre})}
+	return []role{entry, agent, reader, relay, judge, rater}
+}
+
+// relayTraffic is what a relay receives from the entries of its data centre and sends to the lease holder. The relay of the
+// ratings holder also passes all ratings on.
+func relayTraffic(s map[string]*Slope) float64 {
+	received := (s["observation as sent"].At(observer.ObservationRate/dataCentres*observer.EntryInterval.Seconds()) + notificationOverhead) /
+		observer.EntryInterval.Seconds()
+	interval := dataCentres * observer.RelayInterval.Seconds()
+	sent := (s["observation as sent"].At(observer.ObservationRate/dataCentres*interval) + notificationOverhead) / interval
+	ratings := (s["rating as passed on"].At(observer.RatingRate*entriesPerCentre) + notificationOverhead) / entriesPerCentre
+	return received + sent + ratings + s["rating as passed on"].At(observer.RatingRate*interval)/interval
+}
+
+// judgeTraffic is what the holder of the roll-out lease receives from the relays, one of which has the ratings.
+func judgeTraffic(s map[string]*Slope) float64 {
+	interval := dataCentres * observer.RelayInterval.Seconds()
+	observations := dataCentres * (s["observation as sent"].At(observer.ObservationRate/dataCentres*interval) + notificationOverhead) / interval
+	return observations + s["rating as passed on"].At(observer.RatingRate*interval)/interval
 }
 
 // tableRow is the load of one mechanism on the table.
@@ -170,7 +194,7 @@
 			leases * leaseCandidates * dataCentres / leaseSeconds, leases / leaseSeconds},
 		{"placement leases", "one per data centre", dataCentres * leaseCandidates / leaseSeconds, dataCentres / leaseSeconds},
 		{"quality", "one row, read by each entry", entries / qualitySeconds, 1 / qualitySeconds},
-		{"holder of the roll-out lease", "looked up by each entry", entries / judgeReadSeconds, 0},
+		{"holder of the roll-out lease", "looked up by a relay per batch", 1 / observer.RelayInterval.Seconds(), 0},
 	}
 }
 
--- a/slopesbencher/parts.go
+++ b/slopesbencher/parts.go
@@ -17,7 +17,6 @@
 	"github.com/siskinfront/siskinfront/estimator"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/pinner"
-	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/selector"
 	"github.com/siskinfront/siskinfront/storer"
 	"github.com/siskinfront/siskinfront/streamer"
@@ -211,31 +210,6 @@
 	}
 }
 
-// observing measures the size of what lease holders receive.
-func observing() []Slope {
-	sizes := []int{1, 4, 16}
-	return []Slope{
-		fit("observation as sent", "bytes per observation", sizes, func(n int) float64 {
-			list := make([]promoter.Observation, n)
-			for i := range list {
-				list[i] = promoter.Observation{
-					WorkKind: "kind-01", Target: target(i), Latency: 300 * time.Millisecond, Ended: true, At: epoch(),
-				}
-			}
-			return encodedSize(list)
-		}),
-		fit("rating as sent", "bytes per rating", sizes, func(n int) float64 {
-			list := make([]storer.Rating, n)
-			for i := range list {
-				list[i] = storer.Rating{
-					Sequence: uint64(1000 + i), Request: identifier.NewRequest(), WorkKind: "kind-01", Target: target(i), Value: 0.731, At: epoch(),
-				}
-			}
-			return encodedSize(list)
-		}),
-	}
-}
-
 // keeping measures the memory of bills and session pins, and the size of bills as written.
 func keeping() []Slope {
 	sizes := []int{1000, 4000, 16000}
--- a/storer/storer_test.go
+++ b/storer/storer_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/platformfaker"
 	"github.com/siskinfront/siskinfront/storer"
 )
@@ -202,3 +204,24 @@
 		must.ErrorIs(t, err, storer.ErrNotFound)
 	})
 }
+
+// Guards against a client that does not ask for the content encoding of the rating service, or reads it wrongly: the
+// holder of the ratings lease has the traffic for compressed replies only.
+func TestRatingsAreCompressed(t *testing.T) {
+	f := platformfaker.NewRater(time.Now, rand.New(rand.NewPCG(1, 1)))
+	encodings := map[string]int{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.ServeHTTP(w, r)
+		encodings[r.Method+" "+w.Header().Get("Content-Encoding")]++
+	}))
+	defer server.Close()
+	r := storer.NewRater(netip.MustParseAddrPort(server.Listener.Addr().String()))
+	for i := range 50 {
+		must.NoError(t, r.Submit(t.Context(), storer.Rating{Request: identifier.Request(strconv.Itoa(i)), WorkKind: "k"}))
+	}
+	list, err := r.After(t.Context(), 0)
+	must.NoError(t, err)
+	must.SliceLen(t, 50, list)
+	must.Eq(t, "49", string(list[49].Request))
+	must.Eq(t, 1, encodings["GET gzip"])
+}
