--- a/spender/ledger.go
+++ b/spender/ledger.go
@@ -26,8 +26,9 @@
 	maxLeases = 2048
 	// foldAfter is the age past its deadline at which an unreturned share is folded into the spent amount.
 	foldAfter = time.Hour
-	// recoverAfter is the age past its deadline at which a share may be recovered: the longest run of a request, the flush of
-	// its bill and the skew of clocks.
+	// recoverAfter is the age past its deadline at which a share may be recovered: the run of a request with the default
+	// deadline, the flush of its bill and the skew of clocks. It does not cover deadlines stated by callers, which may be
+	// an hour away; the function billed must account for them.
 	recoverAfter = 2 * time.Minute
 	// recoverInterval is the time between searches for shares to recover.
 	recoverInterval = 30 * time.Second
@@ -92,9 +93,8 @@
 // NewTableLedger returns the ledger of an entry in the data centre self. The hard limit and the commitment are divided
 // evenly over all data centres, a list that must be the same on each instance for the whole period; amounts move between the
 // rows in one transaction when one is used up.
-func NewTableLedger(cfg func() *configurer.Configuration, t Table, self identifier.DataCentre,
-
-	all []identifier.DataCentre, opts ...LedgerOption,
+func NewTableLedger(
+	cfg func() *configurer.Configuration, t Table, self identifier.DataCentre, all []identifier.DataCentre, opts ...LedgerOption,
 ) *TableLedger {
 	l := &TableLedger{cfg: cfg, table: t, self: self, all: slices.Clone(all), now: time.Now, newID: uuid.NewString, floor: 0.01,
 		others: map[identifier.DataCentre]float64{}}
