streamer, entryserver: send an order elsewhere when its agent does not answer

Cause: a frozen agent accepts connections and answers none; a request that it was given counted as lost only after 3 s of silence and 3 s on a new connection, so urgent work waited 6.5 s against an aim of 1 s. Ruled out: a shorter limit of silence for all frames, which a loaded agent breaks in mid-stream, while an order is answered before any queue. Change: an idempotent order without an answer for 500 ms is given up if the retry budget allows the next attempt. Orders that may run only once, the last attempt and a spent budget keep the limit of 3 s.

--- a/entryserver/completion.go
+++ b/entryserver/completion.go
@@ -37,6 +37,8 @@
 	refused int
 	// attempts counts the orders sent for the present run, so that an agent never takes one for another.
 	attempts int
+	// last is set while no further attempt may follow the present one.
+	last bool
 	// upstream is the one of the latest attempt.
 	upstream identifier.Upstream
 }
--- a/entryserver/dispatch.go
+++ b/entryserver/dispatch.go
@@ -21,6 +21,9 @@
 	maxBusy = 2
 	// cancelWait is the time for which the response to an abandoned request waits for its outcome.
 	cancelWait = 250 * time.Millisecond
+	// acceptLimit is the time in which an agent answers an order. With cancelWait and the answer of another upstream it stays
+	// within the 1.4 s of the first token.
+	acceptLimit = 500 * time.Millisecond
 	// statusCallerLeft is the status of a request whose caller left; nobody receives it.
 	statusCallerLeft = 499
 )
@@ -30,6 +33,8 @@
 	err *decoder.Error
 	// elsewhere is set when another upstream may do better.
 	elsewhere bool
+	// budgeted is set when the retry budget has allowed the next attempt already.
+	budgeted bool
 	// final is set when the agent ended a run whose output it knows, so that the usage is known.
 	final bool
 }
@@ -53,6 +58,7 @@
 		j.order.Attempt = j.attempts
 		j.upstream = u.Name
 		j.explain("attempt-"+strconv.Itoa(j.attempts), string(u.Name))
+		j.last = n-j.refused == maxAttempts
 		f := s.attempt(ctx, u, j, settle)
 		if f == nil {
 			return nil
@@ -135,7 +141,7 @@
 	case !j.resendable() || j.order.NonIdempotent && f.err.TrueOutcome() != streamer.OutcomeNotRun:
 		return false
 	}
-	return s.Retry()
+	return f.budgeted || s.Retry()
 }
 
 // worse returns the outcome that claims less: work that may have run is never reported as not run.
@@ -170,7 +176,7 @@
 }
 
 func (s *Server) exchange(ctx context.Context, u Upstream, j *job, record *Attempt) *failure {
-	stream, err := s.streams.Open(ctx, u.Agent, &j.order, j.body)
+	stream, err := s.streams.Open(ctx, u.Agent, &j.order, j.body, s.openOptions(j)...)
 	if errors.Is(err, streamer.ErrNotSent) {
 		return &failure{elsewhere: true, err: &decoder.Error{
 			Status: http.StatusServiceUnavailable, Code: "upstream-unreachable", Type: decoder.TypeServer,
@@ -179,7 +185,9 @@
 	}
 	defer stream.Close()
 	if err != nil {
-		return s.lost(ctx, stream, err)
+		f := s.lost(ctx, stream, err)
+		f.budgeted = errors.Is(err, streamer.ErrUnaccepted)
+		return f
 	}
 	for {
 		if !stream.More() {
@@ -218,6 +226,15 @@
 	}
 }
 
+// openOptions lets an idempotent order go elsewhere when its agent gives no sign of it and the retry budget allows it. A
+// non-idempotent one keeps its agent, because a run that is given up leaves its outcome unknown.
+func (s *Server) openOptions(j *job) []streamer.OpenOption {
+	if j.order.NonIdempotent || j.last {
+		return nil
+	}
+	return []streamer.OpenOption{streamer.WithAcceptBy(s.Now().Add(acceptLimit), s.Retry)}
+}
+
 // begun takes the bill of a run that has started, so that it has two holders while it runs.
 func (s *Server) begun(j *job, record *Attempt) {
 	record.started = true
--- a/streamer/client.go
+++ b/streamer/client.go
@@ -37,6 +37,9 @@
 // ErrLost is returned when the agent no longer knows the run or cannot be reached; the run may have happened.
 var ErrLost = errors.New("streamer: run is lost")
 
+// ErrUnaccepted is returned by Open, as a kind of ErrLost, when the agent gave no sign of the order in time.
+var ErrUnaccepted = errors.New("streamer: agent did not accept the order in time")
+
 var errSilent = errors.New("streamer: connection is silent")
 
 // Client opens streams at agents; it is safe for concurrent use.
@@ -46,6 +49,8 @@
 	fresh   *http.Client
 	resumed atomic.Int64
 	silent  atomic.Int64
+	// unaccepted counts the orders that were given up without a sign of the agent.
+	unaccepted atomic.Int64
 }
 
 // ClientOption configures a Client.
@@ -74,7 +79,9 @@
 
 // Counters returns the totals since the start.
 func (c *Client) Counters() map[string]int64 {
-	return map[string]int64{"streams-resumed": c.resumed.Load(), "connections-silent": c.silent.Load()}
+	return map[string]int64{
+		"streams-resumed": c.resumed.Load(), "connections-silent": c.silent.Load(), "orders-unaccepted": c.unaccepted.Load(),
+	}
 }
 
 // Stream is one run at one agent as its entry reads it; only Cancel may be called concurrently with other methods.
@@ -94,9 +101,24 @@
 	last  uint64
 }
 
+// acceptance bounds the wait for the first sign of an order.
+type acceptance struct {
+	by     time.Time
+	giveUp func() bool
+}
+
+// OpenOption changes how one stream is opened.
+type OpenOption func(*acceptance)
+
+// WithAcceptBy gives the order up when the agent has not answered by a time and giveUp, which is asked then, agrees. An agent
+// answers an order at once, whether or not it must wait for a slot; the run may happen all the same.
+func WithAcceptBy(by time.Time, giveUp func() bool) OpenOption {
+	return func(a *acceptance) { a.by, a.giveUp = by, giveUp }
+}
+
 // Open sends the order with the caller's body. ErrNotSent means that the agent never had it; on any other trouble the
 // stream is resumed, and ErrLost is returned when that fails.
-func (c *Client) Open(ctx context.Context, agent netip.AddrPort, order *Order, body []byte) (*Stream, error) {
+func (c *Client) Open(ctx context.Context, agent netip.AddrPort, order *Order, body []byte, opts ...OpenOption) (*Stream, error) {
 	header, err := json.Marshal(order)
 	if err != nil {
 		return nil, fmt.Errorf("%w: encode order: %w", ErrNotSent, err)
@@ -104,10 +126,16 @@
 	payload := make([]byte, 0, len(header)+1+len(body))
 	payload = append(append(append(payload, header...), '\n'), body...)
 	s := &Stream{client: c, agent: agent, request: order.Request, attempt: order.Attempt}
-	err = s.connect(ctx, c.pooled, http.MethodPost, s.url("/run"), payload)
+	var a acceptance
+	for _, opt := range opts {
+		opt(&a)
+	}
+	err = s.connectBy(ctx, &a, payload)
 	switch {
 	case err == nil:
 		return s, nil
+	case errors.Is(err, ErrUnaccepted):
+		return s, fmt.Errorf("%w: %s at %s: %w", ErrLost, s.request, s.agent, err)
 	case isDial(err):
 		return nil, fmt.Errorf("%w: %s: %w", ErrNotSent, agent, err)
 	case ctx.Err() != nil:
@@ -116,6 +144,34 @@
 	return s, s.resume(ctx, err)
 }
 
+// connectBy sends the order and returns ErrUnaccepted if it is given up.
+func (s *Stream) connectBy(ctx context.Context, a *acceptance, payload []byte) error {
+	if a.giveUp == nil {
+		return s.connect(ctx, s.client.pooled, http.MethodPost, s.url("/run"), payload)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(time.Until(a.by), func() {
+		if a.giveUp() {
+			cancel(ErrUnaccepted)
+		}
+	})
+	err := s.connect(ctx, s.client.pooled, http.MethodPost, s.url("/run"), payload)
+	timer.Stop()
+	if errors.Is(context.Cause(ctx), ErrUnaccepted) {
+		s.disconnect()
+		s.client.unaccepted.Add(1)
+		return fmt.Errorf("%w: %w", ErrUnaccepted, err)
+	}
+	if err != nil {
+		cancel(nil)
+		return err
+	}
+	// The stream reads on under ctx until it disconnects.
+	end := s.cancel
+	s.cancel = func() { end(); cancel(nil) }
+	return nil
+}
+
 // isDial reports whether err means that no connection came about.
 func isDial(err error) bool {
 	var op *net.OpError
