entryserver: send a request that failed to another version, once

Cause: a version that turns bad by failing kept each idempotent request on itself for up to three upstreams and then failed it, although another allowed version at the quality target could answer. Change: after the attempts at one version an idempotent request moves to an alternative once, within the retry budget and before the caller has a part of the response. The outcome covers the attempts at all versions. Result: go test -run TestRedirectAfterFailure ./entryserver: a unary request and a stream before its first token are answered after 2 runs with 1 bill (502 before); no second run without budget, for a non-idempotent request or after the first token; the outcome stays run when the second version refuses.

--- a/entryserver/cascade.go
+++ b/entryserver/cascade.go
@@ -10,6 +10,7 @@
 	"github.com/siskinfront/siskinfront/decoder"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/responder"
+	"github.com/siskinfront/siskinfront/streamer"
 )
 
 // answerMargin is the time before the deadline that stays free to deliver an earlier answer after a later step failed,
@@ -59,7 +60,7 @@
 		next.order.Request, next.order.Target = StepID(request, i+2), target
 		next.order.Deadline = end.Add(-answerMargin)
 		next.choice.Target, next.choice.Exclude = target, nil
-		next.attempts = 0
+		next.attempts, next.outcome = 0, streamer.OutcomeNotRun
 		next.response = responder.NewCompletion(w, j.request)
 		next.explain("cascade", target.String())
 		s.counters.escalated.Add(1)
--- a/entryserver/completion.go
+++ b/entryserver/completion.go
@@ -37,6 +37,10 @@
 	refused int
 	// attempts counts the orders sent for the present run, so that an agent never takes one for another.
 	attempts int
+	// outcome is what all attempts of the present run claim together.
+	outcome streamer.Outcome
+	// rerun is set once a failed run was followed by one of another version.
+	rerun bool
 	// last is set while no further attempt may follow the present one.
 	last bool
 	// upstream is the one of the latest attempt.
--- a/entryserver/dispatch.go
+++ b/entryserver/dispatch.go
@@ -40,9 +40,8 @@
 }
 
 // dispatch sends the order to one upstream after another until there is a complete response, and returns the error for
-// the caller otherwise. Its outcome covers all attempts: a later refusal does not make an earlier run undone.
+// the caller otherwise. Its outcome covers all attempts of the job: a later refusal does not make an earlier run undone.
 func (s *Server) dispatch(ctx context.Context, j *job) *decoder.Error {
-	outcome := streamer.OutcomeNotRun
 	var last *decoder.Error
 	j.refused = 0
 	for n := 1; ; n++ {
@@ -51,7 +50,7 @@
 			if last != nil {
 				err = last
 			}
-			err.Outcome = outcome
+			err.Outcome = worse(j.outcome, streamer.OutcomeNotRun)
 			return err
 		}
 		j.attempts++
@@ -64,7 +63,7 @@
 			return nil
 		}
 		last = f.err
-		outcome = worse(outcome, last.TrueOutcome())
+		j.outcome = worse(j.outcome, last.TrueOutcome())
 		j.explain("failed-"+strconv.Itoa(j.attempts), last.Code+" "+string(last.TrueOutcome()))
 		switch {
 		case busy(j, f) && ctx.Err() == nil:
@@ -76,7 +75,7 @@
 		case s.repeatable(ctx, j, f, n-j.refused):
 			s.counters.retried.Add(1)
 		default:
-			last.Outcome = outcome
+			last.Outcome = j.outcome
 			return last
 		}
 		j.choice.Exclude = append(j.choice.Exclude, u.Name)
--- a/entryserver/redirect.go
+++ b/entryserver/redirect.go
@@ -14,9 +14,10 @@
 // maxTargets bounds the versions that one request is sent to after refusals.
 const maxTargets = 3
 
-// place sends the order to its version, and to other versions that the request may run on while upstreams refuse it without
-// having run anything. A version that refused the account's work of this rank lately is passed over; if all did, the
-// selected one decides, because only its agents know rank and fair share.
+// place sends the order to its version, and to other versions that the request may run on: while upstreams refuse it without
+// having run anything, and once after runs that failed before the caller had a part of the response. A version that refused
+// or failed the account's work of this rank lately is passed over; if all did, the selected one decides, because only its
+// agents know rank and fair share.
 func (s *Server) place(ctx context.Context, w http.ResponseWriter, j *job) *decoder.Error {
 	if j.order.Service != "" {
 		return s.dispatch(ctx, j)
@@ -24,28 +25,45 @@
 	tried := []identifier.Target{j.order.Target}
 	if !s.Offer(j.pool()) {
 		if next, ok := s.alternative(j, tried); ok {
-			s.redirect(w, j, next)
+			s.redirect(w, j, next, "refuses work")
 			tried = append(tried, next)
 		}
 	}
 	for {
 		failed := s.dispatch(ctx, j)
-		if failed == nil || !refusedByPool(failed) {
+		if failed == nil {
+			return nil
+		}
+		reason := "refuses work"
+		switch {
+		case refusedByPool(failed):
+		case brokenByPool(failed):
+			reason = "fails"
+		default:
 			return failed
 		}
 		s.Refused(j.pool())
-		if len(tried) == maxTargets || ctx.Err() != nil || !j.resendable() {
+		if len(tried) == maxTargets || ctx.Err() != nil || !j.resendable() || j.response.Begun() {
 			return failed
 		}
 		next, ok := s.alternative(j, tried)
-		if !ok {
+		if !ok || brokenByPool(failed) && !s.mayRunAgain(j) {
 			return failed
 		}
-		s.redirect(w, j, next)
+		s.redirect(w, j, next, reason)
 		tried = append(tried, next)
 	}
 }
 
+// mayRunAgain reports whether a run that failed may be followed by one of another version, which draws on the retry budget.
+func (s *Server) mayRunAgain(j *job) bool {
+	if j.order.NonIdempotent || j.rerun {
+		return false
+	}
+	j.rerun = true
+	return s.Retry()
+}
+
 // pool names the upstreams of the job's version as its account and rank find them.
 func (j *job) pool() redirector.Pool {
 	return redirector.Pool{ClientAccount: j.order.ClientAccount, Target: j.order.Target, Rank: j.choice.Rank}
@@ -71,9 +89,9 @@
 }
 
 // redirect moves the job to another version, whose answer meets the quality target by itself and so ends the cascade.
-func (s *Server) redirect(w http.ResponseWriter, j *job, t identifier.Target) {
+func (s *Server) redirect(w http.ResponseWriter, j *job, t identifier.Target, reason string) {
 	s.counters.redirected.Add(1)
-	j.explain("redirect", t.String()+" because "+j.order.Target.String()+" refuses work")
+	j.explain("redirect", t.String()+" because "+j.order.Target.String()+" "+reason)
 	j.order.Target = t
 	j.choice.Target, j.choice.Exclude, j.choice.Busy = t, nil, 0
 	j.busy = nil
@@ -94,3 +112,15 @@
 	}
 	return true
 }
+
+// brokenByPool reports whether upstreams of the version ran the request, or may have, and failed.
+func brokenByPool(e *decoder.Error) bool {
+	if e.TrueOutcome() == streamer.OutcomeNotRun {
+		return false
+	}
+	switch e.Code {
+	case "engine-refused", "engine-ended-early", "engine-malformed", "upstream-broken", "upstream-lost", "upstream-unreachable":
+		return true
+	}
+	return false
+}
--- a/entryserver/redirect_test.go
+++ b/entryserver/redirect_test.go
@@ -167,3 +167,58 @@
 		must.Eq(t, 1, b.started())
 	}, entryserver.WithChoose(one), entryserver.WithRedirect(s.Alternatives, r.Offer, r.Refused))
 }
+
+// Guards against a version that fails every request although another would answer them, against runs beyond the retry budget, a
+// second run of a non-idempotent request, a second response after the caller has a part of the first, and a later refusal
+// that makes an earlier run undone.
+func TestRedirectAfterFailure(t *testing.T) {
+	cut := func(token int) func(b *bed) {
+		return func(b *bed) { b.engines[0].Cut = func(_ identifier.Request, i int) bool { return i == token } }
+	}
+	cases := []struct {
+		name    string
+		set     func(b *bed)
+		body    string
+		headers []string
+		status  int
+		outcome string
+		// started counts the runs at both engines.
+		started int
+	}{
+		{name: "another version answers", set: cut(3), body: question, status: http.StatusOK, started: 2},
+		{name: "a stream before its first token", set: cut(0), body: asStream, status: http.StatusOK, started: 2},
+		{name: "a stream after it", set: cut(3), body: asStream, status: http.StatusOK, started: 1},
+		{
+			name: "no budget", body: question, status: http.StatusBadGateway, outcome: "run", started: 1,
+			set: func(b *bed) { cut(3)(b); b.retry = false },
+		},
+		{
+			name: "non-idempotent", set: cut(3), body: question, status: http.StatusBadGateway, outcome: "run", started: 1,
+			headers: []string{"Siskinfront-Idempotent", "false", "Idempotency-Key", "k"},
+		},
+		{
+			name: "the other one refuses", body: question, status: http.StatusTooManyRequests, outcome: "run", started: 1,
+			set: func(b *bed) {
+				cut(3)(b)
+				b.agents[1].Admit = func(context.Context, agentserver.Item) (agentserver.Ticket, error) {
+					return agentserver.Ticket{}, &agentserver.RefusalError{Code: "queue-full"}
+				}
+			},
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := selector.New()
+			r := redirector.New()
+			run(t, func(t *testing.T, b *bed) {
+				allowTwo(b.cfg)
+				tc.set(b)
+				got := b.ask(t, tc.body, tc.headers...)
+				must.Eq(t, tc.status, got.status)
+				must.Eq(t, tc.outcome, got.header.Get("Siskinfront-Outcome"))
+				must.Eq(t, tc.started, b.started())
+				must.Len(t, 1, union(b.recorded()))
+			}, entryserver.WithChoose(byModel), entryserver.WithRedirect(s.Alternatives, r.Offer, r.Refused))
+		})
+	}
+}
