scheduler: take the virtual clock out of faultsbencher

Change: The virtual clock with its processes is package scheduler. A process belongs to a Host, whose life and pause the nodes of faultsbencher embed, instead of to a node.

Conclusion: The clock has no knowledge of nodes. Checker, nodes and schedule still share their state and stay together.

--- a/faultsbencher/billing.go
+++ b/faultsbencher/billing.go
@@ -45,7 +45,7 @@
 	}
 	b := biller.Bill{
 		ID: id, Request: identifier.Request(id), Usage: streamer.Usage{CompletionTokens: tokens}, Amount: float64(tokens),
-		Final: final, At: n.s.now,
+		Final: final, At: n.s.Now(),
 	}
 	if n.biller.Record(b) == nil {
 		n.s.check.billed(n, b)
@@ -54,13 +54,13 @@
 
 // billLoop lets an agent serve one idempotent request.
 func (s *schedule) billLoop(id string) {
-	s.sleep(s.between(time.Second, 30*time.Second))
+	s.Sleep(s.Between(time.Second, 30*time.Second))
 	agent := s.anyNode()
 	entry := s.anyNode(agent)
 	s.spawn(agent, func() {
 		agent.record(id, false)
 		s.sendBills(agent, entry)
-		s.sleep(s.between(100*time.Millisecond, 2*time.Second))
+		s.Sleep(s.Between(100*time.Millisecond, 2*time.Second))
 		agent.record(id, true)
 		s.sendBills(agent, entry)
 	})
--- a/faultsbencher/checker.go
+++ b/faultsbencher/checker.go
@@ -126,7 +126,7 @@
 
 func newChecker(s *schedule) *checker {
 	return &checker{
-		s: s, served: s.now, executions: map[string]int{}, bodies: map[string]string{}, ran: map[identifier.Request]bool{},
+		s: s, served: s.Now(), executions: map[string]int{}, bodies: map[string]string{}, ran: map[identifier.Request]bool{},
 		refused: map[identifier.Request]bool{}, stored: map[string]bool{}, bills: map[string][]billHolder{},
 		commits: map[uint64]time.Time{}, marks: map[uint64]float64{}, accepted: map[float64]uint64{},
 		conflicting: map[float64]bool{}, work: newWorkBook(),
@@ -138,14 +138,14 @@
 func (c *checker) expect(i Invariant, ok bool, format string, args ...any) {
 	c.outcome.Checked[i]++
 	if !ok {
-		text := fmt.Sprintf("%v: ", c.s.now.Sub(c.s.start)) + fmt.Sprintf(format, args...)
+		text := fmt.Sprintf("%v: ", c.s.Elapsed()) + fmt.Sprintf(format, args...)
 		c.outcome.Broken[i] = append(c.outcome.Broken[i], text)
 	}
 }
 
 // applied sees each transaction at the moment at which the table applies it.
 func (c *checker) applied(tx storer.Transaction, version uint64) {
-	c.outcome.History = c.outcome.History*31 + version + uint64(c.s.now.Sub(c.s.start)) + uint64(len(tx.Writes))
+	c.outcome.History = c.outcome.History*31 + version + uint64(c.s.Elapsed()) + uint64(len(tx.Writes))
 	for _, w := range tx.Writes {
 		switch {
 		case w.Key == "lease/"+leaseName:
@@ -165,7 +165,7 @@
 			c.decode(w.Value, &h)
 			c.expect(ConfigNoLostUpdate, h.Revision == c.head+1, "head %d after %d", h.Revision, c.head)
 			c.head = h.Revision
-			c.commits[h.Revision] = c.s.now
+			c.commits[h.Revision] = c.s.Now()
 		case strings.HasPrefix(w.Key, "config/change/"):
 			var ch distributor.Change
 			c.decode(w.Value, &ch)
@@ -188,8 +188,8 @@
 }
 
 func (c *checker) leaseServed() {
-	c.outcome.LeaseGap = max(c.outcome.LeaseGap, c.s.now.Sub(c.served))
-	c.served = c.s.now
+	c.outcome.LeaseGap = max(c.outcome.LeaseGap, c.s.Now().Sub(c.served))
+	c.served = c.s.Now()
 }
 
 func (c *checker) executed(key string, req identifier.Request) string {
@@ -226,14 +226,14 @@
 		c.billOrder = append(c.billOrder, b.ID)
 	}
 	for i, h := range c.bills[b.ID] {
-		if h.n == n && h.life == n.life {
+		if h.n == n && h.life == n.Life {
 			if b.Final {
 				c.bills[b.ID][i].bill = b
 			}
 			return
 		}
 	}
-	c.bills[b.ID] = append(c.bills[b.ID], billHolder{n, n.life, b})
+	c.bills[b.ID] = append(c.bills[b.ID], billHolder{n, n.Life, b})
 }
 
 // holders returns the nodes that hold any of the bills.
@@ -274,7 +274,7 @@
 
 // measure takes the time from a commit until now, unless the node or the path to the table had a fault meanwhile.
 func (c *checker) measure(n *node, revision uint64) {
-	from, to := c.commits[revision], c.s.now
+	from, to := c.commits[revision], c.s.Now()
 	if !n.quiet(from, to) || c.tableOut(from, to) {
 		return
 	}
@@ -292,19 +292,19 @@
 }
 
 func (c *checker) crashed(n *node) {
-	c.crashes = append(c.crashes, departure{n, n.life, c.s.now})
+	c.crashes = append(c.crashes, departure{n, n.Life, c.s.Now()})
 	delete(c.work.open, n)
 	delete(c.work.left, n)
 }
 
 func (c *checker) left(n *node) {
-	c.departures = append(c.departures, departure{n, n.life, c.s.now})
-	c.work.left[n] = c.s.now
+	c.departures = append(c.departures, departure{n, n.Life, c.s.Now()})
+	c.work.left[n] = c.s.Now()
 }
 
 // sample judges what must hold at any moment.
 func (c *checker) sample() {
-	now := c.s.now
+	now := c.s.Now()
 	valid := 0
 	for _, n := range c.s.nodes {
 		if n.up && n.lease != nil && n.lease.Valid() {
@@ -340,19 +340,19 @@
 		}
 		return known
 	})
-	c.s.after(sampleTime, c.sample)
+	c.s.After(sampleTime, c.sample)
 }
 
 // follow tells for each departure whether all undisturbed nodes of the data centre know it, and drops the done ones.
 func (c *checker) follow(list []departure, done func(departure, bool) bool) []departure {
 	kept := list[:0]
 	for _, d := range list {
-		if d.n.life != d.life || d.n.up && !d.n.leaving {
+		if d.n.Life != d.life || d.n.up && !d.n.leaving {
 			continue // The instance was replaced or is back.
 		}
 		known := true
 		for _, a := range c.s.nodes {
-			if a != d.n && a.centre == d.n.centre && a.quiet(d.at, c.s.now) {
+			if a != d.n && a.centre == d.n.centre && a.quiet(d.at, c.s.Now()) {
 				s := a.detector.StateOf(d.n.name)
 				known = known && (s == detector.Dead || s == detector.Leaving)
 			}
--- a/faultsbencher/fault.go
+++ b/faultsbencher/fault.go
@@ -59,11 +59,11 @@
 	if len(kinds) <= 2 {
 		drawn = append(drawn, kinds...)
 	} else {
-		for range 1 + s.rand.IntN(3) {
-			drawn = append(drawn, kinds[s.rand.IntN(len(kinds))])
+		for range 1 + s.Rand().IntN(3) {
+			drawn = append(drawn, kinds[s.Rand().IntN(len(kinds))])
 		}
 	}
-	first := s.between(5*time.Second, 20*time.Second)
+	first := s.Between(5*time.Second, 20*time.Second)
 	s.label = KindNone
 	for i, k := range drawn {
 		switch s.label {
@@ -72,32 +72,32 @@
 		default:
 			s.label = KindSeveral
 		}
-		at := s.between(5*time.Second, 20*time.Second)
+		at := s.Between(5*time.Second, 20*time.Second)
 		if i == 1 && len(kinds) == 2 {
 			// Two kinds asked for are injected close together, so that most of them overlap.
-			at = min(first+s.between(0, 2*time.Second), 20*time.Second)
+			at = min(first+s.Between(0, 2*time.Second), 20*time.Second)
 		} else if i == 0 {
 			at = first
 		}
-		s.after(at, func() { s.inject(k) })
+		s.After(at, func() { s.inject(k) })
 	}
 }
 
 func (s *schedule) inject(k Kind) {
-	n := s.nodes[s.rand.IntN(len(s.nodes))]
-	d := s.between(time.Second, 15*time.Second)
-	window := span{s.now, s.now.Add(d)}
+	n := s.nodes[s.Rand().IntN(len(s.nodes))]
+	d := s.Between(time.Second, 15*time.Second)
+	window := span{s.Now(), s.Now().Add(d)}
 	s.check.outcome.Faults = append(s.check.outcome.Faults,
-		fmt.Sprintf("%v: %s, %s, %v", s.now.Sub(s.start), k, n.name, d))
+		fmt.Sprintf("%v: %s, %s, %v", s.Elapsed(), k, n.name, d))
 	switch k {
 	case KindCrash:
 		n.crash(d)
 	case KindLeave:
 		n.leave(d)
 	case KindPause:
-		if s.rand.IntN(2) == 0 {
+		if s.Rand().IntN(2) == 0 {
 			n.disturb(d)
-			n.pausedUntil = window.to
+			n.PausedUntil = window.to
 			return
 		}
 		// The pause falls between the decision of a lease holder to write and the write.
@@ -106,7 +106,7 @@
 				n = h
 			}
 		}
-		n.pauseNext = s.between(leaseTerm, 3*leaseTerm)
+		n.pauseNext = s.Between(leaseTerm, 3*leaseTerm)
 	case KindCutTable:
 		n.disturb(d)
 		n.cutTable = window
@@ -123,10 +123,10 @@
 	case KindLateWrite:
 		s.faults.late = window
 	case KindSlowCentre:
-		s.faults.slow, s.faults.slowCentre = window, s.rand.IntN(centres)
+		s.faults.slow, s.faults.slowCentre = window, s.Rand().IntN(centres)
 	case KindClockStep:
 		s.stepped = true
-		n.wallOffset += s.between(-time.Hour, time.Hour)
+		n.wallOffset += s.Between(-time.Hour, time.Hour)
 	case KindNone, KindSeveral:
 	}
 }
--- a/faultsbencher/final.go
+++ b/faultsbencher/final.go
@@ -30,7 +30,7 @@
 		c.expect(ConfigNoLostUpdate, !ok, "change %v was reported as refused and is in the history", mark)
 	}
 	for _, n := range c.s.nodes {
-		if from := c.commits[c.head]; c.head > 0 && n.quiet(from, c.s.now) && c.s.now.Sub(from) > inForceLimit {
+		if from := c.commits[c.head]; c.head > 0 && n.quiet(from, c.s.Now()) && c.s.Now().Sub(from) > inForceLimit {
 			c.expect(ConfigInForce, n.revision == c.head, "%s ends at revision %d of %d", n.name, n.revision, c.head)
 		}
 	}
@@ -72,7 +72,7 @@
 		got, ok := durable[id]
 		best := 0.0
 		for _, h := range c.bills[id] {
-			if h.n.up && h.n.life == h.life {
+			if h.n.up && h.n.Life == h.life {
 				best = max(best, h.bill.Amount)
 			}
 		}
--- a/faultsbencher/history.go
+++ b/faultsbencher/history.go
@@ -30,12 +30,10 @@
 	commits linearizer.History[linearizer.CommitCall, linearizer.CommitReply]
 }
 
-func (s *schedule) elapsed() time.Duration { return s.now.Sub(s.start) }
-
 // claimStep records one call on a claim.
 func (s *schedule) claimStep(key string, c linearizer.ClaimCall, f func() (claimer.Claim, error)) (claimer.Claim, error) {
 	h := &s.check.histories.claims
-	i := h.Begin(key, c, s.elapsed())
+	i := h.Begin(key, c, s.Elapsed())
 	cl, err := f()
 	r := linearizer.ClaimReply{Accepted: err == nil && cl.Previous == nil}
 	if p := cl.Previous; p != nil {
@@ -43,7 +41,7 @@
 		r.Body = string(p.Body)
 	}
 	if err == nil || errors.Is(err, claimer.ErrLost) {
-		h.End(i, r, s.elapsed())
+		h.End(i, r, s.Elapsed())
 	}
 	return cl, err
 }
@@ -87,13 +85,13 @@
 		acquire = func() (*leaser.Lease, error) { return f(ctx, n.table, n.leaser, n.wall()) }
 	}
 	h := &s.check.histories.leases
-	i := h.Begin(leaseName, linearizer.LeaseCall{Step: linearizer.LeaseAcquire}, s.elapsed())
+	i := h.Begin(leaseName, linearizer.LeaseCall{Step: linearizer.LeaseAcquire}, s.Elapsed())
 	le, err := acquire()
 	switch {
 	case err == nil:
-		h.End(i, linearizer.LeaseReply{Accepted: true, Token: le.Token()}, s.elapsed())
+		h.End(i, linearizer.LeaseReply{Accepted: true, Token: le.Token()}, s.Elapsed())
 	case errors.Is(err, leaser.ErrHeld):
-		h.End(i, linearizer.LeaseReply{}, s.elapsed())
+		h.End(i, linearizer.LeaseReply{}, s.Elapsed())
 	}
 	return le, err
 }
@@ -101,11 +99,11 @@
 // leaseStep records a call of a holder; extended tells afterwards whether a new term began.
 func (s *schedule) leaseStep(step linearizer.LeaseStep, le *leaser.Lease, f func() error) error {
 	h := &s.check.histories.leases
-	i := h.Begin(leaseName, linearizer.LeaseCall{Step: step, Token: le.Token()}, s.elapsed())
+	i := h.Begin(leaseName, linearizer.LeaseCall{Step: step, Token: le.Token()}, s.Elapsed())
 	deadline := le.Deadline()
 	err := f()
 	if err == nil || errors.Is(err, leaser.ErrLost) {
-		h.End(i, linearizer.LeaseReply{Accepted: err == nil, Extended: !le.Deadline().Equal(deadline)}, s.elapsed())
+		h.End(i, linearizer.LeaseReply{Accepted: err == nil, Extended: !le.Deadline().Equal(deadline)}, s.Elapsed())
 	}
 	return err
 }
@@ -135,14 +133,14 @@
 		c.decode(row.Value, &g)
 	}
 	h := &c.histories.leases
-	i := h.Begin(leaseName, linearizer.LeaseCall{Step: linearizer.LeaseRead}, c.s.elapsed())
-	h.End(i, linearizer.LeaseReply{Token: g.Token}, c.s.elapsed())
+	i := h.Begin(leaseName, linearizer.LeaseCall{Step: linearizer.LeaseRead}, c.s.Elapsed())
+	h.End(i, linearizer.LeaseReply{Token: g.Token}, c.s.Elapsed())
 }
 
 // releaseLease has no reply, because a release that failed leaves the lease to its term.
 func (n *node) releaseLease(ctx context.Context) {
 	n.s.check.histories.leases.Begin(leaseName, linearizer.LeaseCall{Step: linearizer.LeaseRelease, Token: n.lease.Token()},
-		n.s.elapsed())
+		n.s.Elapsed())
 	n.lease.Release(ctx)
 }
 
@@ -153,10 +151,10 @@
 		commit = s.weaken.Commit
 	}
 	h := &s.check.histories.commits
-	i := h.Begin("configuration", linearizer.CommitCall{Base: next.Revision}, s.elapsed())
+	i := h.Begin("configuration", linearizer.CommitCall{Base: next.Revision}, s.Elapsed())
 	revision, err := commit(ctx, n.table, next.Revision, next, string(n.name))
 	if err == nil || errors.Is(err, distributor.ErrConflict) {
-		h.End(i, linearizer.CommitReply{Accepted: err == nil, Revision: revision}, s.elapsed())
+		h.End(i, linearizer.CommitReply{Accepted: err == nil, Revision: revision}, s.Elapsed())
 	}
 	return revision, err
 }
--- a/faultsbencher/node.go
+++ b/faultsbencher/node.go
@@ -16,6 +16,7 @@
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/leaser"
 	"github.com/siskinfront/siskinfront/platformfaker"
+	"github.com/siskinfront/siskinfront/scheduler"
 	"github.com/siskinfront/siskinfront/storer"
 )
 
@@ -33,16 +34,16 @@
 
 // node is one simulated instance; it runs the real code of the safety packages.
 type node struct {
+	scheduler.Host
+
 	s      *schedule
 	name   identifier.Instance
 	centre int
 	// life counts the process runs; a crash raises it.
-	life    int
 	up      bool
 	leaving bool
 	// active counts the requests and runs in progress, as the process itself does.
-	active      int
-	pausedUntil time.Time
+	active int
 	// pauseNext pauses the node when it next writes as a lease holder, while writing is set.
 	writing    bool
 	pauseNext  time.Duration
@@ -71,7 +72,7 @@
 
 // disturb notes that the node itself is under a fault for d.
 func (n *node) disturb(d time.Duration) {
-	n.disturbed = append(n.disturbed, span{n.s.now, n.s.now.Add(d + settleTime)})
+	n.disturbed = append(n.disturbed, span{n.s.Now(), n.s.Now().Add(d + settleTime)})
 }
 
 // quiet reports whether the node was up and free of faults of its own for the whole time.
@@ -88,8 +89,8 @@
 func (n *node) start() {
 	s := n.s
 	n.up, n.leaving, n.active, n.revision, n.lease, n.members = true, false, 0, 0, nil, nil
-	now := func() time.Time { return s.now }
-	sleep := func(_ context.Context, d time.Duration) error { s.sleep(d); return nil }
+	now := func() time.Time { return s.Now() }
+	sleep := func(_ context.Context, d time.Duration) error { s.Sleep(d); return nil }
 	// No connection is opened; the address only makes valid requests.
 	platform := netip.MustParseAddrPort("127.0.0.1:1")
 	// The simulated exchange applies the deadline of a call in virtual time; the hour keeps deadlines of the real
@@ -101,7 +102,7 @@
 			storer.WithRand(s.newRand()), storer.WithCallTimeout(time.Hour),
 		}
 	}
-	n.table = storer.New(platform, opts(s.table, func() bool { return n.cutTable.covers(s.now) })...)
+	n.table = storer.New(platform, opts(s.table, func() bool { return n.cutTable.covers(s.Now()) })...)
 	n.objects = storer.NewObjects(platform, opts(s.objects, func() bool { return false })...)
 	n.leaser = leaser.New(n.table, n.name, leaser.WithNow(now), leaser.WithWall(n.wall), leaser.WithSleep(sleep),
 		leaser.WithTerm(leaseTerm, leaseMargin), leaser.WithReleaseTime(time.Hour))
@@ -138,11 +139,11 @@
 	}
 }
 
-func (n *node) wall() time.Time { return n.s.now.Add(n.wallOffset) }
+func (n *node) wall() time.Time { return n.s.Now().Add(n.wallOffset) }
 
 func (n *node) repeat(pace time.Duration, step func()) {
 	for {
-		n.s.sleep(n.s.between(pace*4/5, pace*6/5))
+		n.s.Sleep(n.s.Between(pace*4/5, pace*6/5))
 		step()
 	}
 }
@@ -170,13 +171,13 @@
 		}),
 		distributor.WithPull(func(_ context.Context, to identifier.Instance, revision uint64) (distributor.Update, error) {
 			peer := s.byName[to]
-			s.sleep(s.latency(s.rand, n, peer))
-			if !s.reaches(s.rand, n, peer) || s.now.Before(peer.pausedUntil) {
-				s.sleep(callTimeout)
+			s.Sleep(s.latency(s.Rand(), n, peer))
+			if !s.reaches(s.Rand(), n, peer) || s.Now().Before(peer.PausedUntil) {
+				s.Sleep(callTimeout)
 				return distributor.Update{}, platformfaker.ErrLost
 			}
 			u := peer.dist.Since(revision)
-			s.sleep(s.latency(s.rand, peer, n))
+			s.Sleep(s.latency(s.Rand(), peer, n))
 			return u, nil
 		}),
 		distributor.WithOnChange(func(c *configurer.Configuration) { s.check.inForce(n, c) }),
@@ -213,11 +214,11 @@
 		return
 	}
 	n.disturb(d)
-	n.life++
+	n.Life++
 	n.up = false
 	n.s.check.crashed(n)
-	n.pausedUntil, n.pauseNext = time.Time{}, 0
-	n.s.after(d, func() {
+	n.PausedUntil, n.pauseNext = time.Time{}, 0
+	n.s.After(d, func() {
 		n.s.list.Set(n.s.members())
 		n.start()
 	})
@@ -247,10 +248,10 @@
 		_ = n.biller.Flush(context.Background()) // Bills that stay are with the other holder.
 	})
 	n.s.spawn(n, func() {
-		n.s.sleep(noticeTime)
+		n.s.Sleep(noticeTime)
 		for !mayEnd(n.active) {
 			n.disturb(0)
-			n.s.sleep(100 * time.Millisecond)
+			n.s.Sleep(100 * time.Millisecond)
 		}
 		n.s.check.stopped(n)
 		n.crash(d)
@@ -258,29 +259,29 @@
 }
 
 func (s *schedule) newRand() *rand.Rand {
-	return rand.New(rand.NewPCG(s.rand.Uint64(), s.rand.Uint64()))
+	return rand.New(rand.NewPCG(s.Rand().Uint64(), s.Rand().Uint64()))
 }
 
 func (s *schedule) latency(r *rand.Rand, a, b *node) time.Duration {
-	d := between(r, 200*time.Microsecond, 2*time.Millisecond)
+	d := scheduler.Between(r, 200*time.Microsecond, 2*time.Millisecond)
 	if a.centre != b.centre {
 		d += time.Millisecond
 	}
-	if s.faults.slow.covers(s.now) && (a.centre == s.faults.slowCentre || b.centre == s.faults.slowCentre) {
-		d += between(r, 50*time.Millisecond, 300*time.Millisecond)
+	if s.faults.slow.covers(s.Now()) && (a.centre == s.faults.slowCentre || b.centre == s.faults.slowCentre) {
+		d += scheduler.Between(r, 50*time.Millisecond, 300*time.Millisecond)
 	}
 	return d
 }
 
 // reaches reports whether a message from a arrives at b if it is sent now.
 func (s *schedule) reaches(r *rand.Rand, a, b *node) bool {
-	return b != nil && a.up && b.up && !a.cutPeers.covers(s.now) && !b.cutPeers.covers(s.now) &&
-		(!s.faults.lost.covers(s.now) || r.Float64() >= 0.2)
+	return b != nil && a.up && b.up && !a.cutPeers.covers(s.Now()) && !b.cutPeers.covers(s.Now()) &&
+		(!s.faults.lost.covers(s.Now()) || r.Float64() >= 0.2)
 }
 
 // send delivers a message later, or never; a paused node gets it when it resumes.
 func (s *schedule) send(from, to *node, f func(*node)) {
-	s.sendBy(s.rand, from, to, f)
+	s.sendBy(s.Rand(), from, to, f)
 }
 
 // sendBy sends with the delays of another random source.
@@ -288,15 +289,15 @@
 	if to == nil || !s.reaches(r, from, to) {
 		return
 	}
-	life := to.life
-	s.after(s.latency(r, from, to), func() { s.deliver(to, life, f) })
+	life := to.Life
+	s.After(s.latency(r, from, to), func() { s.deliver(to, life, f) })
 }
 
 func (s *schedule) deliver(to *node, life int, f func(*node)) {
 	switch {
-	case !to.up || to.life != life:
-	case s.now.Before(to.pausedUntil):
-		s.after(to.pausedUntil.Sub(s.now), func() { s.deliver(to, life, f) })
+	case !to.up || to.Life != life:
+	case s.Now().Before(to.PausedUntil):
+		s.After(to.PausedUntil.Sub(s.Now()), func() { s.deliver(to, life, f) })
 	default:
 		f(to)
 	}
@@ -308,33 +309,33 @@
 		s := n.s
 		if n.pauseNext > 0 && n.writing {
 			n.disturb(n.pauseNext)
-			n.pausedUntil, n.pauseNext = s.now.Add(n.pauseNext), 0
+			n.PausedUntil, n.pauseNext = s.Now().Add(n.pauseNext), 0
 		}
 		// A pause or crash may fall between the decision to write and the write.
-		s.sleep(s.between(0, time.Millisecond))
+		s.Sleep(s.Between(0, time.Millisecond))
 		if cut() {
-			s.sleep(callTimeout)
+			s.Sleep(callTimeout)
 			return nil, platformfaker.ErrLost
 		}
-		there, back := s.between(time.Millisecond, 4*time.Millisecond), s.between(time.Millisecond, 4*time.Millisecond)
-		if s.faults.slow.covers(s.now) && n.centre == s.faults.slowCentre {
-			there += s.between(100*time.Millisecond, 500*time.Millisecond)
+		there, back := s.Between(time.Millisecond, 4*time.Millisecond), s.Between(time.Millisecond, 4*time.Millisecond)
+		if s.faults.slow.covers(s.Now()) && n.centre == s.faults.slowCentre {
+			there += s.Between(100*time.Millisecond, 500*time.Millisecond)
 		}
-		lost := s.faults.lost.covers(s.now) && s.rand.Float64() < 0.3
-		if s.faults.late.covers(s.now) && s.rand.Float64() < 0.2 {
-			there += s.between(callTimeout, 6*time.Second)
+		lost := s.faults.lost.covers(s.Now()) && s.Rand().Float64() < 0.3
+		if s.faults.late.covers(s.Now()) && s.Rand().Float64() < 0.2 {
+			there += s.Between(callTimeout, 6*time.Second)
 		}
 		// The body is read now, because the caller may be gone when the request takes effect.
 		var w *http.Response
 		var err error
-		s.after(there, func() {
+		s.After(there, func() {
 			w, err = do(r.WithContext(context.Background())) //nolint:bodyclose // The client closes the body.
 		})
 		if lost || there+back >= callTimeout {
-			s.sleep(callTimeout)
+			s.Sleep(callTimeout)
 			return nil, platformfaker.ErrLost
 		}
-		s.sleep(there + back)
+		s.Sleep(there + back)
 		return w, err
 	}
 }
--- a/faultsbencher/schedule.go
+++ b/faultsbencher/schedule.go
@@ -16,6 +16,7 @@
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/leaser"
 	"github.com/siskinfront/siskinfront/platformfaker"
+	"github.com/siskinfront/siskinfront/scheduler"
 	"github.com/siskinfront/siskinfront/storer"
 	"github.com/siskinfront/siskinfront/streamer"
 )
@@ -69,7 +70,7 @@
 
 // schedule is one seeded run.
 type schedule struct {
-	*world
+	*scheduler.Scheduler
 	weaken      Weaken
 	label       Kind
 	table       *platformfaker.Table
@@ -88,14 +89,14 @@
 
 // Run runs one schedule with faults of the given kinds and returns what its checks found.
 func Run(seed uint64, kinds []Kind, weaken Weaken) Outcome {
-	s := &schedule{world: newWorld(seed), weaken: weaken, byName: map[identifier.Instance]*node{}, work: newWork(seed)}
+	s := &schedule{Scheduler: scheduler.New(seed), weaken: weaken, byName: map[identifier.Instance]*node{}, work: newWork(seed)}
 	s.check = newChecker(s)
 	s.table, s.objects = platformfaker.NewTable(), platformfaker.NewObjects()
 	s.table.ForgetTransactions = weaken.ForgetTransactions
 	s.table.OnApply = s.check.applied
-	s.table.Out = func(*http.Request) bool { return s.faults.outage.covers(s.now) }
-	s.objects.Out = func(*http.Request) bool { return s.faults.objects.covers(s.now) }
-	s.list = platformfaker.NewInstances(func() time.Time { return s.now })
+	s.table.Out = func(*http.Request) bool { return s.faults.outage.covers(s.Now()) }
+	s.objects.Out = func(*http.Request) bool { return s.faults.objects.covers(s.Now()) }
+	s.list = platformfaker.NewInstances(func() time.Time { return s.Now() })
 	for i := range centres * perCentre {
 		n := &node{s: s, centre: i / perCentre, name: identifier.Instance("instance-" + strconv.Itoa(i))}
 		s.nodes = append(s.nodes, n)
@@ -106,8 +107,8 @@
 	}
 	s.list.Set(s.members())
 	s.list.Lag = listLag
-	s.now = s.now.Add(listLag)
-	s.check.served = s.now
+	s.Skip(listLag)
+	s.check.served = s.Now()
 	for _, n := range s.nodes {
 		n.start()
 	}
@@ -122,13 +123,22 @@
 		s.spawn(nil, func() { s.billLoop("bill-" + strconv.Itoa(i)) })
 	}
 	s.spawn(nil, s.workLoop)
-	s.after(0, s.check.sample)
-	s.run(faultTime + healTime)
+	s.After(0, s.check.sample)
+	s.Run(faultTime + healTime)
 	s.check.finish()
-	s.end()
+	s.End()
 	return s.check.outcome
 }
 
+// spawn starts a process of a node, or of none if n is nil.
+func (s *schedule) spawn(n *node, f func()) {
+	if n == nil {
+		s.Spawn(nil, f)
+		return
+	}
+	s.Spawn(&n.Host, f)
+}
+
 func (s *schedule) members() []storer.Instance {
 	list := make([]storer.Instance, 0, len(s.nodes))
 	for _, n := range s.nodes {
@@ -142,14 +152,14 @@
 // anyNode returns a random node that is up and not leaving, and not one of those given.
 func (s *schedule) anyNode(but ...*node) *node {
 	for {
-		if n := s.nodes[s.rand.IntN(len(s.nodes))]; n.up && !n.leaving && !slices.Contains(but, n) {
+		if n := s.nodes[s.Rand().IntN(len(s.nodes))]; n.up && !n.leaving && !slices.Contains(but, n) {
 			return n
 		}
 	}
 }
 
 func (s *schedule) busy() bool {
-	return s.now.Sub(s.start) < faultTime+listLag
+	return s.Elapsed() < faultTime+listLag
 }
 
 func (n *node) holdsLease() bool {
@@ -171,7 +181,7 @@
 	for !n.leaving {
 		le, err := n.acquireLease(ctx)
 		if err != nil {
-			n.s.sleep(n.s.between(500*time.Millisecond, time.Second))
+			n.s.Sleep(n.s.Between(500*time.Millisecond, time.Second))
 			continue
 		}
 		n.lease = le
@@ -184,7 +194,7 @@
 			if n.writeAsHolder(ctx, le, tx) == nil {
 				n.s.check.leaseServed()
 			}
-			n.s.sleep(n.s.between(400*time.Millisecond, 800*time.Millisecond))
+			n.s.Sleep(n.s.Between(400*time.Millisecond, 800*time.Millisecond))
 			n.renewLease(ctx, le)
 		}
 	}
@@ -193,7 +203,7 @@
 // commitLoop changes the configuration through random instances, which race with each other.
 func (s *schedule) commitLoop() {
 	for s.busy() {
-		s.sleep(s.between(time.Second, 4*time.Second))
+		s.Sleep(s.Between(time.Second, 4*time.Second))
 		n := s.anyNode()
 		s.spawn(n, func() {
 			next := firstConfiguration()
@@ -221,8 +231,8 @@
 
 // callerLoop sends one non-idempotent request with one key until it learns the end.
 func (s *schedule) callerLoop(key string) {
-	s.sleep(s.between(2*time.Second, 28*time.Second))
-	began := s.now
+	s.Sleep(s.Between(2*time.Second, 28*time.Second))
+	began := s.Now()
 	for attempt := 0; attempt < 8 && s.busy(); attempt++ {
 		entry := s.anyNode()
 		req := identifier.Request(key + "/" + strconv.Itoa(attempt))
@@ -234,16 +244,16 @@
 			got = &r
 		})
 		for wait := 0; got == nil && wait < 80; wait++ {
-			s.sleep(100 * time.Millisecond)
+			s.Sleep(100 * time.Millisecond)
 		}
 		if got != nil {
 			s.check.replied(key, req, *got)
 			if got.outcome != streamer.OutcomeNotRun && !got.running {
-				s.check.answered(s.now.Sub(began))
+				s.check.answered(s.Now().Sub(began))
 				return
 			}
 		}
-		s.sleep(s.between(500*time.Millisecond, 2*time.Second))
+		s.Sleep(s.Between(500*time.Millisecond, 2*time.Second))
 	}
 }
 
@@ -258,7 +268,7 @@
 		return reply{outcome: p.Outcome, body: string(p.Body), running: p.Running}
 	}
 	orders := 1
-	if s.rand.IntN(4) == 0 {
+	if s.Rand().IntN(4) == 0 {
 		orders = 2 // The first order seems lost and is sent again to another agent.
 	}
 	refused := 0
@@ -282,7 +292,7 @@
 		})
 	}
 	for wait := 0; got == nil && refused < orders && wait < 60; wait++ {
-		s.sleep(100 * time.Millisecond)
+		s.Sleep(100 * time.Millisecond)
 	}
 	switch {
 	case got != nil:
@@ -303,7 +313,7 @@
 	body := s.check.executed(key, cl.Request)
 	n.record(key, false)
 	s.sendBills(n, entry)
-	s.sleep(s.between(100*time.Millisecond, 3*time.Second))
+	s.Sleep(s.Between(100*time.Millisecond, 3*time.Second))
 	n.record(key, true)
 	s.sendBills(n, entry)
 	for range 4 {
@@ -315,7 +325,7 @@
 		if errors.Is(err, claimer.ErrLost) {
 			break
 		}
-		s.sleep(time.Second)
+		s.Sleep(time.Second)
 	}
 	return reply{outcome: streamer.OutcomeRun, body: body}
 }
--- a/faultsbencher/work.go
+++ b/faultsbencher/work.go
@@ -10,6 +10,7 @@
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/detector"
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/scheduler"
 	"github.com/siskinfront/siskinfront/streamer"
 )
 
@@ -81,7 +82,7 @@
 // workLoop sends idempotent requests to random entries.
 func (s *schedule) workLoop() {
 	for i := 0; s.busy(); i++ {
-		s.sleep(between(s.work.rand, 100*time.Millisecond, 400*time.Millisecond))
+		s.Sleep(scheduler.Between(s.work.rand, 100*time.Millisecond, 400*time.Millisecond))
 		n := s.nodes[s.work.rand.IntN(len(s.nodes))]
 		if !n.up || n.leaving {
 			continue // The load balancer does not send callers there.
@@ -109,7 +110,7 @@
 	}
 	order := &streamer.Order{
 		Request: req, Attempt: 1, ClientAccount: workAccount, Target: target, Revision: cfg.Revision,
-		Deadline: s.now.Add(answerTime),
+		Deadline: s.Now().Add(answerTime),
 	}
 	s.check.offered(n, agent)
 	var got streamer.Outcome
@@ -119,11 +120,11 @@
 			s.sendBy(s.work.rand, a, n, func(*node) { got = outcome })
 		})
 	})
-	for s.now.Before(order.Deadline) {
+	for s.Now().Before(order.Deadline) {
 		if got != "" {
 			return got
 		}
-		s.sleep(50 * time.Millisecond)
+		s.Sleep(50 * time.Millisecond)
 	}
 	return s.unanswered()
 }
@@ -166,11 +167,11 @@
 	s.check.admitted(n, order)
 	id := "run " + string(order.Request)
 	n.begin(id)
-	s.sleep(between(s.work.rand, 0, queueTime))
+	s.Sleep(scheduler.Between(s.work.rand, 0, queueTime))
 	outcome := streamer.OutcomeNotRun
 	if contradiction(n.dist.Current(), order) == nil {
 		s.check.workStarted(n, order)
-		s.sleep(between(s.work.rand, 100*time.Millisecond, 3*time.Second))
+		s.Sleep(scheduler.Between(s.work.rand, 100*time.Millisecond, 3*time.Second))
 		outcome = streamer.OutcomeRun
 	}
 	n.end(id)
--- a/faultsbencher/work_check.go
+++ b/faultsbencher/work_check.go
@@ -36,7 +36,7 @@
 	for _, v := range m.Versions {
 		t := identifier.Target{Model: m.Name, Version: v.Name}
 		if _, ok := b.withdrawn[t]; !ok && v.State == configurer.VersionWithdrawn {
-			b.withdrawn[t] = c.s.now
+			b.withdrawn[t] = c.s.Now()
 		}
 	}
 }
@@ -44,17 +44,17 @@
 // offered sees an entry that sends an order.
 func (c *checker) offered(entry, agent *node) {
 	at, left := c.work.left[agent]
-	if left && (!entry.quiet(at, c.s.now) || agent.cutPeers.overlaps(at, c.s.now)) {
+	if left && (!entry.quiet(at, c.s.Now()) || agent.cutPeers.overlaps(at, c.s.Now())) {
 		return
 	}
-	c.expect(LeavingNoWork, !left || c.s.now.Sub(at) <= leavingLimit, "%s sends an order to %s, which left %v ago",
-		entry.name, agent.name, c.s.now.Sub(at))
+	c.expect(LeavingNoWork, !left || c.s.Now().Sub(at) <= leavingLimit, "%s sends an order to %s, which left %v ago",
+		entry.name, agent.name, c.s.Now().Sub(at))
 }
 
 // admitted sees an agent that takes an order.
 func (c *checker) admitted(agent *node, o *streamer.Order) {
 	at, left := c.work.left[agent]
-	c.expect(LeavingNoWork, !left, "%s takes %s, %v after it left", agent.name, o.Request, c.s.now.Sub(at))
+	c.expect(LeavingNoWork, !left, "%s takes %s, %v after it left", agent.name, o.Request, c.s.Now().Sub(at))
 }
 
 // workStarted sees the start of a run.
@@ -65,9 +65,9 @@
 	known := cfg != nil && cfg.Version(o.Target) != nil && cfg.Version(o.Target).State == configurer.VersionWithdrawn
 	c.expect(WithdrawnNoWork, !known, "%s starts %s on %s, which is withdrawn in its revision %d", agent.name, o.Request,
 		o.Target, agent.revision)
-	if at, ok := c.work.withdrawn[o.Target]; ok && agent.quiet(at, c.s.now) && !c.tableOut(at, c.s.now) {
-		c.expect(WithdrawnNoWork, c.s.now.Sub(at) <= inForceLimit, "%s starts %s on %s, withdrawn %v ago", agent.name,
-			o.Request, o.Target, c.s.now.Sub(at))
+	if at, ok := c.work.withdrawn[o.Target]; ok && agent.quiet(at, c.s.Now()) && !c.tableOut(at, c.s.Now()) {
+		c.expect(WithdrawnNoWork, c.s.Now().Sub(at) <= inForceLimit, "%s starts %s on %s, withdrawn %v ago", agent.name,
+			o.Request, o.Target, c.s.Now().Sub(at))
 	}
 }
 
--- /dev/null
+++ b/scheduler/doc.go
@@ -0,0 +1,2 @@
+// Package scheduler runs processes one at a time on a virtual clock, so that a seed determines the whole schedule.
+package scheduler
--- /dev/null
+++ b/scheduler/scheduler_test.go
@@ -0,0 +1,46 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/scheduler"
+)
+
+// Guards against a crashed process that runs on, a paused one that does not wait, and events out of their order.
+func TestProcesses(t *testing.T) {
+	s := scheduler.New(1)
+	var log []string
+	note := func(what string) { log = append(log, fmt.Sprintf("%v %s", s.Elapsed(), what)) }
+	paused, crashed := &scheduler.Host{}, &scheduler.Host{}
+	tick := func(name string) func() {
+		return func() {
+			for {
+				s.Sleep(time.Second)
+				note(name)
+			}
+		}
+	}
+	s.Spawn(paused, tick("paused"))
+	s.Spawn(crashed, tick("crashed"))
+	s.Spawn(nil, func() { s.Sleep(2500 * time.Millisecond); note("no host") })
+	s.After(1500*time.Millisecond, func() { paused.PausedUntil = s.Now().Add(2 * time.Second) })
+	s.After(1500*time.Millisecond, func() { crashed.Life++ })
+	s.Run(4 * time.Second)
+	s.End()
+	must.Eq(t, []string{"1s paused", "1s crashed", "2.5s no host", "3.5s paused"}, log)
+	must.Eq(t, 4*time.Second, s.Elapsed())
+}
+
+// Guards against a schedule that depends on anything but its seed, and draws outside of their bounds.
+func TestBetween(t *testing.T) {
+	a, b := scheduler.New(7), scheduler.New(7)
+	for range 1000 {
+		d := a.Between(time.Second, 3*time.Second)
+		must.Eq(t, d, b.Between(time.Second, 3*time.Second))
+		must.Between(t, time.Second, d, 3*time.Second)
+	}
+}
