committer: take commits and items out of distributor

Change: Items, head, changes, commits, history, undo and entity tags are package committer; the distributor reads the table through ReadHead, ReadChange and ReadAllSince, which are exported for it. Calls in assembler, demonstrator, faultsbencher and slopesbencher name the new package. No behaviour changes but the prefix of error messages.

`go test ./committer ./distributor ./administrator ./slopesbencher ./demonstrator`: ok. `go test ./assembler -run 'Operators|TableOut|Apply|Rollout|Metrics'`: ok.

Conclusion: Whoever merges a new use of distributor.Commit, History, Undo, Item or ErrConflict writes committer instead.

--- a/assembler/admin.go
+++ b/assembler/admin.go
@@ -8,8 +8,8 @@
 
 	"github.com/siskinfront/siskinfront/administrator"
 	"github.com/siskinfront/siskinfront/authenticator"
+	"github.com/siskinfront/siskinfront/committer"
 	"github.com/siskinfront/siskinfront/configurer"
-	"github.com/siskinfront/siskinfront/distributor"
 )
 
 // adminStore gives the administration API the configuration in the table.
@@ -23,8 +23,8 @@
 			return e.distributor.Current(), nil
 		},
 		Commit: func(ctx context.Context, base uint64, next *configurer.Configuration, by string) (uint64, error) {
-			revision, err := distributor.Commit(ctx, e.table, base, next, by)
-			if errors.Is(err, distributor.ErrConflict) {
+			revision, err := committer.Commit(ctx, e.table, base, next, by)
+			if errors.Is(err, committer.ErrConflict) {
 				return 0, fmt.Errorf("%w: %w", administrator.ErrConflict, err)
 			}
 			if err == nil {
@@ -61,18 +61,18 @@
 	if err := e.distributor.Read(ctx); err != nil {
 		return nil, err
 	}
-	changes, err := distributor.History(ctx, e.table)
+	changes, err := committer.History(ctx, e.table)
 	if err != nil {
 		return nil, err
 	}
-	slices.SortFunc(changes, func(a, b distributor.Change) int { return int(b.Revision) - int(a.Revision) })
-	items := map[string]distributor.Item{}
+	slices.SortFunc(changes, func(a, b committer.Change) int { return int(b.Revision) - int(a.Revision) })
+	items := map[string]committer.Item{}
 	for _, it := range e.distributor.Since(0).Items {
 		items[it.Key] = it
 	}
 	out := make([]administrator.Change, 0, len(changes))
 	for _, c := range changes {
-		cfg, err := distributor.Join(c.Revision, items)
+		cfg, err := committer.Join(c.Revision, items)
 		if err != nil {
 			return nil, err
 		}
--- a/assembler/bed_test.go
+++ b/assembler/bed_test.go
@@ -24,8 +24,8 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/siskinfront/siskinfront/biller"
+	"github.com/siskinfront/siskinfront/committer"
 	"github.com/siskinfront/siskinfront/configurer"
-	"github.com/siskinfront/siskinfront/distributor"
 	"github.com/siskinfront/siskinfront/enginefaker"
 	"github.com/siskinfront/siskinfront/examples"
 	"github.com/siskinfront/siskinfront/identifier"
@@ -136,7 +136,7 @@
 	must.NoError(t, err)
 	b.cfg.Version(identifier.Target{Model: "melro", Version: "v3"}).State = configurer.VersionServing
 	b.startPlatform()
-	_, err = distributor.Commit(t.Context(), storer.New(b.address("table")), 0, b.cfg, "test")
+	_, err = committer.Commit(t.Context(), storer.New(b.address("table")), 0, b.cfg, "test")
 	must.NoError(t, err)
 	for range 2 {
 		e := enginefaker.New(enginefaker.WithBatch(64, 0), enginefaker.WithTokens(24), enginefaker.WithInterval(interval))
--- a/assembler/metrics_internal_test.go
+++ b/assembler/metrics_internal_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/siskinfront/siskinfront/committer"
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/distributor"
 	"github.com/siskinfront/siskinfront/entryserver"
@@ -39,11 +40,11 @@
 	p.settings.DataCentre = "ie-west-1"
 	p.observeAge(t.Context())
 	cfg := &configurer.Configuration{Revision: 1}
-	items, err := distributor.Split(cfg)
+	items, err := committer.Split(cfg)
 	must.NoError(t, err)
 	u := distributor.Update{Revision: 1, ConfirmedAt: time.Now().Add(-time.Minute)}
 	for key, value := range items {
-		u.Items = append(u.Items, distributor.Item{Key: key, Value: value, Revision: 1})
+		u.Items = append(u.Items, committer.Item{Key: key, Value: value, Revision: 1})
 	}
 	must.True(t, p.distributor.Offer(u))
 	p.observeAge(t.Context())
--- a/assembler/rollout.go
+++ b/assembler/rollout.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/siskinfront/siskinfront/buffer"
+	"github.com/siskinfront/siskinfront/committer"
 	"github.com/siskinfront/siskinfront/configurer"
-	"github.com/siskinfront/siskinfront/distributor"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/leaser"
 	"github.com/siskinfront/siskinfront/promoter"
@@ -76,7 +76,7 @@
 		return
 	}
 	next := apply(cfg, changes)
-	revision, err := distributor.Commit(ctx, r.e.table, cfg.Revision, next, "promoter")
+	revision, err := committer.Commit(ctx, r.e.table, cfg.Revision, next, "promoter")
 	if err != nil {
 		// An operator's change came first or the table is out; the next step judges anew.
 		return
--- a/distributor/commit.go
+++ b/committer/commit.go
@@ -1,4 +1,4 @@
-package distributor
+package committer
 
 import (
 	"bytes"
@@ -17,14 +17,12 @@
 )
 
 // ErrConflict is returned when another change was accepted first; the configuration is as that change left it.
-var ErrConflict = errors.New("distributor: another change was accepted first")
+var ErrConflict = errors.New("committer: another change was accepted first")
 
 const (
 	headKey      = "config/head"
 	itemPrefix   = "config/item/"
 	changePrefix = "config/change/"
-	// snapshotKey names the object with the latest snapshot that a reader wrote.
-	snapshotKey = "config-snapshot"
 	// readAttempts bounds the repeats of a full read that met a concurrent change.
 	readAttempts = 5
 )
@@ -53,38 +51,39 @@
 	return fmt.Sprintf("%s%020d", changePrefix, revision)
 }
 
-func readHead(ctx context.Context, t *storer.Table) (Head, uint64, error) {
+// ReadHead returns the head and the version of its row, both 0 before the first commit.
+func ReadHead(ctx context.Context, t *storer.Table) (Head, uint64, error) {
 	row, err := t.Get(ctx, headKey)
 	if errors.Is(err, storer.ErrNotFound) {
 		return Head{}, 0, nil
 	}
 	if err != nil {
-		return Head{}, 0, fmt.Errorf("distributor: read head: %w", err)
+		return Head{}, 0, fmt.Errorf("committer: read head: %w", err)
 	}
 	var h Head
 	if err := json.Unmarshal(row.Value, &h); err != nil {
-		return Head{}, 0, fmt.Errorf("distributor: decode head: %w", err)
+		return Head{}, 0, fmt.Errorf("committer: decode head: %w", err)
 	}
 	return h, row.Version, nil
 }
 
 // readAll returns all items at one revision: the head must be the same before and after the list is read.
 func readAll(ctx context.Context, t *storer.Table) (map[string]Item, Head, uint64, error) {
-	before, _, err := readHead(ctx, t)
+	before, _, err := ReadHead(ctx, t)
 	if err != nil {
 		return nil, Head{}, 0, err
 	}
-	return readAllSince(ctx, t, before)
+	return ReadAllSince(ctx, t, before)
 }
 
-// readAllSince is readAll for a caller that has just read the head.
-func readAllSince(ctx context.Context, t *storer.Table, before Head) (map[string]Item, Head, uint64, error) {
+// ReadAllSince returns all items at one revision for a caller that has just read the head.
+func ReadAllSince(ctx context.Context, t *storer.Table, before Head) (map[string]Item, Head, uint64, error) {
 	for range readAttempts {
 		rows, err := t.List(ctx, itemPrefix)
 		if err != nil {
-			return nil, Head{}, 0, fmt.Errorf("distributor: read items: %w", err)
+			return nil, Head{}, 0, fmt.Errorf("committer: read items: %w", err)
 		}
-		head, version, err := readHead(ctx, t)
+		head, version, err := ReadHead(ctx, t)
 		if err != nil {
 			return nil, Head{}, 0, err
 		}
@@ -96,7 +95,7 @@
 		for _, row := range rows {
 			var it Item
 			if err := json.Unmarshal(row.Value, &it); err != nil {
-				return nil, Head{}, 0, fmt.Errorf("distributor: decode %s: %w", row.Key, err)
+				return nil, Head{}, 0, fmt.Errorf("committer: decode %s: %w", row.Key, err)
 			}
 			items[it.Key] = it
 		}
@@ -158,7 +157,7 @@
 		err = errors.Join(err, put(itemPrefix+it.Key, it))
 	}
 	if err != nil {
-		return 0, fmt.Errorf("distributor: encode change %d: %w", c.Revision, err)
+		return 0, fmt.Errorf("committer: encode change %d: %w", c.Revision, err)
 	}
 	err = t.Transact(ctx, tx)
 	if errors.Is(err, storer.ErrUnknownOutcome) {
@@ -169,7 +168,7 @@
 		return 0, fmt.Errorf("%w: revision %d", ErrConflict, c.Revision)
 	}
 	if err != nil {
-		return 0, fmt.Errorf("distributor: commit revision %d: %w", c.Revision, err)
+		return 0, fmt.Errorf("committer: commit revision %d: %w", c.Revision, err)
 	}
 	return c.Revision, nil
 }
@@ -178,12 +177,12 @@
 func History(ctx context.Context, t *storer.Table) ([]Change, error) {
 	rows, err := t.List(ctx, changePrefix)
 	if err != nil {
-		return nil, fmt.Errorf("distributor: read history: %w", err)
+		return nil, fmt.Errorf("committer: read history: %w", err)
 	}
 	list := make([]Change, len(rows))
 	for i, row := range rows {
 		if err := json.Unmarshal(row.Value, &list[i]); err != nil {
-			return nil, fmt.Errorf("distributor: decode %s: %w", row.Key, err)
+			return nil, fmt.Errorf("committer: decode %s: %w", row.Key, err)
 		}
 	}
 	return list, nil
@@ -191,7 +190,7 @@
 
 // Undo reverts one change through a new change; ErrConflict if a later change touched one of its items.
 func Undo(ctx context.Context, t *storer.Table, revision uint64, by string) (uint64, error) {
-	old, err := readChange(ctx, t, revision)
+	old, err := ReadChange(ctx, t, revision)
 	if err != nil {
 		return 0, err
 	}
@@ -210,14 +209,15 @@
 	return write(ctx, t, c, version)
 }
 
-func readChange(ctx context.Context, t *storer.Table, revision uint64) (Change, error) {
+// ReadChange returns the change that led to a revision.
+func ReadChange(ctx context.Context, t *storer.Table, revision uint64) (Change, error) {
 	row, err := t.Get(ctx, changeKey(revision))
 	if err != nil {
-		return Change{}, fmt.Errorf("distributor: read change %d: %w", revision, err)
+		return Change{}, fmt.Errorf("committer: read change %d: %w", revision, err)
 	}
 	var c Change
 	if err := json.Unmarshal(row.Value, &c); err != nil {
-		return Change{}, fmt.Errorf("distributor: decode change %d: %w", revision, err)
+		return Change{}, fmt.Errorf("committer: decode change %d: %w", revision, err)
 	}
 	return c, nil
 }
@@ -226,7 +226,7 @@
 func ParseETag(tag string) (uint64, error) {
 	v, err := strconv.ParseUint(strings.Trim(tag, `"`), 10, 64)
 	if err != nil {
-		return 0, fmt.Errorf("distributor: entity tag %q: %w", tag, err)
+		return 0, fmt.Errorf("committer: entity tag %q: %w", tag, err)
 	}
 	return v, nil
 }
--- /dev/null
+++ b/committer/commit_test.go
@@ -0,0 +1,79 @@
+package committer_test
+
+import (
+	"net/http"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/committer"
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/distributor"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/platformfaker"
+	"github.com/siskinfront/siskinfront/storer"
+)
+
+var local = netip.MustParseAddrPort("127.0.0.1:1")
+
+func newTable() (*platformfaker.Table, *storer.Table) {
+	f := platformfaker.NewTable()
+	return f, storer.New(local, storer.WithDo(platformfaker.Exchange(f)))
+}
+
+func config(committed float64, kinds ...identifier.WorkKind) *configurer.Configuration {
+	c := &configurer.Configuration{Ranks: []configurer.Rank{{Name: "urgent"}}, Spend: configurer.Spend{Committed: committed}}
+	for _, k := range kinds {
+		c.WorkKinds = append(c.WorkKinds, configurer.WorkKind{Name: k, Rank: "urgent"})
+	}
+	return c
+}
+
+// Guards against a lost update between two operators, a retry reported as a conflict with itself, and an undo that
+// reverts the change of somebody else.
+func TestCommitHistoryUndo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		f, tb := newTable()
+		r, err := committer.Commit(ctx, tb, 0, config(1, "tags"), "ann")
+		must.NoError(t, err)
+		must.Eq(t, 1, r)
+		lost := false
+		f.LoseReply = func(q *http.Request) bool {
+			defer func() { lost = true }()
+			return q.Method == http.MethodPost && !lost
+		}
+		r, err = committer.Commit(ctx, tb, 1, config(2, "tags", "notes"), "bob")
+		must.NoError(t, err)
+		must.Eq(t, 2, r)
+		_, err = committer.Commit(ctx, tb, 1, config(3), "ann")
+		must.ErrorIs(t, err, committer.ErrConflict)
+		r, err = committer.Commit(ctx, tb, 2, config(2, "tags", "notes"), "ann")
+		must.NoError(t, err)
+		must.Eq(t, 2, r)
+		r, err = committer.Commit(ctx, tb, 2, config(4, "notes"), "ann")
+		must.NoError(t, err)
+		_, err = committer.Undo(ctx, tb, 2, "eve")
+		must.ErrorIs(t, err, committer.ErrConflict)
+		r, err = committer.Undo(ctx, tb, r, "eve")
+		must.NoError(t, err)
+		must.Eq(t, 4, r)
+		history, err := committer.History(ctx, tb)
+		must.NoError(t, err)
+		must.Len(t, 4, history)
+		must.Eq(t, "bob", history[1].By)
+		must.Eq(t, 3, history[3].Undoes)
+
+		d := distributor.New(distributor.WithSelf("a"), distributor.WithTable(tb))
+		must.NoError(t, d.Read(ctx))
+		must.Eq(t, 2, d.Current().Spend.Committed)
+		must.Len(t, 2, d.Current().WorkKinds)
+		must.Eq(t, time.Now(), d.ConfirmedAt())
+		tag, err := committer.ParseETag(committer.ETag(d.Revision()))
+		must.NoError(t, err)
+		must.Eq(t, 4, tag)
+	})
+}
--- a/distributor/item.go
+++ b/committer/item.go
@@ -1,13 +1,11 @@
-package distributor
+package committer
 
 import (
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/siskinfront/siskinfront/configurer"
 )
@@ -19,14 +17,6 @@
 	Revision uint64          `json:"revision"`
 }
 
-// Update brings a process from any revision at or above Base to Revision; it holds all items changed since Base.
-type Update struct {
-	Revision    uint64    `json:"revision"`
-	Base        uint64    `json:"base"`
-	Items       []Item    `json:"items,omitempty"`
-	ConfirmedAt time.Time `json:"confirmed-at"`
-}
-
 // The keys of items; items with a name end in a slash followed by the name.
 const (
 	itemRanks    = "ranks"
@@ -60,7 +50,7 @@
 	for k, v := range values {
 		b, err := json.Marshal(v)
 		if err != nil {
-			return nil, fmt.Errorf("distributor: encode %s: %w", k, err)
+			return nil, fmt.Errorf("committer: encode %s: %w", k, err)
 		}
 		items[k] = b
 	}
@@ -96,7 +86,7 @@
 			continue
 		}
 		if err != nil {
-			return nil, fmt.Errorf("distributor: decode %s at revision %d: %w", k, revision, err)
+			return nil, fmt.Errorf("committer: decode %s at revision %d: %w", k, revision, err)
 		}
 	}
 	return c, nil
@@ -107,7 +97,3 @@
 	err := json.Unmarshal(b, &v)
 	return append(list, v), err
 }
-
-func sortItems(items []Item) {
-	slices.SortFunc(items, func(a, b Item) int { return cmp.Compare(a.Key, b.Key) })
-}
--- a/demonstrator/deployment.go
+++ b/demonstrator/deployment.go
@@ -16,8 +16,8 @@
 
 	"github.com/siskinfront/siskinfront/assembler"
 	"github.com/siskinfront/siskinfront/biller"
+	"github.com/siskinfront/siskinfront/committer"
 	"github.com/siskinfront/siskinfront/configurer"
-	"github.com/siskinfront/siskinfront/distributor"
 	"github.com/siskinfront/siskinfront/enginefaker"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/storer"
@@ -120,7 +120,7 @@
 }
 
 func (d *deployment) bringUp(ctx context.Context) error {
-	if _, err := distributor.Commit(ctx, storer.New(d.fakes.addresses.Table), 0, d.cfg, "demo"); err != nil {
+	if _, err := committer.Commit(ctx, storer.New(d.fakes.addresses.Table), 0, d.cfg, "demo"); err != nil {
 		return fmt.Errorf("demonstrator: commit configuration: %w", err)
 	}
 	for i := range d.shape.engines {
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/siskinfront/siskinfront/committer"
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/storer"
@@ -53,7 +54,7 @@
 	current atomic.Pointer[configurer.Configuration]
 	mu      sync.Mutex
 	rand    *rand.Rand
-	items   map[string]Item
+	items   map[string]committer.Item
 	treeOf  []identifier.Instance
 	treeNow Tree
 	// heard is the highest revision that the table or any peer has named.
@@ -71,7 +72,7 @@
 // New returns a distributor without a configuration.
 func New(opts ...Option) *Distributor {
 	d := &Distributor{
-		now: time.Now, sleep: storer.Sleep, poll: defaultPoll, pace: defaultPull, callTime: defaultCallTime, items: map[string]Item{},
+		now: time.Now, sleep: storer.Sleep, poll: defaultPoll, pace: defaultPull, callTime: defaultCallTime, items: map[string]committer.Item{},
 		rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		onChange: func(*configurer.Configuration) {}, accept: forwardOnly,
 	}
@@ -129,7 +130,7 @@
 			items[it.Key] = it
 		}
 	}
-	c, err := Join(u.Revision, items)
+	c, err := committer.Join(u.Revision, items)
 	if err != nil {
 		d.refused.Add(1)
 		return nil, false
--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -16,6 +16,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"github.com/siskinfront/siskinfront/committer"
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/distributor"
 	"github.com/siskinfront/siskinfront/identifier"
@@ -38,52 +39,6 @@
 	return c
 }
 
-// Guards against a lost update between two operators, a retry reported as a conflict with itself, and an undo that
-// reverts the change of somebody else.
-func TestCommitHistoryUndo(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx := t.Context()
-		f, tb := newTable()
-		r, err := distributor.Commit(ctx, tb, 0, config(1, "tags"), "ann")
-		must.NoError(t, err)
-		must.Eq(t, 1, r)
-		lost := false
-		f.LoseReply = func(q *http.Request) bool {
-			defer func() { lost = true }()
-			return q.Method == http.MethodPost && !lost
-		}
-		r, err = distributor.Commit(ctx, tb, 1, config(2, "tags", "notes"), "bob")
-		must.NoError(t, err)
-		must.Eq(t, 2, r)
-		_, err = distributor.Commit(ctx, tb, 1, config(3), "ann")
-		must.ErrorIs(t, err, distributor.ErrConflict)
-		r, err = distributor.Commit(ctx, tb, 2, config(2, "tags", "notes"), "ann")
-		must.NoError(t, err)
-		must.Eq(t, 2, r)
-		r, err = distributor.Commit(ctx, tb, 2, config(4, "notes"), "ann")
-		must.NoError(t, err)
-		_, err = distributor.Undo(ctx, tb, 2, "eve")
-		must.ErrorIs(t, err, distributor.ErrConflict)
-		r, err = distributor.Undo(ctx, tb, r, "eve")
-		must.NoError(t, err)
-		must.Eq(t, 4, r)
-		history, err := distributor.History(ctx, tb)
-		must.NoError(t, err)
-		must.Len(t, 4, history)
-		must.Eq(t, "bob", history[1].By)
-		must.Eq(t, 3, history[3].Undoes)
-
-		d := distributor.New(distributor.WithSelf("a"), distributor.WithTable(tb))
-		must.NoError(t, d.Read(ctx))
-		must.Eq(t, 2, d.Current().Spend.Committed)
-		must.Len(t, 2, d.Current().WorkKinds)
-		must.Eq(t, time.Now(), d.ConfirmedAt())
-		tag, err := distributor.ParseETag(distributor.ETag(d.Revision()))
-		must.NoError(t, err)
-		must.Eq(t, 4, tag)
-	})
-}
-
 // Guards against a revision that goes back or skips a change, whatever order updates come in; the naive rule shows
 // that the check finds it.
 func TestOfferOnlyForward(t *testing.T) {
@@ -93,7 +48,7 @@
 		source := distributor.New(distributor.WithSelf("a"), distributor.WithTable(tb))
 		for i := range uint64(6) {
 			kinds := []identifier.WorkKind{"tags", "notes", "orders"}[:i%3+1]
-			_, err := distributor.Commit(t.Context(), tb, i, config(float64(i+1), kinds...), "ann")
+			_, err := committer.Commit(t.Context(), tb, i, config(float64(i+1), kinds...), "ann")
 			must.NoError(t, err)
 			must.NoError(t, source.Read(t.Context()))
 			for base := range i + 1 {
@@ -133,7 +88,7 @@
 		f, tb := newTable()
 		o := storer.NewObjects(local, storer.WithDo(platformfaker.Exchange(platformfaker.NewObjects())))
 		opts := []distributor.Option{distributor.WithSelf("a"), distributor.WithTable(tb), distributor.WithObjects(o)}
-		_, err := distributor.Commit(ctx, tb, 0, config(1), "ann")
+		_, err := committer.Commit(ctx, tb, 0, config(1), "ann")
 		must.NoError(t, err)
 		must.NoError(t, distributor.New(opts...).Read(ctx))
 		f.Out = func(*http.Request) bool { return true }
@@ -209,7 +164,7 @@
 		const changes = 3
 		for i := range uint64(changes) {
 			time.Sleep(5 * time.Second)
-			_, err := distributor.Commit(ctx, writer, i, config(float64(i+1)), "ann")
+			_, err := committer.Commit(ctx, writer, i, config(float64(i+1)), "ann")
 			must.NoError(t, err)
 		}
 		time.Sleep(5 * time.Second)
--- a/distributor/reader.go
+++ b/distributor/reader.go
@@ -5,13 +5,18 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+
+	"github.com/siskinfront/siskinfront/committer"
 )
 
+// snapshotKey names the object with the latest snapshot that a reader wrote.
+const snapshotKey = "config-snapshot"
+
 // Read brings this process to the head of the table, as its readers do, and passes on what is new.
 func (d *Distributor) Read(ctx context.Context) error {
 	at := d.now()
 	d.reads.Add(1)
-	head, _, err := readHead(ctx, d.table)
+	head, _, err := committer.ReadHead(ctx, d.table)
 	if err != nil {
 		return err
 	}
@@ -33,14 +38,14 @@
 }
 
 // fetch reads what leads from a revision to the head, with as few calls as that takes.
-func (d *Distributor) fetch(ctx context.Context, head Head, before uint64) (Update, error) {
+func (d *Distributor) fetch(ctx context.Context, head committer.Head, before uint64) (Update, error) {
 	u := Update{Revision: head.Revision, Base: before}
 	switch {
 	case head.Revision == before+1:
 		u.Items = head.Items
 	case before > 0 && head.Revision-before <= maxCatchUp:
 		for r := before + 1; r < head.Revision; r++ {
-			c, err := readChange(ctx, d.table, r)
+			c, err := committer.ReadChange(ctx, d.table, r)
 			if err != nil {
 				return Update{}, err
 			}
@@ -48,7 +53,7 @@
 		}
 		u.Items = append(u.Items, head.Items...)
 	default:
-		items, whole, _, err := readAllSince(ctx, d.table, head)
+		items, whole, _, err := committer.ReadAllSince(ctx, d.table, head)
 		if err != nil {
 			return Update{}, err
 		}
--- a/faultsbencher/checker.go
+++ b/faultsbencher/checker.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/siskinfront/siskinfront/biller"
+	"github.com/siskinfront/siskinfront/committer"
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/detector"
-	"github.com/siskinfront/siskinfront/distributor"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/leaser"
 	"github.com/siskinfront/siskinfront/storer"
@@ -161,13 +161,13 @@
 			c.expect(LeaseFenced, g.Token == c.lease.Token && c.lease.Holder != "", "write with token %d under %d of %q",
 				g.Token, c.lease.Token, c.lease.Holder)
 		case w.Key == "config/head":
-			var h distributor.Head
+			var h committer.Head
 			c.decode(w.Value, &h)
 			c.expect(ConfigNoLostUpdate, h.Revision == c.head+1, "head %d after %d", h.Revision, c.head)
 			c.head = h.Revision
 			c.commits[h.Revision] = c.s.Now()
 		case strings.HasPrefix(w.Key, "config/change/"):
-			var ch distributor.Change
+			var ch committer.Change
 			c.decode(w.Value, &ch)
 			for _, it := range ch.Items {
 				if it.Key == "spend" {
@@ -255,7 +255,7 @@
 	switch {
 	case err == nil:
 		c.accepted[mark] = revision
-	case errors.Is(err, distributor.ErrConflict):
+	case errors.Is(err, committer.ErrConflict):
 		c.conflicting[mark] = true
 	}
 }
--- a/faultsbencher/history.go
+++ b/faultsbencher/history.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/siskinfront/siskinfront/claimer"
+	"github.com/siskinfront/siskinfront/committer"
 	"github.com/siskinfront/siskinfront/configurer"
-	"github.com/siskinfront/siskinfront/distributor"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/leaser"
 	"github.com/siskinfront/siskinfront/linearizer"
@@ -146,14 +146,14 @@
 
 func (n *node) commit(ctx context.Context, next *configurer.Configuration) (uint64, error) {
 	s := n.s
-	commit := distributor.Commit
+	commit := committer.Commit
 	if s.weaken.Commit != nil {
 		commit = s.weaken.Commit
 	}
 	h := &s.check.histories.commits
 	i := h.Begin("configuration", linearizer.CommitCall{Base: next.Revision}, s.Elapsed())
 	revision, err := commit(ctx, n.table, next.Revision, next, string(n.name))
-	if err == nil || errors.Is(err, distributor.ErrConflict) {
+	if err == nil || errors.Is(err, committer.ErrConflict) {
 		h.End(i, linearizer.CommitReply{Accepted: err == nil, Revision: revision}, s.Elapsed())
 	}
 	return revision, err
--- a/faultsbencher/node.go
+++ b/faultsbencher/node.go
@@ -36,10 +36,9 @@
 type node struct {
 	scheduler.Host
 
-	s      *schedule
-	name   identifier.Instance
-	centre int
-	// life counts the process runs; a crash raises it.
+	s       *schedule
+	name    identifier.Instance
+	centre  int
 	up      bool
 	leaving bool
 	// active counts the requests and runs in progress, as the process itself does.
--- a/faultsbencher/schedule_test.go
+++ b/faultsbencher/schedule_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/siskinfront/siskinfront/claimer"
+	"github.com/siskinfront/siskinfront/committer"
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/detector"
 	"github.com/siskinfront/siskinfront/distributor"
@@ -98,10 +99,10 @@
 		return l.Acquire(ctx, "rollout/summary-large")
 	}
 	unconditional := func(ctx context.Context, tb *storer.Table, base uint64, next *configurer.Configuration, by string) (uint64, error) {
-		head := distributor.Head{}
+		head := committer.Head{}
 		row, err := tb.Get(ctx, "config/head")
 		if err != nil || json.Unmarshal(row.Value, &head) != nil || head.Revision == base {
-			return distributor.Commit(ctx, tb, base, next, by)
+			return committer.Commit(ctx, tb, base, next, by)
 		}
 		// Writes the own revision over whatever was accepted meanwhile.
 		head.Revision = base + 1
--- a/faultsbencher/work_check.go
+++ b/faultsbencher/work_check.go
@@ -4,8 +4,8 @@
 	"strings"
 	"time"
 
+	"github.com/siskinfront/siskinfront/committer"
 	"github.com/siskinfront/siskinfront/configurer"
-	"github.com/siskinfront/siskinfront/distributor"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/streamer"
 )
@@ -27,7 +27,7 @@
 }
 
 // changed sees each item of an accepted change.
-func (b *workBook) changed(c *checker, it distributor.Item) {
+func (b *workBook) changed(c *checker, it committer.Item) {
 	if !strings.HasPrefix(it.Key, "model/") {
 		return
 	}
--- a/slopesbencher/parts.go
+++ b/slopesbencher/parts.go
@@ -11,6 +11,7 @@
 
 	"github.com/siskinfront/siskinfront/balancer"
 	"github.com/siskinfront/siskinfront/biller"
+	"github.com/siskinfront/siskinfront/committer"
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/detector"
 	"github.com/siskinfront/siskinfront/distributor"
@@ -116,13 +117,13 @@
 
 // update returns the whole of a configuration as the table holds it.
 func update(cfg *configurer.Configuration) distributor.Update {
-	items, err := distributor.Split(cfg)
+	items, err := committer.Split(cfg)
 	if err != nil {
 		panic(fmt.Sprintf("slopesbencher: split configuration: %v", err))
 	}
 	u := distributor.Update{Revision: cfg.Revision, ConfirmedAt: epoch()}
 	for _, key := range slices.Sorted(maps.Keys(items)) {
-		u.Items = append(u.Items, distributor.Item{Key: key, Value: items[key], Revision: cfg.Revision})
+		u.Items = append(u.Items, committer.Item{Key: key, Value: items[key], Revision: cfg.Revision})
 	}
 	return u
 }
@@ -148,7 +149,7 @@
 				revision := d.Revision() + 1
 				changed.Revision = revision
 				offer(d, distributor.Update{
-					Revision: revision, Base: revision - 1, Items: []distributor.Item{changed}, ConfirmedAt: epoch(),
+					Revision: revision, Base: revision - 1, Items: []committer.Item{changed}, ConfirmedAt: epoch(),
 				})
 			})
 		}),
