detector: heal two processes that take each other for dead

No heartbeat passes between them, and the others know a higher incarnation and ignore the stale news. If one of them did send, both would only answer each other with the news of the death, without end.

Change: At each reading of the list a process tells one listed member that it takes for dead so. A process that gets such news from a sender that it takes for dead itself refutes it before it answers.

Conclusion: It costs one message per process and reading of the list while a listed member is dead.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -165,8 +165,26 @@
 		}
 	}
 	d.rebuild()
+	out := d.tellDead(listed)
 	d.mu.Unlock()
-	d.onChange()
+	d.finish(out, true)
+}
+
+// tellDead tells one listed member that this process takes it for dead. A live one refutes that, which matters where both
+// take each other for dead: no heartbeat passes between them, and nobody else has news of it.
+func (d *Detector) tellDead(listed map[identifier.Instance]bool) []outgoing {
+	var dead []identifier.Instance
+	for name, r := range d.members {
+		if listed[name] && r.State == Dead {
+			dead = append(dead, name)
+		}
+	}
+	if len(dead) == 0 {
+		return nil
+	}
+	slices.Sort(dead)
+	to := dead[d.rand.IntN(len(dead))]
+	return []outgoing{{to, d.message([]Event{{to, Dead, d.members[to].Incarnation}})}}
 }
 
 func (d *Detector) ensure(m Member) *record {
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -156,6 +156,34 @@
 	})
 }
 
+// Guards against two processes that take each other for dead for ever, and answer each other without end, because each
+// only answers the messages of the other.
+func TestMutualDeath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(3)
+		c.run(3)
+		c.setDrop(func(from, to int) bool { return from == 2 || to == 2 })
+		c.paused[2] = true
+		for i := range 2 {
+			peer, ok := c.nodes[i].Member(name(1 - i))
+			must.True(t, ok)
+			c.nodes[i].Receive(detector.Message{
+				From:   detector.Member{Instance: name(2), State: detector.Live},
+				Events: []detector.Event{{Instance: peer.Instance, State: detector.Dead, Incarnation: peer.Incarnation}},
+			})
+			must.Eq(t, detector.Dead, c.nodes[i].StateOf(peer.Instance))
+		}
+		for i := range 2 {
+			c.nodes[i].Merge(list(3))
+		}
+		c.run(5)
+		for i := range 2 {
+			must.Eq(t, detector.Live, c.nodes[i].StateOf(name(1-i)))
+			must.Less(t, 100, c.nodes[i].Counters()["heartbeats-received"])
+		}
+	})
+}
+
 // Guards against cost per node that grows with the number of instances: 253 of a data centre against all 2,530.
 func TestCostPerNode(t *testing.T) {
 	cost := func(n int) (messages, size int) {
--- a/detector/receive.go
+++ b/detector/receive.go
@@ -44,8 +44,15 @@
 	}
 	changed := !known
 	if r.State == Dead && m.From.Incarnation <= r.Incarnation {
-		// The sender does not know that it was taken for dead and refutes it once told.
-		out := []outgoing{{m.From.Instance, d.message([]Event{{m.From.Instance, Dead, r.Incarnation}})}}
+		// The sender does not know that it was taken for dead and refutes it once told. It may take this process for dead
+		// too: its news of that is refuted first, so that the answer brings the higher incarnation.
+		var out []outgoing
+		for _, e := range m.Events[:min(len(m.Events), maxEvents)] {
+			if e.Instance == d.self.Instance {
+				out = append(out, d.refute(e)...)
+			}
+		}
+		out = append(out, outgoing{m.From.Instance, d.message([]Event{{m.From.Instance, Dead, r.Incarnation}})})
 		d.mu.Unlock()
 		d.finish(out, false)
 		return
