--- a/assembler/rollout.go
+++ b/assembler/rollout.go
@@ -6,9 +6,9 @@
 	"errors"
 	"time"
 
+	"github.com/siskinfront/siskinfront/committer"
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/detector"
-	"github.com/siskinfront/siskinfront/distributor"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/leaser"
 	"github.com/siskinfront/siskinfront/observer"
@@ -51,7 +51,7 @@
 		return
 	}
 	next := apply(cfg, changes)
-	revision, err := distributor.Commit(ctx, r.e.table, cfg.Revision, next, "promoter")
+	revision, err := committer.Commit(ctx, r.e.table, cfg.Revision, next, "promoter")
 	if err != nil {
 		// An operator's change came first or the table is out; the next step judges anew.
 		return
