slopesbencher: measure the resident size of processes

Cause: docs/CAPACITY.md listed the live heap of the parts, while the limit of 64 MB holds for the whole process. Change: bench slopes starts the program's own entry and agent on loopback beside stand-ins for the platform and for each member, at 25, 253 and 506 members and 50, 400 and 1,000 client accounts, and reads /proc/PID/statm. Each role has a bound, and one with twice the bills of an hour of outage. The program must know its members and have its configuration, or the bench fails. Experiment takes the file of the program; the page test passes none, so it starts no process. `go test ./slopesbencher` passes. A memory limit of the runtime would bound it and was not added: its effect on latency under overload is not measured.

--- a/command_bench.go
+++ b/command_bench.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -20,6 +21,8 @@
 
 // experiments lists the experiments of the bench command.
 func experiments() []bencher.Experiment {
+	// Without the file of the program the resident sizes are not measured.
+	binary, _ := os.Executable()
 	return []bencher.Experiment{
 		choicebencher.Experiment(),
 		costbencher.Experiment(),
@@ -28,7 +31,7 @@
 		floodbencher.Experiment(),
 		pathbencher.Experiment(),
 		rolloutbencher.Experiment(),
-		slopesbencher.Experiment(),
+		slopesbencher.Experiment(binary),
 		spendbencher.Experiment(),
 	}
 }
--- a/slopesbencher/experiment.go
+++ b/slopesbencher/experiment.go
@@ -8,16 +8,19 @@
 	"github.com/siskinfront/siskinfront/bencher"
 )
 
-// Experiment returns the experiment slopes. Its bounds are the limits of the target for the control of one node.
-func Experiment() bencher.Experiment {
+// Experiment returns the experiment slopes. Its bounds are the limits of the target for the control of one node. The resident
+// sizes are those of processes of binary, the file of the program; they are not measured if it is empty.
+func Experiment(binary string) bencher.Experiment {
 	return bencher.Experiment{
 		Name:  "slopes",
 		Short: "Measure how the cost of each part grows and extrapolate it to the target size",
-		Run:   run,
+		Run: func(ctx context.Context, _ bencher.Params) (bencher.Report, error) {
+			return run(ctx, binary)
+		},
 	}
 }
 
-func run(ctx context.Context, _ bencher.Params) (bencher.Report, error) {
+func run(ctx context.Context, binary string) (bencher.Report, error) {
 	report := bencher.Report{
 		Columns: []string{"part", "unit", "sizes", "values", "intercept", "per unit", "residual"},
 		XLabel:  "size relative to the largest measured", YLabel: "value relative to the largest measured",
@@ -29,13 +32,17 @@
 		}
 		for _, s := range measure() {
 			slopes[s.Name] = &s
-			report.Rows = append(report.Rows, []string{
-				s.Name, s.Unit, fmt.Sprint(s.Sizes), values(s.Values), fmt.Sprintf("%.4g", s.Intercept),
-				fmt.Sprintf("%.4g", s.PerUnit), fmt.Sprintf("%.1f%%", 100*s.Residual),
-			})
-			report.Series = append(report.Series, series(&s))
+			addSlope(&report, &s)
 		}
 	}
+	processes, err := resident(ctx, binary)
+	if err != nil {
+		return report, err
+	}
+	for i := range processes {
+		addSlope(&report, &processes[i])
+	}
+	report.Bounds = append(report.Bounds, residentBounds(processes, slopes)...)
 	for _, role := range roles(slopes) {
 		for _, item := range role.items {
 			kind := "control"
@@ -69,6 +76,14 @@
 	return report, nil
 }
 
+func addSlope(report *bencher.Report, s *Slope) {
+	report.Rows = append(report.Rows, []string{
+		s.Name, s.Unit, fmt.Sprint(s.Sizes), values(s.Values), fmt.Sprintf("%.4g", s.Intercept),
+		fmt.Sprintf("%.4g", s.PerUnit), fmt.Sprintf("%.1f%%", 100*s.Residual),
+	})
+	report.Series = append(report.Series, series(s))
+}
+
 func values(list []float64) string {
 	texts := make([]string, len(list))
 	for i, v := range list {
--- a/slopesbencher/measure.go
+++ b/slopesbencher/measure.go
@@ -29,10 +29,18 @@
 
 // fit measures value at each size and fits the line.
 func fit(name, unit string, sizes []int, value func(n int) float64) Slope {
-	s := Slope{Name: name, Unit: unit}
+	values := make([]float64, len(sizes))
+	for i, n := range sizes {
+		values[i] = value(n)
+	}
+	return line(name, unit, sizes, values)
+}
+
+// line fits the line through measured values.
+func line(name, unit string, sizes []int, values []float64) Slope {
+	s := Slope{Name: name, Unit: unit, Values: values}
 	for _, n := range sizes {
 		s.Sizes = append(s.Sizes, float64(n))
-		s.Values = append(s.Values, value(n))
 	}
 	s.Intercept, s.PerUnit = stat.LinearRegression(s.Sizes, s.Values, nil, false)
 	largest, distance := 0.0, 0.0
--- a/slopesbencher/page_test.go
+++ b/slopesbencher/page_test.go
@@ -33,7 +33,7 @@
 		must.NoError(t, err)
 		page[strings.TrimPrefix(cells[0], "| ")] = perUnit
 	}
-	report, err := slopesbencher.Experiment().Run(t.Context(), bencher.Params{Seed: 1})
+	report, err := slopesbencher.Experiment("").Run(t.Context(), bencher.Params{Seed: 1})
 	must.NoError(t, err)
 	checked := 0
 	for _, row := range report.Rows {
--- /dev/null
+++ b/slopesbencher/resident_internal_test.go
@@ -0,0 +1,47 @@
+//go:build linux
+
+package slopesbencher
+
+import (
+	"os"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"golang.org/x/sys/unix"
+)
+
+// Guards against a resident size that is read from another field of statm, or in pages: it has to grow by memory that the
+// process touches and to stay below the virtual size.
+func TestResidentSize(t *testing.T) {
+	before, err := residentSize(os.Getpid())
+	must.NoError(t, err)
+	const extra = 64 << 20
+	// Memory of the runtime may be resident already.
+	b, err := unix.Mmap(-1, 0, extra, unix.PROT_READ|unix.PROT_WRITE, unix.MAP_ANON|unix.MAP_PRIVATE)
+	must.NoError(t, err)
+	for i := 0; i < len(b); i += os.Getpagesize() {
+		b[i] = 1
+	}
+	after, err := residentSize(os.Getpid())
+	must.NoError(t, err)
+	must.NoError(t, unix.Munmap(b))
+	must.Between(t, 0.75*extra, after-before, 1.25*extra)
+	_, err = residentSize(-1)
+	must.Error(t, err)
+}
+
+// Guards against bounds that miss a role or leave out the bills of an outage.
+func TestResidentBounds(t *testing.T) {
+	processes := []Slope{
+		{Name: "entry process, by " + residentByMember, Intercept: 30e6, PerUnit: 10e3},
+		{Name: "entry process, by client account", Intercept: 30e6},
+		{Name: "agent process, by " + residentByMember, Intercept: 70e6},
+	}
+	bounds := residentBounds(processes, map[string]*Slope{"bills that wait": {PerUnit: 400}})
+	must.SliceLen(t, 4, bounds)
+	must.InDelta(t, 32.53, bounds[0].Got, 0.01)
+	must.InDelta(t, 48.24, bounds[1].Got, 0.01)
+	must.True(t, bounds[1].Held())
+	must.False(t, bounds[2].Held())
+	must.False(t, bounds[3].Held())
+}
--- /dev/null
+++ b/slopesbencher/standin.go
@@ -0,0 +1,171 @@
+package slopesbencher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/siskinfront/siskinfront/assembler"
+	"github.com/siskinfront/siskinfront/detector"
+	"github.com/siskinfront/siskinfront/distributor"
+	"github.com/siskinfront/siskinfront/enginefaker"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/messenger"
+	"github.com/siskinfront/siskinfront/observer"
+	"github.com/siskinfront/siskinfront/platformfaker"
+	"github.com/siskinfront/siskinfront/storer"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// standIns are the platform and the members beside one process under measurement, all on loopback.
+type standIns struct {
+	ctx context.Context //nolint:containedctx // The stand-ins end with the measurement.
+	// number tells apart the processes that run at once.
+	number   int
+	dir      string
+	platform string
+	engine   netip.AddrPort
+	servers  []*httptest.Server
+	group    errgroup.Group
+}
+
+func (s *standIns) serve(h http.Handler) netip.AddrPort {
+	server := httptest.NewServer(h)
+	s.servers = append(s.servers, server)
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+// start opens the platform with a configuration in force and n members that answer control calls.
+func (s *standIns) start(n, accounts int) error {
+	dir, err := os.MkdirTemp("", "siskinfront-resident")
+	if err != nil {
+		return fmt.Errorf("slopesbencher: %w", err)
+	}
+	s.dir = dir
+	s.engine = s.serve(enginefaker.New())
+	instances := platformfaker.NewInstances(time.Now)
+	table := s.serve(platformfaker.NewTable())
+	s.platform = fmt.Sprintf("  table: %s\n", table)
+	for _, x := range []struct {
+		name    string
+		handler http.Handler
+	}{
+		{"objects", platformfaker.NewObjects()}, {"ratings", platformfaker.NewRater(time.Now, rand.New(rand.NewPCG(1, 1)))},
+		{"instances", instances}, {"weights", platformfaker.NewWeights(&platformfaker.Faults{}, 1<<10, nil)},
+	} {
+		s.platform += fmt.Sprintf("  %s: %s\n", x.name, s.serve(x.handler))
+	}
+	cfg := configuration(accounts)
+	u := update(cfg)
+	if _, err := distributor.Commit(s.ctx, storer.New(table), 0, cfg, "bench"); err != nil {
+		return fmt.Errorf("slopesbencher: commit configuration: %w", err)
+	}
+	list := members(n)
+	for i := range list {
+		// As at the target, one process of the data centre in about eight is an entry.
+		if float64(i) < float64(n)*entries/(entries+workers) {
+			list[i].Role = string(detector.RoleEntry)
+		}
+		l, err := (&net.ListenConfig{}).Listen(s.ctx, "tcp", "127.0.0.1:0")
+		if err != nil {
+			return fmt.Errorf("slopesbencher: listen for a member: %w", err)
+		}
+		list[i].Control = netip.MustParseAddrPort(l.Addr().String())
+		list[i].Data = list[i].Control
+		s.group.Go(func() error { return messenger.Serve(s.ctx, l, peer(i, u)) })
+	}
+	instances.Set(list)
+	return nil
+}
+
+// peer returns the control calls of a member that answers as an agent, has a configuration and drops all news.
+func peer(i int, u distributor.Update) *messenger.Mux {
+	mux := messenger.NewMux()
+	load := func(context.Context, messenger.Peer, assembler.None) (streamer.Load, error) {
+		return streamer.Load{}, nil
+	}
+	messenger.Handle(mux, "probe", load)
+	messenger.Handle(mux, "describe", func(context.Context, messenger.Peer, assembler.None) (assembler.Description, error) {
+		return assembler.Description{
+			Upstream: identifier.Upstream(fmt.Sprintf("upstream-%04d", i)), Targets: []identifier.Target{target(i), target(i + 1)}, Places: 4,
+		}, nil
+	})
+	messenger.Handle(mux, "config-since", func(context.Context, messenger.Peer, assembler.ConfigSince) (distributor.Update, error) {
+		// The process under measurement is not always one of the readers of the table.
+		u := u
+		u.ConfirmedAt = time.Now()
+		return u, nil
+	})
+	drop[detector.Message](mux, "heartbeat")
+	drop[distributor.Update](mux, "config-changes")
+	drop[observer.Batch](mux, "observations")
+	drop[assembler.BillsDurable](mux, "bills-durable")
+	return mux
+}
+
+func drop[P any](mux *messenger.Mux, method string) {
+	messenger.Handle(mux, method, func(context.Context, messenger.Peer, P) (assembler.None, error) { return assembler.None{}, nil })
+}
+
+// settings writes the settings of the process and returns its debug address.
+func (s *standIns) settings(role string) (debug netip.AddrPort, file string, err error) {
+	var text strings.Builder
+	fmt.Fprintf(&text, "instance: %s-1\ndata-centre: r-1-1\nregion: r-1\nplatform:\n%s", role, s.platform)
+	listeners := []string{"control", "debug", "caller", "admin"}
+	if role == "entry" {
+		text.WriteString("data-centres: [r-1-1]\n")
+	} else {
+		listeners = []string{"control", "debug", "data"}
+		fmt.Fprintf(&text, "upstream: {name: upstream-1, address: %s, slots: 8, versions: 4}\n", s.engine)
+	}
+	addresses, err := s.freeAddresses(len(listeners))
+	if err != nil {
+		return debug, "", err
+	}
+	for i, name := range listeners {
+		if name == "debug" {
+			debug = addresses[i]
+		}
+		fmt.Fprintf(&text, "%s-address: %s\n", name, addresses[i])
+	}
+	file = filepath.Join(s.dir, role+".yaml")
+	if err := os.WriteFile(file, []byte(text.String()), 0o600); err != nil {
+		return debug, "", fmt.Errorf("slopesbencher: write settings: %w", err)
+	}
+	return debug, file, nil
+}
+
+// freeAddresses returns addresses of a loopback host on which nothing else listens.
+func (s *standIns) freeAddresses(n int) (list []netip.AddrPort, err error) {
+	host := fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, os.Getpid()/128%250, s.number)
+	for range n {
+		l, err := (&net.ListenConfig{}).Listen(s.ctx, "tcp", host)
+		if err != nil {
+			return nil, fmt.Errorf("slopesbencher: find a free address: %w", err)
+		}
+		// All stay open until the last one is found, so that they differ.
+		defer func() { err = errors.Join(err, l.Close()) }()
+		list = append(list, netip.MustParseAddrPort(l.Addr().String()))
+	}
+	return list, nil
+}
+
+// close ends the stand-ins; the context has ended before.
+func (s *standIns) close() error {
+	for _, server := range s.servers {
+		server.CloseClientConnections()
+		server.Close()
+	}
+	return errors.Join(s.group.Wait(), os.RemoveAll(s.dir))
+}
