--- a/command_bench.go
+++ b/command_bench.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -21,6 +22,8 @@
 
 // experiments lists the experiments of the bench command.
 func experiments() []bencher.Experiment {
+	// Without the file of the program the resident sizes are not measured.
+	binary, _ := os.Executable()
 	return []bencher.Experiment{
 		choicebencher.Experiment(),
 		costbencher.Experiment(),
@@ -30,7 +33,7 @@
 		pathbencher.Experiment(),
 		poolsbencher.Experiment(),
 		rolloutbencher.Experiment(),
-		slopesbencher.Experiment(),
+		slopesbencher.Experiment(binary),
 		spendbencher.Experiment(),
 	}
 }
