balancer, agentserver: leave out engines that make no progress

Requests that two busy upstreams had refused went without a start-by to a random candidate, whose last sample was too old to show that it was full.

Change: the agent learns from the tokens of its runs whether the engine makes progress and reports `stalled` in its load. It refuses orders with a start-by as busy then, and tries the engine with one token every 5 s once it has no runs. Entries put stalled upstreams last while they are less than half of the subset, probe them every 10 s, and prefer a recent sample for a request that may wait.

--- a/agentserver/engine.go
+++ b/agentserver/engine.go
@@ -18,6 +18,8 @@
 	s       *Server
 	r       *run
 	started bool
+	// wait is the number of the wait for the engine, 0 while the run waits for its reader.
+	wait uint64
 }
 
 func (a *engineAttempt) run(ctx context.Context) (streamer.Frame, error) {
@@ -25,6 +27,8 @@
 	if err != nil {
 		return streamer.Frame{Kind: streamer.KindFailed, Code: "malformed-body", Outcome: a.r.outcomeNow()}, nil
 	}
+	a.wait = a.s.progress.Wait(a.s.Now())
+	defer a.endWait()
 	resp, final, err := a.s.send(ctx, a.r, http.MethodPost, "/v1/chat/completions",
 		map[string]string{"Content-Type": "application/json"}, body)
 	if err != nil {
@@ -34,6 +38,7 @@
 		return *final, nil
 	}
 	defer resp.Body.Close()
+	a.endWait()
 	if resp.StatusCode != http.StatusOK {
 		// The engine had the request, so it is not certain that nothing ran.
 		return streamer.Frame{Kind: streamer.KindFailed, Code: "engine-refused", Outcome: streamer.OutcomeUnknown}, nil
@@ -56,6 +61,9 @@
 		if !lines.More() {
 			// Tokens that arrived together leave together.
 			a.r.replay.Flush()
+			if a.wait == 0 {
+				a.wait = a.s.progress.Wait(a.s.Now())
+			}
 		}
 		line, err := lines.Next()
 		if err != nil {
@@ -77,6 +85,8 @@
 			a.s.addBill(a.r, nil, false)
 			return streamer.Frame{Kind: streamer.KindFailed, Code: "engine-malformed", Outcome: streamer.OutcomeRun}, nil
 		}
+		a.s.progress.Token(a.wait, a.s.Now())
+		a.wait = 0
 		if err := a.r.replay.Hold(ctx, streamer.Frame{Kind: streamer.KindToken, Data: data}); err != nil {
 			return a.stopped(ctx)
 		}
@@ -89,6 +99,12 @@
 	return streamer.Frame{Kind: streamer.KindFailed, Code: "engine-ended-early", Outcome: streamer.OutcomeRun}, nil
 }
 
+// endWait ends a wait that brought no token.
+func (a *engineAttempt) endWait() {
+	a.s.progress.End(a.wait, a.s.Now())
+	a.wait = 0
+}
+
 // stopped returns errPreempted, or the final frame of a run that was ended from outside.
 func (a *engineAttempt) stopped(ctx context.Context) (streamer.Frame, error) {
 	if errors.Is(context.Cause(ctx), errPreempted) {
--- a/agentserver/execute.go
+++ b/agentserver/execute.go
@@ -20,7 +20,7 @@
 func (s *Server) execute(r *run) {
 	ctx, cancel := context.WithDeadlineCause(r.ctx, r.order.Deadline, context.DeadlineExceeded)
 	defer cancel()
-	load := s.currentLoad()
+	load := s.CurrentLoad()
 	if err := r.replay.Append(ctx, streamer.Frame{Kind: streamer.KindAccepted, Load: &load}); err != nil {
 		s.end(r, s.interrupted(ctx, r))
 		return
@@ -39,6 +39,10 @@
 
 // admitted waits for a slot, runs the order in it, and waits for the next one after each preemption.
 func (s *Server) admitted(ctx context.Context, r *run, a attempt) streamer.Frame {
+	if !r.order.StartBy.IsZero() && s.progress.Stalled(s.Now()) {
+		// The entry tries another upstream; an order that may wait comes here only when there is none.
+		return refusedFrame(&RefusalError{Code: streamer.CodeBusy})
+	}
 	ticket, err := s.Admit(ctx, Item{Order: r.order, Cost: float64(r.order.PromptTokens + r.order.MaxTokens)})
 	var refusal *RefusalError
 	switch {
--- a/agentserver/handler.go
+++ b/agentserver/handler.go
@@ -65,7 +65,7 @@
 // answer sends a final frame as the only one.
 func (s *Server) answer(w http.ResponseWriter, order *streamer.Order, f streamer.Frame) {
 	w.Header().Set("Content-Type", contentType)
-	load := s.currentLoad()
+	load := s.CurrentLoad()
 	f.Sequence, f.Request, f.Load = 1, order.Request, &load
 	line, err := streamer.AppendFrame(nil, &f)
 	if err != nil {
--- a/agentserver/run.go
+++ b/agentserver/run.go
@@ -179,7 +179,7 @@
 		r.gone.Stop()
 	}
 	r.mu.Unlock()
-	load := s.currentLoad()
+	load := s.CurrentLoad()
 	f.Load = &load
 	// Finish fails only on a second final frame, and end is called once per run. The context ends after it, because its
 	// end aborts the write of a frame.
--- a/agentserver/server.go
+++ b/agentserver/server.go
@@ -51,6 +51,7 @@
 	bills    billBook
 	counters counters
 	fence    fence
+	progress Progress
 
 	mu       sync.Mutex
 	runs     map[runKey]*run
@@ -66,7 +67,7 @@
 }
 
 type counters struct {
-	accepted, attached, refused, done, failed, cancelled, preempted atomic.Int64
+	accepted, attached, refused, done, failed, cancelled, preempted, trials, trialsFailed atomic.Int64
 }
 
 // Option configures a Server.
@@ -176,7 +177,7 @@
 	return map[string]int64{
 		"orders-accepted": c.accepted.Load(), "orders-attached": c.attached.Load(), "orders-refused": c.refused.Load(),
 		"runs-done": c.done.Load(), "runs-failed": c.failed.Load(), "runs-cancelled": c.cancelled.Load(),
-		"runs-preempted": c.preempted.Load(),
+		"runs-preempted": c.preempted.Load(), "trials": c.trials.Load(), "trials-failed": c.trialsFailed.Load(),
 	}
 }
 
@@ -196,15 +197,16 @@
 	s.mu.Lock()
 	st := State{Upstream: s.Upstream, Active: s.active, Remembered: len(s.runs), Draining: s.draining}
 	s.mu.Unlock()
-	st.BillsPending, st.FencingToken, st.Load = s.bills.len(), s.fence.token(), s.currentLoad()
+	st.BillsPending, st.FencingToken, st.Load = s.bills.len(), s.fence.token(), s.CurrentLoad()
 	return st
 }
 
-// currentLoad is Load with the agent's own draining state.
-func (s *Server) currentLoad() streamer.Load {
+// CurrentLoad is Load with the draining state and the progress of the engine.
+func (s *Server) CurrentLoad() streamer.Load {
 	l := s.Load()
 	s.mu.Lock()
 	l.Leaving = l.Leaving || s.draining
 	s.mu.Unlock()
+	l.Stalled = s.progress.Stalled(s.Now())
 	return l
 }
--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -127,7 +127,7 @@
 	a.engine = newEngineWatch(s.Upstream.Address, s.Upstream.Service)
 	a.server = agentserver.New(s.Upstream.Name, s.Upstream.Address,
 		agentserver.WithConfiguration(a.distributor.Current),
-		agentserver.WithAdmit(a.admit, a.currentLoad), agentserver.WithLoaded(a.engine.has),
+		agentserver.WithAdmit(a.admit, a.load), agentserver.WithLoaded(a.engine.has),
 		agentserver.WithMark(a.commandMark),
 	)
 	a.biller = biller.New(s.Instance, []biller.Sink{biller.TableSink(a.table), biller.ObjectSink(a.objects)},
@@ -154,14 +154,28 @@
 	a.register("engine", a.engine)
 }
 
-// currentLoad is the load of the admission with a hash of the loaded versions.
+// currentLoad is the load that frames and probes report.
 func (a *Agent) currentLoad() streamer.Load {
+	return a.server.CurrentLoad()
+}
+
+// load is the load of the admission with a hash of the loaded versions.
+func (a *Agent) load() streamer.Load {
 	l := a.admission.load()
 	serving, _ := a.targets()
 	l.Loaded = hashOf(serving)
 	return l
 }
 
+// trialTarget returns a version with which a stalled engine is tried.
+func (a *Agent) trialTarget() (identifier.Target, bool) {
+	serving, _ := a.targets()
+	if len(serving) == 0 {
+		return identifier.Target{}, false
+	}
+	return serving[0], true
+}
+
 // admit waits for a slot; an engine that does not answer takes no new work. Such an agent is not leaving, because an
 // entry never lets a leaving upstream return.
 func (a *Agent) admit(ctx context.Context, it agentserver.Item) (agentserver.Ticket, error) {
@@ -185,6 +199,7 @@
 	}
 	a.engine.look(ctx)
 	g.Go(func() error { return ignoreEnd(duties, a.engine.run(duties)) })
+	g.Go(func() error { return ignoreEnd(duties, a.server.Watch(duties, a.trialTarget)) })
 	g.Go(func() error { return ignoreEnd(duties, a.biller.Run(duties)) })
 	g.Go(func() error { return every(duties, billStep, a.moveBills) })
 	data := &http.Server{Handler: a.server, ReadHeaderTimeout: readHeaderTime}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -251,6 +251,15 @@
 	for _, n := range l.Queued {
 		load += int64(n)
 	}
+	if c.node.stalled.Swap(l.Stalled) != l.Stalled {
+		change := int64(-1)
+		if l.Stalled {
+			change = 1
+		}
+		for _, p := range c.pools {
+			p.stalled.Add(change)
+		}
+	}
 	c.node.running.Store(int64(l.Running))
 	if load > int64(l.Running) {
 		c.node.slots.Store(int64(l.Running))
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -16,17 +16,23 @@
 	hot   bool
 	full  bool // the last sample showed no free slot
 	trial bool
+	// doubtful: the last sample showed no progress, or a request that may wait would go by a sample that is too old.
+	doubtful bool
 }
 
 // The excess load in requests for which a farther upstream is left alone: a constant and a part of the mean. Within a
 // region the data centres are a millisecond or two apart, which is little beside the time of a token.
 var penalties = [distances]struct{ constant, relative float64 }{{0, 0}, {0.1, 0.02}, {1, 0.25}}
 
-// better is the hot-cold rule: cold before hot, and one not seen full before one that was; else the less loaded, with the penalty of its distance.
+// better is the hot-cold rule: a doubtful one last, cold before hot, and one not seen full before one that was; else the
+// less loaded, with the penalty of its distance.
 func (a option) better(o option) bool {
 	if o.c == nil {
 		return true
 	}
+	if a.doubtful != o.doubtful {
+		return !a.doubtful
+	}
 	if a.hot != o.hot {
 		return !a.hot
 	}
@@ -81,41 +87,52 @@
 			continue
 		}
 		left--
-		if o := b.option(c, mean, now); o.better(best) {
+		if o := b.option(p, k, c, mean, now); o.better(best) {
 			best = o
 		}
 	}
 	return best
 }
 
-// draw returns a random usable candidate between two indexes of the subset, or a trial of one whose breaker cooled down.
+// draw returns a random usable candidate between two indexes of the subset, a doubtful one only for want of another, or a
+// trial of one whose breaker cooled down.
 func (b *Balancer) draw(p *pool, k *Key, from, to int, r uint64, mean float64, t time.Time, now int64) option {
 	at := from + int(uint32(r)%uint32(to-from))
+	var spare option
 	for range to - from {
 		c := p.near[at]
-		if b.usable(c, k) {
-			return b.option(c, mean, now)
+		usable := b.usable(c, k)
+		if usable {
+			o := b.option(p, k, c, mean, now)
+			if !o.doubtful {
+				return o
+			}
+			spare = o
 		}
-		if !c.node.leaving.Load() && !excluded(c, k) && c.node.breaker.claimTrial(t) {
+		if !usable && !c.node.leaving.Load() && !excluded(c, k) && c.node.breaker.claimTrial(t) {
 			return option{c: c, load: mean, trial: true}
 		}
 		if at++; at == to {
 			at = from
 		}
 	}
-	return option{}
+	return spare
 }
 
-func (b *Balancer) option(c *candidate, mean float64, now int64) option {
+func (b *Balancer) option(p *pool, k *Key, c *candidate, mean float64, now int64) option {
 	load := c.node.estimate(mean, now, &b.o)
+	old := now-c.node.sampleAt.Load() >= int64(fullTime)
 	hot, full := load > mean*hotFactor+hotMargin, false
 	if slots := c.node.slots.Load(); slots > 0 {
 		// A sample too old for a load still tells that the upstream was full, and a stuck one stays full.
-		full = c.node.load.Load() >= slots && now-c.node.sampleAt.Load() < int64(fullTime)
+		full = c.node.load.Load() >= slots && !old
 		hot = load >= float64(slots)
 	}
 	far := penalties[c.distance]
-	return option{c: c, load: load + far.constant + far.relative*mean, hot: hot, full: full}
+	return option{
+		c: c, load: load + far.constant + far.relative*mean, hot: hot, full: full,
+		doubtful: c.node.stalled.Load() && p.shuns() || old && k.Busy >= maxBusy,
+	}
 }
 
 func (b *Balancer) usable(c *candidate, k *Key) bool {
@@ -142,8 +159,8 @@
 		if c == nil || !slices.Contains(c.pools, p) || !b.usable(c, k) {
 			continue
 		}
-		o := b.option(c, mean, now)
-		if o.hot && !best.hot || o.full && !best.full || o.load > best.load+mean*affinityFactor+affinityMargin {
+		o := b.option(p, k, c, mean, now)
+		if o.doubtful && !best.doubtful || o.hot && !best.hot || o.full && !best.full || o.load > best.load+mean*affinityFactor+affinityMargin {
 			b.counters.yielded.Add(1)
 			continue
 		}
--- a/balancer/probe.go
+++ b/balancer/probe.go
@@ -17,6 +17,9 @@
 	probeTimeout = time.Second
 	// probeParallel bounds the probes that wait for a reply.
 	probeParallel = 16
+	// stalledGap is the age of the sample of a stalled upstream from which it is probed before all others, because no
+	// request's frame will tell that it works again.
+	stalledGap = 10 * time.Second
 )
 
 // NextProbe returns the upstream whose sample is the oldest among the subsets in use, and records it as probed.
@@ -35,7 +38,11 @@
 				continue
 			}
 			// A probe without a reply counts as a sample here, so that a dead upstream does not take every probe.
-			if at := max(c.node.sampleAt.Load(), probed); best == nil || at < bestAt {
+			at := max(c.node.sampleAt.Load(), probed)
+			if c.node.stalled.Load() && now-at > int64(stalledGap) {
+				at = 0
+			}
+			if best == nil || at < bestAt {
 				best, bestAt = c, at
 			}
 		}
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -31,6 +31,7 @@
 	number   uint32
 	breaker  *breaker
 	leaving  atomic.Bool
+	stalled  atomic.Bool  // the last sample tells that the engine makes no progress
 	inFlight atomic.Int64 // requests of this entry
 	sampleAt atomic.Int64 // Unix nanoseconds, 0 without a sample
 	load     atomic.Int64 // running and waiting requests in the sample
@@ -68,6 +69,8 @@
 	// sum is the sum of the sampled loads of sampled members of the subset.
 	sum     atomic.Int64
 	sampled atomic.Int64
+	// stalled counts the stalled members of the subset.
+	stalled atomic.Int64
 	usedAt  atomic.Int64 // Unix nanoseconds of the last choice
 	// fresh is the probe pool: the indexes in near of the latest samples.
 	fresh [freshSize]atomic.Int32
@@ -170,6 +173,9 @@
 			p.sum.Add(s.c.node.load.Load())
 			p.sampled.Add(1)
 		}
+		if s.c.node.stalled.Load() {
+			p.stalled.Add(1)
+		}
 	}
 	for i := range p.fresh {
 		p.fresh[i].Store(-1)
@@ -218,6 +224,12 @@
 	return max(float64(p.sum.Load())/float64(n), 0)
 }
 
+// shuns reports whether stalled members come after all others. When half of the members are stalled the version is slow
+// rather than its engines, and the others could not take their load.
+func (p *pool) shuns() bool {
+	return 2*p.stalled.Load() < int64(len(p.near))
+}
+
 // estimate returns the expected load of a node now. A sample loses weight with its age and with each use, because the
 // other entries see the same idle upstream; what is left is the mean of the subset.
 func (n *node) estimate(mean float64, now int64, o *options) float64 {
--- /dev/null
+++ b/balancer/stall_test.go
@@ -0,0 +1,85 @@
+package balancer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/balancer"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// Guards against work for a stalled upstream, also by affinity, while others work, against taking most upstreams out
+// when their version is slow, and against an upstream that does not return once it works again.
+func TestStalled(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		stalled int
+		shunned bool
+	}{{"one of eight", 1, true}, {"three of eight", 3, true}, {"half", 4, false}, {"all", 8, false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := start
+			b := balancer.New("dc-0", seeded(7), balancer.WithNow(func() time.Time { return now }))
+			ups := fleet(8, 1)
+			b.Update(ups)
+			report := func(stalled int) {
+				now = now.Add(time.Second)
+				for i, u := range ups {
+					b.Report(u.Name, streamer.Load{At: now, Running: 4 + i, Stalled: i < stalled})
+				}
+			}
+			// taken returns the choices of upstreams that are stalled in the case.
+			taken := func() int {
+				n := 0
+				for range 200 {
+					now = now.Add(20 * time.Millisecond)
+					u, err := b.Choose(balancer.Key{Target: target(0), Session: "s"})
+					must.NoError(t, err)
+					for i := range tc.stalled {
+						if ups[i].Name == u.Name {
+							n++
+						}
+					}
+				}
+				return n
+			}
+			report(0)
+			must.Positive(t, taken())
+			report(tc.stalled)
+			if tc.shunned {
+				must.Zero(t, taken())
+			} else {
+				must.Positive(t, taken())
+			}
+			b.Update(ups)
+			must.Eq(t, tc.shunned, taken() == 0)
+			report(0)
+			must.Positive(t, taken())
+		})
+	}
+}
+
+// Guards against a stalled upstream that waits minutes for a probe, since no request's frame tells that it works again.
+func TestProbeOfStalled(t *testing.T) {
+	now := start
+	b := balancer.New("dc-0", seeded(7), balancer.WithNow(func() time.Time { return now }))
+	ups := fleet(20, 1)
+	b.Update(ups)
+	_, err := b.Choose(balancer.Key{Target: target(0)})
+	must.NoError(t, err)
+	now = now.Add(time.Second)
+	for i, u := range ups {
+		b.Report(u.Name, streamer.Load{At: now.Add(time.Duration(i) * time.Millisecond), Stalled: i == len(ups)-1})
+	}
+	var probed []identifier.Upstream
+	for range 14 {
+		now = now.Add(time.Second)
+		u, ok := b.NextProbe()
+		must.True(t, ok)
+		probed = append(probed, u.Name)
+	}
+	must.SliceContains(t, probed[9:], ups[19].Name)
+	must.SliceNotContains(t, probed[:9], ups[19].Name)
+}
--- a/batchfaker/agent.go
+++ b/batchfaker/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/siskinfront/siskinfront/admitter"
@@ -150,7 +151,8 @@
 	Engine *Engine
 	Slots  int
 
-	queue []*Call
+	queue   []*Call
+	running map[*Call]*Sequence
 }
 
 // Submit queues a call.
@@ -164,13 +166,32 @@
 		c := f.queue[0]
 		f.queue[0] = nil
 		f.queue = f.queue[1:]
-		f.Engine.Start(c.Prompt, c.Tokens, c.OnFirst, func() {
+		if f.running == nil {
+			f.running = make(map[*Call]*Sequence)
+		}
+		f.running[c] = f.Engine.Start(c.Prompt, c.Tokens, c.OnFirst, func() {
+			delete(f.running, c)
 			c.OnDone()
 			f.dispatch()
 		})
 	}
 }
 
+// Cancel removes a call and reports whether it had not ended.
+func (f *Fifo) Cancel(c *Call) bool {
+	if i := slices.Index(f.queue, c); i >= 0 {
+		f.queue = slices.Delete(f.queue, i, i+1)
+		return true
+	}
+	s, ok := f.running[c]
+	if ok {
+		f.Engine.Stop(s)
+		delete(f.running, c)
+		f.dispatch()
+	}
+	return ok
+}
+
 // Waiting returns the number of waiting calls.
 func (f *Fifo) Waiting() int {
 	return len(f.queue)
--- a/choicebencher/choice_test.go
+++ b/choicebencher/choice_test.go
@@ -31,3 +31,19 @@
 	_, err := choicebencher.RunSmall(t.Context(), bencher.Params{Seed: 3, Duration: time.Second})
 	must.ErrorContains(t, err, "no request ended")
 }
+
+// Guards against requests that go on to a stuck engine because each ends at its deadline, which says nothing about the
+// engine, and against a slow engine that is taken out as if it were stuck.
+func TestFaultyEngine(t *testing.T) {
+	for _, seed := range []uint64{5, 7} {
+		share, stalled := choicebencher.FaultyShare(seed, choicebencher.StuckFactor)
+		must.True(t, stalled)
+		must.LessEq(t, choicebencher.StuckShare, share)
+		for _, factor := range []float64{2, 8} {
+			share, stalled = choicebencher.FaultyShare(seed, factor)
+			must.False(t, stalled)
+			must.Positive(t, share)
+			must.Less(t, 1, share)
+		}
+	}
+}
--- a/choicebencher/request.go
+++ b/choicebencher/request.go
@@ -104,7 +104,7 @@
 	}
 	r.loop.After(network, func() {
 		// A queue in order of arrival has no estimate, so a busy worker refuses every order that may not wait.
-		if !startBy.IsZero() && !w.free() {
+		if !startBy.IsZero() && (!w.free() || w.progress.Stalled(r.loop.Now())) {
 			r.refuse(w, network)
 			return
 		}
@@ -112,7 +112,7 @@
 			r.sample(r.entry, w)
 		}
 		r.submitted(w)
-		w.queue.Submit(&batchfaker.Call{
+		c := &batchfaker.Call{
 			Prompt: r.readPrompt(w), Tokens: r.tokens,
 			OnFirst: func() { r.measure(&r.first, r.sent, network) },
 			OnDone: func() {
@@ -126,7 +126,9 @@
 					q[0].send(w, time.Time{})
 				}
 			},
-		})
+		}
+		w.queue.Submit(c)
+		r.expire(w, c)
 	})
 }
 
--- a/choicebencher/scenario.go
+++ b/choicebencher/scenario.go
@@ -19,6 +19,8 @@
 	// eventLag and eventLoss describe the cache events on their way to the entries.
 	eventLag  time.Duration
 	eventLoss float64
+	// deadline is the time after which a caller gives up; 0 means never.
+	deadline time.Duration
 }
 
 const (
@@ -27,6 +29,9 @@
 	// faultWindow is the time within which a stuck engine must lose its traffic; stuckShare is what may be left of it.
 	faultWindow = 5 * time.Second
 	stuckShare  = 0.05
+	// stuckDeadline ends the requests at a stuck engine, which makes its slots free again; the longest answer of a working
+	// engine takes 11 s.
+	stuckDeadline = 15 * time.Second
 
 	prefixesPerVersion = 200
 	prefixTokens       = 1500
@@ -94,46 +99,6 @@
 	}
 }
 
-// fault slows one engine down at the end of the warm-up.
-func (s *simulation) fault() {
-	if s.scenario.slowdown == 0 {
-		return
-	}
-	s.faulty = s.serving[0][0]
-	s.loop.After(s.from.Sub(s.loop.Now()), func() {
-		sh := shape()
-		sh.Step = time.Duration(float64(sh.Step) * s.scenario.slowdown)
-		s.faulty.engine.SetShape(sh)
-	})
-}
-
-// submitted counts the requests that a worker takes into its queue, by the second since the fault.
-func (s *simulation) submitted(w *worker) {
-	if s.faulty == nil || s.loop.Now().Before(s.from) || !slices.Contains(s.serving[0], w) {
-		return
-	}
-	second := int(s.loop.Now().Sub(s.from) / time.Second)
-	for len(s.taken) <= second {
-		s.taken = append(s.taken, [2]int{})
-	}
-	s.taken[second][1]++
-	if w == s.faulty {
-		s.taken[second][0]++
-	}
-}
-
-// faultyShare returns the requests that the faulty engine took in an interval relative to the mean of its version.
-func (s *simulation) faultyShare(from, to time.Duration) float64 {
-	var own, all int
-	for i, n := range s.taken {
-		if at := time.Duration(i) * time.Second; at >= from && at < to {
-			own += n[0]
-			all += n[1]
-		}
-	}
-	return float64(own) * float64(len(s.serving[0])) / float64(max(all, 1))
-}
-
 // scenarios adds the rows and bounds of faulty engines and of prefix affinity at one size.
 func scenarios(report *bencher.Report, seed uint64, z size, duration time.Duration) error {
 	run := func(p policy, sc scenario) (*simulation, result, error) {
@@ -164,7 +129,7 @@
 	atMost("one engine half as fast: answer p95 / all-knowing", r.total/best.total, ratioLimit)
 	atMost("one engine half as fast: first token p95 / all-knowing", r.first/best.first, ratioLimit)
 	atMost("one engine half as fast: its traffic / mean", s.faultyShare(faultWindow, duration), 1)
-	if s, _, err = run(routed, scenario{name: "one engine stuck", slowdown: stuckFactor}); err != nil {
+	if s, _, err = run(routed, scenario{name: "one engine stuck", slowdown: stuckFactor, deadline: stuckDeadline}); err != nil {
 		return err
 	}
 	atMost("one engine stuck: its traffic after 5 s / mean", s.faultyShare(faultWindow, duration), stuckShare)
--- a/choicebencher/simulation.go
+++ b/choicebencher/simulation.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/siskinfront/siskinfront/agentserver"
 	"github.com/siskinfront/siskinfront/balancer"
 	"github.com/siskinfront/siskinfront/batchfaker"
 	"github.com/siskinfront/siskinfront/bencher"
@@ -18,6 +19,9 @@
 	engine   *batchfaker.Engine
 	queue    *batchfaker.Fifo
 	cache    prefixCache
+	progress agentserver.Progress
+	tokens   float64 // tokens of the engine at the last look
+	waits    []uint64
 }
 
 func (w *worker) load() int {
@@ -53,6 +57,7 @@
 	probes       int
 	requests     int
 	busy         int          // orders refused as busy
+	expired      int          // requests that ended at their deadline
 	waiting      [][]*request // central queues of the versions
 	byName       map[identifier.Upstream]*worker
 	seen         map[*worker]int // late samples of the naive policy, shared by all entries
@@ -145,7 +150,9 @@
 
 // load returns what the agent of a worker reports now.
 func (s *simulation) load(w *worker) streamer.Load {
-	return streamer.Load{At: s.loop.Now(), Running: w.engine.Running(), Queued: []int{w.queue.Waiting()}}
+	return streamer.Load{
+		At: s.loop.Now(), Running: w.engine.Running(), Queued: []int{w.queue.Waiting()}, Stalled: w.progress.Stalled(s.loop.Now()),
+	}
 }
 
 // sample lets an entry see the present load of a worker after the lag.
--- a/streamer/frame.go
+++ b/streamer/frame.go
@@ -93,6 +93,8 @@
 	// Wait is the estimated time until a new request of the lowest rank starts.
 	Wait    time.Duration `json:"wait"`
 	Leaving bool          `json:"leaving"`
+	// Stalled is set while the engine has work and makes no progress, and until a trial request succeeds afterwards.
+	Stalled bool `json:"stalled,omitempty"`
 	// Loaded is a hash of the versions that the engine has loaded; it changes when they do.
 	Loaded uint64 `json:"loaded,omitempty"`
 }
