--- a/slopesbencher/standin.go
+++ b/slopesbencher/standin.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/siskinfront/siskinfront/assembler"
+	"github.com/siskinfront/siskinfront/committer"
 	"github.com/siskinfront/siskinfront/detector"
 	"github.com/siskinfront/siskinfront/distributor"
 	"github.com/siskinfront/siskinfront/enginefaker"
@@ -68,7 +69,7 @@
 	}
 	cfg := configuration(accounts)
 	u := update(cfg)
-	if _, err := distributor.Commit(s.ctx, storer.New(table), 0, cfg, "bench"); err != nil {
+	if _, err := committer.Commit(s.ctx, storer.New(table), 0, cfg, "bench"); err != nil {
 		return fmt.Errorf("slopesbencher: commit configuration: %w", err)
 	}
 	list := members(n)
