detector: pass over fields that later versions append to a heartbeat

Cause: the short form of a heartbeat refused more fields than it knows, so the first field that a later version appends would make every process of the earlier version take the upgraded ones for dead during a rolling upgrade. Change: fields beyond the known ones are passed over.

--- a/detector/encoding.go
+++ b/detector/encoding.go
@@ -8,10 +8,10 @@
 
 // A message without the sender's addresses, as nine heartbeats of ten are, is encoded as a JSON array of instance, state,
 // incarnation, revision and, if there are any, events. It takes 43 bytes in place of 93 as an object. A message with
-// the addresses is an object.
+// the addresses is an object. Later versions may append fields, which are passed over, so that a deployment can be upgraded
+// process by process.
 const (
 	leastFields = 4
-	mostFields  = 5
 	eventFields = 3
 )
 
@@ -43,7 +43,7 @@
 	if err := json.Unmarshal(b, &fields); err != nil {
 		return fmt.Errorf("detector: decode message: %w", err)
 	}
-	if len(fields) < leastFields || len(fields) > mostFields {
+	if len(fields) < leastFields {
 		return fmt.Errorf("detector: decode message: %d fields", len(fields))
 	}
 	var events [][]json.RawMessage
@@ -54,7 +54,7 @@
 	}
 	for _, e := range events {
 		var x Event
-		if len(e) != eventFields {
+		if len(e) < eventFields {
 			return fmt.Errorf("detector: decode event: %d fields", len(e))
 		}
 		if err := decodeFields(e, []any{&x.Instance, &x.State, &x.Incarnation}); err != nil {
@@ -65,9 +65,9 @@
 	return nil
 }
 
-// decodeFields decodes each field into the part at its index.
+// decodeFields decodes each field into the part at its index; fields beyond the parts are passed over.
 func decodeFields(fields []json.RawMessage, parts []any) error {
-	for i, f := range fields {
+	for i, f := range fields[:min(len(fields), len(parts))] {
 		if err := json.Unmarshal(f, parts[i]); err != nil {
 			return fmt.Errorf("detector: decode field %d: %w", i, err)
 		}
