--- a/entryserver/models.go
+++ b/entryserver/models.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/decoder"
 	"github.com/siskinfront/siskinfront/identifier"
 )
 
@@ -20,6 +21,10 @@
 	Data   []modelObject `json:"data"`
 }
 
+func newModelObject(m identifier.Model) modelObject {
+	return modelObject{ID: m, Object: "model", OwnedBy: "siskinfront"}
+}
+
 // models answers GET /v1/models with the models that the client account may use.
 func (s *Server) models(w http.ResponseWriter, r *http.Request, _ identifier.Request) error {
 	cfg := s.Configuration()
@@ -27,16 +32,38 @@
 	if err != nil {
 		return err
 	}
-	list := modelList{Object: "list", Data: []modelObject{{ID: identifier.ModelAuto, Object: "model", OwnedBy: "siskinfront"}}}
+	list := modelList{Object: "list", Data: []modelObject{newModelObject(identifier.ModelAuto)}}
 	for i := range cfg.Models {
 		if m := &cfg.Models[i]; usable(account, m) {
-			list.Data = append(list.Data, modelObject{ID: m.Name, Object: "model", OwnedBy: "siskinfront"})
+			list.Data = append(list.Data, newModelObject(m.Name))
+		}
+	}
+	writeJSON(w, list)
+	return nil
+}
+
+// model answers GET /v1/models/{model}. A model that the account may not use is unknown to it, as in the list.
+func (s *Server) model(w http.ResponseWriter, r *http.Request, _ identifier.Request) error {
+	cfg := s.Configuration()
+	account, err := s.authenticate(cfg, r)
+	if err != nil {
+		return err
+	}
+	name := identifier.Model(r.PathValue("model"))
+	if m := cfg.Model(name); name != identifier.ModelAuto && (m == nil || !usable(account, m)) {
+		return &decoder.Error{
+			Status: http.StatusNotFound, Code: "unknown-model", Type: decoder.TypeInvalidRequest,
+			Message: "the model does not exist or the client account may not use it",
 		}
 	}
+	writeJSON(w, newModelObject(name))
+	return nil
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	// The caller may have gone; there is nobody else to tell.
-	_ = json.NewEncoder(w).Encode(list)
-	return nil
+	_ = json.NewEncoder(w).Encode(v)
 }
 
 func usable(account *configurer.ClientAccount, m *configurer.Model) bool {
--- a/entryserver/openai_test.go
+++ b/entryserver/openai_test.go
@@ -44,6 +44,20 @@
 		must.Len(t, 2, models.Data)
 		must.Eq(t, "finch-small", models.Data[1].ID)
 
+		one, err := c.Models.Get(t.Context(), "finch-small")
+		must.NoError(t, err)
+		must.Eq(t, models.Data[1].ID, one.ID)
+		_, err = c.Models.Get(t.Context(), "finch-large")
+		var hidden *openai.Error
+		must.True(t, errors.As(err, &hidden))
+		must.Eq(t, "unknown-model", hidden.Code)
+
+		var reply *http.Response
+		_, err = c.Chat.Completions.New(t.Context(), params, option.WithResponseInto(&reply))
+		must.NoError(t, err)
+		must.Eq(t, reply.Header.Get(decoder.HeaderRequestID), reply.Header.Get("X-Request-Id"))
+		must.NotEq(t, "", reply.Header.Get("X-Request-Id"))
+
 		unknown := params
 		unknown.Model = "wren"
 		_, err = c.Chat.Completions.New(t.Context(), unknown)
--- a/entryserver/server.go
+++ b/entryserver/server.go
@@ -114,6 +114,7 @@
 	}
 	s.mux.HandleFunc("POST /v1/chat/completions", s.handle(s.complete))
 	s.mux.HandleFunc("GET /v1/models", s.handle(s.models))
+	s.mux.HandleFunc("GET /v1/models/{model}", s.handle(s.model))
 	s.mux.HandleFunc("/services/{name}/{path...}", s.handle(s.service))
 	s.mux.HandleFunc("/", s.handle(func(http.ResponseWriter, *http.Request, identifier.Request) error {
 		return &decoder.Error{
@@ -158,6 +159,8 @@
 		s.counters.requests.Add(1)
 		id := identifier.NewRequest()
 		w.Header().Set(decoder.HeaderRequestID, string(id))
+		// The published client libraries show this header as the ID of the request.
+		w.Header().Set("X-Request-Id", string(id))
 		if s.leaving.Load() {
 			// A caller with a kept connection moves to another entry.
 			w.Header().Set("Connection", "close")
--- a/meter/counters.go
+++ b/meter/counters.go
@@ -30,6 +30,8 @@
 		{"agent", "runs-done", "Runs with a complete response."},
 		{"agent", "runs-failed", "Runs that ended without a complete response."},
 		{"agent", "runs-preempted", "Runs interrupted for more urgent work."},
+		{"agent", "trials", "Trials of an engine that made no progress and has no runs."},
+		{"agent", "trials-failed", "Trials that brought no token."},
 		{"balancer", "affinity-kept", "Requests that followed the upstream of their prefix or session."},
 		{"balancer", "affinity-yielded", "Requests that did not, because that upstream was loaded."},
 		{"balancer", "bound", "Orders that had to start at once or be refused."},
