--- /dev/null
+++ b/assembler/observations_test.go
@@ -0,0 +1,74 @@
+package assembler_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/distributor"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/leaser"
+	"github.com/siskinfront/siskinfront/meter"
+	"github.com/siskinfront/siskinfront/storer"
+)
+
+// counter reads one counter of the metrics of a process, 0 while it does not answer.
+func (p *proc) counter(part, name string) int {
+	ctx, cancel := context.WithTimeout(p.t.Context(), 5*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.at("debug").String()+meter.Path, http.NoBody)
+	must.NoError(p.t, err)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	must.NoError(p.t, err)
+	m := regexp.MustCompile(`(?m)^` + meter.CounterName(part, name) + ` (\d+)$`).FindSubmatch(text)
+	must.Len(p.t, 2, m, must.Sprintf("%s %s is no counter of %s", part, name, p.name))
+	n, err := strconv.Atoi(string(m[1]))
+	must.NoError(p.t, err)
+	return n
+}
+
+// Guards against observations or ratings that do not reach the holder of the roll-out lease from another entry, by way of
+// the relay, when a version is a candidate.
+func TestObservationsReachTheHolder(t *testing.T) {
+	t.Parallel()
+	candidate := identifier.Target{Model: "melro", Version: "v3"}
+	b := newBed(t, 2*time.Millisecond, func(b *bed) {
+		b.cfg = b.cfg.WithVersion(candidate, func(v *configurer.Version) { v.State, v.Exposure = configurer.VersionCandidate, 0.5 })
+		_, err := distributor.Commit(b.t.Context(), storer.New(b.address("table")), 1, b.cfg, "test")
+		must.NoError(b.t, err)
+	})
+	var lease leaser.Record
+	b.eventually("a holder judges roll-outs", patience, func() bool {
+		lease = b.lease("rollouts")
+		return lease.Holder != ""
+	})
+	holder, other := "entry-1", "entry-2"
+	if instanceOf(lease) != holder {
+		holder, other = other, holder
+	}
+	x := b.traffic(20*time.Millisecond, "observed", call{entry: other, kind: "counter-answer", model: "melro"})
+	b.eventually("batches reach the holder", patience, func() bool { return b.procs[holder].counter("observer", "batches-received") > 0 })
+	b.eventually("the holder judges ratings of both versions", patience, func() bool {
+		var rows []struct {
+			Target identifier.Target `json:"target"`
+			Pairs  int               `json:"pairs"`
+		}
+		return b.procs[holder].state("promoter", &rows) == nil && len(rows) == 1 && rows[0].Target == candidate && rows[0].Pairs > 0
+	})
+	must.Positive(t, b.procs[holder].counter("promoter", "observations"))
+	for nonce, a := range x.end() {
+		must.True(t, a.good(nonce), must.Sprintf("%s: %+v", nonce, a))
+	}
+}
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"errors"
-	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -23,18 +20,13 @@
 	"github.com/siskinfront/siskinfront/messenger"
 	"github.com/siskinfront/siskinfront/meter"
 	"github.com/siskinfront/siskinfront/storer"
-	"github.com/siskinfront/siskinfront/streamer"
 )
 
 const (
-	// readHeaderTime bounds the reading of request headers on every listener.
-	readHeaderTime = 5 * time.Second
 	// configurationPoll is how often a starting process looks for its first configuration.
 	configurationPoll = 20 * time.Millisecond
 	// ageInterval is how often the age of the configuration is observed.
 	ageInterval = time.Second
-	// certificateCheck is how often the certificate files are looked at for a change.
-	certificateCheck = 30 * time.Second
 )
 
 // part is a long-lived value that the state dump and the metrics show.
@@ -133,58 +125,6 @@
 	p.debug.Handle("GET "+meter.Path, p.meter)
 }
 
-func (p *process) loadTLS() error {
-	s := p.settings.TLS
-	if s.Certificate == "" {
-		return nil
-	}
-	t, err := authenticator.LoadTLS(authenticator.Files{
-		Certificate: s.Certificate, Key: s.Key, Authority: s.Authority, ServerName: serverName,
-	})
-	if err != nil {
-		return fmt.Errorf("assembler: load certificates of %s: %w", p.settings.Instance, err)
-	}
-	p.tls = t
-	return nil
-}
-
-// serverName is the name that the certificates of all processes of a deployment carry.
-const serverName = "siskinfront"
-
-func (p *process) messengerOptions(config func(*authenticator.TLS) *tls.Config) []messenger.Option {
-	if p.tls == nil {
-		return nil
-	}
-	return []messenger.Option{messenger.WithTLS(func() *tls.Config { return config(p.tls) })}
-}
-
-// dialAgent connects to the data listener of an agent under the current certificates. The order is sent only after the
-// handshake, so a failed handshake counts as a failed dial.
-func (p *process) dialAgent(ctx context.Context, network, address string) (net.Conn, error) {
-	d := tls.Dialer{Config: p.tls.Client()}
-	conn, err := d.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, &net.OpError{Op: "dial", Net: network, Err: err}
-	}
-	return conn, nil
-}
-
-// streamsClient returns the client that opens streams at agents, with mutual TLS if the settings have certificates.
-func (p *process) streamsClient() *streamer.Client {
-	if p.tls == nil {
-		return streamer.NewClient()
-	}
-	return streamer.NewClient(streamer.WithDial(p.dialAgent))
-}
-
-// dataListener returns the listener for orders, which refuses plain connections if the settings have certificates.
-func (p *process) dataListener(l net.Listener) net.Listener {
-	if p.tls == nil {
-		return l
-	}
-	return tls.NewListener(l, p.tls.Server())
-}
-
 // register shows a part in the state dump and in the metrics.
 func (p *process) register(name string, x part) {
 	p.dumper.Register(name, x.State)
@@ -297,36 +237,3 @@
 	}
 	return nil
 }
-
-// serveHTTP serves h on l until ctx ends, without waiting for requests in progress for longer than a moment.
-func serveHTTP(ctx context.Context, l net.Listener, h http.Handler) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTime}
-	stop := context.AfterFunc(ctx, func() {
-		last, cancel := context.WithTimeout(context.WithoutCancel(ctx), readHeaderTime)
-		defer cancel()
-		// What is still open after that is a debugging client.
-		_ = server.Shutdown(last)
-	})
-	defer stop()
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("assembler: serve %s: %w", l.Addr(), err)
-	}
-	return nil
-}
-
-// listen opens a listener at an address of the settings; port 0 lets the system choose.
-func listen(ctx context.Context, a netip.AddrPort) (net.Listener, error) {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", a.String())
-	if err != nil {
-		return nil, fmt.Errorf("assembler: listen on %s: %w", a, err)
-	}
-	return l, nil
-}
-
-// addressOf returns the address of a TCP listener.
-func addressOf(l net.Listener) netip.AddrPort {
-	if a, ok := l.Addr().(*net.TCPAddr); ok {
-		return a.AddrPort()
-	}
-	return netip.AddrPort{}
-}
