limiter, assembler: exchange of account limits between entries

Cause: each entry had an equal part of an account's limit, so callers that stick to 1, 3 or 30 of 330 entries got 0.003, 0.009 or 0.092 of it.

Change: entries keep 0.05 of each limit in equal parts. The rest belongs to the entry that owns the account by rendezvous hash over the live entries; limiter.Lender grants it in shares with a deadline, limiter.Borrower asks for them by the measured demand while its entry is short (method limit-share). The owner has no durable state: a new one renews what entries still hold and grants even parts until former shares have ended. It divides only the part of the pool that the live entries are of the listed ones. detector.Count gives the listed entries, the dead included.

Views that differ for longer than 5 s are not covered.

--- a/assembler/control.go
+++ b/assembler/control.go
@@ -18,6 +18,7 @@
 	methodDescribe      = "describe"
 	methodBillsDurable  = "bills-durable"
 	methodObservations  = "observations"
+	methodLimitShare    = "limit-share"
 	methodDrain         = "drain"
 	methodCommand       = "command"
 )
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -56,12 +56,14 @@
 	pinRows   *pinRows
 	explainer *explainer.Explainer
 	accounts  *limiter.Accounts
+	lender    *limiter.Lender
+	borrower  *limiter.Borrower
 	retries   *limiter.Budget
 	quality   *quality
 	rollouts  *rollouts
 	use       *placer.Use
-	// liveEntries is the number of live entries of the deployment, kept so that no request has to count them.
-	liveEntries atomic.Int64
+	// entries is the number of listed entries of the deployment, kept so that no request has to count them.
+	entries atomic.Int64
 }
 
 type entryListeners struct {
@@ -147,6 +149,7 @@
 func (e *Entry) buildChoice() {
 	s := &e.settings
 	current := e.distributor.Current
+	e.buildLimits()
 	e.directory = newDirectory(e.process)
 	e.balancer = balancer.New(s.DataCentre, balancer.WithRegion(s.Region), balancer.WithInstance(s.Instance),
 		balancer.WithProbe(e.directory.probe))
@@ -161,8 +164,6 @@
 			return ask[pinner.Question, identifier.Target](ctx, e.peers, owner, methodPin, q)
 		}),
 		pinner.WithWrite(e.pinRows.write), pinner.WithRead(e.pinRows.read))
-	e.accounts = limiter.NewAccounts(limiter.WithShare(e.shareOfLimits))
-	e.retries = limiter.NewBudget()
 }
 
 // buildRecords builds the parts that keep claims, bills and decision records.
@@ -181,7 +182,7 @@
 		entryserver.WithSelect(e.selector.Select), entryserver.WithPin(e.pinner.Pin),
 		entryserver.WithChoose(e.choose), entryserver.WithClaim(e.claim), entryserver.WithRecord(e.record),
 		entryserver.WithRetry(e.retries.Allow, e.retries.Success), entryserver.WithExplain(e.explain),
-		entryserver.WithLimit(e.accounts.Allow), entryserver.WithReserve(e.reserve), entryserver.WithRate(e.rate),
+		entryserver.WithLimit(e.allow), entryserver.WithReserve(e.reserve), entryserver.WithRate(e.rate),
 		entryserver.WithAttempts(e.balancer.Begin, e.attemptEnded, e.loadReported),
 	)
 }
@@ -191,6 +192,9 @@
 	messenger.Handle(e.mux, methodPin, func(ctx context.Context, _ messenger.Peer, q pinner.Question) (identifier.Target, error) {
 		return e.pinner.Answer(ctx, q)
 	})
+	messenger.Handle(e.mux, methodLimitShare, func(_ context.Context, _ messenger.Peer, a limiter.Ask) (limiter.Grant, error) {
+		return e.lender.Answer(a, time.Now()), nil
+	})
 	messenger.Handle(e.mux, methodObservations, func(_ context.Context, _ messenger.Peer, list []promoter.Observation) (None, error) {
 		e.rollouts.receive(list)
 		return None{}, nil
@@ -202,7 +206,7 @@
 	for name, x := range map[string]part{
 		"entry": e.server, "administrator": e.admin, "balancer": e.balancer, "estimator": e.estimator, "selector": e.selector,
 		"spender": e.spender, "claimer": e.claimer, "biller": e.biller, "pinner": e.pinner, "explainer": e.explainer,
-		"account-limits": e.accounts, "retry-budget": e.retries, "promoter": e.rollouts.promoter,
+		"account-limits": e.accounts, "limit-lender": e.lender, "limit-borrower": e.borrower, "retry-budget": e.retries, "promoter": e.rollouts.promoter,
 	} {
 		e.registerConfigured(name, x)
 	}
@@ -224,39 +228,28 @@
 	if e.directory == nil {
 		return
 	}
-	n := 0
-	for _, m := range e.detector.Members() {
-		if m.Role == detector.RoleEntry {
-			n++
-		}
-	}
-	e.liveEntries.Store(int64(n))
+	e.limitMembersChanged()
 	e.directory.wake()
 }
 
-// entryCount returns the number of live entries of the deployment, this one included.
-func (e *Entry) entryCount() int {
-	return max(1, int(e.liveEntries.Load()))
-}
-
 // regionEntries returns the live entries of the own region, among which sessions are divided.
 func (e *Entry) regionEntries() []identifier.Instance {
+	return e.liveEntriesOf(func(m *detector.Member) bool { return m.Region == e.settings.Region })
+}
+
+// liveEntriesOf returns the entries among the members that are neither dead nor leaving and pass a filter.
+func (e *Entry) liveEntriesOf(pass func(*detector.Member) bool) []identifier.Instance {
 	members := e.detector.Members()
 	names := make([]identifier.Instance, 0, len(members))
 	for i := range members {
 		m := &members[i]
-		if m.Role == detector.RoleEntry && m.Region == e.settings.Region && m.State != detector.Dead && m.State != detector.Leaving {
+		if m.Role == detector.RoleEntry && m.State != detector.Dead && m.State != detector.Leaving && pass(m) {
 			names = append(names, m.Instance)
 		}
 	}
 	return names
 }
 
-// shareOfLimits divides the limit of a client account evenly among the live entries of the deployment.
-func (e *Entry) shareOfLimits(*configurer.ClientAccount) float64 {
-	return 1 / float64(e.entryCount())
-}
-
 // Run serves until ctx ends or a drain is asked for; it then finishes the requests in progress, hands over what is
 // not durable yet, and returns. ready is called once callers are served.
 func (e *Entry) Run(ctx context.Context, ready func(EntryAddresses)) error {
@@ -330,7 +323,7 @@
 	for _, duty := range []func(context.Context) error{
 		e.directory.run, e.balancer.Run, e.spender.Run, e.biller.Run, e.pinner.Run, e.pinRows.run, e.reportDurable, e.sweepClaims,
 		e.quality.submit, e.quality.collect, e.quality.follow, e.rollouts.judge, e.rollouts.forward,
-		e.place,
+		e.place, e.exchangeShares,
 	} {
 		g.Go(func() error { return ignoreEnd(ctx, duty(ctx)) })
 	}
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -107,6 +107,22 @@
 	return list
 }
 
+// Count returns the number of known members of a role, self and the dead that the platform still lists included.
+func (d *Detector) Count(role Role) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	if d.self.Role == role {
+		n++
+	}
+	for _, r := range d.members {
+		if r.Role == role {
+			n++
+		}
+	}
+	return n
+}
+
 // Member returns what is known of one member, self included, and false for an unknown one.
 func (d *Detector) Member(name identifier.Instance) (Member, bool) {
 	d.mu.Lock()
--- /dev/null
+++ b/limiter/lender.go
@@ -0,0 +1,266 @@
+package limiter
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+// Ask is what an entry that is short of an account's limit sends to the owner of the account. Shares are fractions of the
+// limit.
+type Ask struct {
+	Account identifier.ClientAccount `json:"account"`
+	From    identifier.Instance      `json:"from"`
+	Wanted  float64                  `json:"wanted"`
+	// Held is the share that the entry still has for Left milliseconds.
+	Held float64 `json:"held,omitempty"`
+	Left int64   `json:"left,omitempty"`
+}
+
+// Grant is the answer to an Ask: a share for a number of milliseconds since the ask was sent.
+type Grant struct {
+	Share float64 `json:"share"`
+	For   int64   `json:"for"`
+	Again int64   `json:"again"` // milliseconds until asking again is useful
+}
+
+const (
+	// basePart is the part of a limit that all entries share evenly and keep without asking.
+	basePart = 0.05
+	// A share lasts longer the more entries ask, which bounds the messages of the owner: 330 asks in 50 s. Half of the
+	// shortest time must exceed viewLag, since a new owner renews only shares that are valid for that long.
+	minLifetime   = 15 * time.Second
+	askerLifetime = 150 * time.Millisecond
+	maxLifetime   = time.Minute
+	// viewLag bounds the time by which two entries learn of the same change of members.
+	viewLag = 5 * time.Second
+	// settle is how long after a change of members no share that another owner granted can still be valid.
+	settle = maxLifetime + viewLag
+	// nearFair is the part of a fair share below which an entry asks again soon, since others give back the rest when they
+	// renew theirs. With 1 instead of it 330 entries asked 34 times a second.
+	nearFair = 0.8
+	// maxGap is the longest time between two steps after which a process knows that it was not paused.
+	maxGap = 3 * time.Second
+)
+
+// loan is what one entry may hold. Until the earlier grant has ended the entry may still use that, as the reply with the
+// later one may be lost.
+type loan struct {
+	wanted, share float64
+	until         time.Time
+	earlier       float64
+	earlierUntil  time.Time
+}
+
+func (l *loan) outstanding(now time.Time) float64 {
+	held := 0.0
+	if now.Before(l.until) {
+		held = l.share
+	}
+	if now.Before(l.earlierUntil) {
+		held = max(held, l.earlier)
+	}
+	return held
+}
+
+func (l *loan) ended(now time.Time) bool {
+	return !now.Before(l.until) && !now.Before(l.earlierUntil)
+}
+
+// Lender divides the limits of the accounts that this entry owns between the entries that ask; it is safe for concurrent
+// use. It does not know what a former owner granted. For a time after each change of members it therefore only renews shares
+// of an account that it did not own before, and grants even ones: without these a deployment that has just started would
+// refuse nearly everything for a minute. During that time the shares may add up to twice the limit.
+type Lender struct {
+	self       identifier.Instance
+	evenShares bool
+
+	mu        sync.Mutex
+	live      []identifier.Instance
+	listed    int
+	books     map[identifier.ClientAccount]map[identifier.Instance]*loan
+	fresh     map[identifier.ClientAccount]time.Time // until when an account has former shares
+	changedAt time.Time
+	steppedAt time.Time
+	part      float64 // of the members that were live in this entry's view throughout the settling time
+	asked     int64
+	granted   int64
+	short     int64
+}
+
+// NewLender returns the lender of an entry that starts now and sees no other.
+func NewLender(self identifier.Instance, now time.Time, opts ...Option) *Lender {
+	l := &Lender{self: self, evenShares: newOptions(opts).evenShares, live: []identifier.Instance{self}, listed: 1, part: 1}
+	l.forget(now)
+	return l
+}
+
+func (l *Lender) livePart() float64 {
+	return min(float64(len(l.live))/float64(max(l.listed, 1)), 1)
+}
+
+// Owner returns the entry that owns an account by rendezvous hash over the live entries.
+func (l *Lender) Owner(account identifier.ClientAccount) identifier.Instance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.owner(account)
+}
+
+func (l *Lender) owner(account identifier.ClientAccount) identifier.Instance {
+	var best identifier.Instance
+	var most uint64
+	for _, name := range l.live {
+		if h := xxhash.Sum64String(string(name) + "\x00" + string(account)); best == "" || h > most || h == most && name < best {
+			best, most = name, h
+		}
+	}
+	return best
+}
+
+func (l *Lender) forget(now time.Time) {
+	l.books = make(map[identifier.ClientAccount]map[identifier.Instance]*loan)
+	l.fresh = make(map[identifier.ClientAccount]time.Time)
+	l.changedAt, l.steppedAt = now, now
+}
+
+// Changed sets the entries that this one sees live, itself included, and the number that the deployment lists. A list that
+// is equal to the last one changes nothing.
+func (l *Lender) Changed(live []identifier.Instance, listed int, now time.Time) {
+	live = slices.Sorted(slices.Values(live))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.step(now)
+	if listed == l.listed && slices.Equal(live, l.live) {
+		return
+	}
+	l.live, l.listed, l.changedAt = live, listed, now
+	// More live members mean more to grant only once what others granted in their part has ended.
+	l.part = min(l.part, l.livePart())
+	for name := range l.books {
+		if l.owner(name) != l.self {
+			delete(l.books, name)
+			delete(l.fresh, name)
+		}
+	}
+}
+
+// Step must be called every second: after a longer gap the process was paused, and another owner may have granted.
+func (l *Lender) Step(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.step(now)
+}
+
+func (l *Lender) step(now time.Time) {
+	if now.Sub(l.steppedAt) > maxGap {
+		l.forget(now)
+	}
+	l.steppedAt = now
+	if now.Sub(l.changedAt) >= settle {
+		l.part = l.livePart()
+	}
+	for name, book := range l.books {
+		maps.DeleteFunc(book, func(_ identifier.Instance, x *loan) bool { return x.ended(now) })
+		if len(book) == 0 && !now.Before(l.fresh[name]) {
+			delete(l.books, name)
+			delete(l.fresh, name)
+		}
+	}
+}
+
+// Answer grants a share of an account to an entry; an entry that does not own the account grants nothing.
+func (l *Lender) Answer(a Ask, now time.Time) Grant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.step(now)
+	l.asked++
+	if l.owner(a.Account) != l.self {
+		return Grant{Again: viewLag.Milliseconds()}
+	}
+	book := l.books[a.Account]
+	if book == nil {
+		book = make(map[identifier.Instance]*loan)
+		l.books[a.Account] = book
+		l.fresh[a.Account] = l.changedAt.Add(settle)
+	}
+	own := book[a.From]
+	if own == nil {
+		own = &loan{}
+		book[a.From] = own
+	}
+	own.wanted = max(a.Wanted, 0)
+	pool := (1 - basePart) * l.part
+	others, demands := 0.0, []float64{own.wanted}
+	for name, x := range book {
+		if name != a.From {
+			others += x.outstanding(now)
+			demands = append(demands, x.wanted)
+		}
+	}
+	fair := min(own.wanted, Split(pool, demands)[0])
+	share := min(fair, max(pool-others, 0))
+	if now.Before(l.fresh[a.Account]) {
+		renewable := 0.0
+		if a.Left >= viewLag.Milliseconds() {
+			// A former owner with an older view counts this share until it learns of the change.
+			renewable = a.Held
+		}
+		if l.evenShares {
+			renewable = max(renewable, pool/float64(l.listed))
+		}
+		share = min(share, renewable)
+	}
+	lifetime := min(minLifetime+askerLifetime*time.Duration(len(book)), maxLifetime)
+	own.earlier, own.earlierUntil = own.outstanding(now), later(own.until, own.earlierUntil)
+	own.share, own.until = share, now.Add(lifetime)
+	g := Grant{Share: share, For: lifetime.Milliseconds(), Again: renewal(lifetime).Milliseconds()}
+	if share < nearFair*fair {
+		l.short++
+		g.Again = (lifetime / 8).Milliseconds()
+	}
+	l.granted++
+	return g
+}
+
+// renewal returns the age at which a share is renewed: late, for few messages, but while a new owner would still renew it.
+func renewal(lifetime time.Duration) time.Duration {
+	return max(lifetime/2, lifetime-2*viewLag)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Counters returns the monotonic counters of the lender.
+func (l *Lender) Counters() map[string]int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return map[string]int64{"asks-received": l.asked, "shares-granted": l.granted, "shares-below-fair": l.short}
+}
+
+// LenderState is the state dump of a Lender: the shares outstanding by account.
+type LenderState struct {
+	Part        float64                              `json:"live-part"`
+	Outstanding map[identifier.ClientAccount]float64 `json:"outstanding"`
+}
+
+// State returns a LenderState.
+func (l *Lender) State() any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := LenderState{Part: l.part, Outstanding: make(map[identifier.ClientAccount]float64, len(l.books))}
+	for name, book := range l.books {
+		for _, x := range book {
+			s.Outstanding[name] += x.outstanding(l.steppedAt)
+		}
+	}
+	return s
+}
--- a/limiter/option.go
+++ b/limiter/option.go
@@ -15,9 +15,10 @@
 	total       float64
 	window      time.Duration
 	maxAccounts int
+	evenShares  bool
 }
 
-// Option configures a Budget or Accounts; an option that the type does not use has no effect.
+// Option configures a Budget, Accounts or a Lender; an option that the type does not use has no effect.
 type Option func(*options)
 
 const (
@@ -33,6 +34,7 @@
 		now: time.Now, ratio: defaultRatio, floor: defaultFloor, burst: defaultBurst,
 		share:  func(*configurer.ClientAccount) float64 { return 1 },
 		window: defaultWindow, maxAccounts: defaultMaxAccounts,
+		evenShares: true,
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -79,3 +81,8 @@
 func WithMaxAccounts(n int) Option {
 	return func(o *options) { o.maxAccounts = max(n, 1) }
 }
+
+// WithoutEvenShares makes a new owner of an account grant nothing but renewals, for comparison.
+func WithoutEvenShares() Option {
+	return func(o *options) { o.evenShares = false }
+}
