--- a/admitter/refusal.go
+++ b/admitter/refusal.go
@@ -38,3 +38,12 @@
 func (r *Refusal) Outcome() streamer.Outcome {
 	return streamer.OutcomeNotRun
 }
+
+// IsRefusal returns the refusal in err, or nil.
+func IsRefusal(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return nil
+}
--- a/limiter/exchange_test.go
+++ b/limiter/exchange_test.go
@@ -140,7 +140,6 @@
 func exchange(t *rapid.T, d *deployment, bound func(quiet time.Duration) float64) {
 	rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 	lose := func() bool { return rng.IntN(5) == 0 }
-	changedAt := d.now
 	for range rapid.IntRange(5, 20).Draw(t, "events") {
 		x := d.nodes[rapid.IntRange(0, len(d.nodes)-1).Draw(t, "entry")]
 		switch rapid.IntRange(0, 5).Draw(t, "event") {
@@ -157,7 +156,7 @@
 		case 4:
 			x.side = 1 - x.side
 		}
-		changedAt = d.now
+		changedAt := d.now
 		for _, x := range d.nodes {
 			x.viewAt = d.now.Add(time.Duration(rng.IntN(5000)) * time.Millisecond)
 		}
