--- a/assembler/observations_test.go
+++ b/assembler/observations_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/siskinfront/siskinfront/committer"
 	"github.com/siskinfront/siskinfront/configurer"
-	"github.com/siskinfront/siskinfront/distributor"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/leaser"
 	"github.com/siskinfront/siskinfront/meter"
@@ -46,7 +46,7 @@
 	candidate := identifier.Target{Model: "melro", Version: "v3"}
 	b := newBed(t, 2*time.Millisecond, func(b *bed) {
 		b.cfg = b.cfg.WithVersion(candidate, func(v *configurer.Version) { v.State, v.Exposure = configurer.VersionCandidate, 0.5 })
-		_, err := distributor.Commit(b.t.Context(), storer.New(b.address("table")), 1, b.cfg, "test")
+		_, err := committer.Commit(b.t.Context(), storer.New(b.address("table")), 1, b.cfg, "test")
 		must.NoError(b.t, err)
 	})
 	var lease leaser.Record
