balancer: send the requests of a prefix to a few homes

Change: the requests of a prefix go to the 3 members of the subset with the highest hashes of prefix and upstream, unless these are overloaded. All entries agree on them without events, so the balancer's cache events and their tests are gone; the directory keeps sessions. Prompts under 1,024 bytes have no prefix.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -21,7 +21,7 @@
 	Target identifier.Target
 	// Service selects a plain service instead of a target.
 	Service identifier.Service
-	// Prefix is the hash of the prompt's prefix, 0 for none.
+	// Prefix is the hash of the prompt's prefix, 0 for none; requests with the same one go to the same few upstreams.
 	Prefix  uint64
 	Session identifier.Session
 	// Rank is the position of the rank, 0 being the most urgent.
@@ -53,8 +53,9 @@
 	o       options
 	self    identifier.DataCentre
 	current atomic.Pointer[snapshot]
-	cache   *directory
-	chart   *interpreter.Chart
+	// sessions remembers the upstreams of sessions.
+	sessions *directory
+	chart    *interpreter.Chart
 
 	mu      sync.Mutex // guards the fields below, used by Update
 	nodes   map[identifier.Upstream]*node
@@ -76,7 +77,7 @@
 		opt(&o)
 	}
 	b := &Balancer{
-		o: o, self: self, cache: &directory{}, chart: interpreter.MustParse(breakerChart),
+		o: o, self: self, sessions: &directory{}, chart: interpreter.MustParse(breakerChart),
 		nodes: make(map[identifier.Upstream]*node),
 	}
 	b.current.Store(b.build(nil))
@@ -150,11 +151,7 @@
 		best = b.affine(s, p, &k, session, best, mean, t, now)
 	}
 	if session != 0 {
-		b.cache.put(session, best.c.node.number, t)
-	}
-	if k.Prefix != 0 {
-		// The chosen engine will cache the prefix whether or not its event arrives.
-		b.cache.put(k.Prefix, best.c.node.number, t)
+		b.sessions.put(session, best.c.node.number, t)
 	}
 	best.c.node.uses.Add(1)
 	b.counters.chosen.Add(1)
@@ -169,10 +166,6 @@
 	// half and two requests. One that has shown its slots is hot when they are expected to be taken.
 	hotFactor = 1.5
 	hotMargin = 2
-	// affinitySlack is the excess load, relative to the mean and in requests, up to which a cached prefix or a
-	// session is worth more than the least loaded candidate.
-	affinityFactor = 0.25
-	affinityMargin = 1
 )
 
 // fullTime is how long an upstream that was seen full comes after the others without a newer sample. It does not count as
@@ -290,19 +283,3 @@
 		p.fresh[(p.next.Add(1)-1)%freshSize].Store(int32(i))
 	}
 }
-
-// CacheEvent records what an upstream says about its prefix cache.
-func (b *Balancer) CacheEvent(e CacheEvent) {
-	c := b.current.Load().byName[e.Upstream]
-	now := b.o.now()
-	if c == nil || e.Prefix == 0 || now.Sub(e.At) > affinityTime {
-		return
-	}
-	if e.Evicted {
-		b.cache.remove(e.Prefix, c.node.number, e.At, now)
-		return
-	}
-	if _, at, ok := b.cache.get(e.Prefix, now); !ok || at < e.At.Unix() {
-		b.cache.put(e.Prefix, c.node.number, e.At)
-	}
-}
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -3,10 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-
-	"github.com/siskinfront/siskinfront/identifier"
 )
 
 // option is one candidate of a choice with its expected load.
@@ -142,38 +138,3 @@
 func excluded(c *candidate, k *Key) bool {
 	return len(k.Exclude) > 0 && slices.Contains(k.Exclude, c.upstream.Name)
 }
-
-// affine replaces the best candidate by the one that holds the session or the prefix unless that is overloaded.
-func (b *Balancer) affine(s *snapshot, p *pool, k *Key, session uint64, best option, mean float64, t time.Time,
-	now int64,
-) option {
-	for _, key := range [...]uint64{session, k.Prefix} {
-		if key == 0 {
-			continue
-		}
-		number, _, ok := b.cache.get(key, t)
-		if !ok || int(number) >= len(s.byNumber) {
-			continue
-		}
-		c := s.byNumber[number]
-		if c == nil || !slices.Contains(c.pools, p) || !b.usable(c, k) {
-			continue
-		}
-		o := b.option(p, k, c, mean, now)
-		if o.doubtful && !best.doubtful || o.hot && !best.hot || o.full && !best.full || o.load > best.load+mean*affinityFactor+affinityMargin {
-			b.counters.yielded.Add(1)
-			continue
-		}
-		b.counters.affine.Add(1)
-		return o
-	}
-	return best
-}
-
-func sessionKey(s identifier.Session) uint64 {
-	if s == "" {
-		return 0
-	}
-	// The bit keeps sessions apart from prefixes that have the same hash.
-	return xxhash.Sum64String(string(s)) | 1<<63
-}
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -29,6 +29,7 @@
 // node is the mutable view of one upstream; it outlives snapshots.
 type node struct {
 	number   uint32
+	hash     uint64 // of the name
 	breaker  *breaker
 	leaving  atomic.Bool
 	stalled  atomic.Bool  // the last sample tells that the engine makes no progress
@@ -196,7 +197,7 @@
 	if n, ok := b.nodes[name]; ok {
 		return n
 	}
-	n := &node{breaker: newBreaker(b.chart)}
+	n := &node{breaker: newBreaker(b.chart), hash: xxhash.Sum64String(string(name))}
 	if last := len(b.free) - 1; last >= 0 {
 		n.number = b.free[last]
 		b.free = b.free[:last]
--- a/choicebencher/request.go
+++ b/choicebencher/request.go
@@ -27,7 +27,7 @@
 	if x := s.rng.Float64(); x < inSession {
 		r.key.Session = identifier.Session(fmt.Sprintf("session-%d-%d", r.version, s.rng.IntN(sessions)))
 	}
-	if s.scenario.prefixes {
+	if s.scenario.prefixes > 0 {
 		r.drawPrefix()
 	}
 	s.requests++
--- a/decoder/request.go
+++ b/decoder/request.go
@@ -50,7 +50,8 @@
 	Deadline time.Time
 	// IncludeUsage is set when a streaming caller wants the usage as its last chunk.
 	IncludeUsage bool
-	// Prefix is a hash of the start of the prompt, for affinity to upstreams that cached it.
+	// Prefix is a hash of the start of the prompt, for affinity to upstreams that cached it; 0 for a prompt that is too
+	// short to be worth it.
 	Prefix uint64
 	// Body is the caller's body as received.
 	Body []byte
@@ -128,7 +129,8 @@
 	return req, nil
 }
 
-// prefix hashes at most prefixBytes of the first messages.
+// prefix hashes the first prefixBytes of the messages. It returns 0 for shorter ones: an engine reads them in a few steps,
+// and each has a hash of its own, which would bind it to busy upstreams for nothing.
 func prefix(messages []message) uint64 {
 	d := xxhash.New()
 	left := prefixBytes
@@ -138,10 +140,10 @@
 		_, _ = d.WriteString(m.Role)
 		_, _ = d.Write(m.Content[:n])
 		if left -= n; left == 0 {
-			break
+			return d.Sum64()
 		}
 	}
-	return d.Sum64()
+	return 0
 }
 
 // ReadBody reads a body of at most MaxBody bytes.
