entryserver: leave the retry budget alone when an agent is leaving

A refusal by a leaving agent drew on the retry budget like a failure, and the budget was spent. Change: a truthful not-run with the code draining is repeated elsewhere without the budget, within three attempts. Result: go test -run TestLeavingAgentsTakeNoBudget ./entryserver: 200 after 2 orders with an empty budget, 429 before; 429 after 2 orders when both agents leave.

--- a/admitter/refusal.go
+++ b/admitter/refusal.go
@@ -10,7 +10,7 @@
 // The codes of a Refusal.
 const (
 	CodeUnknownRank  = "unknown-rank"
-	CodeDraining     = "draining"
+	CodeDraining     = streamer.CodeDraining
 	CodeQueueFull    = "queue-full"
 	CodeWaitTooLong  = "wait-too-long"
 	CodeQueueTimeout = "queue-timeout"
--- a/agentserver/run.go
+++ b/agentserver/run.go
@@ -125,7 +125,7 @@
 	}
 	now := s.Now()
 	if s.draining {
-		return nil, false, &RefusalError{Code: "draining", RetryAt: now}
+		return nil, false, &RefusalError{Code: streamer.CodeDraining, RetryAt: now}
 	}
 	if !order.Deadline.After(now) {
 		return nil, false, &RefusalError{Code: "deadline-passed"}
--- a/entryserver/busy_test.go
+++ b/entryserver/busy_test.go
@@ -75,3 +75,25 @@
 		})
 	}
 }
+
+// Guards against a planned stop of an agent that fails requests because earlier failures have used up the retry budget, and
+// against more than three attempts while all agents leave.
+func TestLeavingAgentsTakeNoBudget(t *testing.T) {
+	for all, status := range map[bool]int{false: http.StatusOK, true: http.StatusTooManyRequests} {
+		run(t, func(t *testing.T, b *bed) {
+			b.retry = false
+			orders := 0
+			for i, a := range b.agents {
+				a.Admit = func(context.Context, agentserver.Item) (agentserver.Ticket, error) {
+					orders++
+					if i == 0 || all {
+						return agentserver.Ticket{}, &agentserver.RefusalError{Code: streamer.CodeDraining}
+					}
+					return agentserver.Ticket{Finish: func(int) {}}, nil
+				}
+			}
+			must.Eq(t, status, b.ask(t, question).status)
+			must.Eq(t, 2, orders)
+		})
+	}
+}
--- a/entryserver/dispatch.go
+++ b/entryserver/dispatch.go
@@ -140,7 +140,13 @@
 	case !j.resendable() || j.order.NonIdempotent && f.err.TrueOutcome() != streamer.OutcomeNotRun:
 		return false
 	}
-	return f.budgeted || s.Retry()
+	return f.budgeted || leaving(f) || s.Retry()
+}
+
+// leaving reports whether an agent refused an order because it is leaving. Such an attempt draws on no retry budget: it tells the
+// entry that the upstream is leaving, so a planned stop causes few of them, and a spent budget must not fail a request then.
+func leaving(f *failure) bool {
+	return f.err.Code == streamer.CodeDraining && f.err.TrueOutcome() == streamer.OutcomeNotRun
 }
 
 // worse returns the outcome that claims less: work that may have run is never reported as not run.
--- a/streamer/frame.go
+++ b/streamer/frame.go
@@ -37,6 +37,9 @@
 // CodeBusy is the code of a refusal because the order could not start by its StartBy; its outcome is always not-run.
 const CodeBusy = "busy"
 
+// CodeDraining is the code of a refusal because the agent is leaving; its outcome is always not-run.
+const CodeDraining = "draining"
+
 // Order is what an entry asks an agent to run.
 type Order struct {
 	Request       identifier.Request       `json:"request-id"`
