--- a/limiter/lender.go
+++ b/limiter/lender.go
@@ -44,6 +44,8 @@
 	// nearFair is the part of a fair share below which an entry asks again soon, since others give back the rest when they
 	// renew theirs. With 1 instead of it 330 entries asked 34 times a second.
 	nearFair = 0.8
+	// sweepInterval bounds the cost of looking for ended shares.
+	sweepInterval = time.Second
 	// maxGap is the longest time between two steps after which a process knows that it was not paused.
 	maxGap = 3 * time.Second
 )
@@ -87,6 +89,7 @@
 	fresh     map[identifier.ClientAccount]time.Time // until when an account has former shares
 	changedAt time.Time
 	steppedAt time.Time
+	sweptAt   time.Time
 	part      float64 // of the members that were live in this entry's view throughout the settling time
 	asked     int64
 	granted   int64
@@ -164,6 +167,10 @@
 	if now.Sub(l.changedAt) >= settle {
 		l.part = l.livePart()
 	}
+	if now.Sub(l.sweptAt) < sweepInterval {
+		return
+	}
+	l.sweptAt = now
 	for name, book := range l.books {
 		maps.DeleteFunc(book, func(_ identifier.Instance, x *loan) bool { return x.ended(now) })
 		if len(book) == 0 && !now.Before(l.fresh[name]) {
@@ -197,7 +204,7 @@
 	pool := (1 - basePart) * l.part
 	others, demands := 0.0, []float64{own.wanted}
 	for name, x := range book {
-		if name != a.From {
+		if name != a.From && !x.ended(now) {
 			others += x.outstanding(now)
 			demands = append(demands, x.wanted)
 		}
--- /dev/null
+++ b/limiter/lender_test.go
@@ -0,0 +1,67 @@
+package limiter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/limiter"
+)
+
+// settle is the time after a change of members in which shares of a former owner may still be valid.
+const settle = 65 * time.Second
+
+// ownerB returns a lender of entry b, cut off from entry a, and an account that it owns with and without a.
+func ownerB(now time.Time) (*limiter.Lender, identifier.ClientAccount) {
+	l := limiter.NewLender("b", now, limiter.WithoutEvenShares())
+	l.Changed([]identifier.Instance{"a", "b"}, 2, now)
+	account := identifier.ClientAccount("")
+	for i := 0; l.Owner(account) != "b"; i++ {
+		account = identifier.ClientAccount(fmt.Sprint(i))
+	}
+	l.Changed([]identifier.Instance{"b"}, 2, now)
+	return l, account
+}
+
+// stepTo lets a lender step each second until a time.
+func stepTo(l *limiter.Lender, from, to time.Time) {
+	for at := from; !at.After(to); at = at.Add(time.Second) {
+		l.Step(at)
+	}
+}
+
+// Guards against a new owner that renews a share which a former owner, with an older view, may count as free before it
+// learns of the change, and against one that grants anything else before former shares have ended.
+func TestNewOwnerOnlyRenews(t *testing.T) {
+	l, account := ownerB(start)
+	grant := func(held float64, left, after time.Duration) float64 {
+		return l.Answer(limiter.Ask{
+			Account: account, From: "b", Wanted: 1, Held: held, Left: left.Milliseconds(),
+		}, start.Add(after)).Share
+	}
+	must.EqOp(t, 0, grant(0, 0, 0))
+	must.EqOp(t, 0, grant(0.4, 5*time.Second-time.Millisecond, 0))
+	must.EqOp(t, 0.4, grant(0.4, 5*time.Second, 0))
+	stepTo(l, start, start.Add(settle))
+	must.EqOp(t, 0, grant(0, 0, settle-time.Second))
+	// Half of the entries are live, so half of the pool is divided.
+	must.EqOp(t, 0.475, grant(0, 0, settle))
+}
+
+// Guards against an owner that divides the whole limit as soon as a split has healed, while the other part still holds its
+// shares.
+func TestPartRisesAfterSettling(t *testing.T) {
+	l, account := ownerB(start)
+	ask := limiter.Ask{Account: account, From: "b", Wanted: 1}
+	healed := start.Add(2 * settle)
+	stepTo(l, start, healed)
+	must.EqOp(t, 0.475, l.Answer(ask, healed).Share)
+	l.Changed([]identifier.Instance{"a", "b"}, 2, healed)
+	for at := healed; at.Before(healed.Add(settle)); at = at.Add(time.Second) {
+		must.EqOp(t, 0.475, l.Answer(ask, at).Share)
+	}
+	must.EqOp(t, 0.95, l.Answer(ask, healed.Add(settle)).Share)
+}
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -120,6 +120,19 @@
 	})
 }
 
+func BenchmarkBorrowerUse(b *testing.B) {
+	shares := limiter.NewBorrower("entry", func() int { return 330 }, func() time.Time { return start })
+	a := limiter.NewAccounts(limiter.WithShare(shares.Share))
+	acc := configurer.ClientAccount{Name: "a", TokensPerSecond: 1e9}
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		shares.Use(&acc, 10, now)
+		a.Allow(&acc, 10, now)
+	}
+}
+
 func BenchmarkAccountsAllow(b *testing.B) {
 	a := limiter.NewAccounts()
 	acc := configurer.ClientAccount{Name: "a", TokensPerSecond: 1e9}
