balancer, agentserver: count the time between tokens as load

Change: the agent measures the mean time between two tokens of its runs, without the time that a run waits for its reader, and reports it in the load. From 1.5 times the mean of the subset on it multiplies the load plus one request. The stand-in of the experiment reports the step of its batch, and nothing when the last token is older than 10 s.

--- a/agentserver/progress.go
+++ b/agentserver/progress.go
@@ -14,6 +14,11 @@
 	stallFactor = 4
 	// gapWindow is the time after which a gap is forgotten; it may last twice as long.
 	gapWindow = time.Minute
+	// stepTokens is the number of tokens after which the older ones count half in the mean time between tokens; minTokens
+	// are needed for one, of which the latest is not older than stepAge.
+	stepTokens = 1024
+	minTokens  = 64
+	stepAge    = 10 * time.Second
 )
 
 // Progress tells from the tokens of all runs of an engine whether the engine is stalled. The zero value is ready; it is
@@ -29,6 +34,10 @@
 	// longest and former are the longest gaps of the present and the former window.
 	longest, former time.Duration
 	window          time.Time
+	// waited is the time that runs waited for tokens, the number of the latest ones.
+	waited   time.Duration
+	tokens   int
+	tokensAt time.Time
 }
 
 // Wait notes that a run waits for its next token and returns the number of the wait. A run whose reader is slow does not
@@ -47,7 +56,7 @@
 	return p.next
 }
 
-// Token ends a wait with a token, which proves that the engine works.
+// Token ends a wait with a token, which proves that the engine works; wait is 0 for one that came without a wait.
 func (p *Progress) Token(wait uint64, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -56,7 +65,15 @@
 	}
 	p.longest = max(p.longest, now.Sub(p.since))
 	p.since, p.stalled = now, false
-	delete(p.waits, wait)
+	if began, ok := p.waits[wait]; ok {
+		p.waited += now.Sub(began)
+		delete(p.waits, wait)
+	}
+	if p.tokens >= stepTokens {
+		p.tokens, p.waited = p.tokens/2, p.waited/2
+	}
+	p.tokens++
+	p.tokensAt = now
 }
 
 // End ends a wait without a token; one that has ended is ignored. Silence then counts from the oldest wait that is left,
@@ -88,6 +105,16 @@
 	return p.stalled
 }
 
+// Step returns the mean time between two tokens of a run, or 0 when there are too few recent tokens.
+func (p *Progress) Step(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.tokens < minTokens || now.Sub(p.tokensAt) > stepAge {
+		return 0
+	}
+	return p.waited / time.Duration(p.tokens)
+}
+
 // Recovered notes that a trial got a token.
 func (p *Progress) Recovered() {
 	p.mu.Lock()
--- a/agentserver/progress_test.go
+++ b/agentserver/progress_test.go
@@ -147,3 +147,28 @@
 		must.Eq(t, streamer.OutcomeRun, s.Cancel(t.Context()))
 	})
 }
+
+// Guards against a time between tokens that counts idle time or readers, that old tokens decide, or that is known without
+// tokens.
+func TestStep(t *testing.T) {
+	var p agentserver.Progress
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	run := func(tokens int, gap time.Duration) {
+		for range tokens / 2 {
+			w := p.Wait(now)
+			now = now.Add(gap)
+			p.Token(w, now)
+			// The next one came along with it while the reader took its time.
+			now = now.Add(time.Second)
+			p.Token(0, now)
+		}
+	}
+	must.Zero(t, p.Step(now))
+	run(60, 80*time.Millisecond)
+	must.Zero(t, p.Step(now))
+	run(600, 80*time.Millisecond)
+	must.Eq(t, 40*time.Millisecond, p.Step(now))
+	must.Zero(t, p.Step(now.Add(time.Minute)))
+	run(6000, 160*time.Millisecond)
+	must.Between(t, 79*time.Millisecond, p.Step(now), 80*time.Millisecond)
+}
--- a/agentserver/server.go
+++ b/agentserver/server.go
@@ -207,6 +207,7 @@
 	s.mu.Lock()
 	l.Leaving = l.Leaving || s.draining
 	s.mu.Unlock()
-	l.Stalled = s.progress.Stalled(s.Now())
+	now := s.Now()
+	l.Stalled, l.Step = s.progress.Stalled(now), s.progress.Step(now)
 	return l
 }
--- /dev/null
+++ b/balancer/affinity_test.go
@@ -0,0 +1,112 @@
+package balancer_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/balancer"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+// Guards against affinity of a session that does not hold, that binds other requests, or that does not yield under load.
+func TestAffinity(t *testing.T) {
+	now := start
+	b := balancer.New("dc-0", seeded(5), balancer.WithNow(func() time.Time { return now }))
+	ups := fleet(8, 1)
+	b.Update(ups)
+	report := func(loads ...int) {
+		now = now.Add(time.Second)
+		for i, u := range ups {
+			b.Report(u.Name, streamer.Load{At: now, Running: loads[min(i, len(loads)-1)]})
+		}
+	}
+	report(10)
+	choose := func(k balancer.Key) identifier.Upstream {
+		k.Target = target(0)
+		u, err := b.Choose(k)
+		must.NoError(t, err)
+		return u.Name
+	}
+	first := choose(balancer.Key{Session: "s"})
+	for range 3 {
+		must.Eq(t, first, choose(balancer.Key{Session: "s"}))
+	}
+	elsewhere := false
+	for range 40 {
+		elsewhere = elsewhere || choose(balancer.Key{}) != first
+	}
+	must.True(t, elsewhere)
+	must.Zero(t, b.Counters()["affinity-yielded"])
+	loads := make([]int, len(ups))
+	for i, u := range ups {
+		loads[i] = 10
+		if u.Name == first {
+			loads[i] = 30
+		}
+	}
+	report(loads...)
+	must.NotEq(t, first, choose(balancer.Key{Session: "s"}))
+	must.Eq(t, int64(1), b.Counters()["affinity-yielded"])
+}
+
+// Guards against prefixes that entries send to different upstreams, that all have the same home, that crowd an
+// overloaded home or return to one that refused, and against homes in another region.
+func TestHomes(t *testing.T) {
+	now := start
+	ups := fleet(20, 1)
+	far := balancer.Upstream{Name: "far", Region: "far", DataCentre: "dc-far", Targets: []identifier.Target{target(0)}}
+	entries := make([]*balancer.Balancer, 4)
+	report := func(load func(identifier.Upstream) int) {
+		now = now.Add(time.Second)
+		for _, b := range entries {
+			for _, u := range ups {
+				b.Report(u.Name, streamer.Load{At: now, Running: load(u.Name)})
+			}
+		}
+	}
+	for i := range entries {
+		entries[i] = balancer.New(identifier.DataCentre(fmt.Sprintf("dc-%d", i)), seeded(uint64(i)),
+			balancer.WithNow(func() time.Time { return now }), balancer.WithInstance(identifier.Instance(fmt.Sprint(i))))
+		entries[i].Update(append(slices.Clone(ups), far))
+	}
+	choose := func(prefix uint64, exclude ...identifier.Upstream) identifier.Upstream {
+		var chosen identifier.Upstream
+		for i, b := range entries {
+			u, err := b.Choose(balancer.Key{Target: target(0), Prefix: prefix, Exclude: exclude})
+			must.NoError(t, err)
+			must.NotEq(t, far.Name, u.Name)
+			if i > 0 {
+				must.Eq(t, chosen, u.Name)
+			}
+			chosen = u.Name
+		}
+		return chosen
+	}
+	even := func(identifier.Upstream) int { return 10 }
+	taken := map[identifier.Upstream]int{}
+	for prefix := uint64(1); prefix <= 100; prefix++ {
+		report(even)
+		first := choose(prefix)
+		taken[first]++
+		report(even)
+		must.Eq(t, first, choose(prefix))
+		second := choose(prefix, first)
+		must.NotEq(t, first, second)
+		report(func(u identifier.Upstream) int {
+			if u == first {
+				return 30
+			}
+			return 10
+		})
+		must.Eq(t, second, choose(prefix))
+	}
+	must.Greater(t, len(ups)*3/4, len(taken))
+	for _, n := range taken {
+		must.Less(t, 100/4, n)
+	}
+}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -168,6 +168,10 @@
 	hotMargin = 2
 )
 
+// minSlowness is the time between two tokens relative to the mean from which it counts as load. An engine that is so much
+// slower serves a request as late as one that has as much more work.
+const minSlowness = 1.5
+
 // fullTime is how long an upstream that was seen full comes after the others without a newer sample. It does not count as
 // hot, or requests would wait there for want of a start-by after an overload.
 const fullTime = 10 * time.Second
@@ -244,14 +248,11 @@
 	for _, n := range l.Queued {
 		load += int64(n)
 	}
-	if c.node.stalled.Swap(l.Stalled) != l.Stalled {
-		change := int64(-1)
-		if l.Stalled {
-			change = 1
-		}
-		for _, p := range c.pools {
-			p.stalled.Add(change)
-		}
+	stalled, step := c.node.stalled.Swap(l.Stalled), c.node.step.Swap(int64(l.Step))
+	for _, p := range c.pools {
+		p.stalled.Add(count(l.Stalled) - count(stalled))
+		p.steps.Add(int64(l.Step) - step)
+		p.stepped.Add(count(l.Step > 0) - count(step > 0))
 	}
 	c.node.running.Store(int64(l.Running))
 	if load > int64(l.Running) {
@@ -270,6 +271,13 @@
 	}
 }
 
+func count(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func (b *Balancer) setLoad(c *candidate, load int64) {
 	change := load - c.node.load.Swap(load)
 	for _, p := range c.pools {
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -124,6 +124,9 @@
 		full = c.node.load.Load() >= slots && !old
 		hot = load >= float64(slots)
 	}
+	if slow := p.slowness(c.node); slow > 1 {
+		load = (load+1)*slow - 1
+	}
 	far := penalties[c.distance]
 	return option{
 		c: c, load: load + far.constant + far.relative*mean, hot: hot, full: full,
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -38,6 +38,7 @@
 	load     atomic.Int64 // running and waiting requests in the sample
 	slots    atomic.Int64 // requests that ran while others waited in a sample, 0 if none ever waited
 	running  atomic.Int64 // running requests in the sample
+	step     atomic.Int64 // nanoseconds between two tokens in the sample, 0 if unknown
 	delta    atomic.Int64 // requests begun less those ended here since the sample
 	uses     atomic.Int64 // choices since the sample
 	probedAt atomic.Int64 // Unix nanoseconds of the last probe sent
@@ -70,6 +71,9 @@
 	// sum is the sum of the sampled loads of sampled members of the subset.
 	sum     atomic.Int64
 	sampled atomic.Int64
+	// steps is the sum of the known steps of the members of the subset, stepped their number.
+	steps   atomic.Int64
+	stepped atomic.Int64
 	// stalled counts the stalled members of the subset.
 	stalled atomic.Int64
 	usedAt  atomic.Int64 // Unix nanoseconds of the last choice
@@ -174,6 +178,10 @@
 			p.sum.Add(s.c.node.load.Load())
 			p.sampled.Add(1)
 		}
+		if step := s.c.node.step.Load(); step > 0 {
+			p.steps.Add(step)
+			p.stepped.Add(1)
+		}
 		if s.c.node.stalled.Load() {
 			p.stalled.Add(1)
 		}
@@ -231,6 +239,15 @@
 	return 2*p.stalled.Load() < int64(len(p.near))
 }
 
+// slowness returns the time between two tokens of a node relative to the mean of the subset, 1 if it is not clearly more.
+func (p *pool) slowness(n *node) float64 {
+	step, sum, members := n.step.Load(), p.steps.Load(), p.stepped.Load()
+	if step <= 0 || sum <= 0 || float64(step)*float64(members) < minSlowness*float64(sum) {
+		return 1
+	}
+	return float64(step) * float64(members) / float64(sum)
+}
+
 // estimate returns the expected load of a node now. A sample loses weight with its age and with each use, because the
 // other entries see the same idle upstream; what is left is the mean of the subset.
 func (n *node) estimate(mean float64, now int64, o *options) float64 {
--- a/balancer/stall_test.go
+++ b/balancer/stall_test.go
@@ -83,3 +83,43 @@
 	must.SliceContains(t, probed[9:], ups[19].Name)
 	must.SliceNotContains(t, probed[:9], ups[19].Name)
 }
+
+// Guards against a slow upstream that gets as much work as the others, against one that gets none although they are full,
+// and against a slow version that is treated as if all its upstreams were loaded.
+func TestSlow(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		slow      int
+		load      int
+		want, max int
+	}{
+		{"one slow", 1, 4, 0, 0}, {"one slow, others loaded", 1, 12, 50, 200}, {"all slow, two in the data centre", 8, 4, 50, 150},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := start
+			b := balancer.New("dc-0", seeded(7), balancer.WithNow(func() time.Time { return now }))
+			ups := fleet(8, 1)
+			b.Update(ups)
+			taken := 0
+			for range 200 {
+				now = now.Add(time.Second)
+				for i, u := range ups {
+					l := streamer.Load{At: now, Running: tc.load, Step: 30 * time.Millisecond}
+					if i < tc.slow {
+						l.Step *= 2
+					}
+					if i == 0 {
+						l.Running = 4
+					}
+					b.Report(u.Name, l)
+				}
+				u, err := b.Choose(balancer.Key{Target: target(0)})
+				must.NoError(t, err)
+				if u.Name == ups[0].Name {
+					taken++
+				}
+			}
+			must.Between(t, tc.want, taken, tc.max)
+		})
+	}
+}
--- a/batchfaker/engine.go
+++ b/batchfaker/engine.go
@@ -61,6 +61,11 @@
 	return len(e.batch)
 }
 
+// StepTime returns the time of one step of the present batch.
+func (e *Engine) StepTime() time.Duration {
+	return time.Duration(e.shape.StepTime(len(e.batch)) * float64(time.Second))
+}
+
 // Tokens returns the number of tokens decoded so far, over all sequences.
 func (e *Engine) Tokens() float64 {
 	e.advance()
--- a/choicebencher/simulation.go
+++ b/choicebencher/simulation.go
@@ -148,10 +148,18 @@
 	s.loop.Run(s.end)
 }
 
+// oldestToken is the age of the latest token from which an agent no longer knows the time between tokens.
+const oldestToken = 10 * time.Second
+
 // load returns what the agent of a worker reports now.
 func (s *simulation) load(w *worker) streamer.Load {
+	step := w.engine.StepTime()
+	if step > oldestToken {
+		step = 0
+	}
 	return streamer.Load{
 		At: s.loop.Now(), Running: w.engine.Running(), Queued: []int{w.queue.Waiting()}, Stalled: w.progress.Stalled(s.loop.Now()),
+		Step: step,
 	}
 }
 
--- a/streamer/frame.go
+++ b/streamer/frame.go
@@ -95,6 +95,8 @@
 	Leaving bool          `json:"leaving"`
 	// Stalled is set while the engine has work and makes no progress, and until a trial request succeeds afterwards.
 	Stalled bool `json:"stalled,omitempty"`
+	// Step is the mean time between two tokens of a run, the first one included; 0 without enough recent tokens.
+	Step time.Duration `json:"step,omitempty"`
 	// Loaded is a hash of the versions that the engine has loaded; it changes when they do.
 	Loaded uint64 `json:"loaded,omitempty"`
 }
