entryserver, limiter: spend the retry budget only on attempts that cost something

Ruled out: the redirection, which asks the budget only after an attempt. Change: an attempt whose connection did not come about draws on no budget, as a refusal by a leaving agent; an order given up early leaves at least one retry.

--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -191,7 +191,7 @@
 		entryserver.WithStreams(e.streamsClient()), entryserver.WithConfiguration(e.distributor.Current),
 		entryserver.WithSelect(e.selector.Select), entryserver.WithPin(e.pinner.Pin),
 		entryserver.WithChoose(e.choose), entryserver.WithClaim(e.claim), entryserver.WithRecord(e.record),
-		entryserver.WithRetry(e.retries.Allow, e.retries.Success), entryserver.WithExplain(e.explain),
+		entryserver.WithRetry(e.retries.Allow, e.retries.AllowEarly, e.retries.Success), entryserver.WithExplain(e.explain),
 		entryserver.WithLimit(e.allow), entryserver.WithReserve(e.reserve), entryserver.WithRate(e.rate),
 		entryserver.WithRedirect(e.selector.Alternatives, e.redirector.Offer, e.redirector.Refused),
 		entryserver.WithAttempts(e.balancer.Begin, e.attemptEnded, e.loadReported),
--- a/entryserver/dispatch.go
+++ b/entryserver/dispatch.go
@@ -24,6 +24,8 @@
 	// acceptLimit is the time in which an agent answers an order. With cancelWait and the answer of another upstream it stays
 	// within the 1.4 s of the first token.
 	acceptLimit = 500 * time.Millisecond
+	// codeUnreachable is the code of an order that no connection to the agent was found for.
+	codeUnreachable = "upstream-unreachable"
 	// statusCallerLeft is the status of a request whose caller left; nobody receives it.
 	statusCallerLeft = 499
 )
@@ -140,13 +142,17 @@
 	case !j.resendable() || j.order.NonIdempotent && f.err.TrueOutcome() != streamer.OutcomeNotRun:
 		return false
 	}
-	return f.budgeted || leaving(f) || s.Retry()
+	return f.budgeted || costless(f) || s.Retry()
 }
 
-// leaving reports whether an agent refused an order because it is leaving. Such an attempt draws on no retry budget: it tells the
-// entry that the upstream is leaving, so a planned stop causes few of them, and a spent budget must not fail a request then.
-func leaving(f *failure) bool {
-	return f.err.Code == streamer.CodeDraining && f.err.TrueOutcome() == streamer.OutcomeNotRun
+// costless reports whether an attempt that truthfully did not run cost its upstream nothing: the agent is leaving, or no
+// connection to it came about. Such attempts draw on no retry budget, because they cannot amplify an overload, and a planned stop
+// or a dead agent would else spend what the runs lost with it need.
+func costless(f *failure) bool {
+	if f.err.TrueOutcome() != streamer.OutcomeNotRun {
+		return false
+	}
+	return f.err.Code == streamer.CodeDraining || f.err.Code == codeUnreachable
 }
 
 // worse returns the outcome that claims less: work that may have run is never reported as not run.
@@ -184,7 +190,7 @@
 	stream, err := s.streams.Open(ctx, u.Agent, &j.order, j.body, s.openOptions(j)...)
 	if errors.Is(err, streamer.ErrNotSent) {
 		return &failure{elsewhere: true, err: &decoder.Error{
-			Status: http.StatusServiceUnavailable, Code: "upstream-unreachable", Type: decoder.TypeServer,
+			Status: http.StatusServiceUnavailable, Code: codeUnreachable, Type: decoder.TypeServer,
 			Message: "the upstream cannot be reached", Cause: err, RetryAt: s.Now().Add(retryWait),
 		}}
 	}
@@ -237,7 +243,7 @@
 	if j.order.NonIdempotent || j.last {
 		return nil
 	}
-	return []streamer.OpenOption{streamer.WithAcceptBy(s.Now().Add(acceptLimit), s.Retry)}
+	return []streamer.OpenOption{streamer.WithAcceptBy(s.Now().Add(acceptLimit), s.RetryEarly)}
 }
 
 // begun takes the bill of a run that has started, so that it has two holders while it runs.
--- a/entryserver/option.go
+++ b/entryserver/option.go
@@ -55,8 +55,8 @@
 }
 
 // WithRetry sets the retry budget.
-func WithRetry(allow func() bool, succeeded func()) Option {
-	return func(s *Server) { s.Retry, s.Succeeded = allow, succeeded }
+func WithRetry(allow, allowEarly func() bool, succeeded func()) Option {
+	return func(s *Server) { s.Retry, s.RetryEarly, s.Succeeded = allow, allowEarly, succeeded }
 }
 
 // WithExplain sets the receiver of decision records.
--- a/entryserver/server.go
+++ b/entryserver/server.go
@@ -48,9 +48,10 @@
 		r identifier.Request) (Claim, error)
 	// Record takes the bill of a completed request.
 	Record func(biller.Bill)
-	// Retry reports whether the retry budget allows one more attempt, and Succeeded adds to it.
-	Retry     func() bool
-	Succeeded func()
+	// Retry reports whether the retry budget allows one more attempt, RetryEarly whether it does for one that has not failed yet,
+	// and Succeeded adds to it.
+	Retry, RetryEarly func() bool
+	Succeeded         func()
 	// Explain takes the decisions about each request.
 	Explain func(Explanation)
 	// Limit reports whether the client account may use so many tokens now, and else when to try again.
--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -33,8 +33,18 @@
 	b.level = min(b.level+b.o.ratio, b.o.burst)
 }
 
-// Allow takes one retry or hedge from the budget and reports whether there was one.
+// Allow takes one retry from the budget and reports whether there was one.
 func (b *Budget) Allow() bool {
+	return b.allow(1)
+}
+
+// AllowEarly takes one retry for an attempt that has not failed yet, and leaves at least one for those that have.
+func (b *Budget) AllowEarly() bool {
+	return b.allow(2)
+}
+
+// allow takes one retry if the budget holds at least so many.
+func (b *Budget) allow(least float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.o.now()
@@ -45,7 +55,7 @@
 		}
 		b.updatedAt = now
 	}
-	if b.level < 1-levelTolerance {
+	if b.level < least-levelTolerance {
 		b.denied++
 		return false
 	}
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -43,6 +43,23 @@
 	})
 }
 
+// Guards against attempts that are given up early and leave no retry for those that failed.
+func TestBudgetKeepsOneForFailures(t *testing.T) {
+	now := start
+	b := limiter.NewBudget(limiter.WithNow(func() time.Time { return now }))
+	must.False(t, b.AllowEarly())
+	for range 20 {
+		b.Success()
+	}
+	early := 0
+	for b.AllowEarly() {
+		early++
+	}
+	must.Eq(t, 2, early)
+	must.True(t, b.Allow())
+	must.False(t, b.Allow())
+}
+
 // Guards against a budget that denies earned retries.
 func TestBudgetEarnsRetries(t *testing.T) {
 	b := limiter.NewBudget(limiter.WithNow(func() time.Time { return start }))
--- a/redirector/redirector.go
+++ b/redirector/redirector.go
@@ -21,11 +21,12 @@
 	rateTime = time.Second
 	// leastOffers bounds what one refusal takes from the share to a half.
 	leastOffers = 2
-	// maxPools bounds the pools that are remembered. When it is reached, open ones are forgotten, at most once in a releaseTime;
-	// a pool beyond it counts as open.
-	maxPools = 16384
 )
 
+// MaxPools bounds the pools that a Redirector remembers. When it is reached, open ones are forgotten, at most once in the release
+// time; a pool beyond it counts as open.
+const MaxPools = 16384
+
 // Pool is the upstreams of one version as the work of one client account and rank finds them: a lower rank and an account
 // beyond its fair share are refused earlier.
 type Pool struct {
@@ -107,7 +108,7 @@
 	now := r.now()
 	s := r.pools[p]
 	if s == nil {
-		if len(r.pools) >= maxPools && !r.evict(now) {
+		if len(r.pools) >= MaxPools && !r.evict(now) {
 			r.ignored++
 			return nil
 		}
@@ -131,7 +132,7 @@
 	maps.DeleteFunc(r.pools, func(_ Pool, s *share) bool {
 		return s.value+float64(now.Sub(s.at))/float64(releaseTime) >= 1
 	})
-	return len(r.pools) < maxPools
+	return len(r.pools) < MaxPools
 }
 
 // Counters returns monotonic counters.
--- a/slopesbencher/capacity.go
+++ b/slopesbencher/capacity.go
@@ -4,6 +4,7 @@
 	"github.com/siskinfront/siskinfront/assembler"
 	"github.com/siskinfront/siskinfront/balancer"
 	"github.com/siskinfront/siskinfront/observer"
+	"github.com/siskinfront/siskinfront/redirector"
 )
 
 // The target size, from the users' stated target.
@@ -28,6 +29,8 @@
 const (
 	// accounts is the number of client accounts of the deployment.
 	accounts = 400.0
+	// ranks is the number of ranks.
+	ranks = 3
 	// kindsPerVersion is the number of kinds of work for which a version is used.
 	kindsPerVersion = 6
 	// nonIdempotentShare is the share of requests that need a claim.
@@ -129,6 +132,7 @@
 		costItem{name: "descriptions of upstreams", traffic: knownUpstreams / describeSeconds * descriptionBytes},
 		costItem{name: "bills, one hour of table outage", memory: s["bills that wait"].PerUnit * perEntry * billOutageSeconds,
 			traffic: s["bills as written"].At(perEntry*assembler.BillInterval.Seconds()) / assembler.BillInterval.Seconds(), perRequest: true},
+		costItem{name: "redirection between versions", memory: s["pools of redirection"].At(redirector.MaxPools)},
 		costItem{name: "session pins", memory: s["sessions pinned"].PerUnit * sessionStarts / entries * sessionTime,
 			traffic: requestRate * sessionShare / entries * 2 * bytesPerCall, perRequest: true},
 		costItem{name: "answers on their way", core: tokenRate / entries * s["token frame written and read"].PerUnit * nanosecond,
--- a/slopesbencher/serving.go
+++ b/slopesbencher/serving.go
@@ -8,6 +8,7 @@
 
 	"github.com/siskinfront/siskinfront/admitter"
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/redirector"
 	"github.com/siskinfront/siskinfront/streamer"
 )
 
@@ -41,6 +42,9 @@
 				}
 			})
 		}),
+		fit("pools of redirection", "bytes per pool", []int{57, 1000, 16000}, func(n int) float64 {
+			return heapBytes(func() any { return refusing(n) })
+		}),
 		fit("orders that wait", "bytes per order", []int{100, 500, 1000}, func(n int) float64 {
 			return heapBytes(func() any { return waiting(n) })
 		}),
@@ -65,3 +69,16 @@
 	}
 	return a
 }
+
+// refusing returns a redirector that has followed n pools.
+func refusing(n int) *redirector.Redirector {
+	r := redirector.New(redirector.WithNow(epoch))
+	for i := range n {
+		p := redirector.Pool{
+			ClientAccount: identifier.ClientAccount(fmt.Sprintf("account-%04d", i/(versions*ranks))), Target: target(i), Rank: i / versions % ranks,
+		}
+		r.Offer(p)
+		r.Refused(p)
+	}
+	return r
+}
