selector: compute the price of quality from the sizes of requests

Cause: the price of quality moved by 0.2 of its unit times the missed quality of each request, so it wandered by some 20% around the price that meets the target.

Change: a plan keeps the sizes of its latest 128 requests, one word each, and each refresh halves the range of the price until their mean quality meets the goal. Decisions only read the price.

--- a/selector/cascades.go
+++ b/selector/cascades.go
@@ -42,7 +42,7 @@
 			}
 		}
 	}
-	return best(found, singles, p.reference, load(&p.control.lambda))
+	return shortlist(found, singles, p.reference, p.control.lambda)
 }
 
 // cascadeOf returns the option that runs low and, if its answer is rated short, high.
@@ -54,9 +54,9 @@
 	}
 }
 
-// best returns the cascades that a plan compares. Requests of different sizes use different parts of the hull, so its
+// shortlist returns the cascades that a plan compares. Requests of different sizes use different parts of the hull, so its
 // cascades come first.
-func best(found, singles []option, reference [2]float64, lambda float64) []option {
+func shortlist(found, singles []option, reference [2]float64, lambda float64) []option {
 	if len(found) <= maxCascades {
 		return found
 	}
--- a/selector/draw.go
+++ b/selector/draw.go
@@ -9,12 +9,18 @@
 // weights are the factors of cost and quality in a score.
 type weights struct{ cost, quality float64 }
 
-// weights returns the factors for one request: at list price the price of quality that meets the target, and for the
-// share of the cost that the commitment covers anyway, the worth of the answer.
+// weights returns the factors for one request.
 func (s *Selector) weights(p *plan, u uint64) weights {
-	f := min(max(s.priceFactor(), 0), 1)
-	lambda := load(&p.control.lambda) * (1 + spread*(unit(u)-0.5))
-	return weights{cost: f, quality: f*lambda + (1-f)*p.worth}
+	return weigh(p.lambda, s.factor(), p.worth, unit(u))
+}
+
+// factor returns the price factor, from 0 to 1.
+func (s *Selector) factor() float64 { return min(max(s.priceFactor(), 0), 1) }
+
+// weigh returns the factors for a request at u of the spread: at list price the price of quality that meets the target, and for
+// the share of the cost that the commitment covers anyway, the worth of the answer.
+func weigh(lambda, factor, worth, u float64) weights {
+	return weights{cost: factor, quality: factor*lambda*(1+spread*(u-0.5)) + (1-factor)*worth}
 }
 
 // draw returns the hash of the session, or the next number of a sequence for a request without one.
--- a/selector/evidence.go
+++ b/selector/evidence.go
@@ -41,19 +41,13 @@
 	return e
 }
 
-// control is the part of a plan that outlives the plan: the price of quality and what was selected so far.
+// control is the part of a plan that outlives the plan: what was requested and selected so far.
 type control struct {
-	// lambda is the price of one unit of quality as float64 bits.
-	lambda atomic.Uint64
-	// scale is the unit of lambda's steps as float64 bits.
-	scale atomic.Uint64
-	// goal is the corrected quality target as float64 bits.
-	goal atomic.Uint64
-	// base is the goal before that correction, as float64 bits.
-	base   atomic.Uint64
-	prompt atomic.Uint64
-	output atomic.Uint64
-	// frozen counts the decisions before a change, and frozenDeficit sums their missed quality; Selector.mu guards both and steeredAt.
+	// base is the quality target with its margin, and lambda the price of quality of the last plan.
+	base, lambda float64
+	sizes        sizes
+	// frozen counts the decisions before a change, and frozenDeficit sums their missed quality; Selector.mu guards these, base,
+	// lambda and steeredAt.
 	frozen, frozenDeficit float64
 	steeredAt             time.Time
 	// entries count the decisions per option; only the holder of Selector.mu changes the list.
@@ -94,7 +88,7 @@
 		// Decisions before a change keep the value they had: the version was as good as it seemed when they were made.
 		frozen := e.weight - e.recent
 		c.frozen += frozen
-		c.frozenDeficit += frozen * (load(&c.base) - e.quality)
+		c.frozenDeficit += frozen * (c.base - e.quality)
 		e.weight, e.changes = e.recent, v.changes
 	}
 	e.quality = v.quality
--- a/selector/frontier.go
+++ b/selector/frontier.go
@@ -42,23 +42,17 @@
 // slope returns the price of quality between two neighbours on the hull.
 func slope(a, b point) float64 { return (b.cost - a.cost) / (b.quality - a.quality) }
 
-// frontier returns the price of quality at which the mean of the kind reaches goal on the hull, and the unit of its steps: that
-// price, or the smallest positive one of the hull when the cheapest or no option reaches goal.
-func frontier(points []point, goal float64) (lambda, scale float64) {
+// frontier returns the price of quality at which the mean of the kind reaches goal on the hull, or the highest one of the hull
+// when none does.
+func frontier(points []point, goal float64) float64 {
+	lambda := 0.0
 	for i := range len(points) - 1 {
-		s := slope(points[i], points[i+1])
-		if s > 0 && scale == 0 {
-			scale = s
-		}
 		if points[i].quality >= goal {
 			break
 		}
-		lambda = s
-		if points[i+1].quality >= goal {
-			return lambda, s
-		}
+		lambda = slope(points[i], points[i+1])
 	}
-	return lambda, scale
+	return lambda
 }
 
 // costAt returns the least cost of a mixture on the hull that reaches quality, and the cost of the best option when none does.
--- a/selector/plan.go
+++ b/selector/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"sync/atomic"
 	"time"
 
 	"github.com/siskinfront/siskinfront/configurer"
@@ -28,6 +27,8 @@
 	// memory is the half-life of the deficit. Over some days the mean of a kind meets the target, and the deficit of a long-lived
 	// process still moves the goal.
 	memory = 72 * time.Hour
+	// priceRange bounds the price of quality in units of that of the frontier at the mean size of requests.
+	priceRange = 3
 	// perMillion converts prices per million tokens.
 	perMillion = 1e-6
 )
@@ -74,16 +75,14 @@
 	reachable bool
 	worth     float64
 	control   *control
+	// goal is the corrected quality target, and lambda the price of one unit of quality that meets it.
+	goal, lambda float64
 	// reference holds the mean prompt and completion tokens of the requests.
 	reference [2]float64
 	account   *configurer.ClientAccount
 	kind      *configurer.WorkKind
 }
 
-func load(v *atomic.Uint64) float64 { return math.Float64frombits(v.Load()) }
-
-func store(v *atomic.Uint64, f float64) { v.Store(math.Float64bits(f)) }
-
 // collect lists the versions that the plan may use; the error is that of Cheapest.
 func (s *Selector) collect(cfg *configurer.Configuration, q *Query) (serving, candidates []option, err error) {
 	if q.Model != identifier.ModelAuto && cfg.Model(q.Model) == nil {
@@ -136,10 +135,11 @@
 	if r := cfg.RankIndex(q.WorkKind.Rank); r >= 0 {
 		p.worth = cfg.Ranks[r].Worth
 	}
-	p.reference = [2]float64{load(&c.prompt), load(&c.output)}
-	if p.reference[1] == 0 {
-		p.reference = [2]float64{float64(q.PromptTokens), float64(q.MaxTokens)}
+	list := c.sizes.list()
+	if len(list) == 0 {
+		list = append(list, size{prompt: float64(q.PromptTokens), output: float64(q.MaxTokens), cascade: s.cascadeFits(cfg, q)})
 	}
+	p.reference = mean(list)
 	p.options, p.candidates = serving, candidates
 	p.singles = len(serving)
 	for i := range p.options {
@@ -164,15 +164,17 @@
 		goal *= 1 + margin
 	}
 	s.revalue(cfg, p)
-	p.steer(goal, q.Now)
+	if p.singles > 0 {
+		p.steer(goal, q.Now, list, s.factor())
+	}
 	return p
 }
 
-// steer corrects the goal for past decisions and sets the range of the price of quality.
-func (p *plan) steer(goal float64, now time.Time) {
+// steer corrects the goal for past decisions and sets the price of quality at which the requests of the list meet it.
+func (p *plan) steer(goal float64, now time.Time, list []size, factor float64) {
 	c := p.control
 	fade, keep := 1.0, 1.0
-	store(&c.base, goal)
+	c.base = goal
 	if !c.steeredAt.IsZero() {
 		fade = math.Exp2(-float64(now.Sub(c.steeredAt)) / float64(changeLag))
 		keep = math.Exp2(-float64(now.Sub(c.steeredAt)) / float64(memory))
@@ -193,14 +195,9 @@
 	deficit += c.frozenDeficit
 	// The deficit is made up for over the next tenth of the traffic, with a floor that damps the first minutes.
 	goal += min(max(deficit/(total/10+catchUpFloor), -catchUp), catchUp)
-	store(&c.goal, goal)
-	upper, scale := frontier(hull(p.options[:p.singles], p.reference), goal)
-	lower, cascadeScale := frontier(hull(p.options, p.reference), goal)
-	store(&c.scale, min(scale, cascadeScale))
-	// Request sizes spread around the reference, so the stationary price differs from that of the frontier. Beyond a
-	// factor of 3 it is a remnant of earlier estimates.
-	store(&c.lambda, min(max(load(&c.lambda), lower/3), 3*upper))
-	if total == 0 {
-		store(&c.lambda, lower)
-	}
+	p.goal = goal
+	// The sizes of requests spread around the reference, so the price can be above that of the frontier.
+	most := priceRange * frontier(hull(p.options[:p.singles], p.reference), goal)
+	p.lambda = p.price(list, factor, goal, most, c.lambda)
+	c.lambda = p.lambda
 }
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -15,17 +15,11 @@
 const (
 	// refreshInterval is the default age at which plans are rebuilt from the estimates.
 	refreshInterval = time.Second
-	// step is the change of the price of quality, in units of its scale, per unit of missed quality.
-	step = 0.2
 	// spread is the relative width of the price of quality over sessions; it splits sessions between two versions whose
 	// mixture meets the target.
 	spread = 0.1
-	// maxLambda bounds the price of quality in units of its scale.
-	maxLambda = 100
 	// maxPlans bounds the memory for plans.
 	maxPlans = 1 << 16
-	// controlShare is the weight of one request in the running mean of request sizes.
-	controlShare = 0.01
 )
 
 // snapshot holds the plans of one configuration; it is replaced, never changed.
@@ -94,17 +88,16 @@
 
 // count enters a request that follows its session in the control, because its answer counts towards the target like any other.
 func (p *plan) count(q *Query) {
+	p.control.sizes.add(float64(q.PromptTokens), float64(q.MaxTokens), false)
 	for i := range p.entries {
 		if o := &p.options[i]; o.target == q.Pinned && o.cascade == nil {
 			p.entries[i].selected.Add(1)
-			p.control.settle(o.quality, float64(q.PromptTokens), float64(q.MaxTokens))
 			return
 		}
 	}
 	for i := range p.candidates {
 		if p.candidates[i].target == q.Pinned {
 			p.tried[i].selected.Add(1)
-			p.control.settle(p.candidates[i].quality, float64(q.PromptTokens), float64(q.MaxTokens))
 			return
 		}
 	}
@@ -195,7 +188,9 @@
 	u := s.draw(q)
 	prompt, output := float64(q.PromptTokens), float64(q.MaxTokens)
 	w := s.weights(p, u)
-	best, reason := s.cheapest(cfg, p, q, w, prompt, output)
+	fits := len(p.options) > p.singles && s.cascadeFits(cfg, q)
+	p.control.sizes.add(prompt, output, fits)
+	best, reason := s.compare(p, fits, w, prompt, output)
 	if explore := mix(u ^ 0x9e3779b97f4a7c15); s.estimator != nil && unit(explore) < explorationShare {
 		if i := explorable(p, best, w, prompt, output); i >= 0 {
 			best, reason = i, ReasonExploration
@@ -210,14 +205,12 @@
 		candidate := &p.candidates[i]
 		s.exposed.Add(1)
 		p.tried[i].selected.Add(1)
-		p.control.settle(candidate.quality, prompt, output)
 		return Decision{Target: candidate.target, Reason: ReasonExposure}, nil
 	}
 	if chosen == nil {
 		return Decision{}, ErrNoVersion
 	}
 	p.entries[best].selected.Add(1)
-	p.control.settle(chosen.quality, prompt, output)
 	if chosen.cascade != nil {
 		s.cascaded.Add(1)
 	}
@@ -228,8 +221,8 @@
 	return d, nil
 }
 
-// cheapest returns the index of the option with the lowest score, or -1 without options.
-func (s *Selector) cheapest(cfg *configurer.Configuration, p *plan, q *Query, w weights, prompt, output float64) (int, string) {
+// compare returns the index of the option with the lowest score, or -1 without options.
+func (s *Selector) compare(p *plan, fits bool, w weights, prompt, output float64) (int, string) {
 	if !p.reachable {
 		if p.best >= 0 {
 			s.unreachable.Add(1)
@@ -237,18 +230,10 @@
 		return p.best, ReasonUnreachable
 	}
 	n := p.singles
-	if n < len(p.options) && s.cascadeFits(cfg, q) {
+	if fits {
 		n = len(p.options)
 	}
-	best, bestScore, bestPrice := -1, math.Inf(1), math.Inf(1)
-	for i := range n {
-		o := &p.options[i]
-		price := o.price(prompt, output)
-		score := w.cost*price - w.quality*o.quality
-		if score < bestScore || score == bestScore && price < bestPrice {
-			best, bestScore, bestPrice = i, score, price
-		}
-	}
+	best := cheapest(p.options[:n], w, prompt, output)
 	switch {
 	case n == 1 && len(p.candidates) == 0:
 		return best, ReasonOnly
@@ -321,21 +306,6 @@
 	return false
 }
 
-// settle moves the price of quality against the deviation of one decision from the goal. Concurrent updates may lose
-// one another; the loss is one step out of thousands.
-func (c *control) settle(quality, prompt, output float64) {
-	scale := load(&c.scale)
-	lambda := load(&c.lambda) + step*scale*(load(&c.goal)-quality)
-	store(&c.lambda, min(max(lambda, 0), maxLambda*scale))
-	if mean := load(&c.output); mean == 0 {
-		store(&c.prompt, prompt)
-		store(&c.output, output)
-	} else {
-		store(&c.prompt, load(&c.prompt)+controlShare*(prompt-load(&c.prompt)))
-		store(&c.output, mean+controlShare*(output-mean))
-	}
-}
-
 // Counters returns monotonic counters.
 func (s *Selector) Counters() map[string]int64 {
 	return map[string]int64{
@@ -362,7 +332,7 @@
 	for k, p := range snap.plans {
 		rows = append(rows, PlanState{
 			ClientAccount: k.account, WorkKind: k.kind, Model: k.model,
-			PriceOfQuality: load(&p.control.lambda), Goal: load(&p.control.goal),
+			PriceOfQuality: p.lambda, Goal: p.goal,
 			Options: len(p.options), Candidates: len(p.candidates),
 		})
 	}
