assembler: submit the answers that the selector asks about

Cause: Decision.Rate was built and measured, but the entry did not act on it, and without a price of a rating, which the assembler does not set, the selector never asked. All ratings came from an even sample of all answers.

Change: entryserver passes each complete answer, and whether its rating was asked for, to a new seam. A rating without a price is always asked for when a version is chosen by quality.

--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -182,6 +182,7 @@
 		entryserver.WithChoose(e.choose), entryserver.WithClaim(e.claim), entryserver.WithRecord(e.record),
 		entryserver.WithRetry(e.retries.Allow, e.retries.Success), entryserver.WithExplain(e.explain),
 		entryserver.WithLimit(e.accounts.Allow), entryserver.WithReserve(e.reserve), entryserver.WithRate(e.rate),
+		entryserver.WithAnswered(e.answered),
 		entryserver.WithAttempts(e.balancer.Begin, e.attemptEnded, e.loadReported),
 	)
 }
--- a/assembler/entry_seam.go
+++ b/assembler/entry_seam.go
@@ -69,19 +69,23 @@
 	return out, nil
 }
 
-// record takes the bill of a request that runs and submits a complete answer for rating.
+// record takes the bill of a request that runs.
 func (e *Entry) record(b biller.Bill) {
 	b.Amount = e.price(b.Target, b.Usage)
 	// A bill that does not fit stays with its agent, which writes it; the biller counts the refusal.
 	_ = e.biller.Record(b)
 	if b.Final && b.Service == "" {
 		e.use.Add(b.Target, b.Usage.PromptTokens+b.Usage.CompletionTokens)
-		e.quality.offer(storer.Rating{Request: b.Request, WorkKind: b.WorkKind, Target: b.Target, At: b.At})
 	}
 }
 
-// rate submits the answer of a cascade step and waits for its rating. Its bill submits it too, which the rating service
-// recognises by the request.
+// answered offers a complete answer for rating.
+func (e *Entry) answered(x entryserver.RatingInput) {
+	e.quality.offer(storer.Rating{Request: x.Request, WorkKind: x.WorkKind, Target: x.Target, At: x.At}, x.Asked)
+}
+
+// rate submits the answer of a cascade step and waits for its rating. answered may have submitted it too, which the rating
+// service recognises by the request.
 func (e *Entry) rate(ctx context.Context, x entryserver.RatingInput) (float64, error) {
 	err := e.rater.Submit(ctx, storer.Rating{Request: x.Request, WorkKind: x.WorkKind, Target: x.Target, At: x.At})
 	if err != nil {
--- a/assembler/quality.go
+++ b/assembler/quality.go
@@ -35,7 +35,7 @@
 type quality struct {
 	e       *Entry
 	pending *buffer.Ring[storer.Rating]
-	sample  *sampler
+	ratings *ratingSampler
 	// next is the sequence after which ratings are fetched; only collect uses it.
 	next    uint64
 	loaded  bool
@@ -54,12 +54,13 @@
 
 func newQuality(e *Entry) *quality {
 	return &quality{
-		e: e, pending: buffer.NewRing[storer.Rating](pendingRatings), sample: newSampler(RatingRate, e.entryCount),
+		e: e, pending: buffer.NewRing[storer.Rating](pendingRatings), ratings: newRatingSampler(e.entryCount),
 	}
 }
 
-func (q *quality) offer(r storer.Rating) {
-	if !q.sample.allow(time.Now()) {
+// offer takes an answer for rating; asked ones go ahead of the random sample.
+func (q *quality) offer(r storer.Rating, asked bool) {
+	if !q.ratings.allow(time.Now(), asked) {
 		return
 	}
 	// An answer that does not fit goes unrated; ratings are a sample anyway.
--- a/costbencher/optimum.go
+++ b/costbencher/optimum.go
@@ -75,9 +75,9 @@
 
 // best returns the cost and quality of the choice with the lowest cost less lambda times the quality.
 func (w *world) best(r *request, choices []choice, lambda float64) (cost, quality float64) {
-	least := math.Inf(1)
+	least, fits := math.Inf(1), w.cascadeFits(r)
 	for _, c := range choices {
-		if c.cascade && !w.cascadeFits(r) {
+		if c.cascade && !fits {
 			continue
 		}
 		price := c.input*float64(r.prompt) + c.output*float64(r.output) + c.rating
--- a/entryserver/completion.go
+++ b/entryserver/completion.go
@@ -29,7 +29,9 @@
 	account *configurer.ClientAccount
 	sink    sink
 	cascade cascade
-	steps   []Step
+	// asked is set if the selection asked for a rating of the answer.
+	asked bool
+	steps []Step
 	// busy lists the upstreams that refused the request because it would have waited there.
 	busy []identifier.Upstream
 	// refused counts the attempts of the present run that ended so; they are no retries.
@@ -91,6 +93,7 @@
 		},
 		body: req.Body, request: req, account: account, sink: newAnswer(w, req),
 		choice: Choice{Target: target, Prefix: req.Prefix, Session: req.Session, Rank: rank, Query: q},
+		asked:  decision.Rate,
 	}
 	if !q.Deadline.IsZero() {
 		j.cascade = cascade{targets: decision.Cascade, kind: kind, run: runTime(&cfg.Ranks[rank], q.MaxTokens)}
--- a/entryserver/dispatch.go
+++ b/entryserver/dispatch.go
@@ -241,6 +241,9 @@
 	}
 	record.billed = true
 	s.bill(j, record, true)
+	if o := &j.order; o.Service == "" {
+		s.Answered(RatingInput{Request: o.Request, WorkKind: o.WorkKind, Target: o.Target, At: s.Now(), Asked: j.asked})
+	}
 	if err := j.sink.finish(record.Usage); err != nil {
 		return &failure{err: &decoder.Error{
 			Status: http.StatusBadGateway, Code: "response-invalid", Type: decoder.TypeServer,
--- a/entryserver/option.go
+++ b/entryserver/option.go
@@ -68,6 +68,11 @@
 	return func(s *Server) { s.Rate = f }
 }
 
+// WithAnswered sets the receiver of complete answers, which it may submit for rating.
+func WithAnswered(f func(RatingInput)) Option {
+	return func(s *Server) { s.Answered = f }
+}
+
 // WithReserve sets the reservation of spend.
 func WithReserve(f func(amount float64) (settle func(actual float64), err error)) Option {
 	return func(s *Server) { s.Reserve = f }
--- a/entryserver/seam.go
+++ b/entryserver/seam.go
@@ -77,13 +77,15 @@
 	Release func(ctx context.Context) error
 }
 
-// RatingInput names the answer of one cascade step to the rating service.
+// RatingInput names an answer to the rating service.
 type RatingInput struct {
 	// Request is the name of the run, as returned by StepID.
 	Request  identifier.Request
 	WorkKind identifier.WorkKind
 	Target   identifier.Target
 	At       time.Time
+	// Asked is set if the selection asked for the rating.
+	Asked bool
 }
 
 // Attempt is the record of one order that was sent to one upstream.
--- a/entryserver/server.go
+++ b/entryserver/server.go
@@ -32,6 +32,8 @@
 	Select func(*configurer.Configuration, selector.Query) (selector.Decision, error)
 	// Rate returns the rating of an answer, from 0 to 1, as soon as it exists; nil rules out cascades.
 	Rate func(context.Context, RatingInput) (float64, error)
+	// Answered takes each complete answer of a model, which may be submitted for rating.
+	Answered func(RatingInput)
 	// Pin returns the version of a session, which is the proposed one if the session is new.
 	Pin func(ctx context.Context, acc identifier.ClientAccount, s identifier.Session, proposed identifier.Target,
 		revision uint64) (identifier.Target, error)
@@ -86,6 +88,7 @@
 		Claim: func(context.Context, identifier.ClientAccount, string, [32]byte, identifier.Request) (Claim, error) {
 			return Claim{}, ErrClaimUnavailable
 		},
+		Answered:  func(RatingInput) {},
 		Record:    func(biller.Bill) {},
 		Retry:     func() bool { return true },
 		Succeeded: func() {},
