selector: add a margin for uncertain estimates to the goal

Change: the goal rises by one standard deviation of the estimated mean quality of the past answers, at most 0.004. A deficit is made up for over a quarter of the traffic, by at most 0.015. A rating halves its weight in 36 h instead of 12 h: an abrupt change is found by the detector, not by age.

What remains is learning in the kind without cascades.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -97,11 +97,11 @@
 	return func(e *Estimator) { e.maxCells, e.maxSources = cells, sources }
 }
 
-// New returns an empty estimator with a half-life of 12 hours.
+// New returns an empty estimator with a half-life of 36 hours.
 func New(opts ...Option) *Estimator {
 	e := &Estimator{
 		now: time.Now, prior: func(identifier.Target) float64 { return 0.5 },
-		halfLife: 12 * time.Hour, maxCells: 4096, maxSources: 64,
+		halfLife: 36 * time.Hour, maxCells: 4096, maxSources: 64,
 		cells: map[cellKey]*cell{}, seen: map[uint64]struct{}{},
 	}
 	for _, o := range opts {
--- a/selector/evidence.go
+++ b/selector/evidence.go
@@ -1,6 +1,7 @@
 package selector
 
 import (
+	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -58,7 +59,9 @@
 type entry struct {
 	target, next identifier.Target
 	quality      float64
-	selected     atomic.Int64
+	// deviation is the standard deviation of quality.
+	deviation float64
+	selected  atomic.Int64
 	// settled is the part of selected that is included in weight; weight excludes the decisions before a change.
 	settled int64
 	weight  float64
@@ -91,7 +94,7 @@
 		c.frozenDeficit += frozen * (c.base - e.quality)
 		e.weight, e.changes = e.recent, v.changes
 	}
-	e.quality = v.quality
+	e.quality, e.deviation = v.quality, v.deviation
 }
 
 // revalue updates the entries whose options the plan no longer compares; the answers they gave count all the same.
@@ -119,8 +122,14 @@
 
 // cascaded returns the evidence about a cascade of low and high.
 func cascaded(low, high *evidence) evidence {
+	// The quality of a cascade depends little on the shortfall of its first step, whose short answers are replaced.
+	gain := 0.0
+	if span := low.above - low.quality; span > 0 {
+		gain = low.short * (low.above - high.quality) / span
+	}
 	return evidence{
-		quality: (1-low.short)*low.above + low.short*high.quality,
-		ratings: low.ratings, changes: low.changes + high.changes,
+		quality:   (1-low.short)*low.above + low.short*high.quality,
+		deviation: math.Hypot(gain*low.deviation, low.short*high.deviation),
+		ratings:   low.ratings, changes: low.changes + high.changes,
 	}
 }
--- a/selector/plan.go
+++ b/selector/plan.go
@@ -18,8 +18,13 @@
 	margin = 0.002
 	// ratingBudget is the part of the cost of the answers that are chosen by quality that ratings asked for may cost.
 	ratingBudget = 0.02
+	// confidence is the number of standard deviations of the mean quality of the past answers by which the goal is above the
+	// target. Without it every second day ends below the target.
+	confidence = 1
+	// mostDoubt bounds that addition: paying for quality before the ratings arrive costs more than making up for it later.
+	mostDoubt = 0.004
 	// catchUp bounds the correction of the target for a past deficit or surplus.
-	catchUp = 0.03
+	catchUp = 0.015
 	// catchUpFloor is the number of requests over which a new plan makes up for a deficit.
 	catchUpFloor = 200
 	// changeLag is the half-life after which a decision is taken to be earlier than a change that is only now noticed.
@@ -182,19 +187,25 @@
 	c.steeredAt = now
 	c.frozen *= keep
 	c.frozenDeficit *= keep
-	total, deficit := 0.0, 0.0
+	total, deficit, variance := 0.0, 0.0, 0.0
 	for _, e := range c.entries {
 		n := e.selected.Load()
 		e.weight = e.weight*keep + float64(n-e.settled)
 		e.recent = min(e.recent*fade+float64(n-e.settled), e.weight)
 		e.settled = n
 		total += e.weight
+		variance += e.weight * e.weight * e.deviation * e.deviation
 		deficit += e.weight * (goal - e.quality)
 	}
+	if total > 0 {
+		doubt := min(confidence*math.Sqrt(variance)/total, mostDoubt)
+		goal += doubt
+		deficit += doubt * total
+	}
 	total += c.frozen
 	deficit += c.frozenDeficit
-	// The deficit is made up for over the next tenth of the traffic, with a floor that damps the first minutes.
-	goal += min(max(deficit/(total/10+catchUpFloor), -catchUp), catchUp)
+	// The deficit is made up for over the next quarter of the traffic, with a floor that damps the first minutes.
+	goal += min(max(deficit/(total/4+catchUpFloor), -catchUp), catchUp)
 	p.goal = goal
 	// The sizes of requests spread around the reference, so the price can be above that of the frontier.
 	most := priceRange * frontier(hull(p.options[:p.singles], p.reference), goal)
