--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -194,6 +194,7 @@
 		entryserver.WithRetry(e.retries.Allow, e.retries.AllowEarly, e.retries.Success), entryserver.WithExplain(e.explain),
 		entryserver.WithLimit(e.allow), entryserver.WithReserve(e.reserve), entryserver.WithRate(e.rate),
 		entryserver.WithRedirect(e.selector.Alternatives, e.redirector.Offer, e.redirector.Refused),
+		entryserver.WithAnswered(e.answered),
 		entryserver.WithAttempts(e.balancer.Begin, e.attemptEnded, e.loadReported),
 	)
 }
--- a/assembler/quality.go
+++ b/assembler/quality.go
@@ -37,7 +37,7 @@
 type quality struct {
 	e       *Entry
 	pending *buffer.Ring[storer.Rating]
-	sample  *observer.Sampler
+	ratings *observer.RatingSampler
 	// next is the sequence after which ratings are fetched; only collect uses it.
 	next    uint64
 	loaded  bool
@@ -56,12 +56,13 @@
 
 func newQuality(e *Entry) *quality {
 	return &quality{
-		e: e, pending: buffer.NewRing[storer.Rating](pendingRatings), sample: observer.NewSampler(observer.RatingRate, e.entryCount),
+		e: e, pending: buffer.NewRing[storer.Rating](pendingRatings), ratings: observer.NewRatingSampler(e.entryCount),
 	}
 }
 
-func (q *quality) offer(r storer.Rating) {
-	if !q.sample.Allow(time.Now()) {
+// offer takes an answer for rating; asked ones go ahead of the random sample.
+func (q *quality) offer(r storer.Rating, asked bool) {
+	if !q.ratings.Allow(time.Now(), asked) {
 		return
 	}
 	// An answer that does not fit goes unrated; ratings are a sample anyway.
--- a/entryserver/redirect.go
+++ b/entryserver/redirect.go
@@ -94,7 +94,7 @@
 	j.explain("redirect", t.String()+" because "+j.order.Target.String()+" "+reason)
 	j.order.Target = t
 	j.choice.Target, j.choice.Exclude, j.choice.Busy = t, nil, 0
-	j.busy = nil
+	j.busy, j.asked = nil, false
 	j.cascade.targets = nil
 	j.response.Reset()
 	w.Header().Set(decoder.HeaderModel, string(t.Model))
--- a/entryserver/server.go
+++ b/entryserver/server.go
@@ -38,6 +38,8 @@
 	Alternatives func(*configurer.Configuration, selector.Query) []identifier.Target
 	Offer        func(redirector.Pool) bool
 	Refused      func(redirector.Pool)
+	// Answered takes each complete answer of a model, which may be submitted for rating.
+	Answered func(RatingInput)
 	// Pin returns the version of a session, which is the proposed one if the session is new.
 	Pin func(ctx context.Context, acc identifier.ClientAccount, s identifier.Session, proposed identifier.Target,
 		revision uint64) (identifier.Target, error)
@@ -96,6 +98,7 @@
 		Alternatives: func(*configurer.Configuration, selector.Query) []identifier.Target { return nil },
 		Offer:        func(redirector.Pool) bool { return true },
 		Refused:      func(redirector.Pool) {},
+		Answered:     func(RatingInput) {},
 		Record:       func(biller.Bill) {},
 		Retry:        func() bool { return true },
 		Succeeded:    func() {},
--- a/observer/sampler.go
+++ b/observer/sampler.go
@@ -30,10 +30,13 @@
 }
 
 // Allow reports whether one more event passes now.
-func (s *Sampler) Allow(now time.Time) bool {
+func (s *Sampler) Allow(now time.Time) bool { return s.allowAbove(now, 0) }
+
+// allowAbove reports whether one more event passes now and leaves reserve events for others.
+func (s *Sampler) allowAbove(now time.Time, reserve float64) bool {
 	part := rate.Limit(s.total / math.Max(1, float64(s.entries())))
 	if s.limiter.Limit() != part {
 		s.limiter.SetLimitAt(now, part)
 	}
-	return s.limiter.AllowN(now, 1)
+	return s.limiter.TokensAt(now) >= 1+reserve && s.limiter.AllowN(now, 1)
 }
--- a/selector/plan.go
+++ b/selector/plan.go
@@ -1,10 +1,7 @@
 package selector
 
 import (
-	"cmp"
 	"math"
-	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/siskinfront/siskinfront/configurer"
@@ -12,10 +9,6 @@
 )
 
 const (
-	// maxCascades bounds the cascades that one decision compares.
-	maxCascades = 6
-	// cascadeRatings is the weight of ratings below which the shortfall of a version is too uncertain for a cascade.
-	cascadeRatings = 30
 	// explorationShare is the share of requests that may go to versions that could be better than estimated.
 	explorationShare = 0.05
 	// optimism is the number of standard deviations by which an explored version may be better than estimated.
@@ -25,8 +18,13 @@
 	margin = 0.002
 	// ratingBudget is the part of the cost of the answers that are chosen by quality that ratings asked for may cost.
 	ratingBudget = 0.02
+	// confidence is the number of standard deviations of the mean quality of the past answers by which the goal is above the
+	// target. Without it every second day ends below the target.
+	confidence = 1
+	// mostDoubt bounds that addition: paying for quality before the ratings arrive costs more than making up for it later.
+	mostDoubt = 0.004
 	// catchUp bounds the correction of the target for a past deficit or surplus.
-	catchUp = 0.03
+	catchUp = 0.015
 	// catchUpFloor is the number of requests over which a new plan makes up for a deficit.
 	catchUpFloor = 200
 	// changeLag is the half-life after which a decision is taken to be earlier than a change that is only now noticed.
@@ -34,6 +32,8 @@
 	// memory is the half-life of the deficit. Over some days the mean of a kind meets the target, and the deficit of a long-lived
 	// process still moves the goal.
 	memory = 72 * time.Hour
+	// priceRange bounds the price of quality in units of that of the frontier at the mean size of requests.
+	priceRange = 3
 	// perMillion converts prices per million tokens.
 	perMillion = 1e-6
 )
@@ -80,16 +80,14 @@
 	reachable bool
 	worth     float64
 	control   *control
+	// goal is the corrected quality target, and lambda the price of one unit of quality that meets it.
+	goal, lambda float64
 	// reference holds the mean prompt and completion tokens of the requests.
 	reference [2]float64
 	account   *configurer.ClientAccount
 	kind      *configurer.WorkKind
 }
 
-func load(v *atomic.Uint64) float64 { return math.Float64frombits(v.Load()) }
-
-func store(v *atomic.Uint64, f float64) { v.Store(math.Float64bits(f)) }
-
 // collect lists the versions that the plan may use; the error is that of Cheapest.
 func (s *Selector) collect(cfg *configurer.Configuration, q *Query) (serving, candidates []option, err error) {
 	if q.Model != identifier.ModelAuto && cfg.Model(q.Model) == nil {
@@ -142,10 +140,11 @@
 	if r := cfg.RankIndex(q.WorkKind.Rank); r >= 0 {
 		p.worth = cfg.Ranks[r].Worth
 	}
-	p.reference = [2]float64{load(&c.prompt), load(&c.output)}
-	if p.reference[1] == 0 {
-		p.reference = [2]float64{float64(q.PromptTokens), float64(q.MaxTokens)}
+	list := c.sizes.list()
+	if len(list) == 0 {
+		list = append(list, size{prompt: float64(q.PromptTokens), output: float64(q.MaxTokens), cascade: s.cascadeFits(cfg, q)})
 	}
+	p.reference = mean(list)
 	p.options, p.candidates = serving, candidates
 	p.singles = len(serving)
 	for i := range p.options {
@@ -170,15 +169,17 @@
 		goal *= 1 + margin
 	}
 	s.revalue(cfg, p)
-	p.steer(goal, q.Now)
+	if p.singles > 0 {
+		p.steer(goal, q.Now, list, s.factor())
+	}
 	return p
 }
 
-// steer corrects the goal for past decisions and sets the range of the price of quality.
-func (p *plan) steer(goal float64, now time.Time) {
+// steer corrects the goal for past decisions and sets the price of quality at which the requests of the list meet it.
+func (p *plan) steer(goal float64, now time.Time, list []size, factor float64) {
 	c := p.control
 	fade, keep := 1.0, 1.0
-	store(&c.base, goal)
+	c.base = goal
 	if !c.steeredAt.IsZero() {
 		fade = math.Exp2(-float64(now.Sub(c.steeredAt)) / float64(changeLag))
 		keep = math.Exp2(-float64(now.Sub(c.steeredAt)) / float64(memory))
@@ -186,113 +187,28 @@
 	c.steeredAt = now
 	c.frozen *= keep
 	c.frozenDeficit *= keep
-	total, deficit := 0.0, 0.0
+	total, deficit, variance := 0.0, 0.0, 0.0
 	for _, e := range c.entries {
 		n := e.selected.Load()
 		e.weight = e.weight*keep + float64(n-e.settled)
 		e.recent = min(e.recent*fade+float64(n-e.settled), e.weight)
 		e.settled = n
 		total += e.weight
+		variance += e.weight * e.weight * e.deviation * e.deviation
 		deficit += e.weight * (goal - e.quality)
 	}
+	if total > 0 {
+		doubt := min(confidence*math.Sqrt(variance)/total, mostDoubt)
+		goal += doubt
+		deficit += doubt * total
+	}
 	total += c.frozen
 	deficit += c.frozenDeficit
-	// The deficit is made up for over the next tenth of the traffic, with a floor that damps the first minutes.
-	goal += min(max(deficit/(total/10+catchUpFloor), -catchUp), catchUp)
-	store(&c.goal, goal)
-	upper, scale := frontier(p.options[:p.singles], p.reference, goal)
-	lower, cascadeScale := frontier(p.options, p.reference, goal)
-	store(&c.scale, min(scale, cascadeScale))
-	// Request sizes spread around the reference, so the stationary price differs from that of the frontier. Beyond a
-	// factor of 3 it is a remnant of earlier estimates.
-	store(&c.lambda, min(max(load(&c.lambda), lower/3), 3*upper))
-	if total == 0 {
-		store(&c.lambda, lower)
-	}
-}
-
-// frontier returns the price of quality at which the mean of the kind reaches goal on the lower convex hull of cost over
-// quality, and the smallest positive price of the hull as the unit of its steps.
-func frontier(options []option, reference [2]float64, goal float64) (lambda, scale float64) {
-	type point struct{ quality, cost float64 }
-	points := make([]point, 0, len(options))
-	for i := range options {
-		points = append(points, point{options[i].quality, options[i].price(reference[0], reference[1])})
-	}
-	slices.SortFunc(points, func(a, b point) int {
-		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(b.quality, a.quality))
-	})
-	for i := 0; i < len(points); {
-		next, slope := -1, math.Inf(1)
-		for j := i + 1; j < len(points); j++ {
-			if points[j].quality <= points[i].quality {
-				continue
-			}
-			if d := (points[j].cost - points[i].cost) / (points[j].quality - points[i].quality); d <= slope {
-				next, slope = j, d
-			}
-		}
-		if next < 0 {
-			break
-		}
-		if slope > 0 && scale == 0 {
-			scale = slope
-		}
-		if points[i].quality >= goal {
-			break
-		}
-		lambda = slope
-		if points[next].quality >= goal {
-			scale = slope
-			break
-		}
-		i = next
-	}
-	return lambda, scale
-}
-
-// cascades lists the pairs that beat starting higher, best first at the current price of quality.
-//
-// A cascade of a cheap version (cost c1, shortfall p) and a better one (cost c2) costs c1 + rating + p*c2. It loses
-// when that is at least c2, that is when p >= 1 - (c1+rating)/c2, and is then left out. It also loses when a single version
-// or a mixture reaches the same quality at a lower cost, which the comparison of scores in Select decides.
-func (s *Selector) cascades(p *plan) []option {
-	type scored struct {
-		option
-		score float64
-	}
-	var found []scored
-	lambda := load(&p.control.lambda)
-	for i := range p.singles {
-		low := &p.options[i]
-		if low.ratings < cascadeRatings {
-			continue
-		}
-		share := low.short
-		for j := range p.singles {
-			high := &p.options[j]
-			if high.quality <= low.quality || !CascadeWins(low.price(p.reference[0], p.reference[1]), s.ratingPrice,
-				high.price(p.reference[0], p.reference[1]), share) {
-				continue
-			}
-			o := option{
-				target: low.target, cascade: []identifier.Target{high.target}, exposure: 1, rating: s.ratingPrice,
-				input: low.input + share*high.input, output: low.output + share*high.output,
-				evidence: cascaded(&low.evidence, &high.evidence),
-			}
-			found = append(found, scored{o, o.price(p.reference[0], p.reference[1]) - lambda*o.quality})
-		}
-	}
-	slices.SortStableFunc(found, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
-	options := make([]option, 0, maxCascades)
-	for i := range min(len(found), maxCascades) {
-		options = append(options, found[i].option)
-	}
-	return options
-}
-
-// CascadeWins reports whether running the cheap version first, rating it for the price of rating, and repeating on the
-// expensive one with probability shortfall costs less than starting on the expensive one.
-func CascadeWins(cheap, rating, expensive, shortfall float64) bool {
-	return cheap+rating+shortfall*expensive < expensive
+	// The deficit is made up for over the next quarter of the traffic, with a floor that damps the first minutes.
+	goal += min(max(deficit/(total/4+catchUpFloor), -catchUp), catchUp)
+	p.goal = goal
+	// The sizes of requests spread around the reference, so the price can be above that of the frontier.
+	most := priceRange * frontier(hull(p.options[:p.singles], p.reference), goal)
+	p.lambda = p.price(list, factor, goal, most, c.lambda)
+	c.lambda = p.lambda
 }
