watcher, pinstorer: take the engine's state and the rows of pins out of assembler

Change: package watcher has the former, pinstorer the latter, both without a duty of their own: assembler calls them at their interval.

--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -21,6 +21,7 @@
 	"github.com/siskinfront/siskinfront/meter"
 	"github.com/siskinfront/siskinfront/selector"
 	"github.com/siskinfront/siskinfront/streamer"
+	"github.com/siskinfront/siskinfront/watcher"
 )
 
 const (
@@ -46,7 +47,7 @@
 
 	server    *agentserver.Server
 	admission *admission
-	engine    *engineWatch
+	engine    *watcher.Engine
 	commands  *commands
 	biller    *biller.Biller
 }
@@ -124,10 +125,10 @@
 	a.admission.waited = func(rank identifier.Rank, d time.Duration) {
 		a.meter.Observe(meter.AllLatencies().QueueWait, string(rank), d)
 	}
-	a.engine = newEngineWatch(s.Upstream.Address, s.Upstream.Service)
+	a.engine = watcher.New(s.Upstream.Address, s.Upstream.Service)
 	a.server = agentserver.New(s.Upstream.Name, s.Upstream.Address,
 		agentserver.WithConfiguration(a.distributor.Current),
-		agentserver.WithAdmit(a.admit, a.load), agentserver.WithLoaded(a.engine.has),
+		agentserver.WithAdmit(a.admit, a.load), agentserver.WithLoaded(a.engine.Has),
 		agentserver.WithMark(a.commandMark),
 	)
 	a.biller = biller.New(s.Instance, []biller.Sink{biller.TableSink(a.table), biller.ObjectSink(a.objects)},
@@ -163,7 +164,7 @@
 func (a *Agent) load() streamer.Load {
 	l := a.admission.load()
 	serving, _ := a.targets()
-	l.Loaded = hashOf(serving)
+	l.Loaded = watcher.HashOf(serving)
 	return l
 }
 
@@ -179,7 +180,7 @@
 // admit waits for a slot; an engine that does not answer takes no new work. Such an agent is not leaving, because an
 // entry never lets a leaving upstream return.
 func (a *Agent) admit(ctx context.Context, it agentserver.Item) (agentserver.Ticket, error) {
-	if !a.engine.healthy() {
+	if !a.engine.Healthy() {
 		return agentserver.Ticket{}, &agentserver.RefusalError{Code: codeEngineSilent, RetryAt: time.Now().Add(leaseRetry)}
 	}
 	return a.admission.admit(ctx, it)
@@ -197,8 +198,8 @@
 		stopDuties()
 		return errors.Join(ignoreEnd(ctx, err), g.Wait(), a.listeners.data.Close())
 	}
-	a.engine.look(ctx)
-	g.Go(func() error { return ignoreEnd(duties, a.engine.run(duties)) })
+	a.engine.Look(ctx)
+	g.Go(func() error { return ignoreEnd(duties, every(duties, watcher.Interval, a.engine.Look)) })
 	g.Go(func() error { return ignoreEnd(duties, a.server.Watch(duties, a.trialTarget)) })
 	g.Go(func() error { return ignoreEnd(duties, a.biller.Run(duties)) })
 	g.Go(func() error { return every(duties, billStep, a.moveBills) })
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -29,6 +29,7 @@
 	"github.com/siskinfront/siskinfront/meter"
 	"github.com/siskinfront/siskinfront/observer"
 	"github.com/siskinfront/siskinfront/pinner"
+	"github.com/siskinfront/siskinfront/pinstorer"
 	"github.com/siskinfront/siskinfront/placer"
 	"github.com/siskinfront/siskinfront/redirector"
 	"github.com/siskinfront/siskinfront/selector"
@@ -58,7 +59,7 @@
 	biller     *biller.Biller
 	holders    *billHolders
 	pinner     *pinner.Pinner
-	pinRows    *pinRows
+	pinRows    *pinstorer.Rows
 	explainer  *explainer.Explainer
 	accounts   *limiter.Accounts
 	lender     *limiter.Lender
@@ -168,12 +169,12 @@
 	ledger := spender.NewTableLedger(current, e.spendTable(), s.DataCentre, s.DataCentres)
 	e.spender = spender.New(current, ledger.Ledger())
 	e.selector = selector.New(selector.WithEstimator(e.estimator), selector.WithPriceFactor(e.spender.PriceFactor))
-	e.pinRows = newPinRows(e.table, s.Region, s.Instance)
+	e.pinRows = pinstorer.New(e.table, s.Region, s.Instance)
 	e.pinner = pinner.New(pinner.WithInstances(s.Instance, e.regionEntries), pinner.WithConfiguration(current),
 		pinner.WithAsk(func(ctx context.Context, owner identifier.Instance, q pinner.Question) (identifier.Target, error) {
 			return ask[pinner.Question, identifier.Target](ctx, e.peers, owner, methodPin, q)
 		}),
-		pinner.WithWrite(e.pinRows.write), pinner.WithRead(e.pinRows.read))
+		pinner.WithWrite(e.pinRows.Write), pinner.WithRead(e.pinRows.Read))
 }
 
 // buildRecords builds the parts that keep claims, bills and decision records.
@@ -333,7 +334,7 @@
 
 func (e *Entry) startDuties(ctx context.Context, g *errgroup.Group) {
 	for _, duty := range []func(context.Context) error{
-		e.directory.run, e.balancer.Run, e.spender.Run, e.biller.Run, e.pinner.Run, e.pinRows.run, e.reportDurable, e.sweepClaims,
+		e.directory.run, e.balancer.Run, e.spender.Run, e.biller.Run, e.pinner.Run, e.removePins, e.reportDurable, e.sweepClaims,
 		e.quality.submit, e.quality.collect, e.quality.follow, e.rollouts.judge, e.rollouts.forward,
 		e.place, e.exchangeShares,
 	} {
@@ -365,6 +366,11 @@
 	e.meter.Observe(l.Request, string(a.Rank), a.End.Sub(a.Begin))
 }
 
+// removePins removes old rows of session pins until ctx ends.
+func (e *Entry) removePins(ctx context.Context) error {
+	return every(ctx, pinstorer.RemovalInterval, e.pinRows.Remove)
+}
+
 // Upstreams returns the number of upstreams that the entry knows.
 func (e *Entry) Upstreams() int {
 	return e.directory.count()
--- a/assembler/parts_internal_test.go
+++ b/assembler/parts_internal_test.go
@@ -3,7 +3,12 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +19,7 @@
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/streamer"
+	"github.com/siskinfront/siskinfront/watcher"
 )
 
 // Guards against a durable bill that is reported to the wrong agent or twice, and against growth without bound.
@@ -83,15 +89,28 @@
 // Guards against a silent engine that takes work, and one that recovered and takes none.
 func TestSilentEngineTakesNoWork(t *testing.T) {
 	s := configurer.DefaultAgentSettings()
-	a := &Agent{admission: newAdmission(&s), engine: newEngineWatch(s.Upstream.Address, "")}
+	var answers atomic.Bool
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if answers.Load() {
+			_, _ = io.WriteString(w, `{"loaded":[]}`)
+		}
+	}))
+	t.Cleanup(engine.Close)
+	a := &Agent{
+		admission: newAdmission(&s),
+		engine:    watcher.New(netip.MustParseAddrPort(engine.Listener.Addr().String()), ""),
+	}
 	a.admission.configure(ranked("urgent"))
-	a.engine.misses = engineMisses
+	for range 3 {
+		a.engine.Look(t.Context())
+	}
 	_, err := a.admit(t.Context(), order("urgent"))
 	var refused *agentserver.RefusalError
 	must.True(t, errors.As(err, &refused), must.Sprint(err))
 	must.EqOp(t, codeEngineSilent, refused.Code)
 	must.False(t, a.admission.load().Leaving)
-	a.engine.misses = 0
+	answers.Store(true)
+	a.engine.Look(t.Context())
 	ticket, err := a.admit(t.Context(), order("urgent"))
 	must.NoError(t, err)
 	ticket.Finish(1)
--- a/assembler/placement.go
+++ b/assembler/placement.go
@@ -144,7 +144,7 @@
 	if reply.Status >= 300 {
 		return fmt.Errorf("%w: %s: status %d", errEngineRefused, c.Name, reply.Status)
 	}
-	a.engine.look(ctx)
+	a.engine.Look(ctx)
 	return nil
 }
 
@@ -166,7 +166,7 @@
 
 // targets returns the loaded versions that take new orders and those that are being unloaded.
 func (a *Agent) targets() (serving, unloading []identifier.Target) {
-	for _, t := range a.engine.targets() {
+	for _, t := range a.engine.Targets() {
 		if a.server.Closed(t) {
 			unloading = append(unloading, t)
 		} else {
@@ -181,7 +181,7 @@
 	u := &a.settings.Upstream
 	serving, unloading := a.targets()
 	d := Description{Upstream: u.Name, Service: u.Service, Targets: serving, Unloading: unloading, Load: a.currentLoad()}
-	if u.Service == "" && a.engine.hasAnswered() {
+	if u.Service == "" && a.engine.Answered() {
 		d.Places = u.Versions
 	}
 	return d
--- a/assembler/placement_internal_test.go
+++ b/assembler/placement_internal_test.go
@@ -69,7 +69,9 @@
 func (p *placed) loaded(name identifier.Upstream) []identifier.Target {
 	w := httptest.NewRecorder()
 	p.engines[name].ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/load", http.NoBody))
-	var report engineLoad
+	var report struct {
+		Loaded []string `json:"loaded"`
+	}
 	_ = json.Unmarshal(w.Body.Bytes(), &report)
 	var list []identifier.Target
 	for _, x := range report.Loaded {
--- a/assembler/pin_rows.go
+++ b/pinstorer/rows.go
@@ -1,4 +1,4 @@
-package assembler
+package pinstorer
 
 import (
 	"context"
@@ -14,18 +14,18 @@
 )
 
 const (
-	// pinRemoval is the time between two removals of old pin rows.
-	pinRemoval = 30 * time.Second
-	// pinRemovalBatch bounds the rows of one removal; an entry of the target writes about 18 in that time.
-	pinRemovalBatch = 64
-	// maxPinRows bounds the rows whose removal an entry remembers; further ones are left to the next owner of the shard.
-	maxPinRows = 20_000
+	// RemovalInterval is the time between two removals of old rows.
+	RemovalInterval = 30 * time.Second
+	// removalBatch bounds the rows of one removal; an entry of the target writes about 18 in that time.
+	removalBatch = 64
+	// maxRows bounds the rows whose removal an entry remembers; further ones are left to the next owner of the shard.
+	maxRows = 20_000
 )
 
-// pinRows keeps the session pins of the region in rows pin/{region}/{shard}/{instance}/{id}. It removes the rows that
+// Rows keeps the session pins of a region in rows pin/{region}/{shard}/{instance}/{id}. It removes the rows that
 // this process has written or read once their pins are of no use; the owner of a shard has done one or the other with
 // each of its rows, so rows of an entry that died are removed too.
-type pinRows struct {
+type Rows struct {
 	table  *storer.Table
 	prefix string
 	self   identifier.Instance
@@ -35,16 +35,17 @@
 	removeAt map[string]time.Time
 }
 
-func newPinRows(t *storer.Table, r identifier.Region, self identifier.Instance) *pinRows {
-	return &pinRows{table: t, prefix: "pin/" + string(r) + "/", self: self, removeAt: map[string]time.Time{}}
+// New returns the rows of a region as the instance self writes and reads them.
+func New(t *storer.Table, r identifier.Region, self identifier.Instance) *Rows {
+	return &Rows{table: t, prefix: "pin/" + string(r) + "/", self: self, removeAt: map[string]time.Time{}}
 }
 
-func (p *pinRows) shard(n int) string {
+func (p *Rows) shard(n int) string {
 	return p.prefix + strconv.Itoa(n) + "/"
 }
 
-// write writes the pins of one interval in one transaction, as one row per shard whose key never repeats.
-func (p *pinRows) write(ctx context.Context, pins []pinner.Pin) error {
+// Write writes the pins of one interval in one transaction, as one row per shard whose key never repeats.
+func (p *Rows) Write(ctx context.Context, pins []pinner.Pin) error {
 	byShard := map[int][]pinner.Pin{}
 	for _, x := range pins {
 		n := pinner.Shard(x.ClientAccount, x.Session)
@@ -54,7 +55,7 @@
 	for n, list := range byShard {
 		b, err := json.Marshal(list)
 		if err != nil {
-			return fmt.Errorf("assembler: encode pins of shard %d: %w", n, err)
+			return fmt.Errorf("pinstorer: encode pins of shard %d: %w", n, err)
 		}
 		key := p.shard(n) + string(p.self) + "/" + tx.ID
 		tx.Writes = append(tx.Writes, storer.Write{Key: key, Value: b})
@@ -66,8 +67,8 @@
 	return p.table.Transact(ctx, tx)
 }
 
-// read returns the pins of a shard.
-func (p *pinRows) read(ctx context.Context, n int) ([]pinner.Pin, error) {
+// Read returns the pins of a shard.
+func (p *Rows) Read(ctx context.Context, n int) ([]pinner.Pin, error) {
 	rows, err := p.table.List(ctx, p.shard(n))
 	if err != nil {
 		return nil, err
@@ -76,7 +77,7 @@
 	for i := range rows {
 		var list []pinner.Pin
 		if err := json.Unmarshal(rows[i].Value, &list); err != nil {
-			return nil, fmt.Errorf("assembler: decode %s: %w", rows[i].Key, err)
+			return nil, fmt.Errorf("pinstorer: decode %s: %w", rows[i].Key, err)
 		}
 		var last time.Time
 		for _, x := range list {
@@ -90,26 +91,21 @@
 	return pins, nil
 }
 
-func (p *pinRows) remember(key string, at time.Time) {
+func (p *Rows) remember(key string, at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, ok := p.removeAt[key]; ok || len(p.removeAt) < maxPinRows {
+	if _, ok := p.removeAt[key]; ok || len(p.removeAt) < maxRows {
 		p.removeAt[key] = at
 	}
 }
 
-// run removes old rows until ctx ends.
-func (p *pinRows) run(ctx context.Context) error {
-	return every(ctx, pinRemoval, p.remove)
-}
-
-// remove deletes some of the rows that are due; a failed transaction is repeated by the next step.
-func (p *pinRows) remove(ctx context.Context) {
+// Remove deletes some of the rows that are due; a failed transaction is repeated by the next step.
+func (p *Rows) Remove(ctx context.Context) {
 	now := time.Now()
 	tx := storer.Transaction{ID: storer.NewID()}
 	p.mu.Lock()
 	for key, at := range p.removeAt {
-		if !now.Before(at) && len(tx.Writes) < pinRemovalBatch {
+		if !now.Before(at) && len(tx.Writes) < removalBatch {
 			tx.Writes = append(tx.Writes, storer.Write{Key: key, Delete: true})
 		}
 	}
--- a/assembler/pin_rows_internal_test.go
+++ b/pinstorer/rows_internal_test.go
@@ -1,4 +1,4 @@
-package assembler
+package pinstorer
 
 import (
 	"net/http"
@@ -28,27 +28,27 @@
 func TestPinRowsAreReadAndRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fake := platformfaker.NewTable(platformfaker.WithNow(time.Now))
-		writer := newPinRows(directTable(fake), "west", "e-1")
+		writer := New(directTable(fake), "west", "e-1")
 		a := pinner.Pin{ClientAccount: "a", Session: "s-1", Used: time.Now()}
 		b := pinner.Pin{ClientAccount: "a", Session: "s-2", Used: time.Now()}
 		n := pinner.Shard("a", "s-1")
 		must.NotEq(t, n, pinner.Shard("a", "s-2"))
-		must.NoError(t, writer.write(t.Context(), []pinner.Pin{a, b}))
+		must.NoError(t, writer.Write(t.Context(), []pinner.Pin{a, b}))
 		must.Len(t, 2, fake.Rows("pin/west/"))
 
-		reader := newPinRows(directTable(fake), "west", "e-2")
-		pins, err := reader.read(t.Context(), n)
+		reader := New(directTable(fake), "west", "e-2")
+		pins, err := reader.Read(t.Context(), n)
 		must.NoError(t, err)
 		must.Len(t, 1, pins)
 		must.EqOp(t, "s-1", string(pins[0].Session))
 
 		time.Sleep(pinner.RowLife - time.Second)
-		reader.remove(t.Context())
+		reader.Remove(t.Context())
 		must.Len(t, 2, fake.Rows("pin/west/"))
 		time.Sleep(time.Second)
-		reader.remove(t.Context())
+		reader.Remove(t.Context())
 		must.Len(t, 1, fake.Rows("pin/west/"))
-		writer.remove(t.Context())
+		writer.Remove(t.Context())
 		must.SliceEmpty(t, fake.Rows("pin/west/"))
 		must.MapEmpty(t, writer.removeAt)
 	})
--- /dev/null
+++ b/watcher/doc.go
@@ -0,0 +1,2 @@
+// Package watcher knows which versions an engine has loaded and whether it answers.
+package watcher
--- a/assembler/engine.go
+++ b/watcher/engine.go
@@ -1,4 +1,4 @@
-package assembler
+package watcher
 
 import (
 	"context"
@@ -18,16 +18,16 @@
 )
 
 const (
-	// engineInterval is how often the engine is asked for its load and its versions.
-	engineInterval = time.Second
-	// engineTimeout bounds one question.
-	engineTimeout = 2 * time.Second
-	// engineMisses is the number of questions without an answer after which the engine takes no new work.
-	engineMisses = 3
+	// Interval is how often the engine should be asked for its versions.
+	Interval = time.Second
+	// timeout bounds one question.
+	timeout = 2 * time.Second
+	// maxMisses is the number of questions without an answer after which the engine takes no new work.
+	maxMisses = 3
 )
 
-// engineWatch knows which versions the engine has loaded and whether it answers.
-type engineWatch struct {
+// Engine knows which versions an engine has loaded and whether it answers; it is safe for concurrent use.
+type Engine struct {
 	address netip.AddrPort
 	service identifier.Service
 	client  *http.Client
@@ -41,16 +41,13 @@
 	asked, missed atomic.Int64
 }
 
-func newEngineWatch(address netip.AddrPort, service identifier.Service) *engineWatch {
-	return &engineWatch{address: address, service: service, client: &http.Client{Timeout: engineTimeout}}
+// New returns a watch of the engine at address. A plain service has no report and is judged by its calls alone.
+func New(address netip.AddrPort, service identifier.Service) *Engine {
+	return &Engine{address: address, service: service, client: &http.Client{Timeout: timeout}}
 }
 
-func (w *engineWatch) run(ctx context.Context) error {
-	return every(ctx, engineInterval, w.look)
-}
-
-// look asks the engine once. A plain service has no such report and is judged by its calls alone.
-func (w *engineWatch) look(ctx context.Context) {
+// Look asks the engine once.
+func (w *Engine) Look(ctx context.Context) {
 	if w.service != "" {
 		return
 	}
@@ -71,19 +68,19 @@
 	Loaded []string `json:"loaded"`
 }
 
-func (w *engineWatch) ask(ctx context.Context) ([]identifier.Target, error) {
+func (w *Engine) ask(ctx context.Context) ([]identifier.Target, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.address.String()+"/load", http.NoBody)
 	if err != nil {
-		return nil, fmt.Errorf("assembler: build question to engine: %w", err)
+		return nil, fmt.Errorf("watcher: build question to engine: %w", err)
 	}
 	resp, err := w.client.Do(r)
 	if err != nil {
-		return nil, fmt.Errorf("assembler: ask engine at %s: %w", w.address, err)
+		return nil, fmt.Errorf("watcher: ask engine at %s: %w", w.address, err)
 	}
 	defer resp.Body.Close()
 	var report engineLoad
 	if err := json.NewDecoder(resp.Body).Decode(&report); err != nil {
-		return nil, fmt.Errorf("assembler: decode load of engine at %s: %w", w.address, err)
+		return nil, fmt.Errorf("watcher: decode load of engine at %s: %w", w.address, err)
 	}
 	targets := make([]identifier.Target, 0, len(report.Loaded))
 	for _, name := range report.Loaded {
@@ -94,14 +91,15 @@
 	return targets, nil
 }
 
-func (w *engineWatch) targets() []identifier.Target {
+// Targets returns the versions that the engine has loaded as far as is known.
+func (w *Engine) Targets() []identifier.Target {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return slices.Clone(w.loaded)
 }
 
-// hashOf returns a value that changes when the versions do.
-func hashOf(targets []identifier.Target) uint64 {
+// HashOf returns a value that changes when the versions do.
+func HashOf(targets []identifier.Target) uint64 {
 	h := xxhash.New()
 	for _, t := range targets {
 		// Writes to a hash never fail.
@@ -110,38 +108,39 @@
 	return h.Sum64()
 }
 
-// has reports whether the engine has a version loaded as far as is known.
-func (w *engineWatch) has(t identifier.Target) bool {
+// Has reports whether the engine has a version loaded as far as is known.
+func (w *Engine) Has(t identifier.Target) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return slices.Contains(w.loaded, t)
 }
 
-// hasAnswered reports whether the loaded versions are known.
-func (w *engineWatch) hasAnswered() bool {
+// Answered reports whether the loaded versions are known.
+func (w *Engine) Answered() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.answered
 }
 
-func (w *engineWatch) healthy() bool {
+// Healthy reports whether the engine takes new work: it has answered one of the last questions.
+func (w *Engine) Healthy() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.misses < engineMisses
+	return w.misses < maxMisses
 }
 
 // Counters returns the numbers of questions and of those without an answer.
-func (w *engineWatch) Counters() map[string]int64 {
+func (w *Engine) Counters() map[string]int64 {
 	return map[string]int64{"questions": w.asked.Load(), "questions-missed": w.missed.Load()}
 }
 
-// EngineState is what the agent knows about its engine.
-type EngineState struct {
+// State is what is known about an engine.
+type State struct {
 	Loaded  []identifier.Target `json:"loaded"`
 	Healthy bool                `json:"healthy"`
 }
 
-// State returns an EngineState.
-func (w *engineWatch) State() any {
-	return EngineState{Loaded: w.targets(), Healthy: w.healthy()}
+// State returns a State.
+func (w *Engine) State() any {
+	return State{Loaded: w.Targets(), Healthy: w.Healthy()}
 }
