limiter: an even part of the limit while the owner does not answer

Cause: an entry without a share of an account's limit may use 0.05 of an even part until the owner answers. While the owner is paused or cut off, up to the 7 s until it counts as dead, nearly all work of an account that is new to the entry was refused, urgent orders included. Change: a failed ask without a valid share leaves the even part. All entries together then add less than the limit, as in the first second with an account. Result: go test -run TestSilentOwnerLeavesAnEvenPart ./limiter: three entries of four may use 0.76 of the limit while the owner is paused, 0.05 before; the sum stays below twice the limit with shares of the owner still valid. TestSharesStayWithinLimit passes.

--- a/limiter/borrower.go
+++ b/limiter/borrower.go
@@ -38,6 +38,7 @@
 	askedFor  float64
 	asking    bool
 	satisfied bool
+	failing   bool // the last ask brought no answer
 }
 
 // perSecond returns the demand in tokens per second.
@@ -85,7 +86,9 @@
 	w.demandAt = now
 }
 
-// Share returns the fraction of an account's limit that the entry may use now.
+// Share returns the fraction of an account's limit that the entry may use now. Without a valid share and while the owner does
+// not answer it is an even part, so that an owner that is paused or cut off refuses nobody's work: over all entries that adds
+// less than the limit, until the owner is known to be gone.
 func (b *Borrower) Share(acc *configurer.ClientAccount) float64 {
 	n := b.entries()
 	if n <= 1 {
@@ -100,7 +103,7 @@
 		return basePart * even
 	case now.Before(w.until):
 		return basePart*even + w.share
-	case now.Before(w.firstAt.Add(startTime)):
+	case w.failing, now.Before(w.firstAt.Add(startTime)):
 		return even
 	}
 	return basePart * even
@@ -146,7 +149,7 @@
 	if w == nil {
 		return
 	}
-	w.asking = false
+	w.asking, w.failing = false, false
 	w.askAt = w.askedAt.Add(max(time.Duration(g.Again)*time.Millisecond, minAskGap))
 	if g.For <= 0 {
 		return // the other entry does not own the account; what is held stays valid
@@ -164,7 +167,7 @@
 	defer b.mu.Unlock()
 	b.failed++
 	if w := b.wants[a.Account]; w != nil {
-		w.asking, w.askAt = false, w.askedAt.Add(minAskGap)
+		w.asking, w.failing, w.askAt = false, true, w.askedAt.Add(minAskGap)
 	}
 }
 
--- a/limiter/lender_test.go
+++ b/limiter/lender_test.go
@@ -65,3 +65,32 @@
 	}
 	must.EqOp(t, 0.95, l.Answer(ask, healed.Add(settle)).Share)
 }
+
+// Guards against an account that is refused nearly everything at entries that are new to it while its owner is paused or cut
+// off, and against entries that together use twice the limit then.
+func TestSilentOwnerLeavesAnEvenPart(t *testing.T) {
+	d := newDeployment(4)
+	owner := d.find(d.nodes[0].lender.Owner(d.acc.Name))
+	run := func(seconds int) (sum float64) {
+		for range seconds * 10 {
+			d.now = d.now.Add(100 * time.Millisecond)
+			for _, x := range d.nodes {
+				x.borrower.Use(&d.acc, 3300, d.now)
+				d.step(x, never)
+			}
+		}
+		for _, x := range d.nodes {
+			sum += x.borrower.Share(&d.acc)
+		}
+		return sum
+	}
+	owner.paused = true
+	// No entry has a share yet, and the three others ask in vain.
+	must.Between(t, 0.75, run(3), 1)
+	owner.paused = false
+	must.LessEq(t, 1.01, run(80))
+	owner.paused = true
+	// Shares that are valid stay in use; the sum with even parts of the others stays below twice the limit.
+	must.Less(t, 2, run(30))
+	must.Greater(t, 0.7, run(1))
+}
