detector: answer a suspicion under an old incarnation

A trace of schedule shows a restarted instance that has a member from the platform's list only, with incarnation 0, and waits for its heartbeats because the list lags and its ring differs. Its suspicion carries incarnation 0, which the member and its other monitors ignored as old news, so nobody answered and it took the live member for dead for 1.75 s that the check counts. Ruled out: the longer heartbeat period; the member was live for everybody else. Change: a process that is accused under an incarnation below its own answers with a heartbeat. The new test fails without the change (no answer). go test ./detector passes.

--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -192,6 +192,33 @@
 	})
 }
 
+// Guards against a live member that is taken for dead by a process that has it only from the platform's list, waits for its
+// heartbeats by a ring of its own, and does not know its incarnation: `bench faults --seed 62`, schedule 266287972507.
+func TestSuspicionWithoutIncarnationIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(3)
+		c.run(3)
+		self, ok := c.nodes[0].Member(name(0))
+		must.True(t, ok)
+		fresh := detector.New(detector.Member{Instance: name(1), DataCentre: self.DataCentre, Region: self.Region, Role: self.Role})
+		fresh.Merge(list(3))
+		must.Eq(t, detector.Listed, fresh.StateOf(name(0)))
+		var answer []detector.Message
+		accused := detector.New(self, detector.WithSend(func(to identifier.Instance, m detector.Message) {
+			if to == name(1) {
+				answer = append(answer, m)
+			}
+		}))
+		accused.Receive(detector.Message{
+			From:   detector.Member{Instance: name(1), DataCentre: self.DataCentre, Region: self.Region, Role: self.Role, State: detector.Live},
+			Events: []detector.Event{{Instance: name(0), State: detector.Suspect}},
+		})
+		must.Len(t, 1, answer)
+		fresh.Receive(answer[0])
+		must.Eq(t, detector.Live, fresh.StateOf(name(0)))
+	})
+}
+
 // Guards against cost per node that grows with the number of instances: 253 of a data centre against all 2,530.
 func TestCostPerNode(t *testing.T) {
 	cost := func(n int) (messages, size int) {
--- a/detector/receive.go
+++ b/detector/receive.go
@@ -49,7 +49,7 @@
 		var out []outgoing
 		for _, e := range m.Events[:min(len(m.Events), maxEvents)] {
 			if e.Instance == d.self.Instance {
-				out = append(out, d.refute(e)...)
+				out = append(out, d.refute(e, m.From.Instance)...)
 			}
 		}
 		out = append(out, outgoing{m.From.Instance, d.message([]Event{{m.From.Instance, Dead, r.Incarnation}})})
@@ -88,7 +88,7 @@
 // apply takes one event from a peer and returns what it makes this process send.
 func (d *Detector) apply(e Event, from identifier.Instance) ([]outgoing, bool) {
 	if e.Instance == d.self.Instance {
-		return d.refute(e), false
+		return d.refute(e, from), false
 	}
 	r, ok := d.members[e.Instance]
 	if !ok || e.Incarnation < r.Incarnation {
@@ -155,11 +155,16 @@
 	return nil
 }
 
-// refute answers news of the own death with a higher incarnation, and a mere suspicion with a heartbeat to all.
-func (d *Detector) refute(e Event) []outgoing {
-	if e.Incarnation < d.self.Incarnation || e.State == Live || e.State == d.self.State {
+// refute answers news of the own death with a higher incarnation, and a mere suspicion with a heartbeat to all. A sender
+// that has not heard of the present incarnation gets a heartbeat: it knows this process from the platform's list or from
+// before a restart, and a higher incarnation would be news to nobody else.
+func (d *Detector) refute(e Event, from identifier.Instance) []outgoing {
+	if e.State == Live || e.State == d.self.State {
 		return nil
 	}
+	if e.Incarnation < d.self.Incarnation {
+		return []outgoing{{from, d.message(nil)}}
+	}
 	d.self.Incarnation = e.Incarnation + 1
 	d.refutations.Add(1)
 	return d.spread(Event{d.self.Instance, d.self.State, d.self.Incarnation})
