assembler, pinstorer: use the exchange of platformfaker in tests

Cause: two tests had their own 5 lines for calls of a fake table without a network, which platformfaker.Exchange does. Change: both use it.

--- a/assembler/directory_internal_test.go
+++ b/assembler/directory_internal_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -67,11 +65,7 @@
 // Guards against a lease holder that overwrites the newer counts of another one.
 func TestQualityKeepsNewerRow(t *testing.T) {
 	fake := platformfaker.NewTable()
-	table := storer.New(netip.MustParseAddrPort("127.0.0.1:1"), storer.WithDo(func(r *http.Request) (*http.Response, error) {
-		w := httptest.NewRecorder()
-		fake.ServeHTTP(w, r)
-		return w.Result(), nil
-	}))
+	table := storer.New(netip.MustParseAddrPort("127.0.0.1:1"), storer.WithDo(platformfaker.Exchange(fake)))
 	e := &Entry{process: &process{table: table}, estimator: estimator.New(estimator.WithSource("entry-1"))}
 	q := &quality{e: e, loaded: true, next: 5}
 	q.write(t.Context())
--- a/pinstorer/rows_internal_test.go
+++ b/pinstorer/rows_internal_test.go
@@ -1,8 +1,6 @@
 package pinstorer
 
 import (
-	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -15,13 +13,9 @@
 	"github.com/siskinfront/siskinfront/storer"
 )
 
-// directTable is a client that calls the handler of a fake table without a network.
-func directTable(h http.Handler) *storer.Table {
-	return storer.New(netip.MustParseAddrPort("127.0.0.1:1"), storer.WithDo(func(r *http.Request) (*http.Response, error) {
-		w := httptest.NewRecorder()
-		h.ServeHTTP(w, r)
-		return w.Result(), nil
-	}))
+// directTable is a client of a fake table without a network.
+func directTable(fake *platformfaker.Table) *storer.Table {
+	return storer.New(netip.MustParseAddrPort("127.0.0.1:1"), storer.WithDo(platformfaker.Exchange(fake)))
 }
 
 // Guards against rows of another shard in a read, and against rows of a dead entry that nobody removes.
