--- a/detector/encoding_test.go
+++ b/detector/encoding_test.go
@@ -64,3 +64,22 @@
 	must.Eq(t, want, got)
 	must.Len(t, 1, got.Events)
 }
+
+// Guards against a message of a peer that makes the decoder panic, or that changes when it is sent on.
+func FuzzMessage(f *testing.F) {
+	for _, text := range []string{
+		`["a","live",1,2]`, `["a","live",1,2,[["b","dead",3]]]`, `{"from":{"instance":"a"}}`, `[[],0]`, `["a",{},-1,1e9]`,
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var m, again detector.Message
+		if json.Unmarshal(data, &m) != nil {
+			return
+		}
+		b, err := json.Marshal(m)
+		must.NoError(t, err)
+		must.NoError(t, json.Unmarshal(b, &again))
+		must.Eq(t, m, again)
+	})
+}
