limiter: keep an even part for bursts after a quiet time

Change: an entry without a valid share, or with one that covers what it asked for, may use at least an even part; a share below what it asked for still binds. The special cases of the first second and of a failed ask are part of this rule and are gone.

--- a/limiter/borrower.go
+++ b/limiter/borrower.go
@@ -18,11 +18,7 @@
 	minAskGap = time.Second
 	// forgetAfter is the time without requests after which an account is forgotten.
 	forgetAfter = 2 * maxLifetime
-	// startTime is how long an entry may use an even share of an account that is new to it before the owner has answered;
-	// otherwise the second request of a quiet account would be refused. Over all entries this adds at most the limit for
-	// this time, not more often than accounts are forgotten.
-	startTime = time.Second
-	maxAsks   = 64 // accounts asked for in one round
+	maxAsks     = 64 // accounts asked for in one round
 )
 
 // want is what an entry knows of an account that it serves.
@@ -30,7 +26,6 @@
 	limit     float64
 	demand    float64 // decaying sum of tokens
 	demandAt  time.Time
-	firstAt   time.Time
 	share     float64 // granted by the owner
 	until     time.Time
 	askAt     time.Time
@@ -38,7 +33,6 @@
 	askedFor  float64
 	asking    bool
 	satisfied bool
-	failing   bool // the last ask brought no answer
 }
 
 // perSecond returns the demand in tokens per second.
@@ -78,7 +72,7 @@
 			b.dropped++
 			return
 		}
-		w = &want{firstAt: now, demandAt: now}
+		w = &want{demandAt: now}
 		b.wants[acc.Name] = w
 	}
 	w.limit = acc.TokensPerSecond
@@ -86,9 +80,10 @@
 	w.demandAt = now
 }
 
-// Share returns the fraction of an account's limit that the entry may use now. Without a valid share and while the owner does
-// not answer it is an even part, so that an owner that is paused or cut off refuses nobody's work: over all entries that adds
-// less than the limit, until the owner is known to be gone.
+// Share returns the fraction of an account's limit that the entry may use now: what the owner granted while the owner has less
+// than all entries want, and otherwise at least an even part. Without the latter a burst after a quiet time is refused until the
+// owner has answered, and all work while it does not answer. Over all entries it adds less than the limit, and only until
+// the asks that follow from the demand are answered.
 func (b *Borrower) Share(acc *configurer.ClientAccount) float64 {
 	n := b.entries()
 	if n <= 1 {
@@ -98,15 +93,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.wants[acc.Name]
-	switch now := b.now(); {
-	case w == nil:
-		return basePart * even
-	case now.Before(w.until):
-		return basePart*even + w.share
-	case w.failing, now.Before(w.firstAt.Add(startTime)):
+	if w == nil || !b.now().Before(w.until) {
 		return even
 	}
-	return basePart * even
+	granted := basePart*even + w.share
+	if w.satisfied {
+		return max(even, granted)
+	}
+	return granted
 }
 
 // Due returns the asks to send now; each must be followed by Granted or Failed.
@@ -149,7 +143,7 @@
 	if w == nil {
 		return
 	}
-	w.asking, w.failing = false, false
+	w.asking = false
 	w.askAt = w.askedAt.Add(max(time.Duration(g.Again)*time.Millisecond, minAskGap))
 	if g.For <= 0 {
 		return // the other entry does not own the account; what is held stays valid
@@ -167,7 +161,7 @@
 	defer b.mu.Unlock()
 	b.failed++
 	if w := b.wants[a.Account]; w != nil {
-		w.asking, w.failing, w.askAt = false, true, w.askedAt.Add(minAskGap)
+		w.asking, w.askAt = false, w.askedAt.Add(minAskGap)
 	}
 }
 
--- a/limiter/lender_test.go
+++ b/limiter/lender_test.go
@@ -94,3 +94,23 @@
 	must.Less(t, 2, run(30))
 	must.Greater(t, 0.7, run(1))
 }
+
+// Guards against a burst that is refused because the share follows the little demand before it, although the limit is unused:
+// go run . demo refused 29 of 267 normal requests for this, 4 with even parts.
+func TestQuietAccountKeepsAnEvenPart(t *testing.T) {
+	d := newDeployment(4)
+	for i := range 600 {
+		d.now = d.now.Add(100 * time.Millisecond)
+		sum := 0.0
+		for _, x := range d.nodes {
+			// A request each 10 s takes a little more than the part that is kept without asking.
+			if i%100 == 0 {
+				x.borrower.Use(&d.acc, 2000, d.now)
+			}
+			d.step(x, never)
+			must.GreaterEq(t, 0.25, x.borrower.Share(&d.acc))
+			sum += x.borrower.Share(&d.acc)
+		}
+		must.Less(t, 2, sum)
+	}
+}
