--- a/limiter/lender_test.go
+++ b/limiter/lender_test.go
@@ -114,3 +114,34 @@
 		must.Less(t, 2, sum)
 	}
 }
+
+// Guards against even parts that let an account pass twice its limit beside a caller that holds most of it at one entry. It
+// counts what passes, while TestSharesStayWithinLimit adds up what is granted.
+func TestBurstsBesideACallerThatSticks(t *testing.T) {
+	const steps, warmUp, tokens = 2400, 1200, 660
+	for _, seconds := range []int{1, 5, 20, 60} {
+		d := newDeployment(10)
+		passed, recent, worst := 0.0, 0.0, 0.0
+		for i := range steps {
+			d.now = d.now.Add(100 * time.Millisecond)
+			for k, x := range d.nodes {
+				// The first entry has twice the limit; the others have two seconds of an even part at once.
+				for range 10 {
+					if k > 0 && i%(10*seconds) != 0 {
+						break
+					}
+					x.borrower.Use(&d.acc, tokens, d.now)
+					if _, ok := x.limits.Allow(&d.acc, tokens, d.now); ok && i >= warmUp {
+						recent += tokens / d.acc.TokensPerSecond
+					}
+				}
+				d.step(x, never)
+			}
+			if i%100 == 99 {
+				passed, worst, recent = passed+recent/120, max(worst, recent/10), 0
+			}
+		}
+		t.Logf("bursts each %d s: %.3f of the limit, %.3f in the worst 10 s", seconds, passed, worst)
+		must.Less(t, 2, worst)
+	}
+}
