siskinfront: make the replay test independent of the candidates' exposure

Cause: TestReplayAgainstServe withdrew the candidate versions and expected a violation among 200 requests. The candidates' exposures are 0.01 and 0.05, and which requests they get depends on the request identifiers, so a run in which they answer none fails. Ruled out: a replay that overlooks violations.

Change: the test withdraws the serving versions, which answer nearly all requests.

Conclusion: the check guards the same failure, a replay that reports no violation, without depending on chance.

--- a/serve_internal_test.go
+++ b/serve_internal_test.go
@@ -115,11 +115,12 @@
 		must.Greater(t, 0, row.Answered)
 		must.EqOp(t, row.Sent, row.Answered+row.Refused)
 	}
-	// Under a configuration that withdrew a version before the trace was played, its answers are violations.
+	// Under a configuration that withdrew versions before the trace was played, their answers are violations. These are
+	// the serving versions: a candidate answers a few requests in a hundred, and so perhaps none of the two hundred.
 	text, err := os.ReadFile(dir + "configuration.yaml")
 	must.NoError(t, err)
 	withdrawn := filepath.Join(t.TempDir(), "configuration.yaml")
-	must.NoError(t, os.WriteFile(withdrawn, bytes.ReplaceAll(text, []byte("state: candidate"), []byte("state: withdrawn")), 0o600))
+	must.NoError(t, os.WriteFile(withdrawn, bytes.ReplaceAll(text, []byte("state: serving"), []byte("state: withdrawn")), 0o600))
 	short, err := os.ReadFile(dir + "trace.ndjson")
 	must.NoError(t, err)
 	args[1] = filepath.Join(t.TempDir(), "trace.ndjson")
