--- a/promoter/chart.go
+++ b/promoter/chart.go
@@ -2,6 +2,7 @@
 
 import (
 	_ "embed"
+	"time"
 
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/interpreter"
@@ -20,6 +21,7 @@
 	StateSmall     interpreter.State = "small"
 	StateQuarter   interpreter.State = "quarter"
 	StateHalf      interpreter.State = "half"
+	StateMost      interpreter.State = "most"
 	StateConfirmed interpreter.State = "confirmed"
 	StateWithdrawn interpreter.State = "withdrawn"
 
@@ -30,26 +32,31 @@
 	EventBad      interpreter.Event = "bad"
 )
 
-// stage is the exposure of a state and the pairs of observations that end it.
+// stage is the exposure of a state and what ends it.
 type stage struct {
 	state    interpreter.State
 	exposure float64
-	pairs    int
-	// last is set when confirmation follows the stage. Weak evidence leads back to the former stage from here only; the
-	// smaller stages stay, because the rollback needs their answers as evidence.
+	// pairs and least are the rated pairs and the time after which the stage ends.
+	pairs int
+	least time.Duration
+	// retreats is set when weak evidence leads back to the former stage. The smaller stages stay, because the rollback needs
+	// their answers as evidence.
+	retreats bool
+	// last is set when confirmation follows the stage.
 	last bool
 }
 
-// stages lists the stages in order. The last one leaves half of the work to the serving versions, because only answers of
-// the same hours tell a bad version from a hard hour, and equal parts tell it soonest; the rest follows when the version is
-// confirmed. A former stage of 0.9 gave a version that turned bad 1.8 times as many answers until its rollback.
+// stages lists the stages in order. For a day half of the work stays with the serving versions, because only answers of the
+// same hours tell a bad version from a hard hour, and equal parts tell it soonest. Then a tenth stays for days, since a
+// version without a control is not rolled back whatever it does.
 func stages() []stage {
 	return []stage{
 		{state: StateNew},
-		{state: StateCanary, exposure: 0.02, pairs: 10},
-		{state: StateSmall, exposure: 0.1, pairs: 100},
-		{state: StateQuarter, exposure: 0.25, pairs: 100},
-		{state: StateHalf, exposure: 0.5, pairs: 200, last: true},
+		{state: StateCanary, exposure: 0.02, pairs: 10, least: stageTime},
+		{state: StateSmall, exposure: 0.1, pairs: 100, least: stageTime},
+		{state: StateQuarter, exposure: 0.25, pairs: 100, least: stageTime},
+		{state: StateHalf, exposure: 0.5, pairs: 200, least: dayTime, retreats: true},
+		{state: StateMost, exposure: 0.9, pairs: 200, least: confirmTime, retreats: true, last: true},
 	}
 }
 
--- a/promoter/evidence.go
+++ b/promoter/evidence.go
@@ -11,7 +11,7 @@
 	// firstWeight is the weight of the test that starts with the stream, and laterStarts the number of the tests that start
 	// one restartTime after another, so that a version that turns bad late need not win back what earlier tests lost.
 	firstWeight = 0.25
-	laterStarts = 96
+	laterStarts = 192
 	restartTime = time.Hour
 	// recentTime is the time between the starts of the recent tests. Starts by time, not by value, keep the rate of false
 	// retreats the same at any traffic.
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -22,8 +22,10 @@
 	// former stage. A retreat by mistake costs only the time of one stage.
 	suspicion = 5
 	retreat   = 100
-	// confirmTime is the time in the last stage after which a version is confirmed.
-	confirmTime = 24 * time.Hour
+	// dayTime is the least time of the stage of equal parts, which covers the hours of a day, and confirmTime that of the last
+	// stage, after which a version is confirmed.
+	dayTime     = 24 * time.Hour
+	confirmTime = 4 * 24 * time.Hour
 	// stageTime is the least time of a stage, which covers the delay of the ratings.
 	stageTime = 10 * time.Minute
 	// maxStreams bounds the pairs of target and kind that are observed.
@@ -261,16 +263,17 @@
 	switch {
 	case value >= 1/falseRollback:
 		event = EventBad
-	case doubt >= retreat && current.last:
+	case doubt >= retreat && current.retreats:
 		event, reason = EventDoubt, "doubt: "+reason
 	case v.Paused:
 	case doubt > suspicion && current.state != StateCanary || value > suspicion:
 		// The canary grows despite recent doubt: at its exposure the certain test would take most of a day.
 	case current.state == StateNew:
 		event, reason = EventStart, "rollout starts"
-	case current.last && age >= confirmTime && g.pairs() >= current.pairs:
-		event, reason = EventConfirm, fmt.Sprintf("no worse for %s in the last stage", confirmTime)
-	case !current.last && g.pairs() >= current.pairs && age >= stageTime:
+	case g.pairs() < current.pairs || age < current.least:
+	case current.last:
+		event, reason = EventConfirm, fmt.Sprintf("no worse for %s in the last stage", current.least)
+	default:
 		event, reason = EventEvidence, fmt.Sprintf("no worse in %d rated pairs", g.pairs())
 	}
 	if event == "" || machine.Fire(event) != nil {
