describer: move the directory of upstreams out of assembler

Cause: assembler had grown to about 2,900 lines of code, and the directory of upstreams in it used only the detector and two calls to an agent.

Change: package describer holds the descriptions and the directory; the calls and the receiver of the upstreams are function fields.

--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -15,6 +15,7 @@
 	"github.com/siskinfront/siskinfront/agentserver"
 	"github.com/siskinfront/siskinfront/biller"
 	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/describer"
 	"github.com/siskinfront/siskinfront/detector"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/messenger"
@@ -136,7 +137,7 @@
 	messenger.Handle(a.mux, methodProbe, func(context.Context, messenger.Peer, None) (streamer.Load, error) {
 		return a.currentLoad(), nil
 	})
-	messenger.Handle(a.mux, methodDescribe, func(context.Context, messenger.Peer, None) (Description, error) {
+	messenger.Handle(a.mux, methodDescribe, func(context.Context, messenger.Peer, None) (describer.Description, error) {
 		return a.describe(), nil
 	})
 	messenger.Handle(a.mux, methodBillsDurable, func(ctx context.Context, _ messenger.Peer, b BillsDurable) (None, error) {
--- a/assembler/bill_holder.go
+++ b/assembler/bill_holder.go
@@ -48,7 +48,7 @@
 		select {
 		case ids := <-e.biller.Durable():
 			for u, list := range e.holders.take(ids) {
-				if agent, ok := e.directory.agentOf(u); ok {
+				if agent, ok := e.directory.AgentOf(u); ok {
 					// An agent that is not told writes its copy as well, which Union makes harmless.
 					_ = tell(e.peers, agent, methodBillsDurable, BillsDurable{IDs: list})
 				}
--- a/assembler/control.go
+++ b/assembler/control.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/siskinfront/siskinfront/identifier"
-	"github.com/siskinfront/siskinfront/streamer"
 )
 
 // The methods of the control connections between processes.
@@ -32,19 +31,6 @@
 	Revision uint64              `json:"revision"`
 }
 
-// Description is what an agent says about its upstream.
-type Description struct {
-	Upstream identifier.Upstream `json:"upstream"`
-	// Service is empty for a model engine.
-	Service identifier.Service  `json:"service,omitempty"`
-	Targets []identifier.Target `json:"targets,omitempty"`
-	// Unloading lists loaded versions that take no new orders.
-	Unloading []identifier.Target `json:"unloading,omitempty"`
-	// Places is the number of versions that fit into the engine; it is 0 until the engine has answered.
-	Places int           `json:"places,omitempty"`
-	Load   streamer.Load `json:"load"`
-}
-
 // BillsDurable tells an agent which bills another process has made durable.
 type BillsDurable struct {
 	IDs []string `json:"ids"`
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -19,6 +19,7 @@
 	"github.com/siskinfront/siskinfront/biller"
 	"github.com/siskinfront/siskinfront/claimer"
 	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/describer"
 	"github.com/siskinfront/siskinfront/detector"
 	"github.com/siskinfront/siskinfront/entryserver"
 	"github.com/siskinfront/siskinfront/estimator"
@@ -34,6 +35,7 @@
 	"github.com/siskinfront/siskinfront/redirector"
 	"github.com/siskinfront/siskinfront/selector"
 	"github.com/siskinfront/siskinfront/spender"
+	"github.com/siskinfront/siskinfront/streamer"
 )
 
 // BillInterval is the mean time between two batches of bills of an entry. At 330 entries it takes 66 writes/s of the table,
@@ -51,7 +53,7 @@
 	// adminTLS is nil while the administration API is served without TLS.
 	adminTLS   *authenticator.TLS
 	balancer   *balancer.Balancer
-	directory  *directory
+	directory  *describer.Directory
 	estimator  *estimator.Estimator
 	selector   *selector.Selector
 	spender    *spender.Spender
@@ -161,10 +163,18 @@
 	s := &e.settings
 	current := e.distributor.Current
 	e.buildLimits()
-	e.directory = newDirectory(e.process)
 	e.balancer = balancer.New(s.DataCentre, balancer.WithRegion(s.Region), balancer.WithInstance(s.Instance),
-		balancer.WithProbe(e.directory.probe))
-	e.directory.update = e.balancer.Update
+		balancer.WithProbe(func(ctx context.Context, u balancer.Upstream) (streamer.Load, error) {
+			return e.directory.Probe(ctx, u)
+		}))
+	e.directory = describer.New(detector.Member{Instance: s.Instance, DataCentre: s.DataCentre}, e.detector,
+		describer.WithUpdate(e.balancer.Update),
+		describer.WithDescribe(func(ctx context.Context, agent identifier.Instance) (describer.Description, error) {
+			return ask[None, describer.Description](ctx, e.peers, agent, methodDescribe, None{})
+		}),
+		describer.WithProbe(func(ctx context.Context, agent identifier.Instance) (streamer.Load, error) {
+			return ask[None, streamer.Load](ctx, e.peers, agent, methodProbe, None{})
+		}))
 	e.estimator = estimator.New(estimator.WithSource(s.Instance), estimator.WithPrior(e.prior))
 	ledger := spender.NewTableLedger(current, e.spendTable(), s.DataCentre, s.DataCentres)
 	e.spender = spender.New(current, ledger.Ledger())
@@ -242,7 +252,7 @@
 		return
 	}
 	e.limitMembersChanged()
-	e.directory.wake()
+	e.directory.Wake()
 }
 
 // regionEntries returns the live entries of the own region, among which sessions are divided.
@@ -334,7 +344,7 @@
 
 func (e *Entry) startDuties(ctx context.Context, g *errgroup.Group) {
 	for _, duty := range []func(context.Context) error{
-		e.directory.run, e.balancer.Run, e.spender.Run, e.biller.Run, e.pinner.Run, e.removePins, e.reportDurable, e.sweepClaims,
+		e.directory.Run, e.balancer.Run, e.spender.Run, e.biller.Run, e.pinner.Run, e.removePins, e.reportDurable, e.sweepClaims,
 		e.quality.submit, e.quality.collect, e.quality.follow, e.rollouts.judge, e.rollouts.forward,
 		e.place, e.exchangeShares,
 	} {
@@ -373,5 +383,5 @@
 
 // Upstreams returns the number of upstreams that the entry knows.
 func (e *Entry) Upstreams() int {
-	return e.directory.count()
+	return e.directory.Count()
 }
--- a/assembler/entry_seam.go
+++ b/assembler/entry_seam.go
@@ -135,7 +135,7 @@
 // loadReported takes the load in a frame of an answer.
 func (e *Entry) loadReported(u identifier.Upstream, l streamer.Load) {
 	e.balancer.Report(u, l)
-	e.directory.observe(u, l)
+	e.directory.Observe(u, l)
 }
 
 // attemptEnded tells the parts that learn from attempts.
--- a/assembler/placement.go
+++ b/assembler/placement.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/describer"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/leaser"
 	"github.com/siskinfront/siskinfront/placer"
@@ -38,7 +39,7 @@
 func (e *Entry) place(ctx context.Context) error {
 	return e.keepLease(ctx, placementLease(e.settings.DataCentre), placementInterval, func(ctx context.Context, l *leaser.Lease) {
 		(&placement{
-			configuration: e.distributor.Current, engines: e.directory.engines, use: e.use.Recent, valid: l.Valid,
+			configuration: e.distributor.Current, engines: e.directory.Engines, use: e.use.Recent, valid: l.Valid,
 			token: l.Token(), order: e.order,
 		}).step(ctx)
 	})
@@ -74,7 +75,7 @@
 
 // order sends one order to the agent of its engine.
 func (e *Entry) order(ctx context.Context, o placer.Order, token uint64) error {
-	name, ok := e.directory.agentOf(o.Upstream)
+	name, ok := e.directory.AgentOf(o.Upstream)
 	if !ok {
 		return fmt.Errorf("%w: agent of %s", errUnknownPeer, o.Upstream)
 	}
@@ -83,7 +84,7 @@
 		return fmt.Errorf("assembler: encode order for %s: %w", o.Upstream, err)
 	}
 	_, err = ask[EngineCommand, None](ctx, e.peers, name, methodCommand, EngineCommand{Name: string(o.Action), Body: body})
-	e.directory.refresh(o.Upstream)
+	e.directory.Refresh(o.Upstream)
 	e.log.InfoContext(ctx, "placement order", "upstream", o.Upstream, "action", o.Action, "target", o.Target.String(),
 		"reason", o.Reason, "error", err)
 	return err
@@ -177,10 +178,10 @@
 }
 
 // describe returns what entries need to know about the upstream.
-func (a *Agent) describe() Description {
+func (a *Agent) describe() describer.Description {
 	u := &a.settings.Upstream
 	serving, unloading := a.targets()
-	d := Description{Upstream: u.Name, Service: u.Service, Targets: serving, Unloading: unloading, Load: a.currentLoad()}
+	d := describer.Description{Upstream: u.Name, Service: u.Service, Targets: serving, Unloading: unloading, Load: a.currentLoad()}
 	if u.Service == "" && a.engine.Answered() {
 		d.Places = u.Versions
 	}
--- a/assembler/directory.go
+++ b/describer/directory.go
@@ -1,7 +1,8 @@
-package assembler
+package describer
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -26,21 +27,58 @@
 	describePace = 20
 	// directoryStep is the time between two rounds.
 	directoryStep = 100 * time.Millisecond
+	// describeRetry is the wait after a description that failed or was not complete.
+	describeRetry = time.Second
 	// describeTimeout bounds one call, so that a silent agent does not hold up the round.
 	describeTimeout = 2 * time.Second
 )
 
-// directory keeps the descriptions of agents and gives the balancer its upstreams.
-type directory struct {
-	*process
-	update func([]balancer.Upstream)
-	woken  chan struct{}
+// ErrUnknownAgent is returned for an upstream that no agent has described.
+var ErrUnknownAgent = errors.New("describer: no agent has described the upstream")
+
+// Description is what an agent says about its upstream.
+type Description struct {
+	Upstream identifier.Upstream `json:"upstream"`
+	// Service is empty for a model engine.
+	Service identifier.Service  `json:"service,omitempty"`
+	Targets []identifier.Target `json:"targets,omitempty"`
+	// Unloading lists loaded versions that take no new orders.
+	Unloading []identifier.Target `json:"unloading,omitempty"`
+	// Places is the number of versions that fit into the engine; it is 0 until the engine has answered.
+	Places int           `json:"places,omitempty"`
+	Load   streamer.Load `json:"load"`
+}
+
+// Directory keeps the descriptions of agents and gives the balancer its upstreams; it is safe for concurrent use.
+type Directory struct {
+	self     detector.Member
+	detector *detector.Detector
+	describe func(context.Context, identifier.Instance) (Description, error)
+	probe    func(context.Context, identifier.Instance) (streamer.Load, error)
+	update   func([]balancer.Upstream)
+	woken    chan struct{}
 
 	mu    sync.Mutex
 	known map[identifier.Instance]*described
 	byUp  map[identifier.Upstream]identifier.Instance
 }
 
+// Option configures a Directory.
+type Option func(*Directory)
+
+// WithDescribe sets the function that asks an agent for its description; its context has a deadline.
+func WithDescribe(f func(context.Context, identifier.Instance) (Description, error)) Option {
+	return func(d *Directory) { d.describe = f }
+}
+
+// WithProbe sets the function that asks an agent for its load.
+func WithProbe(f func(context.Context, identifier.Instance) (streamer.Load, error)) Option {
+	return func(d *Directory) { d.probe = f }
+}
+
+// WithUpdate sets the receiver of the upstreams; each round passes the whole list.
+func WithUpdate(f func([]balancer.Upstream)) Option { return func(d *Directory) { d.update = f } }
+
 // described is one agent with the description that it last gave.
 type described struct {
 	Description
@@ -51,22 +89,28 @@
 	valid     bool
 }
 
-func newDirectory(p *process) *directory {
-	return &directory{
-		process: p, woken: make(chan struct{}, 1),
+// New returns an empty directory of the process self, whose agents are the members of det.
+func New(self detector.Member, det *detector.Detector, opts ...Option) *Directory {
+	d := &Directory{
+		self: self, detector: det, woken: make(chan struct{}, 1), update: func([]balancer.Upstream) {},
 		known: map[identifier.Instance]*described{}, byUp: map[identifier.Upstream]identifier.Instance{},
 	}
+	for _, o := range opts {
+		o(d)
+	}
+	return d
 }
 
-// wake makes the next round start at once; the detector calls it when members change.
-func (d *directory) wake() {
+// Wake makes the next round start at once; the detector calls it when members change.
+func (d *Directory) Wake() {
 	select {
 	case d.woken <- struct{}{}:
 	default:
 	}
 }
 
-func (d *directory) run(ctx context.Context) error {
+// Run asks for descriptions until ctx ends.
+func (d *Directory) Run(ctx context.Context) error {
 	t := time.NewTicker(directoryStep)
 	defer t.Stop()
 	for {
@@ -81,7 +125,7 @@
 }
 
 // round asks agents whose description is due and passes the upstreams on if anything changed.
-func (d *directory) round(ctx context.Context) {
+func (d *Directory) round(ctx context.Context) {
 	agents := d.agents()
 	now := time.Now()
 	var ask []detector.Member
@@ -109,12 +153,12 @@
 	// Upstreams of restarted agents are left out before they can be described again.
 	d.publish(agents)
 	for i := range ask {
-		go d.describe(ctx, ask[i].Instance)
+		go d.ask(ctx, ask[i].Instance)
 	}
 }
 
 // forget drops agents that are no longer members; the caller holds mu.
-func (d *directory) forget(agents []detector.Member) {
+func (d *Directory) forget(agents []detector.Member) {
 	for name, x := range d.known {
 		i := slices.IndexFunc(agents, func(m detector.Member) bool { return m.Instance == name })
 		if i < 0 && !x.asking {
@@ -124,16 +168,17 @@
 	}
 }
 
-func (d *directory) describe(ctx context.Context, name identifier.Instance) {
+// ask asks one agent for its description and stores it.
+func (d *Directory) ask(ctx context.Context, name identifier.Instance) {
 	ctx, cancel := context.WithTimeout(ctx, describeTimeout)
 	defer cancel()
-	desc, err := ask[None, Description](ctx, d.peers, name, methodDescribe, None{})
+	desc, err := d.describe(ctx, name)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	x := d.known[name]
 	x.asking = false
 	if err != nil {
-		x.refreshAt = time.Now().Add(leaseRetry)
+		x.refreshAt = time.Now().Add(describeRetry)
 		return
 	}
 	if !desc.Load.Leaving {
@@ -141,24 +186,24 @@
 	}
 	if !x.valid && (desc.Load.Leaving || desc.Service == "" && desc.Places == 0) {
 		// An agent that has just started says so until it has its configuration and its engine has answered.
-		x.refreshAt = time.Now().Add(leaseRetry)
+		x.refreshAt = time.Now().Add(describeRetry)
 		return
 	}
 	if !x.valid || !slices.Equal(x.Targets, desc.Targets) {
-		defer d.wake()
+		defer d.Wake()
 	}
 	x.Description, x.valid, x.refreshAt = desc, true, time.Now().Add(describeAge)
 	d.byUp[desc.Upstream] = name
 }
 
 // agents returns the agents of the own data centre, and a few of each other one by rendezvous hash.
-func (d *directory) agents() []detector.Member {
+func (d *Directory) agents() []detector.Member {
 	var own []detector.Member
 	others := map[identifier.DataCentre][]detector.Member{}
 	for _, m := range d.detector.Members() {
 		switch {
 		case m.Role != detector.RoleAgent || m.State == detector.Dead:
-		case m.DataCentre == d.settings.DataCentre:
+		case m.DataCentre == d.self.DataCentre:
 			own = append(own, m)
 		default:
 			others[m.DataCentre] = append(others[m.DataCentre], m)
@@ -180,12 +225,12 @@
 	return own
 }
 
-func (d *directory) weight(name identifier.Instance) uint64 {
-	return xxhash.Sum64String(string(d.settings.Instance) + "\x00" + string(name))
+func (d *Directory) weight(name identifier.Instance) uint64 {
+	return xxhash.Sum64String(string(d.self.Instance) + "\x00" + string(name))
 }
 
 // publish gives the balancer the described upstreams with the state of their agents.
-func (d *directory) publish(agents []detector.Member) {
+func (d *Directory) publish(agents []detector.Member) {
 	d.mu.Lock()
 	ups := make([]balancer.Upstream, 0, len(agents))
 	for i := range agents {
@@ -203,8 +248,8 @@
 	d.update(ups)
 }
 
-// observe takes a load report; one with other versions than those described makes the description due.
-func (d *directory) observe(u identifier.Upstream, l streamer.Load) {
+// Observe takes a load report; one with other versions than those described makes the description due.
+func (d *Directory) Observe(u identifier.Upstream, l streamer.Load) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if x := d.known[d.byUp[u]]; x != nil && x.valid && x.Load.Loaded != l.Loaded {
@@ -212,25 +257,25 @@
 	}
 }
 
-// agentOf returns the agent of an upstream.
-func (d *directory) agentOf(u identifier.Upstream) (identifier.Instance, bool) {
+// AgentOf returns the agent that described an upstream.
+func (d *Directory) AgentOf(u identifier.Upstream) (identifier.Instance, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	name, ok := d.byUp[u]
 	return name, ok
 }
 
-// probe asks the agent of an upstream for its load.
-func (d *directory) probe(ctx context.Context, u balancer.Upstream) (streamer.Load, error) {
-	name, ok := d.agentOf(u.Name)
+// Probe asks the agent of an upstream for its load.
+func (d *Directory) Probe(ctx context.Context, u balancer.Upstream) (streamer.Load, error) {
+	name, ok := d.AgentOf(u.Name)
 	if !ok {
-		return streamer.Load{}, fmt.Errorf("%w: agent of %s", errUnknownPeer, u.Name)
+		return streamer.Load{}, fmt.Errorf("%w: %s", ErrUnknownAgent, u.Name)
 	}
-	l, err := ask[None, streamer.Load](ctx, d.peers, name, methodProbe, None{})
+	l, err := d.probe(ctx, name)
 	if err != nil {
 		return l, err
 	}
-	d.observe(u.Name, l)
+	d.Observe(u.Name, l)
 	if !l.Leaving {
 		d.heard(name)
 	}
@@ -238,20 +283,20 @@
 }
 
 // heard tells the detector that a member answered, which is evidence of life like a heartbeat.
-func (d *directory) heard(name identifier.Instance) {
+func (d *Directory) heard(name identifier.Instance) {
 	if m, ok := d.detector.Member(name); ok {
 		d.detector.Heard(name, detector.Live, m.Incarnation)
 	}
 }
 
-// engines returns the described engines of the own data centre.
-func (d *directory) engines() []placer.Engine {
+// Engines returns the described engines of the own data centre.
+func (d *Directory) Engines() []placer.Engine {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var list []placer.Engine
 	for name, x := range d.known {
 		m, ok := d.detector.Member(name)
-		if !ok || !x.valid || x.Service != "" || m.DataCentre != d.settings.DataCentre {
+		if !ok || !x.valid || x.Service != "" || m.DataCentre != d.self.DataCentre {
 			continue
 		}
 		list = append(list, placer.Engine{
@@ -262,8 +307,8 @@
 	return list
 }
 
-// refresh makes the description of an upstream due.
-func (d *directory) refresh(u identifier.Upstream) {
+// Refresh makes the description of an upstream due.
+func (d *Directory) Refresh(u identifier.Upstream) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if x := d.known[d.byUp[u]]; x != nil {
@@ -271,8 +316,8 @@
 	}
 }
 
-// count returns the number of upstreams that were described at least once.
-func (d *directory) count() int {
+// Count returns the number of upstreams that were described at least once.
+func (d *Directory) Count() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return len(d.byUp)
--- a/slopesbencher/standin.go
+++ b/slopesbencher/standin.go
@@ -18,6 +18,7 @@
 
 	"github.com/siskinfront/siskinfront/assembler"
 	"github.com/siskinfront/siskinfront/committer"
+	"github.com/siskinfront/siskinfront/describer"
 	"github.com/siskinfront/siskinfront/detector"
 	"github.com/siskinfront/siskinfront/distributor"
 	"github.com/siskinfront/siskinfront/enginefaker"
@@ -97,8 +98,8 @@
 		return streamer.Load{}, nil
 	}
 	messenger.Handle(mux, "probe", load)
-	messenger.Handle(mux, "describe", func(context.Context, messenger.Peer, assembler.None) (assembler.Description, error) {
-		return assembler.Description{
+	messenger.Handle(mux, "describe", func(context.Context, messenger.Peer, assembler.None) (describer.Description, error) {
+		return describer.Description{
 			Upstream: identifier.Upstream(fmt.Sprintf("upstream-%04d", i)), Targets: []identifier.Target{target(i), target(i + 1)}, Places: 4,
 		}, nil
 	})
