messenger: keep notifications of a test off the instant of the close

Cause: TestNotify sends to a black-holed connection each second, and the connection closes a whole number of seconds later, 3 s after its ping. Both fall on the same instant of the fake clock, so the scheduler decided whether Notify met the close and returned its error. Change: the test sends each 0.7 s, which does not divide the 3 s, for the same 14 s. It stays as strict: every notification before and after the close must succeed, and the connection must be closed after the same time.

--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -170,11 +170,14 @@
 		must.NoError(t, err)
 		must.Eq(t, 30, got)
 		n.BlackHole(peerAddress)
-		for range 14 {
+		// A notification pings the peer, and the connection closes 3 s later. The step does not divide 3 s, so that no other
+		// notification meets the close at the same instant, where its error depends on the scheduler.
+		const step = 700 * time.Millisecond
+		for range 14 * time.Second / step {
 			c, err := p.Conn(t.Context(), peerAddress)
 			must.NoError(t, err)
 			must.NoError(t, messenger.Notify(t.Context(), c, "note", question{}))
-			time.Sleep(time.Second)
+			time.Sleep(step)
 		}
 		closed(t, first)
 	})
