assembler: judge the last urgent request after its answer, and end silent relays

A relay told to be silent whose connection had ended also read again without end, a busy loop per connection beside all later tests of the package. Change: recover returns a function that waits for the end of the stream; the last request is judged like the others, which it was not before, so the check is stricter. judgeBills takes the lock of the runs that handlers write. A silent relay stops at the end of its connection and still tells the other side nothing.

--- a/assembler/fault_test.go
+++ b/assembler/fault_test.go
@@ -118,6 +118,9 @@
 		byNonce[c.nonce] = c
 	}
 	bills := b.bills()
+	// An engine may still serve a request whose agent is gone.
+	b.runs.mu.Lock()
+	defer b.runs.mu.Unlock()
 	for id, r := range b.runs.byID {
 		c := byNonce[r.nonce]
 		must.NotNil(b.t, c, must.Sprint(r.nonce))
@@ -198,7 +201,7 @@
 			for _, v := range dead {
 				must.Error(t, b.procs[v].wait())
 			}
-			var extra []*caller
+			extra := func() []*caller { return nil }
 			if !slices.Contains(dead, "agent-1") || !slices.Contains(dead, "agent-2") {
 				extra = b.recover("entry-2", began)
 			}
@@ -226,13 +229,14 @@
 				b.awaitUpstreams("entry-2")
 				b.repeat(list, "entry-1")
 			}
-			b.judgeBills(append(list, extra...), dead)
+			b.judgeBills(append(list, extra()...), dead)
 		})
 	}
 }
 
-// recover sends urgent requests until one is served, logs the time without service, and returns all of them.
-func (b *bed) recover(entry string, began time.Time) []*caller {
+// recover sends urgent requests until one is served and logs the time without service. The function that it returns waits
+// for the end of the last one and returns all of them.
+func (b *bed) recover(entry string, began time.Time) func() []*caller {
 	b.t.Helper()
 	var list []*caller
 	for time.Since(began) < patience {
@@ -249,8 +253,11 @@
 		select {
 		case <-first:
 			b.t.Logf("urgent work was not served for %v, %d requests", time.Since(began), len(list))
-			b.t.Cleanup(func() { <-done })
-			return list
+			return func() []*caller {
+				<-done
+				b.judge(c, false)
+				return list
+			}
 		case <-done:
 		}
 		b.judge(c, false)
@@ -303,7 +310,11 @@
 			n, err := from.Read(b)
 			select {
 			case <-silent:
-				continue // Bytes are dropped and an end is not told, and neither side learns why.
+				// Bytes are dropped and an end is not told, and neither side learns why.
+				if err != nil {
+					return
+				}
+				continue
 			default:
 			}
 			if n > 0 {
@@ -366,5 +377,5 @@
 	}
 	t.Logf("%d of %d requests got a whole answer", whole, len(list))
 	b.repeat(list, "entry-1")
-	b.judgeBills(append(list, extra...), nil)
+	b.judgeBills(append(list, extra()...), nil)
 }
