biller: keep the value of a batch that no sink took

Cause: each retry during an outage compressed the same batch again. TestNoStampede, with 330 writers in an outage of 5 minutes, spent half of its time on that, and was the longest test of the package. A bill that grew or joined makes another batch, which TestOutages checks. No test changed.

--- a/biller/biller.go
+++ b/biller/biller.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -49,6 +50,8 @@
 	bytes    int
 	sequence uint64
 	flushing bool
+	// refusedBatch belongs to the flush in progress.
+	refusedBatch encoded
 
 	recorded, refused, written, failed, unreported atomic.Int64
 }
@@ -58,6 +61,13 @@
 	since time.Time
 }
 
+// encoded is a batch that no sink took, and its value. In an outage the same batch is tried again and again, and its
+// compression would be most of the cost of a retry.
+type encoded struct {
+	batch []Bill
+	value []byte
+}
+
 // Option changes a biller at construction.
 type Option func(*Biller)
 
@@ -272,7 +282,7 @@
 func (b *Biller) write(ctx context.Context, batch []Bill) error {
 	ctx, cancel := context.WithTimeout(ctx, b.timeout)
 	defer cancel()
-	body, err := EncodeBatch(batch)
+	body, err := b.encode(batch)
 	if err != nil {
 		return err
 	}
@@ -282,13 +292,23 @@
 			err = s.Write(ctx, b.nextKey(), body)
 		}
 		if err == nil {
+			b.refusedBatch = encoded{}
 			return nil
 		}
 		err = fmt.Errorf("biller: write batch of %s to %s: %w", b.writer, s.Name, err)
 	}
+	b.refusedBatch = encoded{batch, body}
 	return err
 }
 
+// encode returns the value of a batch, which is known already if the last flush failed with the same one.
+func (b *Biller) encode(batch []Bill) ([]byte, error) {
+	if b.refusedBatch.value != nil && slices.Equal(batch, b.refusedBatch.batch) {
+		return b.refusedBatch.value, nil
+	}
+	return EncodeBatch(batch)
+}
+
 // nextKey numbers batches upwards from the process's start time, so that a restart rarely meets its own old numbers.
 func (b *Biller) nextKey() string {
 	b.mu.Lock()
