assembler: make the tests of killed processes independent of the machine's speed

TestProcessFaults took the trial run that an agent sends to its engine after a pause of its own for an unknown request. TestAgentKilled had some 40 requests in progress at the kill instead of 5, more than the retry budget that its warm-up had earned, so one was rightly refused. After both agents were killed, an entry did not know all upstreams within 30 s, once. Other traffic is bounded at 64. awaitUpstreams prints the state of the balancer and the detector when it fails; its limit is unchanged, because its cause is not known.

--- a/assembler/bed_test.go
+++ b/assembler/bed_test.go
@@ -240,6 +240,15 @@
 // awaitUpstreams waits until an entry can choose every upstream.
 func (b *bed) awaitUpstreams(entry string) {
 	b.t.Helper()
+	defer func() {
+		for _, part := range []string{"balancer", "detector"} {
+			var state json.RawMessage
+			if b.t.Failed() {
+				err := b.procs[entry].state(part, &state)
+				b.t.Logf("%s of %s: %v %s", part, entry, err, state)
+			}
+		}
+	}()
 	b.eventually(entry+" knows all upstreams", patience, func() bool {
 		var state struct {
 			Upstreams []struct {
--- a/assembler/traffic_test.go
+++ b/assembler/traffic_test.go
@@ -111,14 +111,26 @@
 }
 
 func (b *bed) traffic(interval time.Duration, name string, calls ...call) *traffic {
+	return b.limitedTraffic(64, interval, name, calls...)
+}
+
+// limitedTraffic is traffic of which at most a number of requests is in progress; on a slow machine its rate is lower.
+func (b *bed) limitedTraffic(most int, interval time.Duration, name string, calls ...call) *traffic {
 	x := &traffic{b: b, stop: make(chan struct{}), answers: map[string]answer{}}
+	places := make(chan struct{}, most)
 	x.wg.Go(func() {
 		t := time.NewTicker(interval)
 		defer t.Stop()
 		for n := 0; ; n++ {
 			c := calls[n%len(calls)]
 			c.nonce = fmt.Sprintf("nonce-%s-%d", name, n)
+			select {
+			case places <- struct{}{}:
+			case <-x.stop:
+				return
+			}
 			x.wg.Go(func() {
+				defer func() { <-places }()
 				a := b.send(c)
 				x.mu.Lock()
 				defer x.mu.Unlock()
