detector, slopesbencher: remove chance from two tests

Cause: TestCostPerNode drew its intervals without a seed, and TestResidentSize compared two sizes of the process between which the runtime may return memory in the background. Change: TestCostPerNode has a seed; TestResidentSize lets the runtime return its memory first. The bounds are unchanged.

--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -224,7 +224,7 @@
 	cost := func(n int) (messages, size int) {
 		synctest.Test(t, func(t *testing.T) {
 			d := detector.New(detector.Member{Instance: name(0), DataCentre: "dc-1", Region: "ie-west", Role: "agent"},
-				detector.WithSend(func(_ identifier.Instance, m detector.Message) {
+				detector.WithRand(rand.New(rand.NewPCG(1, 1))), detector.WithSend(func(_ identifier.Instance, m detector.Message) {
 					b, err := json.Marshal(m)
 					must.NoError(t, err)
 					messages++
--- a/slopesbencher/resident_internal_test.go
+++ b/slopesbencher/resident_internal_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"os"
+	"runtime/debug"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -13,6 +14,8 @@
 // Guards against a resident size that is read from another field of statm, or in pages: it has to grow by memory that the
 // process touches and to stay below the virtual size.
 func TestResidentSize(t *testing.T) {
+	// What the runtime returns in the background would count against the growth.
+	debug.FreeOSMemory()
 	before, err := residentSize(os.Getpid())
 	must.NoError(t, err)
 	const extra = 64 << 20
