promoter: credit the candidate's values with the tolerance

Cause: a bet compared a value's likelihood under a harm with that under the tolerated loss, with a variance of at least 0.04. Values below the mean of the serving versions counted as evidence even if the loss was within the tolerance of 0.02, and only the noise of the ratings outweighed that. A rater with little noise would have caused false rollbacks.

Change: the tolerance is added to the candidate's value before the bet, and the harm beyond the tolerance is tested. For latencies, which have a normal likelihood, this is the same as before.

--- a/promoter/evidence.go
+++ b/promoter/evidence.go
@@ -131,7 +131,8 @@
 	e.variance += rate * ((1-rate)*difference*difference - e.variance)
 }
 
-// bet multiplies the products by the factors of one value.
+// bet multiplies the products by the factors of one value. A value of the candidate counts as better by the tolerance, so
+// that values which hardly vary are no evidence as long as the loss stays within it.
 func (e *evidence) bet(own bool, value, exposure float64) {
 	variance := max(e.variance, e.leastVariance)
 	limit := math.Inf(1)
@@ -139,23 +140,26 @@
 		// One extreme latency is worth at most as much as three standard deviations.
 		limit = 3 * math.Sqrt(variance)
 	}
+	if own {
+		value += e.tolerance
+	}
 	deviation := min(max(e.mean-value, -limit), limit)
-	tolerated := e.ratio(e.tolerance, deviation, variance)
 	// The recent test compares with a mean of few values, whose error would otherwise count as harm.
 	cautious := deviation - math.Sqrt(variance/min(e.control, 2*controlMemory))
 	// A share above the true one would favour the evidence, as after a retreat from a larger exposure.
 	p := min(e.share, exposure)
 	for i, harm := range e.harms {
+		harm -= e.tolerance
 		worse := e.ratio(harm, deviation, variance)
 		if p >= leastShare && p <= 1-leastShare {
-			factor := (p*tolerated + 1 - p) / (p*worse + 1 - p)
+			factor := 1 / (p*worse + 1 - p)
 			if own {
-				factor *= worse / tolerated
+				factor *= worse
 			}
 			e.certain[i] *= factor
 		}
 		if own {
-			e.recent[i] *= e.ratio(harm, cautious, variance) / e.ratio(e.tolerance, cautious, variance)
+			e.recent[i] *= e.ratio(harm, cautious, variance)
 		}
 	}
 }
--- a/promoter/promoter_test.go
+++ b/promoter/promoter_test.go
@@ -95,8 +95,7 @@
 			if c.Target != newOne || c.Reason == "" || c.State == configurer.VersionCandidate && !grown && !retreated {
 				t.Fatalf("change %+v from exposure %v", c, v.Exposure)
 			}
-			// TestNoRollbackWithinTolerance has the qualities between 0.48 and 0.5.
-			if c.State == configurer.VersionWithdrawn && quality >= 0.5 {
+			if c.State == configurer.VersionWithdrawn && quality > 0.48 {
 				t.Fatalf("rolled back at quality %v against 0.5", quality)
 			}
 		}
