limiter: bound the messages of the owner of an account's limit

Cause: each of 330 entries renews a share of 60 s after 50 s, 6.60 asks/s; with 30 entries shares last 19.5 s and are renewed each 9.75 s, 3.00 asks/s. An ask and its answer take some 440 bytes, so the owner sends 2,917 and 1,307 B/s, while 1,032 B/s are left of 3,000 beside the 1,968 of an entry's other control. Change: the owner gives each entry a slot for its renewal, 0.5 s after the one before, over all accounts. Shares still last 60 s at most, so the time after which a new owner may grant freely does not depend on the slots; an entry whose share ends before its slot uses an even part, which the owner counts. Shares of over four even parts keep renewing after 50 s. A new owner renews and grants even parts for a round of slots, 170 s with 330 entries, since entries that use even parts are unknown to it until they ask. Shares in messages have six digits.

--- a/limiter/borrower.go
+++ b/limiter/borrower.go
@@ -167,13 +167,13 @@
 		if now.Before(w.until) {
 			held = w.share
 		}
-		grown := w.satisfied && demand > (base+held)*grownMargin && !now.Before(w.askedAt.Add(minAskGap))
+		grown := w.satisfied && demand > (base+w.askedFor)*grownMargin && !now.Before(w.askedAt.Add(minAskGap))
 		// What is held beyond the demand is worth a message only if it is more than an even part.
 		fallen := held-max(demand-base, 0) > 1/float64(n) && !now.Before(w.askedAt.Add(fallGap))
 		if n <= 1 || w.asking || demand <= base && !fallen || now.Before(w.askAt) && !grown && !fallen {
 			continue
 		}
-		w.asking, w.askedAt, w.askedFor = true, now, max(min(demand, 1)-base, 0)
+		w.asking, w.askedAt, w.askedFor = true, now, roundShare(max(min(demand, 1)-base, 0))
 		// What is not wanted any more is given up with the ask: the owner cannot rely on the arrival of its answer.
 		w.share = min(w.share, w.askedFor)
 		held = min(held, w.share)
--- a/limiter/lender.go
+++ b/limiter/lender.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -36,11 +37,16 @@
 const (
 	// basePart is the part of a limit that all entries share evenly and keep without asking.
 	basePart = 0.05
-	// A share lasts longer the more entries ask, which bounds the messages of the owner: 330 asks in 50 s. Half of the
-	// shortest time must exceed viewLag, since a new owner renews only shares that are valid for that long.
-	minLifetime   = 15 * time.Second
-	askerLifetime = 150 * time.Millisecond
-	maxLifetime   = time.Minute
+	// askInterval is the time between two renewals at an owner. An ask and its answer take 390 to 430 bytes, and the owner
+	// has 1,032 B/s beside its other control traffic (docs/CAPACITY.md).
+	askInterval = 500 * time.Millisecond
+	// shortInterval is the time between two early renewals of entries that are far below their fair share.
+	shortInterval = 3 * time.Second
+	// A share lasts longer the more entries ask. Half of the shortest time must exceed viewLag, since a new owner renews only
+	// shares that are valid for that long. With more entries than can renew in the longest time shares end before their
+	// renewal; until then the entries use even parts.
+	minLifetime = 15 * time.Second
+	maxLifetime = time.Minute
 	// viewLag bounds the time by which two entries learn of the same change of members.
 	viewLag = 5 * time.Second
 	// settle is how long after a change of members no share that another owner granted can still be valid.
@@ -48,6 +54,9 @@
 	// nearFair is the part of a fair share below which an entry asks again soon, since others give back the rest when they
 	// renew theirs. With 1 instead of it 330 entries asked 34 times a second.
 	nearFair = 0.8
+	// largeShare in even parts is the share above which an entry renews before its share ends even if others must wait longer:
+	// an even part is no substitute for it. At most one entry in largeShare has such a share.
+	largeShare = 4
 	// sweepInterval bounds the cost of looking for ended shares.
 	sweepInterval = time.Second
 	// maxGap is the longest time between two steps after which a process knows that it was not paused.
@@ -62,12 +71,18 @@
 	until         time.Time
 	earlier       float64
 	earlierUntil  time.Time
+	slot          time.Time // of the next renewal
+	againBy       time.Time // until then an entry without a valid share may use an even part and does not ask
 }
 
-func (l *loan) outstanding(now time.Time) float64 {
+// outstanding returns what the entry may use; even is the even part of the pool.
+func (l *loan) outstanding(now time.Time, even float64) float64 {
 	held := 0.0
-	if now.Before(l.until) {
+	switch {
+	case now.Before(l.until):
 		held = l.share
+	case now.Before(l.againBy):
+		held = min(l.wanted, even)
 	}
 	if now.Before(l.earlierUntil) {
 		held = max(held, l.earlier)
@@ -76,7 +91,7 @@
 }
 
 func (l *loan) ended(now time.Time) bool {
-	return !now.Before(l.until) && !now.Before(l.earlierUntil)
+	return !now.Before(l.until) && !now.Before(l.earlierUntil) && !now.Before(l.againBy)
 }
 
 // confirmed says that an ask was sent after the last grant had arrived, so that the entry uses no earlier one and no more than
@@ -101,6 +116,8 @@
 	changedAt time.Time
 	steppedAt time.Time
 	sweptAt   time.Time
+	renewAt   time.Time
+	shortAt   time.Time
 	part      float64 // of the members that were live in this entry's view throughout the settling time
 	asked     int64
 	granted   int64
@@ -204,7 +221,7 @@
 	if book == nil {
 		book = make(map[identifier.Instance]*loan)
 		l.books[a.Account] = book
-		l.fresh[a.Account] = l.changedAt.Add(settle)
+		l.fresh[a.Account] = l.changedAt.Add(l.learning())
 	}
 	own := book[a.From]
 	if own == nil {
@@ -213,12 +230,18 @@
 	}
 	own.wanted = max(a.Wanted, 0)
 	pool := (1 - basePart) * l.part
+	even := pool / float64(max(l.listed, 1))
 	others, demands := 0.0, []float64{own.wanted}
 	for name, x := range book {
-		if name != a.From && !x.ended(now) {
-			others += x.outstanding(now)
-			demands = append(demands, x.wanted)
+		if name == a.From || x.ended(now) {
+			continue
 		}
+		held := x.outstanding(now, even)
+		others += held
+		if now.Before(x.until) {
+			held = x.wanted
+		}
+		demands = append(demands, held)
 	}
 	fair := min(own.wanted, Split(pool, demands)[0])
 	share := min(fair, max(pool-others, 0))
@@ -229,30 +252,80 @@
 			renewable = a.Held
 		}
 		if l.evenShares {
-			renewable = max(renewable, pool/float64(l.listed))
+			renewable = max(renewable, even)
 		}
 		share = min(share, renewable)
 	}
-	lifetime := min(minLifetime+askerLifetime*time.Duration(len(book)), maxLifetime)
+	share = roundShare(share)
+	short := share < nearFair*fair
+	again := l.renewAfter(a.Account, own, short, share > largeShare*even, now)
+	lifetime := min(max(again+2*viewLag, minLifetime), maxLifetime)
 	if own.confirmed(a) {
 		own.earlier, own.earlierUntil = a.Held, own.until
 	} else {
-		own.earlier, own.earlierUntil = own.outstanding(now), later(own.until, own.earlierUntil)
+		own.earlier, own.earlierUntil = own.outstanding(now, even), later(own.until, own.earlierUntil)
 	}
 	own.number++
-	own.share, own.until = share, now.Add(lifetime)
-	g := Grant{Share: share, For: lifetime.Milliseconds(), Again: renewal(lifetime).Milliseconds(), Number: own.number}
-	if share < nearFair*fair {
+	if short {
 		l.short++
-		g.Again = (lifetime / 8).Milliseconds()
 	}
+	own.share, own.until, own.againBy = share, now.Add(lifetime), now.Add(again+viewLag)
+	g := Grant{Share: share, For: lifetime.Milliseconds(), Again: again.Milliseconds(), Number: own.number}
 	l.granted++
 	return g
 }
 
-// renewal returns the age at which a share is renewed: late, for few messages, but while a new owner would still renew it.
-func renewal(lifetime time.Duration) time.Duration {
-	return max(lifetime/2, lifetime-2*viewLag)
+// learning returns how long after a change of members an account that is new to this owner may be used by entries that have
+// not asked it yet: former shares end within settle, and each entry asks once in a round of slots.
+func (l *Lender) learning() time.Duration {
+	return max(settle, askInterval*time.Duration(l.listed)+viewLag)
+}
+
+// askers returns the number of entries with shares, over all accounts.
+func (l *Lender) askers() int {
+	n := 0
+	for _, book := range l.books {
+		n += len(book)
+	}
+	return n
+}
+
+// roundShare cuts a share to six digits after the point, since full precision takes up to 20 bytes more in a message.
+func roundShare(share float64) float64 {
+	return math.Floor(share*1e6+tiny) / 1e6
+}
+
+// renewAfter returns the time until an entry should ask again. Each loan has one slot for its renewal, and slots are spaced over
+// all accounts: without that, entries that began together renew together, and their shares end together before it. An ask before
+// its slot leaves the slot as it is, so that asks out of turn do not delay the others.
+func (l *Lender) renewAfter(account identifier.ClientAccount, own *loan, short, large bool, now time.Time) time.Duration {
+	soonest := now.Add(minLifetime / 2)
+	if large || own.slot.Before(soonest) {
+		latest := now.Add(max(2*askInterval*time.Duration(l.askers()), minLifetime/2))
+		if now.Before(l.fresh[account]) {
+			// Entries still ask at the slots of the former owner, and a second round beside that would double the messages.
+			soonest = later(soonest, now.Add(askInterval*time.Duration(l.listed)))
+			latest = later(latest, soonest)
+		}
+		own.slot = earlier(later(l.renewAt.Add(askInterval), soonest), latest)
+		l.renewAt = own.slot
+	}
+	at := own.slot
+	if large {
+		at = earlier(at, now.Add(maxLifetime-2*viewLag))
+	}
+	if next := later(l.shortAt.Add(shortInterval), now.Add(minLifetime/8)); short && next.Before(at) {
+		l.shortAt = next
+		at = next
+	}
+	return at.Sub(now)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 func later(a, b time.Time) time.Time {
@@ -282,7 +355,7 @@
 	s := LenderState{Part: l.part, Outstanding: make(map[identifier.ClientAccount]float64, len(l.books))}
 	for name, book := range l.books {
 		for _, x := range book {
-			s.Outstanding[name] += x.outstanding(l.steppedAt)
+			s.Outstanding[name] += x.outstanding(l.steppedAt, 0)
 		}
 	}
 	return s
