choicebencher: tell no traffic from no traffic to a stuck engine

Cause: TestDeterministic demanded a positive value of every bound, as a figure of 0 stands for nothing measured.

Change: faultyShare returns an error when the engines of the version took no request at all, instead of a share of 0. The test requires every other bound to be positive as before, exactly one bound of the stuck engine, and its value between 0 and 16, the share of one engine of 16 that takes everything. TestShareOfNoTraffic checks the error.

Conclusion: a value of 0 can no longer come from an interval without requests, and a stuck engine without traffic passes.

--- a/choicebencher/choice_test.go
+++ b/choicebencher/choice_test.go
@@ -1,6 +1,7 @@
 package choicebencher_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -21,9 +22,24 @@
 	must.Eq(t, first.Bounds, second.Bounds)
 	must.Eq(t, first.Series, second.Series)
 	must.Positive(t, len(first.Bounds))
+	// A figure of 0 stands for nothing measured, except for the traffic to a stuck engine, whose aim is 0: without traffic
+	// it is an error, and one engine of 16 that takes all has 16 times the mean.
+	stuck := 0
 	for _, b := range first.Bounds {
+		if strings.HasPrefix(b.Name, choicebencher.StuckName) {
+			stuck++
+			must.Between(t, 0, b.Got, 48/3, must.Sprint(b.Name))
+			continue
+		}
 		must.Positive(t, b.Got, must.Sprint(b.Name))
 	}
+	must.One(t, stuck)
+}
+
+// Guards against a share of no traffic at all that passes for a stuck engine without traffic.
+func TestShareOfNoTraffic(t *testing.T) {
+	_, err := choicebencher.ShareAfterEnd(3)
+	must.ErrorContains(t, err, "took a request")
 }
 
 // Guards against ratios of 0 to 0, which no bound catches, when no request ended.
@@ -36,12 +52,14 @@
 // engine, and against a slow engine that is taken out as if it were stuck.
 func TestFaultyEngine(t *testing.T) {
 	for _, seed := range []uint64{5, 7} {
-		share, stalled := choicebencher.FaultyShare(seed, choicebencher.StuckFactor)
+		share, stalled, err := choicebencher.FaultyShare(seed, choicebencher.StuckFactor)
+		must.NoError(t, err)
 		must.True(t, stalled)
 		must.LessEq(t, choicebencher.StuckShare, share)
 	}
 	for _, factor := range []float64{2, 8} {
-		share, stalled := choicebencher.FaultyShare(7, factor)
+		share, stalled, err := choicebencher.FaultyShare(7, factor)
+		must.NoError(t, err)
 		must.False(t, stalled)
 		must.Positive(t, share)
 		must.Less(t, 1, share)
--- a/choicebencher/export_test.go
+++ b/choicebencher/export_test.go
@@ -16,15 +16,25 @@
 
 // FaultyShare returns the traffic that reaches one engine of 200 workers 5 s after it became slower by a factor, relative
 // to the mean, and whether its agent then called it stalled.
-func FaultyShare(seed uint64, factor float64) (share float64, stalled bool) {
+func FaultyShare(seed uint64, factor float64) (share float64, stalled bool, err error) {
 	s := newSimulation(seed, sizes()[1], routed, defaultDuration)
 	s.scenario = scenario{slowdown: factor, deadline: stuckDeadline}
 	s.run()
-	return s.faultyShare(faultWindow, defaultDuration), s.faulty.progress.Stalled(s.end)
+	share, err = s.faultyShare(faultWindow, defaultDuration)
+	return share, s.faulty.progress.Stalled(s.end), err
 }
 
-// StuckFactor and StuckShare are the factor and the bound of the stuck engine.
+// ShareAfterEnd returns the share of a slow engine in an interval without traffic.
+func ShareAfterEnd(seed uint64) (float64, error) {
+	s := newSimulation(seed, sizes()[0], routed, defaultDuration)
+	s.scenario = scenario{slowdown: slowFactor}
+	s.run()
+	return s.faultyShare(defaultDuration, 2*defaultDuration)
+}
+
+// StuckFactor, StuckShare and StuckName are the factor, the limit and the name of the bound of the stuck engine.
 const (
+	StuckName   = stuckName
 	StuckFactor = stuckFactor
 	StuckShare  = stuckShare
 )
--- a/choicebencher/fault.go
+++ b/choicebencher/fault.go
@@ -1,6 +1,7 @@
 package choicebencher
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -8,6 +9,9 @@
 	"github.com/siskinfront/siskinfront/batchfaker"
 )
 
+// errNothingTaken is returned for the share of an engine in no traffic at all.
+var errNothingTaken = errors.New("choicebencher: no engine of the faulty version took a request; use a longer duration")
+
 // lookInterval is the time between two looks at the tokens of an engine; an agent sees each token.
 const lookInterval = 100 * time.Millisecond
 
@@ -40,8 +44,9 @@
 	}
 }
 
-// faultyShare returns the requests that the faulty engine took in an interval relative to the mean of its version.
-func (s *simulation) faultyShare(from, to time.Duration) float64 {
+// faultyShare returns the requests that the faulty engine took in an interval relative to the mean of its version, or
+// errNothingTaken if the version took none, which would look like a faulty engine without traffic.
+func (s *simulation) faultyShare(from, to time.Duration) (float64, error) {
 	var own, all int
 	for i, n := range s.taken {
 		if at := time.Duration(i) * time.Second; at >= from && at < to {
@@ -49,7 +54,10 @@
 			all += n[1]
 		}
 	}
-	return float64(own) * float64(len(s.serving[0])) / float64(max(all, 1))
+	if all == 0 {
+		return 0, errNothingTaken
+	}
+	return float64(own) * float64(len(s.serving[0])) / float64(all), nil
 }
 
 // watch tells the progress of the engines of the faulty version what an agent sees.
--- a/choicebencher/scenario.go
+++ b/choicebencher/scenario.go
@@ -28,6 +28,7 @@
 	// faultWindow is the time within which a stuck engine must lose its traffic; stuckShare is what may be left of it.
 	faultWindow = 5 * time.Second
 	stuckShare  = 0.05
+	stuckName   = "one engine stuck: its traffic after 5 s / mean"
 	// stuckDeadline ends the requests at a stuck engine, which makes its slots free again; the longest answer of a working
 	// engine takes 11 s.
 	stuckDeadline = 15 * time.Second
@@ -109,11 +110,18 @@
 	}
 	atMost("one engine half as fast: answer p95 / all-knowing", r.total/best.total, ratioLimit)
 	atMost("one engine half as fast: first token p95 / all-knowing", r.first/best.first, ratioLimit)
-	atMost("one engine half as fast: its traffic / mean", s.faultyShare(faultWindow, duration), 1)
+	share, err := s.faultyShare(faultWindow, duration)
+	if err != nil {
+		return err
+	}
+	atMost("one engine half as fast: its traffic / mean", share, 1)
 	if s, _, err = run(routed, scenario{name: "one engine stuck", slowdown: stuckFactor, deadline: stuckDeadline}); err != nil {
 		return err
 	}
-	atMost("one engine stuck: its traffic after 5 s / mean", s.faultyShare(faultWindow, duration), stuckShare)
+	if share, err = s.faultyShare(faultWindow, duration); err != nil {
+		return err
+	}
+	atMost(stuckName, share, stuckShare)
 	if _, best, err = run(allKnowing, scenario{name: "prefixes", prefixes: prefixesPerVersion}); err != nil {
 		return err
 	}
