balancer: count the ends of own requests in the expected load

The entry learns at once that its own request has ended, but estimate took max(begun less ended, uses since the sample), which is never below 0, so an ended request never lowered the expected load, and an upstream that was seen full stayed so for 10 s. A refused order and a request whose last frame carries the load were taken off a load that did not count them, which this maximum hid.

Change: without a choice since the sample the change by own requests counts with its sign; an upstream counts as seen full only if its load less the own requests that ended since reaches the slots. End takes nothing off a sample younger than 125 ms.

TestOwnRequestEnds fails without the change of estimate and without that of End.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -196,7 +196,9 @@
 	if c.node.inFlight.Add(-1) < 0 {
 		c.node.inFlight.Add(1)
 	} else {
-		c.node.delta.Add(-1)
+		if now.UnixNano()-c.node.sampleAt.Load() >= int64(historyBucket) {
+			c.node.delta.Add(-1)
+		} // else the sample is that of the request's last frame, which no longer counts the request
 		c.node.recent.add(-1, now)
 	}
 	switch r {
--- a/balancer/bind_test.go
+++ b/balancer/bind_test.go
@@ -53,3 +53,45 @@
 	must.Eq(t, "u2", u.Name)
 	must.False(t, by.IsZero())
 }
+
+// Guards against an upstream that counts as full after a request of this entry has ended there, against a refused order that
+// passes for a free slot, and against an ended request that the load in its last frame no longer counts and that is taken
+// off twice.
+func TestOwnRequestEnds(t *testing.T) {
+	now := start
+	b := balancer.New("dc-0", seeded(1), balancer.WithNow(func() time.Time { return now }))
+	ups := fleet(4, 1)
+	b.Update(ups)
+	bind := func() (identifier.Upstream, bool) {
+		u, by, err := b.Bind(balancer.Key{Target: target(0)})
+		must.NoError(t, err)
+		return u.Name, !by.IsZero()
+	}
+	full := func() {
+		now = now.Add(3 * time.Second)
+		for _, u := range ups {
+			b.Begin(u.Name)
+			b.Report(u.Name, streamer.Load{At: now, Running: 8, Queued: []int{0}})
+			now = now.Add(time.Millisecond)
+			b.End(u.Name, balancer.ResultBusy)
+		}
+	}
+	b.Begin("u2")
+	full()
+	_, bound := bind()
+	must.False(t, bound)
+
+	full()
+	now = now.Add(300 * time.Millisecond)
+	b.End("u2", balancer.ResultSuccess)
+	u, bound := bind()
+	must.Eq(t, "u2", u)
+	must.True(t, bound)
+
+	b.Begin("u3")
+	full()
+	b.Report("u3", streamer.Load{At: now, Running: 8, Queued: []int{0}})
+	b.End("u3", balancer.ResultSuccess)
+	_, bound = bind()
+	must.False(t, bound)
+}
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -10,7 +10,7 @@
 	c     *candidate
 	load  float64
 	hot   bool
-	full  bool // the last sample showed no free slot
+	full  bool // the last sample showed no free slot, and no request of this entry has ended there since
 	trial bool
 	// doubtful: the last sample showed no progress, or a request that may wait would go by a sample that is too old.
 	doubtful bool
@@ -120,8 +120,9 @@
 	old := now-c.node.sampleAt.Load() >= int64(fullTime)
 	hot, full := load > mean*hotFactor+hotMargin, false
 	if slots := c.node.slots.Load(); slots > 0 {
-		// A sample too old for a load still tells that the upstream was full, and a stuck one stays full.
-		full = c.node.load.Load() >= slots && !old
+		// A sample too old for a load still tells that the upstream was full, and a stuck one stays full. A request of this
+		// entry that ended since then has left a free slot, which no sample tells as early.
+		full = c.node.load.Load()+min(c.node.delta.Load(), 0) >= slots && !old
 		hot = load >= float64(slots)
 	}
 	if slow := p.slowness(c.node); slow > 1 {
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -260,5 +260,9 @@
 		}
 	}
 	// A choice counts before its request begins, or a burst of choices would see the same idle upstream.
-	return max(load+float64(max(n.delta.Load(), n.uses.Load())), 0)
+	change := n.delta.Load()
+	if uses := n.uses.Load(); uses > 0 {
+		change = max(change, uses)
+	}
+	return max(load+float64(change), 0)
 }
