balancer: compare the whole subset when the compared ones look full

Cause: with 0 to 8 of 80 slots of a version free, the three latest samples and one random candidate of each distance often look full while another sample of the subset shows a free slot. The request then goes without start-by and waits, or spends its second attempt on an upstream as full as the first.

Change: when the best of the compared looks full, or after a refusal as busy, pick also looks at every member of the subset whose sample is neither too old nor used up.

--- a/balancer/bind_test.go
+++ b/balancer/bind_test.go
@@ -95,3 +95,34 @@
 	_, bound = bind()
 	must.False(t, bound)
 }
+
+// Guards against a request that waits, or goes on after a refusal, because the few compared upstreams look full while another
+// one of the subset has shown a free slot.
+func TestRoomAnywhereInSubset(t *testing.T) {
+	for seed := range uint64(20) {
+		now := start
+		b := balancer.New("dc-0", seeded(seed), balancer.WithNow(func() time.Time { return now }), balancer.WithInstance("entry"))
+		ups := fleet(20, 1)
+		b.Update(ups)
+		for i, u := range ups {
+			l := streamer.Load{At: now, Running: 8, Queued: []int{1}}
+			if i == 0 {
+				l = streamer.Load{At: now, Running: 3, Queued: []int{0}}
+			}
+			b.Report(u.Name, l)
+		}
+		for i, k := range []balancer.Key{
+			{Target: target(0)}, {Target: target(0), Exclude: []identifier.Upstream{ups[1].Name}, Busy: 1},
+		} {
+			now = now.Add(time.Millisecond)
+			b.Report(ups[0].Name, streamer.Load{At: now, Running: 3, Queued: []int{0}})
+			for j := range 16 {
+				b.Report(ups[2+j].Name, streamer.Load{At: now, Running: 8, Queued: []int{1}})
+			}
+			u, by, err := b.Bind(k)
+			must.NoError(t, err)
+			must.Eq(t, ups[0].Name, u.Name, must.Sprint(seed, i))
+			must.False(t, by.IsZero())
+		}
+	}
+}
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -38,8 +38,9 @@
 	return a.load < o.load
 }
 
-// pick compares the latest samples of the probe pool and one random candidate of each distance; the rest of the list
-// serves only when no member of the subset is usable.
+// pick compares the latest samples of the probe pool and one random candidate of each distance; when the best of them looks
+// full or a request was refused as busy, it compares the whole subset. The rest of the list serves only when no member of
+// the subset is usable.
 func (b *Balancer) pick(p *pool, k *Key, mean float64, t time.Time, now int64) option {
 	best := b.latest(p, k, mean, now)
 	r := b.o.draw()
@@ -65,6 +66,29 @@
 			}
 		}
 	}
+	if best.c != nil && (best.hot || best.full || k.Busy > 0) {
+		return b.all(p, k, best, mean, now)
+	}
+	return best
+}
+
+// sampled reports whether the last sample of a candidate is neither too old nor used up.
+func (b *Balancer) sampled(c *candidate, now int64) bool {
+	return now-c.node.sampleAt.Load() <= int64(b.o.maxAge) && c.node.uses.Load() < b.o.maxUses
+}
+
+// all returns the best of a candidate and the members of the subset whose sample is neither too old nor used up. The others
+// are expected to have the mean load, by which an overload would find a free slot again and again.
+func (b *Balancer) all(p *pool, k *Key, best option, mean float64, now int64) option {
+	for _, c := range p.near {
+		if !b.sampled(c, now) {
+			continue
+		}
+		// Few are better, and only those cost a look at their breaker.
+		if o := b.option(p, k, c, mean, now); o.better(best) && b.usable(c, k) {
+			best = o
+		}
+	}
 	return best
 }
 
@@ -79,7 +103,7 @@
 			break
 		}
 		c := p.near[j]
-		if now-c.node.sampleAt.Load() > int64(b.o.maxAge) || c.node.uses.Load() >= b.o.maxUses || !b.usable(c, k) {
+		if !b.sampled(c, now) || !b.usable(c, k) {
 			continue
 		}
 		left--
