balancer: no homes for a prefix that is too frequent for them

Change: each pool counts the prefixes of its last 64 first attempts, across new lists of upstreams. A prefix whose share of them times the upstreams within the region exceeds 3 has no homes. TestHomes first sends other prefixes, since three requests in a row of an empty history are a frequent prefix; all its checks are kept.

TestFrequentPrefix and TestOnePrefix fail without the change.

--- a/balancer/affinity.go
+++ b/balancer/affinity.go
@@ -21,7 +21,7 @@
 )
 
 // affine replaces the best candidate by the one that served the session or by a home of the prefix, unless that is
-// overloaded.
+// overloaded or the prefix is too frequent for its homes.
 func (b *Balancer) affine(s *snapshot, p *pool, k *Key, session uint64, best option, mean float64, t time.Time,
 	now int64,
 ) option {
@@ -32,7 +32,7 @@
 			}
 		}
 	}
-	if k.Prefix == 0 {
+	if k.Prefix == 0 || p.frequent(k.Prefix) {
 		return best
 	}
 	for _, c := range p.homes(k.Prefix) {
@@ -46,6 +46,12 @@
 	return best
 }
 
+// frequent reports whether the requests of a prefix alone are more than the mean traffic of its homes. Then they would crowd
+// there, and every engine serves enough of them to keep the prefix cached.
+func (p *pool) frequent(prefix uint64) bool {
+	return p.prefixes.share(prefix)*float64(p.ends[sameRegion]) > homes
+}
+
 // worth reports whether affinity outweighs the load of a candidate.
 func (b *Balancer) worth(o, best option, mean float64) bool {
 	if o.doubtful && !best.doubtful || o.hot && !best.hot || o.full && !best.full ||
--- a/balancer/affinity_test.go
+++ b/balancer/affinity_test.go
@@ -88,6 +88,11 @@
 		return chosen
 	}
 	even := func(identifier.Upstream) int { return 10 }
+	// Beside a short history three requests in a row make a prefix frequent, which has no homes.
+	for prefix := uint64(1000); prefix < 1064; prefix++ {
+		report(even)
+		choose(prefix)
+	}
 	taken := map[identifier.Upstream]int{}
 	for prefix := uint64(1); prefix <= 100; prefix++ {
 		report(even)
@@ -110,3 +115,36 @@
 		must.Less(t, 100/4, n)
 	}
 }
+
+// Guards against a prefix of most requests that is bound to its few homes, also after a new list of upstreams, and against a
+// rare prefix that loses its homes beside it or for its first requests.
+func TestFrequentPrefix(t *testing.T) {
+	now := start
+	ups := fleet(20, 1)
+	b := balancer.New("dc-0", seeded(1), balancer.WithNow(func() time.Time { return now }))
+	b.Update(ups)
+	kept := func(prefix uint64) bool {
+		now = now.Add(time.Second)
+		for _, u := range ups {
+			b.Report(u.Name, streamer.Load{At: now, Running: 10})
+		}
+		before := b.Counters()["affinity-kept"]
+		_, err := b.Choose(balancer.Key{Target: target(0), Prefix: prefix})
+		must.NoError(t, err)
+		return b.Counters()["affinity-kept"] > before
+	}
+	for i := range 100 {
+		must.True(t, kept(uint64(i)+100))
+	}
+	for range 40 {
+		kept(1)
+	}
+	must.False(t, kept(1))
+	must.True(t, kept(2))
+	b.Update(ups)
+	must.False(t, kept(1))
+	for i := range 64 {
+		must.True(t, kept(uint64(i)+300))
+	}
+	must.True(t, kept(1))
+}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -146,6 +146,9 @@
 		b.counters.none.Add(1)
 		return Upstream{}, option{}, ErrNoUpstream
 	}
+	if len(k.Exclude) == 0 {
+		p.prefixes.add(k.Prefix)
+	}
 	session := sessionKey(k.Session)
 	if !best.trial {
 		best = b.affine(s, p, &k, session, best, mean, t, now)
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -77,11 +77,21 @@
 	// stalled counts the stalled members of the subset.
 	stalled atomic.Int64
 	usedAt  atomic.Int64 // Unix nanoseconds of the last choice
+	// prefixes outlives snapshots.
+	prefixes *prefixes
 	// fresh is the probe pool: the indexes in near of the latest samples.
 	fresh [freshSize]atomic.Int32
 	next  atomic.Uint32
 }
 
+// newPool returns an empty pool that keeps the frequencies of the prefixes of the one before.
+func newPool(old *pool) *pool {
+	if old != nil {
+		return &pool{prefixes: old.prefixes}
+	}
+	return &pool{prefixes: &prefixes{}}
+}
+
 // freshSize bounds the probe pool.
 const freshSize = 16
 
@@ -107,6 +117,10 @@
 		targets: make(map[identifier.Target]*pool), services: make(map[identifier.Service]*pool),
 		byName: make(map[identifier.Upstream]*candidate, len(ups)),
 	}
+	old := b.current.Load()
+	if old == nil {
+		old = s
+	}
 	members := make(map[*pool][]*candidate)
 	join := func(p *pool, c *candidate) {
 		if members[p] == nil {
@@ -132,13 +146,13 @@
 		}
 		if u.Service != "" {
 			if s.services[u.Service] == nil {
-				s.services[u.Service] = &pool{}
+				s.services[u.Service] = newPool(old.services[u.Service])
 			}
 			join(s.services[u.Service], c)
 		}
 		for _, t := range u.Targets {
 			if s.targets[t] == nil {
-				s.targets[t] = &pool{}
+				s.targets[t] = newPool(old.targets[t])
 			}
 			join(s.targets[t], c)
 		}
--- a/choicebencher/choice_test.go
+++ b/choicebencher/choice_test.go
@@ -48,6 +48,16 @@
 	must.ErrorContains(t, err, "no request ended")
 }
 
+// Guards against a prefix of all requests that crowds them at its three homes, which refuse them, although every engine has
+// the prefix cached.
+func TestOnePrefix(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		plain, affine := choicebencher.RefusedOfOnePrefix(seed)
+		must.Positive(t, plain)
+		must.LessEq(t, plain+choicebencher.AddedLimit, affine)
+	}
+}
+
 // Guards against requests that go on to a stuck engine because each ends at its deadline, which says nothing about the
 // engine, and against a slow engine that is taken out as if it were stuck.
 func TestFaultyEngine(t *testing.T) {
--- a/choicebencher/export_test.go
+++ b/choicebencher/export_test.go
@@ -24,6 +24,21 @@
 	return share, s.faulty.progress.Stalled(s.end), err
 }
 
+// RefusedOfOnePrefix returns the refused orders a request of 200 workers without and with prefix affinity when all requests
+// of a version share one prefix.
+func RefusedOfOnePrefix(seed uint64) (plain, affine float64) {
+	refused := func(affinity bool) float64 {
+		s := newSimulation(seed, sizes()[1], routed, defaultDuration)
+		s.scenario = scenario{prefixes: 1, affinity: affinity}
+		s.run()
+		return s.result(defaultDuration).busy
+	}
+	return refused(false), refused(true)
+}
+
+// AddedLimit bounds the difference of the two.
+const AddedLimit = addedLimit
+
 // ShareAfterEnd returns the share of a slow engine in an interval without traffic.
 func ShareAfterEnd(seed uint64) (float64, error) {
 	s := newSimulation(seed, sizes()[0], routed, defaultDuration)
