pinner: let flushes follow one another

Cause: an entry that stops flushes its pins while its duty still flushes on its own. Both wrote the same batch and both dropped as many pins, so pins were lost unwritten, or the later one panicked with "slice bounds out of range". On a loaded machine, with a slow table, the panic ended the test of the demo. Change: Flush waits for the flush in progress, or for the end of its context.

--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -80,7 +80,9 @@
 	mu      sync.Mutex
 	pins    map[key]*stored
 	pending []Pin
-	shards  [Shards]shard
+	// flushing has room for one flush, since each drops as many pins as it wrote.
+	flushing chan struct{}
+	shards   [Shards]shard
 	// seen are the instances for which owned lists the own shards.
 	seen  []identifier.Instance
 	owned []int
@@ -98,6 +100,7 @@
 		configuration: func() *configurer.Configuration { return nil },
 		expiry:        defaultExpiry,
 		pins:          map[key]*stored{},
+		flushing:      make(chan struct{}, 1),
 		read:          func(context.Context, int) ([]Pin, error) { return nil, nil },
 	}
 	p.ask = func(context.Context, identifier.Instance, Question) (identifier.Target, error) {
@@ -301,8 +304,14 @@
 	}
 }
 
-// Flush writes the pins that are not yet written; it is not called concurrently with itself or Run.
+// Flush writes the pins that are not yet written, after any flush that is in progress.
 func (p *Pinner) Flush(ctx context.Context) error {
+	select {
+	case p.flushing <- struct{}{}:
+		defer func() { <-p.flushing }()
+	case <-ctx.Done():
+		return fmt.Errorf("pinner: wait for the flush in progress: %w", ctx.Err())
+	}
 	for {
 		p.mu.Lock()
 		batch := append([]Pin(nil), p.pending[:min(maxBatch, len(p.pending))]...)
--- a/pinner/shard_test.go
+++ b/pinner/shard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"testing"
@@ -190,3 +191,43 @@
 		must.Positive(t, renewed)
 	})
 }
+
+// Guards against flushes that run at the same time, as when a process stops during a flush: both wrote the same pins, and the
+// later one dropped as many again, unwritten, or panicked.
+func TestFlushesDoNotOverlap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		written := map[identifier.Session]int{}
+		p := pinner.New(pinner.WithConfiguration(func() *configurer.Configuration { return configuration(0) }),
+			pinner.WithWrite(func(_ context.Context, batch []pinner.Pin) error {
+				time.Sleep(time.Second)
+				mu.Lock()
+				defer mu.Unlock()
+				for _, x := range batch {
+					written[x.Session]++
+				}
+				return nil
+			}))
+		const sessions = 40
+		pin := func(i int) {
+			_, err := p.Pin(t.Context(), "a", session(i), identifier.Target{Model: "finch", Version: "v1"}, 1)
+			must.NoError(t, err)
+		}
+		for i := range sessions / 2 {
+			pin(i)
+		}
+		errs := make(chan error, 2)
+		for range 2 {
+			go func() { errs <- p.Flush(t.Context()) }()
+		}
+		synctest.Wait()
+		for i := range sessions / 2 {
+			pin(sessions/2 + i)
+		}
+		must.NoError(t, errors.Join(<-errs, <-errs, p.Flush(t.Context())))
+		must.MapLen(t, sessions, written)
+		for _, n := range written {
+			must.EqOp(t, 1, n)
+		}
+	})
+}
