demonstrator: bound the requests in progress

Cause: the demo plays 50 requests/s per deployment whatever the machine can do. Where it is too slow, requests pile up, entries find no answer of an agent within 3 s, and callers get 502 upstream-lost, which no trace permits, so TestRunAnswersEveryRank failed. Change: a deployment has at most 16 requests in progress, about 5 being usual; later ones are sent late. No check changed.

--- a/demonstrator/demo.go
+++ b/demonstrator/demo.go
@@ -32,6 +32,9 @@
 	repeatShare = 0.05
 	// serviceShare is the share of requests that call a plain service.
 	serviceShare = 0.15
+	// mostInProgress bounds the requests in progress of a deployment, some 5 at this rate. On a machine that is too slow for the
+	// rate, orders would otherwise find no answer in time, and callers would get errors that no trace states.
+	mostInProgress = 16
 	// progressStep is the number of requests between two progress lines.
 	progressStep = 100
 )
@@ -150,6 +153,7 @@
 	var done atomic.Int64
 	player := replayer.NewPlayer(d.callers(),
 		func(a identifier.ClientAccount) string { return questioner.ExampleKey(answers.Team, string(a)) },
+		replayer.WithMost(mostInProgress),
 		replayer.WithDone(func(int) {
 			if n := done.Add(1); n%progressStep == 0 {
 				out.printf("%s: %d of %d requests\n", sh.name, n, len(trace.Entries))
--- a/replayer/player.go
+++ b/replayer/player.go
@@ -51,6 +51,7 @@
 	Done func(n int)
 
 	client *http.Client
+	places chan struct{}
 }
 
 // NewPlayer returns a player that plays at recorded speed.
@@ -76,6 +77,11 @@
 	return func(p *Player) { p.Speed = speed }
 }
 
+// WithMost bounds the requests in progress; when they are as many, later entries are sent late.
+func WithMost(n int) Option {
+	return func(p *Player) { p.places = make(chan struct{}, n) }
+}
+
 // WithDone sets the function that is told of progress.
 func WithDone(f func(n int)) Option {
 	return func(p *Player) { p.Done = f }
@@ -96,7 +102,12 @@
 			results[i] = Result{Entry: i, Err: err}
 			continue
 		}
+		if err := p.begin(ctx); err != nil {
+			results[i] = Result{Entry: i, Err: err}
+			continue
+		}
 		wg.Go(func() {
+			defer p.end()
 			results[i] = p.send(ctx, i, &t.Entries[i])
 			mu.Lock()
 			defer mu.Unlock()
@@ -108,6 +119,25 @@
 	return results
 }
 
+// begin waits for a place among the requests in progress.
+func (p *Player) begin(ctx context.Context) error {
+	if p.places == nil {
+		return nil
+	}
+	select {
+	case p.places <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (p *Player) end() {
+	if p.places != nil {
+		<-p.places
+	}
+}
+
 func sleepUntil(ctx context.Context, at time.Time) error {
 	timer := time.NewTimer(time.Until(at))
 	defer timer.Stop()
