faultsbencher: collect less garbage in tests and run pairs side by side

Cause: the tests ran with the default collector target, which the experiment replaces, and each of the three groups of subtests waited for the slowest one of the group before it; a kind ran all of its pairs in one subtest. Change: TestMain sets the target of the experiment, 400. All groups and each pair run in parallel. Seeds, kinds and checks are the same.

--- a/faultsbencher/schedule_test.go
+++ b/faultsbencher/schedule_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"os"
+	"runtime/debug"
 	"testing"
 	"time"
 
@@ -21,8 +23,15 @@
 	"github.com/siskinfront/siskinfront/streamer"
 )
 
+func TestMain(m *testing.M) {
+	// As in the experiment, each schedule has a small live heap of its own.
+	debug.SetGCPercent(400)
+	os.Exit(m.Run())
+}
+
 // Guards against any invariant broken by one kind of fault alone.
 func TestEachFaultAlone(t *testing.T) {
+	t.Parallel()
 	for _, k := range fb.Kinds() {
 		t.Run(string(k), func(t *testing.T) {
 			t.Parallel()
@@ -37,17 +46,18 @@
 
 // Guards against any invariant broken by two faults at about the same time, for each pair of kinds.
 func TestEachPairAtOnce(t *testing.T) {
+	t.Parallel()
 	kinds := fb.Kinds()
 	for i, a := range kinds {
-		t.Run(string(a), func(t *testing.T) {
-			t.Parallel()
-			for j, b := range kinds[i:] {
+		for j, b := range kinds[i:] {
+			t.Run(string(a)+" and "+string(b), func(t *testing.T) {
+				t.Parallel()
 				seed := uint64(100*i + j)
 				o := fb.Run(seed, []fb.Kind{a, b}, fb.Weaken{})
 				must.MapEmpty(t, o.Broken, must.Sprintf("%s and %s, seed %d: %v", a, b, seed, o.Faults))
 				must.Len(t, 2, o.Faults)
-			}
-		})
+			})
+		}
 	}
 }
 
@@ -65,6 +75,7 @@
 
 // Guards against a schedule that depends on anything but its seed.
 func TestSameSeedSameSchedule(t *testing.T) {
+	t.Parallel()
 	a, b := fb.Run(7, fb.Kinds(), fb.Weaken{}), fb.Run(7, fb.Kinds(), fb.Weaken{})
 	must.Eq(t, a.History, b.History)
 	must.Eq(t, a.Checked, b.Checked)
@@ -75,6 +86,7 @@
 // Guards against checks that cannot fail: the schedules must find the violation with one protection off, and none with
 // it.
 func TestChecksFindMissingProtection(t *testing.T) {
+	t.Parallel()
 	unfenced := func(ctx context.Context, tb *storer.Table, le *leaser.Lease, tx storer.Transaction) error {
 		if !le.Valid() {
 			return leaser.ErrLost
