slopesbencher: count the return of a share and the look at other rows

Cause: docs/CAPACITY.md counted one read and one write per share of the committed spend, 11.0 a second each at 330 entries, while a share is taken and returned and each entry reads the 9 other rows once a minute. Change: the row has 2 writes and 2 reads per share and interval, and 9 reads per entry and minute.

--- a/slopesbencher/capacity.go
+++ b/slopesbencher/capacity.go
@@ -61,6 +61,7 @@
 	configurationPoll = 0.5
 	readersPerCentre  = 3.0
 	shareSeconds      = 30.0
+	othersSeconds     = 60.0
 	leaseSeconds      = 5.0
 	leaseCandidates   = 3.0
 	leases            = 4.0
@@ -194,7 +195,8 @@
 		{"session pins, removal", "one transaction per entry and 30 s", 0, entries / pinRemovalSeconds},
 		{"claims", "claimed, started and done per non-idempotent request",
 			requestRate * nonIdempotentShare, 3 * requestRate * nonIdempotentShare},
-		{"committed spend", "a share per entry and interval", entries / shareSeconds, entries / shareSeconds},
+		{"committed spend", "a share taken and returned per entry and interval, other rows once a minute",
+			entries * (2/shareSeconds + (dataCentres-1)/othersSeconds), 2 * entries / shareSeconds},
 		{"leases", "renewed by the holder, watched by 3 entries per data centre",
 			leases * leaseCandidates * dataCentres / leaseSeconds, leases / leaseSeconds},
 		{"placement leases", "one per data centre", dataCentres * leaseCandidates / leaseSeconds, dataCentres / leaseSeconds},
