biller: remove the share from bills

Cause: Bill.Share was meant for a recovery of shares from their bills, and nothing ever filled it.

Bills are as long as before, because an empty share took no bytes.

--- a/biller/bill.go
+++ b/biller/bill.go
@@ -20,8 +20,6 @@
 	Service       identifier.Service       `json:"service,omitempty"`
 	Usage         streamer.Usage           `json:"usage"`
 	Amount        float64                  `json:"amount"`
-	// Share names the share of the committed spend that covers the bill; it is empty without one.
-	Share string `json:"share,omitempty"`
 	// Final is set once the run has ended; an earlier bill covers the tokens so far.
 	Final bool      `json:"final"`
 	At    time.Time `json:"at"`
@@ -32,7 +30,7 @@
 
 func (b *Bill) size() int {
 	return fixedSize + len(b.ID) + len(b.Request) + len(b.ClientAccount) + len(b.WorkKind) + len(b.Rank) +
-		len(b.Target.Model) + len(b.Target.Version) + len(b.Service) + len(b.Share)
+		len(b.Target.Model) + len(b.Target.Version) + len(b.Service)
 }
 
 // compare orders bills of one ID: a final one is above any other, then the larger usage, the larger amount and the
