spender: raise the ceiling of a share ahead of need

Cause: a ceiling was raised when a request needed more than it allowed. With the witness gone that request was refused, and so were all others until another share was at hand, about a second, while the hard limit was far away.

Change: once half of the headroom is used, the next step raises the ceiling.

--- a/spender/ceiling.go
+++ b/spender/ceiling.go
@@ -70,6 +70,12 @@
 // covered reports whether everything reserved and spent is within the ceiling.
 func (s *share) covered() bool { return s.name == "" || s.spent+s.reserved <= s.ceiling }
 
+// low reports whether the ceiling is to be raised: half of the headroom is used, and more of the share is free than that.
+func (s *share) low(room float64) bool {
+	left := s.ceiling - s.spent - s.reserved
+	return s.name != "" && !s.severed && left < room/2 && left < s.free()
+}
+
 // headroom returns the amount by which ceilings exceed what is spent and reserved.
 func headroom(spend *configurer.Spend) float64 {
 	if spend.Committed > 0 {
@@ -138,17 +144,26 @@
 	return nil
 }
 
-// keep tells the witnesses of retired shares that their holder lives, and lowers their ceilings to what is still reserved.
+// keep tells the witnesses of retired shares that their holder lives, and lowers their ceilings to what is still reserved. It
+// raises the ceiling of the current share ahead of need, so that a witness out of reach is found out while what is left of
+// the ceiling covers the requests until another share is at hand.
 func (s *Spender) keep() {
+	room := headroom(&s.cfg().Spend)
 	s.mu.Lock()
-	now := s.now()
+	now, current := s.now(), s.current
 	var due []*share
 	for _, r := range s.retired {
 		if r.name != "" && !r.severed && !now.Before(r.toldAt.Add(keepInterval)) {
 			due = append(due, r)
 		}
 	}
+	raise := current != nil && current.low(room)
 	s.mu.Unlock()
+	if raise {
+		current.telling.Lock()
+		s.tell(current, room, false)
+		current.telling.Unlock()
+	}
 	for _, r := range due {
 		r.telling.Lock()
 		s.tell(r, 0, false)
--- a/spender/reservation.go
+++ b/spender/reservation.go
@@ -19,7 +19,8 @@
 	if math.IsNaN(amount) || amount < 0 {
 		return Reservation{}, fmt.Errorf("spender: reserve %v: amount is negative or not a number", amount)
 	}
-	limited := s.cfg().Spend.HardLimit > 0
+	spend := &s.cfg().Spend
+	limited := spend.HardLimit > 0
 	s.mu.Lock()
 	s.largest = max(s.largest*largestDecay, amount)
 	c := s.current
@@ -32,6 +33,9 @@
 		c.reserved += amount
 		c.running++
 		covered = c.covered()
+		if c.low(headroom(spend)) {
+			s.signal()
+		}
 	}
 	s.mu.Unlock()
 	if !covered && !s.cover(c) {
--- a/spender/spender_test.go
+++ b/spender/spender_test.go
@@ -398,3 +398,41 @@
 		})
 	}
 }
+
+// Guards against a request that is refused because the witness of the share has gone while the ceiling was not short yet: what
+// is left of it must last until a share with another witness is at hand.
+func TestWitnessGone(t *testing.T) {
+	cfg := &configurer.Configuration{Revision: 1, Spend: configurer.Spend{Start: start, End: start.Add(time.Hour), Committed: 5e5, HardLimit: 1e6}}
+	now := start
+	table := &fakeTable{rows: map[string]fakeRow{}, mode: func() string { return "ok" }}
+	clock := func() time.Time { return now }
+	gone, told := false, 0
+	s, _ := spender.NewWitnessed(func() *configurer.Configuration { return cfg },
+		table.table("dc-1", func() bool { return false }), "dc-1", centres[:1],
+		spender.Peers{
+			Pick: func() identifier.Instance {
+				if gone {
+					return "w2"
+				}
+				return "w1"
+			},
+			Tell: func(name identifier.Instance, _ spender.Ceiling) error {
+				told++
+				if gone && name == "w1" {
+					return errors.New("no answer")
+				}
+				return nil
+			},
+		}, []spender.LedgerOption{spender.WithLedgerNow(clock)}, spender.WithNow(clock), spender.WithMinimum(100))
+	must.NoError(t, s.Step(t.Context()))
+	for i := range 60 {
+		gone = i >= 30
+		r, err := s.Reserve(1)
+		must.NoError(t, err, must.Sprint(i))
+		r.Settle(1)
+		now = now.Add(100 * time.Millisecond)
+		must.NoError(t, s.Step(t.Context()), must.Sprint(i))
+	}
+	// The headroom is that of five requests, and half of it is used before the next message.
+	must.Between(t, 60/5, told, 60/2+2)
+}
