--- a/limiter/exchange_test.go
+++ b/limiter/exchange_test.go
@@ -198,54 +198,57 @@
 		ownerDies    bool
 	}{{1, 0, false}, {3, 0, false}, {30, 0, false}, {120, 0, false}, {165, 0, false}, {250, 0, false}, {330, 0, false}, {330, 3, false},
 		{330, 2, false}, {330, 0, true}} {
-		d := newDeployment(entries)
-		for range 70 { // past the time in which new owners only renew
-			d.now = d.now.Add(time.Second)
-			for _, x := range d.nodes {
-				d.step(x, never)
+		name := fmt.Sprintf("%d of %d entries used, %d of 4 requests at the first, owner dies %t", c.used, entries, c.sticks, c.ownerDies)
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(entries)
+			for range 70 { // past the time in which new owners only renew
+				d.now = d.now.Add(time.Second)
+				for _, x := range d.nodes {
+					d.step(x, never)
+				}
 			}
-		}
-		begin, passed, n, turn, before, worst := d.now, 0, 0, 0, 0, 0
-		gap := time.Duration(tokens / (1.2 * d.acc.TokensPerSecond) * float64(time.Second))
-		next := begin
-		for d.now.Before(begin.Add(duration)) {
-			for ; !next.After(d.now); next = next.Add(gap) {
-				// Where a caller sticks, it sends the given part of four requests to the first entry.
-				x := d.nodes[0]
-				if n%4 >= c.sticks {
-					x = d.nodes[turn%c.used]
-					turn++
+			begin, passed, n, turn, before, worst := d.now, 0, 0, 0, 0, 0
+			gap := time.Duration(tokens / (1.2 * d.acc.TokensPerSecond) * float64(time.Second))
+			next := begin
+			for d.now.Before(begin.Add(duration)) {
+				for ; !next.After(d.now); next = next.Add(gap) {
+					// Where a caller sticks, it sends the given part of four requests to the first entry.
+					x := d.nodes[0]
+					if n%4 >= c.sticks {
+						x = d.nodes[turn%c.used]
+						turn++
+					}
+					n++
+					x.borrower.Use(&d.acc, tokens, next)
+					if _, ok := x.limits.Allow(&d.acc, tokens, next); ok && d.now.Sub(begin) >= warmUp {
+						passed += tokens
+					}
 				}
-				n++
-				x.borrower.Use(&d.acc, tokens, next)
-				if _, ok := x.limits.Allow(&d.acc, tokens, next); ok && d.now.Sub(begin) >= warmUp {
-					passed += tokens
+				if d.now.Sub(begin) == warmUp {
+					d.asks, d.bytes = 0, 0
+					d.find(d.nodes[0].lender.Owner(d.acc.Name)).crashed = c.ownerDies
+					for _, x := range d.nodes {
+						d.look(x)
+					}
 				}
-			}
-			if d.now.Sub(begin) == warmUp {
-				d.asks, d.bytes = 0, 0
-				d.find(d.nodes[0].lender.Owner(d.acc.Name)).crashed = c.ownerDies
+				if d.now.Sub(begin)%(10*time.Second) == 0 {
+					before, worst = passed, max(worst, passed-before)
+				}
+				d.now = d.now.Add(100 * time.Millisecond)
 				for _, x := range d.nodes {
-					d.look(x)
+					d.step(x, never)
 				}
 			}
-			if d.now.Sub(begin)%(10*time.Second) == 0 {
-				before, worst = passed, max(worst, passed-before)
-			}
-			d.now = d.now.Add(100 * time.Millisecond)
-			for _, x := range d.nodes {
-				d.step(x, never)
-			}
-		}
-		part := float64(passed) / (d.acc.TokensPerSecond * (duration - warmUp).Seconds())
-		perSecond := float64(d.asks) / (duration - warmUp).Seconds()
-		// A message has 140 bytes of envelope and headers (docs/membership.md); both ends count it.
-		owner := (float64(d.bytes) + 2*140*float64(d.asks)) / (duration - warmUp).Seconds()
-		t.Logf("%d of %d entries used, %d of 4 requests at the first, owner dies %t: %.3f of the limit, %.2f asks/s, %.0f B/s at the owner, %.1f B/s per entry",
-			c.used, entries, c.sticks, c.ownerDies, part, perSecond, owner, 2*owner/entries)
-		must.Between(t, 0.9, part, 1.03)
-		must.LessEq(t, 1.03, float64(worst)/(10*d.acc.TokensPerSecond))
-		must.LessEq(t, 150, 2*owner/entries)
-		must.LessEq(t, 3000-1968, owner) // a node's budget less the control traffic of an entry (docs/CAPACITY.md)
+			part := float64(passed) / (d.acc.TokensPerSecond * (duration - warmUp).Seconds())
+			perSecond := float64(d.asks) / (duration - warmUp).Seconds()
+			// A message has 140 bytes of envelope and headers (docs/membership.md); both ends count it.
+			owner := (float64(d.bytes) + 2*140*float64(d.asks)) / (duration - warmUp).Seconds()
+			t.Logf("%.3f of the limit, %.2f asks/s, %.0f B/s at the owner, %.1f B/s per entry", part, perSecond, owner, 2*owner/entries)
+			must.Between(t, 0.9, part, 1.03)
+			must.LessEq(t, 1.03, float64(worst)/(10*d.acc.TokensPerSecond))
+			must.LessEq(t, 150, 2*owner/entries)
+			must.LessEq(t, 3000-1968, owner) // a node's budget less the control traffic of an entry (docs/CAPACITY.md)
+		})
 	}
 }
