entryserver: ask a slow agent again when no other upstream is left

An order that its agent does not accept within 500 ms is given up in favour of another upstream, with 250 ms for its outcome. If the others had been busy or slow as well, none was left, and the request failed although its agents worked. Ruled out: silence, which takes 3 s.

Change: an upstream whose order was given up so is a candidate again when no other is left, like one that refused as busy. The last of the three attempts has no limit for its acceptance, so it waits for the agent.

--- a/entryserver/completion.go
+++ b/entryserver/completion.go
@@ -33,7 +33,7 @@
 	// asked is set if the selection asked for a rating of the answer.
 	asked bool
 	steps []Step
-	// busy lists the upstreams that refused the request because it would have waited there.
+	// busy lists the upstreams that refused the request because it would have waited there, or gave no sign of it in time.
 	busy []identifier.Upstream
 	// refused counts the attempts of the present run that ended so; they are no retries.
 	refused int
--- a/entryserver/dispatch.go
+++ b/entryserver/dispatch.go
@@ -76,6 +76,10 @@
 			j.busy = append(j.busy, u.Name)
 		case s.repeatable(ctx, j, f, n-j.refused):
 			s.counters.retried.Add(1)
+			if f.budgeted {
+				// The agent may only be slow, and without another upstream it is still the best one.
+				j.busy = append(j.busy, u.Name)
+			}
 		default:
 			last.Outcome = j.outcome
 			return last
@@ -115,7 +119,7 @@
 	return !j.order.NonIdempotent || j.request.IdempotencyKey != ""
 }
 
-// waitAnywhere makes the upstreams that were busy candidates again, where the request may then wait, and reports whether
+// waitAnywhere makes the upstreams that were busy or slow candidates again, where the request may then wait, and reports whether
 // there are any.
 func (j *job) waitAnywhere() bool {
 	if len(j.busy) == 0 {
--- a/entryserver/frozen_test.go
+++ b/entryserver/frozen_test.go
@@ -19,6 +19,29 @@
 	}))
 }
 
+// Guards against a request that fails because each agent took more than the time for the first sign of it, as on a machine that
+// is short of processors, although all of them run it when asked again.
+func TestAllAgentsSlow(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		for i, a := range b.agents {
+			b.serve(address(i+1, 7000), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodPost {
+					time.Sleep(700 * time.Millisecond)
+				}
+				a.ServeHTTP(w, r)
+			}))
+		}
+		got, err := b.call(t.Context(), 0, http.MethodPost, "/v1/chat/completions", question)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusOK, got.status, must.Sprint(got.body))
+		bills := map[string]bool{}
+		for _, bill := range b.recorded() {
+			bills[bill.ID] = true
+		}
+		must.MapLen(t, 1, bills)
+	})
+}
+
 // Guards against urgent work that waits for a frozen agent while another one is free, against giving up beyond the retry
 // budget, which would multiply the orders of an overload, and against giving up an order that may run only once.
 func TestFrozenAgent(t *testing.T) {
