--- a/assembler/fault_test.go
+++ b/assembler/fault_test.go
@@ -335,6 +335,13 @@
 	pass(up, c)
 }
 
+// present returns the number of connections that would fall silent now.
+func (r *relay) present() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.silent)
+}
+
 // fallSilent makes all present connections forward nothing more, and returns their number.
 func (r *relay) fallSilent() int {
 	r.mu.Lock()
@@ -362,6 +369,14 @@
 	})
 	wait := b.mix("mix", "entry-1", "entry-2")
 	time.Sleep(12 * interval)
+	// On a slow machine the first orders may not have arrived by then.
+	b.eventually("an order has a connection", patience, func() bool {
+		n := 0
+		for _, name := range []string{"agent-1", "agent-2"} {
+			n += relays[b.procs[name].at("data")].present()
+		}
+		return n > 0
+	})
 	began, data := time.Now(), 0
 	for _, name := range []string{"agent-1", "agent-2"} {
 		data += relays[b.procs[name].at("data")].fallSilent()
