--- /dev/null
+++ b/connector/error.go
@@ -0,0 +1,32 @@
+package connector
+
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrNoAnswer is the cause of an Error when the connection ended before a response began.
+var ErrNoAnswer = errors.New("connection ended without a response")
+
+// ErrForeign is the cause of an Error when the responses on a connection belonged to other requests.
+var ErrForeign = errors.New("responses belong to other requests")
+
+// Error is a failure to get a response.
+type Error struct {
+	// Step is dial, write or read.
+	Step string
+	Peer Peer
+	// Sent is set if the upstream may have received the request.
+	Sent bool
+	Err  error
+}
+
+// Error returns the step, the peer and the cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("connector: %s at %s %s: %v", e.Step, e.Peer.Name, e.Peer.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,162 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+)
+
+// ErrHistoryLost is returned by Changes when the requested history is no longer available.
+var ErrHistoryLost = errors.New("follower: history is no longer available")
+
+const (
+	// waitTime is how long the store may hold a call without changes. With the answer time it bounds how long a connection
+	// that went silent hides a change, which has to be in force within 2 s.
+	waitTime = 1100 * time.Millisecond
+	// answerTime is how much longer than waitTime a reply may take.
+	answerTime = 500 * time.Millisecond
+	// readTime bounds one read of the whole table.
+	readTime = time.Second
+	// minBackoff and maxBackoff bound the pause after a failed call, which doubles; the store takes some 2,000 reads a second.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 500 * time.Millisecond
+)
+
+// Source reads a table; a version belongs to the whole store and only grows.
+type Source[T any] struct {
+	// Name is used in logs.
+	Name string
+	// Read returns all rows and the version of the store.
+	Read func(context.Context) ([]T, uint64, error)
+	// Changes returns the rows that changed after a version, as soon as there are any or after the wait.
+	Changes func(ctx context.Context, after uint64, wait time.Duration) ([]T, uint64, error)
+}
+
+// Follower follows one table.
+type Follower[T any] struct {
+	Source[T]
+	// Apply takes all rows, with all set, or changes in their order.
+	Apply func(rows []T, all bool)
+	// Lost is called when the table can no longer be read, and Regained when it can again.
+	Lost     func()
+	Regained func()
+	Log      *slog.Logger
+	Now      func() time.Time
+
+	version                       atomic.Uint64
+	confirmedAt                   atomic.Int64
+	reads, calls, failures, stale atomic.Int64
+	out                           bool
+	outSince                      time.Time
+}
+
+// New returns a follower of a source.
+func New[T any](s Source[T], apply func(rows []T, all bool), log *slog.Logger) *Follower[T] {
+	return &Follower[T]{Source: s, Apply: apply, Lost: func() {}, Regained: func() {}, Log: log, Now: time.Now}
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower[T]) Run(ctx context.Context) error {
+	backoff := minBackoff
+	whole := true
+	for ctx.Err() == nil {
+		err := f.step(ctx, whole)
+		switch {
+		case err == nil:
+			whole, backoff = false, minBackoff
+			continue
+		case errors.Is(err, ErrHistoryLost):
+			f.Log.Info("history of the store is gone, reading all", "table", f.Name, "version", f.version.Load())
+			whole = true
+			if backoff == minBackoff {
+				backoff *= 2
+				continue
+			}
+		case ctx.Err() == nil:
+			f.lost(err)
+		}
+		pause := time.NewTimer(backoff/2 + rand.N(backoff/2))
+		select {
+		case <-ctx.Done():
+		case <-pause.C:
+		}
+		pause.Stop()
+		backoff = min(2*backoff, maxBackoff)
+	}
+	return nil
+}
+
+// errStale is returned for a reply that is older than one before.
+var errStale = errors.New("follower: reply is older than one before")
+
+// step reads the whole table or its next changes.
+func (f *Follower[T]) step(ctx context.Context, whole bool) error {
+	after := f.version.Load()
+	limit := waitTime + answerTime
+	if whole {
+		limit = readTime
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	var rows []T
+	var version uint64
+	var err error
+	if whole {
+		f.reads.Add(1)
+		rows, version, err = f.Read(ctx)
+	} else {
+		f.calls.Add(1)
+		rows, version, err = f.Changes(ctx, after, waitTime)
+	}
+	if err != nil {
+		f.failures.Add(1)
+		return err
+	}
+	if version < after {
+		f.stale.Add(1)
+		return errStale
+	}
+	f.version.Store(version)
+	f.confirmedAt.Store(f.Now().UnixNano())
+	if f.out {
+		f.out = false
+		f.Log.Info("store regained", "table", f.Name, "version", version, "out", f.Now().Sub(f.outSince))
+		f.Regained()
+	}
+	if whole || len(rows) > 0 {
+		f.Apply(rows, whole)
+	}
+	return nil
+}
+
+func (f *Follower[T]) lost(err error) {
+	if f.out {
+		return
+	}
+	f.out, f.outSince = true, f.Now()
+	f.Log.Warn("store lost", "table", f.Name, "version", f.version.Load(), "error", err.Error())
+	f.Lost()
+}
+
+// Confirmed returns when the copy was last known to be current, or the zero time.
+func (f *Follower[T]) Confirmed() time.Time {
+	if n := f.confirmedAt.Load(); n != 0 {
+		return time.Unix(0, n)
+	}
+	return time.Time{}
+}
+
+// Version returns the version of the store up to which the copy is complete.
+func (f *Follower[T]) Version() uint64 {
+	return f.version.Load()
+}
+
+// Counters returns the totals since the start.
+func (f *Follower[T]) Counters() map[string]int64 {
+	return map[string]int64{
+		"reads": f.reads.Load(), "calls": f.calls.Load(), "failures": f.failures.Load(), "stale-replies": f.stale.Load(),
+	}
+}
--- /dev/null
+++ b/forwarder/attempt.go
@@ -0,0 +1,252 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/siskinfront/siskinfront/balancer"
+	"github.com/siskinfront/siskinfront/connector"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/registrar"
+	"github.com/siskinfront/siskinfront/streamer"
+)
+
+const (
+	// onceIdle bounds the idle time of a kept connection for a request that may run only once: an upstream that closes it
+	// at that moment leaves open whether the request ran.
+	onceIdle = 300 * time.Millisecond
+	// repeatIdle is the same for requests that may be sent again.
+	repeatIdle = 4 * time.Second
+	// maxNotRun bounds the upstreams that may reject one request before the caller is told.
+	maxNotRun = 3
+)
+
+// attempt is one send of a request, kept for the log.
+type attempt struct {
+	upstream identifier.Upstream
+	model    identifier.Model
+	at       time.Time
+	age      time.Duration
+	outcome  string
+	status   int
+}
+
+// call is an attempt in progress.
+type call struct {
+	f        *Forwarder
+	q        *request
+	upstream *registrar.Upstream
+	name     identifier.Upstream
+	pool     identifier.Service
+	begin    time.Time
+	first    time.Duration
+	response *connector.Response
+	watch    *watchdog
+	index    int
+	ended    bool
+}
+
+var (
+	errNotRun   = errors.New("forwarder: upstream did not run the request")
+	errSpoiled  = errors.New("forwarder: response is not that of the upstream")
+	errSilent   = errors.New("forwarder: upstream is silent")
+	errUpstream = errors.New("forwarder: upstream failed")
+)
+
+// choose picks an upstream that was not tried before; once all were, it picks one again.
+func (f *Forwarder) choose(q *request) (*registrar.Upstream, identifier.Upstream, identifier.Service, error) {
+	pool := f.Pool(q.service, q.session)
+	k := balancer.Key{Service: pool, Prefix: q.prefix, Rank: q.rank}
+	for i := range q.attempts {
+		k.Exclude = append(k.Exclude, q.attempts[i].upstream)
+	}
+	u, err := f.balancer.Choose(k)
+	if err != nil && len(k.Exclude) > 0 {
+		k.Exclude = nil
+		u, err = f.balancer.Choose(k)
+	}
+	if err != nil {
+		return nil, "", pool, fmt.Errorf("forwarder: choose for %s: %w", pool, err)
+	}
+	x := f.Upstream(u.Name)
+	if x == nil {
+		return nil, "", pool, fmt.Errorf("forwarder: %s has left: %w", u.Name, balancer.ErrNoUpstream)
+	}
+	return x, u.Name, pool, nil
+}
+
+// send makes one attempt and returns the call with the head of its response. Errors are errNotRun if the request did not run
+// there; any other error leaves that open unless it is a *connector.Error with Sent unset.
+func (f *Forwarder) send(ctx context.Context, q *request, model identifier.Model, urgency int) (*call, error) {
+	u, name, pool, err := f.choose(q)
+	if err != nil {
+		return nil, err
+	}
+	now := f.Now()
+	c := &call{f: f, q: q, upstream: u, name: name, pool: pool, begin: now, index: len(q.attempts)}
+	q.attempts = append(q.attempts, attempt{upstream: name, model: model, at: now})
+	f.counters.attempts.Add(1)
+	f.balancer.Begin(name)
+	f.Started(q.service, u)
+	h := q.header.Clone()
+	h.Set(f.headers.Deadline, strconv.FormatInt(max(q.deadline.Sub(now).Milliseconds(), 1), 10))
+	h.Set(f.headers.ExpectUpstream, string(u.Name))
+	if model != "" {
+		h.Set(f.headers.Model, string(model))
+	}
+	if q.route.Sticky {
+		h.Set(f.headers.Urgency, strconv.Itoa(urgency))
+	}
+	if q.hasLastEvent {
+		h.Set(f.headers.LastEventID, strconv.FormatInt(q.lastEvent, 10))
+	}
+	idle := onceIdle
+	if q.route.Repeatable() {
+		idle = repeatIdle
+	}
+	// The watchdog closes the connection of a silent upstream, which ends any read of it.
+	watched, cancel := context.WithCancelCause(ctx)
+	c.watch = newWatchdog(c, cancel)
+	w, err := f.pool.Send(watched, connector.Peer{Name: name, Address: u.Address}, &connector.Request{
+		Method: q.method, URI: q.uri, Host: q.host, Header: h, Body: q.body, MaxIdle: idle,
+	})
+	if err != nil {
+		c.watch.stop()
+		if c.watch.fired.Load() {
+			err = errors.Join(errSilent, err)
+		}
+		var x *connector.Error
+		if errors.As(err, &x) && !x.Sent {
+			c.end(balancer.ResultFailure, "not-sent", false)
+			return nil, errors.Join(errNotRun, err)
+		}
+		q.mayHaveRun = true
+		c.lost(ctx, err)
+		return nil, err
+	}
+	c.response = w
+	f.touch(name)
+	c.first = f.Now().Sub(now)
+	return c, c.inspect()
+}
+
+// inspect classifies the head of a response.
+func (c *call) inspect() error {
+	f, w := c.f, c.response
+	c.q.attempts[c.index].status = w.StatusCode
+	c.load()
+	if w.StatusCode == http.StatusMisdirectedRequest || w.Header.Get(f.headers.NotRun) != "" {
+		f.counters.notRun.Add(1)
+		c.drain()
+		c.end(balancer.ResultRefused, "not-run", false)
+		return errNotRun
+	}
+	c.q.mayHaveRun = true
+	stamped := w.Header.Get(f.headers.Stamp) != "" && w.Header.Get(f.headers.RequestID) == c.q.id &&
+		w.Header.Get("Content-Encoding") == ""
+	if !stamped && w.StatusCode < http.StatusMultipleChoices {
+		f.counters.spoiled.Add(1)
+		c.end(balancer.ResultFailure, "spoiled", true)
+		return fmt.Errorf("%w: status %d at %s", errSpoiled, w.StatusCode, c.name)
+	}
+	return nil
+}
+
+// load reports the load that the response states.
+func (c *call) load() {
+	fields := strings.Split(c.response.Header.Get(c.f.headers.Load), ",")
+	if len(fields) < 2 {
+		return
+	}
+	running, err1 := strconv.Atoi(strings.TrimSpace(fields[0]))
+	waiting, err2 := strconv.Atoi(strings.TrimSpace(fields[1]))
+	if err1 != nil || err2 != nil {
+		return
+	}
+	l := streamer.Load{At: c.f.Now(), Running: running}
+	if waiting > 0 {
+		l.Queued = []int{waiting}
+	}
+	c.f.report(c.name, l)
+}
+
+// drain reads a short body, so that the connection can be kept.
+func (c *call) drain() {
+	// A body that breaks off costs only the connection.
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.response, 16<<10))
+}
+
+// lost ends an attempt without a response.
+func (c *call) lost(ctx context.Context, err error) {
+	switch {
+	case c.watch.fired.Load():
+		c.f.counters.rescued.Add(1)
+		c.end(balancer.ResultFailure, "silent", true)
+	case ctx.Err() != nil:
+		c.end(balancer.ResultCanceled, "canceled", false)
+	default:
+		c.f.counters.lost.Add(1)
+		c.end(balancer.ResultFailure, "lost: "+err.Error(), true)
+	}
+}
+
+// end records the end of an attempt once and gives its connection back. failed is set if it counts against the version.
+func (c *call) end(r balancer.Result, outcome string, failed bool) {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	if c.response != nil {
+		c.response.Close()
+	}
+	c.watch.stop()
+	c.f.balancer.End(c.name, r)
+	c.f.Ended(c.q.service, c.upstream)
+	a := &c.q.attempts[c.index]
+	a.outcome, a.age = outcome, c.f.Now().Sub(c.begin)
+	if outcome == "canceled" || outcome == "not-run" || outcome == "not-sent" {
+		return
+	}
+	c.f.Observe(Result{Service: c.q.service, Upstream: c.upstream, Route: c.q.route.Name, Failed: failed, First: c.first})
+}
+
+// again reports whether one more attempt is allowed; run is set if the last one may have run.
+func (f *Forwarder) again(ctx context.Context, q *request, run bool) bool {
+	if ctx.Err() != nil || run && !q.route.Repeatable() {
+		return false
+	}
+	sent, notRun := 0, 0
+	for i := range q.attempts {
+		switch q.attempts[i].outcome {
+		case "not-sent":
+		case "not-run":
+			notRun++
+			sent++
+		default:
+			sent++
+		}
+	}
+	if sent >= q.route.MaxAttempts || notRun >= maxNotRun || len(q.attempts) >= q.route.MaxAttempts+maxNotRun {
+		return false
+	}
+	if !f.budgets.Of(q.service).Allow() {
+		f.counters.budgetExceeded.Add(1)
+		return false
+	}
+	return true
+}
+
+// parseConfidence reads a model's confidence in its answer, from 0 to 100.
+func parseConfidence(v string) (int, bool) {
+	x, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
+	if err != nil || x < 0 || x > 100 {
+		return 0, false
+	}
+	return int(x), true
+}
--- /dev/null
+++ b/forwarder/record.go
@@ -0,0 +1,54 @@
+package forwarder
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"github.com/siskinfront/siskinfront/meter"
+)
+
+// defaultUrgency is the urgency of a request without a rank, as upstreams assume it.
+const defaultUrgency = 5
+
+// record writes the line of a request: what decided it, with its age or version, and the outcome.
+func (f *Forwarder) record(q *request, outcome string, cause error) {
+	now := f.Now()
+	attrs := make([]slog.Attr, 0, 12)
+	attrs = append(attrs, slog.String("request", q.id), slog.String("outcome", outcome), slog.Int("status", q.status),
+		slog.Duration("took", now.Sub(q.arrived)))
+	if q.table != nil {
+		attrs = append(attrs, slog.Uint64("revision", q.table.Revision))
+	}
+	if q.route != nil {
+		attrs = append(attrs, slog.String("route", q.route.Name), slog.Int("rank", q.rank), slog.String("service", string(q.service)),
+			slog.String("account", string(q.account)))
+	}
+	for i := range q.attempts {
+		a := &q.attempts[i]
+		attrs = append(attrs, slog.Group("attempt-"+strconv.Itoa(i+1), slog.String("upstream", string(a.upstream)),
+			slog.String("model", string(a.model)), slog.Duration("after", a.at.Sub(q.arrived)), slog.Duration("took", a.age),
+			slog.Int("status", a.status), slog.String("outcome", a.outcome)))
+	}
+	if cause != nil {
+		attrs = append(attrs, slog.String("error", cause.Error()))
+	}
+	f.log.LogAttrs(context.Background(), slog.LevelInfo, "request", attrs...)
+	if q.route != nil {
+		f.meter.Observe(meter.AllLatencies().Request, strconv.Itoa(q.rank), now.Sub(q.arrived))
+	}
+}
+
+// observe records the time to the first byte or event.
+func (f *Forwarder) observe(q *request) {
+	f.meter.Observe(meter.AllLatencies().FirstToken, strconv.Itoa(q.rank), f.Now().Sub(q.arrived))
+}
+
+// since is a helper for the age of samples in the log.
+func since(now, t time.Time) time.Duration {
+	if t.IsZero() {
+		return -1
+	}
+	return now.Sub(t)
+}
--- /dev/null
+++ b/forwarder/stream.go
@@ -0,0 +1,143 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/siskinfront/siskinfront/balancer"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/relayer"
+	"github.com/siskinfront/siskinfront/selector"
+)
+
+// stream serves a request that is answered by events. A resumable one goes on at another upstream after the last event.
+func (f *Forwarder) stream(ctx context.Context, w http.ResponseWriter, q *request) error {
+	f.budgets.Of(q.service).Success()
+	ladder := f.ladder(q)
+	step := ladder.First()
+	resuming := q.hasLastEvent
+	for {
+		c, err := f.send(ctx, q, f.modelOf(q, step), urgency(q.rank, resuming))
+		if err == nil && !q.begun && c.response.StatusCode < http.StatusMultipleChoices {
+			if next, ok := f.escalate(ctx, q, ladder, step, c); ok {
+				step = next
+				continue
+			}
+		}
+		if err == nil {
+			err = f.relayEvents(ctx, w, c)
+		}
+		if err == nil {
+			return nil
+		}
+		run := !errors.Is(err, errNotRun) && !errors.Is(err, balancer.ErrNoUpstream)
+		if errors.Is(err, errCaller) || !f.again(ctx, q, run) {
+			return err
+		}
+		if q.begun {
+			resuming = true
+			f.counters.resumed.Add(1)
+		}
+	}
+}
+
+// errCaller is returned when the caller's connection failed.
+var errCaller = errors.New("forwarder: caller's connection failed")
+
+func (f *Forwarder) ladder(q *request) *selector.Ladder {
+	return f.ladders.Of(q.route.Name, len(q.route.Models))
+}
+
+func (f *Forwarder) modelOf(q *request, step int) identifier.Model {
+	if !q.anyModel {
+		return ""
+	}
+	return q.route.Models[step]
+}
+
+// urgency maps a rank to the urgency of an engine; a stream that was broken goes before new ones of its rank.
+func urgency(rank int, resuming bool) int {
+	u := min(1+2*rank, 9)
+	if resuming {
+		u--
+	}
+	return max(u, 0)
+}
+
+// escalate drops an answer in which its model has little confidence, if a larger model may be asked.
+func (f *Forwarder) escalate(ctx context.Context, q *request, l *selector.Ladder, step int, c *call) (int, bool) {
+	if !q.anyModel {
+		return 0, false
+	}
+	confidence, ok := parseConfidence(c.response.Header.Get(f.headers.Confidence))
+	if !ok || l.Accept(step, confidence) {
+		return 0, false
+	}
+	if !f.again(ctx, q, true) {
+		return 0, false
+	}
+	f.counters.escalated.Add(1)
+	c.end(balancer.ResultSuccess, "escalated", false)
+	return l.Next(step), true
+}
+
+// relayEvents passes whole events on until the stream is complete.
+func (f *Forwarder) relayEvents(ctx context.Context, w http.ResponseWriter, c *call) error {
+	q, resp := c.q, c.response
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		if resp.StatusCode >= http.StatusInternalServerError && f.mayRepeat(q) {
+			f.counters.upstreamErrors.Add(1)
+			c.drain()
+			c.end(balancer.ResultFailure, "failed", true)
+			return fmt.Errorf("%w: status %d at %s", errUpstream, resp.StatusCode, c.name)
+		}
+		if q.begun {
+			c.end(balancer.ResultFailure, "failed", true)
+			return fmt.Errorf("%w: status %d at %s", errUpstream, resp.StatusCode, c.name)
+		}
+		return f.relay(ctx, w, c)
+	}
+	events := relayer.NewReader(resp, q.lastEvent, q.hasLastEvent)
+	control := http.NewResponseController(w)
+	for {
+		b, err := events.Next()
+		if err != nil {
+			if errors.Is(err, io.EOF) && q.begun {
+				c.end(balancer.ResultSuccess, "complete", false)
+				return nil
+			}
+			c.lost(ctx, err)
+			return fmt.Errorf("forwarder: read events of %s: %w", c.name, err)
+		}
+		f.touch(c.name)
+		c.watch.event()
+		if !q.begun {
+			f.head(w, c)
+			w.Header().Del("Content-Length")
+			q.begun, q.status = true, resp.StatusCode
+			// A caller that does not read ends with its deadline; a recorder in tests has none.
+			_ = control.SetWriteDeadline(q.deadline)
+			w.WriteHeader(resp.StatusCode)
+			f.observe(q)
+		}
+		_, err = w.Write(b)
+		if err == nil && events.Buffered() == 0 {
+			err = control.Flush()
+		}
+		if err != nil {
+			c.end(balancer.ResultCanceled, "canceled", false)
+			return errors.Join(errCaller, err)
+		}
+		if events.HasID {
+			q.lastEvent, q.hasLastEvent = events.Last, true
+		}
+	}
+}
+
+// mayRepeat reports whether an attempt is left, without taking it from the budget.
+func (f *Forwarder) mayRepeat(q *request) bool {
+	return q.route.Repeatable() && len(q.attempts) < q.route.MaxAttempts
+}
--- /dev/null
+++ b/logger/doc.go
@@ -0,0 +1,2 @@
+// Package logger writes structured lines without ever blocking the caller, and bounds their number.
+package logger
--- /dev/null
+++ b/matcher/table.go
@@ -0,0 +1,215 @@
+package matcher
+
+import (
+	"crypto/sha256"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+// Kind says how often the requests of a route may run.
+type Kind int
+
+// The kinds of routes.
+const (
+	// NonIdempotent requests run at most once.
+	NonIdempotent Kind = iota
+	// Idempotent requests may run more than once.
+	Idempotent
+	// Stream requests are answered by events; they may run more than once only if the route is resumable.
+	Stream
+)
+
+// String returns the kind in kebab case.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Stream:
+		return "stream"
+	default:
+		return "non-idempotent"
+	}
+}
+
+// Share is the part of a route's requests that goes to a service.
+type Share struct {
+	Service identifier.Service
+	Weight  float64
+}
+
+// Route says how the requests of one host and path prefix are served.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout bounds a request from its arrival to its last byte.
+	Timeout time.Duration
+	// Objective is the time to the response, or to the first event, within which it has its full value.
+	Objective time.Duration
+	// EventGap is the longest pause between two events for which a stream is still on time.
+	EventGap time.Duration
+	// MaxAttempts bounds the upstreams to which one request is sent.
+	MaxAttempts int
+	// Rank is 0 for the most urgent requests.
+	Rank int
+	// Public routes need no key.
+	Public bool
+	// Sticky routes have sessions and prompts whose parts upstreams cache.
+	Sticky bool
+	// Resumable streams may go on at another upstream after the last event that arrived.
+	Resumable bool
+	// Models lists the models that may answer, the smallest first; it is empty if the caller names the model.
+	Models []identifier.Model
+	// Split has at least one service.
+	Split []Share
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
+}
+
+// Service returns the service for a request; u is a number in [0, 1) that divides requests by the weights.
+func (r *Route) Service(u float64) identifier.Service {
+	total := 0.0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	u *= total
+	for _, s := range r.Split {
+		if u < s.Weight {
+			return s.Service
+		}
+		u -= s.Weight
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
+// Model is a model of an engine with its price.
+type Model struct {
+	Name identifier.Model
+	// Cost is the price of 1,000 generated tokens.
+	Cost float64
+}
+
+// Service is a group of upstreams that serve the same requests.
+type Service struct {
+	Name identifier.Service
+	// MaxConnections is the number of connections that one upstream accepts from all entries.
+	MaxConnections int
+	// Slots is the number of requests that an engine runs at once; 0 for a plain service.
+	Slots int
+	// MemoryTokens is the memory of an engine in tokens.
+	MemoryTokens int
+	// Models lists the models of an engine.
+	Models []Model
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+}
+
+// Account is a client account; Rank goes before that of the route if HasRank is set.
+type Account struct {
+	Name    identifier.ClientAccount
+	Rank    int
+	HasRank bool
+}
+
+// Table is one revision of the routes, services, accounts and limits; it is immutable and safe for concurrent use.
+type Table struct {
+	Revision uint64
+	Limits   Limits
+	Services map[identifier.Service]*Service
+
+	hosts map[string][]*Route
+	keys  map[[sha256.Size]byte]*Account
+}
+
+// Option adds to a Table.
+type Option func(*Table)
+
+// WithRoute adds a route.
+func WithRoute(r *Route) Option {
+	return func(t *Table) {
+		host := normalizeHost(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+}
+
+// WithService adds a service.
+func WithService(s *Service) Option {
+	return func(t *Table) { t.Services[s.Name] = s }
+}
+
+// WithAccount adds a client account with its keys, of which only hashes are kept.
+func WithAccount(a *Account, keys ...string) Option {
+	return func(t *Table) {
+		for _, k := range keys {
+			t.keys[sha256.Sum256([]byte(k))] = a
+		}
+	}
+}
+
+// NewTable returns a table of a revision.
+func NewTable(revision uint64, l Limits, opts ...Option) *Table {
+	t := &Table{
+		Revision: revision, Limits: l, Services: map[identifier.Service]*Service{},
+		hosts: map[string][]*Route{}, keys: map[[sha256.Size]byte]*Account{},
+	}
+	for _, o := range opts {
+		o(t)
+	}
+	for _, rs := range t.hosts {
+		slices.SortStableFunc(rs, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return t
+}
+
+// Match returns the route of the host with the longest prefix of the path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	for _, r := range t.hosts[normalizeHost(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Account returns the client account that holds a key, or nil.
+func (t *Table) Account(key string) *Account {
+	if key == "" {
+		return nil
+	}
+	return t.keys[sha256.Sum256([]byte(key))]
+}
+
+// HasAccounts reports whether requests need a key unless their route is public.
+func (t *Table) HasAccounts() bool {
+	return len(t.keys) > 0
+}
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int {
+	n := 0
+	for _, rs := range t.hosts {
+		n += len(rs)
+	}
+	return n
+}
+
+// normalizeHost drops the port and the case of a host.
+func normalizeHost(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/promoter/trial.go
@@ -0,0 +1,271 @@
+package promoter
+
+import (
+	_ "embed"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/interpreter"
+)
+
+//go:embed trial.yaml
+var trialChart []byte
+
+// The states and events of the chart in trial.yaml.
+const (
+	TrialCanary     interpreter.State = "canary"
+	TrialGrowing    interpreter.State = "growing"
+	TrialDraining   interpreter.State = "draining"
+	TrialSucceeded  interpreter.State = "succeeded"
+	TrialRolledBack interpreter.State = "rolled-back"
+
+	eventGrow interpreter.Event = "grow"
+	eventFull interpreter.Event = "full"
+	eventIdle interpreter.Event = "idle"
+	eventBad  interpreter.Event = "bad"
+	eventLate interpreter.Event = "late"
+)
+
+const (
+	// canaryShare is the part of a deployment's bound on exposure that sessions of a new version take in the first half.
+	canaryShare = 0.4
+	// tallyAge is the age beyond which the tally of an entry says nothing: entries write theirs each second.
+	tallyAge = 3500 * time.Millisecond
+	// leastGood is the number of good answers of the new version that each growth needs.
+	leastGood = 12
+)
+
+// steps are the exposures after the canary, at parts of the time of the roll-out. Sessions may change to the new version
+// only in its second half. The pauses let a version that is bad only under load show it while few requests suffer.
+var steps = []struct{ at, exposure float64 }{{0.53, 0.2}, {0.60, 0.45}, {0.67, 1}}
+
+// Order asks for the traffic of a service to be moved to a version within a time.
+type Order struct {
+	Service  identifier.Service
+	To       identifier.Version
+	Duration time.Duration
+	// Number is the version of the order in the store; a later order has a higher one.
+	Number uint64
+}
+
+// Status is the final state of an order, or that it runs.
+type Status struct {
+	Service identifier.Service
+	To      identifier.Version
+	State   interpreter.State
+	// Number is the version of the status in the store, 0 if there is none.
+	Number uint64
+}
+
+// Ends reports whether the status is the verdict on an order.
+func (s *Status) Ends(o *Order) bool {
+	return s.To == o.To && s.Number > o.Number && (s.State == TrialSucceeded || s.State == TrialRolledBack)
+}
+
+// Tally is what one entry has seen of a roll-out, by route.
+type Tally struct {
+	Entry  identifier.Instance `json:"entry"`
+	Number uint64              `json:"number"`
+	// Began and At are times of the store's steady clock in milliseconds.
+	Began int64 `json:"began-ms"`
+	At    int64 `json:"at-ms"`
+	// Active is the number of requests of this entry at upstreams of other versions.
+	Active int64 `json:"active"`
+	// Exposure is what the entry gives the new version.
+	Exposure  float64         `json:"exposure"`
+	Candidate map[string]Side `json:"candidate"`
+	Stable    map[string]Side `json:"stable"`
+}
+
+// Verdict is the final state of an order on which all entries agree through its row.
+type Verdict struct {
+	Number uint64            `json:"number"`
+	State  interpreter.State `json:"state"`
+	Reason string            `json:"reason"`
+	By     string            `json:"by"`
+	// Row is the version of the row that was read, 0 without one.
+	Row uint64 `json:"-"`
+}
+
+// Final reports whether a state ends a trial.
+func Final(s interpreter.State) bool {
+	return s == TrialSucceeded || s == TrialRolledBack
+}
+
+// Trial is one entry's part in a roll-out with a deadline; it is safe for concurrent use.
+type Trial struct {
+	order   Order
+	entry   identifier.Instance
+	canary  float64
+	machine *interpreter.Machine
+
+	mu       sync.Mutex
+	began    int64
+	began0   time.Time
+	exposure float64
+	own      Tally
+	// away holds the requests at other versions.
+	active int64
+}
+
+// NewTrial starts a trial of an order, whose new version may get a share of the requests.
+func NewTrial(o Order, entry identifier.Instance, share float64, now time.Time) *Trial {
+	return &Trial{
+		order: o, entry: entry, canary: share * canaryShare, machine: interpreter.NewMachine(interpreter.MustParse(trialChart)),
+		began0: now, exposure: share * canaryShare,
+		own: Tally{Entry: entry, Number: o.Number, Candidate: map[string]Side{}, Stable: map[string]Side{}},
+	}
+}
+
+// Order returns the order of the trial.
+func (t *Trial) Order() Order {
+	return t.order
+}
+
+// Takes reports whether a session goes to the new version. Every entry gives the same answer at the same exposure, and a
+// session that goes there stays there as exposure grows.
+func (t *Trial) Takes(session uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return float64(session>>11)/(1<<53) < t.exposure
+}
+
+// Begin and End count the requests at upstreams of other versions.
+func (t *Trial) Begin(candidate bool) {
+	if candidate {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.active++
+}
+
+// End undoes Begin.
+func (t *Trial) End(candidate bool) {
+	if candidate {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.active--
+}
+
+// Observe takes the result of an attempt; first is the time to the first event, 0 if unknown.
+func (t *Trial) Observe(candidate bool, route string, failed bool, first time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sides := t.own.Stable
+	if candidate {
+		sides = t.own.Candidate
+	}
+	s := sides[route]
+	s.add(failed, first)
+	sides[route] = s
+}
+
+// Tally returns the tally of this entry at a time of the store's clock in milliseconds.
+func (t *Trial) Tally(storeNow int64) Tally {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.began == 0 || t.began > storeNow {
+		t.began = storeNow
+	}
+	x := t.own
+	x.Began, x.At, x.Active, x.Exposure = t.began, storeNow, t.active, t.exposure
+	x.Candidate, x.Stable = cloneSides(t.own.Candidate), cloneSides(t.own.Stable)
+	return x
+}
+
+// Judge decides on the tallies of all entries at a time of the store's clock in milliseconds, and sets the exposure of this
+// entry. The state is final only once it was written to the store.
+func (t *Trial) Judge(tallies []Tally, storeNow int64) (interpreter.State, string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := sums{candidate: map[string]Side{}, stable: map[string]Side{}, exposure: 1}
+	for i := range tallies {
+		x := &tallies[i]
+		if x.Number != t.order.Number {
+			continue
+		}
+		if t.began == 0 || x.Began > 0 && x.Began < t.began {
+			t.began = x.Began
+		}
+		mergeSides(e.candidate, x.Candidate)
+		mergeSides(e.stable, x.Stable)
+		if storeNow-x.At <= tallyAge.Milliseconds() {
+			e.active += x.Active
+			e.exposure = min(e.exposure, x.Exposure)
+		}
+	}
+	event, reason := t.decide(&e, storeNow)
+	if event != "" {
+		// An event that the state does not react to changes nothing.
+		if err := t.machine.Fire(event); err != nil && !errors.Is(err, interpreter.ErrNoTransition) {
+			panic("promoter: " + err.Error())
+		}
+	}
+	if t.machine.State() == TrialRolledBack {
+		t.exposure = 0
+	}
+	return t.machine.State(), reason
+}
+
+// JudgeAlone stops the exposure of this entry on its own evidence, while the store is out.
+func (t *Trial) JudgeAlone() (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	reason, bad := doubt(t.own.Candidate, t.own.Stable)
+	if bad {
+		t.exposure = 0
+	}
+	return reason, bad
+}
+
+// decide returns the event that follows from the evidence and sets the exposure; t.mu is held.
+func (t *Trial) decide(e *sums, storeNow int64) (interpreter.Event, string) {
+	if reason, bad := doubt(e.candidate, e.stable); bad {
+		return eventBad, reason
+	}
+	part := float64(storeNow-t.began) / float64(t.order.Duration.Milliseconds())
+	if part >= 1 {
+		return eventLate, "deadline passed"
+	}
+	good := total(e.candidate).Good
+	next := t.canary
+	needed := int64(leastGood)
+	for _, s := range steps {
+		if part < s.at || good < needed {
+			break
+		}
+		next = s.exposure
+		needed += leastGood
+	}
+	t.exposure = max(t.exposure, next)
+	switch {
+	case t.machine.State() == TrialCanary && t.exposure > t.canary:
+		return eventGrow, "second half"
+	case t.machine.State() == TrialGrowing && e.exposure >= 1 && t.exposure >= 1:
+		return eventFull, "all entries moved"
+	case t.machine.State() == TrialDraining && e.exposure >= 1 && e.active == 0:
+		return eventIdle, "former version is idle"
+	}
+	return "", ""
+}
+
+// State returns the exposure and the state of the chart.
+func (t *Trial) State() any {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return TrialState{Service: t.order.Service, To: t.order.To, State: t.machine.State(), Exposure: t.exposure, Active: t.active}
+}
+
+// TrialState is the state dump of a Trial.
+type TrialState struct {
+	Service  identifier.Service `json:"service"`
+	To       identifier.Version `json:"to"`
+	State    interpreter.State  `json:"state"`
+	Exposure float64            `json:"exposure"`
+	Active   int64              `json:"active"`
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,284 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/siskinfront/siskinfront/balancer"
+	"github.com/siskinfront/siskinfront/connector"
+	"github.com/siskinfront/siskinfront/follower"
+	"github.com/siskinfront/siskinfront/forwarder"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/limiter"
+	"github.com/siskinfront/siskinfront/matcher"
+	"github.com/siskinfront/siskinfront/meter"
+	"github.com/siskinfront/siskinfront/promoter"
+	"github.com/siskinfront/siskinfront/registrar"
+)
+
+const (
+	// heapShare is the part of the memory that the collector keeps the heap below; the rest is for stacks and the program.
+	heapShare = 0.6
+	// bodyShare is the part of the memory that request bodies may take.
+	bodyShare = 0.2
+	// sweepTime is the time between two looks for kept connections that are over.
+	sweepTime = time.Second
+	// retryShare is the part of the ratio of repeats that is used, so that a window that cuts off the requests but not
+	// their repeats stays within the bound.
+	retryShare = 0.8
+	// retryBurst is the number of repeats that an entry saves up; extra repeats are shared by entries that do not know
+	// their number.
+	retryBurst = 6
+	// routedTime is how long the load balancer may send new connections after the entry says that it is not ready: it asks
+	// each second and needs two misses.
+	routedTime = 2500 * time.Millisecond
+	// endTime is left of the shutdown time for the end of the process.
+	endTime = 400 * time.Millisecond
+	// subset bounds the upstreams of a service that an entry sends to.
+	subset = 64
+)
+
+// Platform is what the entry runs on.
+type Platform struct {
+	Headers   forwarder.Headers
+	ReadyPath string
+	Upstreams follower.Source[registrar.Change]
+	// Operator gives the routes and orders; apply is called for each row in order.
+	Operator func(log *slog.Logger, table func(*matcher.Table, error), order func(promoter.Order)) Duty
+	Rollouts RolloutStore
+	Counters func() map[string]int64
+}
+
+// Duty is a follower of unknown type.
+type Duty struct {
+	Run       func(context.Context) error
+	Confirmed func() time.Time
+	Counters  func() map[string]int64
+}
+
+// Runner is an entry process.
+type Runner struct {
+	settings  Settings
+	platform  Platform
+	log       *slog.Logger
+	meter     *meter.Meter
+	table     atomic.Pointer[matcher.Table]
+	balancer  *balancer.Balancer
+	pool      *connector.Pool
+	registrar *registrar.Registrar
+	directory *directory
+	rollouts  *rollouts
+	forwarder *forwarder.Forwarder
+	upstreams *follower.Follower[registrar.Change]
+	operator  Duty
+	leaving   atomic.Bool
+	closed    atomic.Bool
+	ready     atomic.Bool
+}
+
+// New builds an entry.
+func New(s Settings, p Platform, log *slog.Logger) *Runner {
+	r := &Runner{settings: s, platform: p, log: log, meter: meter.New()}
+	debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
+	r.balancer = balancer.New(s.DataCentre, balancer.WithRegion(s.Region), balancer.WithInstance(s.Instance),
+		balancer.WithSubset(subset))
+	r.pool = connector.New(connector.WithEcho(p.Headers.RequestID))
+	r.rollouts = &rollouts{
+		store: p.Rollouts, entry: s.Instance, share: s.Exposure, now: time.Now, log: log, services: map[identifier.Service]*rollout{},
+	}
+	r.directory = &directory{regions: s.regions(), group: r.rollouts.group, update: r.balancer.Update}
+	r.rollouts.regroup, r.rollouts.sizeOf = r.directory.regroup, r.directory.size
+	r.registrar = registrar.New(registrar.WithUpdate(r.listed))
+	r.buildForwarder()
+	r.upstreams = follower.New(p.Upstreams, r.registrar.Apply, log)
+	r.upstreams.Lost = r.registrar.Lost
+	r.operator = p.Operator(log, r.configured, r.rollouts.ordered)
+	for name, counters := range map[string]func() map[string]int64{
+		"forwarder": r.forwarder.Counters, "balancer": r.balancer.Counters, "connector": r.pool.Counters,
+		"registrar": r.registrar.Counters, "follower": r.upstreams.Counters, "operator": r.operator.Counters, "store": p.Counters,
+	} {
+		r.meter.Register(name, counters)
+	}
+	return r
+}
+
+func (r *Runner) buildForwarder() {
+	s := &r.settings
+	budgets := &forwarder.Budgets{New: func() *limiter.Budget {
+		return limiter.NewBudget(limiter.WithRatio(retryShare*s.Retries.Ratio), limiter.WithBurst(retryBurst), limiter.WithFloor(0))
+	}}
+	r.forwarder = forwarder.New(forwarder.WithHeaders(r.platform.Headers), forwarder.WithBalancer(r.balancer),
+		forwarder.WithPool(r.pool), forwarder.WithLog(r.log), forwarder.WithMeter(r.meter), forwarder.WithBudgets(budgets),
+		forwarder.WithMaxBodies(int64(bodyShare*float64(s.MemoryBytes))))
+	r.forwarder.Table = r.table.Load
+	r.forwarder.Upstream = r.directory.upstream
+	r.forwarder.Pool = r.rollouts.pool
+	r.forwarder.Started, r.forwarder.Ended, r.forwarder.Observe = r.rollouts.started, r.rollouts.ended, r.rollouts.observe
+	r.forwarder.Live = func() bool { return !r.closed.Load() }
+}
+
+// configured takes a configuration; one that is older than that in force is ignored.
+func (r *Runner) configured(t *matcher.Table, err error) {
+	if err != nil {
+		r.log.Error("configuration is not usable", "error", err.Error())
+		return
+	}
+	if old := r.table.Load(); old != nil && t.Revision <= old.Revision {
+		if t.Revision < old.Revision {
+			r.log.Warn("older configuration ignored", "revision", t.Revision, "in-force", old.Revision)
+		}
+		return
+	}
+	r.table.Store(t)
+	r.log.Info("configuration in force", "revision", t.Revision, "routes", t.Routes())
+}
+
+// listed takes a new list of upstreams.
+func (r *Runner) listed(list []registrar.Upstream) {
+	r.directory.set(list)
+	leaving := 0
+	for i := range list {
+		if list[i].Leaving {
+			leaving++
+		}
+	}
+	r.log.Info("upstreams changed", "upstreams", len(list), "leaving", leaving, "version", r.upstreams.Version())
+}
+
+// isReady reports whether the entry should get new connections.
+func (r *Runner) isReady() bool {
+	if r.leaving.Load() || r.table.Load() == nil || !r.registrar.Synced() || !r.rollouts.known() {
+		return false
+	}
+	if !r.ready.Swap(true) {
+		r.log.Info("entry is ready", "revision", r.table.Load().Revision)
+	}
+	return true
+}
+
+// Run serves until ctx ends; it then says that it is not ready, finishes the requests in progress, and returns.
+func (r *Runner) Run(ctx context.Context) error {
+	duties, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopDuties()
+	g, duties := errgroup.WithContext(duties)
+	r.log.Info("entry starts", "data-centre", r.settings.DataCentre, "store", r.settings.Store)
+	callers := &http.Server{
+		Handler: r.handler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10,
+	}
+	l, err := listen(ctx, r.settings.CallerAddress)
+	if err != nil {
+		return err
+	}
+	for _, x := range []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{{r.settings.ReadyAddress, r.readyHandler()}, {r.settings.DebugAddress, r.debugHandler()}} {
+		side, err := listen(ctx, x.address)
+		if err != nil {
+			return errors.Join(err, l.Close())
+		}
+		g.Go(func() error { return serve(duties, side, x.handler) })
+	}
+	g.Go(func() error { return r.upstreams.Run(duties) })
+	g.Go(func() error { return r.operator.Run(duties) })
+	g.Go(func() error { return r.rollouts.run(duties) })
+	g.Go(func() error { return r.sweep(duties) })
+	failed := make(chan error, 1)
+	go func() { failed <- callers.Serve(l) }()
+	select {
+	case err := <-failed:
+		return fmt.Errorf("runner: serve %s: %w", l.Addr(), err)
+	case <-duties.Done():
+		err = context.Cause(duties)
+	case <-ctx.Done():
+		err = r.stop(callers)
+	}
+	stopDuties()
+	return errors.Join(err, g.Wait())
+}
+
+// stop ends serving within the shutdown time.
+func (r *Runner) stop(callers *http.Server) error {
+	deadline := time.Now().Add(r.settings.Shutdown - endTime)
+	r.leaving.Store(true)
+	r.log.Info("entry stops", "active", r.forwarder.Active(), "deadline", deadline)
+	time.Sleep(min(routedTime, r.settings.Shutdown/2))
+	r.closed.Store(true)
+	last, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	err := callers.Shutdown(last)
+	if err != nil {
+		r.log.Warn("requests ended by the stop", "active", r.forwarder.Active())
+		err = callers.Close()
+	}
+	r.log.Info("entry stopped")
+	return err
+}
+
+// handler serves callers, and tells them to open another connection once the entry leaves.
+func (r *Runner) handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if r.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		r.forwarder.ServeHTTP(w, q)
+	})
+}
+
+func (r *Runner) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+r.platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !r.isReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func (r *Runner) sweep(ctx context.Context) error {
+	t := time.NewTicker(sweepTime)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		r.registrar.Tick()
+		r.pool.Sweep(func(p connector.Peer) bool { return r.directory.upstream(p.Name) != nil })
+		r.forwarder.Forget(func(name identifier.Upstream) bool { return r.directory.upstream(name) != nil })
+		if at := r.upstreams.Confirmed(); !at.IsZero() {
+			r.meter.Observe(meter.AllLatencies().ConfigurationAge, string(r.settings.DataCentre), time.Since(r.operator.Confirmed()))
+		}
+	}
+}
+
+func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
+	var c net.ListenConfig
+	l, err := c.Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("runner: listen at %s: %w", address, err)
+	}
+	return l, nil
+}
+
+// serve serves HTTP until ctx ends.
+func serve(ctx context.Context, l net.Listener, h http.Handler) error {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	stop := context.AfterFunc(ctx, func() { s.Close() })
+	defer stop()
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("runner: serve %s: %w", l.Addr(), err)
+	}
+	return nil
+}
