forwarder: ask a silent upstream for its state before giving it up

Change: a silent engine is asked for its report, which needs no slot; the last attempt is never given up. Sessions come from their header, the canary is 0.17 of the exposure bound and recent sessions stay on their version.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -23,7 +23,7 @@
 
 // Headers names the headers of requests and responses that the forwarder reads or sets.
 type Headers struct {
-	RequestID, Deadline, Account, ExpectUpstream, Urgency, Model, Tokens, Prefix, LastEventID string
+	RequestID, Deadline, Account, ExpectUpstream, Urgency, Model, Tokens, Prefix, Session, LastEventID string
 	// Stamp marks a response as that of an upstream, NotRun one that says that the request did not run.
 	Stamp, NotRun, Confidence, Load string
 	// Reserved lists headers that only the system sets.
@@ -80,6 +80,8 @@
 	// Started and Ended surround each attempt, and Observe takes the result of one that may have run.
 	Started, Ended func(identifier.Service, *registrar.Upstream)
 	Observe        func(Result)
+	// Probe asks an upstream for a sign of life, which needs no slot.
+	Probe func(context.Context, *registrar.Upstream, identifier.Upstream) error
 	// Live reports whether the entry takes new requests.
 	Live func() bool
 
@@ -101,13 +103,17 @@
 }
 
 type counters struct {
-	requests, answered, refused, failed, broken, left, unmatched, unknownKey, invalid            atomic.Int64
-	attempts, notRun, lost, resumed, rescued, escalated, spoiled, upstreamErrors, budgetExceeded atomic.Int64
+	requests, answered, refused, failed, broken, left, unmatched, unknownKey, invalid                    atomic.Int64
+	attempts, notRun, lost, resumed, rescued, escalated, spoiled, upstreamErrors, budgetExceeded, silent atomic.Int64
 }
 
 // sign is the last time at which an upstream sent anything to this entry, in Unix nanoseconds.
 type sign struct {
 	at atomic.Int64
+
+	mu sync.Mutex
+	// deadUntil is how long the answer that the upstream is silent holds.
+	deadUntil time.Time
 }
 
 // Option configures a Forwarder.
@@ -264,7 +270,7 @@
 		"unknown-keys": c.unknownKey.Load(), "invalid": c.invalid.Load(), "attempts": c.attempts.Load(),
 		"attempts-not-run": c.notRun.Load(), "attempts-lost": c.lost.Load(), "streams-resumed": c.resumed.Load(),
 		"attempts-rescued": c.rescued.Load(), "cascade-steps": c.escalated.Load(), "responses-spoiled": c.spoiled.Load(),
-		"upstream-errors": c.upstreamErrors.Load(), "retries-over-budget": c.budgetExceeded.Load(),
+		"upstreams-silent": c.silent.Load(), "upstream-errors": c.upstreamErrors.Load(), "retries-over-budget": c.budgetExceeded.Load(),
 	}
 }
 
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"strconv"
-	"time"
 
 	"github.com/siskinfront/siskinfront/meter"
 )
@@ -24,6 +23,9 @@
 	if q.route != nil {
 		attrs = append(attrs, slog.String("route", q.route.Name), slog.Int("rank", q.rank), slog.String("service", string(q.service)),
 			slog.String("account", string(q.account)))
+		if q.route.Sticky {
+			attrs = append(attrs, slog.String("session", strconv.FormatUint(q.session, 16)), slog.String("prefix", strconv.FormatUint(q.prefix, 16)))
+		}
 	}
 	for i := range q.attempts {
 		a := &q.attempts[i]
@@ -44,11 +46,3 @@
 func (f *Forwarder) observe(q *request) {
 	f.meter.Observe(meter.AllLatencies().FirstToken, strconv.Itoa(q.rank), f.Now().Sub(q.arrived))
 }
-
-// since is a helper for the age of samples in the log.
-func since(now, t time.Time) time.Duration {
-	if t.IsZero() {
-		return -1
-	}
-	return now.Sub(t)
-}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -173,6 +173,9 @@
 	}
 	q.header = h
 	q.session = xxhash.Sum64String(q.id)
+	if v := h.Get(f.headers.Session); v != "" {
+		q.session = xxhash.Sum64String(v)
+	}
 	if q.route.Sticky {
 		f.describePrompt(q)
 	}
@@ -185,8 +188,8 @@
 	q.anyModel = len(q.route.Models) > 0 && h.Get(f.headers.Model) == AnyModel
 }
 
-// describePrompt takes the session and the shared part of the prompt: the last part belongs to the session or the request,
-// the one before it to the subject.
+// describePrompt takes the size and the shared part of the prompt: the last part belongs to the session or the request, the
+// one before it to the subject.
 func (f *Forwarder) describePrompt(q *request) {
 	parts := strings.Split(q.header.Get(f.headers.Prefix), ",")
 	for _, p := range parts {
@@ -196,9 +199,6 @@
 			}
 		}
 	}
-	if name, _, ok := strings.Cut(parts[len(parts)-1], ":"); ok {
-		q.session = xxhash.Sum64String(strings.TrimSpace(name))
-	}
 	if len(parts) > 1 {
 		name, _, _ := strings.Cut(parts[len(parts)-2], ":")
 		q.prefix = xxhash.Sum64String(strings.TrimSpace(name))
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -88,7 +88,7 @@
 func (f *Forwarder) relayEvents(ctx context.Context, w http.ResponseWriter, c *call) error {
 	q, resp := c.q, c.response
 	if resp.StatusCode >= http.StatusMultipleChoices {
-		if resp.StatusCode >= http.StatusInternalServerError && f.mayRepeat(q) {
+		if resp.StatusCode >= http.StatusInternalServerError && f.mayRepeat(q, c.index) {
 			f.counters.upstreamErrors.Add(1)
 			c.drain()
 			c.end(balancer.ResultFailure, "failed", true)
@@ -137,7 +137,7 @@
 	}
 }
 
-// mayRepeat reports whether an attempt is left, without taking it from the budget.
-func (f *Forwarder) mayRepeat(q *request) bool {
-	return q.route.Repeatable() && len(q.attempts) < q.route.MaxAttempts
+// mayRepeat reports whether an attempt is left after the one with an index, without taking it from the budget.
+func (f *Forwarder) mayRepeat(q *request, index int) bool {
+	return q.route.Repeatable() && index+1 < q.route.MaxAttempts
 }
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -5,18 +5,23 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/matcher"
+	"github.com/siskinfront/siskinfront/registrar"
 )
 
 const (
-	// silentTime is how long an upstream may send nothing to any request of this entry before one that waits goes to another.
+	// silentTime is how long an upstream may send nothing to any request of this entry before it is asked whether it lives.
 	silentTime = 600 * time.Millisecond
+	// probeTime bounds that question; a working upstream answers it at once, without a slot.
+	probeTime = 500 * time.Millisecond
 	// checkTime is the time between two looks at a waiting request.
 	checkTime = 200 * time.Millisecond
-	// lateFactor times the objective is how long a request that may be repeated waits for its first byte.
-	lateFactor = 2
-	// gapFactor times the longest pause of the route is how long a stream may pause before it is resumed elsewhere.
-	gapFactor = 0.8
+	// lateFactor times the objective is how long a request that may be repeated waits for its response at a live upstream.
+	lateFactor = 4
+	// gapFactor times the longest pause of the route is how long a stream may pause at a live upstream before it is resumed
+	// elsewhere. Prefills of long prompts make pauses of two seconds, and a new run reads the prompt again.
+	gapFactor = 3
 )
 
 // watchdog ends an attempt at a silent upstream, if the request may go to another.
@@ -56,7 +61,7 @@
 	if d.done.Load() {
 		return
 	}
-	if !d.overdue() {
+	if !d.c.f.mayRepeat(d.c.q, d.c.index) || !d.overdue() {
 		d.timer.Reset(checkTime)
 		return
 	}
@@ -70,15 +75,43 @@
 	now := f.Now()
 	since, limit := d.c.begin, lateFactor*route.Objective
 	if at := d.lastAt.Load(); at > 0 {
-		since, limit = time.Unix(0, at), time.Duration(gapFactor*float64(route.EventGap))
-	} else if route.Kind == matcher.Stream {
-		// A stream that waits in the queue of a working engine keeps its place there.
-		limit = max(limit, route.Objective+time.Second)
+		since, limit = time.Unix(0, at), gapFactor*route.EventGap
 	}
 	waited := now.Sub(since)
-	if waited >= limit && limit > 0 {
+	if limit > 0 && waited >= limit {
 		return true
 	}
-	silent := now.UnixNano()-f.signOf(d.c.name).at.Load() >= int64(silentTime)
-	return silent && waited >= silentTime
+	if route.Kind != matcher.Stream || waited < silentTime {
+		// Other requests tell of a plain service only when there are enough of them.
+		return false
+	}
+	return f.isDead(d.c.upstream, d.c.name, now)
+}
+
+// isDead asks an upstream that has been silent whether it lives. Only one question is open at a time, and the others wait
+// for its answer.
+func (f *Forwarder) isDead(u *registrar.Upstream, name identifier.Upstream, now time.Time) bool {
+	s := f.signOf(name)
+	if now.UnixNano()-s.at.Load() < int64(silentTime) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.Now().UnixNano()-s.at.Load() < int64(silentTime) {
+		return false
+	}
+	if s.deadUntil.After(now) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
+	defer cancel()
+	err := f.Probe(ctx, u, name)
+	if err == nil {
+		f.touch(name)
+		return false
+	}
+	s.deadUntil = f.Now().Add(silentTime)
+	f.counters.silent.Add(1)
+	f.log.Warn("upstream is silent", "upstream", name, "silent", f.Now().Sub(time.Unix(0, s.at.Load())), "error", err.Error())
+	return true
 }
--- /dev/null
+++ b/pinner/recent.go
@@ -0,0 +1,51 @@
+package pinner
+
+import (
+	"sync"
+	"time"
+)
+
+// Recent remembers the sessions that were in use within a time, in two generations, without their versions; it is safe for
+// concurrent use.
+type Recent struct {
+	age time.Duration
+
+	mu        sync.Mutex
+	turnAt    time.Time
+	now, past map[uint64]struct{}
+}
+
+// NewRecent returns a memory of sessions that holds each for at least age after its last use and at most twice as long.
+func NewRecent(age time.Duration) *Recent {
+	return &Recent{age: age, now: map[uint64]struct{}{}, past: map[uint64]struct{}{}}
+}
+
+// Use notes the use of a session.
+func (r *Recent) Use(session uint64, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.turn(now)
+	r.now[session] = struct{}{}
+}
+
+// Has reports whether a session was used recently.
+func (r *Recent) Has(session uint64, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.turn(now)
+	if _, ok := r.now[session]; ok {
+		return true
+	}
+	_, ok := r.past[session]
+	return ok
+}
+
+func (r *Recent) turn(now time.Time) {
+	switch {
+	case now.Before(r.turnAt):
+	case now.Sub(r.turnAt) < r.age:
+		r.past, r.now, r.turnAt = r.now, map[uint64]struct{}{}, now.Add(r.age)
+	default:
+		r.past, r.now, r.turnAt = map[uint64]struct{}{}, map[uint64]struct{}{}, now.Add(r.age)
+	}
+}
--- a/promoter/trial.go
+++ b/promoter/trial.go
@@ -30,7 +30,8 @@
 
 const (
 	// canaryShare is the part of a deployment's bound on exposure that sessions of a new version take in the first half.
-	canaryShare = 0.4
+	// Some sessions that are in use at the start change their version; at 0.4 up to nine did, and the users allow three.
+	canaryShare = 0.17
 	// tallyAge is the age beyond which the tally of an entry says nothing: entries write theirs each second.
 	tallyAge = 3500 * time.Millisecond
 	// leastGood is the number of good answers of the new version that each growth needs.
@@ -101,21 +102,19 @@
 	canary  float64
 	machine *interpreter.Machine
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// began is the store's clock in milliseconds when the first entry saw the order, 0 if unknown.
 	began    int64
-	began0   time.Time
 	exposure float64
 	own      Tally
-	// away holds the requests at other versions.
-	active int64
 }
 
 // NewTrial starts a trial of an order, whose new version may get a share of the requests.
-func NewTrial(o Order, entry identifier.Instance, share float64, now time.Time) *Trial {
+func NewTrial(o Order, entry identifier.Instance, share float64) *Trial {
 	return &Trial{
 		order: o, entry: entry, canary: share * canaryShare, machine: interpreter.NewMachine(interpreter.MustParse(trialChart)),
-		began0: now, exposure: share * canaryShare,
-		own: Tally{Entry: entry, Number: o.Number, Candidate: map[string]Side{}, Stable: map[string]Side{}},
+		exposure: share * canaryShare,
+		own:      Tally{Entry: entry, Number: o.Number, Candidate: map[string]Side{}, Stable: map[string]Side{}},
 	}
 }
 
@@ -132,26 +131,6 @@
 	return float64(session>>11)/(1<<53) < t.exposure
 }
 
-// Begin and End count the requests at upstreams of other versions.
-func (t *Trial) Begin(candidate bool) {
-	if candidate {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.active++
-}
-
-// End undoes Begin.
-func (t *Trial) End(candidate bool) {
-	if candidate {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.active--
-}
-
 // Observe takes the result of an attempt; first is the time to the first event, 0 if unknown.
 func (t *Trial) Observe(candidate bool, route string, failed bool, first time.Duration) {
 	t.mu.Lock()
@@ -165,15 +144,16 @@
 	sides[route] = s
 }
 
-// Tally returns the tally of this entry at a time of the store's clock in milliseconds.
-func (t *Trial) Tally(storeNow int64) Tally {
+// Tally returns the tally of this entry at a time of the store's clock in milliseconds; active is the number of its requests
+// at upstreams of other versions.
+func (t *Trial) Tally(storeNow, active int64) Tally {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.began == 0 || t.began > storeNow {
 		t.began = storeNow
 	}
 	x := t.own
-	x.Began, x.At, x.Active, x.Exposure = t.began, storeNow, t.active, t.exposure
+	x.Began, x.At, x.Active, x.Exposure = t.began, storeNow, active, t.exposure
 	x.Candidate, x.Stable = cloneSides(t.own.Candidate), cloneSides(t.own.Stable)
 	return x
 }
@@ -254,11 +234,25 @@
 	return "", ""
 }
 
+// Growing reports whether exposure has grown beyond the canary, so that sessions may change to the new version.
+func (t *Trial) Growing() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.exposure > t.canary
+}
+
+// Stage returns the state of the chart.
+func (t *Trial) Stage() interpreter.State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.machine.State()
+}
+
 // State returns the exposure and the state of the chart.
 func (t *Trial) State() any {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return TrialState{Service: t.order.Service, To: t.order.To, State: t.machine.State(), Exposure: t.exposure, Active: t.active}
+	return TrialState{Service: t.order.Service, To: t.order.To, State: t.machine.State(), Exposure: t.exposure}
 }
 
 // TrialState is the state dump of a Trial.
@@ -267,5 +261,4 @@
 	To       identifier.Version `json:"to"`
 	State    interpreter.State  `json:"state"`
 	Exposure float64            `json:"exposure"`
-	Active   int64              `json:"active"`
 }
--- a/runner/rollouts.go
+++ b/runner/rollouts.go
@@ -9,6 +9,7 @@
 
 	"github.com/siskinfront/siskinfront/forwarder"
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/pinner"
 	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/registrar"
 	"github.com/siskinfront/siskinfront/storer"
@@ -44,8 +45,6 @@
 	clock  int64
 	readAt time.Time
 	nextAt time.Time
-	// exposed is the state of the groups that the directory was built with.
-	exposed bool
 }
 
 func (r *rollout) storeNow(now time.Time) int64 {
@@ -61,17 +60,18 @@
 
 // rollouts carries out the operator's orders.
 type rollouts struct {
-	store    RolloutStore
-	entry    identifier.Instance
-	share    float64
-	now      func() time.Time
-	log      *slog.Logger
-	regroup  func()
-	sizeOf   func(identifier.Service) int
-	statuses int64
+	store   RolloutStore
+	entry   identifier.Instance
+	share   float64
+	now     func() time.Time
+	log     *slog.Logger
+	regroup func()
+	sizeOf  func(identifier.Service) int
+	recent  *pinner.Recent
 
 	mu       sync.Mutex
 	services map[identifier.Service]*rollout
+	active   map[versionOf]int64
 }
 
 // ordered takes an order; one that is already known changes nothing.
@@ -82,7 +82,7 @@
 		r.mu.Unlock()
 		return
 	}
-	r.services[o.Service] = &rollout{order: o, trial: promoter.NewTrial(o, r.entry, r.share, r.now())}
+	r.services[o.Service] = &rollout{order: o, trial: promoter.NewTrial(o, r.entry, r.share)}
 	r.mu.Unlock()
 	r.log.Info("roll-out ordered", "service", o.Service, "to", o.To, "duration", o.Duration, "order", o.Number)
 	r.regroup()
@@ -118,12 +118,15 @@
 	trying := x != nil && x.known && x.verdict.Number == 0
 	r.mu.Unlock()
 	if x == nil {
+		r.recent.Use(session, r.now())
 		return s
 	}
 	candidate := s + candidateSuffix
-	if trying && x.trial.Takes(session) && r.sizeOf(candidate) > 0 {
+	if trying && x.trial.Takes(session) && r.sizeOf(candidate) > 0 && (x.trial.Growing() || !r.recent.Has(session, r.now())) {
 		return candidate
 	}
+	// The session has begun on another version.
+	r.recent.Use(session, r.now())
 	if r.sizeOf(s) == 0 && x.verdict.State != promoter.TrialRolledBack && r.sizeOf(candidate) > 0 {
 		return candidate
 	}
@@ -141,18 +144,40 @@
 	return x.trial, u.Version == x.order.To
 }
 
+// versionOf is one version of a service.
+type versionOf struct {
+	service identifier.Service
+	version identifier.Version
+}
+
 func (r *rollouts) started(s identifier.Service, u *registrar.Upstream) {
-	if t, candidate := r.trial(s, u); t != nil {
-		t.Begin(candidate)
-	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.active[versionOf{s, u.Version}]++
 }
 
 func (r *rollouts) ended(s identifier.Service, u *registrar.Upstream) {
-	if t, candidate := r.trial(s, u); t != nil {
-		t.End(candidate)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := versionOf{s, u.Version}
+	if r.active[k]--; r.active[k] <= 0 {
+		delete(r.active, k)
 	}
 }
 
+// others returns the number of requests at upstreams of a service with other versions than that of an order.
+func (r *rollouts) others(o *promoter.Order) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := int64(0)
+	for k, active := range r.active {
+		if k.service == o.Service && k.version != o.To {
+			n += active
+		}
+	}
+	return n
+}
+
 func (r *rollouts) observe(x forwarder.Result) {
 	if t, candidate := r.trial(x.Service, x.Upstream); t != nil {
 		t.Observe(candidate, x.Route, x.Failed, x.First)
@@ -250,7 +275,7 @@
 func (r *rollouts) judge(ctx context.Context, x *rollout) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*rolloutCall)
 	defer cancel()
-	clock, err := r.store.PutTally(ctx, x.order.Service, x.trial.Tally(x.storeNow(r.now())))
+	clock, err := r.store.PutTally(ctx, x.order.Service, x.trial.Tally(x.storeNow(r.now()), r.others(&x.order)))
 	if err != nil {
 		return err
 	}
@@ -264,7 +289,12 @@
 		r.end(x, v, false)
 		return nil
 	}
+	before := x.trial.Stage()
 	state, reason := x.trial.Judge(tallies, clock)
+	if state != before {
+		r.log.Info("roll-out stage", "service", x.order.Service, "to", x.order.To, "order", x.order.Number, "from", before, "state", state,
+			"reason", reason, "tallies", len(tallies))
+	}
 	if !promoter.Final(state) {
 		return nil
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -22,6 +23,7 @@
 	"github.com/siskinfront/siskinfront/limiter"
 	"github.com/siskinfront/siskinfront/matcher"
 	"github.com/siskinfront/siskinfront/meter"
+	"github.com/siskinfront/siskinfront/pinner"
 	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/registrar"
 )
@@ -52,7 +54,9 @@
 type Platform struct {
 	Headers   forwarder.Headers
 	ReadyPath string
-	Upstreams follower.Source[registrar.Change]
+	// ReportPath is where an engine tells its state without a slot.
+	ReportPath string
+	Upstreams  follower.Source[registrar.Change]
 	// Operator gives the routes and orders; apply is called for each row in order.
 	Operator func(log *slog.Logger, table func(*matcher.Table, error), order func(promoter.Order)) Duty
 	Rollouts RolloutStore
@@ -94,7 +98,8 @@
 		balancer.WithSubset(subset))
 	r.pool = connector.New(connector.WithEcho(p.Headers.RequestID))
 	r.rollouts = &rollouts{
-		store: p.Rollouts, entry: s.Instance, share: s.Exposure, now: time.Now, log: log, services: map[identifier.Service]*rollout{},
+		store: p.Rollouts, entry: s.Instance, share: s.Exposure, now: time.Now, log: log, services: map[identifier.Service]*rollout{}, active: map[versionOf]int64{},
+		recent: pinner.NewRecent(s.SessionTime),
 	}
 	r.directory = &directory{regions: s.regions(), group: r.rollouts.group, update: r.balancer.Update}
 	r.rollouts.regroup, r.rollouts.sizeOf = r.directory.regroup, r.directory.size
@@ -124,9 +129,24 @@
 	r.forwarder.Upstream = r.directory.upstream
 	r.forwarder.Pool = r.rollouts.pool
 	r.forwarder.Started, r.forwarder.Ended, r.forwarder.Observe = r.rollouts.started, r.rollouts.ended, r.rollouts.observe
+	r.forwarder.Probe = r.probe
 	r.forwarder.Live = func() bool { return !r.closed.Load() }
 }
 
+// probe asks an upstream for its state.
+func (r *Runner) probe(ctx context.Context, u *registrar.Upstream, name identifier.Upstream) error {
+	w, err := r.pool.Send(ctx, connector.Peer{Name: name, Address: u.Address}, &connector.Request{
+		Method: http.MethodGet, URI: r.platform.ReportPath, Host: u.Address.String(), Header: http.Header{},
+	})
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	// A body that breaks off costs only the connection; the head was the sign of life.
+	_, _ = io.Copy(io.Discard, io.LimitReader(w, 64<<10))
+	return nil
+}
+
 // configured takes a configuration; one that is older than that in force is ignored.
 func (r *Runner) configured(t *matcher.Table, err error) {
 	if err != nil {
