selector: accept smaller models' answers under pressure, the least urgent first

Cause: on the grown deployments 4 in 10 requests went on to the largest model, which takes ten times the time of the smallest; at 42 running and 20 waiting requests per engine every stream was late (time to the head p50 0.9 s, p90 3 s). Change: the least confidence falls with the requests that wait per slot, at lower pressure for less urgent ranks; responses' load, confidence and time to the head are logged.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/siskinfront/siskinfront/balancer"
 	"github.com/siskinfront/siskinfront/connector"
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/matcher"
 	"github.com/siskinfront/siskinfront/registrar"
 	"github.com/siskinfront/siskinfront/streamer"
 )
@@ -35,6 +36,11 @@
 	age      time.Duration
 	outcome  string
 	status   int
+	// confidence is that of the model in its answer, from 0 to 100, or -1.
+	confidence int
+	// running and waiting are the load that the response stated, and first the time to its head.
+	running, waiting int
+	first            time.Duration
 }
 
 // call is an attempt in progress.
@@ -90,7 +96,7 @@
 	}
 	now := f.Now()
 	c := &call{f: f, q: q, upstream: u, name: name, pool: pool, begin: now, index: len(q.attempts)}
-	q.attempts = append(q.attempts, attempt{upstream: name, model: model, at: now})
+	q.attempts = append(q.attempts, attempt{upstream: name, model: model, at: now, confidence: -1})
 	f.counters.attempts.Add(1)
 	f.balancer.Begin(name)
 	f.Started(q.service, u)
@@ -139,7 +145,11 @@
 // inspect classifies the head of a response.
 func (c *call) inspect() error {
 	f, w := c.f, c.response
-	c.q.attempts[c.index].status = w.StatusCode
+	a := &c.q.attempts[c.index]
+	a.status, a.first = w.StatusCode, c.first
+	if n, ok := parseConfidence(w.Header.Get(f.headers.Confidence)); ok {
+		a.confidence = n
+	}
 	c.load()
 	if w.StatusCode == http.StatusMisdirectedRequest || w.Header.Get(f.headers.NotRun) != "" {
 		f.counters.notRun.Add(1)
@@ -169,7 +179,13 @@
 	if err1 != nil || err2 != nil {
 		return
 	}
-	l := streamer.Load{At: c.f.Now(), Running: running}
+	a := &c.q.attempts[c.index]
+	a.running, a.waiting = running, waiting
+	now := c.f.Now()
+	if c.q.route.Kind == matcher.Stream {
+		c.f.pressure(c.q.service).Sample(waiting, c.upstream.Slots, now)
+	}
+	l := streamer.Load{At: now, Running: running}
 	if waiting > 0 {
 		l.Queued = []int{waiting}
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -95,11 +95,12 @@
 	meter    *meter.Meter
 	rand     func() float64
 
-	seen     sync.Map // identifier.Upstream to *sign
-	bodies   atomic.Int64
-	maxBody  int64
-	active   atomic.Int64
-	counters counters
+	pressures sync.Map // identifier.Service to *selector.Pressure
+	seen      sync.Map // identifier.Upstream to *sign
+	bodies    atomic.Int64
+	maxBody   int64
+	active    atomic.Int64
+	counters  counters
 }
 
 type counters struct {
@@ -233,6 +234,15 @@
 	return f.active.Load()
 }
 
+// pressure returns the pressure on the engines of a service.
+func (f *Forwarder) pressure(s identifier.Service) *selector.Pressure {
+	if p, ok := f.pressures.Load(s); ok {
+		return p.(*selector.Pressure)
+	}
+	p, _ := f.pressures.LoadOrStore(s, &selector.Pressure{})
+	return p.(*selector.Pressure)
+}
+
 // touch notes a sign of life of an upstream.
 func (f *Forwarder) touch(name identifier.Upstream) {
 	f.signOf(name).at.Store(f.Now().UnixNano())
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -24,14 +24,15 @@
 		attrs = append(attrs, slog.String("route", q.route.Name), slog.Int("rank", q.rank), slog.String("service", string(q.service)),
 			slog.String("account", string(q.account)))
 		if q.route.Sticky {
-			attrs = append(attrs, slog.String("session", strconv.FormatUint(q.session, 16)), slog.String("prefix", strconv.FormatUint(q.prefix, 16)))
+			attrs = append(attrs, slog.Float64("pressure", q.pressure), slog.String("session", strconv.FormatUint(q.session, 16)), slog.String("prefix", strconv.FormatUint(q.prefix, 16)))
 		}
 	}
 	for i := range q.attempts {
 		a := &q.attempts[i]
 		attrs = append(attrs, slog.Group("attempt-"+strconv.Itoa(i+1), slog.String("upstream", string(a.upstream)),
 			slog.String("model", string(a.model)), slog.Duration("after", a.at.Sub(q.arrived)), slog.Duration("took", a.age),
-			slog.Int("status", a.status), slog.String("outcome", a.outcome)))
+			slog.Duration("first", a.first), slog.Int("status", a.status), slog.Int("confidence", a.confidence),
+			slog.Int("running", a.running), slog.Int("waiting", a.waiting), slog.String("outcome", a.outcome)))
 	}
 	if cause != nil {
 		attrs = append(attrs, slog.String("error", cause.Error()))
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -41,6 +41,8 @@
 	lastEvent       int64
 	hasLastEvent    bool
 	anyModel        bool
+	// pressure is that on the engines at the last decision on a cascade.
+	pressure float64
 
 	// begun is set once a part of the response was sent to the caller.
 	begun bool
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -72,8 +72,9 @@
 	if !q.anyModel {
 		return 0, false
 	}
-	confidence, ok := parseConfidence(c.response.Header.Get(f.headers.Confidence))
-	if !ok || l.Accept(step, confidence) {
+	q.pressure = f.pressure(q.service).Value(f.Now())
+	confidence := q.attempts[c.index].confidence
+	if confidence < 0 || l.Accept(step, confidence, q.rank, q.pressure) {
 		return 0, false
 	}
 	if !f.again(ctx, q, true) {
--- a/selector/ladder.go
+++ b/selector/ladder.go
@@ -12,9 +12,14 @@
 	least int
 }
 
-// defaultLeast is the confidence from which the answer of a smaller model is accepted.
+// defaultLeast is the confidence from which the answer of a smaller model is accepted while engines have room.
 const defaultLeast = 50
 
+// yields are the pressures at which answers of smaller models are accepted without regard to their confidence, by rank, the
+// most urgent first; ranks beyond use the last. A larger model takes several times the time of an engine, so that under
+// overload the least urgent requests give up quality first, before every request is late.
+var yields = []float64{3.0 / 8, 1.0 / 8, 1.0 / 16}
+
 // First returns the model of the first step.
 func (l *Ladder) First() int {
 	return 0
@@ -25,9 +30,13 @@
 	return l.models - 1
 }
 
-// Accept reports whether an answer with a confidence from 0 to 100 goes to the caller.
-func (l *Ladder) Accept(step, confidence int) bool {
-	return step >= l.models-1 || confidence >= l.least
+// Accept reports whether an answer with a confidence from 0 to 100 goes to the caller, at the pressure on the engines.
+func (l *Ladder) Accept(step, confidence, rank int, pressure float64) bool {
+	if step >= l.models-1 {
+		return true
+	}
+	yield := yields[min(max(rank, 0), len(yields)-1)]
+	return float64(confidence) >= float64(l.least)*(1-pressure/yield)
 }
 
 // Ladders holds the ladder of each route.
