selector: yield at lower pressure

Cause: with 2.5 waiting requests an engine prefills without a break, and each of its streams pauses for more than a second. Change: ranks yield at 1/8, 1/32 and 1/64 of the slots waiting instead of 3/8, 1/8 and 1/16; the longest pause is logged.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -41,6 +41,8 @@
 	// running and waiting are the load that the response stated, and first the time to its head.
 	running, waiting int
 	first            time.Duration
+	// pause is the longest time between two events.
+	pause time.Duration
 }
 
 // call is an attempt in progress.
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -31,7 +31,7 @@
 		a := &q.attempts[i]
 		attrs = append(attrs, slog.Group("attempt-"+strconv.Itoa(i+1), slog.String("upstream", string(a.upstream)),
 			slog.String("model", string(a.model)), slog.Duration("after", a.at.Sub(q.arrived)), slog.Duration("took", a.age),
-			slog.Duration("first", a.first), slog.Int("status", a.status), slog.Int("confidence", a.confidence),
+			slog.Duration("first", a.first), slog.Duration("pause", a.pause), slog.Int("status", a.status), slog.Int("confidence", a.confidence),
 			slog.Int("running", a.running), slog.Int("waiting", a.waiting), slog.String("outcome", a.outcome)))
 	}
 	if cause != nil {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -114,7 +114,8 @@
 			return fmt.Errorf("forwarder: read events of %s: %w", c.name, err)
 		}
 		f.touch(c.name)
-		c.watch.event()
+		a := &q.attempts[c.index]
+		a.pause = max(a.pause, c.watch.event())
 		if !q.begun {
 			f.head(w, c)
 			w.Header().Del("Content-Length")
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -52,9 +52,13 @@
 	}
 }
 
-// event notes an event of the stream.
-func (d *watchdog) event() {
-	d.lastAt.Store(d.c.f.Now().UnixNano())
+// event notes an event of the stream and returns the pause before it, 0 for the first one.
+func (d *watchdog) event() time.Duration {
+	now := d.c.f.Now().UnixNano()
+	if last := d.lastAt.Swap(now); last > 0 {
+		return time.Duration(now - last)
+	}
+	return 0
 }
 
 func (d *watchdog) check() {
--- a/selector/ladder.go
+++ b/selector/ladder.go
@@ -18,7 +18,7 @@
 // yields are the pressures at which answers of smaller models are accepted without regard to their confidence, by rank, the
 // most urgent first; ranks beyond use the last. A larger model takes several times the time of an engine, so that under
 // overload the least urgent requests give up quality first, before every request is late.
-var yields = []float64{3.0 / 8, 1.0 / 8, 1.0 / 16}
+var yields = []float64{1.0 / 8, 1.0 / 32, 1.0 / 64}
 
 // First returns the model of the first step.
 func (l *Ladder) First() int {
