promoter: keep sessions in use on their version during the canary, on all entries

Rejected versions stay excluded under a later order. Waits at the store follow the contact time, tallies are written each 1.5 s, or each 0.5 s while the new version shows bad answers.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -13,10 +13,9 @@
 var ErrHistoryLost = errors.New("follower: history is no longer available")
 
 const (
-	// waitTime is how long the store may hold a call without changes. With the answer time it bounds how long a connection
-	// that went silent hides a change, which has to be in force within 2 s.
-	waitTime = 1100 * time.Millisecond
-	// answerTime is how much longer than waitTime a reply may take.
+	// defaultWait is how long the store may hold a call without changes.
+	defaultWait = time.Second
+	// answerTime is how much longer than the wait a reply may take.
 	answerTime = 500 * time.Millisecond
 	// readTime bounds one read of the whole table.
 	readTime = time.Second
@@ -44,7 +43,10 @@
 	Lost     func()
 	Regained func()
 	Log      *slog.Logger
-	Now      func() time.Time
+	// Wait is how long the store may hold a call without changes. With the answer time it bounds how long a connection that
+	// went silent hides a change.
+	Wait time.Duration
+	Now  func() time.Time
 
 	version                       atomic.Uint64
 	confirmedAt                   atomic.Int64
@@ -55,7 +57,7 @@
 
 // New returns a follower of a source.
 func New[T any](s Source[T], apply func(rows []T, all bool), log *slog.Logger) *Follower[T] {
-	return &Follower[T]{Source: s, Apply: apply, Lost: func() {}, Regained: func() {}, Log: log, Now: time.Now}
+	return &Follower[T]{Source: s, Apply: apply, Lost: func() {}, Regained: func() {}, Log: log, Now: time.Now, Wait: defaultWait}
 }
 
 // Run follows the table until ctx ends.
@@ -95,7 +97,7 @@
 // step reads the whole table or its next changes.
 func (f *Follower[T]) step(ctx context.Context, whole bool) error {
 	after := f.version.Load()
-	limit := waitTime + answerTime
+	limit := f.Wait + answerTime
 	if whole {
 		limit = readTime
 	}
@@ -109,7 +111,7 @@
 		rows, version, err = f.Read(ctx)
 	} else {
 		f.calls.Add(1)
-		rows, version, err = f.Changes(ctx, after, waitTime)
+		rows, version, err = f.Changes(ctx, after, f.Wait)
 	}
 	if err != nil {
 		f.failures.Add(1)
--- a/pinner/recent.go
+++ b/pinner/recent.go
@@ -28,6 +28,23 @@
 	r.now[session] = struct{}{}
 }
 
+// List returns the sessions that were used recently, at most n.
+func (r *Recent) List(now time.Time, n int) []uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.turn(now)
+	list := make([]uint64, 0, min(n, len(r.now)+len(r.past)))
+	for _, m := range []map[uint64]struct{}{r.now, r.past} {
+		for s := range m {
+			if len(list) == n {
+				return list
+			}
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
 // Has reports whether a session was used recently.
 func (r *Recent) Has(session uint64, now time.Time) bool {
 	r.mu.Lock()
--- a/runner/rollouts.go
+++ b/runner/rollouts.go
@@ -16,13 +16,14 @@
 )
 
 const (
-	// rolloutStep is the time between two tallies of an entry. A bad version must have no request 5 s after its 50th bad
-	// answer, which leaves room for two lost steps.
-	rolloutStep = time.Second
+	// rolloutStep is the time between two tallies of an entry, and badStep that while the new version shows bad answers. It
+	// must have no request 5 s after its 50th bad answer, which leaves room for two lost steps.
+	rolloutStep = 1500 * time.Millisecond
+	badStep     = 500 * time.Millisecond
 	// rolloutCall bounds one call of the store.
 	rolloutCall = 700 * time.Millisecond
-	// statusCheck is the time between two looks at a status that another entry should have written.
-	statusCheck = 2 * time.Second
+	// maxRecent bounds the sessions of this entry that a new order takes over.
+	maxRecent = 20_000
 )
 
 // RolloutStore holds the status, the tallies and the verdict of roll-outs.
@@ -45,6 +46,8 @@
 	clock  int64
 	readAt time.Time
 	nextAt time.Time
+	// bad is the number of bad answers of the new version at the last step.
+	bad int64
 }
 
 func (r *rollout) storeNow(now time.Time) int64 {
@@ -60,17 +63,21 @@
 
 // rollouts carries out the operator's orders.
 type rollouts struct {
-	store   RolloutStore
-	entry   identifier.Instance
-	share   float64
-	now     func() time.Time
-	log     *slog.Logger
-	regroup func()
-	sizeOf  func(identifier.Service) int
-	recent  *pinner.Recent
+	store RolloutStore
+	entry identifier.Instance
+	share float64
+	// sessionTime is the time without use after which a session has ended.
+	sessionTime time.Duration
+	now         func() time.Time
+	log         *slog.Logger
+	regroup     func()
+	sizeOf      func(identifier.Service) int
+	recent      *pinner.Recent
 
 	mu       sync.Mutex
 	services map[identifier.Service]*rollout
+	// rejected are the versions that were rolled back, which a later order does not bring back.
+	rejected map[versionOf]bool
 	active   map[versionOf]int64
 }
 
@@ -82,7 +89,9 @@
 		r.mu.Unlock()
 		return
 	}
-	r.services[o.Service] = &rollout{order: o, trial: promoter.NewTrial(o, r.entry, r.share)}
+	t := promoter.NewTrial(o, r.entry, r.share, r.sessionTime)
+	t.Hold(r.recent.List(r.now(), maxRecent), r.now())
+	r.services[o.Service] = &rollout{order: o, trial: t}
 	r.mu.Unlock()
 	r.log.Info("roll-out ordered", "service", o.Service, "to", o.To, "duration", o.Duration, "order", o.Number)
 	r.regroup()
@@ -98,6 +107,8 @@
 	}
 	to := v == x.order.To
 	switch {
+	case !to && r.rejected[versionOf{s, v}]:
+		return s + excludedSuffix
 	case x.verdict.State == promoter.TrialSucceeded:
 		if to {
 			return s
@@ -113,21 +124,26 @@
 
 // pool returns the group that serves a session.
 func (r *rollouts) pool(s identifier.Service, session uint64) identifier.Service {
+	now := r.now()
 	r.mu.Lock()
 	x := r.services[s]
-	trying := x != nil && x.known && x.verdict.Number == 0
-	r.mu.Unlock()
 	if x == nil {
-		r.recent.Use(session, r.now())
+		r.mu.Unlock()
+		r.recent.Use(session, now)
 		return s
 	}
+	trying, state := x.known && x.verdict.Number == 0, x.verdict.State
+	r.mu.Unlock()
 	candidate := s + candidateSuffix
-	if trying && x.trial.Takes(session) && r.sizeOf(candidate) > 0 && (x.trial.Growing() || !r.recent.Has(session, r.now())) {
-		return candidate
+	ready := r.sizeOf(candidate) > 0
+	if trying {
+		if ready && x.trial.Takes(session, now) {
+			return candidate
+		}
+		x.trial.Hold([]uint64{session}, now)
 	}
-	// The session has begun on another version.
-	r.recent.Use(session, r.now())
-	if r.sizeOf(s) == 0 && x.verdict.State != promoter.TrialRolledBack && r.sizeOf(candidate) > 0 {
+	r.recent.Use(session, now)
+	if ready && r.sizeOf(s) == 0 && state != promoter.TrialRolledBack {
 		return candidate
 	}
 	return s
@@ -198,7 +214,7 @@
 
 // run carries out the orders until ctx ends.
 func (r *rollouts) run(ctx context.Context) error {
-	t := time.NewTicker(rolloutStep / 5)
+	t := time.NewTicker(badStep / 2)
 	defer t.Stop()
 	for {
 		select {
@@ -220,6 +236,9 @@
 	for _, x := range r.services {
 		if !x.written && !now.Before(x.nextAt) {
 			x.nextAt = now.Add(rolloutStep)
+			if bad := x.trial.Bad(); bad > x.bad {
+				x.bad, x.nextAt = bad, now.Add(badStep)
+			}
 			due = append(due, x)
 		}
 	}
@@ -275,7 +294,7 @@
 func (r *rollouts) judge(ctx context.Context, x *rollout) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*rolloutCall)
 	defer cancel()
-	clock, err := r.store.PutTally(ctx, x.order.Service, x.trial.Tally(x.storeNow(r.now()), r.others(&x.order)))
+	clock, err := r.store.PutTally(ctx, x.order.Service, x.trial.Tally(x.storeNow(r.now()), r.others(&x.order), r.now()))
 	if err != nil {
 		return err
 	}
@@ -290,7 +309,7 @@
 		return nil
 	}
 	before := x.trial.Stage()
-	state, reason := x.trial.Judge(tallies, clock)
+	state, reason := x.trial.Judge(tallies, clock, r.now())
 	if state != before {
 		r.log.Info("roll-out stage", "service", x.order.Service, "to", x.order.To, "order", x.order.Number, "from", before, "state", state,
 			"reason", reason, "tallies", len(tallies))
@@ -311,6 +330,12 @@
 func (r *rollouts) end(x *rollout, v promoter.Verdict, written bool) {
 	r.mu.Lock()
 	x.known, x.verdict, x.written = true, v, written
+	k := versionOf{x.order.Service, x.order.To}
+	if v.State == promoter.TrialRolledBack {
+		r.rejected[k] = true
+	} else {
+		delete(r.rejected, k)
+	}
 	r.mu.Unlock()
 	r.log.Info("roll-out ended", "service", x.order.Service, "to", x.order.To, "order", x.order.Number, "state", v.State,
 		"reason", v.Reason, "by", v.By)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -46,6 +46,10 @@
 	routedTime = 2500 * time.Millisecond
 	// endTime is left of the shutdown time for the end of the process.
 	endTime = 400 * time.Millisecond
+	// contactMargin is what detecting a silent connection takes beyond the wait of a call: the answer time and a new connection.
+	contactMargin = time.Second
+	// minWait bounds the calls of the store, which are priced.
+	minWait = 500 * time.Millisecond
 	// subset bounds the upstreams of a service that an entry sends to.
 	subset = 64
 )
@@ -58,7 +62,7 @@
 	ReportPath string
 	Upstreams  follower.Source[registrar.Change]
 	// Operator gives the routes and orders; apply is called for each row in order.
-	Operator func(log *slog.Logger, table func(*matcher.Table, error), order func(promoter.Order)) Duty
+	Operator func(wait time.Duration, log *slog.Logger, table func(*matcher.Table, error), order func(promoter.Order)) Duty
 	Rollouts RolloutStore
 	Counters func() map[string]int64
 }
@@ -98,16 +102,18 @@
 		balancer.WithSubset(subset))
 	r.pool = connector.New(connector.WithEcho(p.Headers.RequestID))
 	r.rollouts = &rollouts{
-		store: p.Rollouts, entry: s.Instance, share: s.Exposure, now: time.Now, log: log, services: map[identifier.Service]*rollout{}, active: map[versionOf]int64{},
+		store: p.Rollouts, entry: s.Instance, share: s.Exposure, sessionTime: s.SessionTime, now: time.Now, log: log, services: map[identifier.Service]*rollout{}, active: map[versionOf]int64{}, rejected: map[versionOf]bool{},
 		recent: pinner.NewRecent(s.SessionTime),
 	}
 	r.directory = &directory{regions: s.regions(), group: r.rollouts.group, update: r.balancer.Update}
 	r.rollouts.regroup, r.rollouts.sizeOf = r.directory.regroup, r.directory.size
 	r.registrar = registrar.New(registrar.WithUpdate(r.listed))
 	r.buildForwarder()
+	wait := max(s.Contact-contactMargin, minWait)
 	r.upstreams = follower.New(p.Upstreams, r.registrar.Apply, log)
+	r.upstreams.Wait = wait
 	r.upstreams.Lost = r.registrar.Lost
-	r.operator = p.Operator(log, r.configured, r.rollouts.ordered)
+	r.operator = p.Operator(wait, log, r.configured, r.rollouts.ordered)
 	for name, counters := range map[string]func() map[string]int64{
 		"forwarder": r.forwarder.Counters, "balancer": r.balancer.Counters, "connector": r.pool.Counters,
 		"registrar": r.registrar.Counters, "follower": r.upstreams.Counters, "operator": r.operator.Counters, "store": p.Counters,
