--- /dev/null
+++ b/matcher/table_test.go
@@ -0,0 +1,67 @@
+package matcher_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/matcher"
+)
+
+func table() *matcher.Table {
+	return matcher.NewTable(3, matcher.Limits{},
+		matcher.WithRoute(&matcher.Route{Name: "short", Host: "A.example", Prefix: "/x/", Split: []matcher.Share{{Service: "s", Weight: 1}}}),
+		matcher.WithRoute(&matcher.Route{Name: "long", Host: "a.example", Prefix: "/x/y/", Split: []matcher.Share{{Service: "s", Weight: 1}}}),
+		matcher.WithRoute(&matcher.Route{Name: "other", Host: "b.example", Prefix: "/x/", Split: []matcher.Share{{Service: "s", Weight: 1}}}),
+		matcher.WithAccount(&matcher.Account{Name: "one"}, "k1", "k2"), matcher.WithAccount(&matcher.Account{Name: "two"}, "k3"))
+}
+
+// Guards against a request that runs on another route than that of its host and longest prefix.
+func TestMatch(t *testing.T) {
+	x := table()
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"}, {"a.example:8080", "/x/y/1", "long"}, {"A.EXAMPLE", "/x/y", "short"},
+		{"b.example", "/x/y/1", "other"}, {"c.example", "/x/1", ""}, {"a.example", "/z/", ""}, {"a.example", "/x", ""}, {"", "/x/", ""},
+	} {
+		r := x.Match(c.host, c.path)
+		if c.want == "" {
+			must.Nil(t, r)
+			continue
+		}
+		must.EqOp(t, c.want, r.Name)
+	}
+	must.EqOp(t, 3, x.Routes())
+}
+
+// Guards against a key that is taken for that of another account, and against an empty key that matches.
+func TestAccount(t *testing.T) {
+	x := table()
+	must.EqOp(t, "one", string(x.Account("k2").Name))
+	must.EqOp(t, "two", string(x.Account("k3").Name))
+	must.Nil(t, x.Account("k4"))
+	must.Nil(t, x.Account(""))
+	must.True(t, x.HasAccounts())
+}
+
+// Guards against a split that leaves a service without requests or goes beyond its last share.
+func TestSplit(t *testing.T) {
+	r := &matcher.Route{Split: []matcher.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	must.EqOp(t, identifier.Service("a"), r.Service(0))
+	must.EqOp(t, identifier.Service("a"), r.Service(0.899))
+	must.EqOp(t, identifier.Service("b"), r.Service(0.901))
+	must.EqOp(t, identifier.Service("b"), r.Service(1))
+}
+
+// Guards against a request that is repeated although its route does not permit it.
+func TestRepeatable(t *testing.T) {
+	for _, c := range []struct {
+		kind      matcher.Kind
+		resumable bool
+		want      bool
+	}{
+		{matcher.Idempotent, false, true}, {matcher.NonIdempotent, true, false}, {matcher.Stream, true, true}, {matcher.Stream, false, false},
+	} {
+		must.EqOp(t, c.want, (&matcher.Route{Kind: c.kind, Resumable: c.resumable}).Repeatable())
+	}
+}
--- /dev/null
+++ b/relayer/event_test.go
@@ -0,0 +1,88 @@
+package relayer_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/relayer"
+)
+
+func event(id int, data string) string {
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", id, data)
+}
+
+// read returns the events of a stream and the error that ended it.
+func read(r *relayer.Reader) ([]string, error) {
+	var events []string
+	for {
+		b, err := r.Next()
+		if err != nil {
+			return events, err
+		}
+		events = append(events, string(b))
+	}
+}
+
+// Guards against events that are changed or joined on their way.
+func TestNext(t *testing.T) {
+	long := event(3, strings.Repeat("x", 10_000))
+	whole := event(1, "a") + "id:2\r\ndata: b\r\n\r\n" + long + ": comment\n\n"
+	events, err := read(relayer.NewReader(strings.NewReader(whole), 0, true))
+	must.ErrorIs(t, err, io.EOF)
+	must.Eq(t, []string{event(1, "a"), "id:2\r\ndata: b\r\n\r\n", long, ": comment\n\n"}, events)
+}
+
+// Guards against a stream whose pieces are missing, repeated or those of another run.
+func TestNextRefusesDisorder(t *testing.T) {
+	for name, x := range map[string]struct {
+		stream string
+		err    error
+		events int
+	}{
+		"gap":           {event(5, "a") + event(7, "b"), relayer.ErrOrder, 1},
+		"repeat":        {event(5, "a") + event(5, "a"), relayer.ErrOrder, 1},
+		"wrong start":   {event(4, "a"), relayer.ErrOrder, 0},
+		"no number":     {"id: x\ndata: a\n\n", relayer.ErrOrder, 0},
+		"partial event": {event(5, "a") + "id: 6\ndata: b\n", relayer.ErrPartial, 1},
+		"too long":      {"data: " + strings.Repeat("x", 2<<20) + "\n\n", relayer.ErrTooLong, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			events, err := read(relayer.NewReader(strings.NewReader(x.stream), 4, true))
+			must.ErrorIs(t, err, x.err)
+			must.SliceLen(t, x.events, events)
+		})
+	}
+}
+
+// Guards against a resume from the wrong event when the first id is not known.
+func TestLast(t *testing.T) {
+	r := relayer.NewReader(strings.NewReader(event(9, "a")+event(10, "b")), 0, false)
+	_, err := read(r)
+	must.ErrorIs(t, err, io.EOF)
+	must.EqOp(t, 10, r.Last)
+}
+
+func FuzzNext(f *testing.F) {
+	f.Add([]byte(event(1, "a") + event(2, "b")))
+	f.Add([]byte("id: 1\r\n\r\n"))
+	f.Add([]byte("\n\n\nid:"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r := relayer.NewReader(strings.NewReader(string(b)), 0, true)
+		var sum int
+		for {
+			e, err := r.Next()
+			if err != nil {
+				if errors.Is(err, io.EOF) && sum != len(b) {
+					t.Fatalf("%d of %d bytes in whole events of a complete stream", sum, len(b))
+				}
+				return
+			}
+			sum += len(e)
+		}
+	})
+}
--- /dev/null
+++ b/runner/settings_test.go
@@ -0,0 +1,60 @@
+package runner_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/runner"
+)
+
+// rendered is the template of deploy as a platform fills it in.
+func rendered(t *testing.T) string {
+	t.Helper()
+	b, err := os.ReadFile("../deploy/settings.yaml.tmpl")
+	must.NoError(t, err)
+	zones := "{{#Zones}}  - name: {{@}}\n    region: {{.|json}}\n{{/Zones}}"
+	must.StrContains(t, string(b), zones)
+	return strings.NewReplacer(zones, "  - name: ie-west-a\n    region: \"ie-west\"\n",
+		"{{NodeName|json}}", `"front-1"`, "{{Zone|json}}", `"ie-west-a"`, "{{Region|json}}", `"ie-west"`,
+		"{{Listen.Front|json}}", `"10.1.0.40:8227"`, "{{Listen.Ready|json}}", `"10.1.0.40:8220"`, "{{Ip}}", "10.1.0.40",
+		"{{Platform.Address|json}}", `"10.200.1.7:8223"`, "{{Limits.MemoryMb}}", "134", "{{Bounds.GraceS}}", "8",
+		"{{Bounds.ExposeShare}}", "0.15", "{{Bounds.RetryBudgetRatio}}", "0.9", "{{Bounds.RetryBudgetExtra}}", "56",
+		"{{Bounds.SessionS}}", "8.5", "{{Bounds.ContactMs}}", "3000").Replace(string(b))
+}
+
+// Guards against a template whose result the entry refuses, and against a placeholder that nobody fills in.
+func TestTemplate(t *testing.T) {
+	text := rendered(t)
+	must.StrNotContains(t, text, "{{")
+	s, err := runner.ParseSettings("entry.yaml", []byte(text))
+	must.NoError(t, err)
+	must.EqOp(t, "front-1", string(s.Instance))
+	must.EqOp(t, "10.1.0.40:9464", s.DebugAddress.String())
+	must.EqOp(t, 8500*time.Millisecond, s.SessionTime)
+	must.EqOp(t, 134_000_000, s.MemoryBytes)
+	must.EqOp(t, 8*time.Second, s.Shutdown)
+	must.EqOp(t, 0.9, s.Retries.Ratio)
+}
+
+// Guards against an entry that starts with wrong settings: the error names the file, the line and the field.
+func TestSettingsRefused(t *testing.T) {
+	for name, x := range map[string]struct{ old, replacement, want string }{
+		"unknown key":   {"shutdown:", "shut-down:", "shut-down"},
+		"wrong unit":    {"shutdown: 8s", "shutdown: 8", "shutdown"},
+		"missing field": {"store: \"10.200.1.7:8223\"\n", "", "store"},
+		"bad address":   {"10.1.0.40:8227", "10.1.0.40", "caller-address"},
+		"no share":      {"exposure: 0.15", "exposure: 1.5", "exposure"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := strings.Replace(rendered(t), x.old, x.replacement, 1)
+			_, err := runner.ParseSettings("entry.yaml", []byte(text))
+			must.Error(t, err)
+			must.StrContains(t, err.Error(), "entry.yaml")
+			must.StrContains(t, err.Error(), x.want)
+		})
+	}
+}
