forwarder: tests of the path, and the failure of an upstream instead of one of the entry's own

Cause: after a repeat without a response the caller got 502 although an upstream had reported its failure.

--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -48,8 +48,10 @@
 	begun bool
 	// mayHaveRun is set once an upstream may have run the request.
 	mayHaveRun bool
-	attempts   []attempt
-	status     int
+	// failed is the last failure that an upstream reported before the request was sent again.
+	failed   *answer
+	attempts []attempt
+	status   int
 }
 
 // accept checks a request and decides everything that does not depend on upstreams. The request is also returned with a
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 
 	"github.com/siskinfront/siskinfront/balancer"
@@ -34,9 +35,15 @@
 			return nil
 		}
 		run := !errors.Is(err, errNotRun) && !errors.Is(err, balancer.ErrNoUpstream)
-		if errors.Is(err, errCaller) || !f.again(ctx, q, run) {
+		if errors.Is(err, errCaller) {
 			return err
 		}
+		if !f.again(ctx, q, run) {
+			if q.begun {
+				return err
+			}
+			return f.fallBack(w, q, err)
+		}
 		if q.begun {
 			resuming = true
 			f.counters.resumed.Add(1)
@@ -91,7 +98,9 @@
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		if resp.StatusCode >= http.StatusInternalServerError && f.mayRepeat(q, c.index) {
 			f.counters.upstreamErrors.Add(1)
-			c.drain()
+			if buf, whole, err := readUpTo(resp, maxBuffered); err == nil && whole && !q.begun {
+				q.failed = &answer{resp.StatusCode, f.responseHeader(c), buf}
+			}
 			c.end(balancer.ResultFailure, "failed", true)
 			return fmt.Errorf("%w: status %d at %s", errUpstream, resp.StatusCode, c.name)
 		}
@@ -117,8 +126,7 @@
 		a := &q.attempts[c.index]
 		a.pause = max(a.pause, c.watch.event())
 		if !q.begun {
-			f.head(w, c)
-			w.Header().Del("Content-Length")
+			maps.Copy(w.Header(), f.responseHeader(c))
 			q.begun, q.status = true, resp.StatusCode
 			// A caller that does not read ends with its deadline; a recorder in tests has none.
 			_ = control.SetWriteDeadline(q.deadline)
--- /dev/null
+++ b/forwarder/stream_test.go
@@ -0,0 +1,209 @@
+package forwarder_test
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+// events writes the events from one id to another, which follow the header Last-Event-Id of the request, with a pause.
+func events(w http.ResponseWriter, r *http.Request, to int, pause time.Duration) {
+	from := 0
+	if v := r.Header.Get("Last-Event-Id"); v != "" {
+		from, _ = strconv.Atoi(v)
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := from + 1; i <= to; i++ {
+		fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", i, i)
+		w.(http.Flusher).Flush()
+		time.Sleep(pause)
+	}
+}
+
+// ids returns the ids of the events of a body.
+func ids(body string) []int {
+	var list []int
+	for _, line := range strings.Split(body, "\n") {
+		if v, ok := strings.CutPrefix(line, "id: "); ok {
+			n, _ := strconv.Atoi(v)
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// Guards against pieces that are missing, doubled or cut when a stream goes on at another upstream, and against a second
+// head within one response.
+func TestStreamResumes(t *testing.T) {
+	for name, broken := range map[string]answer{
+		"between events": func(w http.ResponseWriter, r *http.Request, _ int) { events(w, r, 2, 0); abort() },
+		"within an event": func(w http.ResponseWriter, r *http.Request, _ int) {
+			events(w, r, 2, 0)
+			fmt.Fprint(w, "id: 3\ndat")
+			w.(http.Flusher).Flush()
+			abort()
+		},
+		"gap": func(w http.ResponseWriter, r *http.Request, _ int) {
+			events(w, r, 2, 0)
+			fmt.Fprint(w, "id: 4\ndata: e4\n\n")
+		},
+		"silent": func(w http.ResponseWriter, r *http.Request, _ int) { events(w, r, 2, 0); <-r.Context().Done() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, 2, func(w http.ResponseWriter, r *http.Request, n int) {
+				if n == 1 {
+					broken(w, r, n)
+					return
+				}
+				events(w, r, 5, 0)
+			})
+			x := b.send("/stream/")
+			must.NoError(t, x.err)
+			must.EqOp(t, 200, x.status)
+			must.Eq(t, []int{1, 2, 3, 4, 5}, ids(x.body))
+			got := b.requests()
+			must.SliceLen(t, 2, got)
+			must.EqOp(t, "", got[0].header.Get("Last-Event-Id"))
+			must.EqOp(t, "2", got[1].header.Get("Last-Event-Id"))
+			must.EqOp(t, got[0].upstream, x.header.Get("Stamp"))
+			must.EqOp(t, 1, b.Counters()["streams-resumed"])
+		})
+	}
+}
+
+// Guards against a caller's own resume that starts at the wrong event.
+func TestStreamResumedByCaller(t *testing.T) {
+	b := newBed(t, 1, func(w http.ResponseWriter, r *http.Request, _ int) { events(w, r, 5, 0) })
+	must.Eq(t, []int{4, 5}, ids(b.send("/stream/", "Last-Event-Id", "3").body))
+}
+
+// Guards against a stream that ends as complete although it broke off, and against a second run of one that may not resume.
+func TestStreamBreaks(t *testing.T) {
+	b := newBed(t, 2, func(w http.ResponseWriter, r *http.Request, _ int) { events(w, r, 2, 0); abort() })
+	x := b.send("/unresumable/")
+	must.Error(t, x.err)
+	must.Eq(t, []int{1, 2}, ids(x.body))
+	must.SliceLen(t, 1, b.requests())
+}
+
+// Guards against the end of a stream on its last attempt because it pauses: silence of the upstream is no reason.
+func TestLastAttemptIsKept(t *testing.T) {
+	b := newBed(t, 1, func(w http.ResponseWriter, r *http.Request, _ int) { events(w, r, 2, 1500*time.Millisecond) })
+	x := b.send("/unresumable/")
+	must.NoError(t, x.err)
+	must.Eq(t, []int{1, 2}, ids(x.body))
+}
+
+// Guards against events that wait for each other on their way.
+func TestEventsArriveAsSent(t *testing.T) {
+	b := newBed(t, 1, func(w http.ResponseWriter, r *http.Request, _ int) { events(w, r, 4, 100*time.Millisecond) })
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, b.front.URL+"/stream/", http.NoBody)
+	must.NoError(t, err)
+	r.Host = "h"
+	r.Header.Set("Id", "r1")
+	r.Header.Set("Authorization", "Bearer key")
+	begin := time.Now()
+	w, err := http.DefaultClient.Do(r)
+	must.NoError(t, err)
+	defer w.Body.Close()
+	first := make([]byte, 8)
+	_, err = w.Body.Read(first)
+	must.NoError(t, err)
+	must.Less(t, 300*time.Millisecond, time.Since(begin))
+}
+
+// Guards against waiting for an upstream that is dead: a silent one is asked, and the stream moves only if it does not answer.
+func TestSilentUpstream(t *testing.T) {
+	for _, alive := range []bool{true, false} {
+		t.Run(fmt.Sprint("alive ", alive), func(t *testing.T) {
+			b := newBed(t, 2, func(w http.ResponseWriter, r *http.Request, n int) {
+				if n == 1 {
+					select {
+					case <-r.Context().Done():
+						return
+					case <-time.After(780 * time.Millisecond):
+					}
+				}
+				events(w, r, 2, 0)
+			})
+			var asked atomic.Int64
+			b.probe = func(identifier.Upstream) error {
+				asked.Add(1)
+				if alive {
+					return nil
+				}
+				return errors.New("no answer")
+			}
+			x := b.send("/stream/")
+			must.Eq(t, []int{1, 2}, ids(x.body))
+			must.Positive(t, asked.Load())
+			want := 2
+			if alive {
+				want = 1
+			}
+			must.SliceLen(t, want, b.requests())
+		})
+	}
+}
+
+// Guards against an answer of a small model in which it has no confidence, and against two models in one answer.
+func TestCascade(t *testing.T) {
+	for confidence, models := range map[string][]string{"90": {"small"}, "10": {"small", "large"}, "": {"small"}} {
+		b := newBed(t, 2, func(w http.ResponseWriter, r *http.Request, n int) {
+			if n == 1 && confidence != "" {
+				w.Header().Set("Confidence", confidence)
+			}
+			if n > 1 {
+				w.Header().Set("Confidence", "1")
+			}
+			fmt.Fprintf(w, "id: 1\ndata: %s\n\n", r.Header.Get("Model"))
+		})
+		x := b.send("/cascade/", "Model", "*")
+		must.EqOp(t, 200, x.status)
+		var asked []string
+		for _, s := range b.requests() {
+			asked = append(asked, s.header.Get("Model"))
+		}
+		must.Eq(t, models, asked)
+		must.EqOp(t, "id: 1\ndata: "+models[len(models)-1]+"\n\n", x.body)
+	}
+	b := newBed(t, 1, func(w http.ResponseWriter, r *http.Request, _ int) { events(w, r, 1, 0) })
+	b.send("/cascade/", "Model", "named")
+	must.EqOp(t, "named", b.requests()[0].header.Get("Model"))
+}
+
+// Guards against the largest model that takes all the time of loaded engines: under pressure the answer of the small one goes
+// to the caller.
+func TestCascadeYields(t *testing.T) {
+	b := newBed(t, 1, func(w http.ResponseWriter, r *http.Request, _ int) {
+		w.Header().Set("Confidence", "20")
+		w.Header().Set("Load", "8,6,8")
+		events(w, r, 1, 0)
+	})
+	for range 5 {
+		b.send("/cascade/", "Model", "*")
+	}
+	large := 0
+	for _, s := range b.requests() {
+		if s.header.Get("Model") == "large" {
+			large++
+		}
+	}
+	must.LessEq(t, 1, large)
+}
+
+// Guards against urgent requests that wait behind others at an engine.
+func TestUrgency(t *testing.T) {
+	b := newBed(t, 1, func(w http.ResponseWriter, r *http.Request, _ int) { events(w, r, 1, 0) })
+	b.send("/stream/")
+	must.EqOp(t, "5", b.requests()[0].header.Get("Urgency"))
+}
--- a/forwarder/unary.go
+++ b/forwarder/unary.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 
@@ -15,6 +16,13 @@
 // off can be replaced by that of another upstream.
 const maxBuffered = 64 << 10
 
+// answer is a response that was read whole.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
 // unary serves a request that is answered as a whole.
 func (f *Forwarder) unary(ctx context.Context, w http.ResponseWriter, q *request) error {
 	f.budgets.Of(q.service).Success()
@@ -23,42 +31,47 @@
 		if err == nil {
 			err = f.relay(ctx, w, c)
 		}
-		if err == nil {
-			return nil
-		}
-		if q.begun || !f.again(ctx, q, !errors.Is(err, errNotRun) && !errors.Is(err, balancer.ErrNoUpstream)) {
+		if err == nil || q.begun {
 			return err
 		}
+		if !f.again(ctx, q, !errors.Is(err, errNotRun) && !errors.Is(err, balancer.ErrNoUpstream)) {
+			return f.fallBack(w, q, err)
+		}
+	}
+}
+
+// fallBack passes on the failure that an upstream reported before attempts at others failed without a response.
+func (f *Forwarder) fallBack(w http.ResponseWriter, q *request, err error) error {
+	x := q.failed
+	if x == nil {
+		return err
 	}
+	maps.Copy(w.Header(), x.header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(x.body)))
+	q.begun, q.status = true, x.status
+	w.WriteHeader(x.status)
+	if _, err := w.Write(x.body); err != nil {
+		return errors.Join(errCaller, err)
+	}
+	return nil
 }
 
 // relay passes a response on. Nothing was sent to the caller if the error says so by request.begun.
 func (f *Forwarder) relay(ctx context.Context, w http.ResponseWriter, c *call) error {
 	q, resp := c.q, c.response
-	buf := make([]byte, 0, 2<<10)
-	whole := false
-	for len(buf) < maxBuffered {
-		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
-		}
-		n, err := resp.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if errors.Is(err, io.EOF) {
-			whole = true
-			break
-		}
-		if err != nil {
-			c.lost(ctx, err)
-			return fmt.Errorf("forwarder: read response of %s: %w", c.name, err)
-		}
+	buf, whole, err := readUpTo(resp, maxBuffered)
+	if err != nil {
+		c.lost(ctx, err)
+		return fmt.Errorf("forwarder: read response of %s: %w", c.name, err)
 	}
 	failed := resp.StatusCode >= http.StatusInternalServerError
-	if failed && q.route.Repeatable() && f.again(ctx, q, true) {
+	if failed && whole && f.mayRepeat(q, c.index) {
 		f.counters.upstreamErrors.Add(1)
+		q.failed = &answer{resp.StatusCode, f.responseHeader(c), buf}
 		c.end(balancer.ResultFailure, "failed", true)
-		return f.unaryAgain(ctx, w, q)
+		return fmt.Errorf("%w: status %d at %s", errUpstream, resp.StatusCode, c.name)
 	}
-	f.head(w, c)
+	maps.Copy(w.Header(), f.responseHeader(c))
 	if whole {
 		w.Header().Set("Content-Length", strconv.Itoa(len(buf)))
 	} else if resp.ContentLength >= 0 {
@@ -66,7 +79,7 @@
 	}
 	q.begun, q.status = true, resp.StatusCode
 	w.WriteHeader(resp.StatusCode)
-	_, err := w.Write(buf)
+	_, err = w.Write(buf)
 	if err == nil && !whole {
 		_, err = io.Copy(w, resp)
 	}
@@ -83,22 +96,28 @@
 	return nil
 }
 
-// unaryAgain makes the next attempt after a response that reports a failure.
-func (f *Forwarder) unaryAgain(ctx context.Context, w http.ResponseWriter, q *request) error {
-	for {
-		c, err := f.send(ctx, q, "", defaultUrgency)
-		if err == nil {
-			return f.relay(ctx, w, c)
+// readUpTo reads up to so many bytes and reports whether the end was reached.
+func readUpTo(r io.Reader, limit int) ([]byte, bool, error) {
+	buf := make([]byte, 0, 2<<10)
+	for len(buf) < limit {
+		if len(buf) == cap(buf) {
+			buf = append(buf, 0)[:len(buf)]
 		}
-		if !f.again(ctx, q, !errors.Is(err, errNotRun)) {
-			return err
+		n, err := r.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if errors.Is(err, io.EOF) {
+			return buf, true, nil
+		}
+		if err != nil {
+			return buf, false, err
 		}
 	}
+	return buf, false, nil
 }
 
-// head copies the headers of a response.
-func (f *Forwarder) head(w http.ResponseWriter, c *call) {
-	h := w.Header()
+// responseHeader returns the headers of a response that are passed on.
+func (f *Forwarder) responseHeader(c *call) http.Header {
+	h := make(http.Header, len(c.response.Header))
 	for name, values := range c.response.Header {
 		if !f.hop[name] {
 			h[name] = values
@@ -108,4 +127,5 @@
 		// A nil value keeps net/http from guessing the type.
 		h["Content-Type"] = nil
 	}
+	return h
 }
