--- a/cmd/siskinfront-entry/main.go
+++ b/cmd/siskinfront-entry/main.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -77,7 +78,10 @@
 	defer func() {
 		stopLogging()
 		select {
-		case <-logged:
+		case err := <-logged:
+			if err != nil {
+				fmt.Fprintln(os.Stderr, "siskinfront-entry: log:", err)
+			}
 		case <-time.After(200 * time.Millisecond):
 		}
 	}()
@@ -85,5 +89,12 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	return runner.New(s, platform.New(s.Store), log).Run(ctx)
+	r := runner.New(s, platform.New(s.Store), log)
+	reloading, stopReloading := context.WithCancel(ctx)
+	defer stopReloading()
+	reloaded := make(chan error, 1)
+	go func() { reloaded <- r.Reload(reloading, file, hangups) }()
+	err = r.Run(ctx)
+	stopReloading()
+	return errors.Join(err, <-reloaded)
 }
--- a/connector/conn.go
+++ b/connector/conn.go
@@ -67,7 +67,8 @@
 
 func (c *conn) close() {
 	if c.ended.CompareAndSwap(false, true) {
-		c.nc.Close()
+		// An error of Close changes nothing: the connection is gone either way.
+		_ = c.nc.Close()
 		c.pool.closed(c.peer)
 	}
 }
@@ -116,6 +117,7 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, c.close)
+	//nolint:bodyclose // Response.Close returns the connection with its body.
 	w, err := c.exchange(r, p.echo)
 	if err != nil {
 		stop()
--- a/connector/pool_test.go
+++ b/connector/pool_test.go
@@ -34,7 +34,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	p := &peer{l: l, answers: answers}
-	t.Cleanup(func() { l.Close() })
+	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -49,7 +49,7 @@
 }
 
 func (p *peer) serve(c net.Conn) {
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	br := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(br)
@@ -262,13 +262,13 @@
 	got := make(chan string, 1)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	go func() {
 		c, err := l.Accept()
 		if err != nil {
 			return
 		}
-		defer c.Close()
+		defer func() { _ = c.Close() }()
 		b := make([]byte, 1024)
 		n, _ := c.Read(b)
 		got <- string(b[:n])
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -83,7 +84,7 @@
 	*follower.Follower[uint64]
 	mu             sync.Mutex
 	seen           []uint64
-	lost, regained int
+	lost, regained atomic.Int64
 }
 
 func run(t *testing.T, f func(*bed)) {
@@ -95,8 +96,8 @@
 			defer b.mu.Unlock()
 			b.seen = append(b.seen, rows...)
 		}, slog.New(slog.DiscardHandler))
-		b.Follower.Lost = func() { b.lost++ }
-		b.Regained = func() { b.regained++ }
+		b.Lost = func() { b.lost.Add(1) }
+		b.Regained = func() { b.regained.Add(1) }
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error)
 		go func() { done <- b.Run(ctx) }()
@@ -139,7 +140,7 @@
 		b.set(func(s *store) { s.version, s.oldest = 20, 18 })
 		time.Sleep(time.Second)
 		must.EqOp(t, 20, b.last())
-		must.Between(t, 2, b.reads, 4)
+		b.set(func(s *store) { must.Between(t, 2, s.reads, 4) })
 	})
 }
 
@@ -162,12 +163,12 @@
 		time.Sleep(100 * time.Millisecond)
 		b.set(func(s *store) { s.err = errors.New("out") })
 		time.Sleep(10 * time.Second)
-		must.EqOp(t, 1, b.lost)
+		must.EqOp(t, 1, b.lost.Load())
 		must.Between(t, 15, b.Counters()["failures"], 60)
 		b.set(func(s *store) { s.err = nil })
 		b.write()
 		time.Sleep(time.Second)
-		must.EqOp(t, 1, b.regained)
+		must.EqOp(t, 1, b.regained.Load())
 		must.EqOp(t, 6, b.last())
 	})
 }
--- a/forwarder/bed_test.go
+++ b/forwarder/bed_test.go
@@ -109,13 +109,13 @@
 func defaultRoutes() []matcher.Option {
 	split := []matcher.Share{{Service: "s", Weight: 1}}
 	base := matcher.Route{Host: "h", Timeout: 5 * time.Second, Objective: 200 * time.Millisecond, MaxAttempts: 3, Split: split, Rank: 2}
-	once, repeat, stream, unresumable, cascade := base, base, base, base, base
+	once, repeat, stream, unresumable := base, base, base, base
 	once.Name, once.Prefix, once.MaxAttempts = "once", "/once/", 1
 	repeat.Name, repeat.Prefix, repeat.Kind = "repeat", "/repeat/", matcher.Idempotent
 	stream.Name, stream.Prefix, stream.Kind, stream.Resumable, stream.Sticky = "stream", "/stream/", matcher.Stream, true, true
 	stream.EventGap = 300 * time.Millisecond
 	unresumable.Name, unresumable.Prefix, unresumable.Kind = "unresumable", "/unresumable/", matcher.Stream
-	cascade = stream
+	cascade := stream
 	cascade.Name, cascade.Prefix, cascade.Models = "cascade", "/cascade/", []identifier.Model{"small", "large"}
 	public := base
 	public.Name, public.Prefix, public.Public = "public", "/public/", true
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -96,43 +96,24 @@
 func (f *Forwarder) relayEvents(ctx context.Context, w http.ResponseWriter, c *call) error {
 	q, resp := c.q, c.response
 	if resp.StatusCode >= http.StatusMultipleChoices {
-		if resp.StatusCode >= http.StatusInternalServerError && f.mayRepeat(q, c.index) {
-			f.counters.upstreamErrors.Add(1)
-			if buf, whole, err := readUpTo(resp, maxBuffered); err == nil && whole && !q.begun {
-				q.failed = &answer{resp.StatusCode, f.responseHeader(c), buf}
-			}
-			c.end(balancer.ResultFailure, "failed", true)
-			return fmt.Errorf("%w: status %d at %s", errUpstream, resp.StatusCode, c.name)
-		}
-		if q.begun {
-			c.end(balancer.ResultFailure, "failed", true)
-			return fmt.Errorf("%w: status %d at %s", errUpstream, resp.StatusCode, c.name)
-		}
-		return f.relay(ctx, w, c)
+		return f.relayFailure(ctx, w, c)
 	}
 	events := relayer.NewReader(resp, q.lastEvent, q.hasLastEvent)
 	control := http.NewResponseController(w)
 	for {
 		b, err := events.Next()
+		if errors.Is(err, io.EOF) && q.begun {
+			c.end(balancer.ResultSuccess, "complete", false)
+			return nil
+		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && q.begun {
-				c.end(balancer.ResultSuccess, "complete", false)
-				return nil
-			}
 			c.lost(ctx, err)
 			return fmt.Errorf("forwarder: read events of %s: %w", c.name, err)
 		}
 		f.touch(c.name)
 		a := &q.attempts[c.index]
 		a.pause = max(a.pause, c.watch.event())
-		if !q.begun {
-			maps.Copy(w.Header(), f.responseHeader(c))
-			q.begun, q.status = true, resp.StatusCode
-			// A caller that does not read ends with its deadline; a recorder in tests has none.
-			_ = control.SetWriteDeadline(q.deadline)
-			w.WriteHeader(resp.StatusCode)
-			f.observe(q)
-		}
+		f.begin(w, control, c)
 		_, err = w.Write(b)
 		if err == nil && events.Buffered() == 0 {
 			err = control.Flush()
@@ -147,6 +128,37 @@
 	}
 }
 
+// begin sends the head of the response, which is that of the first upstream with an event.
+func (f *Forwarder) begin(w http.ResponseWriter, control *http.ResponseController, c *call) {
+	q := c.q
+	if q.begun {
+		return
+	}
+	maps.Copy(w.Header(), f.responseHeader(c))
+	q.begun, q.status = true, c.response.StatusCode
+	// A caller that does not read ends with its deadline; a recorder in tests has none.
+	_ = control.SetWriteDeadline(q.deadline)
+	w.WriteHeader(c.response.StatusCode)
+	f.observe(q)
+}
+
+// relayFailure handles the response of an upstream that reports a failure.
+func (f *Forwarder) relayFailure(ctx context.Context, w http.ResponseWriter, c *call) error {
+	q, resp := c.q, c.response
+	serverError := resp.StatusCode >= http.StatusInternalServerError
+	if !q.begun && (!serverError || !f.mayRepeat(q, c.index)) {
+		return f.relay(ctx, w, c)
+	}
+	if serverError {
+		f.counters.upstreamErrors.Add(1)
+	}
+	if buf, whole, err := readUpTo(resp, maxBuffered); err == nil && whole && !q.begun {
+		q.failed = &answer{resp.StatusCode, f.responseHeader(c), buf}
+	}
+	c.end(balancer.ResultFailure, "failed", true)
+	return fmt.Errorf("%w: status %d at %s", errUpstream, resp.StatusCode, c.name)
+}
+
 // mayRepeat reports whether an attempt is left after the one with an index, without taking it from the budget.
 func (f *Forwarder) mayRepeat(q *request, index int) bool {
 	return q.route.Repeatable() && index+1 < q.route.MaxAttempts
--- a/forwarder/unary_test.go
+++ b/forwarder/unary_test.go
@@ -103,7 +103,7 @@
 	for name, first := range map[string]answer{
 		"closed":  func(http.ResponseWriter, *http.Request, int) { abort() },
 		"not run": notRun,
-		"failed":  func(w http.ResponseWriter, _ *http.Request, _ int) { w.WriteHeader(500) },
+		"failed":  func(w http.ResponseWriter, _ *http.Request, _ int) { w.WriteHeader(http.StatusInternalServerError) },
 		"no stamp": func(w http.ResponseWriter, _ *http.Request, _ int) {
 			w.Header().Del("Stamp")
 			_, _ = w.Write([]byte("spoiled"))
@@ -146,7 +146,7 @@
 	b := newBed(t, 1, func(w http.ResponseWriter, _ *http.Request, n int) {
 		switch n {
 		case 1:
-			w.WriteHeader(500)
+			w.WriteHeader(http.StatusInternalServerError)
 			_, _ = w.Write([]byte("failed"))
 		case 2:
 			w.Header().Del("Stamp")
--- a/runner/rollouts.go
+++ b/runner/rollouts.go
@@ -97,6 +97,13 @@
 	r.regroup()
 }
 
+// configure sets the bounds of orders that come later.
+func (r *rollouts) configure(share float64, sessionTime time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.share, r.sessionTime = share, sessionTime
+}
+
 // group returns the group of a version.
 func (r *rollouts) group(s identifier.Service, v identifier.Version) identifier.Service {
 	r.mu.Lock()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -60,7 +60,9 @@
 	ReadyPath string
 	// ReportPath is where an engine tells its state without a slot.
 	ReportPath string
-	Upstreams  follower.Source[registrar.Change]
+	// SetStore changes the address of the store.
+	SetStore  func(netip.AddrPort)
+	Upstreams follower.Source[registrar.Change]
 	// Operator gives the routes and orders; apply is called for each row in order.
 	Operator func(wait time.Duration, log *slog.Logger, table func(*matcher.Table, error), order func(promoter.Order)) Duty
 	Rollouts RolloutStore
@@ -76,7 +78,7 @@
 
 // Runner is an entry process.
 type Runner struct {
-	settings  Settings
+	settings  atomic.Pointer[Settings]
 	platform  Platform
 	log       *slog.Logger
 	meter     *meter.Meter
@@ -96,7 +98,8 @@
 
 // New builds an entry.
 func New(s Settings, p Platform, log *slog.Logger) *Runner {
-	r := &Runner{settings: s, platform: p, log: log, meter: meter.New()}
+	r := &Runner{platform: p, log: log, meter: meter.New()}
+	r.settings.Store(&s)
 	debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
 	r.balancer = balancer.New(s.DataCentre, balancer.WithRegion(s.Region), balancer.WithInstance(s.Instance),
 		balancer.WithSubset(subset))
@@ -124,9 +127,9 @@
 }
 
 func (r *Runner) buildForwarder() {
-	s := &r.settings
+	s := r.settings.Load()
 	budgets := &forwarder.Budgets{New: func() *limiter.Budget {
-		return limiter.NewBudget(limiter.WithRatio(retryShare*s.Retries.Ratio), limiter.WithBurst(retryBurst), limiter.WithFloor(0))
+		return limiter.NewBudget(limiter.WithRatio(retryShare*r.settings.Load().Retries.Ratio), limiter.WithBurst(retryBurst), limiter.WithFloor(0))
 	}}
 	r.forwarder = forwarder.New(forwarder.WithHeaders(r.platform.Headers), forwarder.WithBalancer(r.balancer),
 		forwarder.WithPool(r.pool), forwarder.WithLog(r.log), forwarder.WithMeter(r.meter), forwarder.WithBudgets(budgets),
@@ -197,18 +200,18 @@
 	duties, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopDuties()
 	g, duties := errgroup.WithContext(duties)
-	r.log.Info("entry starts", "data-centre", r.settings.DataCentre, "store", r.settings.Store)
+	r.log.Info("entry starts", "data-centre", r.settings.Load().DataCentre, "store", r.settings.Load().Store)
 	callers := &http.Server{
 		Handler: r.handler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10,
 	}
-	l, err := listen(ctx, r.settings.CallerAddress)
+	l, err := listen(ctx, r.settings.Load().CallerAddress)
 	if err != nil {
 		return err
 	}
 	for _, x := range []struct {
 		address netip.AddrPort
 		handler http.Handler
-	}{{r.settings.ReadyAddress, r.readyHandler()}, {r.settings.DebugAddress, r.debugHandler()}} {
+	}{{r.settings.Load().ReadyAddress, r.readyHandler()}, {r.settings.Load().DebugAddress, r.debugHandler()}} {
 		side, err := listen(ctx, x.address)
 		if err != nil {
 			return errors.Join(err, l.Close())
@@ -235,10 +238,10 @@
 
 // stop ends serving within the shutdown time.
 func (r *Runner) stop(callers *http.Server) error {
-	deadline := time.Now().Add(r.settings.Shutdown - endTime)
+	deadline := time.Now().Add(r.settings.Load().Shutdown - endTime)
 	r.leaving.Store(true)
 	r.log.Info("entry stops", "active", r.forwarder.Active(), "deadline", deadline)
-	time.Sleep(min(routedTime, r.settings.Shutdown/2))
+	time.Sleep(min(routedTime, r.settings.Load().Shutdown/2))
 	r.closed.Store(true)
 	last, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
@@ -284,7 +287,7 @@
 		r.pool.Sweep(func(p connector.Peer) bool { return r.directory.upstream(p.Name) != nil })
 		r.forwarder.Forget(func(name identifier.Upstream) bool { return r.directory.upstream(name) != nil })
 		if at := r.upstreams.Confirmed(); !at.IsZero() {
-			r.meter.Observe(meter.AllLatencies().ConfigurationAge, string(r.settings.DataCentre), time.Since(r.operator.Confirmed()))
+			r.meter.Observe(meter.AllLatencies().ConfigurationAge, string(r.settings.Load().DataCentre), time.Since(r.operator.Confirmed()))
 		}
 	}
 }
@@ -301,7 +304,7 @@
 // serve serves HTTP until ctx ends.
 func serve(ctx context.Context, l net.Listener, h http.Handler) error {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
-	stop := context.AfterFunc(ctx, func() { s.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
 	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("runner: serve %s: %w", l.Addr(), err)
