selector: long prompts give up the large model first

Change: the pressure at which a request yields falls with the length of its prompt relative to the mean, by a factor of 4 at most.

--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -43,6 +43,8 @@
 	anyModel        bool
 	// pressure is that on the engines at the last decision on a cascade.
 	pressure float64
+	// size is the length of the prompt relative to the mean.
+	size float64
 
 	// begun is set once a part of the response was sent to the caller.
 	begun bool
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -19,6 +19,7 @@
 	f.budgets.Of(q.service).Success()
 	ladder := f.ladder(q)
 	step := ladder.First()
+	q.size = f.pressure(q.service).Size(q.tokens)
 	resuming := q.hasLastEvent
 	for {
 		c, err := f.send(ctx, q, f.modelOf(q, step), urgency(q.rank, resuming))
@@ -81,7 +82,7 @@
 	}
 	q.pressure = f.pressure(q.service).Value(f.Now())
 	confidence := q.attempts[c.index].confidence
-	if confidence < 0 || l.Accept(step, confidence, q.rank, q.pressure) {
+	if confidence < 0 || l.Accept(step, confidence, q.rank, q.pressure, q.size) {
 		return 0, false
 	}
 	if !f.again(ctx, q, true) {
--- a/selector/ladder.go
+++ b/selector/ladder.go
@@ -20,6 +20,9 @@
 // overload the least urgent requests give up quality first, before every request is late.
 var yields = []float64{1.0 / 8, 1.0 / 32, 1.0 / 64}
 
+// maxSize bounds the effect of the length of a prompt.
+const maxSize = 4
+
 // First returns the model of the first step.
 func (l *Ladder) First() int {
 	return 0
@@ -30,12 +33,14 @@
 	return l.models - 1
 }
 
-// Accept reports whether an answer with a confidence from 0 to 100 goes to the caller, at the pressure on the engines.
-func (l *Ladder) Accept(step, confidence, rank int, pressure float64) bool {
+// Accept reports whether an answer with a confidence from 0 to 100 goes to the caller, at the pressure on the engines. size is
+// the length of the prompt relative to the mean: a larger model reads the prompt anew, so under pressure the longest prompts
+// give up quality first and the same time of the engines serves more requests.
+func (l *Ladder) Accept(step, confidence, rank int, pressure, size float64) bool {
 	if step >= l.models-1 {
 		return true
 	}
-	yield := yields[min(max(rank, 0), len(yields)-1)]
+	yield := yields[min(max(rank, 0), len(yields)-1)] / min(max(size, 1/maxSize), maxSize)
 	return float64(confidence) >= float64(l.least)*(1-pressure/yield)
 }
 
--- a/selector/pressure.go
+++ b/selector/pressure.go
@@ -17,6 +17,25 @@
 	// weight is that of the samples in value; both decay.
 	weight float64
 	at     time.Time
+	// size is the mean length of prompts in tokens.
+	size float64
+}
+
+// sizeWeight is that of the newest prompt in the mean length, some 100 requests.
+const sizeWeight = 0.01
+
+// Size returns the length of a prompt in tokens relative to the mean of the recent ones, which it joins.
+func (p *Pressure) Size(tokens int) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if tokens <= 0 {
+		return 1
+	}
+	if p.size == 0 {
+		p.size = float64(tokens)
+	}
+	p.size += (float64(tokens) - p.size) * sizeWeight
+	return float64(tokens) / p.size
 }
 
 // Sample adds what one engine reports.
