--- a/runner/rollouts.go
+++ b/runner/rollouts.go
@@ -89,7 +89,7 @@
 		r.mu.Unlock()
 		return
 	}
-	t := promoter.NewTrial(o, r.entry, r.share, r.sessionTime)
+	t := promoter.NewTrial(o, r.entry, r.share, r.sessionTime, r.now())
 	t.Hold(r.recent.List(r.now(), maxRecent), r.now())
 	r.services[o.Service] = &rollout{order: o, trial: t}
 	r.mu.Unlock()
