soakbencher: soak of the entry processes under faults

Cause: nothing ran the real program with faults from outside; the platform had no stand-in in the repository. Change: platform/standin (store, operator, upstreams with faults), bench soak (entries as processes, proxies, signals, changes in series) and the command route, which shares launcher with cmd/siskinfront-entry.

--- a/cmd/siskinfront-entry/main.go
+++ b/cmd/siskinfront-entry/main.go
@@ -1,4 +1,5 @@
-// Command siskinfront-entry runs an entry on the users' platform, in front of upstreams without agents.
+// Command siskinfront-entry runs an entry on the users' platform, in front of upstreams without agents. It links only what
+// that needs, because memory is priced.
 package main
 
 // The platform requires programs that are linked against the C library.
@@ -7,20 +8,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"log/slog"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
-	"time"
 
-	"github.com/spf13/cobra"
-
-	"github.com/siskinfront/siskinfront/logger"
-	"github.com/siskinfront/siskinfront/platform"
-	"github.com/siskinfront/siskinfront/runner"
+	"github.com/siskinfront/siskinfront/launcher"
 )
 
 func main() {
@@ -30,71 +23,9 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := newCommand().ExecuteContext(ctx); err != nil {
+	if err := launcher.NewCommand("siskinfront-entry").ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "siskinfront-entry:", err)
 		return 1
 	}
 	return 0
 }
-
-func newCommand() *cobra.Command {
-	var file string
-	var level slog.Level
-	cmd := &cobra.Command{
-		Use:   "siskinfront-entry",
-		Short: "Run an entry in front of upstreams without agents",
-		Long: "Run an entry until SIGTERM or SIGINT; it then is not ready, finishes the requests in progress within the shutdown\n" +
-			"time of the settings, and exits with status 0. SIGHUP reads the settings again.",
-		Example:       "  siskinfront-entry --settings entry.yaml",
-		Args:          cobra.NoArgs,
-		SilenceUsage:  true,
-		SilenceErrors: true,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return serve(cmd.Context(), file, level)
-		},
-	}
-	cmd.Flags().StringVar(&file, "settings", "", "YAML file with the settings of the process")
-	cmd.Flags().TextVar(&level, "log-level", slog.LevelInfo, "least level of the log on standard output: debug, info, warn or error")
-	return cmd
-}
-
-// serve runs the entry of a settings file.
-func serve(ctx context.Context, file string, level slog.Level) error {
-	if file == "" {
-		file = os.Getenv("SISKINFRONT_BOOT")
-	}
-	data, err := os.ReadFile(filepath.Clean(file))
-	if err != nil {
-		return fmt.Errorf("settings: %w", err)
-	}
-	s, err := runner.ParseSettings(file, data)
-	if err != nil {
-		return err
-	}
-	w := logger.NewWriter(os.Stdout, s.LogLinesPerSecond)
-	logging, stopLogging := context.WithCancel(context.WithoutCancel(ctx))
-	logged := make(chan error, 1)
-	go func() { logged <- w.Run(logging) }()
-	defer func() {
-		stopLogging()
-		select {
-		case err := <-logged:
-			if err != nil {
-				fmt.Fprintln(os.Stderr, "siskinfront-entry: log:", err)
-			}
-		case <-time.After(200 * time.Millisecond):
-		}
-	}()
-	log := logger.NewLogger(w, level).With("instance", s.Instance)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	r := runner.New(s, platform.New(s.Store), log)
-	reloading, stopReloading := context.WithCancel(ctx)
-	defer stopReloading()
-	reloaded := make(chan error, 1)
-	go func() { reloaded <- r.Reload(reloading, file, hangups) }()
-	err = r.Run(ctx)
-	stopReloading()
-	return errors.Join(err, <-reloaded)
-}
--- a/command.go
+++ b/command.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	"github.com/spf13/cobra"
+
+	"github.com/siskinfront/siskinfront/launcher"
 )
 
 // programVersion is the released version of the program.
@@ -26,6 +28,7 @@
 		newExplainCommand(),
 		newQuestionnaireCommand(),
 		newReplayCommand(),
+		launcher.NewCommand("route"),
 		newStateCommand(),
 		newVersionCommand(),
 	)
--- a/command_bench.go
+++ b/command_bench.go
@@ -17,6 +17,7 @@
 	"github.com/siskinfront/siskinfront/poolsbencher"
 	"github.com/siskinfront/siskinfront/rolloutbencher"
 	"github.com/siskinfront/siskinfront/slopesbencher"
+	"github.com/siskinfront/siskinfront/soakbencher"
 	"github.com/siskinfront/siskinfront/spendbencher"
 )
 
@@ -34,6 +35,7 @@
 		poolsbencher.Experiment(),
 		rolloutbencher.Experiment(),
 		slopesbencher.Experiment(binary),
+		soakbencher.Experiment(binary, "route"),
 		spendbencher.Experiment(),
 	}
 }
