--- /dev/null
+++ b/soakbencher/soak_test.go
@@ -0,0 +1,66 @@
+package soakbencher_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/bencher"
+	"github.com/siskinfront/siskinfront/launcher"
+	"github.com/siskinfront/siskinfront/soakbencher"
+)
+
+// role is the argument with which the test program runs as an entry.
+const role = "route"
+
+// TestMain runs an entry if the soak has started this program as one.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == role {
+		os.Exit(runEntry(os.Args[2:]))
+	}
+	os.Exit(m.Run())
+}
+
+func runEntry(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	cmd := launcher.NewCommand(role)
+	cmd.SetArgs(args)
+	if err := cmd.ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
+
+// Guards against a broken promise under faults from outside the processes; the seeds are those of the CI run.
+func TestSoak(t *testing.T) {
+	program, err := os.Executable()
+	must.NoError(t, err)
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			r, err := soakbencher.Experiment(program, role).Run(t.Context(), bencher.Params{Seed: seed, Duration: 8 * time.Second})
+			must.NoError(t, err)
+			for _, row := range r.Rows {
+				t.Log(row)
+			}
+			must.NoError(t, r.Check())
+			must.Greater(t, 5, len(r.Rows))
+		})
+	}
+}
+
+// Guards against a soak that reports a pass although it could not start its processes.
+func TestSoakWithoutProgram(t *testing.T) {
+	_, err := soakbencher.Experiment("/nonexistent").Run(t.Context(), bencher.Params{Seed: 1})
+	must.Error(t, err)
+	_, err = soakbencher.Experiment("").Run(t.Context(), bencher.Params{Seed: 1})
+	must.Error(t, err)
+}
