forwarder: while stopping, serve what ends in time

Change: an entry that stops keeps its listener, serves requests whose route has answered within the time left, refuses the others at once with the time of its restart, and ends as soon as its streams have. An energy order of 30 ms is served to the end.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -82,8 +82,8 @@
 	Observe        func(Result)
 	// Probe asks an upstream for a sign of life, which needs no slot.
 	Probe func(context.Context, *registrar.Upstream, identifier.Upstream) error
-	// Live reports whether the entry takes new requests.
-	Live func() bool
+	// StopsAt returns when a planned stop of the entry began and by when its requests must have ended, or zero times.
+	StopsAt func() (began, deadline time.Time)
 
 	headers  Headers
 	hop      map[string]bool
@@ -100,6 +100,8 @@
 	bodies    atomic.Int64
 	maxBody   int64
 	active    atomic.Int64
+	streams   atomic.Int64
+	longest   longest
 	counters  counters
 }
 
@@ -160,7 +162,7 @@
 	f := &Forwarder{
 		Now: time.Now, Observe: func(Result) {},
 		Started: func(identifier.Service, *registrar.Upstream) {}, Ended: func(identifier.Service, *registrar.Upstream) {},
-		Live:    func() bool { return true },
+		StopsAt: func() (time.Time, time.Time) { return time.Time{}, time.Time{} },
 		ladders: selector.NewLadders(), log: slog.Default(), meter: meter.New(), rand: rand.Float64, maxBody: 16 << 20,
 	}
 	for _, o := range opts {
@@ -195,6 +197,8 @@
 	defer cancel()
 	var err error
 	if q.route.Kind == matcher.Stream {
+		f.streams.Add(1)
+		defer f.streams.Add(-1)
 		err = f.stream(ctx, w, q)
 	} else {
 		err = f.unary(ctx, w, q)
@@ -208,6 +212,7 @@
 // finish answers a request that failed, and records its end.
 func (f *Forwarder) finish(ctx context.Context, w http.ResponseWriter, q *request, err error) {
 	if err == nil {
+		f.longest.add(q.route.Name, f.Now().Sub(q.arrived))
 		f.counters.answered.Add(1)
 		f.record(q, "answered", nil)
 		return
@@ -229,6 +234,11 @@
 	f.refuse(w, q, x)
 }
 
+// Streams returns the number of streams in progress.
+func (f *Forwarder) Streams() int64 {
+	return f.streams.Load()
+}
+
 // Active returns the number of requests in progress.
 func (f *Forwarder) Active() int64 {
 	return f.active.Load()
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -10,8 +10,6 @@
 const (
 	// startRetry is the time after which an entry that has just started, or is out of memory, is worth asking again.
 	startRetry = 500 * time.Millisecond
-	// stopRetry is short because another entry serves the next attempt.
-	stopRetry = 50 * time.Millisecond
 	// fullRetry is the time after which a refused request finds the upstreams with other work.
 	fullRetry = 400 * time.Millisecond
 	// retrySpread spreads the returns of requests that were refused at the same time, as a part of the time.
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -63,9 +63,6 @@
 	q := &request{
 		id: r.Header.Get(f.headers.RequestID), arrived: now, method: r.Method, uri: r.RequestURI, host: r.Host,
 	}
-	if !f.Live() {
-		return q, &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: stopRetry, close: true}
-	}
 	q.table = f.Table()
 	if q.table == nil {
 		return q, &refusal{status: http.StatusServiceUnavailable, reason: "no-configuration", retryAfter: startRetry}
@@ -86,6 +83,9 @@
 		f.counters.invalid.Add(1)
 		return q, &refusal{status: http.StatusBadRequest, reason: "no-request-id"}
 	}
+	if x := f.stopRefusal(q.route, now); x != nil {
+		return q, x
+	}
 	q.deadline = now.Add(q.route.Timeout)
 	if v := r.Header.Get(f.headers.Deadline); v != "" {
 		ms, err := strconv.ParseFloat(v, 64)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -41,9 +41,10 @@
 	// retryBurst is the number of repeats that an entry saves up; extra repeats are shared by entries that do not know
 	// their number.
 	retryBurst = 6
-	// routedTime is how long the load balancer may send new connections after the entry says that it is not ready: it asks
-	// each second and needs two misses.
-	routedTime = 2500 * time.Millisecond
+	// stopCheck is the time between two looks at the requests of an entry that stops, closeTime what its listener is closed before
+	// the deadline.
+	stopCheck = 100 * time.Millisecond
+	closeTime = time.Second
 	// endTime is left of the shutdown time for the end of the process.
 	endTime = 400 * time.Millisecond
 	// contactMargin is what detecting a silent connection takes beyond the wait of a call: the answer time and a new connection.
@@ -92,7 +93,7 @@
 	upstreams *follower.Follower[registrar.Change]
 	operator  Duty
 	leaving   atomic.Bool
-	closed    atomic.Bool
+	stopping  atomic.Pointer[stopping]
 	ready     atomic.Bool
 }
 
@@ -139,7 +140,12 @@
 	r.forwarder.Pool = r.rollouts.pool
 	r.forwarder.Started, r.forwarder.Ended, r.forwarder.Observe = r.rollouts.started, r.rollouts.ended, r.rollouts.observe
 	r.forwarder.Probe = r.probe
-	r.forwarder.Live = func() bool { return !r.closed.Load() }
+	r.forwarder.StopsAt = func() (time.Time, time.Time) {
+		if x := r.stopping.Load(); x != nil {
+			return x.began, x.deadline
+		}
+		return time.Time{}, time.Time{}
+	}
 }
 
 // probe asks an upstream for its state.
@@ -236,14 +242,27 @@
 	return errors.Join(err, g.Wait())
 }
 
-// stop ends serving within the shutdown time.
+// stopping is a planned stop in progress.
+type stopping struct {
+	began, deadline time.Time
+}
+
+// stop ends serving within the shutdown time: the entry says that it is not ready, serves what it still gets until its streams
+// have ended, and then closes its listener.
 func (r *Runner) stop(callers *http.Server) error {
-	deadline := time.Now().Add(r.settings.Load().Shutdown - endTime)
+	now := time.Now()
+	x := &stopping{began: now, deadline: now.Add(r.settings.Load().Shutdown - endTime)}
+	r.stopping.Store(x)
 	r.leaving.Store(true)
-	r.log.Info("entry stops", "active", r.forwarder.Active(), "deadline", deadline)
-	time.Sleep(min(routedTime, r.settings.Load().Shutdown/2))
-	r.closed.Store(true)
-	last, cancel := context.WithDeadline(context.Background(), deadline)
+	r.log.Info("entry stops", "active", r.forwarder.Active(), "streams", r.forwarder.Streams(), "deadline", x.deadline)
+	for {
+		time.Sleep(stopCheck)
+		now := time.Now()
+		if now.After(x.deadline.Add(-closeTime)) || now.After(x.began.Add(forwarder.RoutedTime)) && r.forwarder.Streams() == 0 {
+			break
+		}
+	}
+	last, cancel := context.WithDeadline(context.Background(), x.deadline)
 	defer cancel()
 	err := callers.Shutdown(last)
 	if err != nil {
