forwarder: keep repeats for failed attempts, and set unreachable upstreams aside

Change: cascades leave six repeats and end after a failed attempt, an entry saves up 20; an attempt that was not sent takes none, and its upstream gets nothing for a second while others are left.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -74,8 +74,14 @@
 	for i := range q.attempts {
 		k.Exclude = append(k.Exclude, q.attempts[i].upstream)
 	}
+	tried := len(k.Exclude)
+	k.Exclude = f.silent.appendTo(k.Exclude, f.Now())
 	u, err := f.balancer.Choose(k)
-	if err != nil && len(k.Exclude) > 0 {
+	if err != nil && len(k.Exclude) > tried {
+		k.Exclude = k.Exclude[:tried]
+		u, err = f.balancer.Choose(k)
+	}
+	if err != nil && tried > 0 {
 		k.Exclude = nil
 		u, err = f.balancer.Choose(k)
 	}
@@ -131,6 +137,9 @@
 		}
 		var x *connector.Error
 		if errors.As(err, &x) && !x.Sent {
+			if ctx.Err() == nil {
+				f.silent.add(name, f.Now())
+			}
 			c.end(balancer.ResultFailure, "not-sent", false)
 			return nil, errors.Join(errNotRun, err)
 		}
@@ -234,9 +243,22 @@
 	c.f.Observe(Result{Service: c.q.service, Upstream: c.upstream, Route: c.q.route.Name, Failed: failed, First: c.first})
 }
 
-// again reports whether one more attempt is allowed; run is set if the last one may have run.
+// again reports whether one more attempt is allowed, and takes it from the budget; run is set if the last one may have run.
+// An attempt that did not reach its upstream costs nothing there, so the next one is the first.
 func (f *Forwarder) again(ctx context.Context, q *request, run bool) bool {
-	if ctx.Err() != nil || run && !q.route.Repeatable() {
+	if !f.left(ctx, q, run) {
+		return false
+	}
+	if q.attempts[len(q.attempts)-1].outcome != "not-sent" && !f.budgets.Of(q.service).Allow() {
+		f.counters.budgetExceeded.Add(1)
+		return false
+	}
+	return true
+}
+
+// left reports whether the request may be sent once more.
+func (f *Forwarder) left(ctx context.Context, q *request, run bool) bool {
+	if ctx.Err() != nil || run && !q.route.Repeatable() || len(q.attempts) == 0 {
 		return false
 	}
 	sent, notRun := 0, 0
@@ -250,14 +272,7 @@
 			sent++
 		}
 	}
-	if sent >= q.route.MaxAttempts || notRun >= maxNotRun || len(q.attempts) >= q.route.MaxAttempts+maxNotRun {
-		return false
-	}
-	if !f.budgets.Of(q.service).Allow() {
-		f.counters.budgetExceeded.Add(1)
-		return false
-	}
-	return true
+	return sent < q.route.MaxAttempts && notRun < maxNotRun && len(q.attempts) < q.route.MaxAttempts+maxNotRun
 }
 
 // parseConfidence reads a model's confidence in its answer, from 0 to 100.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -102,6 +102,7 @@
 	active    atomic.Int64
 	streams   atomic.Int64
 	longest   longest
+	silent    silentList
 	counters  counters
 }
 
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -55,6 +55,22 @@
 // errCaller is returned when the caller's connection failed.
 var errCaller = errors.New("forwarder: caller's connection failed")
 
+// spareRepeats is the number of repeats that cascades leave for attempts that fail.
+const spareRepeats = 6
+
+// failures returns the number of attempts that may have run and brought no response.
+func (q *request) failures() int {
+	n := 0
+	for i := range q.attempts {
+		switch q.attempts[i].outcome {
+		case "", "not-sent", "not-run", "escalated":
+		default:
+			n++
+		}
+	}
+	return n
+}
+
 func (f *Forwarder) ladder(q *request) *selector.Ladder {
 	return f.ladders.Of(q.route.Name, len(q.route.Models))
 }
@@ -85,7 +101,8 @@
 	if confidence < 0 || l.Accept(step, confidence, q.rank, q.pressure, q.size) {
 		return 0, false
 	}
-	if !f.again(ctx, q, true) {
+	// After a failed attempt, or without repeats to spare, an answer at hand is worth more than a better one.
+	if q.failures() > 0 || !f.left(ctx, q, true) || !f.budgets.Of(q.service).AllowSpare(spareRepeats) {
 		return 0, false
 	}
 	f.counters.escalated.Add(1)
--- a/forwarder/stream_test.go
+++ b/forwarder/stream_test.go
@@ -167,6 +167,13 @@
 			}
 			fmt.Fprintf(w, "id: 1\ndata: %s\n\n", r.Header.Get("Model"))
 		})
+		for i := range 10 {
+			// Repeats that cascades may use come from requests before.
+			must.EqOp(t, 200, b.send("/repeat/", "Id", fmt.Sprint(i)).status)
+		}
+		b.mu.Lock()
+		b.seen = nil
+		b.mu.Unlock()
 		x := b.send("/cascade/", "Model", "*")
 		must.EqOp(t, 200, x.status)
 		var asked []string
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -115,6 +115,7 @@
 		return false
 	}
 	s.deadUntil = f.Now().Add(silentTime)
+	f.silent.add(name, f.Now())
 	f.counters.silent.Add(1)
 	f.log.Warn("upstream is silent", "upstream", name, "silent", f.Now().Sub(time.Unix(0, s.at.Load())), "error", err.Error())
 	return true
--- a/launcher/command.go
+++ b/launcher/command.go
@@ -30,7 +30,7 @@
 		Short: "Run an entry in front of upstreams without agents",
 		Long: "Run an entry until SIGTERM or SIGINT; it then is not ready, finishes the requests in progress within the shutdown\n" +
 			"time of the settings, and exits with status 0. SIGHUP reads the settings again.",
-		Example:       "  " + name + " --settings entry.yaml",
+		Example:       "  siskinfront " + name + " --settings entry.yaml",
 		Args:          cobra.NoArgs,
 		SilenceUsage:  true,
 		SilenceErrors: true,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -38,9 +38,9 @@
 	// retryShare is the part of the ratio of repeats that is used, so that a window that cuts off the requests but not
 	// their repeats stays within the bound.
 	retryShare = 0.8
-	// retryBurst is the number of repeats that an entry saves up; extra repeats are shared by entries that do not know
-	// their number.
-	retryBurst = 6
+	// retryBurst is the number of repeats that an entry saves up from its requests: the streams of a crashed engine at one
+	// entry. The part of the ratio that is not used covers the bursts of all entries.
+	retryBurst = 20
 	// stopCheck is the time between two looks at the requests of an entry that stops, closeTime what its listener is closed before
 	// the deadline.
 	stopCheck = 100 * time.Millisecond
