--- a/launcher/command.go
+++ b/launcher/command.go
@@ -75,6 +75,7 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
 	r := runner.New(s, platform.New(s.Store), log)
+	r.Register("log", w.Counters)
 	reloading, stopReloading := context.WithCancel(ctx)
 	defer stopReloading()
 	reloaded := make(chan error, 1)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -127,6 +127,11 @@
 	return r
 }
 
+// Register adds the counters of a part to the metrics, before Run.
+func (r *Runner) Register(name string, counters func() map[string]int64) {
+	r.meter.Register(name, counters)
+}
+
 func (r *Runner) buildForwarder() {
 	s := r.settings.Load()
 	budgets := &forwarder.Budgets{New: func() *limiter.Budget {
