entryserver, decoder, administrator: three habits of HTTP

Cause: a wrong method on a known path was answered 404; a body of 64 MiB got its 413 and then a reset while the client still sent; the administration listener told strangers which paths exist. Change: 405 with Allow, up to 64 MiB are dropped after a refusal, the key is checked before an unknown path.

--- a/administrator/server.go
+++ b/administrator/server.go
@@ -54,9 +54,10 @@
 	for _, r := range s.routes() {
 		s.mux.HandleFunc(r.Method+" "+r.Path, s.handle(r))
 	}
-	s.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		s.writeError(w, r, fail(http.StatusNotFound, "not-found", "there is no %s %s", r.Method, r.URL.Path))
-	})
+	// The key comes first, so that the answer does not tell a stranger which paths exist.
+	s.mux.HandleFunc("/", s.handle(Route{Role: configurer.RoleViewer, handler: func(c *call) (reply, error) {
+		return reply{}, fail(http.StatusNotFound, "not-found", "there is no %s %s", c.Method, c.URL.Path)
+	}}))
 	return s
 }
 
--- a/administrator/server_test.go
+++ b/administrator/server_test.go
@@ -161,6 +161,7 @@
 		"unknown version":   {"operator", "POST", "models/finch/versions/v9/pause", "tag", "", 404, "not-found"},
 		"unknown account":   {"operator", "GET", "client-accounts/nobody", "", "", 404, "not-found"},
 		"unknown path":      {"operator", "GET", "weather", "", "", 404, "not-found"},
+		"unknown both":      {"stranger", "GET", "weather", "", "", 401, "invalid-key"},
 		"unknown revision":  {"operator", "GET", "configuration/diff?from=0&to=9", "", "", 404, "unknown-revision"},
 		"nothing to undo":   {"operator", "POST", "configuration/undo", "tag", "", 409, "nothing-to-undo"},
 		"large body":        {"operator", "PUT", "spend", "tag", strings.Repeat(" ", 9<<20), 413, "body-too-large"},
--- a/decoder/request.go
+++ b/decoder/request.go
@@ -146,11 +146,16 @@
 	return 0
 }
 
+// maxDropped bounds the bytes of a body that are read and dropped after a refusal.
+const maxDropped = 64 << 20
+
 // ReadBody reads a body of at most MaxBody bytes.
 func ReadBody(r *http.Request) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, MaxBody))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
+		// Some client libraries see a reset instead of the refusal while they still send. An error only ends that earlier.
+		_, _ = io.CopyN(io.Discard, r.Body, maxDropped)
 		return nil, &Error{
 			Status: http.StatusRequestEntityTooLarge, Code: "body-too-large", Type: TypeInvalidRequest,
 			Message: fmt.Sprintf("the body exceeds %d bytes", MaxBody),
--- a/entryserver/server.go
+++ b/entryserver/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -120,13 +121,29 @@
 	s.mux.HandleFunc("GET /v1/models", s.handle(s.models))
 	s.mux.HandleFunc("GET /v1/models/{model}", s.handle(s.model))
 	s.mux.HandleFunc("/services/{name}/{path...}", s.handle(s.service))
-	s.mux.HandleFunc("/", s.handle(func(http.ResponseWriter, *http.Request, identifier.Request) error {
+	s.mux.HandleFunc("/", s.handle(s.unknown))
+	return s
+}
+
+// unknown refuses a path that does not exist, or one whose method does not.
+func (s *Server) unknown(w http.ResponseWriter, r *http.Request, _ identifier.Request) error {
+	var allowed []string
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		other := &http.Request{Method: method, URL: r.URL, Host: r.Host}
+		if _, pattern := s.mux.Handler(other); pattern != "/" {
+			allowed = append(allowed, method)
+		}
+	}
+	if len(allowed) > 0 {
+		w.Header().Set("Allow", strings.Join(allowed, ", "))
 		return &decoder.Error{
-			Status: http.StatusNotFound, Code: "unknown-path", Type: decoder.TypeInvalidRequest,
-			Message: "the path or its method does not exist",
+			Status: http.StatusMethodNotAllowed, Code: "method-not-allowed", Type: decoder.TypeInvalidRequest,
+			Message: "the path does not have the method " + r.Method,
 		}
-	}))
-	return s
+	}
+	return &decoder.Error{
+		Status: http.StatusNotFound, Code: "unknown-path", Type: decoder.TypeInvalidRequest, Message: "the path does not exist",
+	}
 }
 
 // ServeHTTP serves the caller API.
--- a/entryserver/server_test.go
+++ b/entryserver/server_test.go
@@ -64,6 +64,19 @@
 	})
 }
 
+// Guards against a wrong method on a known path that looks like an unknown path.
+func TestMethodNotAllowed(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		for path, allow := range map[string]string{"/v1/chat/completions": "POST", "/v1/models": "GET", "/v1/models/finch": "GET"} {
+			r, err := b.call(t.Context(), 0, http.MethodDelete, path, "")
+			must.NoError(t, err)
+			must.EqOp(t, 405, r.status, must.Sprint(path))
+			must.EqOp(t, allow, r.header.Get("Allow"), must.Sprint(path))
+			must.StrContains(t, r.body, `"code":"method-not-allowed"`)
+		}
+	})
+}
+
 // Guards against an incomplete response that is presented as complete, a double run or a lost bill when an upstream fails
 // at each stage, and against outcomes that are not true.
 func TestUpstreamFailures(t *testing.T) {
