--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -14,8 +14,9 @@
 	RoutedTime = 2500 * time.Millisecond
 	// stopMargin is left between the expected end of a request and the end of the entry.
 	stopMargin = time.Second
-	// restartTime is what an entry needs to serve again after its end.
-	restartTime = 1500 * time.Millisecond
+	// stopRetry is the time after which a request that this entry refuses is worth sending again: callers reach another entry
+	// then, which may have to take over the work of this one.
+	stopRetry = 300 * time.Millisecond
 	// longestDecay is the part of the longest time that is kept with each shorter one, so that it fades in some 200 requests.
 	longestDecay = 0.995
 )
@@ -44,7 +45,7 @@
 }
 
 // stopRefusal refuses a request that would not end before a planned stop, or returns nil. While the load balancer knows no
-// other entry it still sends connections, so that requests which end in time are served until then: when entries are stopped
+// other entry it still sends connections, so that requests which end in time are served until the deadline: when entries are stopped
 // one after the other faster than they end, all of them may be stopping.
 func (f *Forwarder) stopRefusal(r *matcher.Route, now time.Time) *refusal {
 	began, deadline := f.StopsAt()
@@ -59,7 +60,5 @@
 	if left > stopMargin && took < left-stopMargin {
 		return nil
 	}
-	return &refusal{
-		status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: max(left, 0) + restartTime, close: true,
-	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: stopRetry, close: true}
 }
