follower: gather changes, and tell refusals beyond the rate from an outage

Change: 0.2 s after changes the next call waits; 429 counts as an outage after one second. Headers beyond the limit of the configuration get 431.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
+
+	"github.com/siskinfront/siskinfront/storer"
 )
 
 // ErrHistoryLost is returned by Changes when the requested history is no longer available.
@@ -19,6 +21,11 @@
 	answerTime = 500 * time.Millisecond
 	// readTime bounds one read of the whole table.
 	readTime = time.Second
+	// settleTime is the pause after changes, in which further ones gather. Without it each change of 3,000 upstreams takes a call
+	// of each of 300 entries, and the store refused calls beyond its rate.
+	settleTime = 200 * time.Millisecond
+	// busyTime is how long a store that refuses calls beyond its rate counts as reachable.
+	busyTime = time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call, which doubles; the store takes some 2,000 reads a second.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
@@ -48,11 +55,13 @@
 	Wait time.Duration
 	Now  func() time.Time
 
-	version                       atomic.Uint64
-	confirmedAt                   atomic.Int64
-	reads, calls, failures, stale atomic.Int64
-	out                           bool
-	outSince                      time.Time
+	version                             atomic.Uint64
+	confirmedAt                         atomic.Int64
+	reads, calls, failures, stale, busy atomic.Int64
+	out                                 bool
+	// settle is set if the last call brought changes.
+	settle   bool
+	outSince time.Time
 }
 
 // New returns a follower of a source.
@@ -64,12 +73,22 @@
 func (f *Follower[T]) Run(ctx context.Context) error {
 	backoff := minBackoff
 	whole := true
+	// busySince is when the store began to refuse calls beyond its rate.
+	var busySince time.Time
 	for ctx.Err() == nil {
 		err := f.step(ctx, whole)
 		switch {
 		case err == nil:
-			whole, backoff = false, minBackoff
+			whole, backoff, busySince = false, minBackoff, time.Time{}
+			if f.settle {
+				f.pause(ctx, settleTime)
+			}
 			continue
+		case errors.Is(err, storer.ErrRateLimited) && (busySince.IsZero() || f.Now().Sub(busySince) < busyTime):
+			if busySince.IsZero() {
+				busySince = f.Now()
+			}
+			f.busy.Add(1)
 		case errors.Is(err, ErrHistoryLost):
 			f.Log.Info("history of the store is gone, reading all", "table", f.Name, "version", f.version.Load())
 			whole = true
@@ -80,17 +99,21 @@
 		case ctx.Err() == nil:
 			f.lost(err)
 		}
-		pause := time.NewTimer(backoff/2 + rand.N(backoff/2))
-		select {
-		case <-ctx.Done():
-		case <-pause.C:
-		}
-		pause.Stop()
+		f.pause(ctx, backoff/2+rand.N(backoff/2))
 		backoff = min(2*backoff, maxBackoff)
 	}
 	return nil
 }
 
+func (f *Follower[T]) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // errStale is returned for a reply that is older than one before.
 var errStale = errors.New("follower: reply is older than one before")
 
@@ -128,6 +151,7 @@
 		f.Log.Info("store regained", "table", f.Name, "version", version, "out", f.Now().Sub(f.outSince))
 		f.Regained()
 	}
+	f.settle = len(rows) > 0 && !whole
 	if whole || len(rows) > 0 {
 		f.Apply(rows, whole)
 	}
@@ -160,5 +184,6 @@
 func (f *Follower[T]) Counters() map[string]int64 {
 	return map[string]int64{
 		"reads": f.reads.Load(), "calls": f.calls.Load(), "failures": f.failures.Load(), "stale-replies": f.stale.Load(),
+		"calls-over-rate": f.busy.Load(),
 	}
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/siskinfront/siskinfront/follower"
+	"github.com/siskinfront/siskinfront/storer"
 )
 
 // store is a table whose rows are the versions that wrote them.
@@ -172,3 +173,33 @@
 		must.EqOp(t, 6, b.last())
 	})
 }
+
+// Guards against one call for each of many changes: 300 entries that follow 3,000 upstreams passed the rate of the store.
+func TestChangesGather(t *testing.T) {
+	run(t, func(b *bed) {
+		time.Sleep(100 * time.Millisecond)
+		for range 200 {
+			b.write()
+			time.Sleep(10 * time.Millisecond)
+		}
+		must.LessEq(t, 15, b.Counters()["calls"])
+		time.Sleep(300 * time.Millisecond)
+		must.EqOp(t, 205, b.last())
+	})
+}
+
+// Guards against a store that is taken for lost because it refuses some calls beyond its rate, and one that refuses all of
+// them and is not.
+func TestRateLimited(t *testing.T) {
+	run(t, func(b *bed) {
+		time.Sleep(100 * time.Millisecond)
+		b.set(func(s *store) { s.err = storer.ErrRateLimited })
+		time.Sleep(500 * time.Millisecond)
+		b.set(func(s *store) { s.err = nil })
+		time.Sleep(3 * time.Second)
+		must.EqOp(t, 0, b.lost.Load())
+		b.set(func(s *store) { s.err = storer.ErrRateLimited })
+		time.Sleep(5 * time.Second)
+		must.EqOp(t, 1, b.lost.Load())
+	})
+}
--- a/forwarder/bed_test.go
+++ b/forwarder/bed_test.go
@@ -58,7 +58,7 @@
 func newBed(t *testing.T, upstreams int, a answer, opts ...matcher.Option) *bed {
 	t.Helper()
 	b := &bed{t: t, upstreams: map[identifier.Upstream]*registrar.Upstream{}}
-	b.table = matcher.NewTable(1, matcher.Limits{BodyBytes: 1000}, append(defaultRoutes(), opts...)...)
+	b.table = matcher.NewTable(1, matcher.Limits{BodyBytes: 1000, HeaderBytes: 2000}, append(defaultRoutes(), opts...)...)
 	choice := balancer.New("dc")
 	var list []balancer.Upstream
 	for i := range upstreams {
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -67,6 +67,10 @@
 	if q.table == nil {
 		return q, &refusal{status: http.StatusServiceUnavailable, reason: "no-configuration", retryAfter: startRetry}
 	}
+	if limit := q.table.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
+		f.counters.invalid.Add(1)
+		return q, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "headers-too-large", close: true}
+	}
 	if !strings.HasPrefix(q.uri, "/") {
 		q.uri = r.URL.RequestURI()
 	}
@@ -104,6 +108,17 @@
 	return q, nil
 }
 
+// headerBytes returns the size of the request line and the headers as they are sent.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n") + len("Host: \r\n") + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(": \r\n") + len(v)
+		}
+	}
+	return n
+}
+
 // authenticate finds the client account of the request's key.
 func (f *Forwarder) authenticate(q *request, r *http.Request) *refusal {
 	if q.route.Public || !q.table.HasAccounts() {
--- a/forwarder/unary_test.go
+++ b/forwarder/unary_test.go
@@ -63,6 +63,7 @@
 		{"no key", "/once/", []string{"Authorization", ""}, 401},
 		{"other scheme", "/once/", []string{"Authorization", "Basic key"}, 401},
 		{"public without key", "/public/", []string{"Authorization", ""}, 200},
+		{"large headers", "/once/", []string{"Large", strings.Repeat("x", 2000)}, 431},
 		{"no id", "/once/", []string{"Id", ""}, 400},
 		{"bad deadline", "/once/", []string{"Deadline-Ms", "soon"}, 400},
 		{"negative deadline", "/once/", []string{"Deadline-Ms", "-5"}, 400},
