agentserver: bill a run whose response was never seen

Change: a run that was handed to the engine and ends with the outcome unknown at its deadline or by a cancel is billed without tokens. Result: TestEngineFailures/stalled_before_its_response fails without the change and passes with it; ./agentserver and ./assembler pass.

--- a/agentserver/execute.go
+++ b/agentserver/execute.go
@@ -155,6 +155,10 @@
 	}
 	if ctx.Err() != nil {
 		f := s.interrupted(ctx, r)
+		if f.Outcome == streamer.OutcomeUnknown {
+			// The upstream may have begun, so the run is billed without the tokens that nobody saw.
+			s.addBill(r, nil, false)
+		}
 		return nil, &f, nil //nolint:nilerr // the final frame carries the failure
 	}
 	return nil, &streamer.Frame{ //nolint:nilerr // the final frame carries the failure
--- a/agentserver/server_test.go
+++ b/agentserver/server_test.go
@@ -226,6 +226,13 @@
 		{"cut mid-stream", func(b *bed) {
 			b.engine.Cut = func(_ identifier.Request, token int) bool { return token == 5 }
 		}, "engine-ended-early", streamer.OutcomeRun, 5},
+		// Seen once with an agent that was frozen until the deadline: the engine had begun, and nobody billed the run.
+		{"stalled before its response", func(b *bed) {
+			b.engine.Fail = func(identifier.Request) int {
+				time.Sleep(time.Hour)
+				return 0
+			}
+		}, "deadline-passed", streamer.OutcomeUnknown, 0},
 		{"stalled", func(b *bed) {
 			b.engine.Stall = func(_ identifier.Request, token int) bool { return token == 5 }
 		}, "deadline-passed", streamer.OutcomeRun, 5},
@@ -233,6 +240,8 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			run(t, func(t *testing.T, b *bed) {
+				// The engine of one case answers only after the checks.
+				defer time.Sleep(2 * time.Hour)
 				tc.induce(b)
 				f, _ := finish(t, b.open(t, order("r-1")))
 				must.Eq(t, tc.code, f.Code)
