forwarder: name the outcomes of attempts, one hash for the split

Cause: outcomes were texts in six files, a second copy of the finalizer of splitmix64 stood beside that of balancer, and the value that leaves the model open was the platform's.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -28,13 +28,29 @@
 	maxNotRun = 3
 )
 
+// outcome is how an attempt ended.
+type outcome string
+
+// The outcomes of attempts; a lost one has the reason appended.
+const (
+	outcomeComplete  outcome = "complete"
+	outcomeEscalated outcome = "escalated"
+	outcomeFailed    outcome = "failed"
+	outcomeLost      outcome = "lost: "
+	outcomeSilent    outcome = "silent"
+	outcomeSpoiled   outcome = "spoiled"
+	outcomeNotRun    outcome = "not-run"
+	outcomeNotSent   outcome = "not-sent"
+	outcomeCanceled  outcome = "canceled"
+)
+
 // attempt is one send of a request, kept for the log.
 type attempt struct {
 	upstream identifier.Upstream
 	model    identifier.Model
 	at       time.Time
 	age      time.Duration
-	outcome  string
+	outcome  outcome
 	status   int
 	// confidence is that of the model in its answer, from 0 to 100, or -1.
 	confidence int
@@ -51,7 +67,6 @@
 	q        *request
 	upstream *registrar.Upstream
 	name     identifier.Upstream
-	pool     identifier.Service
 	begin    time.Time
 	first    time.Duration
 	response *connector.Response
@@ -68,7 +83,7 @@
 )
 
 // choose picks an upstream that was not tried before; once all were, it picks one again.
-func (f *Forwarder) choose(q *request) (*registrar.Upstream, identifier.Upstream, identifier.Service, error) {
+func (f *Forwarder) choose(q *request) (*registrar.Upstream, identifier.Upstream, error) {
 	pool := f.Pool(q.service, q.session)
 	k := balancer.Key{Service: pool, Prefix: q.prefix, Rank: q.rank}
 	for i := range q.attempts {
@@ -86,24 +101,24 @@
 		u, err = f.balancer.Choose(k)
 	}
 	if err != nil {
-		return nil, "", pool, fmt.Errorf("forwarder: choose for %s: %w", pool, err)
+		return nil, "", fmt.Errorf("forwarder: choose for %s: %w", pool, err)
 	}
 	x := f.Upstream(u.Name)
 	if x == nil {
-		return nil, "", pool, fmt.Errorf("forwarder: %s has left: %w", u.Name, balancer.ErrNoUpstream)
+		return nil, "", fmt.Errorf("forwarder: %s has left: %w", u.Name, balancer.ErrNoUpstream)
 	}
-	return x, u.Name, pool, nil
+	return x, u.Name, nil
 }
 
 // send makes one attempt and returns the call with the head of its response. Errors are errNotRun if the request did not run
 // there; any other error leaves that open unless it is a *connector.Error with Sent unset.
 func (f *Forwarder) send(ctx context.Context, q *request, model identifier.Model, urgency int) (*call, error) {
-	u, name, pool, err := f.choose(q)
+	u, name, err := f.choose(q)
 	if err != nil {
 		return nil, err
 	}
 	now := f.Now()
-	c := &call{f: f, q: q, upstream: u, name: name, pool: pool, begin: now, index: len(q.attempts)}
+	c := &call{f: f, q: q, upstream: u, name: name, begin: now, index: len(q.attempts)}
 	q.attempts = append(q.attempts, attempt{upstream: name, model: model, at: now, confidence: -1})
 	f.counters.attempts.Add(1)
 	f.balancer.Begin(name)
@@ -140,7 +155,7 @@
 			if ctx.Err() == nil {
 				f.silent.add(name, f.Now())
 			}
-			c.end(balancer.ResultFailure, "not-sent", false)
+			c.end(balancer.ResultFailure, outcomeNotSent, false)
 			return nil, errors.Join(errNotRun, err)
 		}
 		q.mayHaveRun = true
@@ -165,7 +180,7 @@
 	if w.StatusCode == http.StatusMisdirectedRequest || w.Header.Get(f.headers.NotRun) != "" {
 		f.counters.notRun.Add(1)
 		c.drain()
-		c.end(balancer.ResultRefused, "not-run", false)
+		c.end(balancer.ResultRefused, outcomeNotRun, false)
 		return errNotRun
 	}
 	c.q.mayHaveRun = true
@@ -173,7 +188,7 @@
 		w.Header.Get("Content-Encoding") == ""
 	if !stamped && w.StatusCode < http.StatusMultipleChoices {
 		f.counters.spoiled.Add(1)
-		c.end(balancer.ResultFailure, "spoiled", true)
+		c.end(balancer.ResultFailure, outcomeSpoiled, true)
 		return fmt.Errorf("%w: status %d at %s", errSpoiled, w.StatusCode, c.name)
 	}
 	return nil
@@ -214,17 +229,17 @@
 	switch {
 	case c.watch.fired.Load():
 		c.f.counters.rescued.Add(1)
-		c.end(balancer.ResultFailure, "silent", true)
+		c.end(balancer.ResultFailure, outcomeSilent, true)
 	case ctx.Err() != nil:
-		c.end(balancer.ResultCanceled, "canceled", false)
+		c.end(balancer.ResultCanceled, outcomeCanceled, false)
 	default:
 		c.f.counters.lost.Add(1)
-		c.end(balancer.ResultFailure, "lost: "+err.Error(), true)
+		c.end(balancer.ResultFailure, outcomeLost+outcome(err.Error()), true)
 	}
 }
 
 // end records the end of an attempt once and gives its connection back. failed is set if it counts against the version.
-func (c *call) end(r balancer.Result, outcome string, failed bool) {
+func (c *call) end(r balancer.Result, o outcome, failed bool) {
 	if c.ended {
 		return
 	}
@@ -236,8 +251,8 @@
 	c.f.balancer.End(c.name, r)
 	c.f.Ended(c.q.service, c.upstream)
 	a := &c.q.attempts[c.index]
-	a.outcome, a.age = outcome, c.f.Now().Sub(c.begin)
-	if outcome == "canceled" || outcome == "not-run" || outcome == "not-sent" {
+	a.outcome, a.age = o, c.f.Now().Sub(c.begin)
+	if o == outcomeCanceled || o == outcomeNotRun || o == outcomeNotSent {
 		return
 	}
 	c.f.Observe(Result{Service: c.q.service, Upstream: c.upstream, Route: c.q.route.Name, Failed: failed, First: c.first})
@@ -249,7 +264,7 @@
 	if !f.left(ctx, q, run) {
 		return false
 	}
-	if q.attempts[len(q.attempts)-1].outcome != "not-sent" && !f.budgets.Of(q.service).Allow() {
+	if q.attempts[len(q.attempts)-1].outcome != outcomeNotSent && !f.budgets.Of(q.service).Allow() {
 		f.counters.budgetExceeded.Add(1)
 		return false
 	}
@@ -264,8 +279,8 @@
 	sent, notRun := 0, 0
 	for i := range q.attempts {
 		switch q.attempts[i].outcome {
-		case "not-sent":
-		case "not-run":
+		case outcomeNotSent:
+		case outcomeNotRun:
 			notRun++
 			sent++
 		default:
--- a/forwarder/bed_test.go
+++ b/forwarder/bed_test.go
@@ -26,7 +26,7 @@
 var headers = forwarder.Headers{
 	RequestID: "Id", Deadline: "Deadline-Ms", Account: "Account", ExpectUpstream: "Expect-Upstream", Urgency: "Urgency",
 	Model: "Model", Tokens: "Tokens", Prefix: "Prompt", Session: "Session", LastEventID: "Last-Event-Id", Stamp: "Stamp", NotRun: "Not-Run",
-	Confidence: "Confidence", Load: "Load", Reserved: []string{"Hold"},
+	Confidence: "Confidence", Load: "Load", AnyModel: "*", Reserved: []string{"Hold"},
 }
 
 // seen is a request as an upstream got it.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -26,13 +26,12 @@
 	RequestID, Deadline, Account, ExpectUpstream, Urgency, Model, Tokens, Prefix, Session, LastEventID string
 	// Stamp marks a response as that of an upstream, NotRun one that says that the request did not run.
 	Stamp, NotRun, Confidence, Load string
+	// AnyModel is what a caller sends as the model to leave the choice to the system.
+	AnyModel string
 	// Reserved lists headers that only the system sets.
 	Reserved []string
 }
 
-// AnyModel is what a caller sends as the model to leave the choice to the system.
-const AnyModel = "*"
-
 // Budgets gives the retry budget of each service.
 type Budgets struct {
 	New func() *limiter.Budget
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -32,7 +32,7 @@
 		attrs = append(attrs, slog.Group("attempt-"+strconv.Itoa(i+1), slog.String("upstream", string(a.upstream)),
 			slog.String("model", string(a.model)), slog.Duration("after", a.at.Sub(q.arrived)), slog.Duration("took", a.age),
 			slog.Duration("first", a.first), slog.Duration("pause", a.pause), slog.Int("status", a.status), slog.Int("confidence", a.confidence),
-			slog.Int("running", a.running), slog.Int("waiting", a.waiting), slog.String("outcome", a.outcome)))
+			slog.Int("running", a.running), slog.Int("waiting", a.waiting), slog.String("outcome", string(a.outcome))))
 	}
 	if cause != nil {
 		attrs = append(attrs, slog.String("error", cause.Error()))
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -200,13 +200,15 @@
 	if q.route.Sticky {
 		f.describePrompt(q)
 	}
-	q.service = q.route.Service(float64(mixed(q.session)>>11) / (1 << 53))
+	// A hash of its own keeps the split of a route independent of that of a roll-out.
+	split := xxhash.Sum64String("split/" + strconv.FormatUint(q.session, 16))
+	q.service = q.route.Service(float64(split>>11) / (1 << 53))
 	if v := h.Get(f.headers.LastEventID); v != "" {
 		if n, err := strconv.ParseInt(v, 10, 64); err == nil {
 			q.lastEvent, q.hasLastEvent = n, true
 		}
 	}
-	q.anyModel = len(q.route.Models) > 0 && h.Get(f.headers.Model) == AnyModel
+	q.anyModel = len(q.route.Models) > 0 && h.Get(f.headers.Model) == f.headers.AnyModel
 }
 
 // describePrompt takes the size and the shared part of the prompt: the last part belongs to the session or the request, the
@@ -225,11 +227,3 @@
 		q.prefix = xxhash.Sum64String(strings.TrimSpace(name))
 	}
 }
-
-// mixed is the finalizer of splitmix64; a hash of its own keeps the split of a route independent of that of a roll-out.
-func mixed(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -63,7 +63,7 @@
 	n := 0
 	for i := range q.attempts {
 		switch q.attempts[i].outcome {
-		case "", "not-sent", "not-run", "escalated":
+		case "", outcomeNotSent, outcomeNotRun, outcomeEscalated:
 		default:
 			n++
 		}
@@ -106,7 +106,7 @@
 		return 0, false
 	}
 	f.counters.escalated.Add(1)
-	c.end(balancer.ResultSuccess, "escalated", false)
+	c.end(balancer.ResultSuccess, outcomeEscalated, false)
 	return l.Next(step), true
 }
 
@@ -121,7 +121,7 @@
 	for {
 		b, err := events.Next()
 		if errors.Is(err, io.EOF) && q.begun {
-			c.end(balancer.ResultSuccess, "complete", false)
+			c.end(balancer.ResultSuccess, outcomeComplete, false)
 			return nil
 		}
 		if err != nil {
@@ -137,7 +137,7 @@
 			err = control.Flush()
 		}
 		if err != nil {
-			c.end(balancer.ResultCanceled, "canceled", false)
+			c.end(balancer.ResultCanceled, outcomeCanceled, false)
 			return errors.Join(errCaller, err)
 		}
 		if events.HasID {
@@ -173,7 +173,7 @@
 	if buf, whole, err := readUpTo(resp, maxBuffered); err == nil && whole && !q.begun {
 		q.failed = &answer{resp.StatusCode, f.responseHeader(c), buf}
 	}
-	c.end(balancer.ResultFailure, "failed", true)
+	c.end(balancer.ResultFailure, outcomeFailed, true)
 	return fmt.Errorf("%w: status %d at %s", errUpstream, resp.StatusCode, c.name)
 }
 
--- a/forwarder/unary.go
+++ b/forwarder/unary.go
@@ -68,7 +68,7 @@
 	if failed && whole && f.mayRepeat(q, c.index) {
 		f.counters.upstreamErrors.Add(1)
 		q.failed = &answer{resp.StatusCode, f.responseHeader(c), buf}
-		c.end(balancer.ResultFailure, "failed", true)
+		c.end(balancer.ResultFailure, outcomeFailed, true)
 		return fmt.Errorf("%w: status %d at %s", errUpstream, resp.StatusCode, c.name)
 	}
 	maps.Copy(w.Header(), f.responseHeader(c))
@@ -92,7 +92,7 @@
 		result = balancer.ResultFailure
 	}
 	f.observe(q)
-	c.end(result, "complete", failed)
+	c.end(result, outcomeComplete, failed)
 	return nil
 }
 
--- a/launcher/command.go
+++ b/launcher/command.go
@@ -48,7 +48,7 @@
 	if file == "" {
 		file = os.Getenv(BootVariable)
 	}
-	data, err := os.ReadFile(filepath.Clean(file))
+	data, err := os.ReadFile(filepath.Clean(file)) //nolint:gosec // The operator names the file.
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
--- a/soakbencher/caller.go
+++ b/soakbencher/caller.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -82,7 +83,7 @@
 	names := platform.Headers()
 	h := http.Header{}
 	h.Set(names.RequestID, c.id)
-	h.Set(names.Deadline, fmt.Sprint(callerDeadline.Milliseconds()))
+	h.Set(names.Deadline, strconv.FormatInt(callerDeadline.Milliseconds(), 10))
 	h.Set("Authorization", "Bearer key-of-"+c.account)
 	if c.kind == standin.Stream {
 		h.Set(names.Prefix, "a1:100,b"+c.session+":20")
@@ -133,10 +134,11 @@
 	}
 	want := standin.Body(c.id)
 	if c.kind == standin.Stream {
-		want = ""
+		var all strings.Builder
 		for n := 1; n <= standin.Events(c.id); n++ {
-			want += standin.Event(c.id, n)
+			all.WriteString(standin.Event(c.id, n))
 		}
+		want = all.String()
 	}
 	own := id == c.id && strings.HasSuffix(stamp, "."+c.id) && strings.HasPrefix(want, got) && (!c.whole || got == want)
 	s.check(promiseOwnAnswer, own, "%s: status %d, whole %v, id %q, stamp %q, %d of %d bytes: %q", c.id, c.status, c.whole, id, stamp,
--- a/soakbencher/process.go
+++ b/soakbencher/process.go
@@ -53,7 +53,7 @@
 		name: name, program: program, args: args, file: filepath.Join(dir, name+".yaml"), store: store,
 		host: fmt.Sprintf("127.%d.%d.%d", 64+pid%128, pid/128%250, n%250+1),
 	}
-	log, err := os.Create(filepath.Join(dir, name+".log"))
+	log, err := os.Create(filepath.Join(dir, name+".log")) //nolint:gosec // The directory is that of the run.
 	if err != nil {
 		return nil, fmt.Errorf("soakbencher: log of %s: %w", name, err)
 	}
--- a/soakbencher/soak.go
+++ b/soakbencher/soak.go
@@ -182,6 +182,11 @@
 			return err
 		}
 	}
+	return s.awaitReady(ctx)
+}
+
+// awaitReady waits until every entry is ready.
+func (s *soak) awaitReady(ctx context.Context) error {
 	deadline := time.Now().Add(readyTime)
 	for _, e := range s.entries {
 		for !e.isReady(ctx, platform.ReadyPath()) {
