--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -264,7 +264,7 @@
 	if !f.left(ctx, q, run) {
 		return false
 	}
-	if q.attempts[len(q.attempts)-1].outcome != outcomeNotSent && !f.budgets.Of(q.service).Allow() {
+	if q.attempts[len(q.attempts)-1].outcome != outcomeNotSent && !f.budgets.Of(q.service).Repeats.Allow() {
 		f.counters.budgetExceeded.Add(1)
 		return false
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -32,20 +32,33 @@
 	Reserved []string
 }
 
-// Budgets gives the retry budget of each service.
+// Budget bounds what is sent beyond the first attempt of each request of a service.
+type Budget struct {
+	// Repeats is for attempts that failed, Cascades for answers of a larger model. They are apart so that cascades leave
+	// repeats for failures, also at an entry with few requests.
+	Repeats, Cascades *limiter.Budget
+}
+
+// first notes the first attempt of a request.
+func (b *Budget) first() {
+	b.Repeats.Success()
+	b.Cascades.Success()
+}
+
+// Budgets gives the budget of each service.
 type Budgets struct {
-	New func() *limiter.Budget
+	New func() *Budget
 
 	mu       sync.Mutex
-	services map[identifier.Service]*limiter.Budget
+	services map[identifier.Service]*Budget
 }
 
 // Of returns the budget of a service.
-func (b *Budgets) Of(s identifier.Service) *limiter.Budget {
+func (b *Budgets) Of(s identifier.Service) *Budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.services == nil {
-		b.services = map[identifier.Service]*limiter.Budget{}
+		b.services = map[identifier.Service]*Budget{}
 	}
 	x := b.services[s]
 	if x == nil {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -16,7 +16,7 @@
 
 // stream serves a request that is answered by events. A resumable one goes on at another upstream after the last event.
 func (f *Forwarder) stream(ctx context.Context, w http.ResponseWriter, q *request) error {
-	f.budgets.Of(q.service).Success()
+	f.budgets.Of(q.service).first()
 	ladder := f.ladder(q)
 	step := ladder.First()
 	q.size = f.pressure(q.service).Size(q.tokens)
@@ -55,9 +55,6 @@
 // errCaller is returned when the caller's connection failed.
 var errCaller = errors.New("forwarder: caller's connection failed")
 
-// spareRepeats is the number of repeats that cascades leave for attempts that fail.
-const spareRepeats = 6
-
 // failures returns the number of attempts that may have run and brought no response.
 func (q *request) failures() int {
 	n := 0
@@ -101,8 +98,8 @@
 	if confidence < 0 || l.Accept(step, confidence, q.rank, q.pressure, q.size) {
 		return 0, false
 	}
-	// After a failed attempt, or without repeats to spare, an answer at hand is worth more than a better one.
-	if q.failures() > 0 || !f.left(ctx, q, true) || !f.budgets.Of(q.service).AllowSpare(spareRepeats) {
+	// After a failed attempt an answer at hand is worth more than a better one.
+	if q.failures() > 0 || !f.left(ctx, q, true) || !f.budgets.Of(q.service).Cascades.Allow() {
 		return 0, false
 	}
 	f.counters.escalated.Add(1)
--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -43,11 +43,6 @@
 	return b.allow(2)
 }
 
-// AllowSpare takes one retry for an attempt that only improves a response, and leaves at least a number for those that failed.
-func (b *Budget) AllowSpare(left float64) bool {
-	return b.allow(1 + left)
-}
-
 // allow takes one retry if the budget holds at least so many.
 func (b *Budget) allow(least float64) bool {
 	b.mu.Lock()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -35,12 +35,15 @@
 	bodyShare = 0.2
 	// sweepTime is the time between two looks for kept connections that are over.
 	sweepTime = time.Second
-	// retryShare is the part of the ratio of repeats that is used, so that a window that cuts off the requests but not
-	// their repeats stays within the bound.
-	retryShare = 0.8
-	// retryBurst is the number of repeats that an entry saves up from its requests: the streams of a crashed engine at one
-	// entry. The part of the ratio that is not used covers the bursts of all entries.
-	retryBurst = 20
+	// repeatShare and cascadeShare are the parts of the ratio of repeats that failed attempts and cascades may use. A sixth is
+	// left, so that a window that cuts off the requests but not their repeats stays within the bound. Half of the answers of a
+	// smallest model lack confidence.
+	repeatShare  = 0.28
+	cascadeShare = 0.55
+	// repeatBurst and cascadeBurst are what an entry saves up: repeats for the streams of a crashed engine, cascades for some
+	// requests at once. The part of the ratio that is left covers the bursts of all entries, which do not know their number.
+	repeatBurst  = 20
+	cascadeBurst = 10
 	// stopCheck is the time between two looks at the requests of an entry that stops, closeTime what its listener is closed before
 	// the deadline.
 	stopCheck = 100 * time.Millisecond
@@ -134,8 +137,12 @@
 
 func (r *Runner) buildForwarder() {
 	s := r.settings.Load()
-	budgets := &forwarder.Budgets{New: func() *limiter.Budget {
-		return limiter.NewBudget(limiter.WithRatio(retryShare*r.settings.Load().Retries.Ratio), limiter.WithBurst(retryBurst), limiter.WithFloor(0))
+	budgets := &forwarder.Budgets{New: func() *forwarder.Budget {
+		ratio := r.settings.Load().Retries.Ratio
+		return &forwarder.Budget{
+			Repeats:  limiter.NewBudget(limiter.WithRatio(repeatShare*ratio), limiter.WithBurst(repeatBurst), limiter.WithFloor(0)),
+			Cascades: limiter.NewBudget(limiter.WithRatio(cascadeShare*ratio), limiter.WithBurst(cascadeBurst), limiter.WithFloor(0)),
+		}
 	}}
 	r.forwarder = forwarder.New(forwarder.WithHeaders(r.platform.Headers), forwarder.WithBalancer(r.balancer),
 		forwarder.WithPool(r.pool), forwarder.WithLog(r.log), forwarder.WithMeter(r.meter), forwarder.WithBudgets(budgets),
