forwarder: while stopping, serve only what its deadline ends in time

Change: a stopping entry accepts a request only if its deadline is before the end of the entry; the estimate from recent responses goes.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -113,7 +113,6 @@
 	maxBody   int64
 	active    atomic.Int64
 	streams   atomic.Int64
-	longest   longest
 	silent    silentList
 	counters  counters
 }
@@ -225,7 +224,6 @@
 // finish answers a request that failed, and records its end.
 func (f *Forwarder) finish(ctx context.Context, w http.ResponseWriter, q *request, err error) {
 	if err == nil {
-		f.longest.add(q.route.Name, f.Now().Sub(q.arrived))
 		f.counters.answered.Add(1)
 		f.record(q, "answered", nil)
 		return
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -87,9 +87,6 @@
 		f.counters.invalid.Add(1)
 		return q, &refusal{status: http.StatusBadRequest, reason: "no-request-id"}
 	}
-	if x := f.stopRefusal(q.route, now); x != nil {
-		return q, x
-	}
 	q.deadline = now.Add(q.route.Timeout)
 	if v := r.Header.Get(f.headers.Deadline); v != "" {
 		ms, err := strconv.ParseFloat(v, 64)
@@ -101,6 +98,9 @@
 			q.deadline = d
 		}
 	}
+	if x := f.stopRefusal(q.deadline, now); x != nil {
+		return q, x
+	}
 	if x := f.readBody(w, r, q); x != nil {
 		return q, x
 	}
