--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -38,7 +38,9 @@
 func newWatchdog(c *call, cancel context.CancelCauseFunc) *watchdog {
 	d := &watchdog{c: c, cancel: cancel}
 	if c.q.route.Repeatable() {
-		d.timer = time.AfterFunc(checkTime, d.check)
+		// The timer starts once it is stored, because check reads it.
+		d.timer = time.AfterFunc(time.Hour, d.check)
+		d.timer.Reset(checkTime)
 	}
 	return d
 }
