registrar: drop entries kept after an outage on time

It keeps entries that disappear within two seconds of the store's return, and dropped them in a check that runs once per second. An older heartbeat that brings the upstream back was ruled out: the balancer keeps what it knows of an incarnation. Change: the drop is scheduled for the end of the two seconds.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -54,12 +54,16 @@
 	Now func() time.Time
 	// Update takes each new list, ordered by name; calls do not overlap.
 	Update func([]Upstream)
+	// At calls a function once at a time; entries that did not come back after an outage are dropped by it.
+	At func(time.Time, func())
 
 	mu         sync.Mutex
 	entries    map[identifier.Upstream]*entry
 	lost       bool
 	returnedAt time.Time
-	synced     bool
+	// tickAt is the time of the last call that was asked of At.
+	tickAt time.Time
+	synced bool
 
 	changes, kept, restarts int64
 }
@@ -79,7 +83,10 @@
 
 // New returns an empty list.
 func New(opts ...Option) *Registrar {
-	r := &Registrar{Now: time.Now, Update: func([]Upstream) {}, entries: map[identifier.Upstream]*entry{}}
+	r := &Registrar{
+		Now: time.Now, Update: func([]Upstream) {}, entries: map[identifier.Upstream]*entry{},
+		At: func(t time.Time, f func()) { time.AfterFunc(time.Until(t), f) },
+	}
 	for _, o := range opts {
 		o(r)
 	}
@@ -150,6 +157,11 @@
 		if e.removeAt.IsZero() {
 			e.removeAt = until
 			r.kept++
+			if !r.tickAt.Equal(until) {
+				// One that left for good must get no request later than that, so a periodic check would be late.
+				r.tickAt = until
+				r.At(until, r.Tick)
+			}
 		}
 		return false
 	}
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -21,6 +22,7 @@
 	b := &bed{now: time.Unix(1000, 0)}
 	b.Registrar = registrar.New(registrar.WithNow(func() time.Time { return b.now }),
 		registrar.WithUpdate(func(l []registrar.Upstream) { b.list = l }))
+	b.At = func(time.Time, func()) {}
 	return b
 }
 
@@ -73,6 +75,26 @@
 	must.Nil(t, b.names())
 }
 
+// Guards against requests to an upstream that left without notice while it looked like one whose entry the store had lost: it
+// is dropped exactly two seconds after the return of the store, because requests to it are late by then. A check once per
+// second let requests through 2.4 s after the removal.
+func TestKeptEntryIsDroppedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var list []registrar.Upstream
+		r := registrar.New(registrar.WithUpdate(func(l []registrar.Upstream) { list = l }))
+		r.Apply([]registrar.Change{put("a", 1, false), put("b", 1, false)}, true)
+		r.Lost()
+		time.Sleep(time.Second)
+		r.Apply(nil, false)
+		time.Sleep(300 * time.Millisecond)
+		r.Apply([]registrar.Change{removed("a")}, false)
+		time.Sleep(1600 * time.Millisecond)
+		must.Len(t, 2, list)
+		time.Sleep(200 * time.Millisecond)
+		must.Len(t, 1, list)
+	})
+}
+
 // Guards against entries that are dropped while the store is out again.
 func TestSecondOutage(t *testing.T) {
 	b := newBed()
