balancer: a waiting request may count as several running ones

Cause: where slots are free, a request waits at an engine because of prompts that the engine still reads, up to 0.4 s for a long one on the large model; a running request costs little. The load counted both alike, so new requests joined behind long prompts. Change: WithWaiting sets the weight; entries without agents use 4. Entries with agents keep 1: there, waiting means no free slot.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -70,7 +70,7 @@
 // New returns a balancer without upstreams for an entry in a data centre.
 func New(self identifier.DataCentre, opts ...Option) *Balancer {
 	o := options{
-		now: time.Now, draw: rand.Uint64, distance: distance, subset: defaultSubset, choices: defaultChoices,
+		now: time.Now, draw: rand.Uint64, distance: distance, subset: defaultSubset, waiting: 1, choices: defaultChoices,
 		maxAge: defaultMaxAge, halfAge: defaultHalfAge, maxUses: defaultMaxUses, probeRate: DefaultProbeRate,
 	}
 	for _, opt := range opts {
@@ -249,10 +249,11 @@
 	if at <= before || !c.node.sampleAt.CompareAndSwap(before, at) {
 		return
 	}
-	load := int64(l.Running)
+	waiting := int64(0)
 	for _, n := range l.Queued {
-		load += int64(n)
+		waiting += int64(n)
 	}
+	load := int64(l.Running) + waiting*int64(b.o.waiting)
 	stalled, step := c.node.stalled.Swap(l.Stalled), c.node.step.Swap(int64(l.Step))
 	for _, p := range c.pools {
 		p.stalled.Add(count(l.Stalled) - count(stalled))
@@ -260,7 +261,7 @@
 		p.stepped.Add(count(l.Step > 0) - count(step > 0))
 	}
 	c.node.running.Store(int64(l.Running))
-	if load > int64(l.Running) {
+	if waiting > 0 {
 		c.node.busy()
 	}
 	if before == 0 {
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -316,3 +316,20 @@
 		})
 	}
 }
+
+// Guards against requests sent behind the prompts that an engine is still reading, when another one runs some requests more.
+func TestWaitingCountsMore(t *testing.T) {
+	for weight, want := range map[int]identifier.Upstream{1: "u0", 4: "u1"} {
+		b := balancer.New("dc-0", seeded(1), balancer.WithNow(func() time.Time { return start }), balancer.WithWaiting(weight))
+		ups := fleet(2, 1)
+		for i := range ups {
+			ups[i].DataCentre, ups[i].Slots = "dc-0", 64
+		}
+		b.Update(ups)
+		b.Report("u0", streamer.Load{At: start, Running: 8, Queued: []int{2}})
+		b.Report("u1", streamer.Load{At: start, Running: 13})
+		u, err := b.Choose(balancer.Key{Target: target(0)})
+		must.NoError(t, err)
+		must.EqOp(t, want, u.Name)
+	}
+}
--- a/balancer/option.go
+++ b/balancer/option.go
@@ -34,6 +34,7 @@
 	instance  identifier.Instance
 	region    identifier.Region
 	subset    int
+	waiting   int
 	choices   int
 	maxAge    time.Duration
 	halfAge   time.Duration
@@ -86,6 +87,12 @@
 	return func(o *options) { o.subset = max(n, 1) }
 }
 
+// WithWaiting sets how many running requests a waiting one counts as in the load. Where slots are free it waits for prompts
+// that the engine reads, which delays all its requests.
+func WithWaiting(n int) Option {
+	return func(o *options) { o.waiting = max(n, 1) }
+}
+
 // WithChoices sets the number of candidates compared for one choice.
 func WithChoices(n int) Option {
 	return func(o *options) { o.choices = max(n, 1) }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -56,6 +56,9 @@
 	minWait = 500 * time.Millisecond
 	// subset bounds the upstreams of a service that an entry sends to.
 	subset = 64
+	// waitingLoad is the number of running requests that a waiting one counts as: with 1 the choice missed engines that read long
+	// prompts, with 12 too few requests found the prompts that their engine had read.
+	waitingLoad = 4
 )
 
 // Platform is what the entry runs on.
@@ -106,7 +109,7 @@
 	r.settings.Store(&s)
 	debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
 	r.balancer = balancer.New(s.DataCentre, balancer.WithRegion(s.Region), balancer.WithInstance(s.Instance),
-		balancer.WithSubset(subset))
+		balancer.WithSubset(subset), balancer.WithWaiting(waitingLoad))
 	r.pool = connector.New(connector.WithEcho(p.Headers.RequestID))
 	r.rollouts = &rollouts{
 		store: p.Rollouts, entry: s.Instance, share: s.Exposure, sessionTime: s.SessionTime, now: time.Now, log: log, services: map[identifier.Service]*rollout{}, active: map[versionOf]int64{}, rejected: map[versionOf]bool{},
