forwarder: homes of a prefix for each model

Cause: an engine keeps what it has read for each model apart, but the answers of the larger model went to the next home of the prefix after the one that had answered with the smaller model, which depends on where that one ran. Change: the model is part of the hash, and an upstream whose answer lacked confidence is not avoided. TestHomeOfModel fails before, also with the exclusion alone.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/siskinfront/siskinfront/balancer"
 	"github.com/siskinfront/siskinfront/connector"
 	"github.com/siskinfront/siskinfront/identifier"
@@ -82,15 +84,18 @@
 	errUpstream = errors.New("forwarder: upstream failed")
 )
 
-// choose picks an upstream that was not tried before; once all were, it picks one again.
-func (f *Forwarder) choose(q *request) (*registrar.Upstream, identifier.Upstream, error) {
+// choose picks an upstream for a model that was not tried before; once all were, it picks one again.
+func (f *Forwarder) choose(q *request, model identifier.Model) (*registrar.Upstream, identifier.Upstream, error) {
 	pool := f.Pool(q.service, q.session)
-	k := balancer.Key{Service: pool, Prefix: q.prefix, Rank: q.rank}
+	k := balancer.Key{Service: pool, Prefix: q.home(f.headers.Model, model), Rank: q.rank}
 	if q.tokens > 0 {
 		k.Shared = q.size * float64(q.shared) / float64(q.tokens)
 	}
 	for i := range q.attempts {
-		k.Exclude = append(k.Exclude, q.attempts[i].upstream)
+		// An answer that lacked confidence says nothing against its upstream, which may be the home of the larger model.
+		if q.attempts[i].outcome != outcomeEscalated {
+			k.Exclude = append(k.Exclude, q.attempts[i].upstream)
+		}
 	}
 	tried := len(k.Exclude)
 	k.Exclude = f.silent.appendTo(k.Exclude, f.Now())
@@ -113,10 +118,22 @@
 	return x, u.Name, nil
 }
 
+// home returns the hash by which requests with the same prefix meet at the same upstreams, 0 for a prompt without one. An engine
+// keeps what it has read for each model apart.
+func (q *request) home(header string, model identifier.Model) uint64 {
+	if q.prefix == 0 {
+		return 0
+	}
+	if model == "" {
+		model = identifier.Model(q.header.Get(header))
+	}
+	return q.prefix ^ xxhash.Sum64String(string(model))
+}
+
 // send makes one attempt and returns the call with the head of its response. Errors are errNotRun if the request did not run
 // there; any other error leaves that open unless it is a *connector.Error with Sent unset.
 func (f *Forwarder) send(ctx context.Context, q *request, model identifier.Model, urgency int) (*call, error) {
-	u, name, err := f.choose(q)
+	u, name, err := f.choose(q, model)
 	if err != nil {
 		return nil, err
 	}
--- a/forwarder/stream_test.go
+++ b/forwarder/stream_test.go
@@ -181,6 +181,25 @@
 	must.EqOp(t, "named", b.requests()[0].header.Get("Model"))
 }
 
+// Guards against answers of a larger model for which an engine reads again what another has read: they go to the home of the
+// prefix for that model, also if it is the one that answered with the smaller model.
+func TestHomeOfModel(t *testing.T) {
+	b := newBed(t, 4, func(w http.ResponseWriter, r *http.Request, _ int) {
+		w.Header().Set("Confidence", "0")
+		w.Header().Set("Load", "0,0,8")
+		events(w, r, 1, 0)
+	})
+	for i := range 24 {
+		prompt := fmt.Sprintf("%x:500,%x:10", i+100, i+1)
+		b.send("/cascade/", "Model", "*", "Prompt", prompt)
+		b.send("/cascade/", "Model", "large", "Prompt", prompt)
+		sent := b.requests()
+		escalated, named := sent[len(sent)-2], sent[len(sent)-1]
+		must.EqOp(t, "large", escalated.header.Get("Model"))
+		must.EqOp(t, named.upstream, escalated.upstream)
+	}
+}
+
 // Guards against cascades that use up the repeats, so that a stream that breaks is not resumed, and against an entry with few
 // requests that asks no larger model: at 300 entries every answer was that of the smallest.
 func TestCascadesAndRepeats(t *testing.T) {
