reaper: end callers' connections by the limits of the configuration

Cause: the configuration bounds the time for headers and the time without a request, and may change; entries without agents kept 10 s and two minutes whatever it said (listed as a question in docs/platform.md). Change: reaper notes the phase of each connection and, once per second, ends the reads of those beyond a limit. The server sets a new deadline for a request that has arrived meanwhile, so it is not cut.

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -25,6 +25,7 @@
 	"github.com/siskinfront/siskinfront/meter"
 	"github.com/siskinfront/siskinfront/pinner"
 	"github.com/siskinfront/siskinfront/promoter"
+	"github.com/siskinfront/siskinfront/reaper"
 	"github.com/siskinfront/siskinfront/registrar"
 )
 
@@ -52,6 +53,9 @@
 	endTime = 400 * time.Millisecond
 	// contactMargin is what detecting a silent connection takes beyond the wait of a call: the answer time and a new connection.
 	contactMargin = time.Second
+	// maxHeaderTime and maxIdleTime bound connections of callers before there is a configuration, and above its limits.
+	maxHeaderTime = time.Minute
+	maxIdleTime   = 10 * time.Minute
 	// minWait bounds the calls of the store, which are priced.
 	minWait = 500 * time.Millisecond
 	// subset bounds the upstreams of a service that an entry sends to.
@@ -96,6 +100,7 @@
 	directory *directory
 	rollouts  *rollouts
 	forwarder *forwarder.Forwarder
+	reaper    *reaper.Reaper
 	upstreams *follower.Follower[registrar.Change]
 	operator  Duty
 	leaving   atomic.Bool
@@ -119,13 +124,14 @@
 	r.rollouts.regroup, r.rollouts.sizeOf = r.directory.regroup, r.directory.size
 	r.registrar = registrar.New(registrar.WithUpdate(r.listed))
 	r.buildForwarder()
+	r.reaper = reaper.New(r.connectionLimits)
 	wait := max(s.Contact-contactMargin, minWait)
 	r.upstreams = follower.New(p.Upstreams, r.registrar.Apply, log)
 	r.upstreams.Wait = wait
 	r.upstreams.Lost = r.registrar.Lost
 	r.operator = p.Operator(wait, log, r.configured, r.rollouts.ordered)
 	for name, counters := range map[string]func() map[string]int64{
-		"forwarder": r.forwarder.Counters, "balancer": r.balancer.Counters, "connector": r.pool.Counters,
+		"forwarder": r.forwarder.Counters, "balancer": r.balancer.Counters, "connector": r.pool.Counters, "reaper": r.reaper.Counters,
 		"registrar": r.registrar.Counters, "follower": r.upstreams.Counters, "operator": r.operator.Counters, "store": p.Counters,
 	} {
 		r.meter.Register(name, counters)
@@ -193,6 +199,14 @@
 	r.log.Info("configuration in force", "revision", t.Revision, "routes", t.Routes())
 }
 
+// connectionLimits returns how long callers may take for headers and keep a connection without a request.
+func (r *Runner) connectionLimits() (header, idle time.Duration) {
+	if t := r.table.Load(); t != nil {
+		return t.Limits.HeaderTime, t.Limits.IdleTime
+	}
+	return 0, 0
+}
+
 // listed takes a new list of upstreams.
 func (r *Runner) listed(list []registrar.Upstream) {
 	r.directory.set(list)
@@ -223,8 +237,9 @@
 	g, duties := errgroup.WithContext(duties)
 	r.log.Info("entry starts", "data-centre", r.settings.Load().DataCentre, "store", r.settings.Load().Store)
 	callers := &http.Server{
-		Handler: r.handler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10,
+		Handler: r.handler(), ReadHeaderTimeout: maxHeaderTime, IdleTimeout: maxIdleTime, MaxHeaderBytes: 64 << 10,
 	}
+	r.reaper.Attach(callers)
 	l, err := listen(ctx, r.settings.Load().CallerAddress)
 	if err != nil {
 		return err
@@ -243,6 +258,7 @@
 	g.Go(func() error { return r.operator.Run(duties) })
 	g.Go(func() error { return r.rollouts.run(duties) })
 	g.Go(func() error { return r.sweep(duties) })
+	g.Go(func() error { return r.reaper.Run(duties) })
 	failed := make(chan error, 1)
 	go func() { failed <- callers.Serve(l) }()
 	select {
