registrar: an incarnation that left does not come back by a late heartbeat

Cause: the store also holds heartbeats that arrive late. One from before the leaving, applied after the removal of the entry, made the same incarnation look like a new upstream: the balancer had forgotten by then that it leaves. Change: incarnations that left are remembered for a minute. Result: TestLateHeartbeat fails before.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -16,6 +16,9 @@
 // within about two seconds.
 const returnTime = 2 * time.Second
 
+// leftTime is how long an incarnation that left is remembered. Heartbeats that were under way when it left arrive within seconds.
+const leftTime = time.Minute
+
 // Upstream is one registered upstream.
 type Upstream struct {
 	Name       identifier.Upstream
@@ -57,8 +60,10 @@
 	// At calls a function once at a time; entries that did not come back after an outage are dropped by it.
 	At func(time.Time, func())
 
-	mu         sync.Mutex
-	entries    map[identifier.Upstream]*entry
+	mu      sync.Mutex
+	entries map[identifier.Upstream]*entry
+	// left holds the incarnations that said they were leaving, until the time at which they are forgotten.
+	left       map[identifier.Upstream]time.Time
 	lost       bool
 	returnedAt time.Time
 	// tickAt is the time of the last call that was asked of At.
@@ -85,7 +90,8 @@
 func New(opts ...Option) *Registrar {
 	r := &Registrar{
 		Now: time.Now, Update: func([]Upstream) {}, entries: map[identifier.Upstream]*entry{},
-		At: func(t time.Time, f func()) { time.AfterFunc(time.Until(t), f) },
+		left: map[identifier.Upstream]time.Time{},
+		At:   func(t time.Time, f func()) { time.AfterFunc(time.Until(t), f) },
 	}
 	for _, o := range opts {
 		o(r)
@@ -127,14 +133,20 @@
 			changed = r.remove(c.Name, now) || changed
 			continue
 		}
-		changed = r.put(*c.Upstream) || changed
+		changed = r.put(*c.Upstream, now) || changed
 	}
 	if changed {
 		r.publish()
 	}
 }
 
-func (r *Registrar) put(u Upstream) bool {
+func (r *Registrar) put(u Upstream, now time.Time) bool {
+	// A late heartbeat does not bring back an incarnation that is leaving, also if its entry is gone by then.
+	if u.Leaving {
+		r.left[u.Incarnation()] = now.Add(leftTime)
+	} else if until, ok := r.left[u.Incarnation()]; ok && now.Before(until) {
+		u.Leaving = true
+	}
 	old := r.entries[u.Name]
 	if old != nil && old.removeAt.IsZero() && old.upstream == u {
 		return false
@@ -170,10 +182,11 @@
 	return true
 }
 
-// Tick drops the entries that did not come back after an outage.
+// Tick drops the entries that did not come back after an outage, and forgets incarnations that left long ago.
 func (r *Registrar) Tick() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	maps.DeleteFunc(r.left, func(_ identifier.Upstream, until time.Time) bool { return !r.Now().Before(until) })
 	if r.lost {
 		return
 	}
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -57,6 +57,19 @@
 	must.Nil(t, b.names())
 }
 
+// Guards against an upstream that gets requests again because a heartbeat from before its leaving arrives late, while its entry
+// still stands or after its removal. A new incarnation under the same name is another upstream.
+func TestLateHeartbeat(t *testing.T) {
+	b := newBed()
+	b.Apply([]registrar.Change{put("a", 1, false)}, true)
+	b.Apply([]registrar.Change{put("a", 1, true), put("a", 1, false)}, false)
+	must.True(t, b.list[0].Leaving)
+	b.Apply([]registrar.Change{removed("a"), put("a", 1, false)}, false)
+	must.True(t, b.list[0].Leaving)
+	b.Apply([]registrar.Change{put("a", 2, false)}, false)
+	must.False(t, b.list[0].Leaving)
+}
+
 // Guards against refused requests after an outage of the store, which has lost the entries of live upstreams: they are back
 // within two seconds, and one that is not is gone.
 func TestEntriesLostInOutage(t *testing.T) {
