forwarder: send requests elsewhere that their engine does not have

Cause: a stream whose engine lives waited four times its objective (6 s for queries, 16 s for reports, when callers have left) before it went to another engine. Change: after 0.7 s without an event the engine is asked once whether it has the request, then after twice the time. One that lists neither it nor requests without an event has lost it. An engine that said within 0.3 s that requests wait is not asked.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -228,6 +228,9 @@
 	a := &c.q.attempts[c.index]
 	a.running, a.waiting = running, waiting
 	now := c.f.Now()
+	if waiting > 0 {
+		c.f.signOf(c.name).busyAt.Store(now.UnixNano())
+	}
 	if c.q.route.Kind == matcher.Stream {
 		c.f.pressure(c.q.service).Sample(waiting, c.upstream.Slots, now)
 	}
--- a/forwarder/bed_test.go
+++ b/forwarder/bed_test.go
@@ -46,7 +46,7 @@
 	upstreams map[identifier.Upstream]*registrar.Upstream
 	table     *matcher.Table
 	results   []forwarder.Result
-	probe     func(identifier.Upstream) error
+	probe     func(identifier.Upstream) (forwarder.Report, error)
 
 	mu   sync.Mutex
 	seen []seen
@@ -98,11 +98,11 @@
 		defer b.mu.Unlock()
 		b.results = append(b.results, r)
 	}
-	b.Probe = func(_ context.Context, _ *registrar.Upstream, n identifier.Upstream) error {
+	b.Probe = func(_ context.Context, _ *registrar.Upstream, n identifier.Upstream) (forwarder.Report, error) {
 		if b.probe != nil {
 			return b.probe(n)
 		}
-		return nil
+		return forwarder.Report{Others: 1}, nil
 	}
 	b.front = httptest.NewServer(b.Forwarder)
 	t.Cleanup(b.front.Close)
@@ -120,11 +120,13 @@
 	unresumable.Name, unresumable.Prefix, unresumable.Kind = "unresumable", "/unresumable/", matcher.Stream
 	cascade := stream
 	cascade.Name, cascade.Prefix, cascade.Models = "cascade", "/cascade/", []identifier.Model{"small", "large"}
+	patient := stream
+	patient.Name, patient.Prefix, patient.Objective, patient.EventGap = "patient", "/patient/", 1500*time.Millisecond, 1200*time.Millisecond
 	public := base
 	public.Name, public.Prefix, public.Public = "public", "/public/", true
 	return []matcher.Option{
 		matcher.WithRoute(&once), matcher.WithRoute(&repeat), matcher.WithRoute(&stream), matcher.WithRoute(&unresumable),
-		matcher.WithRoute(&cascade), matcher.WithRoute(&public), matcher.WithAccount(&matcher.Account{Name: "one"}, "key"),
+		matcher.WithRoute(&cascade), matcher.WithRoute(&patient), matcher.WithRoute(&public), matcher.WithAccount(&matcher.Account{Name: "one"}, "key"),
 	}
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -92,8 +92,8 @@
 	// Started and Ended surround each attempt, and Observe takes the result of one that may have run.
 	Started, Ended func(identifier.Service, *registrar.Upstream)
 	Observe        func(Result)
-	// Probe asks an upstream for a sign of life, which needs no slot.
-	Probe func(context.Context, *registrar.Upstream, identifier.Upstream) error
+	// Probe asks an upstream for a report, which needs no slot and is a sign of life.
+	Probe func(context.Context, *registrar.Upstream, identifier.Upstream) (Report, error)
 	// StopsAt returns when a planned stop of the entry began and by when its requests must have ended, or zero times.
 	StopsAt func() (began, deadline time.Time)
 
@@ -118,17 +118,23 @@
 }
 
 type counters struct {
-	requests, answered, refused, failed, broken, left, unmatched, unknownKey, invalid                    atomic.Int64
-	attempts, notRun, lost, resumed, rescued, escalated, spoiled, upstreamErrors, budgetExceeded, silent atomic.Int64
+	requests, answered, refused, failed, broken, left, unmatched, unknownKey, invalid                             atomic.Int64
+	attempts, notRun, lost, resumed, rescued, escalated, spoiled, upstreamErrors, budgetExceeded, silent, missing atomic.Int64
 }
 
-// sign is the last time at which an upstream sent anything to this entry, in Unix nanoseconds.
+// sign is what is known of the life of an upstream; times of atomics are in Unix nanoseconds.
 type sign struct {
+	// at is when the upstream last sent anything to this entry.
 	at atomic.Int64
+	// busyAt is when the upstream last said that requests wait there.
+	busyAt atomic.Int64
 
 	mu sync.Mutex
 	// deadUntil is how long the answer that the upstream is silent holds.
 	deadUntil time.Time
+	// report is the last one, asked for at askedAt.
+	report  Report
+	askedAt time.Time
 }
 
 // Option configures a Forwarder.
@@ -301,7 +307,7 @@
 		"unknown-keys": c.unknownKey.Load(), "invalid": c.invalid.Load(), "attempts": c.attempts.Load(),
 		"attempts-not-run": c.notRun.Load(), "attempts-lost": c.lost.Load(), "streams-resumed": c.resumed.Load(),
 		"attempts-rescued": c.rescued.Load(), "cascade-steps": c.escalated.Load(), "responses-spoiled": c.spoiled.Load(),
-		"upstreams-silent": c.silent.Load(), "upstream-errors": c.upstreamErrors.Load(), "retries-over-budget": c.budgetExceeded.Load(),
+		"upstreams-silent": c.silent.Load(), "requests-missing": c.missing.Load(), "upstream-errors": c.upstreamErrors.Load(), "retries-over-budget": c.budgetExceeded.Load(),
 	}
 }
 
--- a/forwarder/stream_test.go
+++ b/forwarder/stream_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/siskinfront/siskinfront/forwarder"
 	"github.com/siskinfront/siskinfront/identifier"
 )
 
@@ -136,12 +137,12 @@
 				events(w, r, 2, 0)
 			})
 			var asked atomic.Int64
-			b.probe = func(identifier.Upstream) error {
+			b.probe = func(identifier.Upstream) (forwarder.Report, error) {
 				asked.Add(1)
 				if alive {
-					return nil
+					return forwarder.Report{Others: 1}, nil
 				}
-				return errors.New("no answer")
+				return forwarder.Report{}, errors.New("no answer")
 			}
 			x := b.send("/stream/")
 			must.Eq(t, []int{1, 2}, ids(x.body))
@@ -155,6 +156,48 @@
 	}
 }
 
+// Guards against a request that an engine has lost, before or after its first event, and that waits for four times its objective
+// as long as the engine lives; and against one that is sent again although the engine may have it.
+func TestMissingRequest(t *testing.T) {
+	for name, x := range map[string]struct {
+		first  int
+		report forwarder.Report
+		sent   int
+	}{
+		"lost before an event": {report: forwarder.Report{Running: []string{"another"}}, sent: 2},
+		"lost after an event":  {first: 1, report: forwarder.Report{}, sent: 2},
+		"listed":               {report: forwarder.Report{Running: []string{"request-1"}}, sent: 1},
+		"may wait":             {report: forwarder.Report{Others: 1}, sent: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBed(t, 2, func(w http.ResponseWriter, r *http.Request, n int) {
+				if n > 1 {
+					events(w, r, 2, 0)
+					return
+				}
+				if x.first > 0 {
+					fmt.Fprint(w, "id: 1\ndata: 1\n\n")
+					_ = http.NewResponseController(w).Flush()
+				}
+				select {
+				case <-r.Context().Done():
+				case <-time.After(1300 * time.Millisecond):
+					events(w, r, 2, 0)
+				}
+			})
+			b.probe = func(identifier.Upstream) (forwarder.Report, error) { return x.report, nil }
+			begin := time.Now()
+			answer := b.send("/patient/", "Id", "request-1")
+			must.Eq(t, []int{1, 2}, ids(answer.body))
+			must.SliceLen(t, x.sent, b.requests())
+			if x.sent > 1 {
+				must.Less(t, 1250*time.Millisecond, time.Since(begin))
+			}
+		})
+	}
+}
+
 // Guards against an answer of a small model in which it has no confidence, and against two models in one answer.
 func TestCascade(t *testing.T) {
 	for confidence, models := range map[string][]string{"90": {"small"}, "10": {"small", "large"}, "": {"small"}} {
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -31,6 +31,8 @@
 	timer  *time.Timer
 	fired  atomic.Bool
 	done   atomic.Bool
+	// askAt is when the engine is next asked whether it has the request, askedFor the last event before.
+	askAt, askedFor time.Time
 	// lastAt is the time of the last event of a stream in Unix nanoseconds, 0 before the first.
 	lastAt atomic.Int64
 }
@@ -91,7 +93,25 @@
 		// Other requests tell of a plain service only when there are enough of them.
 		return false
 	}
-	return f.isDead(d.c.upstream, d.c.name, now)
+	return f.isDead(d.c.upstream, d.c.name, now) || d.missing(since, now)
+}
+
+// missing reports whether the engine does not have the request any more. An engine that may have it is asked again after twice
+// the time.
+func (d *watchdog) missing(since, now time.Time) bool {
+	if !d.askedFor.Equal(since) {
+		d.askedFor, d.askAt = since, since.Add(missingTime)
+	}
+	if now.Before(d.askAt) {
+		return false
+	}
+	d.askAt = now.Add(now.Sub(since))
+	f := d.c.f
+	if !f.isMissing(d.c.upstream, d.c.name, d.c.q.id, since, now) {
+		return false
+	}
+	f.counters.missing.Add(1)
+	return true
 }
 
 // isDead asks an upstream that has been silent whether it lives. Only one question is open at a time, and the others wait
@@ -109,11 +129,8 @@
 	if s.deadUntil.After(now) {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
-	defer cancel()
-	err := f.Probe(ctx, u, name)
+	err := f.ask(s, u, name)
 	if err == nil {
-		f.touch(name)
 		return false
 	}
 	s.deadUntil = f.Now().Add(silentTime)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -56,6 +56,8 @@
 	// maxHeaderTime and maxIdleTime bound connections of callers before there is a configuration, and above its limits.
 	maxHeaderTime = time.Minute
 	maxIdleTime   = 10 * time.Minute
+	// maxReport bounds a report in bytes; one with 64 requests takes some 3 KB.
+	maxReport = 256 << 10
 	// minWait bounds the calls of the store, which are priced.
 	minWait = 500 * time.Millisecond
 	// subset bounds the upstreams of a service that an entry sends to.
@@ -69,8 +71,9 @@
 type Platform struct {
 	Headers   forwarder.Headers
 	ReadyPath string
-	// ReportPath is where an engine tells its state without a slot.
+	// ReportPath is where an engine tells its state without a slot, and Report reads what it says.
 	ReportPath string
+	Report     func(io.Reader) (forwarder.Report, error)
 	// SetStore changes the address of the store.
 	SetStore  func(netip.AddrPort)
 	Upstreams follower.Source[registrar.Change]
@@ -169,18 +172,22 @@
 	}
 }
 
-// probe asks an upstream for its state.
-func (r *Runner) probe(ctx context.Context, u *registrar.Upstream, name identifier.Upstream) error {
+// probe asks an upstream for a report.
+func (r *Runner) probe(ctx context.Context, u *registrar.Upstream, name identifier.Upstream) (forwarder.Report, error) {
 	w, err := r.pool.Send(ctx, connector.Peer{Name: name, Address: u.Address}, &connector.Request{
 		Method: http.MethodGet, URI: r.platform.ReportPath, Host: u.Address.String(), Header: http.Header{},
 	})
 	if err != nil {
-		return err
+		return forwarder.Report{}, err
 	}
 	defer w.Close()
-	// A body that breaks off costs only the connection; the head was the sign of life.
-	_, _ = io.Copy(io.Discard, io.LimitReader(w, 64<<10))
-	return nil
+	report, err := r.platform.Report(io.LimitReader(w, maxReport))
+	if err != nil {
+		// The head was the sign of life, but the upstream may have any request.
+		r.log.Warn("report cannot be read", "upstream", name, "error", err.Error())
+		return forwarder.Report{Others: 1}, nil
+	}
+	return report, nil
 }
 
 // configured takes a configuration; one that is older than that in force is ignored.
