--- a/reaper/reaper.go
+++ b/reaper/reaper.go
@@ -8,9 +8,6 @@
 	"time"
 )
 
-// checkTime is the time between two looks at the connections; the limits are seconds.
-const checkTime = time.Second
-
 // phase is what a connection waits for.
 type phase int
 
@@ -88,23 +85,10 @@
 	x.phase, x.since = p, now
 }
 
-// Run looks at the connections until ctx ends.
-func (r *Reaper) Run(ctx context.Context) error {
-	t := time.NewTicker(checkTime)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			r.check()
-		}
-	}
-}
-
-// check ends the reads of connections beyond a limit, upon which the server closes them. A request that has arrived meanwhile is
-// still read, because the server sets a new deadline for it; closing the connection could cut it.
-func (r *Reaper) check() {
+// Check ends the connections beyond a limit; it is called about once per second, as the limits are seconds. The server closes a
+// connection whose read ends. A request that has arrived meanwhile is still read, because the server sets a new deadline for it;
+// closing the connection here could cut it.
+func (r *Reaper) Check() {
 	header, idle := r.limits()
 	now := r.Now()
 	r.mu.Lock()
--- a/reaper/reaper_test.go
+++ b/reaper/reaper_test.go
@@ -1,7 +1,6 @@
 package reaper_test
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -38,9 +37,13 @@
 	b.Attach(b.server.Config)
 	b.server.Start()
 	t.Cleanup(b.server.Close)
-	ctx, cancel := context.WithCancel(t.Context())
-	t.Cleanup(cancel)
-	go func() { _ = b.Run(ctx) }()
+	ticker := time.NewTicker(100 * time.Millisecond)
+	t.Cleanup(ticker.Stop)
+	go func() {
+		for range ticker.C {
+			b.Check()
+		}
+	}()
 	return b
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -34,7 +34,7 @@
 	heapShare = 0.6
 	// bodyShare is the part of the memory that request bodies may take.
 	bodyShare = 0.2
-	// sweepTime is the time between two looks for kept connections that are over.
+	// sweepTime is the time between two looks for connections that are over.
 	sweepTime = time.Second
 	// repeatShare and cascadeShare are the parts of the ratio of repeats that failed attempts and cascades may use. A sixth is
 	// left, so that a window that cuts off the requests but not their repeats stays within the bound. Half of the answers of a
@@ -265,7 +265,6 @@
 	g.Go(func() error { return r.operator.Run(duties) })
 	g.Go(func() error { return r.rollouts.run(duties) })
 	g.Go(func() error { return r.sweep(duties) })
-	g.Go(func() error { return r.reaper.Run(duties) })
 	failed := make(chan error, 1)
 	go func() { failed <- callers.Serve(l) }()
 	select {
@@ -341,6 +340,7 @@
 		case <-t.C:
 		}
 		r.registrar.Tick()
+		r.reaper.Check()
 		r.pool.Sweep(func(p connector.Peer) bool { return r.directory.upstream(p.Name) != nil })
 		r.forwarder.Forget(func(name identifier.Upstream) bool { return r.directory.upstream(name) != nil })
 		if at := r.upstreams.Confirmed(); !at.IsZero() {
