forwarder: say why an attempt was given up

The outcome 'silent' stood for three decisions: too late for the objective, an engine that does not answer, an engine that does not have the request. A line now says which, so that an engine that loses requests can be told from one that is dark.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -39,7 +39,9 @@
 	outcomeEscalated outcome = "escalated"
 	outcomeFailed    outcome = "failed"
 	outcomeLost      outcome = "lost: "
+	outcomeLate      outcome = "late"
 	outcomeSilent    outcome = "silent"
+	outcomeMissing   outcome = "missing"
 	outcomeSpoiled   outcome = "spoiled"
 	outcomeNotRun    outcome = "not-run"
 	outcomeNotSent   outcome = "not-sent"
@@ -167,7 +169,7 @@
 	})
 	if err != nil {
 		c.watch.stop()
-		if c.watch.fired.Load() {
+		if c.watch.verdict.Load() != nil {
 			err = errors.Join(errSilent, err)
 		}
 		var x *connector.Error
@@ -249,10 +251,11 @@
 
 // lost ends an attempt without a response.
 func (c *call) lost(ctx context.Context, err error) {
+	verdict := c.watch.verdict.Load()
 	switch {
-	case c.watch.fired.Load():
+	case verdict != nil:
 		c.f.counters.rescued.Add(1)
-		c.end(balancer.ResultFailure, outcomeSilent, true)
+		c.end(balancer.ResultFailure, *verdict, true)
 	case ctx.Err() != nil:
 		c.end(balancer.ResultCanceled, outcomeCanceled, false)
 	default:
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -29,8 +29,9 @@
 	c      *call
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
-	fired  atomic.Bool
 	done   atomic.Bool
+	// verdict is why the attempt was given up, an outcome; nil while it was not.
+	verdict atomic.Pointer[outcome]
 	// askAt is when the engine is next asked whether it has the request, askedFor the last event before.
 	askAt, askedFor time.Time
 	// lastAt is the time of the last event of a stream in Unix nanoseconds, 0 before the first.
@@ -69,16 +70,18 @@
 	if d.done.Load() {
 		return
 	}
-	if !d.c.f.mayRepeat(d.c.q, d.c.index) || !d.overdue() {
-		d.timer.Reset(checkTime)
-		return
+	if d.c.f.mayRepeat(d.c.q, d.c.index) {
+		if verdict := d.judge(); verdict != "" {
+			d.verdict.Store(&verdict)
+			d.cancel(errSilent)
+			return
+		}
 	}
-	d.fired.Store(true)
-	d.cancel(errSilent)
+	d.timer.Reset(checkTime)
 }
 
-// overdue reports whether the upstream should be given up.
-func (d *watchdog) overdue() bool {
+// judge returns why the attempt should be given up, or an empty outcome.
+func (d *watchdog) judge() outcome {
 	f, route := d.c.f, d.c.q.route
 	now := f.Now()
 	since, limit := d.c.begin, lateFactor*route.Objective
@@ -86,14 +89,19 @@
 		since, limit = time.Unix(0, at), gapFactor*route.EventGap
 	}
 	waited := now.Sub(since)
-	if limit > 0 && waited >= limit {
-		return true
-	}
-	if route.Kind != matcher.Stream || waited < silentTime {
+	switch {
+	case limit > 0 && waited >= limit:
+		return outcomeLate
+	case route.Kind != matcher.Stream || waited < silentTime:
 		// Other requests tell of a plain service only when there are enough of them.
-		return false
+		return ""
+	case f.isDead(d.c.upstream, d.c.name, now):
+		return outcomeSilent
+	case d.missing(since, now):
+		return outcomeMissing
+	default:
+		return ""
 	}
-	return f.isDead(d.c.upstream, d.c.name, now) || d.missing(since, now)
 }
 
 // missing reports whether the engine does not have the request any more. An engine that may have it is asked again after twice
