forwarder: tell slow engines by the pace of their events

Cause: a worker that runs eight times as long still has free slots, so it got requests until its load was that of the others: 150 of 1,500 requests of ten seconds met one, and reports paused beyond the objective. The balancer weighs the load by the time of a step, but entries without agents reported none. Change: the pauses between events are compared with the mean of the same model; an upstream that takes twice the mean or more reports its step.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -236,7 +236,7 @@
 	if c.q.route.Kind == matcher.Stream {
 		c.f.pressure(c.q.service).Sample(waiting, c.upstream.Slots, now)
 	}
-	l := streamer.Load{At: now, Running: running}
+	l := streamer.Load{At: now, Running: running, Step: c.f.paces.step(c.name, now)}
 	if waiting > 0 {
 		l.Queued = []int{waiting}
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -114,6 +114,7 @@
 	active    atomic.Int64
 	streams   atomic.Int64
 	silent    silentList
+	paces     *paces
 	counters  counters
 }
 
@@ -181,7 +182,7 @@
 		Now: time.Now, Observe: func(Result) {},
 		Started: func(identifier.Service, *registrar.Upstream) {}, Ended: func(identifier.Service, *registrar.Upstream) {},
 		StopsAt: func() (time.Time, time.Time) { return time.Time{}, time.Time{} },
-		ladders: selector.NewLadders(), log: slog.Default(), meter: meter.New(), rand: rand.Float64, maxBody: 16 << 20,
+		ladders: selector.NewLadders(), log: slog.Default(), meter: meter.New(), rand: rand.Float64, maxBody: 16 << 20, paces: newPaces(),
 	}
 	for _, o := range opts {
 		o(f)
@@ -285,6 +286,7 @@
 
 // Forget drops what is kept about upstreams that are not in the list.
 func (f *Forwarder) Forget(live func(identifier.Upstream) bool) {
+	f.paces.forget(live)
 	f.seen.Range(func(k, _ any) bool {
 		if !live(k.(identifier.Upstream)) {
 			f.seen.Delete(k)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -127,7 +127,10 @@
 		}
 		f.touch(c.name)
 		a := &q.attempts[c.index]
-		a.pause = max(a.pause, c.watch.event())
+		if pause := c.watch.event(); pause > 0 {
+			a.pause = max(a.pause, pause)
+			f.paces.observe(c.name, string(a.model), pause, f.Now())
+		}
 		f.begin(w, control, c)
 		_, err = w.Write(b)
 		if err == nil && events.Buffered() == 0 {
