--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -89,7 +89,7 @@
 // choose picks an upstream for a model that was not tried before; once all were, it picks one again.
 func (f *Forwarder) choose(q *request, model identifier.Model) (*registrar.Upstream, identifier.Upstream, error) {
 	pool := f.Pool(q.service, q.session)
-	k := balancer.Key{Service: pool, Prefix: q.home(f.headers.Model, model), Rank: q.rank}
+	k := balancer.Key{Service: pool, Prefix: f.home(q, model), Rank: q.rank}
 	if q.tokens > 0 {
 		k.Shared = q.size * float64(q.shared) / float64(q.tokens)
 	}
@@ -122,14 +122,19 @@
 
 // home returns the hash by which requests with the same prefix meet at the same upstreams, 0 for a prompt without one. An engine
 // keeps what it has read for each model apart.
-func (q *request) home(header string, model identifier.Model) uint64 {
+func (f *Forwarder) home(q *request, model identifier.Model) uint64 {
 	if q.prefix == 0 {
 		return 0
 	}
+	return q.prefix ^ xxhash.Sum64String(f.modelName(q, model))
+}
+
+// modelName returns the name of the model that the system chose, or else of that which the caller named.
+func (f *Forwarder) modelName(q *request, model identifier.Model) string {
 	if model == "" {
-		model = identifier.Model(q.header.Get(header))
+		return q.header.Get(f.headers.Model)
 	}
-	return q.prefix ^ xxhash.Sum64String(string(model))
+	return string(model)
 }
 
 // send makes one attempt and returns the call with the head of its response. Errors are errNotRun if the request did not run
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -129,7 +129,7 @@
 		a := &q.attempts[c.index]
 		if pause := c.watch.event(); pause > 0 {
 			a.pause = max(a.pause, pause)
-			f.paces.observe(c.name, string(a.model), pause, f.Now())
+			f.paces.observe(c.name, f.modelName(q, a.model), pause, f.Now())
 		}
 		f.begin(w, control, c)
 		_, err = w.Write(b)
