--- a/soakbencher/soak.go
+++ b/soakbencher/soak.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
 	"sort"
@@ -292,11 +293,8 @@
 			}
 			if status != 404 {
 				seen[k] = max(seen[k], 1)
-				if seen[k] < newest {
-					// A question without an answer, which a slow entry still handles, says nothing: seed 100 took it for knowledge.
-					if answer := s.ask(ctx, pool, e, newest, i); answer != 0 && answer != 404 {
-						seen[k] = newest
-					}
+				if seen[k] < newest && knows(s.ask(ctx, pool, e, newest, i)) {
+					seen[k] = newest
 				}
 			}
 			if seen[k] > 0 {
@@ -306,6 +304,12 @@
 	}
 }
 
+// knows reports whether a status shows that an entry knows a route. A question without an answer, which a slow entry may handle
+// later, says nothing: seed 100 once took it for knowledge.
+func knows(status int) bool {
+	return status != 0 && status != http.StatusNotFound
+}
+
 // ask returns the status of a request on the n-th added route, 0 without an answer.
 func (s *soak) ask(ctx context.Context, pool *connector.Pool, e *entry, n, i int) int {
 	c := &call{id: fmt.Sprintf("route-%s-%d-%d", e.name, n, i), entry: e}
