--- a/forwarder/missing.go
+++ b/forwarder/missing.go
@@ -43,7 +43,8 @@
 	defer s.mu.Unlock()
 	if s.askedAt.Before(since.Add(missingTime)) || f.Now().Sub(s.askedAt) >= reportTime {
 		if err := f.ask(s, u, name); err != nil {
-			// Whether the upstream lives is decided by isDead.
+			// Whether the upstream lives is decided by isDead, from what it sends to all requests.
+			f.log.Warn("report of an upstream failed", "upstream", name, "request", id, "error", err.Error())
 			return false
 		}
 	}
--- a/forwarder/pace.go
+++ b/forwarder/pace.go
@@ -18,7 +18,8 @@
 	// maxPace bounds one time relative to the mean, so that a pause while the engine reads a long prompt does not outweigh the
 	// other events.
 	maxPace = 4
-	// slowPace is the pace from which an upstream counts as slow; busy ones reach 1.5.
+	// slowPace is the pace from which an upstream counts as slow. With the balancer's 1.5 and times without a bound, engines that
+	// read long prompts were taken for slow ones.
 	slowPace = 2
 	// paceUnit is the step of an upstream of the mean pace, as it is given to the balancer, which compares steps only.
 	paceUnit = time.Millisecond
