assembler, soakbencher: run processes under test in groups of their own

The shell that had started the run ended during a freeze. That orphans its process group, and the kernel sends SIGHUP to all processes of an orphaned group in which one is stopped. Reproduced: the test alone, started in a group whose leader ends after 7, 9 and 12 s, fails 3 of 3 with the same signal; after 4 and 5 s, before the freeze, it passes. Change: each process under test has its own group, in the soak as well, which also pauses entries.

--- a/assembler/proc_test.go
+++ b/assembler/proc_test.go
@@ -59,8 +59,9 @@
 	p.cmd = exec.Command(binary, p.role, "--settings", p.settings, "--log-level", "warn")
 	p.log.Reset()
 	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
-	// Without this, processes would outlive a test binary that is killed at its time limit.
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// Without the first, processes would outlive a test binary that is killed at its time limit. Without a group of its own, a
+	// stopped process ends the others by SIGHUP when the shell that started the tests ends, which orphans their group.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	must.NoError(p.t, p.cmd.Start())
 	done := make(chan error, 1)
 	p.done = done
--- a/soakbencher/process.go
+++ b/soakbencher/process.go
@@ -99,6 +99,8 @@
 	// The process outlives no context: stop and kill end it by its id.
 	cmd := exec.CommandContext(context.Background(), e.program, append(e.args, "--settings", e.file)...) //nolint:gosec // The program under test.
 	cmd.Stdout, cmd.Stderr = e.log, e.log
+	// In the group of the soak, a paused entry would end the others by SIGHUP if that group became orphaned.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("soakbencher: start %s: %w", e.name, err)
 	}
