--- a/forwarder/missing.go
+++ b/forwarder/missing.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// missingTime is how long a stream may bring no event before its engine is asked whether it still has the request. Reports
-	// lag by some hundred milliseconds; objectives of first events are from 1.5 s.
+	// missingTime is how long a stream may bring no event before its engine is asked whether it still has the request. A
+	// report lags by some hundred milliseconds and must not miss a request that has just arrived.
 	missingTime = 700 * time.Millisecond
 	// reportTime is how long a report serves the other requests that wait at the engine.
 	reportTime = 200 * time.Millisecond
