forwarder: log the parts of a prompt and the events of each attempt

Change: the request's line has parts, the hashes of all parts but the last, and each attempt events, the number that arrived.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -63,6 +63,8 @@
 	// running and waiting are the load that the response stated, and timeToHead is the time until its headers arrived.
 	running, waiting int
 	timeToHead       time.Duration
+	// events is the number of events that arrived.
+	events int
 	// longestPause is the longest time between two events, and pace the time that PaceEvents events took.
 	longestPause, pace time.Duration
 	// evidence is what the watchdog knew when it last wanted to abandon the attempt, and kept why it did not.
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -28,7 +28,7 @@
 			slog.String("account", string(q.account)))
 		if q.route.HasSessions {
 			attrs = append(attrs, slog.Float64("pressure", q.pressure), slog.String("session", strconv.FormatUint(q.sessionHash, 16)),
-				slog.String("prefix", strconv.FormatUint(q.prefixHash, 16)))
+				slog.String("prefix", strconv.FormatUint(q.prefixHash, 16)), slog.String("parts", q.loggedParts()))
 		}
 	}
 	if len(q.attempts) > maxLoggedAttempts {
@@ -42,7 +42,7 @@
 		attrs = append(attrs, slog.Group("attempt-"+strconv.Itoa(i+1), slog.String("upstream", string(a.upstream)),
 			slog.String("model", string(a.model)), slog.Duration("after", a.beganAt.Sub(q.arrived)), slog.Duration("took", a.took),
 			slog.Duration("first", a.timeToHead), slog.Duration("pause", a.longestPause), slog.Duration("pace", a.pace),
-			slog.Int("status", a.status), slog.Int("confidence", a.confidence), slog.Int("running", a.running),
+			slog.Int("status", a.status), slog.Int("events", a.events), slog.Int("confidence", a.confidence), slog.Int("running", a.running),
 			slog.Int("waiting", a.waiting), a.evidenceAttr(), slog.String("outcome", string(a.outcome))))
 	}
 	if q.denial != "" {
--- a/forwarder/record_test.go
+++ b/forwarder/record_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"regexp"
 	"testing"
 	"time"
 
@@ -69,3 +70,20 @@
 	must.StrContains(t, f.log(), `"probe":"failed"`)
 	must.StrContains(t, f.log(), `"outcome":"silent"`)
 }
+
+// Guards against a lost attempt whose line does not tell whether it had sent events, and which parts its prompt has (issue 23).
+func TestEventsAndPartsAreLogged(t *testing.T) {
+	f := newFixture(t, 2, func(w http.ResponseWriter, r *http.Request, n int) {
+		if n == 1 {
+			writeEvents(w, r, 2, 0)
+			abort()
+		}
+		abort()
+	})
+	f.send("/unresumable/", "Id", "r2")
+	f.send("/stream/", "Prompt", "a:1,b:2,own:3")
+	log := f.log()
+	must.StrContains(t, log, `"events":2`)
+	must.StrContains(t, log, `"events":0`)
+	must.RegexMatch(t, regexp.MustCompile(`"parts":"[0-9a-f]+,[0-9a-f]+"`), log)
+}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -36,6 +36,8 @@
 	service identifier.Service
 	// sessionHash identifies the session, and prefixHash the part of the prompt that other requests share; 0 if unknown.
 	sessionHash, prefixHash uint64
+	// sharedParts holds the hashes of the parts of the prompt that other requests may share, which are all but the last.
+	sharedParts []uint64
 	// promptTokens is the length of the prompt, and sharedTokens that of the part that other requests share.
 	promptTokens, sharedTokens int
 	lastEventID                int64
@@ -171,7 +173,7 @@
 		q.sessionHash = xxhash.Sum64String(v)
 	}
 	if q.route.HasSessions {
-		f.parsePromptPrefix(q)
+		f.parsePrompt(q)
 	}
 	// A separate hash makes the split of a route independent of the split of a roll-out.
 	split := xxhash.Sum64String("split/" + strconv.FormatUint(q.sessionHash, 16))
@@ -183,24 +185,3 @@
 	}
 	q.anyModel = len(q.route.Models) > 0 && h.Get(f.headers.Model) == f.headers.AnyModel
 }
-
-// parsePromptPrefix sets the length of the prompt and of its shared part from the prefix header, which lists the parts of the
-// prompt, each as a hash and a number of tokens. The last part belongs to the session or the request, and the one before it to
-// the subject, which other requests share.
-func (f *Forwarder) parsePromptPrefix(q *request) {
-	parts := strings.Split(q.header.Get(f.headers.Prefix), ",")
-	for i, p := range parts {
-		if _, n, ok := strings.Cut(p, ":"); ok {
-			if tokens, err := strconv.Atoi(strings.TrimSpace(n)); err == nil {
-				q.promptTokens += tokens
-				if i < len(parts)-1 {
-					q.sharedTokens += tokens
-				}
-			}
-		}
-	}
-	if len(parts) > 1 {
-		name, _, _ := strings.Cut(parts[len(parts)-2], ":")
-		q.prefixHash = xxhash.Sum64String(strings.TrimSpace(name))
-	}
-}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -128,6 +128,7 @@
 		}
 		f.recordActivity(c.name)
 		a := &q.attempts[c.index]
+		a.events++
 		if c.pace.firstAt.IsZero() {
 			f.OnResponse(c.info, f.Now().Sub(c.beganAt))
 		}
