--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -63,8 +63,11 @@
 	// running and waiting are the load that the response stated, and timeToHead is the time until its headers arrived.
 	running, waiting int
 	timeToHead       time.Duration
-	// events is the number of events that arrived.
-	events int
+	// events is the number of events that arrived, and firstEventAt the time of the first one.
+	events       int
+	firstEventAt time.Time
+	// wasLost is set if the connection broke, and settled if the upstream had begun to answer without crashing.
+	wasLost, settled bool
 	// longestPause is the longest time between two events, and pace the time that PaceEvents events took.
 	longestPause, pace time.Duration
 	// evidence is what the watchdog knew when it last wanted to abandon the attempt, and kept why it did not.
@@ -264,6 +267,7 @@
 		c.end(balancer.ResultCanceled, outcomeCanceled, false)
 	default:
 		c.f.counters.lost.Add(1)
+		c.recordLoss()
 		c.end(balancer.ResultFailure, outcomeLost+outcome(err.Error()), true)
 	}
 }
--- /dev/null
+++ b/forwarder/crash.go
@@ -0,0 +1,156 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/quarantiner"
+	"github.com/siskinfront/siskinfront/registrar"
+)
+
+const (
+	// settleTime is how long after its first event an answer must go on before its upstream counts as one that did not crash on it.
+	settleTime = 300 * time.Millisecond
+	// lossCollectTime is the time from the first lost connection to an upstream to the question whether it has crashed, in which
+	// its other connections are lost as well.
+	lossCollectTime = 20 * time.Millisecond
+	// maxLosses is the number of upstreams that a request may lose before one has sent an event.
+	maxLosses = 2
+	// trialClaimTimeout bounds the time in which a request waits for the permission to be a trial.
+	trialClaimTimeout = 300 * time.Millisecond
+)
+
+// lossList holds the upstreams whose connections were lost and that were not asked yet; it is safe for concurrent use.
+type lossList struct {
+	mu      sync.Mutex
+	pending map[identifier.Upstream]*quarantiner.Crash
+}
+
+// add adds the parts of a lost request and reports whether it is the first one of its upstream.
+func (l *lossList) add(name identifier.Upstream, q *request) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.pending[name]
+	isFirst := c == nil
+	if isFirst {
+		if l.pending == nil {
+			l.pending = map[identifier.Upstream]*quarantiner.Crash{}
+		}
+		c = &quarantiner.Crash{Upstream: name}
+		l.pending[name] = c
+	}
+	c.Add(q.account, q.sharedParts)
+	return isFirst
+}
+
+func (l *lossList) take(name identifier.Upstream) quarantiner.Crash {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.pending[name]
+	delete(l.pending, name)
+	return *c
+}
+
+// admitPrompt returns a refusal if a part of the prompt is blocked, unless this request is the next trial of it.
+func (f *Forwarder) admitPrompt(ctx context.Context, q *request) error {
+	if q.isTrial {
+		return nil
+	}
+	v := f.quarantine.Admit(q.account, q.sharedParts)
+	if !v.Refused {
+		return nil
+	}
+	if v.TrialDue && len(q.attempts) == 0 {
+		claimCtx, cancel := context.WithTimeout(ctx, trialClaimTimeout)
+		defer cancel()
+		if f.ClaimTrial(claimCtx, v.Block) {
+			q.isTrial = true
+			return nil
+		}
+	}
+	q.blockedPart = v.Block.Part
+	if q.mayHaveRun {
+		f.counters.failed.Add(1)
+		return &refusal{status: http.StatusBadGateway, reason: "upstream-failed"}
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "prompt-blocked", retryAfter: v.RetryAt.Sub(f.Now())}
+}
+
+// suspicionDenial returns why a request that an upstream may have crashed on is not sent once more, or an empty denial.
+func (f *Forwarder) suspicionDenial(q *request) denial {
+	if len(q.sharedParts) == 0 || len(q.attempts) == 0 {
+		return ""
+	}
+	last := &q.attempts[len(q.attempts)-1]
+	if q.isTrial && last.outcome != outcomeNotSent {
+		return denialSuspected
+	}
+	if !last.wasLost {
+		return ""
+	}
+	losses := 0
+	for i := range q.attempts {
+		if q.attempts[i].events > 0 {
+			// An upstream that crashes on a request does so as it begins to answer it.
+			return ""
+		}
+		if q.attempts[i].wasLost {
+			losses++
+		}
+	}
+	if losses >= maxLosses || !f.quarantine.MayRepeat(q.account, q.sharedParts, last.upstream) {
+		return denialSuspected
+	}
+	return ""
+}
+
+// countEvent counts an event of the response.
+func (c *call) countEvent() {
+	a, now := &c.q.attempts[c.index], c.f.Now()
+	if a.events++; a.events == 1 {
+		a.firstEventAt = now
+	}
+	if now.Sub(a.firstEventAt) >= settleTime {
+		c.settle()
+	}
+}
+
+// settle records that the upstream of a call has begun to answer its request without crashing.
+func (c *call) settle() {
+	a := &c.q.attempts[c.index]
+	if a.settled || len(c.q.sharedParts) == 0 {
+		return
+	}
+	a.settled = true
+	c.f.quarantine.Answered(c.q.sharedParts)
+}
+
+// recordLoss records the loss of a call's connection and, if the upstream had not begun to answer it, finds out whether the
+// upstream has crashed.
+func (c *call) recordLoss() {
+	a := &c.q.attempts[c.index]
+	a.wasLost = true
+	if a.settled || len(c.q.sharedParts) == 0 || !c.f.losses.add(c.name, c.q) {
+		return
+	}
+	go c.f.reportCrash(c.upstream, c.name)
+}
+
+// reportCrash reports the crash of an upstream unless it still accepts connections or does not react at all.
+func (f *Forwarder) reportCrash(u *registrar.Upstream, name identifier.Upstream) {
+	time.Sleep(lossCollectTime)
+	crash := f.losses.take(name)
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	_, err := f.Probe(ctx, u, name)
+	if err == nil || ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
+	f.log.Warn("upstream crashed", "upstream", name, "suspects", len(crash.Suspects), "error", err.Error())
+	f.quarantine.ReportCrash(crash)
+}
--- a/forwarder/denial.go
+++ b/forwarder/denial.go
@@ -17,6 +17,8 @@
 	denialCallerLeft    denial = "caller-left"
 	denialBudget        denial = "budget"
 	denialNoUpstream    denial = "no-upstream"
+	// denialSuspected is that of a request which may have crashed its upstream.
+	denialSuspected denial = "suspected"
 )
 
 // contextDenial returns the denial of a request whose context has ended.
@@ -41,6 +43,8 @@
 		f.counters.deniedNoUpstream.Add(1)
 	case denialBudget:
 		f.counters.deniedBudget.Add(1)
+	case denialSuspected:
+		f.counters.deniedSuspected.Add(1)
 	case denialNotRepeatable, denialCallerLeft:
 	}
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/siskinfront/siskinfront/limiter"
 	"github.com/siskinfront/siskinfront/matcher"
 	"github.com/siskinfront/siskinfront/meter"
+	"github.com/siskinfront/siskinfront/quarantiner"
 	"github.com/siskinfront/siskinfront/registrar"
 	"github.com/siskinfront/siskinfront/selector"
 	"github.com/siskinfront/siskinfront/streamer"
@@ -108,6 +109,8 @@
 	OnResponse, OnPace func(Attempt, time.Duration)
 	// OnLeaving receives an upstream when its responses begin to say that it leaves.
 	OnLeaving func(*registrar.Upstream)
+	// ClaimTrial reports whether this entry may send the next request with a part that is blocked.
+	ClaimTrial func(context.Context, quarantiner.Block) bool
 	// Probe asks an upstream for a report, which takes none of its slots; an answer shows that the upstream is responsive.
 	Probe func(context.Context, *registrar.Upstream, identifier.Upstream) (Report, error)
 	// StopTimes returns when a planned stop of the entry began and by when its requests must have ended, or zero times.
@@ -127,6 +130,9 @@
 	meter         *meter.Meter
 	rand          func() float64
 
+	quarantine *quarantiner.Quarantine
+	losses     lossList
+
 	pressures    sync.Map // identifier.Service to *selector.Pressure
 	liveness     sync.Map // identifier.Upstream to *liveness
 	bodyBytes    atomic.Int64
@@ -145,7 +151,7 @@
 	requests, answered, refused, failed, streamsBroken, callersLeft, connectionsCut, unmatched, unknownKey, invalid                        atomic.Int64
 	attempts, notRun, lost, resumed, abandoned, escalated, unverified, upstreamErrors, budgetExceeded, unresponsive, requestsMissing, kept atomic.Int64
 	invalidLeaving                                                                                                                         atomic.Int64
-	deniedBudget, deniedAttempts, deniedRejections, deniedDeadline, deniedNoUpstream                                                       atomic.Int64
+	deniedBudget, deniedAttempts, deniedRejections, deniedDeadline, deniedNoUpstream, deniedSuspected                                      atomic.Int64
 }
 
 // liveness is what is known of an upstream's responsiveness; its atomic times are in Unix nanoseconds.
@@ -209,6 +215,11 @@
 	return func(f *Forwarder) { f.budgets = b }
 }
 
+// WithQuarantine sets what is known of parts of prompts on which upstreams crash.
+func WithQuarantine(q *quarantiner.Quarantine) Option {
+	return func(f *Forwarder) { f.quarantine = q }
+}
+
 // WithMaxBodyBytes bounds the total size in bytes of the request bodies in memory.
 func WithMaxBodyBytes(n int64) Option {
 	return func(f *Forwarder) { f.maxBodyBytes = n }
@@ -222,7 +233,8 @@
 		OnResponse: func(Attempt, time.Duration) {}, OnPace: func(Attempt, time.Duration) {},
 		StopTimes:     func() (time.Time, time.Time) { return time.Time{}, time.Time{} },
 		ConnectionEnd: func(context.Context) (string, bool) { return "", false },
-		cascades:      selector.NewConfidenceCascades(), log: slog.Default(), meter: meter.New(), rand: rand.Float64, maxBodyBytes: 16 << 20, slowdowns: newSlowdownTracker(),
+		ClaimTrial:    func(context.Context, quarantiner.Block) bool { return false }, quarantine: quarantiner.New(),
+		cascades: selector.NewConfidenceCascades(), log: slog.Default(), meter: meter.New(), rand: rand.Float64, maxBodyBytes: 16 << 20, slowdowns: newSlowdownTracker(),
 	}
 	for _, o := range opts {
 		o(f)
@@ -362,7 +374,7 @@
 		"panics": c.panics.Load(), "leaving-invalid": c.invalidLeaving.Load(), "attempts-rescued": c.abandoned.Load(), "cascade-steps": c.escalated.Load(), "responses-spoiled": c.unverified.Load(),
 		"attempts-kept": c.kept.Load(), "upstreams-silent": c.unresponsive.Load(), "requests-missing": c.requestsMissing.Load(), "upstream-errors": c.upstreamErrors.Load(), "retries-over-budget": c.budgetExceeded.Load(),
 		"ended-for-budget": c.deniedBudget.Load(), "ended-for-attempts": c.deniedAttempts.Load(), "ended-for-rejections": c.deniedRejections.Load(),
-		"ended-for-deadline": c.deniedDeadline.Load(), "ended-for-upstream": c.deniedNoUpstream.Load(),
+		"ended-for-deadline": c.deniedDeadline.Load(), "ended-for-upstream": c.deniedNoUpstream.Load(), "ended-for-suspicion": c.deniedSuspected.Load(),
 	}
 }
 
--- a/forwarder/permit.go
+++ b/forwarder/permit.go
@@ -56,6 +56,9 @@
 	if noUpstream && !q.responseStarted {
 		return denialNoUpstream
 	}
+	if d := f.suspicionDenial(q); d != "" {
+		return d
+	}
 	mayHaveRun := !noUpstream && !errors.Is(err, errNotRun)
 	if mayHaveRun {
 		q.resumePause = 0
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -45,6 +45,12 @@
 			slog.Int("status", a.status), slog.Int("events", a.events), slog.Int("confidence", a.confidence), slog.Int("running", a.running),
 			slog.Int("waiting", a.waiting), a.evidenceAttr(), slog.String("outcome", string(a.outcome))))
 	}
+	if q.isTrial {
+		attrs = append(attrs, slog.Bool("trial", true))
+	}
+	if q.blockedPart != 0 {
+		attrs = append(attrs, slog.String("blocked-part", q.blockedPart.String()))
+	}
 	if q.denial != "" {
 		attrs = append(attrs, slog.String("no-retry", string(q.denial)))
 	}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/matcher"
+	"github.com/siskinfront/siskinfront/quarantiner"
 )
 
 // maxDeadline bounds the time that a caller may ask for, so that arithmetic on it cannot overflow.
@@ -36,8 +37,8 @@
 	service identifier.Service
 	// sessionHash identifies the session, and prefixHash the part of the prompt that other requests share; 0 if unknown.
 	sessionHash, prefixHash uint64
-	// sharedParts holds the hashes of the parts of the prompt that other requests may share, which are all but the last.
-	sharedParts []uint64
+	// sharedParts holds the parts of the prompt that other requests may share, which are all but the last.
+	sharedParts []quarantiner.Part
 	// promptTokens is the length of the prompt, and sharedTokens that of the part that other requests share.
 	promptTokens, sharedTokens int
 	lastEventID                int64
@@ -62,6 +63,10 @@
 	permit permit
 	// resumePause is the pause before the next try to resume the stream.
 	resumePause time.Duration
+	// isTrial is set if the request may be sent although a part of its prompt is blocked, and blockedPart is the part for which it
+	// was refused.
+	isTrial     bool
+	blockedPart quarantiner.Part
 	// denial is why the request ended without a further attempt.
 	denial denial
 	status int
@@ -172,12 +177,12 @@
 	if v := h.Get(f.headers.Session); v != "" {
 		q.sessionHash = xxhash.Sum64String(v)
 	}
-	if q.route.HasSessions {
-		f.parsePrompt(q)
-	}
 	// A separate hash makes the split of a route independent of the split of a roll-out.
 	split := xxhash.Sum64String("split/" + strconv.FormatUint(q.sessionHash, 16))
 	q.service = q.route.Service(float64(split>>11) / (1 << 53))
+	if q.route.HasSessions {
+		f.parsePrompt(q)
+	}
 	if v := h.Get(f.headers.LastEventID); v != "" {
 		if n, err := strconv.ParseInt(v, 10, 64); err == nil {
 			q.lastEventID, q.hasLastEventID = n, true
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -25,6 +25,9 @@
 	q.relativePromptSize = f.pressure(q.service).RelativePromptSize(q.promptTokens)
 	resuming := q.hasLastEventID
 	for {
+		if err := f.admitPrompt(ctx, q); err != nil {
+			return err
+		}
 		c, err := f.send(ctx, q, f.stepModel(q, step), urgency(q.rank, resuming))
 		if err == nil && !q.responseStarted && c.response.StatusCode < http.StatusMultipleChoices {
 			if next, ok := f.escalate(ctx, q, cascade, step, c); ok {
@@ -84,7 +87,7 @@
 // escalate drops an answer in which its model has too little confidence and returns the next step of the cascade, if a larger
 // model may be asked.
 func (f *Forwarder) escalate(ctx context.Context, q *request, cascade *selector.ConfidenceCascade, step int, c *call) (int, bool) {
-	if !q.anyModel {
+	if !q.anyModel || q.isTrial {
 		return 0, false
 	}
 	q.pressure = f.pressure(q.service).Value(f.Now())
@@ -119,6 +122,7 @@
 	for {
 		b, err := events.Next()
 		if errors.Is(err, io.EOF) && q.responseStarted {
+			c.settle()
 			c.end(balancer.ResultSuccess, outcomeComplete, false)
 			return nil
 		}
@@ -128,7 +132,7 @@
 		}
 		f.recordActivity(c.name)
 		a := &q.attempts[c.index]
-		a.events++
+		c.countEvent()
 		if c.pace.firstAt.IsZero() {
 			f.OnResponse(c.info, f.Now().Sub(c.beganAt))
 		}
--- a/forwarder/unary.go
+++ b/forwarder/unary.go
@@ -29,6 +29,9 @@
 	q.hold(permit{held: true})
 	defer q.releasePermit()
 	for {
+		if err := f.admitPrompt(ctx, q); err != nil {
+			return err
+		}
 		c, err := f.send(ctx, q, "", defaultUrgency)
 		if err == nil {
 			err = f.relay(ctx, w, c)
@@ -114,6 +117,9 @@
 		result = balancer.ResultFailure
 	}
 	f.observeFirstByte(q)
+	if resp.StatusCode < http.StatusMultipleChoices {
+		c.settle()
+	}
 	c.end(result, outcomeComplete, failed)
 	return nil
 }
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -54,6 +54,9 @@
 	d := &watchdog{c: c, cancel: cancel}
 	if c.q.route.Retryable() {
 		d.denial, d.startedDenial = c.q.attemptsDenial(true, c.q.responseStarted), c.q.attemptsDenial(true, true)
+		if c.q.isTrial {
+			d.denial, d.startedDenial = denialSuspected, denialSuspected
+		}
 		// check reads d.timer, so the timer is set to the interval only after it is stored.
 		d.timer = time.AfterFunc(time.Hour, d.check)
 		d.timer.Reset(checkInterval)
--- /dev/null
+++ b/quarantiner/fact.go
@@ -0,0 +1,101 @@
+package quarantiner
+
+import (
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+// Part identifies a part of the prompts of a service.
+type Part uint64
+
+// NewPart returns the part with a name in the prompts of a service.
+func NewPart(service identifier.Service, name string) Part {
+	return Part(xxhash.Sum64String(string(service) + "/" + name))
+}
+
+// String returns the part in hexadecimal.
+func (p Part) String() string {
+	return strconv.FormatUint(uint64(p), 16)
+}
+
+// Crash is the crash of an upstream as one entry saw it.
+type Crash struct {
+	// Upstream is the name of the incarnation that crashed.
+	Upstream identifier.Upstream `json:"upstream"`
+	// Suspects are the parts in the requests that the upstream had not begun to answer.
+	Suspects []Suspect `json:"suspects"`
+}
+
+// Suspect is a part in a request of a client account.
+type Suspect struct {
+	Account identifier.ClientAccount `json:"account,omitempty"`
+	Part    Part                     `json:"part"`
+}
+
+// Add adds the parts of a request to the suspects.
+func (c *Crash) Add(account identifier.ClientAccount, parts []Part) {
+	for _, p := range parts {
+		if s := (Suspect{account, p}); !slices.Contains(c.Suspects, s) {
+			c.Suspects = append(c.Suspects, s)
+		}
+	}
+}
+
+// Scope is the set of requests with a part that are refused.
+type Scope struct {
+	// Account is the client account whose requests are refused, unless Everyone is set.
+	Account identifier.ClientAccount `json:"account,omitempty"`
+	// Everyone is set if the requests of all client accounts are refused.
+	Everyone bool `json:"everyone,omitempty"`
+}
+
+func (s Scope) includes(account identifier.ClientAccount) bool {
+	return s.Everyone || s.Account == account
+}
+
+// Block is the decision to refuse a part.
+type Block struct {
+	Part  Part  `json:"part"`
+	Scope Scope `json:"scope"`
+	// Trials is the number of requests that were allowed in spite of the block.
+	Trials int `json:"trials,omitempty"`
+	// Cleared is set once the block was ended by an answer.
+	Cleared bool `json:"cleared,omitempty"`
+}
+
+// Fact is what one entry tells the others; one of its fields is set.
+type Fact struct {
+	Crash *Crash `json:"crash,omitempty"`
+	// Answered lists parts of requests that upstreams have begun to answer.
+	Answered []Part `json:"answered,omitempty"`
+	Block    *Block `json:"block,omitempty"`
+}
+
+const (
+	// maxSuspectBytes bounds the encoded suspects of a fact, which has to fit into a datagram, and suspectBytes is the size of one
+	// without its account.
+	maxSuspectBytes = 900
+	suspectBytes    = 50
+	// maxAnsweredParts bounds the answered parts of a fact for the same reason.
+	maxAnsweredParts = 32
+)
+
+// facts divides a crash into facts that fit into a datagram each.
+func (c Crash) facts() []Fact {
+	var list []Fact
+	size := maxSuspectBytes
+	for _, s := range c.Suspects {
+		n := suspectBytes + len(s.Account)
+		if size+n > maxSuspectBytes {
+			list, size = append(list, Fact{Crash: &Crash{Upstream: c.Upstream}}), 0
+		}
+		last := list[len(list)-1].Crash
+		last.Suspects = append(last.Suspects, s)
+		size += n
+	}
+	return list
+}
--- /dev/null
+++ b/quarantiner/quarantiner.go
@@ -0,0 +1,352 @@
+package quarantiner
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/interpreter"
+)
+
+const (
+	// decisionDelay is the time from the crash that makes a part guilty to the decision, in which the suspects of other entries
+	// arrive. The part with the most crashes is then blocked.
+	decisionDelay = 100 * time.Millisecond
+	// answerInterval is the shortest time between two reports to the other entries that a suspected part was answered.
+	answerInterval = 200 * time.Millisecond
+	// maxParts bounds the parts of which something is known; beyond it further ones are ignored.
+	maxParts = 8192
+)
+
+// Quarantine holds what one entry knows of the parts of prompts; it is safe for concurrent use.
+type Quarantine struct {
+	now   func() time.Time
+	share func(Fact)
+	// onBlock receives each decision of this entry and each change of the number of trials.
+	onBlock  func(Block)
+	schedule func(time.Time, func())
+	chart    *interpreter.Chart
+
+	mu    sync.Mutex
+	parts map[Part]*record
+	// answered holds the time of the last answer to requests with a part.
+	answered map[Part]time.Time
+	// explained holds the crashes for which a blocked part is responsible.
+	explained map[identifier.Upstream]time.Time
+	// sharedAt is when the other entries were last told of an answer to a part.
+	sharedAt map[Part]time.Time
+
+	crashes, blocks, refused, clears, ignored int64
+}
+
+// Option configures a Quarantine.
+type Option func(*Quarantine)
+
+// WithNow sets the clock.
+func WithNow(now func() time.Time) Option {
+	return func(q *Quarantine) { q.now = now }
+}
+
+// WithShare sets the function that tells the other entries a fact.
+func WithShare(share func(Fact)) Option {
+	return func(q *Quarantine) { q.share = share }
+}
+
+// WithOnBlock sets the function that receives each block and each end of a block that this entry decides on.
+func WithOnBlock(f func(Block)) Option {
+	return func(q *Quarantine) { q.onBlock = f }
+}
+
+// WithSchedule sets the function that calls another one at a time.
+func WithSchedule(schedule func(time.Time, func())) Option {
+	return func(q *Quarantine) { q.schedule = schedule }
+}
+
+// New returns a quarantine without blocks.
+func New(opts ...Option) *Quarantine {
+	q := &Quarantine{
+		now: time.Now, share: func(Fact) {}, onBlock: func(Block) {},
+		schedule:  func(at time.Time, f func()) { time.AfterFunc(time.Until(at), f) },
+		chart:     interpreter.MustParse(partChart),
+		parts:     map[Part]*record{},
+		answered:  map[Part]time.Time{},
+		explained: map[identifier.Upstream]time.Time{},
+		sharedAt:  map[Part]time.Time{},
+	}
+	for _, o := range opts {
+		o(q)
+	}
+	return q
+}
+
+// ReportCrash records a crash that this entry saw and tells the other entries.
+func (q *Quarantine) ReportCrash(c Crash) {
+	q.addCrash(c, true)
+	for _, f := range c.facts() {
+		q.share(f)
+	}
+}
+
+// Apply records a fact of another entry.
+func (q *Quarantine) Apply(f Fact) {
+	switch {
+	case f.Crash != nil:
+		q.addCrash(*f.Crash, false)
+	case f.Block != nil:
+		q.ApplyBlock(*f.Block)
+	default:
+		q.applyAnswers(f.Answered)
+	}
+}
+
+func (q *Quarantine) addCrash(c Crash, own bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	if own {
+		q.crashes++
+	}
+	for _, s := range c.Suspects {
+		if r := q.parts[s.Part]; r != nil && r.isBlocked() && r.scope.includes(s.Account) {
+			q.explained[c.Upstream] = now
+		}
+	}
+	_, isExplained := q.explained[c.Upstream]
+	decide := false
+	for _, s := range c.Suspects {
+		r := q.record(s.Part)
+		if r == nil || isExplained && !r.isBlocked() {
+			continue
+		}
+		if len(r.crashes) == 0 {
+			r.answeredAt = q.answered[s.Part]
+		}
+		r.forget(now.Add(-crashMemory))
+		isNew := r.add(c.Upstream, s.Account, now)
+		if isNew {
+			q.fire(r, eventCrashed)
+		}
+		decide = decide || isNew && (r.isBlocked() || r.isGuilty())
+	}
+	if decide {
+		q.schedule(now.Add(decisionDelay), func() { q.decide(own) })
+	}
+}
+
+// record returns the record of a part, or nil if there are too many.
+func (q *Quarantine) record(p Part) *record {
+	r := q.parts[p]
+	if r == nil {
+		if len(q.parts) >= maxParts {
+			q.ignored++
+			return nil
+		}
+		r = &record{machine: interpreter.NewMachine(q.chart)}
+		q.parts[p] = r
+	}
+	return r
+}
+
+// fire fires an event of the chart, which has a transition for it in each state in which it is fired.
+func (q *Quarantine) fire(r *record, e interpreter.Event) {
+	if err := r.machine.Fire(e); err != nil {
+		panic("quarantiner: " + err.Error())
+	}
+}
+
+// decide blocks the guilty parts, those with the most crashes first, whose crashes then no longer count against other parts. If
+// share is set, the other entries are told.
+func (q *Quarantine) decide(share bool) {
+	q.mu.Lock()
+	blocks := q.widen()
+	for {
+		guilty := q.mostGuilty()
+		if len(guilty) == 0 {
+			break
+		}
+		for _, p := range guilty {
+			r := q.parts[p]
+			r.scope, r.trials = r.scopeOfCrashes(), 0
+			r.nextTrialAt = q.now().Add(trialDelay(0))
+			q.fire(r, eventBlocked)
+			q.blocks++
+			blocks = append(blocks, Block{Part: p, Scope: r.scope})
+		}
+		q.explain(q.parts[guilty[0]])
+	}
+	q.mu.Unlock()
+	for i := range blocks {
+		if share {
+			q.share(Fact{Block: &blocks[i]})
+		}
+		q.onBlock(blocks[i])
+	}
+}
+
+// widen lets blocks hold for everyone if upstreams also crashed on requests of other accounts.
+func (q *Quarantine) widen() []Block {
+	var blocks []Block
+	for p, r := range q.parts {
+		if r.isBlocked() && !r.scope.Everyone && len(r.crashes) > 0 && r.scopeOfCrashes() != r.scope {
+			r.scope = Scope{Everyone: true}
+			blocks = append(blocks, Block{Part: p, Scope: r.scope, Trials: r.trials})
+		}
+	}
+	return blocks
+}
+
+// mostGuilty returns the guilty parts with the most crashes. Parts that always come together cannot be told apart and have the
+// same number.
+func (q *Quarantine) mostGuilty() []Part {
+	list := make([]Part, 0, 1)
+	most := 0
+	for p, r := range q.parts {
+		if r.isBlocked() || !r.isGuilty() {
+			continue
+		}
+		switch n := len(r.crashes); {
+		case n > most:
+			list, most = append(list[:0], p), n
+		case n == most:
+			list = append(list, p)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// explain removes the crashes of a blocked part from the parts that are not blocked.
+func (q *Quarantine) explain(guilty *record) {
+	now := q.now()
+	for _, c := range guilty.crashes {
+		q.explained[c.upstream] = now
+	}
+	for _, r := range q.parts {
+		if r.machine.State() != stateSuspected {
+			continue
+		}
+		r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool {
+			_, ok := q.explained[c.upstream]
+			return ok
+		})
+		if len(r.crashes) == 0 {
+			q.fire(r, eventExplained)
+		}
+	}
+}
+
+// Answered records that an upstream has begun to answer a request with some parts, which ends the suspicion of them.
+func (q *Quarantine) Answered(parts []Part) {
+	q.mu.Lock()
+	now := q.now()
+	var tell []Part
+	var ended []Block
+	for _, p := range parts {
+		q.noteAnswer(p, now)
+		r := q.parts[p]
+		if r == nil || r.machine.State() == stateClear {
+			continue
+		}
+		isBlocked := r.isBlocked()
+		if (isBlocked || r.groups() > 1) && now.Sub(q.sharedAt[p]) >= answerInterval {
+			q.sharedAt[p] = now
+			tell = append(tell, p)
+		}
+		if isBlocked {
+			ended = append(ended, Block{Part: p, Scope: r.scope, Trials: r.trials, Cleared: true})
+		}
+		q.clear(p, r)
+	}
+	q.mu.Unlock()
+	for chunk := range slices.Chunk(tell, maxAnsweredParts) {
+		q.share(Fact{Answered: chunk})
+	}
+	for _, b := range ended {
+		q.onBlock(b)
+	}
+}
+
+func (q *Quarantine) noteAnswer(p Part, now time.Time) {
+	if _, ok := q.answered[p]; ok || len(q.answered) < maxParts {
+		q.answered[p] = now
+	}
+}
+
+func (q *Quarantine) clear(p Part, r *record) {
+	q.fire(r, eventAnswered)
+	q.clears++
+	delete(q.parts, p)
+}
+
+// applyAnswers records that another entry got answers to requests with some parts.
+func (q *Quarantine) applyAnswers(parts []Part) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	for _, p := range parts {
+		q.noteAnswer(p, now)
+		q.sharedAt[p] = now
+		if r := q.parts[p]; r != nil && r.machine.State() != stateClear {
+			q.clear(p, r)
+		}
+	}
+}
+
+// Sweep forgets what is too old to matter.
+func (q *Quarantine) Sweep() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	for p, r := range q.parts {
+		if r.isBlocked() {
+			continue
+		}
+		if r.forget(now.Add(-crashMemory)); len(r.crashes) == 0 {
+			delete(q.parts, p)
+		}
+	}
+	for p, at := range q.answered {
+		if now.Sub(at) >= answerMemory {
+			delete(q.answered, p)
+		}
+	}
+	for p, at := range q.sharedAt {
+		if now.Sub(at) >= answerInterval {
+			delete(q.sharedAt, p)
+		}
+	}
+	for u, at := range q.explained {
+		if now.Sub(at) >= crashMemory {
+			delete(q.explained, u)
+		}
+	}
+}
+
+// Counters returns the totals since the start.
+func (q *Quarantine) Counters() map[string]int64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return map[string]int64{
+		"crashes": q.crashes, "blocks": q.blocks, "refused": q.refused, "cleared": q.clears, "parts-ignored": q.ignored,
+	}
+}
+
+// PartState is the state of a suspected or blocked part in the state dump.
+type PartState struct {
+	State   interpreter.State `json:"state"`
+	Crashes int               `json:"crashes"`
+	Scope   Scope             `json:"scope"`
+	Trials  int               `json:"trials"`
+}
+
+// State returns the suspected and blocked parts.
+func (q *Quarantine) State() any {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	m := make(map[string]PartState, len(q.parts))
+	for p, r := range q.parts {
+		m[p.String()] = PartState{r.machine.State(), len(r.crashes), r.scope, r.trials}
+	}
+	return m
+}
--- a/runner/debug.go
+++ b/runner/debug.go
@@ -15,7 +15,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		state := map[string]any{
 			"forwarder": r.forwarder.State(), "balancer": r.balancer.State(), "registrar": r.registrar.State(),
-			"roll-outs": r.rollouts.State(),
+			"roll-outs": r.rollouts.State(), "quarantine": r.sharing.quarantine.State(),
 		}
 		if t := r.table.Load(); t != nil {
 			state["revision"] = t.Revision
--- a/runner/reload.go
+++ b/runner/reload.go
@@ -48,7 +48,7 @@
 func (r *Runner) applySettings(s *Settings, cause string) {
 	old := r.settings.Load()
 	needsRestart := s.CallerAddress != old.CallerAddress || s.ReadyAddress != old.ReadyAddress ||
-		s.DebugAddress != old.DebugAddress || s.Instance != old.Instance || s.DataCentre != old.DataCentre
+		s.DebugAddress != old.DebugAddress || s.PeerAddress != old.PeerAddress || s.Instance != old.Instance || s.DataCentre != old.DataCentre
 	r.settings.Store(s)
 	if s.Store != old.Store {
 		r.platform.SetStore(s.Store)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -87,6 +87,7 @@
 		wait time.Duration, log *slog.Logger, table func(*matcher.Table, error), order func(promoter.RolloutOrder),
 	) Follower
 	Rollouts RolloutStore
+	Shared   SharedStore
 	Counters func() map[string]int64
 }
 
@@ -110,6 +111,7 @@
 	directory   *directory
 	rollouts    *rollouts
 	forwarder   *forwarder.Forwarder
+	sharing     *sharing
 	reaper      *reaper.Reaper
 	upstreams   *follower.Follower[registrar.Change]
 	operator    Follower
@@ -135,6 +137,7 @@
 	r.rollouts.regroup, r.rollouts.groupSize = r.directory.regroup, r.directory.size
 	r.registrar = registrar.New(registrar.WithUpdate(r.updateUpstreams))
 	r.registrar.OnLeaving = r.logLeaving
+	r.sharing = newSharing(p.Shared, s.Instance, s.PeerAddress, log)
 	r.buildForwarder()
 	r.reaper = reaper.New(r.connectionLimits)
 	r.upstreams = follower.New(p.Upstreams, r.registrar.Apply, log)
@@ -143,6 +146,7 @@
 	r.operator = p.FollowOperator(s.pollTime(s.ApplyTime), log, r.applyConfiguration, r.rollouts.addOrder)
 	for name, counters := range map[string]func() map[string]int64{
 		"forwarder": r.forwarder.Counters, "balancer": r.balancer.Counters, "connector": r.pool.Counters, "reaper": r.reaper.Counters,
+		"quarantine": r.sharing.quarantine.Counters, "broadcaster": r.sharing.broadcaster.Counters, "shared": r.sharing.follower.Counters,
 		"registrar": r.registrar.Counters, "follower": r.upstreams.Counters, "operator": r.operator.Counters, "store": p.Counters,
 	} {
 		r.meter.Register(name, counters)
@@ -166,7 +170,8 @@
 	}}
 	r.forwarder = forwarder.New(forwarder.WithHeaders(r.platform.Headers), forwarder.WithBalancer(r.balancer),
 		forwarder.WithPool(r.pool), forwarder.WithLog(r.log), forwarder.WithMeter(r.meter), forwarder.WithBudgets(budgets),
-		forwarder.WithMaxBodyBytes(int64(bodyFraction*float64(s.MemoryBytes))))
+		forwarder.WithMaxBodyBytes(int64(bodyFraction*float64(s.MemoryBytes))), forwarder.WithQuarantine(r.sharing.quarantine))
+	r.forwarder.ClaimTrial = r.sharing.claimTrial
 	r.forwarder.Table = r.table.Load
 	r.forwarder.Upstream = r.directory.upstream
 	r.forwarder.Group = r.rollouts.sessionGroup
@@ -281,6 +286,7 @@
 	g.Go(func() error { return r.upstreams.Run(background) })
 	g.Go(func() error { return r.operator.Run(background) })
 	g.Go(func() error { return r.rollouts.run(background) })
+	g.Go(func() error { return r.sharing.run(background) })
 	g.Go(func() error { return r.sweepPeriodically(background) })
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- callers.Serve(callerListener) }()
@@ -353,6 +359,7 @@
 		}
 		r.registrar.RemoveExpired()
 		r.reaper.CloseExpired()
+		r.sharing.quarantine.Sweep()
 		r.pool.CloseIdle(func(peer connector.Peer) bool { return r.directory.isAvailable(peer.Name) })
 		r.forwarder.Retain(func(name identifier.Upstream) bool { return r.directory.upstream(name) != nil })
 		if confirmedAt := r.upstreams.ConfirmedAt(); !confirmedAt.IsZero() {
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -25,6 +25,9 @@
 	ReadyAddress netip.AddrPort `yaml:"ready-address" validate:"required"`
 	// DebugAddress is the address of the listener for the state dump and the metrics.
 	DebugAddress netip.AddrPort `yaml:"debug-address" validate:"required"`
+	// PeerAddress is the address at which the entry receives datagrams of the other entries; without it, it hears nothing from them
+	// but through the store.
+	PeerAddress netip.AddrPort `yaml:"peer-address"`
 	// Store is the address of the platform's store.
 	Store netip.AddrPort `yaml:"store" validate:"required"`
 	// MemoryBytes is the memory that the process may use.
--- /dev/null
+++ b/runner/sharing.go
@@ -0,0 +1,289 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/siskinfront/siskinfront/broadcaster"
+	"github.com/siskinfront/siskinfront/buffer"
+	"github.com/siskinfront/siskinfront/follower"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/quarantiner"
+	"github.com/siskinfront/siskinfront/storer"
+)
+
+const (
+	// renewInterval is the mean time between two writes of an entry's row, and entryLifetime the time without one after which the
+	// entry counts as gone.
+	renewInterval = time.Minute
+	entryLifetime = 3 * time.Minute
+	// sharedWait is how long the store may hold a call for changes of the shared table, whose news also comes in datagrams.
+	sharedWait = 10 * time.Second
+	// minShareBackoff and maxShareBackoff bound the pause after a failed write of a shared row, which doubles with each failure.
+	minShareBackoff = 100 * time.Millisecond
+	maxShareBackoff = 5 * time.Second
+	// blockSpread is the time over which the entries that decide on the same block write it; most find it written already.
+	blockSpread = time.Second
+	// maxPendingBlocks bounds the blocks that wait to be written.
+	maxPendingBlocks = 256
+	// removeEntryTimeout bounds the removal of the entry's row when it stops.
+	removeEntryTimeout = 200 * time.Millisecond
+)
+
+// SharedChange is a change of the table in which the entries keep what all of them must know: of the row of an entry if Entry is set,
+// otherwise of that of a block.
+type SharedChange struct {
+	Entry identifier.Instance
+	// Address is where the entry receives datagrams; it is invalid if its row was removed.
+	Address    netip.AddrPort
+	Block      *quarantiner.Block
+	Removed    bool
+	RowVersion uint64
+}
+
+// SharedStore holds the functions with which an entry uses the shared table.
+type SharedStore struct {
+	Source follower.Source[SharedChange]
+	// PutEntry writes the row of an entry, and RemoveEntry removes it if it has a version, or in any case if that is 0.
+	PutEntry    func(ctx context.Context, name identifier.Instance, address netip.AddrPort, renewal int64) error
+	RemoveEntry func(ctx context.Context, name identifier.Instance, rowVersion uint64) error
+	// PutBlock writes a block if its row has a version.
+	PutBlock func(ctx context.Context, b quarantiner.Block, rowVersion uint64) error
+}
+
+// entryRecord is another entry.
+type entryRecord struct {
+	address    netip.AddrPort
+	rowVersion uint64
+	expiresAt  time.Time
+}
+
+type storedBlock struct {
+	quarantiner.Block
+	rowVersion uint64
+}
+
+// sharing keeps this entry and the others informed about each other and about blocked parts of prompts.
+type sharing struct {
+	store       SharedStore
+	self        identifier.Instance
+	address     netip.AddrPort
+	quarantine  *quarantiner.Quarantine
+	broadcaster *broadcaster.Broadcaster[quarantiner.Fact]
+	follower    *follower.Follower[SharedChange]
+	pending     *buffer.Ring[quarantiner.Block]
+	now         func() time.Time
+	log         *slog.Logger
+
+	mu      sync.Mutex
+	entries map[identifier.Instance]entryRecord
+	blocks  map[quarantiner.Part]storedBlock
+}
+
+func newSharing(store SharedStore, self identifier.Instance, address netip.AddrPort, log *slog.Logger) *sharing {
+	s := &sharing{
+		store: store, self: self, address: address, log: log, now: time.Now, entries: map[identifier.Instance]entryRecord{},
+		blocks: map[quarantiner.Part]storedBlock{}, pending: buffer.NewRing[quarantiner.Block](maxPendingBlocks),
+		broadcaster: broadcaster.New[quarantiner.Fact](self, log),
+	}
+	s.quarantine = quarantiner.New(quarantiner.WithShare(s.broadcaster.Send), quarantiner.WithOnBlock(s.recordBlock))
+	s.broadcaster.Receive = s.quarantine.Apply
+	s.follower = follower.New(store.Source, s.apply, log)
+	s.follower.MaxWait = sharedWait
+	return s
+}
+
+// run shares until ctx ends, and then removes the row of this entry.
+func (s *sharing) run(ctx context.Context) error {
+	var duties sync.WaitGroup
+	defer duties.Wait()
+	duties.Go(func() { s.renew(ctx) })
+	duties.Go(func() { s.writeBlocks(ctx) })
+	duties.Go(func() { _ = s.follower.Run(ctx) })
+	if !s.address.IsValid() {
+		<-ctx.Done()
+		return nil
+	}
+	return s.broadcaster.Run(ctx, s.address)
+}
+
+// apply applies changes of the shared table; if all is set, they are all of its rows.
+func (s *sharing) apply(changes []SharedChange, all bool) {
+	s.mu.Lock()
+	now := s.now()
+	var before map[quarantiner.Part]storedBlock
+	if all {
+		before = s.blocks
+		s.blocks = map[quarantiner.Part]storedBlock{}
+		clear(s.entries)
+	}
+	var blocks []quarantiner.Block
+	for _, c := range changes {
+		switch {
+		case c.Block != nil && c.Removed:
+			delete(s.blocks, c.Block.Part)
+		case c.Block != nil:
+			s.blocks[c.Block.Part] = storedBlock{*c.Block, c.RowVersion}
+			blocks = append(blocks, *c.Block)
+		case c.Entry == s.self:
+		case !c.Address.IsValid():
+			delete(s.entries, c.Entry)
+		default:
+			s.entries[c.Entry] = entryRecord{c.Address, c.RowVersion, now.Add(entryLifetime)}
+		}
+	}
+	s.updatePeers()
+	for part, b := range before {
+		if _, ok := s.blocks[part]; !ok && !b.Cleared {
+			// Rows of blocks are not removed, so the store has come back without it.
+			s.enqueue(b.Block)
+		}
+	}
+	s.mu.Unlock()
+	for _, b := range blocks {
+		s.quarantine.ApplyBlock(b)
+	}
+}
+
+func (s *sharing) updatePeers() {
+	peers := make([]netip.AddrPort, 0, len(s.entries))
+	for _, e := range s.entries {
+		peers = append(peers, e.address)
+	}
+	s.broadcaster.SetPeers(peers)
+}
+
+// numEntries returns the number of entries, this one included.
+func (s *sharing) numEntries() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.entries) + 1
+}
+
+// renew writes the row of this entry at the start and every renewInterval, and drops the entries that have not.
+func (s *sharing) renew(ctx context.Context) {
+	if !s.address.IsValid() {
+		return
+	}
+	backoff := minShareBackoff
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+		err := s.store.PutEntry(callCtx, s.self, s.address, s.now().UnixNano())
+		cancel()
+		wait := renewInterval*9/10 + rand.N(renewInterval/5)
+		if err != nil {
+			wait = backoff/2 + rand.N(backoff/2)
+			backoff = min(2*backoff, maxShareBackoff)
+		} else {
+			backoff = minShareBackoff
+			s.dropExpired(ctx)
+		}
+		if storer.Sleep(ctx, wait) != nil {
+			break
+		}
+	}
+	removeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), removeEntryTimeout)
+	defer cancel()
+	if err := s.store.RemoveEntry(removeCtx, s.self, 0); err != nil {
+		s.log.Info("row of this entry was not removed", "error", err.Error())
+	}
+}
+
+// dropExpired drops the entries whose rows have expired, and removes the rows.
+func (s *sharing) dropExpired(ctx context.Context) {
+	s.mu.Lock()
+	now := s.now()
+	expired := map[identifier.Instance]uint64{}
+	for name, e := range s.entries {
+		if !now.Before(e.expiresAt) {
+			expired[name] = e.rowVersion
+			delete(s.entries, name)
+		}
+	}
+	s.updatePeers()
+	s.mu.Unlock()
+	for name, version := range expired {
+		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+		err := s.store.RemoveEntry(callCtx, name, version)
+		cancel()
+		s.log.Info("entry is gone", "entry", name, "removed", err == nil)
+	}
+}
+
+// recordBlock logs a block, or the end of one, and has it written to the store.
+func (s *sharing) recordBlock(b quarantiner.Block) {
+	message := "part of prompts is refused"
+	if b.Cleared {
+		message = "part of prompts is allowed again"
+	}
+	s.log.Warn(message, "part", b.Part.String(), "account", b.Scope.Account, "everyone", b.Scope.Everyone, "trials", b.Trials)
+	s.enqueue(b)
+}
+
+// enqueue has a block written to the store.
+func (s *sharing) enqueue(b quarantiner.Block) {
+	if err := s.pending.Offer(b); err != nil {
+		s.log.Error("block is not written to the store", "part", b.Part.String(), "error", err.Error())
+	}
+}
+
+// writeBlocks writes the decisions of this entry to the store until ctx ends.
+func (s *sharing) writeBlocks(ctx context.Context) {
+	for {
+		b, err := s.pending.Take(ctx)
+		if err != nil {
+			return
+		}
+		if storer.Sleep(ctx, rand.N(blockSpread)) != nil {
+			return
+		}
+		for backoff := minShareBackoff; s.writeBlock(ctx, b) != nil; backoff = min(2*backoff, maxShareBackoff) {
+			if storer.Sleep(ctx, backoff/2+rand.N(backoff/2)) != nil {
+				return
+			}
+		}
+	}
+}
+
+// writeBlock writes a decision unless the store has it or one that says more.
+func (s *sharing) writeBlock(ctx context.Context, b quarantiner.Block) error {
+	s.mu.Lock()
+	stored, ok := s.blocks[b.Part]
+	s.mu.Unlock()
+	if ok && stored.Cleared == b.Cleared && (b.Cleared || stored.Scope == b.Scope || stored.Scope.Everyone) {
+		return nil
+	}
+	if ok && !stored.Cleared {
+		b.Trials = max(b.Trials, stored.Trials)
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	return s.store.PutBlock(ctx, b, stored.rowVersion)
+}
+
+// claimTrial reports whether this entry may send the next request with a blocked part. Of several entries that try at the same time,
+// the store admits one; without the store there are no trials.
+func (s *sharing) claimTrial(ctx context.Context, b quarantiner.Block) bool {
+	s.mu.Lock()
+	stored, ok := s.blocks[b.Part]
+	s.mu.Unlock()
+	if !ok || stored.Cleared || stored.Trials != b.Trials {
+		return false
+	}
+	next := stored.Block
+	next.Trials++
+	if err := s.store.PutBlock(ctx, next, stored.rowVersion); err != nil {
+		if !errors.Is(err, storer.ErrConflict) {
+			s.log.Warn("trial of a refused part cannot be claimed", "part", b.Part.String(), "error", err.Error())
+		}
+		return false
+	}
+	s.log.Info("trial of a refused part", "part", b.Part.String(), "trials", next.Trials)
+	s.quarantine.ApplyBlock(next)
+	return true
+}
--- /dev/null
+++ b/runner/sharing_internal_test.go
@@ -0,0 +1,210 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/follower"
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/quarantiner"
+	"github.com/siskinfront/siskinfront/storer"
+)
+
+// sharedTable is a shared table in memory.
+type sharedTable struct {
+	mu      sync.Mutex
+	out     bool
+	version uint64
+	entries map[identifier.Instance]SharedChange
+	blocks  map[quarantiner.Part]storedBlock
+}
+
+func newSharedTable() *sharedTable {
+	return &sharedTable{entries: map[identifier.Instance]SharedChange{}, blocks: map[quarantiner.Part]storedBlock{}}
+}
+
+var errOut = errors.New("table is out")
+
+func (x *sharedTable) setOut(out bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.out = out
+}
+
+func (x *sharedTable) store() SharedStore {
+	return SharedStore{
+		Source: follower.Source[SharedChange]{
+			Name: "shared",
+			Read: func(context.Context) ([]SharedChange, uint64, error) { return x.read() },
+			Changes: func(ctx context.Context, _ uint64, _ time.Duration) ([]SharedChange, uint64, error) {
+				_ = storer.Sleep(ctx, 100*time.Millisecond)
+				return x.read()
+			},
+		},
+		PutEntry: func(_ context.Context, name identifier.Instance, address netip.AddrPort, _ int64) error {
+			return x.change(func() error {
+				x.entries[name] = SharedChange{Entry: name, Address: address, RowVersion: x.version}
+				return nil
+			})
+		},
+		RemoveEntry: func(_ context.Context, name identifier.Instance, _ uint64) error {
+			return x.change(func() error {
+				delete(x.entries, name)
+				return nil
+			})
+		},
+		PutBlock: func(_ context.Context, b quarantiner.Block, version uint64) error {
+			return x.change(func() error {
+				if x.blocks[b.Part].rowVersion != version {
+					return storer.ErrConflict
+				}
+				x.blocks[b.Part] = storedBlock{b, x.version}
+				return nil
+			})
+		},
+	}
+}
+
+func (x *sharedTable) change(f func() error) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.out {
+		return errOut
+	}
+	x.version++
+	return f()
+}
+
+func (x *sharedTable) read() ([]SharedChange, uint64, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.out {
+		return nil, 0, errOut
+	}
+	var list []SharedChange
+	for _, e := range x.entries {
+		list = append(list, e)
+	}
+	for _, b := range x.blocks {
+		list = append(list, SharedChange{Block: &b.Block, RowVersion: b.rowVersion})
+	}
+	return list, x.version, nil
+}
+
+// startSharing starts the sharing of an entry without datagrams.
+func startSharing(t *testing.T, x *sharedTable, name identifier.Instance) *sharing {
+	t.Helper()
+	s := newSharing(x.store(), name, netip.AddrPort{}, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		must.NoError(t, <-done)
+	})
+	return s
+}
+
+func blockPart(s *sharing, part quarantiner.Part) {
+	for i := range 3 {
+		c := quarantiner.Crash{Upstream: identifier.Upstream(fmt.Sprint(part, "-", i))}
+		c.Add("one", []quarantiner.Part{part})
+		s.quarantine.ReportCrash(c)
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// Guards against entries that start later or hear no datagrams and do not know a block, also one decided while the store was out.
+func TestBlocksAreStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newSharedTable()
+		a, b := startSharing(t, x, "a"), startSharing(t, x, "b")
+		time.Sleep(time.Second)
+		x.setOut(true)
+		blockPart(a, 7)
+		time.Sleep(5 * time.Second)
+		must.False(t, b.quarantine.Admit("one", []quarantiner.Part{7}).Refused)
+		x.setOut(false)
+		time.Sleep(10 * time.Second)
+		must.True(t, b.quarantine.Admit("one", []quarantiner.Part{7}).Refused)
+		c := startSharing(t, x, "c")
+		time.Sleep(time.Second)
+		must.True(t, c.quarantine.Admit("one", []quarantiner.Part{7}).Refused)
+	})
+}
+
+// Guards against a trial by each entry instead of one by all of them, and against trials without the store.
+func TestTrialsAreClaimed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newSharedTable()
+		a, b := startSharing(t, x, "a"), startSharing(t, x, "b")
+		blockPart(a, 7)
+		time.Sleep(5 * time.Second)
+		trials := 0
+		for range 300 {
+			time.Sleep(time.Minute)
+			for _, s := range []*sharing{a, b, b, a} {
+				if v := s.quarantine.Admit("one", []quarantiner.Part{7}); v.TrialDue && s.claimTrial(t.Context(), v.Block) {
+					trials++
+				}
+			}
+		}
+		must.EqOp(t, 3, trials)
+
+		blockPart(a, 8)
+		time.Sleep(time.Minute)
+		x.setOut(true)
+		v := a.quarantine.Admit("one", []quarantiner.Part{8})
+		must.True(t, v.TrialDue)
+		must.False(t, a.claimTrial(t.Context(), v.Block))
+		x.setOut(false)
+		time.Sleep(time.Second)
+		must.True(t, a.claimTrial(t.Context(), v.Block))
+		a.quarantine.Answered([]quarantiner.Part{8})
+		time.Sleep(5 * time.Second)
+		must.False(t, b.quarantine.Admit("one", []quarantiner.Part{8}).Refused)
+	})
+}
+
+// Guards against a block that a store which comes back from a copy has lost.
+func TestLostBlockIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newSharedTable()
+		a := startSharing(t, x, "a")
+		blockPart(a, 7)
+		time.Sleep(5 * time.Second)
+		must.MapLen(t, 1, x.blocks)
+		a.apply(nil, true)
+		must.True(t, a.quarantine.Admit("one", []quarantiner.Part{7}).Refused)
+		x.mu.Lock()
+		clear(x.blocks)
+		x.mu.Unlock()
+		a.apply(nil, true)
+		time.Sleep(5 * time.Second)
+		must.MapLen(t, 1, x.blocks)
+	})
+}
+
+// Guards against entries that are gone and still count, or still get datagrams.
+func TestEntriesExpire(t *testing.T) {
+	s := newSharing(newSharedTable().store(), "a", netip.AddrPort{}, slog.New(slog.DiscardHandler))
+	now := time.Unix(1000, 0)
+	s.now = func() time.Time { return now }
+	address := netip.MustParseAddrPort("127.0.0.1:1")
+	s.apply([]SharedChange{{Entry: "a", Address: address}, {Entry: "b", Address: address}, {Entry: "c", Address: address}}, true)
+	must.EqOp(t, 3, s.numEntries())
+	s.apply([]SharedChange{{Entry: "b"}}, false)
+	must.EqOp(t, 2, s.numEntries())
+	now = now.Add(entryLifetime)
+	s.dropExpired(t.Context())
+	must.EqOp(t, 1, s.numEntries())
+}
--- a/soakbencher/caller.go
+++ b/soakbencher/caller.go
@@ -31,6 +31,8 @@
 	account string
 	entry   *entry
 	session string
+	// part is the part of the prompt on which engines crash, or empty.
+	part    string
 	sentAt  time.Time
 	endedAt time.Time
 	status  int
@@ -96,7 +98,7 @@
 	h.Set(names.Deadline, strconv.FormatInt(callerDeadline.Milliseconds(), 10))
 	h.Set("Authorization", "Bearer key-of-"+c.account)
 	if c.kind == standin.Stream {
-		h.Set(names.Prefix, "a1:100,b"+c.session+":20")
+		h.Set(names.Prefix, c.prompt())
 		h.Set(names.Session, c.session)
 		h.Set(names.Model, "small")
 	}
@@ -128,6 +130,14 @@
 	s.checkAnswer(c, w.Header.Get(names.RequestID), w.Header.Get(names.Stamp), string(got))
 }
 
+// prompt returns the parts of the prompt: one that all calls share, the one on which engines crash, and one of the session.
+func (c *call) prompt() string {
+	if c.part != "" {
+		return "a1:100," + c.part + ":50,b" + c.session + ":20"
+	}
+	return "a1:100,b" + c.session + ":20"
+}
+
 func routePrefix(k standin.Kind) string {
 	switch k {
 	case standin.Idempotent:
--- /dev/null
+++ b/soakbencher/fatal.go
@@ -0,0 +1,100 @@
+package soakbencher
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/siskinfront/siskinfront/connector"
+	"github.com/siskinfront/siskinfront/platform/standin"
+)
+
+// The invariants on a part of prompts on which engines crash.
+const (
+	invariantFatalPart   = "crashing part gets few upstreams"
+	invariantFatalAnswer = "crashing part is refused truthfully"
+)
+
+const (
+	// fatalInterval is the mean time between two requests with the part.
+	fatalInterval = 250 * time.Millisecond
+	// contactTime is the time in which entries learn what others have seen.
+	contactTime = 3 * time.Second
+	// fatalCrashes is the number of crashes on a part after which it counts, and maxFatalArrivals how many requests with it may reach
+	// upstreams later than contactTime after that.
+	fatalCrashes     = 5
+	maxFatalArrivals = 3
+)
+
+// fatalPart is the part of prompts on which engines crash from a time on.
+type fatalPart struct {
+	name string
+	from time.Time
+}
+
+// sendFatal sends requests with the part to all entries from a drawn time on, until ctx ends. Every other request shares its client
+// account and its first part with sound ones.
+func (s *soak) sendFatal(ctx context.Context, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 1<<32))
+	if r.IntN(3) == 0 {
+		return
+	}
+	time.Sleep(startupTime + time.Duration(r.IntN(4000))*time.Millisecond)
+	s.mu.Lock()
+	s.fatal = fatalPart{name: fmt.Sprintf("f%x", seed), from: time.Now()}
+	s.mu.Unlock()
+	s.logEvent("engines crash on part %s", s.fatal.name)
+	s.crasher.SetPart(s.fatal.name)
+	pool := connector.New()
+	for i := 0; ctx.Err() == nil; i++ {
+		e := s.pickReadyEntry(r)
+		if e != nil {
+			c := &call{id: fmt.Sprintf("fatal-%d", i), entry: e, kind: standin.Stream, account: accounts[r.IntN(2)], session: fmt.Sprint("fatal", i), part: s.fatal.name}
+			go func() {
+				s.send(ctx, pool, c)
+				s.record(c)
+			}()
+		}
+		time.Sleep(time.Duration(r.ExpFloat64() * float64(fatalInterval)))
+	}
+}
+
+// checkFatalPart checks the requests with the part on which engines crash.
+func (s *soak) checkFatalPart() {
+	crashes := s.log.Crashes()
+	if s.fatal.name == "" || len(crashes) == 0 {
+		return
+	}
+	byID := map[string]*call{}
+	for _, c := range s.calls {
+		byID[c.id] = c
+		if c.part != "" && c.status != 0 && c.status != http.StatusBadGateway && c.status != http.StatusGatewayTimeout {
+			s.check(invariantFatalAnswer, c.status != http.StatusOK || !c.complete, "%s got %d", c.id, c.status)
+		}
+	}
+	knownAt := crashes[min(len(crashes), fatalCrashes)-1].At.Add(contactTime)
+	n := 0
+	for _, a := range s.log.Arrivals() {
+		// An entry that was disturbed or without the store in the last contactTime may not know yet.
+		if c := byID[a.ID]; c != nil && standin.HasPart(a.Prompt, s.fatal.name) && a.At.After(knownAt) &&
+			s.freeOf(a.At.Add(-contactTime), a.At, c.entry, scopeProcess, scopeStore) {
+			n++
+		}
+	}
+	s.check(invariantFatalPart, n <= maxFatalArrivals, "%d requests with the part reached upstreams later than %v after the fifth crash; %d crashes",
+		n, contactTime, len(crashes))
+}
+
+// ranAtCrash reports whether an upstream crashed on the part while it ran one of the runs of a call.
+func (s *soak) ranAtCrash(c *call, runs []standin.Run) bool {
+	for _, x := range s.log.Crashes() {
+		for _, r := range runs {
+			if r.Upstream == x.Upstream && !x.At.Before(r.At) && x.At.Before(c.endedAt) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/soakbencher/process.go
+++ b/soakbencher/process.go
@@ -20,6 +20,7 @@
 	callerPort = 7001
 	readyPort  = 7002
 	debugPort  = 7003
+	peerPort   = 7004
 )
 
 // lastHost is the number of the last loopback address that this process assigned to an entry. The operating system uses these
@@ -74,6 +75,7 @@
 caller-address: "%s:%d"
 ready-address: "%s:%d"
 debug-address: "%s:%d"
+peer-address: "%s:%d"
 store: "%s"
 memory-bytes: 200000000
 shutdown: %v
@@ -82,7 +84,7 @@
 retries:
   ratio: 0.9
   extra: 56
-`, e.name, e.host, callerPort, e.host, readyPort, e.host, debugPort, e.storeProxy.address(), shutdown)
+`, e.name, e.host, callerPort, e.host, readyPort, e.host, debugPort, e.host, peerPort, e.storeProxy.address(), shutdown)
 	if err := os.WriteFile(e.settingsFile, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("soakbencher: settings of %s: %w", e.name, err)
 	}
--- a/soakbencher/soak.go
+++ b/soakbencher/soak.go
@@ -101,6 +101,8 @@
 	leavingUpstreams []namedEvent
 	withdrawnKeys    []namedEvent
 	rollOuts         []*rollOut
+	crasher          *standin.Crasher
+	fatal            fatalPart
 	versions         map[string]bool
 	routesAdded      int
 
@@ -125,7 +127,7 @@
 	}
 	s := &soak{
 		startedAt: time.Now(), rand: rand.New(rand.NewPCG(p.Seed, 1)), dir: dir, size: sizeForSeed(p.Seed),
-		log: &standin.RunLog{}, results: map[string]*invariantResult{},
+		log: &standin.RunLog{}, crasher: &standin.Crasher{}, results: map[string]*invariantResult{},
 		versions: map[string]bool{"v1": true}, timeouts: map[standin.Kind][]setting{},
 	}
 	defer s.close()
@@ -143,6 +145,7 @@
 	}
 	watching.Go(func() { s.pollReadiness(ctx) })
 	watching.Go(func() { s.checkRoutes(ctx) })
+	watching.Go(func() { s.sendFatal(ctx, p.Seed) })
 	duration := p.Duration
 	if duration == 0 {
 		duration = defaultDuration
@@ -254,6 +257,9 @@
 		return err
 	}
 	u.Address = p.address()
+	if service == "engine" {
+		s.crasher.Add(u)
+	}
 	u.Register()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -307,6 +313,7 @@
 		e.storeProxy.close()
 		_ = e.logFile.Close()
 	}
+	s.crasher.Close()
 	for _, u := range s.upstreams {
 		u.Crash(time.Hour)
 		u.proxy.close()
