forwarder: log the limits that upstreams name

Change: a line when an upstream begins to name a limit, changes it or ends it; invalid values are removed, logged once and counted. No request is sent otherwise because of it yet.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -202,7 +202,7 @@
 	isMisdirected := w.StatusCode == http.StatusMisdirectedRequest
 	// A misdirected request was answered by another upstream than the expected one.
 	if !isMisdirected && (stamped || w.StatusCode >= http.StatusMultipleChoices) {
-		f.ObserveLeaving(c.upstream, w.Header)
+		f.ObserveSignals(c.upstream, w.Header)
 	}
 	if isMisdirected || w.Header.Get(f.headers.NotRun) != "" {
 		f.counters.notRun.Add(1)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -29,6 +29,8 @@
 	Stamp, NotRun, Confidence, Load string
 	// Leaving has the value 1 in all responses of an upstream that leaves.
 	Leaving string
+	// Limit has the requests per second that an upstream takes from all entries together, in all its responses while it needs that.
+	Limit string
 	// AnyModel is what a caller sends as the model to leave the choice to the system.
 	AnyModel string
 	// Reserved lists headers that only the system sets.
@@ -120,15 +122,15 @@
 
 	headers      Headers
 	notForwarded map[string]bool
-	// leavingHeader is headers.Leaving in canonical form.
-	leavingHeader string
-	balancer      *balancer.Balancer
-	pool          *connector.Pool
-	cascades      *selector.ConfidenceCascades
-	budgets       *Budgets
-	log           *slog.Logger
-	meter         *meter.Meter
-	rand          func() float64
+	// leavingHeader and limitHeader are headers.Leaving and headers.Limit in canonical form.
+	leavingHeader, limitHeader string
+	balancer                   *balancer.Balancer
+	pool                       *connector.Pool
+	cascades                   *selector.ConfidenceCascades
+	budgets                    *Budgets
+	log                        *slog.Logger
+	meter                      *meter.Meter
+	rand                       func() float64
 
 	quarantine *quarantiner.Quarantine
 	losses     lossList
@@ -150,7 +152,7 @@
 
 	requests, answered, refused, failed, streamsBroken, callersLeft, connectionsCut, unmatched, unknownKey, invalid                        atomic.Int64
 	attempts, notRun, lost, resumed, abandoned, escalated, unverified, upstreamErrors, budgetExceeded, unresponsive, requestsMissing, kept atomic.Int64
-	invalidLeaving                                                                                                                         atomic.Int64
+	invalidLeaving, invalidLimit, limitsNamed                                                                                              atomic.Int64
 	deniedBudget, deniedAttempts, deniedRejections, deniedDeadline, deniedNoUpstream, deniedSuspected                                      atomic.Int64
 }
 
@@ -165,6 +167,9 @@
 
 	// announcedLeaving is set once a response said that the upstream leaves, and invalidLeaving once one had an invalid value there.
 	announcedLeaving, invalidLeaving atomic.Bool
+	// limit has the bits of the limit that the last response named, 0 for none; invalidLimit is set once one was invalid.
+	limit        atomic.Uint64
+	invalidLimit atomic.Bool
 
 	// probe is the last probe, or nil.
 	probe atomic.Pointer[probe]
@@ -239,7 +244,7 @@
 	for _, o := range opts {
 		o(f)
 	}
-	f.leavingHeader = http.CanonicalHeaderKey(f.headers.Leaving)
+	f.leavingHeader, f.limitHeader = http.CanonicalHeaderKey(f.headers.Leaving), http.CanonicalHeaderKey(f.headers.Limit)
 	f.notForwarded = map[string]bool{}
 	for _, h := range []string{
 		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
@@ -371,7 +376,7 @@
 		"streams-broken": c.streamsBroken.Load(), "callers-left": c.callersLeft.Load(), "connections-cut": c.connectionsCut.Load(), "unmatched": c.unmatched.Load(),
 		"unknown-keys": c.unknownKey.Load(), "invalid": c.invalid.Load(), "attempts": c.attempts.Load(),
 		"attempts-not-run": c.notRun.Load(), "attempts-lost": c.lost.Load(), "streams-resumed": c.resumed.Load(),
-		"panics": c.panics.Load(), "leaving-invalid": c.invalidLeaving.Load(), "attempts-rescued": c.abandoned.Load(), "cascade-steps": c.escalated.Load(), "responses-spoiled": c.unverified.Load(),
+		"panics": c.panics.Load(), "leaving-invalid": c.invalidLeaving.Load(), "limits-named": c.limitsNamed.Load(), "limits-invalid": c.invalidLimit.Load(), "attempts-rescued": c.abandoned.Load(), "cascade-steps": c.escalated.Load(), "responses-spoiled": c.unverified.Load(),
 		"attempts-kept": c.kept.Load(), "upstreams-silent": c.unresponsive.Load(), "requests-missing": c.requestsMissing.Load(), "upstream-errors": c.upstreamErrors.Load(), "retries-over-budget": c.budgetExceeded.Load(),
 		"ended-for-budget": c.deniedBudget.Load(), "ended-for-attempts": c.deniedAttempts.Load(), "ended-for-rejections": c.deniedRejections.Load(),
 		"ended-for-deadline": c.deniedDeadline.Load(), "ended-for-upstream": c.deniedNoUpstream.Load(), "ended-for-suspicion": c.deniedSuspected.Load(),
--- a/forwarder/leaving.go
+++ b/forwarder/leaving.go
@@ -10,9 +10,16 @@
 // maxLoggedValue bounds the bytes of an invalid header value in the log.
 const maxLoggedValue = 32
 
-// ObserveLeaving calls OnLeaving if the head of an upstream's response is the first to say that the upstream leaves. An invalid
+// ObserveSignals reads what the head of an upstream's response asks of the entries: to send no new requests as it leaves, or only so
+// many.
+func (f *Forwarder) ObserveSignals(u *registrar.Upstream, h http.Header) {
+	f.observeLeaving(u, h)
+	f.observeLimit(u, h)
+}
+
+// observeLeaving calls OnLeaving if the head of an upstream's response is the first to say that the upstream leaves. An invalid
 // announcement is removed from the head, so that callers get the response without it.
-func (f *Forwarder) ObserveLeaving(u *registrar.Upstream, h http.Header) {
+func (f *Forwarder) observeLeaving(u *registrar.Upstream, h http.Header) {
 	values, ok := h[f.leavingHeader]
 	if !ok || len(values) == 0 {
 		return
