throttler, forwarder, runner, balancer: keep the limits that upstreams name

It is for all entries together, so reading it at each entry alone would not keep it either. Change: one entry, chosen by hash, owns the limit of an upstream and grants slots, evenly spaced, at 0.9 of the limit, to the entries that ask in a datagram; each request, repeat and probe uses one. An entry asks when a request would have gone there, and for an even share of its requests, so that an upstream that gets few is not forgotten. Entries with little demand get only slots that have begun. Beginnings, changes and ends are told to all entries; a limit that nobody confirms for one to two minutes is forgotten. An owner that does not answer is passed over for 10 s; without any, an entry keeps to half of an even share. If limits close all upstreams of a service, a request waits for an eighth of the latency target and is then refused. The balancer can choose one upstream by name. The soak names limits and checks them as the rule does. Why it works: slots of one schedule cannot add up to a burst, whatever the number of entries, and two owners at a time still stay within the bound.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -125,6 +125,30 @@
 	return slices.ContainsFunc(p.rest, func(c *candidate) bool { return b.isUsable(c, &q) })
 }
 
+// ChooseNamed is Choose with a single candidate.
+func (b *Balancer) ChooseNamed(q Query, name identifier.Upstream) (Upstream, error) {
+	s := b.current.Load()
+	p, c := s.pool(&q), s.byName[name]
+	if p == nil || c == nil || !slices.Contains(p.subset, c) || !b.isUsable(c, &q) {
+		return Upstream{}, ErrNoUpstream
+	}
+	p.usedAt.Store(b.opts.now().UnixNano())
+	c.tracked.uses.Add(1)
+	b.counters.chosen.Add(1)
+	if c.distance != sameDataCentre {
+		b.counters.otherDataCentre.Add(1)
+	}
+	return c.upstream, nil
+}
+
+// NumUpstreams returns the number of upstreams that this entry uses for a target or service.
+func (b *Balancer) NumUpstreams(q Query) int {
+	if p := b.current.Load().pool(&q); p != nil {
+		return len(p.subset)
+	}
+	return 0
+}
+
 // maxBusyRefusals is the number of busy refusals after which a request may wait at an upstream.
 const maxBusyRefusals = 2
 
--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -50,8 +50,8 @@
 
 // Broadcaster sends messages of type T to the other entries; it is safe for concurrent use.
 type Broadcaster[T any] struct {
-	// Receive is called with each message of another entry; calls do not overlap.
-	Receive func(T)
+	// Receive is called with each message of another entry and its address; calls do not overlap.
+	Receive func(from netip.AddrPort, body T)
 
 	self   identifier.Instance
 	start  int64
@@ -72,7 +72,7 @@
 // New returns a broadcaster of one entry; Receive must be set before Run.
 func New[T any](self identifier.Instance, log *slog.Logger) *Broadcaster[T] {
 	return &Broadcaster[T]{
-		Receive: func(T) {}, self: self, start: time.Now().UnixNano(), log: log, queue: buffer.NewRing[[]byte](ringSlots),
+		Receive: func(netip.AddrPort, T) {}, self: self, start: time.Now().UnixNano(), log: log, queue: buffer.NewRing[[]byte](ringSlots),
 		seen: map[messageID]struct{}{},
 	}
 }
@@ -85,15 +85,30 @@
 
 // Send sends a message to all other entries without waiting; if too many messages wait, it is dropped.
 func (b *Broadcaster[T]) Send(body T) {
+	data := b.encode(body)
+	if data != nil && b.queue.Offer(data) != nil {
+		b.dropped.Add(1)
+	}
+}
+
+// SendTo sends a message once to one entry.
+func (b *Broadcaster[T]) SendTo(to netip.AddrPort, body T) {
+	conn, data := b.conn.Load(), b.encode(body)
+	if conn == nil || data == nil {
+		return
+	}
+	b.write(conn, to, data)
+}
+
+// encode returns a datagram with a message, or nil if that is not possible.
+func (b *Broadcaster[T]) encode(body T) []byte {
 	data, err := json.Marshal(envelope[T]{b.self, b.start, b.number.Add(1), body})
 	if err != nil || len(data) > MaxDatagramBytes {
 		b.invalid.Add(1)
 		b.log.Error("message to the other entries cannot be sent", "bytes", len(data), "error", err)
-		return
-	}
-	if b.queue.Offer(data) != nil {
-		b.dropped.Add(1)
+		return nil
 	}
+	return data
 }
 
 // Run sends and receives on an address until ctx ends.
@@ -135,18 +150,22 @@
 		return
 	}
 	for _, p := range *peers {
-		if _, err := conn.WriteToUDPAddrPort(data, p); err != nil {
-			b.failed.Add(1)
-			continue
-		}
-		b.sent.Add(1)
+		b.write(conn, p, data)
+	}
+}
+
+func (b *Broadcaster[T]) write(conn *net.UDPConn, to netip.AddrPort, data []byte) {
+	if _, err := conn.WriteToUDPAddrPort(data, to); err != nil {
+		b.failed.Add(1)
+		return
 	}
+	b.sent.Add(1)
 }
 
 func (b *Broadcaster[T]) receive(ctx context.Context, conn *net.UDPConn) error {
 	data := make([]byte, MaxDatagramBytes+1)
 	for {
-		n, err := conn.Read(data)
+		n, from, err := conn.ReadFromUDPAddrPort(data)
 		if ctx.Err() != nil {
 			return nil //nolint:nilerr // The end of ctx closes the connection.
 		}
@@ -169,7 +188,7 @@
 			continue
 		}
 		b.received.Add(1)
-		b.Receive(e.Body)
+		b.Receive(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), e.Body)
 	}
 }
 
--- a/broadcaster/broadcaster_test.go
+++ b/broadcaster/broadcaster_test.go
@@ -43,7 +43,8 @@
 func start(t *testing.T, name identifier.Instance) *entry {
 	t.Helper()
 	e := &entry{Broadcaster: broadcaster.New[string](name, slog.New(slog.DiscardHandler)), address: freeAddress(t)}
-	e.Receive = func(m string) {
+	e.Receive = func(from netip.AddrPort, m string) {
+		must.True(t, from.IsValid())
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.received = append(e.received, m)
@@ -71,11 +72,15 @@
 	must.EqOp(t, 4, b.Counters()["repeats-dropped"])
 	must.SliceEmpty(t, a.messages())
 
+	// A message to one entry is sent once.
+	a.SendTo(b.address, "alone")
+	must.Wait(t, wait.InitialSuccess(wait.Timeout(2*time.Second), wait.BoolFunc(func() bool { return len(b.messages()) == 3 })))
+
 	// A restart under the same name begins its numbers anew.
 	again := start(t, "a")
 	again.SetPeers([]netip.AddrPort{b.address})
 	again.Send("third")
-	must.Wait(t, wait.InitialSuccess(wait.Timeout(2*time.Second), wait.BoolFunc(func() bool { return len(b.messages()) == 3 })))
+	must.Wait(t, wait.InitialSuccess(wait.Timeout(2*time.Second), wait.BoolFunc(func() bool { return len(b.messages()) == 4 })))
 }
 
 // Guards against an entry that stops receiving, or grows, because of datagrams that are no messages.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -123,7 +123,7 @@
 	to := q.permit.to
 	if to.upstream == nil || !f.isAvailable(to.name) {
 		var err error
-		if to, err = f.choose(q, model); err != nil {
+		if to, err = f.chooseInTime(ctx, q, model); err != nil {
 			return nil, err
 		}
 	}
--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -28,6 +28,13 @@
 	return f.chooseExcept(q, model, append(q.triedUpstreams(), unsuitable...), unsuitable)
 }
 
+// hasUpstream reports whether an attempt could be made now outside some upstreams.
+func (f *Forwarder) hasUpstream(q *request, unsuitable []identifier.Upstream) bool {
+	return f.balancer.HasUpstream(balancer.Query{
+		Service: f.Group(q.service, q.sessionHash), Exclude: append(f.throttler.AppendClosed(nil), unsuitable...),
+	})
+}
+
 // triedUpstreams returns the upstreams that the request has tried. An answer with too little confidence is no failure of its
 // upstream, which may have the prompt cached for the larger model.
 func (q *request) triedUpstreams() []identifier.Upstream {
@@ -47,6 +54,9 @@
 	if q.promptTokens > 0 {
 		query.PrefixRatio = q.relativePromptSize * float64(q.sharedTokens) / float64(q.promptTokens)
 	}
+	if to, ok := f.chooseWithSlot(q, query, excluded[0]); ok {
+		return to, nil
+	}
 	err, last := balancer.ErrNoUpstream, -1
 	var left []identifier.Upstream
 	for _, list := range excluded {
@@ -60,10 +70,12 @@
 			if u, err = f.balancer.Choose(query); err != nil {
 				break
 			}
-			if x := f.Upstream(u.Name); x != nil {
+			if x := f.Upstream(u.Name); x != nil && f.takeSlot(q, u.Name) {
 				return choice{x, u.Name}, nil
 			}
-			// It left between the choice and the lookup.
+			// It left between the choice and the lookup, or its limit allows no request now.
+			f.balancer.Begin(u.Name)
+			f.balancer.End(u.Name, balancer.ResultCanceled)
 			left = append(left, u.Name)
 		}
 	}
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -25,6 +25,7 @@
 	"github.com/siskinfront/siskinfront/matcher"
 	"github.com/siskinfront/siskinfront/quarantiner"
 	"github.com/siskinfront/siskinfront/registrar"
+	"github.com/siskinfront/siskinfront/throttler"
 )
 
 var headers = forwarder.Headers{
@@ -55,6 +56,11 @@
 	probe     func(identifier.Upstream) (forwarder.Report, error)
 	// quarantine is what the forwarder knows of parts of prompts.
 	quarantine *quarantiner.Quarantine
+	// throttler asks owner for slots.
+	throttler *throttler.Throttler
+	owner     *throttler.Owner
+	// limitChanges are the limits of upstreams, their changes and their ends.
+	limitChanges []throttler.Statement
 	// ahead is how far, in nanoseconds, its clock is ahead.
 	ahead atomic.Int64
 
@@ -82,8 +88,13 @@
 
 func newFixture(t *testing.T, upstreams int, respond responder, opts ...matcher.Option) *fixture {
 	t.Helper()
-	f := &fixture{t: t, upstreams: map[identifier.Upstream]*registrar.Upstream{}}
+	f := &fixture{t: t, owner: throttler.NewOwner(), upstreams: map[identifier.Upstream]*registrar.Upstream{}}
 	f.quarantine = quarantiner.New(quarantiner.WithNow(func() time.Time { return time.Now().Add(time.Duration(f.ahead.Load())) }))
+	f.throttler = throttler.New(throttler.WithOnChange(func(s throttler.Statement) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.limitChanges = append(f.limitChanges, s)
+	}), throttler.WithSend(func(a throttler.Ask) { f.throttler.Grant(f.owner.Answer(a, time.Now())) }))
 	f.table = matcher.NewTable(1, matcher.Limits{BodyBytes: 1000, HeaderBytes: 2000}, append(defaultRoutes(), opts...)...)
 	lb := balancer.New("dc")
 	var list []balancer.Upstream
@@ -109,7 +120,7 @@
 	}
 	lb.Update(list)
 	f.balancer, f.list = lb, list
-	f.Forwarder = forwarder.New(forwarder.WithHeaders(headers), forwarder.WithQuarantine(f.quarantine), forwarder.WithBalancer(lb),
+	f.Forwarder = forwarder.New(forwarder.WithHeaders(headers), forwarder.WithQuarantine(f.quarantine), forwarder.WithThrottler(f.throttler), forwarder.WithBalancer(lb),
 		forwarder.WithPool(connector.New(connector.WithEcho("Id"))), forwarder.WithLog(slog.New(slog.NewJSONHandler(f, nil))),
 		forwarder.WithBudgets(&forwarder.Budgets{New: func() *forwarder.Budget {
 			return &forwarder.Budget{
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"github.com/siskinfront/siskinfront/registrar"
 	"github.com/siskinfront/siskinfront/selector"
 	"github.com/siskinfront/siskinfront/streamer"
+	"github.com/siskinfront/siskinfront/throttler"
 )
 
 // Headers names the headers of requests and responses that the forwarder reads or sets.
@@ -133,6 +134,7 @@
 	rand                       func() float64
 
 	quarantine *quarantiner.Quarantine
+	throttler  *throttler.Throttler
 	losses     lossList
 
 	pressures    sync.Map // identifier.Service to *selector.Pressure
@@ -152,7 +154,7 @@
 
 	requests, answered, refused, failed, streamsBroken, callersLeft, connectionsCut, unmatched, unknownKey, invalid                        atomic.Int64
 	attempts, notRun, lost, resumed, abandoned, escalated, unverified, upstreamErrors, budgetExceeded, unresponsive, requestsMissing, kept atomic.Int64
-	invalidLeaving, invalidLimit, limitsNamed                                                                                              atomic.Int64
+	invalidLeaving, invalidLimit                                                                                                           atomic.Int64
 	deniedBudget, deniedAttempts, deniedRejections, deniedDeadline, deniedNoUpstream, deniedSuspected                                      atomic.Int64
 }
 
@@ -167,8 +169,7 @@
 
 	// announcedLeaving is set once a response said that the upstream leaves, and invalidLeaving once one had an invalid value there.
 	announcedLeaving, invalidLeaving atomic.Bool
-	// limit has the bits of the limit that the last response named, 0 for none; invalidLimit is set once one was invalid.
-	limit        atomic.Uint64
+	// invalidLimit is set once a response named an invalid limit.
 	invalidLimit atomic.Bool
 
 	// probe is the last probe, or nil.
@@ -225,6 +226,11 @@
 	return func(f *Forwarder) { f.quarantine = q }
 }
 
+// WithThrottler sets what is known of the limits that upstreams name.
+func WithThrottler(t *throttler.Throttler) Option {
+	return func(f *Forwarder) { f.throttler = t }
+}
+
 // WithMaxBodyBytes bounds the total size in bytes of the request bodies in memory.
 func WithMaxBodyBytes(n int64) Option {
 	return func(f *Forwarder) { f.maxBodyBytes = n }
@@ -238,7 +244,7 @@
 		OnResponse: func(Attempt, time.Duration) {}, OnPace: func(Attempt, time.Duration) {},
 		StopTimes:     func() (time.Time, time.Time) { return time.Time{}, time.Time{} },
 		ConnectionEnd: func(context.Context) (string, bool) { return "", false },
-		ClaimTrial:    func(context.Context, quarantiner.Block) bool { return false }, quarantine: quarantiner.New(),
+		ClaimTrial:    func(context.Context, quarantiner.Block) bool { return false }, quarantine: quarantiner.New(), throttler: throttler.New(),
 		cascades: selector.NewConfidenceCascades(), log: slog.Default(), meter: meter.New(), rand: rand.Float64, maxBodyBytes: 16 << 20, slowdowns: newSlowdownTracker(),
 	}
 	for _, o := range opts {
@@ -376,7 +382,7 @@
 		"streams-broken": c.streamsBroken.Load(), "callers-left": c.callersLeft.Load(), "connections-cut": c.connectionsCut.Load(), "unmatched": c.unmatched.Load(),
 		"unknown-keys": c.unknownKey.Load(), "invalid": c.invalid.Load(), "attempts": c.attempts.Load(),
 		"attempts-not-run": c.notRun.Load(), "attempts-lost": c.lost.Load(), "streams-resumed": c.resumed.Load(),
-		"panics": c.panics.Load(), "leaving-invalid": c.invalidLeaving.Load(), "limits-named": c.limitsNamed.Load(), "limits-invalid": c.invalidLimit.Load(), "attempts-rescued": c.abandoned.Load(), "cascade-steps": c.escalated.Load(), "responses-spoiled": c.unverified.Load(),
+		"panics": c.panics.Load(), "leaving-invalid": c.invalidLeaving.Load(), "limits-invalid": c.invalidLimit.Load(), "attempts-rescued": c.abandoned.Load(), "cascade-steps": c.escalated.Load(), "responses-spoiled": c.unverified.Load(),
 		"attempts-kept": c.kept.Load(), "upstreams-silent": c.unresponsive.Load(), "requests-missing": c.requestsMissing.Load(), "upstream-errors": c.upstreamErrors.Load(), "retries-over-budget": c.budgetExceeded.Load(),
 		"ended-for-budget": c.deniedBudget.Load(), "ended-for-attempts": c.deniedAttempts.Load(), "ended-for-rejections": c.deniedRejections.Load(),
 		"ended-for-deadline": c.deniedDeadline.Load(), "ended-for-upstream": c.deniedNoUpstream.Load(), "ended-for-suspicion": c.deniedSuspected.Load(),
--- a/forwarder/missing.go
+++ b/forwarder/missing.go
@@ -49,6 +49,9 @@
 		return false
 	}
 	if s.reportedAt.Before(notBefore) || f.Now().Sub(s.reportedAt) >= reportMaxAge {
+		if !f.takeProbeSlot(name) {
+			return false
+		}
 		if err := f.fetchReport(s, u, name); err != nil {
 			// isUnresponsive decides whether the upstream is responsive, from what it sends to all requests.
 			f.log.Warn("upstream could not be asked whether it has a request", "upstream", name, "request", id, "error", err.Error())
--- a/forwarder/permit.go
+++ b/forwarder/permit.go
@@ -93,7 +93,7 @@
 	if q.permit.to.upstream != nil {
 		return ""
 	}
-	if !f.balancer.HasUpstream(balancer.Query{Service: f.Group(q.service, q.sessionHash)}) {
+	if !f.hasUpstream(q, nil) {
 		return denialNoUpstream
 	}
 	if q.permit.held {
@@ -116,7 +116,7 @@
 // reserveElsewhere makes the request hold a permit for an attempt instead of a running one, with its upstream, or returns why there
 // is none. The upstream is chosen now, because giving up attempts may open the circuit breakers of all upstreams.
 func (f *Forwarder) reserveElsewhere(q *request, model identifier.Model, unsuitable []identifier.Upstream) denial {
-	if !f.balancer.HasUpstream(balancer.Query{Service: f.Group(q.service, q.sessionHash), Exclude: unsuitable}) {
+	if !f.hasUpstream(q, unsuitable) {
 		return denialNoUpstream
 	}
 	if d := f.takeRetry(q); d != "" {
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -63,6 +63,8 @@
 	permit permit
 	// resumePause is the pause before the next try to resume the stream.
 	resumePause time.Duration
+	// wantedSlots lists the upstreams whose limits kept the request from them.
+	wantedSlots []identifier.Upstream
 	// isTrial is set if the request may be sent although a part of its prompt is blocked, and blockedPart is the part for which it
 	// was refused.
 	isTrial     bool
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -97,7 +97,7 @@
 	}
 	// After a failed attempt, or without an upstream for the next one, the answer at hand is preferred to a better one.
 	if q.failedAttempts() > 0 || ctx.Err() != nil || q.attemptsDenial(true, false) != "" ||
-		!f.balancer.HasUpstream(balancer.Query{Service: f.Group(q.service, q.sessionHash)}) ||
+		!f.hasUpstream(q, nil) ||
 		!f.budgets.ForService(q.service).Cascades.Allow() {
 		return 0, false
 	}
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -177,7 +177,7 @@
 	defer s.mu.Unlock()
 	silence := f.Now().Sub(time.Unix(0, s.lastReceivedAt.Load()))
 	last := s.probe.Load()
-	if silence < silenceThreshold || last != nil && last.failed && f.Now().Sub(last.at) < probeValidity {
+	if silence < silenceThreshold || last != nil && last.failed && f.Now().Sub(last.at) < probeValidity || !f.takeProbeSlot(name) {
 		return
 	}
 	if last != nil && last.failed && f.Now().Sub(last.at) < silence {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -146,7 +146,7 @@
 	r.operator = p.FollowOperator(s.pollTime(s.ApplyTime), log, r.applyConfiguration, r.rollouts.addOrder)
 	for name, counters := range map[string]func() map[string]int64{
 		"forwarder": r.forwarder.Counters, "balancer": r.balancer.Counters, "connector": r.pool.Counters, "reaper": r.reaper.Counters,
-		"quarantine": r.sharing.quarantine.Counters, "broadcaster": r.sharing.broadcaster.Counters, "shared": r.sharing.follower.Counters,
+		"quarantine": r.sharing.quarantine.Counters, "throttler": r.sharing.throttler.Counters, "limit-owner": r.sharing.owner.Counters, "broadcaster": r.sharing.broadcaster.Counters, "shared": r.sharing.follower.Counters,
 		"registrar": r.registrar.Counters, "follower": r.upstreams.Counters, "operator": r.operator.Counters, "store": p.Counters,
 	} {
 		r.meter.Register(name, counters)
@@ -170,7 +170,8 @@
 	}}
 	r.forwarder = forwarder.New(forwarder.WithHeaders(r.platform.Headers), forwarder.WithBalancer(r.balancer),
 		forwarder.WithPool(r.pool), forwarder.WithLog(r.log), forwarder.WithMeter(r.meter), forwarder.WithBudgets(budgets),
-		forwarder.WithMaxBodyBytes(int64(bodyFraction*float64(s.MemoryBytes))), forwarder.WithQuarantine(r.sharing.quarantine))
+		forwarder.WithMaxBodyBytes(int64(bodyFraction*float64(s.MemoryBytes))), forwarder.WithQuarantine(r.sharing.quarantine),
+		forwarder.WithThrottler(r.sharing.throttler))
 	r.forwarder.ClaimTrial = r.sharing.claimTrial
 	r.forwarder.Table = r.table.Load
 	r.forwarder.Upstream = r.directory.upstream
@@ -360,6 +361,8 @@
 		r.registrar.RemoveExpired()
 		r.reaper.CloseExpired()
 		r.sharing.quarantine.Sweep()
+		r.sharing.throttler.Sweep(func(name identifier.Upstream) bool { return r.directory.upstream(name) != nil })
+		r.sharing.owner.Sweep(time.Now())
 		r.pool.CloseIdle(func(peer connector.Peer) bool { return r.directory.isAvailable(peer.Name) })
 		r.forwarder.Retain(func(name identifier.Upstream) bool { return r.directory.upstream(name) != nil })
 		if confirmedAt := r.upstreams.ConfirmedAt(); !confirmedAt.IsZero() {
--- a/runner/sharing.go
+++ b/runner/sharing.go
@@ -15,6 +15,7 @@
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/quarantiner"
 	"github.com/siskinfront/siskinfront/storer"
+	"github.com/siskinfront/siskinfront/throttler"
 )
 
 const (
@@ -56,11 +57,22 @@
 	PutBlock func(ctx context.Context, b quarantiner.Block, rowVersion uint64) error
 }
 
+// message is what entries send each other; one of its fields is set.
+type message struct {
+	Fact  *quarantiner.Fact    `json:"fact,omitempty"`
+	Limit *throttler.Statement `json:"limit,omitempty"`
+	Ask   *throttler.Ask       `json:"ask,omitempty"`
+	Grant *throttler.Grant     `json:"grant,omitempty"`
+}
+
 // entryRecord is another entry.
 type entryRecord struct {
 	address    netip.AddrPort
 	rowVersion uint64
 	expiresAt  time.Time
+	// askedAt is when the first ask was sent that the entry has not answered, and silentUntil the time until which it owns no limits
+	// because of that.
+	askedAt, silentUntil time.Time
 }
 
 type storedBlock struct {
@@ -74,7 +86,9 @@
 	self        identifier.Instance
 	address     netip.AddrPort
 	quarantine  *quarantiner.Quarantine
-	broadcaster *broadcaster.Broadcaster[quarantiner.Fact]
+	throttler   *throttler.Throttler
+	owner       *throttler.Owner
+	broadcaster *broadcaster.Broadcaster[message]
 	follower    *follower.Follower[SharedChange]
 	pending     *buffer.Ring[quarantiner.Block]
 	now         func() time.Time
@@ -88,11 +102,15 @@
 func newSharing(store SharedStore, self identifier.Instance, address netip.AddrPort, log *slog.Logger) *sharing {
 	s := &sharing{
 		store: store, self: self, address: address, log: log, now: time.Now, entries: map[identifier.Instance]entryRecord{},
-		blocks: map[quarantiner.Part]storedBlock{}, pending: buffer.NewRing[quarantiner.Block](maxPendingBlocks),
-		broadcaster: broadcaster.New[quarantiner.Fact](self, log),
+		blocks: map[quarantiner.Part]storedBlock{}, owner: throttler.NewOwner(), pending: buffer.NewRing[quarantiner.Block](maxPendingBlocks),
+		broadcaster: broadcaster.New[message](self, log),
 	}
-	s.quarantine = quarantiner.New(quarantiner.WithShare(s.broadcaster.Send), quarantiner.WithOnBlock(s.recordBlock))
-	s.broadcaster.Receive = s.quarantine.Apply
+	s.quarantine = quarantiner.New(
+		quarantiner.WithShare(func(f quarantiner.Fact) { s.broadcaster.Send(message{Fact: &f}) }), quarantiner.WithOnBlock(s.recordBlock))
+	s.throttler = throttler.New(
+		throttler.WithShare(func(x throttler.Statement) { s.broadcaster.Send(message{Limit: &x}) }), throttler.WithSend(s.sendAsk),
+		throttler.WithNumEntries(s.numEntries), throttler.WithOnChange(s.logLimit))
+	s.broadcaster.Receive = s.receive
 	s.follower = follower.New(store.Source, s.apply, log)
 	s.follower.MaxWait = sharedWait
 	return s
@@ -134,7 +152,7 @@
 		case !c.Address.IsValid():
 			delete(s.entries, c.Entry)
 		default:
-			s.entries[c.Entry] = entryRecord{c.Address, c.RowVersion, now.Add(entryLifetime)}
+			s.entries[c.Entry] = entryRecord{address: c.Address, rowVersion: c.RowVersion, expiresAt: now.Add(entryLifetime)}
 		}
 	}
 	s.updatePeers()
--- a/soakbencher/disrupt.go
+++ b/soakbencher/disrupt.go
@@ -39,7 +39,7 @@
 // disrupt injects one disruption that leaves every upstream sound.
 func (s *soak) disrupt(ctx context.Context) {
 	e := s.entries[s.rand.IntN(len(s.entries))]
-	switch s.rand.IntN(11) {
+	switch s.rand.IntN(12) {
 	case 0, 1, 2:
 		s.changeConfiguration()
 	case 3:
@@ -64,6 +64,8 @@
 		u.Pause(d)
 	case 10:
 		s.announce()
+	case 11:
+		s.limit(s.randomUpstream())
 	}
 }
 
--- a/soakbencher/promise.go
+++ b/soakbencher/promise.go
@@ -109,6 +109,7 @@
 	s.checkRetryBudget()
 	s.checkAnnounced()
 	s.checkFatalPart()
+	s.checkLimits()
 }
 
 // checkPlannedStops checks that a planned stop without other faults breaks off no request that an upstream has begun to run.
--- a/soakbencher/soak.go
+++ b/soakbencher/soak.go
@@ -103,6 +103,7 @@
 	rollOuts         []*rollOut
 	crasher          *standin.Crasher
 	fatal            fatalPart
+	limits           []limitPeriod
 	versions         map[string]bool
 	routesAdded      int
 
--- /dev/null
+++ b/throttler/message.go
@@ -0,0 +1,33 @@
+package throttler
+
+import (
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+// Statement is what an entry read in the last answer of an upstream.
+type Statement struct {
+	Upstream identifier.Upstream `json:"upstream"`
+	// PerSecond is the limit in requests per second, and Ended is set if the answer named none any more.
+	PerSecond float64 `json:"per-second,omitempty"`
+	Ended     bool    `json:"ended,omitempty"`
+}
+
+// Ask is the message by which an entry asks the owner of a limit for slots in which it may send.
+type Ask struct {
+	Upstream identifier.Upstream `json:"upstream"`
+	// PerSecond is the limit as the entry knows it.
+	PerSecond float64 `json:"per-second"`
+	// Number is the number of slots, and ID tells the asks of an entry apart.
+	Number int    `json:"number"`
+	ID     uint64 `json:"id"`
+}
+
+// Grant is the answer to an Ask. The slots begin AfterMillis after the answer was sent and follow each other by IntervalMillis.
+type Grant struct {
+	Upstream identifier.Upstream `json:"upstream"`
+	ID       uint64              `json:"id"`
+	// Number is the number of slots, which is 0 if all slots of the next time are taken; the entry may ask again after AfterMillis.
+	Number         int     `json:"number"`
+	AfterMillis    float64 `json:"after"`
+	IntervalMillis float64 `json:"interval,omitempty"`
+}
--- /dev/null
+++ b/throttler/throttler.go
@@ -0,0 +1,400 @@
+package throttler
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+const (
+	// slotLifetime is how long after its begin a slot may be used. Longer than that, the slots of several entries that become used at
+	// the same time add up to a burst.
+	slotLifetime = 1500 * time.Millisecond
+	// askTimeout is how long the answer to an ask may take.
+	askTimeout = 150 * time.Millisecond
+	// maxUnanswered is the number of asks without an answer after which the entry keeps to an even share of the limit by itself.
+	maxUnanswered = 3
+	// evenShareReserve is the part of an even share that an entry uses by itself, as others may still get slots from the owner.
+	evenShareReserve = 0.5
+	// ownObservation is how long an answer that this entry got counts more than what other entries state.
+	ownObservation = time.Second
+	// confirmInterval is the least time between two statements of the entries that a limit still holds.
+	confirmInterval = 2 * time.Second
+	// limitMemory is how long a limit holds that nobody has confirmed, and limitMemorySpread a random addition, so that not all
+	// entries forget it at the same time.
+	limitMemory       = time.Minute
+	limitMemorySpread = time.Minute
+	// demandWindow is the time over which the demand for slots is counted, and steadyDemand the demand in it from which slots are asked
+	// for in advance; with less they would mostly end before the next request.
+	demandWindow = time.Second
+	steadyDemand = 4
+	// maxSlotsPerAsk bounds the slots of one ask.
+	maxSlotsPerAsk = 64
+)
+
+// limit is what this entry knows of the limit of one upstream, and the slots that it holds.
+type limit struct {
+	perSecond float64
+	// observedAt is when an own answer last named the limit, confirmedAt when any entry's did, and statedAt when the others were
+	// last told.
+	observedAt, confirmedAt, statedAt time.Time
+	forgetAt                          time.Time
+	// slots are the begins of the slots that are left, in order.
+	slots []time.Time
+	// askID is the ask in progress, 0 if there is none, sent at askedAt; the next one may be sent from nextAskAt on.
+	askID              uint64
+	askedAt, nextAskAt time.Time
+	unanswered         int
+	// wants are the times at which a request was not sent for want of a slot, within demandWindow.
+	wants []time.Time
+}
+
+// Throttler holds the limits that upstreams name as one entry knows them; it is safe for concurrent use.
+type Throttler struct {
+	now func() time.Time
+	// send sends an ask to the owner of the limit; share states an observation to all other entries.
+	send  func(Ask)
+	share func(Statement)
+	// numEntries returns the number of entries.
+	numEntries func() int
+	onChange   func(Statement)
+
+	// limited is the number of limits, so that without one nothing else is read.
+	limited atomic.Int64
+
+	mu      sync.Mutex
+	limits  map[identifier.Upstream]*limit
+	ended   map[identifier.Upstream]time.Time
+	granted chan struct{}
+	lastID  uint64
+
+	named, used, closed, unanswered, selfGranted int64
+}
+
+// Option configures a Throttler.
+type Option func(*Throttler)
+
+// WithNow sets the clock.
+func WithNow(now func() time.Time) Option {
+	return func(t *Throttler) { t.now = now }
+}
+
+// WithSend sets the function that sends an ask to the owner of a limit.
+func WithSend(send func(Ask)) Option {
+	return func(t *Throttler) { t.send = send }
+}
+
+// WithShare sets the function that tells the other entries what an answer said.
+func WithShare(share func(Statement)) Option {
+	return func(t *Throttler) { t.share = share }
+}
+
+// WithNumEntries sets the function that returns the number of entries.
+func WithNumEntries(f func() int) Option {
+	return func(t *Throttler) { t.numEntries = f }
+}
+
+// WithOnChange sets the function that receives each new limit, each change and each end of one.
+func WithOnChange(f func(Statement)) Option {
+	return func(t *Throttler) { t.onChange = f }
+}
+
+// New returns a throttler without limits.
+func New(opts ...Option) *Throttler {
+	t := &Throttler{
+		now: time.Now, send: func(Ask) {}, share: func(Statement) {}, numEntries: func() int { return 1 }, onChange: func(Statement) {},
+		limits: map[identifier.Upstream]*limit{}, ended: map[identifier.Upstream]time.Time{}, granted: make(chan struct{}),
+	}
+	for _, o := range opts {
+		o(t)
+	}
+	return t
+}
+
+// Observe records what the head of an upstream's answer says: a limit, or, if perSecond is negative, none.
+func (t *Throttler) Observe(u identifier.Upstream, perSecond float64) {
+	if perSecond < 0 && t.limited.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	now := t.now()
+	s, tell, changed := t.record(Statement{Upstream: u, PerSecond: max(perSecond, 0), Ended: perSecond < 0}, now, true)
+	t.mu.Unlock()
+	if tell {
+		t.share(s)
+	}
+	if changed {
+		t.onChange(s)
+	}
+}
+
+// Apply records what another entry read in an answer. What this entry read itself a moment ago counts more.
+func (t *Throttler) Apply(s Statement) {
+	t.mu.Lock()
+	now := t.now()
+	l := t.limits[s.Upstream]
+	if l != nil && s.Ended && now.Sub(l.observedAt) < ownObservation || l == nil && now.Sub(t.ended[s.Upstream]) < ownObservation {
+		t.mu.Unlock()
+		return
+	}
+	s, _, changed := t.record(s, now, false)
+	t.mu.Unlock()
+	if changed {
+		t.onChange(s)
+	}
+}
+
+// record applies a statement, of this entry if own is set, and reports whether the other entries should be told and whether the limit
+// has changed.
+func (t *Throttler) record(s Statement, now time.Time, own bool) (_ Statement, tell, changed bool) {
+	l := t.limits[s.Upstream]
+	if s.Ended {
+		if l == nil {
+			return s, false, false
+		}
+		t.remove(s.Upstream)
+		if own {
+			t.ended[s.Upstream] = now
+		}
+		return s, true, true
+	}
+	if l == nil {
+		l = &limit{}
+		t.limits[s.Upstream] = l
+		t.limited.Add(1)
+		t.named++
+	}
+	changed = l.perSecond != s.PerSecond
+	l.perSecond = s.PerSecond
+	if own {
+		l.observedAt = now
+		tell = changed || now.Sub(l.confirmedAt) >= confirmInterval && now.Sub(l.statedAt) >= confirmInterval
+		if tell {
+			l.statedAt = now
+		}
+	} else {
+		l.confirmedAt = now
+	}
+	l.forgetAt = now.Add(limitMemory + rand.N(limitMemorySpread))
+	return s, tell, changed
+}
+
+func (t *Throttler) remove(u identifier.Upstream) {
+	delete(t.limits, u)
+	t.limited.Add(-1)
+	t.wake()
+}
+
+// wake wakes the requests that wait for a slot.
+func (t *Throttler) wake() {
+	close(t.granted)
+	t.granted = make(chan struct{})
+}
+
+// AppendClosed appends the upstreams that may get no request from this entry now.
+func (t *Throttler) AppendClosed(names []identifier.Upstream) []identifier.Upstream {
+	if t.limited.Load() == 0 {
+		return names
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for u, l := range t.limits {
+		if !l.hasSlot(now) {
+			names = append(names, u)
+		}
+	}
+	return names
+}
+
+// AppendLimited appends the upstreams that name a limit.
+func (t *Throttler) AppendLimited(names []identifier.Upstream) []identifier.Upstream {
+	if t.limited.Load() == 0 {
+		return names
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for u := range t.limits {
+		names = append(names, u)
+	}
+	return names
+}
+
+// Take reports whether a request may be sent to an upstream now, and uses a slot if it has a limit.
+func (t *Throttler) Take(u identifier.Upstream) bool {
+	if t.limited.Load() == 0 {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.limits[u]
+	if l == nil {
+		return true
+	}
+	if !l.hasSlot(t.now()) {
+		t.closed++
+		return false
+	}
+	l.slots = l.slots[1:]
+	t.used++
+	return true
+}
+
+// HasSlot reports whether an upstream has a limit and this entry may send it a request now.
+func (t *Throttler) HasSlot(u identifier.Upstream) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.limits[u]
+	return l != nil && l.hasSlot(t.now())
+}
+
+// hasSlot drops the slots that are over and reports whether one has begun.
+func (l *limit) hasSlot(now time.Time) bool {
+	for len(l.slots) > 0 && now.Sub(l.slots[0]) >= slotLifetime {
+		l.slots = l.slots[1:]
+	}
+	return len(l.slots) > 0 && !now.Before(l.slots[0])
+}
+
+// Want asks for slots of an upstream to which a request would have been sent if its limit allowed that; isNew is set if the request has
+// not wanted one there before.
+func (t *Throttler) Want(u identifier.Upstream, isNew bool) {
+	if t.limited.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	l := t.limits[u]
+	if l == nil {
+		t.mu.Unlock()
+		return
+	}
+	now := t.now()
+	l.wants = slices.DeleteFunc(l.wants, func(at time.Time) bool { return now.Sub(at) >= demandWindow })
+	if isNew {
+		l.wants = append(l.wants, now)
+	}
+	a, ok := t.nextAsk(u, l, now)
+	t.mu.Unlock()
+	if ok {
+		t.send(a)
+	}
+}
+
+// nextAsk returns the ask to send for a limit now, if there is one. Without answers from the owner it takes a slot of an even share.
+func (t *Throttler) nextAsk(u identifier.Upstream, l *limit, now time.Time) (Ask, bool) {
+	if l.askID != 0 && now.Sub(l.askedAt) >= askTimeout {
+		l.askID = 0
+		l.unanswered++
+		t.unanswered++
+	}
+	l.hasSlot(now)
+	if l.askID != 0 || len(l.slots) > 0 || now.Before(l.nextAskAt) {
+		return Ask{}, false
+	}
+	if l.unanswered >= maxUnanswered {
+		l.unanswered = 0
+		step := time.Duration(float64(interval(l.perSecond)) * float64(max(t.numEntries(), 1)) / evenShareReserve)
+		l.slots = []time.Time{now.Add(rand.N(step))}
+		l.nextAskAt = now.Add(step)
+		t.selfGranted++
+		return Ask{}, false
+	}
+	t.lastID++
+	l.askID, l.askedAt = t.lastID, now
+	number := 1
+	if len(l.wants) >= steadyDemand {
+		number = min(len(l.wants), maxSlotsPerAsk)
+	}
+	return Ask{Upstream: u, PerSecond: l.perSecond, Number: number, ID: l.askID}, true
+}
+
+// Grant records the answer to an ask, unless it comes too late.
+func (t *Throttler) Grant(g Grant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	l := t.limits[g.Upstream]
+	if l == nil || l.askID != g.ID || g.ID == 0 {
+		return
+	}
+	l.askID, l.unanswered = 0, 0
+	after := time.Duration(g.AfterMillis * float64(time.Millisecond))
+	if g.Number <= 0 {
+		// A random part of the time keeps the entries that were denied from asking all at once.
+		l.nextAskAt = now.Add(min(after, limitMemory)/2 + rand.N(min(max(after, time.Millisecond), limitMemory)))
+		return
+	}
+	step := time.Duration(g.IntervalMillis * float64(time.Millisecond))
+	for i := range min(g.Number, maxSlotsPerAsk) {
+		l.slots = append(l.slots, now.Add(after+time.Duration(i)*step))
+	}
+	t.wake()
+}
+
+// NextSlot returns when the next slot of any of some upstreams begins, or false if none is granted.
+func (t *Throttler) NextSlot(names []identifier.Upstream) (time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var next time.Time
+	for _, u := range names {
+		if l := t.limits[u]; l != nil && len(l.slots) > 0 && (next.IsZero() || l.slots[0].Before(next)) {
+			next = l.slots[0]
+		}
+	}
+	return next, !next.IsZero()
+}
+
+// Changed returns a channel that is closed when slots are granted or a limit ends.
+func (t *Throttler) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.granted
+}
+
+// Sweep forgets limits that nobody has confirmed for long, and those of upstreams for which live returns false.
+func (t *Throttler) Sweep(live func(identifier.Upstream) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for u, l := range t.limits {
+		if !now.Before(l.forgetAt) || !live(u) {
+			t.remove(u)
+		}
+	}
+	for u, at := range t.ended {
+		if now.Sub(at) >= ownObservation {
+			delete(t.ended, u)
+		}
+	}
+}
+
+// Counters returns the totals since the start.
+func (t *Throttler) Counters() map[string]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return map[string]int64{
+		"limits-named": t.named, "slots-used": t.used, "requests-held-back": t.closed, "asks-unanswered": t.unanswered,
+		"slots-taken-alone": t.selfGranted,
+	}
+}
+
+// LimitState is the state of a limit in the state dump.
+type LimitState struct {
+	PerSecond float64 `json:"per-second"`
+	Slots     int     `json:"slots"`
+}
+
+// State returns the limits.
+func (t *Throttler) State() any {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := make(map[identifier.Upstream]LimitState, len(t.limits))
+	for u, l := range t.limits {
+		m[u] = LimitState{l.perSecond, len(l.slots)}
+	}
+	return m
+}
