--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -28,10 +28,11 @@
 	// entries forget it at the same time.
 	limitMemory       = time.Minute
 	limitMemorySpread = time.Minute
-	// demandWindow is the time over which the demand for slots is counted, and steadyDemand the demand in it from which slots are asked
-	// for in advance; with less they would mostly end before the next request.
-	demandWindow = time.Second
-	steadyDemand = 4
+	// demandWindow is the time over which the demand for slots is counted, and maxWants bounds that count. Slots are asked for in advance
+	// for what comes in advanceTime; more would mostly end before a request uses them.
+	demandWindow = 4 * time.Second
+	maxWants     = 512
+	advanceTime  = 500 * time.Millisecond
 	// maxSlotsPerAsk bounds the slots of one ask.
 	maxSlotsPerAsk = 64
 )
@@ -274,7 +275,7 @@
 	}
 	now := t.now()
 	l.wants = slices.DeleteFunc(l.wants, func(at time.Time) bool { return now.Sub(at) >= demandWindow })
-	if isNew {
+	if isNew && len(l.wants) < maxWants {
 		l.wants = append(l.wants, now)
 	}
 	a, ok := t.nextAsk(u, l, now)
@@ -305,10 +306,7 @@
 	}
 	t.lastID++
 	l.askID, l.askedAt = t.lastID, now
-	number := 1
-	if len(l.wants) >= steadyDemand {
-		number = min(len(l.wants), maxSlotsPerAsk)
-	}
+	number := min(max(len(l.wants)*int(advanceTime)/int(demandWindow), 1), maxSlotsPerAsk)
 	return Ask{Upstream: u, PerSecond: l.perSecond, Number: number, ID: l.askID}, true
 }
 
