relayer, forwarder: pass a whole event on before the next one is whole

What callers saw: an event that arrived together with the begin of the next one came late, and not at all if the stream broke off there and could not be resumed: the caller got no answer instead of the events so far and a broken connection. Cause: events were flushed to the caller only if no byte of a later event was buffered. Evidence: TestEventDoesNotWaitForTheNext waited 2 s for an event that the upstream had sent whole; TestUnframedStreamThatCannotBeResumed got no response. Change: relayer tells whether the next event is whole; without that the events so far are flushed. Result: both tests fail before and pass; go test -run 'Unframed|EventDoesNot|Stream' -count=2 ./forwarder passes.

--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -151,7 +151,7 @@
 		}
 		f.startResponse(w, control, c)
 		_, err = w.Write(b)
-		if err == nil && events.Buffered() == 0 {
+		if err == nil && !events.HasNext() {
 			err = control.Flush()
 		}
 		if err != nil {
--- a/forwarder/unframed_test.go
+++ b/forwarder/unframed_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -65,3 +67,49 @@
 		})
 	}
 }
+
+// Guards against a stream that broke off in an event, cannot be resumed and looks whole to its caller (issue 23).
+func TestUnframedStreamThatCannotBeResumed(t *testing.T) {
+	f := newFixture(t, 2, func(w http.ResponseWriter, _ *http.Request, _ int) {
+		respondUnframed(w, "id: 1\ndata: e1\n\nid: 2\n", false)
+	})
+	w := f.send("/unresumable/")
+	must.EqOp(t, http.StatusOK, w.status)
+	must.Error(t, w.err)
+	must.EqOp(t, "id: 1\ndata: e1\n\n", w.body)
+	must.SliceLen(t, 1, f.requests())
+}
+
+// Guards against a whole event that is held back until the next one is whole (issue 23).
+func TestEventDoesNotWaitForTheNext(t *testing.T) {
+	release := make(chan struct{})
+	f := newFixture(t, 1, func(w http.ResponseWriter, _ *http.Request, _ int) {
+		_, _ = io.WriteString(w, "id: 1\ndata: e1\n\nid: 2\nda")
+		w.(http.Flusher).Flush()
+		<-release
+		_, _ = io.WriteString(w, "ta: e2\n\n")
+	})
+	t.Cleanup(func() { close(release) })
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.server.URL+"/stream/", http.NoBody)
+	must.NoError(t, err)
+	r.Host = "h"
+	r.Header.Set("Id", "r1")
+	r.Header.Set("Authorization", "Bearer key")
+	first := make(chan string, 1)
+	go func() {
+		w, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return
+		}
+		defer w.Body.Close()
+		b := make([]byte, 100)
+		n, _ := w.Body.Read(b)
+		first <- string(b[:n])
+	}()
+	select {
+	case b := <-first:
+		must.EqOp(t, "id: 1\ndata: e1\n\n", b)
+	case <-time.After(2 * time.Second):
+		t.Fatal("no event within 2 s")
+	}
+}
--- a/relayer/event.go
+++ b/relayer/event.go
@@ -36,9 +36,11 @@
 	return &Reader{br: bufio.NewReaderSize(r, 2<<10), LastID: last, HasLastID: hasID}
 }
 
-// Buffered returns the number of bytes of later events that were already read from the stream.
-func (r *Reader) Buffered() int {
-	return r.br.Buffered()
+// HasNext reports whether the next event was already read whole from the stream.
+func (r *Reader) HasNext() bool {
+	// Peek of what is buffered returns no error.
+	b, _ := r.br.Peek(r.br.Buffered())
+	return bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\n\r\n"))
 }
 
 // Next returns the bytes of the next event with the empty line that ends it, valid until the next call. It returns io.EOF
