--- a/agentserver/server.go
+++ b/agentserver/server.go
@@ -23,7 +23,7 @@
 	// maxIdleConnections limits the idle connections kept open to the upstream.
 	maxIdleConnections = 256
 	// maxHeadBytes bounds the head of an upstream's response.
-	maxHeadBytes = 64 << 10
+	maxHeadBytes = 256 << 10
 )
 
 // Server is the agent role; its function fields must be set before the first request and not be changed afterwards.
--- a/connector/error.go
+++ b/connector/error.go
@@ -8,7 +8,7 @@
 // ErrNoResponse is the cause of an Error when the connection ended before a response began.
 var ErrNoResponse = errors.New("connection ended without a response")
 
-// ErrHeadTooLarge is the cause of an Error when the head of a response is longer than 64 KiB.
+// ErrHeadTooLarge is the cause of an Error when the head of a response is longer than 256 KiB.
 var ErrHeadTooLarge = errors.New("head of the response is too large")
 
 // ErrResponseMismatch is the cause of an Error when the responses on a connection belonged to other requests.
--- a/connector/head.go
+++ b/connector/head.go
@@ -5,7 +5,7 @@
 )
 
 // maxHeadBytes bounds the head of a response together with the informational responses before it, and what is read ahead of its body.
-const maxHeadBytes = 64 << 10
+const maxHeadBytes = 256 << 10
 
 // headReader reads from a connection and bounds what is read of a head. The parser of net/http reads a line and a list of headers of
 // any length into memory.
--- a/streamer/client.go
+++ b/streamer/client.go
@@ -29,7 +29,7 @@
 	// maxIdleConnections limits the idle connections kept open to each agent.
 	maxIdleConnections = 256
 	// maxHeadBytes bounds the head of an agent's response.
-	maxHeadBytes = 64 << 10
+	maxHeadBytes = 256 << 10
 	// HeaderOutcome is the response header with the outcome of a response that has no frames.
 	HeaderOutcome = "Siskinfront-Outcome"
 )
