throttler, forwarder: keep the pauses that upstreams ask for

Change: throttler holds pauses beside limits; an upstream in a pause gets no request, repeat, resumed stream, reserved attempt or probe from the entry that it told. With all upstreams of a service in a pause, requests are refused at once with its end.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -121,7 +121,7 @@
 // after the choice of an upstream leave open whether it ran.
 func (f *Forwarder) send(ctx context.Context, q *request, model identifier.Model, urgency int) (*call, error) {
 	to := q.permit.to
-	if to.upstream == nil || !f.isAvailable(to.name) {
+	if to.upstream == nil || !f.isAvailable(to.name) || f.throttler.IsPaused(to.name) {
 		var err error
 		if to, err = f.chooseInTime(ctx, q, model); err != nil {
 			return nil, err
@@ -203,6 +203,7 @@
 	// A misdirected request was answered by another upstream than the expected one.
 	if !isMisdirected && (stamped || w.StatusCode >= http.StatusMultipleChoices) {
 		f.ObserveSignals(c.upstream, w.Header)
+		f.observePause(c.upstream, w.Response)
 	}
 	if isMisdirected || w.Header.Get(f.headers.NotRun) != "" {
 		f.counters.notRun.Add(1)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -154,7 +154,7 @@
 
 	requests, answered, refused, failed, streamsBroken, callersLeft, connectionsCut, unmatched, unknownKey, invalid                        atomic.Int64
 	attempts, notRun, lost, resumed, abandoned, escalated, unverified, upstreamErrors, budgetExceeded, unresponsive, requestsMissing, kept atomic.Int64
-	invalidLeaving, invalidLimit                                                                                                           atomic.Int64
+	invalidLeaving, invalidLimit, invalidPause                                                                                             atomic.Int64
 	deniedBudget, deniedAttempts, deniedRejections, deniedDeadline, deniedNoUpstream, deniedSuspected                                      atomic.Int64
 }
 
@@ -169,8 +169,8 @@
 
 	// announcedLeaving is set once a response said that the upstream leaves, and invalidLeaving once one had an invalid value there.
 	announcedLeaving, invalidLeaving atomic.Bool
-	// invalidLimit is set once a response named an invalid limit.
-	invalidLimit atomic.Bool
+	// invalidLimit is set once a response named an invalid limit, and invalidPause once one asked for an invalid pause.
+	invalidLimit, invalidPause atomic.Bool
 
 	// probe is the last probe, or nil.
 	probe atomic.Pointer[probe]
@@ -382,7 +382,7 @@
 		"streams-broken": c.streamsBroken.Load(), "callers-left": c.callersLeft.Load(), "connections-cut": c.connectionsCut.Load(), "unmatched": c.unmatched.Load(),
 		"unknown-keys": c.unknownKey.Load(), "invalid": c.invalid.Load(), "attempts": c.attempts.Load(),
 		"attempts-not-run": c.notRun.Load(), "attempts-lost": c.lost.Load(), "streams-resumed": c.resumed.Load(),
-		"panics": c.panics.Load(), "leaving-invalid": c.invalidLeaving.Load(), "limits-invalid": c.invalidLimit.Load(), "attempts-rescued": c.abandoned.Load(), "cascade-steps": c.escalated.Load(), "responses-spoiled": c.unverified.Load(),
+		"panics": c.panics.Load(), "leaving-invalid": c.invalidLeaving.Load(), "limits-invalid": c.invalidLimit.Load(), "pauses-invalid": c.invalidPause.Load(), "attempts-rescued": c.abandoned.Load(), "cascade-steps": c.escalated.Load(), "responses-spoiled": c.unverified.Load(),
 		"attempts-kept": c.kept.Load(), "upstreams-silent": c.unresponsive.Load(), "requests-missing": c.requestsMissing.Load(), "upstream-errors": c.upstreamErrors.Load(), "retries-over-budget": c.budgetExceeded.Load(),
 		"ended-for-budget": c.deniedBudget.Load(), "ended-for-attempts": c.deniedAttempts.Load(), "ended-for-rejections": c.deniedRejections.Load(),
 		"ended-for-deadline": c.deniedDeadline.Load(), "ended-for-upstream": c.deniedNoUpstream.Load(), "ended-for-suspicion": c.deniedSuspected.Load(),
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -68,7 +68,11 @@
 	case !q.mayHaveRun && late:
 		return &refusal{status: http.StatusServiceUnavailable, reason: "deadline", retryAfter: upstreamRetryAfter, cause: err}
 	case !q.mayHaveRun:
-		return &refusal{status: http.StatusServiceUnavailable, reason: "no-upstream", retryAfter: upstreamRetryAfter, cause: err}
+		x := &refusal{status: http.StatusServiceUnavailable, reason: "no-upstream", retryAfter: upstreamRetryAfter, cause: err}
+		if end := f.pauseEnd(q); !end.IsZero() {
+			x.retryAfter = max(x.retryAfter, end.Sub(f.Now()))
+		}
+		return x
 	case late:
 		f.counters.failed.Add(1)
 		return &refusal{status: http.StatusGatewayTimeout, reason: "deadline", cause: err}
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -64,16 +64,18 @@
 	numEntries func() int
 	onChange   func(Statement)
 
-	// limited is the number of limits, so that without one nothing else is read.
-	limited atomic.Int64
-
-	mu      sync.Mutex
-	limits  map[identifier.Upstream]*limit
-	ended   map[identifier.Upstream]time.Time
-	granted chan struct{}
-	lastID  uint64
-
-	named, used, closed, unanswered, selfGranted int64
+	// restricted is the number of limits and pauses, so that without one nothing else is read.
+	restricted atomic.Int64
+
+	mu     sync.Mutex
+	limits map[identifier.Upstream]*limit
+	ended  map[identifier.Upstream]time.Time
+	// pausedUntil holds the ends of the pauses that upstreams asked this entry for.
+	pausedUntil map[identifier.Upstream]time.Time
+	granted     chan struct{}
+	lastID      uint64
+
+	named, used, closed, unanswered, selfGranted, pauses int64
 }
 
 // Option configures a Throttler.
@@ -108,7 +110,8 @@
 func New(opts ...Option) *Throttler {
 	t := &Throttler{
 		now: time.Now, send: func(Ask) {}, share: func(Statement) {}, numEntries: func() int { return 1 }, onChange: func(Statement) {},
-		limits: map[identifier.Upstream]*limit{}, ended: map[identifier.Upstream]time.Time{}, granted: make(chan struct{}),
+		limits: map[identifier.Upstream]*limit{}, ended: map[identifier.Upstream]time.Time{},
+		pausedUntil: map[identifier.Upstream]time.Time{}, granted: make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(t)
@@ -118,7 +121,7 @@
 
 // Observe records what the head of an upstream's answer says: a limit, or, if perSecond is negative, none.
 func (t *Throttler) Observe(u identifier.Upstream, perSecond float64) {
-	if perSecond < 0 && t.limited.Load() == 0 {
+	if perSecond < 0 && t.restricted.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
@@ -166,7 +169,7 @@
 	if l == nil {
 		l = &limit{}
 		t.limits[s.Upstream] = l
-		t.limited.Add(1)
+		t.restricted.Add(1)
 		t.named++
 	}
 	changed = l.perSecond != s.PerSecond
@@ -186,7 +189,7 @@
 
 func (t *Throttler) remove(u identifier.Upstream) {
 	delete(t.limits, u)
-	t.limited.Add(-1)
+	t.restricted.Add(-1)
 	t.wake()
 }
 
@@ -198,7 +201,7 @@
 
 // AppendClosed appends the upstreams that may get no request from this entry now.
 func (t *Throttler) AppendClosed(names []identifier.Upstream) []identifier.Upstream {
-	if t.limited.Load() == 0 {
+	if t.restricted.Load() == 0 {
 		return names
 	}
 	t.mu.Lock()
@@ -209,12 +212,17 @@
 			names = append(names, u)
 		}
 	}
+	for u, until := range t.pausedUntil {
+		if now.Before(until) && (t.limits[u] == nil || t.limits[u].hasSlot(now)) {
+			names = append(names, u)
+		}
+	}
 	return names
 }
 
 // AppendLimited appends the upstreams that name a limit.
 func (t *Throttler) AppendLimited(names []identifier.Upstream) []identifier.Upstream {
-	if t.limited.Load() == 0 {
+	if t.restricted.Load() == 0 {
 		return names
 	}
 	t.mu.Lock()
@@ -227,16 +235,21 @@
 
 // Take reports whether a request may be sent to an upstream now, and uses a slot if it has a limit.
 func (t *Throttler) Take(u identifier.Upstream) bool {
-	if t.limited.Load() == 0 {
+	if t.restricted.Load() == 0 {
 		return true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.now()
+	if now.Before(t.pausedUntil[u]) {
+		t.closed++
+		return false
+	}
 	l := t.limits[u]
 	if l == nil {
 		return true
 	}
-	if !l.hasSlot(t.now()) {
+	if !l.hasSlot(now) {
 		t.closed++
 		return false
 	}
@@ -249,8 +262,8 @@
 func (t *Throttler) HasSlot(u identifier.Upstream) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := t.limits[u]
-	return l != nil && l.hasSlot(t.now())
+	l, now := t.limits[u], t.now()
+	return l != nil && l.hasSlot(now) && !now.Before(t.pausedUntil[u])
 }
 
 // hasSlot drops the slots that are over and reports whether one has begun.
@@ -264,7 +277,7 @@
 // Want asks for slots of an upstream to which a request would have been sent if its limit allowed that; isNew is set if the request has
 // not wanted one there before.
 func (t *Throttler) Want(u identifier.Upstream, isNew bool) {
-	if t.limited.Load() == 0 {
+	if t.restricted.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
@@ -274,6 +287,10 @@
 		return
 	}
 	now := t.now()
+	if now.Before(t.pausedUntil[u]) {
+		t.mu.Unlock()
+		return
+	}
 	l.wants = slices.DeleteFunc(l.wants, func(at time.Time) bool { return now.Sub(at) >= demandWindow })
 	if isNew && len(l.wants) < maxWants {
 		l.wants = append(l.wants, now)
@@ -363,6 +380,12 @@
 			t.remove(u)
 		}
 	}
+	for u, until := range t.pausedUntil {
+		if !now.Before(until) {
+			delete(t.pausedUntil, u)
+			t.restricted.Add(-1)
+		}
+	}
 	for u, at := range t.ended {
 		if now.Sub(at) >= ownObservation {
 			delete(t.ended, u)
@@ -376,23 +399,30 @@
 	defer t.mu.Unlock()
 	return map[string]int64{
 		"limits-named": t.named, "slots-used": t.used, "requests-held-back": t.closed, "asks-unanswered": t.unanswered,
-		"slots-taken-alone": t.selfGranted,
+		"slots-taken-alone": t.selfGranted, "pauses": t.pauses,
 	}
 }
 
-// LimitState is the state of a limit in the state dump.
-type LimitState struct {
-	PerSecond float64 `json:"per-second"`
-	Slots     int     `json:"slots"`
+// UpstreamState is what restricts the requests to an upstream, in the state dump.
+type UpstreamState struct {
+	PerSecond float64 `json:"per-second,omitempty"`
+	Slots     int     `json:"slots,omitempty"`
+	// PausedUntil is the end of the last pause.
+	PausedUntil time.Time `json:"paused-until,omitzero"`
 }
 
-// State returns the limits.
+// State returns the limits and pauses.
 func (t *Throttler) State() any {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	m := make(map[identifier.Upstream]LimitState, len(t.limits))
+	m := make(map[identifier.Upstream]UpstreamState, len(t.limits)+len(t.pausedUntil))
 	for u, l := range t.limits {
-		m[u] = LimitState{l.perSecond, len(l.slots)}
+		m[u] = UpstreamState{PerSecond: l.perSecond, Slots: len(l.slots)}
+	}
+	for u, until := range t.pausedUntil {
+		x := m[u]
+		x.PausedUntil = until
+		m[u] = x
 	}
 	return m
 }
