runner, throttler: an entry's row is written again; slow owners keep their limits; no datagrams do not stop an entry

A removal by the process before, performed late, or a store that comes back without the row left an entry unknown to the others for up to a minute. Change: the row is written again when it is missing; an owner has 0.5 s; slots last 1 s; the entry logs the address in use and tries again.

--- a/forwarder/leaving.go
+++ b/forwarder/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/registrar"
@@ -27,12 +28,7 @@
 	name := u.Incarnation()
 	leaving, valid := parseLeaving(values)
 	if !valid {
-		delete(h, f.leavingHeader)
-		f.counters.invalidLeaving.Add(1)
-		if !f.livenessOf(name).invalidLeaving.Swap(true) {
-			f.log.Warn("announcement of leaving is invalid", "upstream", name, "values", len(values), "length", len(values[0]),
-				"value", values[0][:min(len(values[0]), maxLoggedValue)])
-		}
+		f.dropSignal(h, f.leavingHeader, name, "announcement of leaving is invalid", &f.counters.invalidLeaving, &f.livenessOf(name).invalidLeaving)
 		return
 	}
 	if leaving && !f.livenessOf(name).announcedLeaving.Swap(true) {
@@ -59,3 +55,17 @@
 	u := f.Upstream(name)
 	return u != nil && !u.Leaving
 }
+
+// dropSignal removes an invalid header from the head of an upstream's response, so that callers get the response without it, counts it
+// and logs the first one of the upstream.
+func (f *Forwarder) dropSignal(
+	h http.Header, header string, name identifier.Upstream, message string, count *atomic.Int64, isLogged *atomic.Bool,
+) {
+	values := h[header]
+	delete(h, header)
+	count.Add(1)
+	if !isLogged.Swap(true) {
+		f.log.Warn(message, "upstream", name, "values", len(values), "length", len(values[0]),
+			"value", values[0][:min(len(values[0]), maxLoggedValue)])
+	}
+}
--- a/forwarder/limit.go
+++ b/forwarder/limit.go
@@ -34,12 +34,7 @@
 	}
 	limit, valid := parseLimit(values)
 	if !valid {
-		delete(h, f.limitHeader)
-		f.counters.invalidLimit.Add(1)
-		if !f.livenessOf(name).invalidLimit.Swap(true) {
-			f.log.Warn("limit of upstream is invalid", "upstream", name, "values", len(values), "length", len(values[0]),
-				"value", values[0][:min(len(values[0]), maxLoggedValue)])
-		}
+		f.dropSignal(h, f.limitHeader, name, "limit of upstream is invalid", &f.counters.invalidLimit, &f.livenessOf(name).invalidLimit)
 		return
 	}
 	f.throttler.Observe(name, limit)
--- a/runner/limits.go
+++ b/runner/limits.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// ownerTimeout is how long the owner of a limit may take to answer, and ownerSilence how long one that did not owns no limits.
-	ownerTimeout = 150 * time.Millisecond
+	// ownerTimeout is how long the owner of a limit may leave all asks unanswered, and ownerSilence how long one that did owns no
+	// limits. Two owners at a time grant more than one, so a slow answer is no reason to change the owner.
+	ownerTimeout = 500 * time.Millisecond
 	ownerSilence = 10 * time.Second
 )
 
--- a/runner/sharing.go
+++ b/runner/sharing.go
@@ -91,8 +91,10 @@
 	broadcaster *broadcaster.Broadcaster[message]
 	follower    *follower.Follower[SharedChange]
 	pending     *buffer.Ring[quarantiner.Block]
-	now         func() time.Time
-	log         *slog.Logger
+	// rowMissing receives a value when the row of this entry is not in the store.
+	rowMissing chan struct{}
+	now        func() time.Time
+	log        *slog.Logger
 
 	mu      sync.Mutex
 	entries map[identifier.Instance]entryRecord
@@ -103,6 +105,7 @@
 	s := &sharing{
 		store: store, self: self, address: address, log: log, now: time.Now, entries: map[identifier.Instance]entryRecord{},
 		blocks: map[quarantiner.Part]storedBlock{}, owner: throttler.NewOwner(), pending: buffer.NewRing[quarantiner.Block](maxPendingBlocks),
+		rowMissing:  make(chan struct{}, 1),
 		broadcaster: broadcaster.New[message](self, log),
 	}
 	s.quarantine = quarantiner.New(
@@ -127,7 +130,14 @@
 		<-ctx.Done()
 		return nil
 	}
-	return s.broadcaster.Run(ctx, s.address)
+	for ctx.Err() == nil {
+		if err := s.broadcaster.Run(ctx, s.address); err != nil {
+			// Without datagrams the entry still serves, and learns of blocks from the store.
+			s.log.Error("datagrams of other entries cannot be received", "address", s.address, "error", err.Error())
+			_ = storer.Sleep(ctx, maxShareBackoff)
+		}
+	}
+	return nil
 }
 
 // apply applies changes of the shared table; if all is set, they are all of its rows.
@@ -141,6 +151,7 @@
 		clear(s.entries)
 	}
 	var blocks []quarantiner.Block
+	hasOwn := !all
 	for _, c := range changes {
 		switch {
 		case c.Block != nil && c.Removed:
@@ -149,6 +160,7 @@
 			s.blocks[c.Block.Part] = storedBlock{*c.Block, c.RowVersion}
 			blocks = append(blocks, *c.Block)
 		case c.Entry == s.self:
+			hasOwn = c.Address.IsValid()
 		case !c.Address.IsValid():
 			delete(s.entries, c.Entry)
 		default:
@@ -156,6 +168,13 @@
 		}
 	}
 	s.updatePeers()
+	if !hasOwn {
+		// A removal by the process before this one came late, or the store has come back without the row.
+		select {
+		case s.rowMissing <- struct{}{}:
+		default:
+		}
+	}
 	for part, b := range before {
 		if _, ok := s.blocks[part]; !ok && !b.Cleared {
 			// Rows of blocks are not removed, so the store has come back without it.
@@ -201,9 +220,7 @@
 			backoff = minShareBackoff
 			s.dropExpired(ctx)
 		}
-		if storer.Sleep(ctx, wait) != nil {
-			break
-		}
+		s.awaitRenewal(ctx, wait)
 	}
 	removeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), removeEntryTimeout)
 	defer cancel()
@@ -212,6 +229,19 @@
 	}
 }
 
+// awaitRenewal waits until the row of this entry is to be written again.
+func (s *sharing) awaitRenewal(ctx context.Context, wait time.Duration) {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-s.rowMissing:
+		// The row may be missing because the last write has not arrived here yet.
+		_ = storer.Sleep(ctx, rand.N(blockSpread))
+	}
+}
+
 // dropExpired drops the entries whose rows have expired, and removes the rows.
 func (s *sharing) dropExpired(ctx context.Context) {
 	s.mu.Lock()
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -13,7 +13,7 @@
 const (
 	// slotLifetime is how long after its begin a slot may be used. Longer than that, the slots of several entries that become used at
 	// the same time add up to a burst.
-	slotLifetime = 1500 * time.Millisecond
+	slotLifetime = time.Second
 	// askTimeout is how long the answer to an ask may take.
 	askTimeout = 150 * time.Millisecond
 	// maxUnanswered is the number of asks without an answer after which the entry keeps to an even share of the limit by itself.
