--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -23,7 +23,7 @@
 	// ownObservation is how long an answer that this entry got counts more than what other entries state.
 	ownObservation = time.Second
 	// confirmInterval is the least time between two statements of the entries that a limit still holds.
-	confirmInterval = 2 * time.Second
+	confirmInterval = 15 * time.Second
 	// limitMemory is how long a limit holds that nobody has confirmed, and limitMemorySpread a random addition, so that not all
 	// entries forget it at the same time.
 	limitMemory       = time.Minute
