forwarder: an upstream that does not react after it ended its connections has crashed

An upstream whose machine goes with it did not count as crashed, because the question whether it lives timed out, so a part that takes machines along was not blocked. Change: a loss counts if the upstream ended the connection, and a crash is assumed unless it answers; connections on which nothing arrives any more are left out, as they may have been cut on the way. Result: TestUnreachableAfterLossIsACrash fails before and passes; the other tests of crash_test.go pass.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -268,7 +268,7 @@
 		c.end(balancer.ResultCanceled, outcomeCanceled, false)
 	default:
 		c.f.counters.lost.Add(1)
-		c.recordLoss()
+		c.recordLoss(err)
 		c.end(balancer.ResultFailure, outcomeLost+outcome(err.Error()), true)
 	}
 }
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/siskinfront/siskinfront/identifier"
@@ -130,25 +131,26 @@
 	c.f.quarantine.Answered(c.q.sharedParts)
 }
 
-// recordLoss records the loss of a call's connection and, if the upstream had not begun to answer it, finds out whether the
-// upstream has crashed.
-func (c *call) recordLoss() {
+// recordLoss records the loss of a call's connection and, if the upstream ended it and had not begun to answer, finds out whether the
+// upstream has crashed. A connection on which nothing arrives any more may have been cut on its way.
+func (c *call) recordLoss(err error) {
 	a := &c.q.attempts[c.index]
 	a.wasLost = true
-	if a.settled || len(c.q.sharedParts) == 0 || !c.f.losses.add(c.name, c.q) {
+	if a.settled || len(c.q.sharedParts) == 0 || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT) ||
+		!c.f.losses.add(c.name, c.q) {
 		return
 	}
 	go c.f.reportCrash(c.upstream, c.name)
 }
 
-// reportCrash reports the crash of an upstream unless it still accepts connections or does not react at all.
+// reportCrash reports the crash of an upstream unless it still accepts connections.
 func (f *Forwarder) reportCrash(u *registrar.Upstream, name identifier.Upstream) {
 	time.Sleep(lossCollectTime)
 	crash := f.losses.take(name)
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	_, err := f.Probe(ctx, u, name)
-	if err == nil || ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded) {
+	if err == nil {
 		return
 	}
 	f.log.Warn("upstream crashed", "upstream", name, "suspects", len(crash.Suspects), "error", err.Error())
--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -110,6 +110,17 @@
 	must.EqOp(t, 12, f.receivedWith("cut"))
 }
 
+// Guards against an upstream that does not count as crashed because its machine does not react any more.
+func TestUnreachableAfterLossIsACrash(t *testing.T) {
+	f := newCrashFixture(t, "fatal")
+	f.probe = func(identifier.Upstream) (forwarder.Report, error) {
+		time.Sleep(100 * time.Millisecond)
+		return forwarder.Report{}, context.DeadlineExceeded
+	}
+	must.EqOp(t, http.StatusBadGateway, f.send("/stream/", "Prompt", "common:1,fatal:1,own:1").status)
+	must.Wait(t, wait.InitialSuccess(wait.Timeout(2*time.Second), wait.BoolFunc(func() bool { return f.quarantine.Counters()["crashes"] == 2 })))
+}
+
 // Guards against a trial of a blocked part that reaches two upstreams, and against a block that outlasts the answer to a trial.
 func TestTrialOfBlockedPart(t *testing.T) {
 	for name, isFatal := range map[string]bool{"crashes": true, "is answered": false} {
