soakbencher: check that sound prompts are not refused beside a crashing part

Cause: the soak checked requests with the crashing part, but not those that share their account and first part.

--- a/soakbencher/caller.go
+++ b/soakbencher/caller.go
@@ -52,6 +52,8 @@
 	calm        bool
 	// upstream is the upstream that the response names.
 	upstream string
+	// blocked is set if the response says that a part of the prompt is refused.
+	blocked bool
 }
 
 // runCaller sends requests one after the other until ctx is done. It reuses each connection until the process
@@ -126,6 +128,7 @@
 	c.connected, c.status = true, w.StatusCode
 	got, err := io.ReadAll(w)
 	c.complete, c.err = err == nil, err
+	c.blocked = c.status == http.StatusServiceUnavailable && strings.HasPrefix(string(got), "prompt-blocked")
 	c.setUpstream(w.Header.Get(names.Stamp))
 	s.checkAnswer(c, w.Header.Get(names.RequestID), w.Header.Get(names.Stamp), string(got))
 }
@@ -135,7 +138,7 @@
 	if c.part != "" {
 		return "a1:100," + c.part + ":50,b" + c.session + ":20"
 	}
-	return "a1:100,b" + c.session + ":20"
+	return fmt.Sprintf("a1:100,m%d:50,b%s:20", len(c.id)*7%10, c.session)
 }
 
 func routePrefix(k standin.Kind) string {
--- a/soakbencher/fatal.go
+++ b/soakbencher/fatal.go
@@ -15,6 +15,7 @@
 const (
 	invariantFatalPart   = "crashing part gets few upstreams"
 	invariantFatalAnswer = "crashing part is refused truthfully"
+	invariantSoundPrompt = "sound prompts are not refused"
 )
 
 const (
@@ -26,6 +27,9 @@
 	// upstreams later than contactTime after that.
 	fatalCrashes     = 5
 	maxFatalArrivals = 3
+	// maxSoundRefused is the share of the requests with the same first part that may be refused from twice contactTime after the fifth
+	// crash on.
+	maxSoundRefused = 0.5
 )
 
 // fatalPart is the part of prompts on which engines crash from a time on.
@@ -75,6 +79,7 @@
 		}
 	}
 	knownAt := crashes[min(len(crashes), fatalCrashes)-1].At.Add(contactTime)
+	s.checkSoundPrompts(knownAt.Add(contactTime))
 	n := 0
 	for _, a := range s.log.Arrivals() {
 		// An entry that was disturbed or without the store in the last contactTime may not know yet.
@@ -87,6 +92,21 @@
 		n, contactTime, len(crashes))
 }
 
+// checkSoundPrompts checks that the requests without the part are not refused because of it.
+func (s *soak) checkSoundPrompts(from time.Time) {
+	sent, refused := 0, 0
+	for _, c := range s.calls {
+		if c.kind != standin.Stream || c.part != "" || c.sentAt.Before(from) {
+			continue
+		}
+		sent++
+		if c.blocked {
+			refused++
+		}
+	}
+	s.check(invariantSoundPrompt, float64(refused) <= maxSoundRefused*float64(sent), "%d of %d streams without the part were refused", refused, sent)
+}
+
 // ranAtCrash reports whether an upstream crashed on the part while it ran one of the runs of a call.
 func (s *soak) ranAtCrash(c *call, runs []standin.Run) bool {
 	for _, x := range s.log.Crashes() {
