--- a/runner/sharing_internal_test.go
+++ b/runner/sharing_internal_test.go
@@ -102,6 +102,12 @@
 	return list, x.version, nil
 }
 
+func (x *sharedTable) numBlocks() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.blocks)
+}
+
 // startSharing starts the sharing of an entry without datagrams.
 func startSharing(t *testing.T, x *sharedTable, name identifier.Instance) *sharing {
 	t.Helper()
@@ -190,7 +196,7 @@
 		a := startSharing(t, x, "a")
 		blockPart(a, 7)
 		time.Sleep(5 * time.Second)
-		must.MapLen(t, 1, x.blocks)
+		must.EqOp(t, 1, x.numBlocks())
 		a.apply(nil, true)
 		must.True(t, a.quarantine.Admit("one", []quarantiner.Part{7}).Refused)
 		x.mu.Lock()
@@ -198,7 +204,7 @@
 		x.mu.Unlock()
 		a.apply(nil, true)
 		time.Sleep(5 * time.Second)
-		must.MapLen(t, 1, x.blocks)
+		must.EqOp(t, 1, x.numBlocks())
 	})
 }
 
@@ -227,9 +233,7 @@
 	s := startSharingAt(t, x, "a", netip.MustParseAddrPort(c.LocalAddr().String()))
 	blockPart(s, 7)
 	must.Wait(t, wait.InitialSuccess(wait.Timeout(5*time.Second), wait.BoolFunc(func() bool {
-		x.mu.Lock()
-		defer x.mu.Unlock()
-		return len(x.blocks) == 1
+		return x.numBlocks() == 1
 	})))
 }
 
