runner: the test of a lost block loses the history of its table as well

The store drops the history when it comes back from a copy, and entries then read all rows. Change: the table in memory answers the next call for changes with the loss of its history.

--- a/runner/sharing_internal_test.go
+++ b/runner/sharing_internal_test.go
@@ -23,11 +23,13 @@
 
 // sharedTable is a shared table in memory.
 type sharedTable struct {
-	mu      sync.Mutex
-	out     bool
-	version uint64
-	entries map[identifier.Instance]SharedChange
-	blocks  map[quarantiner.Part]storedBlock
+	mu  sync.Mutex
+	out bool
+	// historyLost is set if the next call for changes is to be answered with a loss of the history.
+	historyLost bool
+	version     uint64
+	entries     map[identifier.Instance]SharedChange
+	blocks      map[quarantiner.Part]storedBlock
 }
 
 func newSharedTable() *sharedTable {
@@ -49,6 +51,13 @@
 			Read: func(context.Context) ([]SharedChange, uint64, error) { return x.read() },
 			Changes: func(ctx context.Context, _ uint64, _ time.Duration) ([]SharedChange, uint64, error) {
 				_ = storer.Sleep(ctx, 100*time.Millisecond)
+				x.mu.Lock()
+				lost := x.historyLost
+				x.historyLost = false
+				x.mu.Unlock()
+				if lost {
+					return nil, 0, follower.ErrHistoryLost
+				}
 				return x.read()
 			},
 		},
@@ -197,14 +206,13 @@
 		blockPart(a, 7)
 		time.Sleep(5 * time.Second)
 		must.EqOp(t, 1, x.numBlocks())
-		a.apply(nil, true)
-		must.True(t, a.quarantine.Admit("one", []quarantiner.Part{7}).Refused)
 		x.mu.Lock()
 		clear(x.blocks)
+		x.historyLost = true
 		x.mu.Unlock()
-		a.apply(nil, true)
 		time.Sleep(5 * time.Second)
 		must.EqOp(t, 1, x.numBlocks())
+		must.True(t, a.quarantine.Admit("one", []quarantiner.Part{7}).Refused)
 	})
 }
 
