--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,8 +10,8 @@
 )
 
 const (
-	// slotLifetime is how long after its begin a slot may be used. Longer than that, the slots of several entries that become used at
-	// the same time add up to a burst.
+	// slotLifetime is how long after its begin a slot may be used. The longer it is, the more slots of several entries may be used at
+	// the same time.
 	slotLifetime = time.Second
 	// askTimeout is how long the answer to an ask may take.
 	askTimeout = 150 * time.Millisecond
@@ -54,7 +53,8 @@
 	wants []time.Time
 }
 
-// Throttler holds the limits that upstreams name as one entry knows them; it is safe for concurrent use.
+// Throttler holds the limits that upstreams name, and the pauses that they ask for, as one entry knows them; it is safe for
+// concurrent use.
 type Throttler struct {
 	now func() time.Time
 	// send sends an ask to the owner of the limit; share states an observation to all other entries.
@@ -274,102 +274,6 @@
 	return len(l.slots) > 0 && !now.Before(l.slots[0])
 }
 
-// Want asks for slots of an upstream to which a request would have been sent if its limit allowed that; isNew is set if the request has
-// not wanted one there before.
-func (t *Throttler) Want(u identifier.Upstream, isNew bool) {
-	if t.restricted.Load() == 0 {
-		return
-	}
-	t.mu.Lock()
-	l := t.limits[u]
-	if l == nil {
-		t.mu.Unlock()
-		return
-	}
-	now := t.now()
-	if now.Before(t.pausedUntil[u]) {
-		t.mu.Unlock()
-		return
-	}
-	l.wants = slices.DeleteFunc(l.wants, func(at time.Time) bool { return now.Sub(at) >= demandWindow })
-	if isNew && len(l.wants) < maxWants {
-		l.wants = append(l.wants, now)
-	}
-	a, ok := t.nextAsk(u, l, now)
-	t.mu.Unlock()
-	if ok {
-		t.send(a)
-	}
-}
-
-// nextAsk returns the ask to send for a limit now, if there is one. Without answers from the owner it takes a slot of an even share.
-func (t *Throttler) nextAsk(u identifier.Upstream, l *limit, now time.Time) (Ask, bool) {
-	if l.askID != 0 && now.Sub(l.askedAt) >= askTimeout {
-		l.askID = 0
-		l.unanswered++
-		t.unanswered++
-	}
-	l.hasSlot(now)
-	if l.askID != 0 || len(l.slots) > 0 || now.Before(l.nextAskAt) {
-		return Ask{}, false
-	}
-	if l.unanswered >= maxUnanswered {
-		l.unanswered = 0
-		step := time.Duration(float64(interval(l.perSecond)) * float64(max(t.numEntries(), 1)) / evenShareReserve)
-		l.slots = []time.Time{now.Add(rand.N(step))}
-		l.nextAskAt = now.Add(step)
-		t.selfGranted++
-		return Ask{}, false
-	}
-	t.lastID++
-	l.askID, l.askedAt = t.lastID, now
-	number := min(max(len(l.wants)*int(advanceTime)/int(demandWindow), 1), maxSlotsPerAsk)
-	return Ask{Upstream: u, PerSecond: l.perSecond, Number: number, ID: l.askID}, true
-}
-
-// Grant records the answer to an ask, unless it comes too late.
-func (t *Throttler) Grant(g Grant) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.now()
-	l := t.limits[g.Upstream]
-	if l == nil || l.askID != g.ID || g.ID == 0 {
-		return
-	}
-	l.askID, l.unanswered = 0, 0
-	after := time.Duration(g.AfterMillis * float64(time.Millisecond))
-	if g.Number <= 0 {
-		// A random part of the time keeps the entries that were denied from asking all at once.
-		l.nextAskAt = now.Add(min(after, limitMemory)/2 + rand.N(min(max(after, time.Millisecond), limitMemory)))
-		return
-	}
-	step := time.Duration(g.IntervalMillis * float64(time.Millisecond))
-	for i := range min(g.Number, maxSlotsPerAsk) {
-		l.slots = append(l.slots, now.Add(after+time.Duration(i)*step))
-	}
-	t.wake()
-}
-
-// NextSlot returns when the next slot of any of some upstreams begins, or false if none is granted.
-func (t *Throttler) NextSlot(names []identifier.Upstream) (time.Time, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var next time.Time
-	for _, u := range names {
-		if l := t.limits[u]; l != nil && len(l.slots) > 0 && (next.IsZero() || l.slots[0].Before(next)) {
-			next = l.slots[0]
-		}
-	}
-	return next, !next.IsZero()
-}
-
-// Changed returns a channel that is closed when slots are granted or a limit ends.
-func (t *Throttler) Changed() <-chan struct{} {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.granted
-}
-
 // Sweep forgets limits that nobody has confirmed for long, and those of upstreams for which live returns false.
 func (t *Throttler) Sweep(live func(identifier.Upstream) bool) {
 	t.mu.Lock()
@@ -392,37 +296,3 @@
 		}
 	}
 }
-
-// Counters returns the totals since the start.
-func (t *Throttler) Counters() map[string]int64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return map[string]int64{
-		"limits-named": t.named, "slots-used": t.used, "requests-held-back": t.closed, "asks-unanswered": t.unanswered,
-		"slots-taken-alone": t.selfGranted, "pauses": t.pauses,
-	}
-}
-
-// UpstreamState is what restricts the requests to an upstream, in the state dump.
-type UpstreamState struct {
-	PerSecond float64 `json:"per-second,omitempty"`
-	Slots     int     `json:"slots,omitempty"`
-	// PausedUntil is the end of the last pause.
-	PausedUntil time.Time `json:"paused-until,omitzero"`
-}
-
-// State returns the limits and pauses.
-func (t *Throttler) State() any {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	m := make(map[identifier.Upstream]UpstreamState, len(t.limits)+len(t.pausedUntil))
-	for u, l := range t.limits {
-		m[u] = UpstreamState{PerSecond: l.perSecond, Slots: len(l.slots)}
-	}
-	for u, until := range t.pausedUntil {
-		x := m[u]
-		x.PausedUntil = until
-		m[u] = x
-	}
-	return m
-}
