--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -114,7 +114,8 @@
 func TestUnreachableAfterLossIsACrash(t *testing.T) {
 	f := newCrashFixture(t, "fatal")
 	f.probe = func(identifier.Upstream) (forwarder.Report, error) {
-		time.Sleep(100 * time.Millisecond)
+		// Longer than a probe may take.
+		time.Sleep(600 * time.Millisecond)
 		return forwarder.Report{}, context.DeadlineExceeded
 	}
 	must.EqOp(t, http.StatusBadGateway, f.send("/stream/", "Prompt", "common:1,fatal:1,own:1").status)
