--- a/soakbencher/limit.go
+++ b/soakbencher/limit.go
@@ -53,6 +53,12 @@
 	}
 	arrivals := s.log.Arrivals()
 	for _, x := range s.limits {
+		for _, crash := range s.log.Crashes() {
+			// An upstream that starts again names no limit any more.
+			if crash.Upstream == x.upstream && crash.At.After(x.from) && crash.At.Before(x.to) {
+				x.to = crash.At
+			}
+		}
 		told := s.toldAt(x, arrivals, byID)
 		var window []time.Time
 		most := 0
