registrar: a registration that does not state its start is that of the start known before

What callers saw: nothing; upstreams that had said in their answers that they leave got requests again, up to 4.6 s later, and requests that may run once could be lost with them. Cause: what an upstream says (that it leaves, its pause, its limit) is kept for a start of it, which is its name and the time of its start. A registration that lapsed and was back without that time, or whose row was that of an earlier start, counted as another start. Evidence: go test -run TestAnnouncementOutlivesRegistration ./platform failed on only where the start is not stated. Change: the registrar knows the current start of each upstream. A registration without a time belongs to it; one of an earlier start is outdated and ignored; one with a time after none belongs to it if the upstream started before it was first listed. An earlier time that was never seen is a new start, as clocks may go back. The record lasts an hour beyond the registration, as that of announcements. Why this works: all that is kept of an upstream goes by the incarnation, which now changes only with a start. Result: the test passes (4 of 4 cases, 0 requests late). TestStartOfLapsedRegistration, TestEarlierStartIsOutdated pass; before, 'not stated', 'stated later' and the outdated rows failed.

--- a/registrar/leaving.go
+++ b/registrar/leaving.go
@@ -6,10 +6,6 @@
 	"github.com/siskinfront/siskinfront/identifier"
 )
 
-// leavingRetention is how long an incarnation that is leaving is remembered after it was last listed. Heartbeats that were in
-// flight, or a table that is read late, may list it as available once more.
-const leavingRetention = time.Hour
-
 // Source is where an upstream announced that it leaves.
 type Source string
 
@@ -50,7 +46,7 @@
 func (r *Registrar) markLeaving(u *Upstream, source Source, now time.Time) bool {
 	name := u.Incarnation()
 	_, known := r.leavingUntil[name]
-	r.leavingUntil[name] = now.Add(leavingRetention)
+	r.leavingUntil[name] = now.Add(retention)
 	if known {
 		return false
 	}
@@ -67,11 +63,11 @@
 	return true
 }
 
-// forgetLeaving forgets the incarnations that have not been listed for leavingRetention.
+// forgetLeaving forgets the incarnations that have not been listed for the retention time.
 func (r *Registrar) forgetLeaving(now time.Time) {
 	for _, e := range r.registrations {
 		if e.upstream.Leaving {
-			r.leavingUntil[e.upstream.Incarnation()] = now.Add(leavingRetention)
+			r.leavingUntil[e.upstream.Incarnation()] = now.Add(retention)
 		}
 	}
 	for name, until := range r.leavingUntil {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -27,7 +27,8 @@
 	Slots int
 	// Leaving is set when it must receive no new requests.
 	Leaving bool
-	// StartMillis is the start time of the upstream in Unix milliseconds; it changes with a restart under the same name.
+	// StartMillis is the start time of the upstream in Unix milliseconds, or 0 if it is not known; it changes with a restart under the
+	// same name.
 	StartMillis int64
 }
 
@@ -66,14 +67,15 @@
 	registrations map[identifier.Upstream]*registration
 	// leavingUntil holds the incarnations that announced that they leave, with the time at which they may be forgotten.
 	leavingUntil    map[identifier.Upstream]time.Time
+	starts          map[identifier.Upstream]*start
 	storeLost       bool
 	storeReturnedAt time.Time
 	// scheduledAt is the time for which the last call was scheduled.
 	scheduledAt time.Time
 	synced      bool
 
-	changes, keptAfterOutage, restarts     int64
-	leavingByAnswer, leavingByRegistration int64
+	changes, keptAfterOutage, restarts, outdated int64
+	leavingByAnswer, leavingByRegistration       int64
 }
 
 // Option configures a Registrar.
@@ -93,7 +95,7 @@
 func New(opts ...Option) *Registrar {
 	r := &Registrar{
 		Now: time.Now, Update: func([]Upstream) {}, registrations: map[identifier.Upstream]*registration{},
-		leavingUntil: map[identifier.Upstream]time.Time{}, OnLeaving: func(Announcement) {},
+		leavingUntil: map[identifier.Upstream]time.Time{}, starts: map[identifier.Upstream]*start{}, OnLeaving: func(Announcement) {},
 		Schedule: func(at time.Time, f func()) { time.AfterFunc(time.Until(at), f) },
 	}
 	for _, o := range opts {
@@ -145,6 +147,10 @@
 
 // put stores u and reports whether the list changed.
 func (r *Registrar) put(u Upstream, now time.Time) bool {
+	if !r.identify(&u, now) {
+		r.outdated++
+		return false
+	}
 	// A late heartbeat must not bring back an incarnation that is leaving, even if its registration was removed meanwhile.
 	if u.Leaving {
 		r.markLeaving(&u, SourceRegistration, now)
@@ -192,6 +198,7 @@
 	defer r.mu.Unlock()
 	now, changed := r.Now(), false
 	r.forgetLeaving(now)
+	r.forgetStarts(now)
 	if r.storeLost {
 		return
 	}
@@ -228,7 +235,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return map[string]int64{
-		"changes": r.changes, "kept-after-outage": r.keptAfterOutage, "restarts": r.restarts,
+		"changes": r.changes, "kept-after-outage": r.keptAfterOutage, "restarts": r.restarts, "outdated": r.outdated,
 		"leaving-by-answer": r.leavingByAnswer, "leaving-by-registration": r.leavingByRegistration,
 	}
 }
