throttler: keep pauses of over 30 s

What callers saw: nothing; an upstream that asked for a long pause got requests in it, each rejected, which cost a request one attempt. Cause: pauses were cut at 30 s. An upstream that asks for 5 minutes was asked again by each entry every 30 s to 32 s. Change: the bound, which only keeps an invalid value from ending the use of an upstream for good, is an hour.

--- a/throttler/pause.go
+++ b/throttler/pause.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// maxPause bounds the pause that an upstream may ask for.
-	maxPause = 30 * time.Second
+	// maxPause bounds the pause that an upstream may ask for, so that one with an invalid clock or unit is not out for good.
+	maxPause = time.Hour
 	// pauseSpread is the largest random addition to a pause, as a part of it, so that not all entries return at the same time, and
 	// maxPauseSpread bounds it.
 	pauseSpread    = 0.2
