forwarder: keep a pause that the answer to a request for a report asks for

What callers saw: nothing; an upstream that turned a report away with a pause got requests in it. Cause: the heads of reports were read for announcements and limits only, those of requests for pauses too. Change: one function reads all three, for both.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -202,8 +202,7 @@
 	isMisdirected := w.StatusCode == http.StatusMisdirectedRequest
 	// A misdirected request was answered by another upstream than the expected one.
 	if !isMisdirected && (stamped || w.StatusCode >= http.StatusMultipleChoices) {
-		f.ObserveSignals(c.upstream, w.Header)
-		f.observePause(c.upstream, w.Response)
+		f.ObserveSignals(c.upstream, w.Response)
 	}
 	if isMisdirected || w.Header.Get(f.headers.NotRun) != "" {
 		f.counters.notRun.Add(1)
--- a/forwarder/leaving.go
+++ b/forwarder/leaving.go
@@ -11,11 +11,12 @@
 // maxLoggedValue bounds the bytes of an invalid header value in the log.
 const maxLoggedValue = 32
 
-// ObserveSignals reads what the head of an upstream's response asks of the entries: to send no new requests as it leaves, or only so
-// many.
-func (f *Forwarder) ObserveSignals(u *registrar.Upstream, h http.Header) {
-	f.observeLeaving(u, h)
-	f.observeLimit(u, h)
+// ObserveSignals reads what the head of an upstream's response asks of the entries: to send no new requests as it leaves, only so many,
+// or none for some time.
+func (f *Forwarder) ObserveSignals(u *registrar.Upstream, w *http.Response) {
+	f.observeLeaving(u, w.Header)
+	f.observeLimit(u, w.Header)
+	f.observePause(u, w)
 }
 
 // observeLeaving calls OnLeaving if the head of an upstream's response is the first to say that the upstream leaves. An invalid
--- a/runner/leaving_internal_test.go
+++ b/runner/leaving_internal_test.go
@@ -46,3 +46,19 @@
 	cancel()
 	must.NoError(t, <-done)
 }
+
+// Guards against requests to an upstream that answered a request for its report with a pause (issue 26).
+func TestReportAsksForPause(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "20")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(s.Close)
+	r := newTestRunner(t, testSettings+"store: \"127.0.0.1:1\"\n", nil)
+	r.platform.ReportPath = "/report"
+	r.platform.Report = func(io.Reader) (forwarder.Report, error) { return forwarder.Report{}, nil }
+	u := &registrar.Upstream{Name: "a", Service: "s", Slots: 1, StartMillis: 1, Address: netip.MustParseAddrPort(s.Listener.Addr().String())}
+	_, err := r.probe(t.Context(), u, u.Incarnation())
+	must.NoError(t, err)
+	must.True(t, r.sharing.throttler.IsPaused(u.Incarnation()))
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -202,7 +202,7 @@
 		return forwarder.Report{}, err
 	}
 	defer w.Close()
-	r.forwarder.ObserveSignals(u, w.Header)
+	r.forwarder.ObserveSignals(u, w.Response)
 	report, err := r.platform.Report(io.LimitReader(w, maxReportBytes))
 	if err != nil {
 		// The response shows that the upstream is alive, but not which requests it has: it may have any.
