throttler: limits outlast the registration of their upstream

What callers saw: nothing; an upstream that names a limit got more requests than that for a moment. Cause: the limit of an upstream was dropped a second after its registration lapsed.

--- a/runner/leaving_internal_test.go
+++ b/runner/leaving_internal_test.go
@@ -62,3 +62,18 @@
 	must.NoError(t, err)
 	must.True(t, r.sharing.throttler.IsPaused(u.Incarnation()))
 }
+
+// Guards against an upstream whose limit is forgotten when its registration lapses (issue 26).
+func TestLimitOutlivesRegistration(t *testing.T) {
+	r := newTestRunner(t, testSettings+"store: \"127.0.0.1:1\"\n", nil)
+	u := &registrar.Upstream{Name: "a", Service: "s", Slots: 1, StartMillis: 1, Address: netip.MustParseAddrPort("127.0.0.1:1")}
+	r.registrar.Apply([]registrar.Change{{Name: u.Name, Upstream: u}}, true)
+	r.sharing.throttler.Observe(u.Incarnation(), 0.1)
+	must.False(t, r.sharing.throttler.Take(u.Incarnation()))
+	r.registrar.Apply([]registrar.Change{{Name: u.Name}}, false)
+	ctx, cancel := context.WithTimeout(t.Context(), sweepInterval*3/2)
+	defer cancel()
+	must.NoError(t, r.sweepPeriodically(ctx))
+	r.registrar.Apply([]registrar.Change{{Name: u.Name, Upstream: u}}, false)
+	must.False(t, r.sharing.throttler.Take(u.Incarnation()))
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -361,7 +361,7 @@
 		r.registrar.RemoveExpired()
 		r.reaper.CloseExpired()
 		r.sharing.quarantine.Sweep()
-		r.sharing.throttler.Sweep(func(name identifier.Upstream) bool { return r.directory.upstream(name) != nil })
+		r.sharing.throttler.Sweep()
 		r.sharing.owner.Sweep(time.Now())
 		r.pool.CloseIdle(func(peer connector.Peer) bool { return r.directory.isAvailable(peer.Name) })
 		r.forwarder.Retain(func(name identifier.Upstream) bool { return r.directory.upstream(name) != nil })
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -274,13 +274,14 @@
 	return len(l.slots) > 0 && !now.Before(l.slots[0])
 }
 
-// Sweep forgets limits that nobody has confirmed for long, and those of upstreams for which live returns false.
-func (t *Throttler) Sweep(live func(identifier.Upstream) bool) {
+// Sweep forgets limits that nobody has confirmed for long, and pauses that are over. Both outlast the registration of an upstream, which
+// may lapse while the upstream goes on.
+func (t *Throttler) Sweep() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
 	for u, l := range t.limits {
-		if !now.Before(l.forgetAt) || !live(u) {
+		if !now.Before(l.forgetAt) {
 			t.remove(u)
 		}
 	}
