quarantiner, forwarder: refuse a request on which upstreams crash

Cause: entries related the crash of an upstream only to the parts of prompts that requests share. A request without a prompt, or whose own part is the fatal one, was never suspected and went on to the next upstream, at any entry. Change: the whole request, by client account, method, host, path with query and body, is one more suspect in the crash of its upstream, told to the other entries, blocked, kept in the store and tried again like the parts. It is blocked at its third crash if not all came at once. If the crashes do not tell it from parts of its prompt, it alone is blocked, as other requests may share those. Crashes carry their age, so that those that came together count once, whenever they are reported. Refused requests get 503 request-blocked at once. Why this works: the suspicion goes by what repeats have in common; any answer ends it, so a popular request stays clear. The test constants of parts are even now, as the lowest bit marks whole requests.

--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -20,7 +20,7 @@
 	// lossCollectTime is the time from the first lost connection to an upstream to the question whether it has crashed, in which
 	// its other connections are lost as well.
 	lossCollectTime = 20 * time.Millisecond
-	// maxLosses is the number of upstreams that a request may lose before one has sent an event.
+	// maxLosses is the number of upstreams that a request with a prompt may lose before one has sent an event.
 	maxLosses = 2
 	// trialClaimTimeout bounds the time in which a request waits for the permission to be a trial.
 	trialClaimTimeout = 300 * time.Millisecond
@@ -33,7 +33,7 @@
 }
 
 // add adds the parts of a lost request and reports whether it is the first one of its upstream.
-func (l *lossList) add(name identifier.Upstream, q *request) bool {
+func (l *lossList) add(name identifier.Upstream, q *request, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.pending[name]
@@ -42,10 +42,10 @@
 		if l.pending == nil {
 			l.pending = map[identifier.Upstream]*quarantiner.Crash{}
 		}
-		c = &quarantiner.Crash{Upstream: name}
+		c = &quarantiner.Crash{Upstream: name, At: now}
 		l.pending[name] = c
 	}
-	c.Add(q.account, q.sharedParts)
+	c.Add(q.account, q.parts)
 	return isFirst
 }
 
@@ -57,12 +57,12 @@
 	return *c
 }
 
-// admitPrompt returns a refusal if a part of the prompt is blocked, unless this request is the next trial of it.
-func (f *Forwarder) admitPrompt(ctx context.Context, q *request) error {
+// admitSuspect returns a refusal if the request or a part of its prompt is blocked, unless this request is the next trial of that.
+func (f *Forwarder) admitSuspect(ctx context.Context, q *request) error {
 	if q.isTrial {
 		return nil
 	}
-	v := f.quarantine.Admit(q.account, q.sharedParts)
+	v := f.quarantine.Admit(q.account, q.parts)
 	if !v.Refused {
 		return nil
 	}
@@ -79,12 +79,16 @@
 		f.counters.failed.Add(1)
 		return &refusal{status: http.StatusBadGateway, reason: "upstream-failed"}
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: "prompt-blocked", retryAfter: v.RetryAt.Sub(f.Now())}
+	reason := "prompt-blocked"
+	if v.Block.Part.IsRequest() {
+		reason = "request-blocked"
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: v.RetryAt.Sub(f.Now())}
 }
 
 // suspicionDenial returns why a request that an upstream may have crashed on is not sent once more, or an empty denial.
 func (f *Forwarder) suspicionDenial(q *request) denial {
-	if len(q.sharedParts) == 0 || len(q.attempts) == 0 {
+	if len(q.attempts) == 0 {
 		return ""
 	}
 	last := &q.attempts[len(q.attempts)-1]
@@ -104,7 +108,7 @@
 			losses++
 		}
 	}
-	if losses >= maxLosses || !f.quarantine.MayRepeat(q.account, q.sharedParts, last.upstream) {
+	if len(q.sharedParts) > 0 && losses >= maxLosses || !f.quarantine.MayRepeat(q.account, q.parts, last.upstream) {
 		return denialSuspected
 	}
 	return ""
@@ -124,11 +128,11 @@
 // settle records that the upstream of a call has begun to answer its request without crashing.
 func (c *call) settle() {
 	a := &c.q.attempts[c.index]
-	if a.settled || len(c.q.sharedParts) == 0 {
+	if a.settled {
 		return
 	}
 	a.settled = true
-	c.f.quarantine.Answered(c.q.sharedParts)
+	c.f.quarantine.Answered(c.q.parts)
 }
 
 // recordLoss records the loss of a call's connection and, if the upstream ended it and had not begun to answer, finds out whether the
@@ -136,8 +140,8 @@
 func (c *call) recordLoss(err error) {
 	a := &c.q.attempts[c.index]
 	a.wasLost = true
-	if a.settled || len(c.q.sharedParts) == 0 || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT) ||
-		!c.f.losses.add(c.name, c.q) {
+	if a.settled || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT) ||
+		!c.f.losses.add(c.name, c.q, c.f.Now()) {
 		return
 	}
 	go c.f.reportCrash(c.upstream, c.name)
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -25,7 +25,7 @@
 	}
 	if q.route != nil {
 		attrs = append(attrs, slog.String("route", q.route.Name), slog.Int("rank", q.rank), slog.String("service", string(q.service)),
-			slog.String("account", string(q.account)))
+			slog.String("account", string(q.account)), slog.String("fingerprint", q.fingerprint.String()))
 		if q.route.HasSessions {
 			attrs = append(attrs, slog.Float64("pressure", q.pressure), slog.String("session", strconv.FormatUint(q.sessionHash, 16)),
 				slog.String("prefix", strconv.FormatUint(q.prefixHash, 16)), slog.String("parts", q.loggedParts()))
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -39,6 +40,9 @@
 	sessionHash, prefixHash uint64
 	// sharedParts holds the parts of the prompt that other requests may share, which are all but the last.
 	sharedParts []quarantiner.Part
+	// fingerprint identifies the request as a whole, and parts holds it and the shared parts: what is suspected if the upstream crashes.
+	fingerprint quarantiner.Part
+	parts       []quarantiner.Part
 	// promptTokens is the length of the prompt, and sharedTokens that of the part that other requests share.
 	promptTokens, sharedTokens int
 	lastEventID                int64
@@ -65,7 +69,7 @@
 	resumePause time.Duration
 	// wantedSlots lists the upstreams whose limits kept the request from them.
 	wantedSlots []identifier.Upstream
-	// isTrial is set if the request may be sent although a part of its prompt is blocked, and blockedPart is the part for which it
+	// isTrial is set if the request may be sent although it or a part of its prompt is blocked, and blockedPart is that for which it
 	// was refused.
 	isTrial     bool
 	blockedPart quarantiner.Part
@@ -125,6 +129,8 @@
 		return q, x
 	}
 	f.parseHeaders(q, r)
+	q.fingerprint = quarantiner.NewRequest(q.account, q.method, q.host, q.uri, q.body)
+	q.parts = append(slices.Clone(q.sharedParts), q.fingerprint)
 	return q, nil
 }
 
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -25,7 +25,7 @@
 	q.relativePromptSize = f.pressure(q.service).RelativePromptSize(q.promptTokens)
 	resuming := q.hasLastEventID
 	for {
-		if err := f.admitPrompt(ctx, q); err != nil {
+		if err := f.admitSuspect(ctx, q); err != nil {
 			return err
 		}
 		c, err := f.send(ctx, q, f.stepModel(q, step), urgency(q.rank, resuming))
--- a/forwarder/unary.go
+++ b/forwarder/unary.go
@@ -29,7 +29,7 @@
 	q.hold(permit{held: true})
 	defer q.releasePermit()
 	for {
-		if err := f.admitPrompt(ctx, q); err != nil {
+		if err := f.admitSuspect(ctx, q); err != nil {
 			return err
 		}
 		c, err := f.send(ctx, q, "", defaultUrgency)
--- a/quarantiner/doc.go
+++ b/quarantiner/doc.go
@@ -1,3 +1,3 @@
-// Package quarantiner decides which parts of prompts are refused because upstreams crash when they begin to answer requests with
-// them.
+// Package quarantiner decides which requests are refused because upstreams crash when they run them: those with a part in their
+// prompts, or those that are the same as a whole.
 package quarantiner
--- a/quarantiner/fact.go
+++ b/quarantiner/fact.go
@@ -3,18 +3,40 @@
 import (
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/siskinfront/siskinfront/identifier"
 )
 
-// Part identifies a part of the prompts of a service.
+// Part identifies what requests may have in common: a part of their prompts, or all of the request. The lowest bit tells which.
 type Part uint64
 
+// requestBit is set in the parts that are whole requests.
+const requestBit = 1
+
 // NewPart returns the part with a name in the prompts of a service.
 func NewPart(service identifier.Service, name string) Part {
-	return Part(xxhash.Sum64String(string(service) + "/" + name))
+	return Part(xxhash.Sum64String(string(service)+"/"+name) &^ requestBit)
+}
+
+// NewRequest returns the part that is a whole request: two requests have it in common if the client account, the method, the host, the
+// path with its query and the body are the same. Other headers, such as the id of the request, may differ.
+func NewRequest(account identifier.ClientAccount, method, host, uri string, body []byte) Part {
+	d := xxhash.New()
+	for _, s := range []string{string(account), method, host, uri} {
+		// A digest accepts all writes. No element has a line break in it.
+		_, _ = d.WriteString(s)
+		_, _ = d.WriteString("\n")
+	}
+	_, _ = d.Write(body)
+	return Part(d.Sum64() | requestBit)
+}
+
+// IsRequest reports whether the part is a whole request.
+func (p Part) IsRequest() bool {
+	return p&requestBit != 0
 }
 
 // String returns the part in hexadecimal.
@@ -26,6 +48,9 @@
 type Crash struct {
 	// Upstream is the name of the incarnation that crashed.
 	Upstream identifier.Upstream `json:"upstream"`
+	// At is when the entry lost the upstream. Entries tell each other the age, as their clocks may differ.
+	At        time.Time `json:"-"`
+	AgeMillis int64     `json:"age-millis,omitempty"`
 	// Suspects are the parts in the requests that the upstream had not begun to answer.
 	Suspects []Suspect `json:"suspects"`
 }
@@ -91,7 +116,7 @@
 	for _, s := range c.Suspects {
 		n := suspectBytes + len(s.Account)
 		if size+n > maxSuspectBytes {
-			list, size = append(list, Fact{Crash: &Crash{Upstream: c.Upstream}}), 0
+			list, size = append(list, Fact{Crash: &Crash{Upstream: c.Upstream, AgeMillis: c.AgeMillis}}), 0
 		}
 		last := list[len(list)-1].Crash
 		last.Suspects = append(last.Suspects, s)
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -15,6 +15,8 @@
 	decisionDelay = 100 * time.Millisecond
 	// answerInterval is the shortest time between two reports to the other entries that a suspected part was answered.
 	answerInterval = 200 * time.Millisecond
+	// maxCrashAge bounds the age of a crash that another entry reports.
+	maxCrashAge = 10 * time.Second
 	// maxParts bounds the parts of which something is known; beyond it further ones are ignored.
 	maxParts = 8192
 )
@@ -82,7 +84,11 @@
 
 // ReportCrash records a crash that this entry saw and tells the other entries.
 func (q *Quarantine) ReportCrash(c Crash) {
+	if c.At.IsZero() {
+		c.At = q.now()
+	}
 	q.addCrash(c, true)
+	c.AgeMillis = max(q.now().Sub(c.At).Milliseconds(), 0)
 	for _, f := range c.facts() {
 		q.share(f)
 	}
@@ -92,7 +98,10 @@
 func (q *Quarantine) Apply(f Fact) {
 	switch {
 	case f.Crash != nil:
-		q.addCrash(*f.Crash, false)
+		c := *f.Crash
+		age := min(max(time.Duration(c.AgeMillis), 0), time.Duration(maxCrashAge/time.Millisecond)) * time.Millisecond
+		c.At = q.now().Add(-age)
+		q.addCrash(c, false)
 	case f.Block != nil:
 		q.ApplyBlock(*f.Block)
 	default:
@@ -123,7 +132,7 @@
 			r.answeredAt = q.answered[s.Part]
 		}
 		r.forget(now.Add(-crashMemory))
-		isNew := r.add(c.Upstream, s.Account, now)
+		isNew := r.add(c.Upstream, s.Account, c.At)
 		if isNew {
 			q.fire(r, eventCrashed)
 		}
@@ -142,7 +151,7 @@
 			q.ignored++
 			return nil
 		}
-		r = &record{machine: interpreter.NewMachine(q.chart)}
+		r = &record{machine: interpreter.NewMachine(q.chart), isRequest: p.IsRequest()}
 		q.parts[p] = r
 	}
 	return r
@@ -197,7 +206,7 @@
 }
 
 // mostGuilty returns the guilty parts with the most crashes. Parts that always come together cannot be told apart and have the
-// same number.
+// same number; if one of them is a whole request, only that is returned, as other requests may have the others in common.
 func (q *Quarantine) mostGuilty() []Part {
 	list := make([]Part, 0, 1)
 	most := 0
@@ -212,6 +221,9 @@
 			list = append(list, p)
 		}
 	}
+	if slices.ContainsFunc(list, Part.IsRequest) {
+		list = slices.DeleteFunc(list, func(p Part) bool { return !p.IsRequest() })
+	}
 	slices.Sort(list)
 	return list
 }
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	common, fatal, other quarantiner.Part         = 1, 2, 3
+	common, fatal, other quarantiner.Part         = 2, 4, 6
 	one, two             identifier.ClientAccount = "one", "two"
 )
 
--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -32,8 +32,9 @@
 	simultaneousCrashes = 100 * time.Millisecond
 	// groupsToBlock is the number of such groups of crashes, without an answer in between, that blocks a part.
 	groupsToBlock = 3
-	// crashesToBlock crashes in two groups do so too.
-	crashesToBlock = 5
+	// crashesToBlock crashes in two groups do so too, and for a whole request requestCrashesToBlock: no other request has it in common.
+	crashesToBlock        = 5
+	requestCrashesToBlock = 3
 	// answeredGroupsToBlock is the number of groups that blocks a part which was answered shortly before the first crash.
 	answeredGroupsToBlock = 8
 	// answerMemory is how long before a crash an answer still speaks for a part.
@@ -53,7 +54,8 @@
 
 // record is what is known of one part.
 type record struct {
-	machine *interpreter.Machine
+	machine   *interpreter.Machine
+	isRequest bool
 	// crashes are those since the last answer, in the order of their times.
 	crashes []crash
 	// answeredAt is when an upstream last began to answer a request with the part, before the first of the crashes.
@@ -70,7 +72,7 @@
 }
 
 // add adds a crash and reports whether it is new.
-func (r *record) add(upstream identifier.Upstream, account identifier.ClientAccount, now time.Time) bool {
+func (r *record) add(upstream identifier.Upstream, account identifier.ClientAccount, at time.Time) bool {
 	for i := range r.crashes {
 		c := &r.crashes[i]
 		if c.upstream != upstream {
@@ -84,7 +86,8 @@
 	if len(r.crashes) == maxCrashes {
 		r.crashes = r.crashes[1:]
 	}
-	r.crashes = append(r.crashes, crash{upstream, now, []identifier.ClientAccount{account}})
+	i, _ := slices.BinarySearchFunc(r.crashes, at, func(c crash, at time.Time) int { return c.at.Compare(at) })
+	r.crashes = slices.Insert(r.crashes, i, crash{upstream, at, []identifier.ClientAccount{account}})
 	return true
 }
 
@@ -112,7 +115,11 @@
 	if r.isAnswered() {
 		return groups >= answeredGroupsToBlock
 	}
-	return groups >= groupsToBlock || groups >= 2 && len(r.crashes) >= crashesToBlock
+	needed := crashesToBlock
+	if r.isRequest {
+		needed = requestCrashesToBlock
+	}
+	return groups >= groupsToBlock || groups >= 2 && len(r.crashes) >= needed
 }
 
 // scopeOfCrashes returns the account that sent all the requests with the part, or everyone if there were several. A client account
--- /dev/null
+++ b/quarantiner/request_test.go
@@ -0,0 +1,95 @@
+package quarantiner_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/quarantiner"
+)
+
+var fatalRequest = quarantiner.NewRequest(one, "POST", "host", "/path?n=1", []byte("body"))
+
+// Guards against requests that are taken for the same one, and against one that is not recognised.
+func TestRequestIdentity(t *testing.T) {
+	seen := map[quarantiner.Part]bool{}
+	for _, p := range []quarantiner.Part{
+		fatalRequest, quarantiner.NewRequest(two, "POST", "host", "/path?n=1", []byte("body")),
+		quarantiner.NewRequest(one, "PUT", "host", "/path?n=1", []byte("body")), quarantiner.NewRequest(one, "POST", "other", "/path?n=1", []byte("body")),
+		quarantiner.NewRequest(one, "POST", "host", "/path?n=2", []byte("body")), quarantiner.NewRequest(one, "POST", "host", "/path?n=1", []byte("Body")),
+		quarantiner.NewRequest(one, "POST", "host", "/path?n=1", nil), quarantiner.NewRequest(one, "POST", "host", "/path?n=1\n", []byte("body")),
+	} {
+		must.True(t, p.IsRequest())
+		must.False(t, seen[p])
+		seen[p] = true
+	}
+	must.EqOp(t, fatalRequest, quarantiner.NewRequest(one, "POST", "host", "/path?n=1", []byte("body")))
+	for i := range 100 {
+		must.False(t, quarantiner.NewPart("s", fmt.Sprint(i)).IsRequest())
+	}
+}
+
+// Guards against a request that goes on crashing upstreams because each of three entries has seen one crash (issue 26).
+func TestRequestIsBlockedByCrashesOfOthers(t *testing.T) {
+	f := newFixture(newClock())
+	for i := range 3 {
+		c := quarantiner.Crash{Upstream: identifier.Upstream(fmt.Sprint("u", i)), AgeMillis: 30}
+		c.Add(one, []quarantiner.Part{common, fatalRequest})
+		f.Apply(quarantiner.Fact{Crash: &c})
+		f.Answered([]quarantiner.Part{common})
+		f.advance(80 * time.Millisecond)
+	}
+	f.advance(200 * time.Millisecond)
+	must.True(t, f.refuses(one, fatalRequest))
+	must.False(t, f.refuses(one, common, quarantiner.NewRequest(one, "POST", "host", "/path?n=1", []byte("sound"))))
+	must.False(t, f.refuses(two, quarantiner.NewRequest(two, "POST", "host", "/path?n=1", []byte("body"))))
+}
+
+// Guards against the refusal of a request that upstreams ran as all of them ended together, by the times at which entries report that.
+func TestRequestDuringSimultaneousCrashes(t *testing.T) {
+	f := newFixture(newClock())
+	for i := range 6 {
+		c := quarantiner.Crash{Upstream: identifier.Upstream(fmt.Sprint("u", i)), AgeMillis: int64(400 * i)}
+		c.Add(one, []quarantiner.Part{fatalRequest})
+		f.Apply(quarantiner.Fact{Crash: &c})
+		f.advance(400 * time.Millisecond)
+	}
+	must.False(t, f.refuses(one, fatalRequest))
+}
+
+// Guards against the refusal of the parts of a prompt that other requests share with the one on which upstreams crash (issue 26).
+func TestRequestIsBlockedBeforeItsParts(t *testing.T) {
+	f := newFixture(newClock())
+	for range 4 {
+		f.crash(one, common, other, fatalRequest)
+	}
+	must.True(t, f.refuses(one, common, other, fatalRequest))
+	must.False(t, f.refuses(one, common, other))
+}
+
+// Guards against the refusal of a popular request because upstreams that crash by themselves run it each time (issue 26).
+func TestPopularRequestStaysClear(t *testing.T) {
+	f := newFixture(newClock())
+	for range 40 {
+		f.Answered([]quarantiner.Part{fatalRequest})
+		f.advance(500 * time.Millisecond)
+		f.crash(one, fatalRequest)
+		must.False(t, f.refuses(one, fatalRequest))
+	}
+}
+
+func BenchmarkNewRequest(b *testing.B) {
+	for _, n := range []int{1 << 10, 64 << 10, 4 << 20} {
+		body := []byte(strings.Repeat("x", n))
+		b.Run(fmt.Sprint(n, " bytes"), func(b *testing.B) {
+			b.SetBytes(int64(n))
+			for b.Loop() {
+				quarantiner.NewRequest(one, "POST", "host", "/path", body)
+			}
+		})
+	}
+}
--- a/quarantiner/simulation_test.go
+++ b/quarantiner/simulation_test.go
@@ -107,7 +107,7 @@
 func (f *fleet) draw() simulatedRequest {
 	return simulatedRequest{
 		identifier.ClientAccount(fmt.Sprint("account-", f.rand.IntN(4))),
-		[]quarantiner.Part{quarantiner.Part(1000 + f.rand.IntN(3)), quarantiner.Part(2000 + f.rand.IntN(150))},
+		[]quarantiner.Part{quarantiner.Part(1000 + 2*f.rand.IntN(3)), quarantiner.Part(2000 + 2*f.rand.IntN(150))},
 	}
 }
 
--- a/runner/sharing.go
+++ b/runner/sharing.go
@@ -265,11 +265,11 @@
 
 // recordBlock logs a block, or the end of one, and has it written to the store.
 func (s *sharing) recordBlock(b quarantiner.Block) {
-	message := "part of prompts is refused"
+	message := "requests are refused"
 	if b.Cleared {
-		message = "part of prompts is allowed again"
+		message = "requests are allowed again"
 	}
-	s.log.Warn(message, "part", b.Part.String(), "account", b.Scope.Account, "everyone", b.Scope.Everyone, "trials", b.Trials)
+	s.log.Warn(message, "part", b.Part.String(), "whole-request", b.Part.IsRequest(), "account", b.Scope.Account, "everyone", b.Scope.Everyone, "trials", b.Trials)
 	s.enqueue(b)
 }
 
--- a/soakbencher/caller.go
+++ b/soakbencher/caller.go
@@ -128,7 +128,7 @@
 	c.connected, c.status = true, w.StatusCode
 	got, err := io.ReadAll(w)
 	c.complete, c.err = err == nil, err
-	c.blocked = c.status == http.StatusServiceUnavailable && strings.HasPrefix(string(got), "prompt-blocked")
+	c.blocked = c.status == http.StatusServiceUnavailable && (strings.HasPrefix(string(got), "prompt-blocked") || strings.HasPrefix(string(got), "request-blocked"))
 	c.setUpstream(w.Header.Get(names.Stamp))
 	s.checkAnswer(c, w.Header.Get(names.RequestID), w.Header.Get(names.Stamp), string(got))
 }
