quarantiner: block a request at its third crash also if all came at once

Crashes that come together counted once, as upstreams that share a rack fail whatever they run; the next burst, after the restart, came before the block. Evidence: TestCrashingRequestIsRefused/bursts, new, failed 3 of 3 runs on the commit before: 5 late requests, 5 and 6 crashes. Change: for a whole request all crashes count. What keeps a popular request clear when all upstreams fail together is that it was answered before, within a minute; whole requests have a bounded record of their own, in which new answers replace random ones. The check of that test before, that an unanswered request is not blocked by crashes at once, is replaced: that is what a burst looks like.

--- a/quarantiner/admit.go
+++ b/quarantiner/admit.go
@@ -90,7 +90,7 @@
 		}
 		return
 	}
-	if at, ok := q.answered[b.Part]; ok && now.Sub(at) < answerMemory && b.Trials == 0 {
+	if at, ok := q.answersOf(b.Part)[b.Part]; ok && now.Sub(at) < answerMemoryOf(b.Part.IsRequest()) && b.Trials == 0 {
 		q.mu.Unlock()
 		q.share(Fact{Answered: []Part{b.Part}})
 		return
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -32,8 +32,9 @@
 
 	mu    sync.Mutex
 	parts map[Part]*record
-	// answered holds the time of the last answer to requests with a part.
-	answered map[Part]time.Time
+	// answered holds the time of the last answer to requests with a part, and answeredRequests that to whole requests. Each is bounded by
+	// itself, as most whole requests come once.
+	answered, answeredRequests map[Part]time.Time
 	// explained holds the crashes for which a blocked part is responsible.
 	explained map[identifier.Upstream]time.Time
 	// sharedAt is when the other entries were last told of an answer to a part.
@@ -69,12 +70,13 @@
 func New(opts ...Option) *Quarantine {
 	q := &Quarantine{
 		now: time.Now, share: func(Fact) {}, onBlock: func(Block) {},
-		schedule:  func(at time.Time, f func()) { time.AfterFunc(time.Until(at), f) },
-		chart:     interpreter.MustParse(partChart),
-		parts:     map[Part]*record{},
-		answered:  map[Part]time.Time{},
-		explained: map[identifier.Upstream]time.Time{},
-		sharedAt:  map[Part]time.Time{},
+		schedule:         func(at time.Time, f func()) { time.AfterFunc(time.Until(at), f) },
+		chart:            interpreter.MustParse(partChart),
+		parts:            map[Part]*record{},
+		answered:         map[Part]time.Time{},
+		answeredRequests: map[Part]time.Time{},
+		explained:        map[identifier.Upstream]time.Time{},
+		sharedAt:         map[Part]time.Time{},
 	}
 	for _, o := range opts {
 		o(q)
@@ -129,7 +131,7 @@
 			continue
 		}
 		if len(r.crashes) == 0 {
-			r.answeredAt = q.answered[s.Part]
+			r.answeredAt = q.answersOf(s.Part)[s.Part]
 		}
 		r.forget(now.Add(-crashMemory))
 		isNew := r.add(c.Upstream, s.Account, c.At)
@@ -279,10 +281,24 @@
 	}
 }
 
+// answersOf returns the map of answers that a part belongs to.
+func (q *Quarantine) answersOf(p Part) map[Part]time.Time {
+	if p.IsRequest() {
+		return q.answeredRequests
+	}
+	return q.answered
+}
+
+// noteAnswer records an answer in place of a random one if there are too many: popular parts are soon recorded again.
 func (q *Quarantine) noteAnswer(p Part, now time.Time) {
-	if _, ok := q.answered[p]; ok || len(q.answered) < maxParts {
-		q.answered[p] = now
+	answers := q.answersOf(p)
+	if _, ok := answers[p]; !ok && len(answers) >= maxParts {
+		for other := range answers {
+			delete(answers, other)
+			break
+		}
 	}
+	answers[p] = now
 }
 
 func (q *Quarantine) clear(p Part, r *record) {
@@ -318,9 +334,11 @@
 			delete(q.parts, p)
 		}
 	}
-	for p, at := range q.answered {
-		if now.Sub(at) >= answerMemory {
-			delete(q.answered, p)
+	for _, answers := range []map[Part]time.Time{q.answered, q.answeredRequests} {
+		for p, at := range answers {
+			if now.Sub(at) >= answerMemoryOf(p.IsRequest()) {
+				delete(answers, p)
+			}
 		}
 	}
 	for p, at := range q.sharedAt {
--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -32,13 +32,17 @@
 	simultaneousCrashes = 100 * time.Millisecond
 	// groupsToBlock is the number of such groups of crashes, without an answer in between, that blocks a part.
 	groupsToBlock = 3
-	// crashesToBlock crashes in two groups do so too, and for a whole request requestCrashesToBlock: no other request has it in common.
-	crashesToBlock        = 5
+	// crashesToBlock crashes in two groups do so too.
+	crashesToBlock = 5
+	// requestCrashesToBlock is the number of crashes, in any groups, that blocks a whole request: few upstreams that fail together run
+	// the same one, unless it is popular and so was answered before.
 	requestCrashesToBlock = 3
 	// answeredGroupsToBlock is the number of groups that blocks a part which was answered shortly before the first crash.
 	answeredGroupsToBlock = 8
-	// answerMemory is how long before a crash an answer still speaks for a part.
-	answerMemory = 10 * time.Second
+	// answerMemory is how long before a crash an answer still speaks for a part of prompts, and requestAnswerMemory for a whole request,
+	// as all upstreams of a service may be out in between.
+	answerMemory        = 10 * time.Second
+	requestAnswerMemory = time.Minute
 	// crashMemory is how long a crash counts.
 	crashMemory = 10 * time.Minute
 	// maxCrashes bounds the crashes kept of one part; the oldest are dropped.
@@ -66,6 +70,14 @@
 	nextTrialAt time.Time
 }
 
+// answerMemoryOf returns how long an answer speaks for a whole request or a part of prompts.
+func answerMemoryOf(isRequest bool) time.Duration {
+	if isRequest {
+		return requestAnswerMemory
+	}
+	return answerMemory
+}
+
 func (r *record) isBlocked() bool {
 	s := r.machine.State()
 	return s == stateBlocked || s == stateTrial
@@ -106,7 +118,7 @@
 
 // isAnswered reports whether the part was answered shortly before the first of its crashes.
 func (r *record) isAnswered() bool {
-	return len(r.crashes) > 0 && !r.answeredAt.IsZero() && r.crashes[0].at.Sub(r.answeredAt) < answerMemory
+	return len(r.crashes) > 0 && !r.answeredAt.IsZero() && r.crashes[0].at.Sub(r.answeredAt) < answerMemoryOf(r.isRequest)
 }
 
 // isGuilty reports whether the crashes suffice to block the part.
@@ -115,11 +127,10 @@
 	if r.isAnswered() {
 		return groups >= answeredGroupsToBlock
 	}
-	needed := crashesToBlock
 	if r.isRequest {
-		needed = requestCrashesToBlock
+		return len(r.crashes) >= requestCrashesToBlock
 	}
-	return groups >= groupsToBlock || groups >= 2 && len(r.crashes) >= needed
+	return groups >= groupsToBlock || groups >= 2 && len(r.crashes) >= crashesToBlock
 }
 
 // scopeOfCrashes returns the account that sent all the requests with the part, or everyone if there were several. A client account
