quarantiner: an entry that blocks by the evidence of others tells them

Cause: an entry that had seen no crash itself decided by the crashes that others reported, and told nobody. Answers are only told while a part is suspected or when a block is heard of; the entries with answers had cleared the part, so none objected. Evidence: TestBlockByEvidenceOfOthersIsTold fails on the commit before: the block is told 0 times and stays. Change: such an entry tells of its block within 0.3 s, at a random time and unless another has; those that got answers object within 0.1 s in the same way. Holds for parts of prompts and whole requests. Result: the test passes. With 300 entries that decide and 150 that object at once, at most 30 of each tell (TestFewEntriesTellOfTheSameBlock).

--- a/quarantiner/admit.go
+++ b/quarantiner/admit.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/siskinfront/siskinfront/identifier"
@@ -92,7 +93,7 @@
 	}
 	if at, ok := q.answersOf(b.Part)[b.Part]; ok && now.Sub(at) < answerMemoryOf(b.Part.IsRequest()) && b.Trials == 0 {
 		q.mu.Unlock()
-		q.share(Fact{Answered: []Part{b.Part}})
+		q.schedule(now.Add(rand.N(objectionSpread)), func() { q.object(b.Part, now) })
 		return
 	}
 	defer q.mu.Unlock()
@@ -100,6 +101,7 @@
 	if r == nil {
 		return
 	}
+	r.isTold = true
 	if !r.isBlocked() {
 		r.scope, r.trials = b.Scope, b.Trials
 		r.nextTrialAt = now.Add(trialDelay(b.Trials))
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -15,6 +16,10 @@
 	decisionDelay = 100 * time.Millisecond
 	// answerInterval is the shortest time between two reports to the other entries that a suspected part was answered.
 	answerInterval = 200 * time.Millisecond
+	// tellSpread is the time over which entries that decided by the evidence of others tell of their block, and objectionSpread that over
+	// which those that got answers object; most find that another entry has done so.
+	tellSpread      = 300 * time.Millisecond
+	objectionSpread = 100 * time.Millisecond
 	// maxCrashAge bounds the age of a crash that another entry reports.
 	maxCrashAge = 10 * time.Second
 	// maxParts bounds the parts of which something is known; beyond it further ones are ignored.
@@ -166,9 +171,9 @@
 	}
 }
 
-// decide blocks the guilty parts, those with the most crashes first, whose crashes then no longer count against other parts. If
-// share is set, the other entries are told.
-func (q *Quarantine) decide(share bool) {
+// decide blocks the guilty parts, those with the most crashes first, whose crashes then no longer count against other parts. The other
+// entries are told, at once if own is set, which is if this entry saw one of the crashes.
+func (q *Quarantine) decide(own bool) {
 	q.mu.Lock()
 	blocks := q.widen()
 	for {
@@ -179,28 +184,58 @@
 		for _, p := range guilty {
 			r := q.parts[p]
 			r.scope, r.trials = r.scopeOfCrashes(), 0
-			r.nextTrialAt = q.now().Add(trialDelay(0))
+			r.nextTrialAt, r.isTold = q.now().Add(trialDelay(0)), own
 			q.fire(r, eventBlocked)
 			q.blocks++
 			blocks = append(blocks, Block{Part: p, Scope: r.scope})
 		}
 		q.explain(q.parts[guilty[0]])
 	}
+	now := q.now()
 	q.mu.Unlock()
 	for i := range blocks {
-		if share {
+		if own {
 			q.share(Fact{Block: &blocks[i]})
+		} else {
+			q.schedule(now.Add(rand.N(tellSpread)), func() { q.tell(blocks[i].Part) })
 		}
 		q.onBlock(blocks[i])
 	}
 }
 
+// tell tells the other entries of a block unless one of them has done so, so that those with answers can object.
+func (q *Quarantine) tell(p Part) {
+	q.mu.Lock()
+	r := q.parts[p]
+	if r == nil || !r.isBlocked() || r.isTold {
+		q.mu.Unlock()
+		return
+	}
+	r.isTold = true
+	b := Block{Part: p, Scope: r.scope, Trials: r.trials}
+	q.mu.Unlock()
+	q.share(Fact{Block: &b})
+}
+
+// object tells the other entries that a part which one of them has blocked was answered here, unless another entry has done so since a
+// time.
+func (q *Quarantine) object(p Part, since time.Time) {
+	q.mu.Lock()
+	if at, ok := q.sharedAt[p]; ok && !at.Before(since) {
+		q.mu.Unlock()
+		return
+	}
+	q.sharedAt[p] = q.now()
+	q.mu.Unlock()
+	q.share(Fact{Answered: []Part{p}})
+}
+
 // widen lets blocks hold for everyone if upstreams also crashed on requests of other accounts.
 func (q *Quarantine) widen() []Block {
 	var blocks []Block
 	for p, r := range q.parts {
 		if r.isBlocked() && !r.scope.Everyone && len(r.crashes) > 0 && r.scopeOfCrashes() != r.scope {
-			r.scope = Scope{Everyone: true}
+			r.scope, r.isTold = Scope{Everyone: true}, false
 			blocks = append(blocks, Block{Part: p, Scope: r.scope, Trials: r.trials})
 		}
 	}
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -224,3 +224,73 @@
 	}
 	must.EqOp(t, 300, suspects)
 }
+
+// Guards against an entry that refuses a part by the evidence of others, who answer requests with it and are not told (issue 23).
+func TestBlockByEvidenceOfOthersIsTold(t *testing.T) {
+	c := newClock()
+	busy, quiet := newFixture(c), newFixture(c)
+	for i := range 8 {
+		x := quarantiner.Crash{Upstream: identifier.Upstream(fmt.Sprint("u", i))}
+		x.Add(one, []quarantiner.Part{common})
+		busy.ReportCrash(x)
+		quiet.Apply(quarantiner.Fact{Crash: &x})
+		c.advance(200 * time.Millisecond)
+		busy.Answered([]quarantiner.Part{common})
+	}
+	must.False(t, busy.refuses(one, common))
+	must.True(t, quiet.refuses(one, common))
+	c.advance(time.Second)
+	told := 0
+	for _, x := range quiet.shared {
+		if x.Block != nil {
+			told++
+			busy.shared = nil
+			busy.Apply(x)
+		}
+	}
+	must.EqOp(t, 1, told)
+	c.advance(time.Second)
+	must.SliceLen(t, 1, busy.shared)
+	quiet.Apply(busy.shared[0])
+	must.False(t, quiet.refuses(one, common))
+}
+
+// Guards against a datagram of each entry to each other one when all decide on the same block or object to it.
+func TestFewEntriesTellOfTheSameBlock(t *testing.T) {
+	c := newClock()
+	const entries = 300
+	told, objections := 0, 0
+	var list []*quarantiner.Quarantine
+	for i := range entries {
+		list = append(list, quarantiner.New(quarantiner.WithNow(func() time.Time { return c.now }), quarantiner.WithSchedule(c.schedule),
+			quarantiner.WithShare(func(x quarantiner.Fact) {
+				if x.Block != nil {
+					told++
+				} else if x.Crash == nil {
+					objections++
+				}
+				for j := range entries {
+					if j != i {
+						c.schedule(c.now.Add(2*time.Millisecond), func() { list[j].Apply(x) })
+					}
+				}
+			})))
+	}
+	for i := entries / 2; i < entries; i++ {
+		list[i].Answered([]quarantiner.Part{fatal})
+	}
+	for i := range 3 {
+		x := quarantiner.Crash{Upstream: identifier.Upstream(fmt.Sprint("u", i))}
+		x.Add(one, []quarantiner.Part{fatal})
+		for _, q := range list {
+			q.Apply(quarantiner.Fact{Crash: &x})
+		}
+		c.advance(200 * time.Millisecond)
+	}
+	c.advance(time.Second)
+	must.Between(t, 1, told, entries/10)
+	must.Between(t, 1, objections, entries/10)
+	for _, q := range list {
+		must.False(t, q.Admit(one, []quarantiner.Part{fatal}).Refused)
+	}
+}
--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -68,6 +68,8 @@
 	scope       Scope
 	trials      int
 	nextTrialAt time.Time
+	// isTold is set once an entry has told the others of the block.
+	isTold bool
 }
 
 // answerMemoryOf returns how long an answer speaks for a whole request or a part of prompts.
