quarantiner, forwarder: what was sent to an upstream after its crash is no suspect

Cause: an upstream that has crashed is listed until its registration lapses. Through a proxy or load balancer that accepts connections for it, each further request to it is lost like the one that ended it. A sound request that was sent to three such upstreams counted as fatal. TestRequestToCrashedUpstreams fails without the change. Change: losses of requests that were sent after the crash, seen here or told by another entry, add no suspects for 30 s, and reports that come over 0.5 s after the first one neither.

--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -32,8 +32,9 @@
 	pending map[identifier.Upstream]*quarantiner.Crash
 }
 
-// add adds the parts of a lost request and reports whether it is the first one of its upstream.
-func (l *lossList) add(name identifier.Upstream, q *request, now time.Time) bool {
+// add adds the parts of a lost request that was sent at a time and reports whether it is the first one of its upstream. A request that was
+// sent after the first loss did not cause it.
+func (l *lossList) add(name identifier.Upstream, q *request, sentAt, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.pending[name]
@@ -45,7 +46,9 @@
 		c = &quarantiner.Crash{Upstream: name, At: now}
 		l.pending[name] = c
 	}
-	c.Add(q.account, q.parts)
+	if isFirst || !sentAt.After(c.At) {
+		c.Add(q.account, q.parts)
+	}
 	return isFirst
 }
 
@@ -141,7 +144,7 @@
 	a := &c.q.attempts[c.index]
 	a.wasLost = true
 	if a.settled || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT) ||
-		!c.f.losses.add(c.name, c.q, c.f.Now()) {
+		c.f.quarantine.HasCrashed(c.name, c.beganAt) || !c.f.losses.add(c.name, c.q, c.beganAt, c.f.Now()) {
 		return
 	}
 	go c.f.reportCrash(c.upstream, c.name)
@@ -157,6 +160,7 @@
 	if err == nil {
 		return
 	}
+	f.unresponsive.add(name, f.Now())
 	f.log.Warn("upstream crashed", "upstream", name, "suspects", len(crash.Suspects), "error", err.Error())
 	f.quarantine.ReportCrash(crash)
 }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -20,6 +20,10 @@
 	// which those that got answers object; most find that another entry has done so.
 	tellSpread      = 300 * time.Millisecond
 	objectionSpread = 100 * time.Millisecond
+	// crashedTime is how long an upstream that crashed may still be listed, and reportSpread the time over which entries lose their
+	// connections to it.
+	crashedTime  = 30 * time.Second
+	reportSpread = 500 * time.Millisecond
 	// maxCrashAge bounds the age of a crash that another entry reports.
 	maxCrashAge = 10 * time.Second
 	// maxParts bounds the parts of which something is known; beyond it further ones are ignored.
@@ -40,6 +44,8 @@
 	// answered holds the time of the last answer to requests with a part, and answeredRequests that to whole requests. Each is bounded by
 	// itself, as most whole requests come once.
 	answered, answeredRequests map[Part]time.Time
+	// crashedAt holds the upstreams that crashed a short time ago.
+	crashedAt map[identifier.Upstream]time.Time
 	// explained holds the crashes for which a blocked part is responsible.
 	explained map[identifier.Upstream]time.Time
 	// sharedAt is when the other entries were last told of an answer to a part.
@@ -81,6 +87,7 @@
 		answered:         map[Part]time.Time{},
 		answeredRequests: map[Part]time.Time{},
 		explained:        map[identifier.Upstream]time.Time{},
+		crashedAt:        map[identifier.Upstream]time.Time{},
 		sharedAt:         map[Part]time.Time{},
 	}
 	for _, o := range opts {
@@ -123,6 +130,14 @@
 	if own {
 		q.crashes++
 	}
+	first, isKnown := q.crashedAt[c.Upstream]
+	switch {
+	case !isKnown || now.Sub(first) >= crashedTime || c.At.Before(first):
+		q.crashedAt[c.Upstream] = c.At
+	case c.At.Sub(first) > reportSpread:
+		// What was sent to an upstream after its crash did not cause it.
+		return
+	}
 	for _, s := range c.Suspects {
 		if r := q.parts[s.Part]; r != nil && r.isBlocked() && r.scope.includes(s.Account) {
 			q.explained[c.Upstream] = now
@@ -150,6 +165,14 @@
 	}
 }
 
+// HasCrashed reports whether an upstream is known to have crashed before a time, so that what was sent to it then did not cause that.
+func (q *Quarantine) HasCrashed(u identifier.Upstream, before time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	at, ok := q.crashedAt[u]
+	return ok && at.Before(before)
+}
+
 // record returns the record of a part, or nil if there are too many.
 func (q *Quarantine) record(p Part) *record {
 	r := q.parts[p]
@@ -381,6 +404,11 @@
 			delete(q.sharedAt, p)
 		}
 	}
+	for u, at := range q.crashedAt {
+		if now.Sub(at) >= crashedTime {
+			delete(q.crashedAt, u)
+		}
+	}
 	for u, at := range q.explained {
 		if now.Sub(at) >= crashMemory {
 			delete(q.explained, u)
--- a/quarantiner/request_test.go
+++ b/quarantiner/request_test.go
@@ -76,6 +76,27 @@
 	must.False(t, f.refuses(one, fatalRequest))
 }
 
+// Guards against the refusal of a sound request that was sent to one upstream after the other that had crashed before.
+func TestRequestToCrashedUpstreams(t *testing.T) {
+	f := newFixture(newClock())
+	sound := quarantiner.NewRequest(two, "GET", "host", "/sound", nil)
+	for i := range 4 {
+		c := quarantiner.Crash{Upstream: identifier.Upstream(fmt.Sprint("u", i))}
+		c.Add(one, []quarantiner.Part{quarantiner.NewRequest(one, "GET", "host", fmt.Sprint("/", i), nil)})
+		f.Apply(quarantiner.Fact{Crash: &c})
+	}
+	f.advance(time.Second)
+	for i := range 4 {
+		name := identifier.Upstream(fmt.Sprint("u", i))
+		must.True(t, f.HasCrashed(name, f.now))
+		c := quarantiner.Crash{Upstream: name}
+		c.Add(two, []quarantiner.Part{sound})
+		f.ReportCrash(c)
+		f.advance(200 * time.Millisecond)
+	}
+	must.False(t, f.refuses(two, sound))
+}
+
 // Guards against the refusal of the parts of a prompt that other requests share with the one on which upstreams crash (issue 26).
 func TestRequestIsBlockedBeforeItsParts(t *testing.T) {
 	f := newFixture(newClock())
