soakbencher: a request on which plain services crash

Invariants: at most 3 repeats later than 3 s after the third crash, from entries that were not disturbed in that time, and no 503 for one that has run. 'service after the faults' does not count it, as it does not count the fatal prompts.

--- a/soakbencher/caller.go
+++ b/soakbencher/caller.go
@@ -52,7 +52,9 @@
 	calm        bool
 	// upstream is the upstream that the response names.
 	upstream string
-	// blocked is set if the response says that a part of the prompt is refused.
+	// body is that of the request on which plain services crash, or empty.
+	body string
+	// blocked is set if the response says that a part of the prompt, or the request, is refused.
 	blocked bool
 }
 
@@ -105,7 +107,10 @@
 		h.Set(names.Model, "small")
 	}
 	method := http.MethodPost
-	body := []byte("work")
+	body, uri := []byte("work"), routePrefix(c.kind)+c.id
+	if c.body != "" {
+		body, uri = []byte(c.body), routePrefix(c.kind)+"same"
+	}
 	c.sentAt = time.Now()
 	calmBefore, undisturbedBefore := s.noteStart(c), s.isUndisturbed(c.entry, c.sentAt)
 	ctx, cancel := context.WithTimeout(ctx, callerDeadline+time.Second)
@@ -116,7 +121,7 @@
 		c.undisturbed = undisturbedBefore && s.isUndisturbed(c.entry, c.endedAt) && ctx.Err() == nil
 	}()
 	w, err := pool.Send(ctx, connector.Peer{Name: identifier.Upstream(c.entry.name), Address: c.entry.address()}, &connector.Request{
-		Method: method, URI: routePrefix(c.kind) + c.id, Host: standin.Host, Header: h, Body: body, MaxIdle: time.Minute,
+		Method: method, URI: uri, Host: standin.Host, Header: h, Body: body, MaxIdle: time.Minute,
 	})
 	if err != nil {
 		var x *connector.Error
--- a/soakbencher/fatal.go
+++ b/soakbencher/fatal.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/siskinfront/siskinfront/connector"
@@ -32,6 +34,14 @@
 	maxSoundRefused = 0.5
 )
 
+// fatalPrefix begins the ids of the requests with the part.
+const fatalPrefix = "fatal-"
+
+// crashesOn returns the crashes on the requests whose ids have a prefix.
+func (s *soak) crashesOn(prefix string) []standin.CrashRecord {
+	return slices.DeleteFunc(s.log.Crashes(), func(x standin.CrashRecord) bool { return !strings.HasPrefix(x.ID, prefix) })
+}
+
 // fatalPart is the part of prompts on which engines crash from a time on.
 type fatalPart struct {
 	name string
@@ -55,7 +65,7 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		e := s.pickReadyEntry(r)
 		if e != nil {
-			c := &call{id: fmt.Sprintf("fatal-%d", i), entry: e, kind: standin.Stream, account: accounts[r.IntN(2)], session: fmt.Sprint("fatal", i), part: s.fatal.name}
+			c := &call{id: fmt.Sprint(fatalPrefix, i), entry: e, kind: standin.Stream, account: accounts[r.IntN(2)], session: fmt.Sprint("fatal", i), part: s.fatal.name}
 			go func() {
 				s.send(ctx, pool, c)
 				s.record(c)
@@ -67,7 +77,7 @@
 
 // checkFatalPart checks the requests with the part on which engines crash.
 func (s *soak) checkFatalPart() {
-	crashes := s.log.Crashes()
+	crashes := s.crashesOn(fatalPrefix)
 	if s.fatal.name == "" || len(crashes) == 0 {
 		return
 	}
@@ -107,7 +117,7 @@
 	s.check(invariantSoundPrompt, float64(refused) <= maxSoundRefused*float64(sent), "%d of %d streams without the part were refused", refused, sent)
 }
 
-// ranAtCrash reports whether an upstream crashed on the part while it ran one of the runs of a call.
+// ranAtCrash reports whether an upstream crashed on a request while it ran one of the runs of a call.
 func (s *soak) ranAtCrash(c *call, runs []standin.Run) bool {
 	for _, x := range s.log.Crashes() {
 		for _, r := range runs {
--- /dev/null
+++ b/soakbencher/fatalrequest.go
@@ -0,0 +1,91 @@
+package soakbencher
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/siskinfront/siskinfront/connector"
+	"github.com/siskinfront/siskinfront/platform/standin"
+)
+
+// The invariants on a request on which plain services crash.
+const (
+	invariantFatalRequest       = "crashing request gets few upstreams"
+	invariantFatalRequestAnswer = "crashing request is refused truthfully"
+)
+
+const (
+	// fatalRequestPrefix begins the ids of the repeats of the request.
+	fatalRequestPrefix = "same-"
+	// requestCrashes is the number of crashes on a request after which it counts, and maxRequestArrivals how many repeats of it may
+	// reach upstreams later than contactTime after that.
+	requestCrashes     = 3
+	maxRequestArrivals = 3
+	// maxFatalBurst is the largest number of repeats that are sent at once.
+	maxFatalBurst = 4
+)
+
+// sendFatalRequest sends the same request to all entries from a drawn time on, now and then several at once, until ctx ends.
+func (s *soak) sendFatalRequest(ctx context.Context, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 2<<32))
+	if r.IntN(3) == 0 {
+		return
+	}
+	time.Sleep(startupTime + time.Duration(r.IntN(4000))*time.Millisecond)
+	kind := []standin.Kind{standin.Idempotent, standin.NonIdempotent}[r.IntN(2)]
+	body, account := fmt.Sprintf("crash %x", seed), accounts[r.IntN(2)]
+	s.logEvent("plain services crash on one request of kind %s", kind)
+	s.requestCrasher.SetBody(body)
+	pool := connector.New()
+	for n := 0; ctx.Err() == nil; {
+		burst := 1
+		if r.IntN(4) == 0 {
+			burst += r.IntN(maxFatalBurst)
+		}
+		for range burst {
+			n++
+			if e := s.pickReadyEntry(r); e != nil {
+				c := &call{id: fmt.Sprint(fatalRequestPrefix, n), entry: e, kind: kind, account: account, body: body}
+				go func() {
+					s.send(ctx, pool, c)
+					s.record(c)
+				}()
+			}
+		}
+		time.Sleep(time.Duration(r.ExpFloat64() * float64(fatalInterval)))
+	}
+}
+
+// checkFatalRequest checks the repeats of the request on which plain services crash.
+func (s *soak) checkFatalRequest() {
+	crashes := s.crashesOn(fatalRequestPrefix)
+	if len(crashes) == 0 {
+		return
+	}
+	byID, ran := map[string]*call{}, map[string]bool{}
+	for _, c := range s.calls {
+		byID[c.id] = c
+	}
+	knownAt := crashes[min(len(crashes), requestCrashes)-1].At.Add(contactTime)
+	n := 0
+	for _, a := range s.log.Arrivals() {
+		if !a.Fatal {
+			continue
+		}
+		ran[a.ID] = true
+		// An entry that was disturbed or without the store in the last contactTime may not know yet.
+		if c := byID[a.ID]; c != nil && a.At.After(knownAt) && s.freeOf(a.At.Add(-contactTime), a.At, c.entry, scopeProcess, scopeStore) {
+			n++
+		}
+	}
+	s.check(invariantFatalRequest, n <= maxRequestArrivals, "%d repeats reached upstreams later than %v after the third crash; %d crashes",
+		n, contactTime, len(crashes))
+	for _, c := range s.calls {
+		if c.body != "" && c.status == http.StatusServiceUnavailable && c.blocked {
+			s.check(invariantFatalRequestAnswer, !ran[c.id], "%s got 503 and has run", c.id)
+		}
+	}
+}
--- a/soakbencher/promise.go
+++ b/soakbencher/promise.go
@@ -109,6 +109,7 @@
 	s.checkRetryBudget()
 	s.checkAnnounced()
 	s.checkFatalPart()
+	s.checkFatalRequest()
 	s.checkLimits()
 }
 
--- a/soakbencher/soak.go
+++ b/soakbencher/soak.go
@@ -99,13 +99,17 @@
 	idleLimits       []setting
 	crowds           int
 	leavingUpstreams []namedEvent
-	withdrawnKeys    []namedEvent
-	rollOuts         []*rollOut
-	crasher          *standin.Crasher
-	fatal            fatalPart
-	limits           []limitPeriod
-	versions         map[string]bool
-	routesAdded      int
+	// announcing holds the upstreams that say in their answers that they leave.
+	announcing    []*upstream
+	withdrawnKeys []namedEvent
+	rollOuts      []*rollOut
+	crasher       *standin.Crasher
+	fatal         fatalPart
+	// requestCrasher lets the upstreams of the plain services crash on one request.
+	requestCrasher *standin.Crasher
+	limits         []limitPeriod
+	versions       map[string]bool
+	routesAdded    int
 
 	crowdsSending sync.WaitGroup
 }
@@ -128,7 +132,7 @@
 	}
 	s := &soak{
 		startedAt: time.Now(), rand: rand.New(rand.NewPCG(p.Seed, 1)), dir: dir, size: sizeForSeed(p.Seed),
-		log: &standin.RunLog{}, crasher: &standin.Crasher{}, results: map[string]*invariantResult{},
+		log: &standin.RunLog{}, crasher: &standin.Crasher{}, requestCrasher: &standin.Crasher{}, results: map[string]*invariantResult{},
 		versions: map[string]bool{"v1": true}, timeouts: map[standin.Kind][]setting{},
 	}
 	defer s.close()
@@ -147,6 +151,7 @@
 	watching.Go(func() { s.pollReadiness(ctx) })
 	watching.Go(func() { s.checkRoutes(ctx) })
 	watching.Go(func() { s.sendFatal(ctx, p.Seed) })
+	watching.Go(func() { s.sendFatalRequest(ctx, p.Seed) })
 	duration := p.Duration
 	if duration == 0 {
 		duration = defaultDuration
@@ -258,8 +263,11 @@
 		return err
 	}
 	u.Address = p.address()
-	if service == "engine" {
+	switch service {
+	case "engine":
 		s.crasher.Add(u)
+	case plainService, otherPlainService:
+		s.requestCrasher.Add(u)
 	}
 	u.Register()
 	s.mu.Lock()
@@ -296,7 +304,7 @@
 	sent, served := 0, 0
 	s.mu.Lock()
 	for _, c := range s.calls {
-		if c.sentAt.After(from) && c.account == accounts[0] && c.part == "" {
+		if c.sentAt.After(from) && c.account == accounts[0] && c.part == "" && c.body == "" {
 			sent++
 			if c.complete && c.status == 200 {
 				served++
@@ -316,6 +324,7 @@
 		_ = e.logFile.Close()
 	}
 	s.crasher.Close()
+	s.requestCrasher.Close()
 	for _, u := range s.upstreams {
 		u.Crash(time.Hour)
 		u.proxy.close()
