--- a/soakbencher/disrupt.go
+++ b/soakbencher/disrupt.go
@@ -182,5 +182,8 @@
 	s.forgetUpstream(u)
 	s.logEvent("%s says that it leaves, its registration %v later", u.Name, d)
 	u.Announce()
+	s.mu.Lock()
+	s.announcing = append(s.announcing, u)
+	s.mu.Unlock()
 	time.AfterFunc(d, func() { s.leave(u) })
 }
--- a/soakbencher/soak.go
+++ b/soakbencher/soak.go
@@ -152,6 +152,9 @@
 	watching.Go(func() { s.checkRoutes(ctx) })
 	watching.Go(func() { s.sendFatal(ctx, p.Seed) })
 	watching.Go(func() { s.sendFatalRequest(ctx, p.Seed) })
+	lapseCtx, stopLapses := context.WithCancel(ctx)
+	defer stopLapses()
+	watching.Go(func() { s.lapseRegistrations(lapseCtx, p.Seed) })
 	duration := p.Duration
 	if duration == 0 {
 		duration = defaultDuration
@@ -160,6 +163,7 @@
 	s.store.Copy()
 	s.injectDisruptions(ctx, duration/2)
 	s.injectFaults(ctx, duration)
+	stopLapses()
 	s.endFaults()
 	faultsEndedAt := time.Now()
 	time.Sleep(faultFreeTime - recoveryCheckTime)
