quarantiner: many lost requests leave room for the one on which upstreams crash

Cause: each request that is lost with an upstream is now suspected. 130 upstreams that crash with 64 requests each fill the 8,192 records for 10 min, and further suspects were ignored; in the record of answers a random one made room for a new one, so a popular request could be forgotten.

--- a/quarantiner/admit.go
+++ b/quarantiner/admit.go
@@ -91,7 +91,7 @@
 		}
 		return
 	}
-	if at, ok := q.answersOf(b.Part)[b.Part]; ok && now.Sub(at) < answerMemoryOf(b.Part.IsRequest()) && b.Trials == 0 {
+	if now.Sub(q.answersTo(b.Part).last(b.Part)) < answerMemoryOf(b.Part.IsRequest()) && b.Trials == 0 {
 		q.mu.Unlock()
 		q.schedule(now.Add(rand.N(objectionSpread)), func() { q.object(b.Part, now) })
 		return
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -1,7 +1,6 @@
 package quarantiner
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -26,8 +25,10 @@
 	reportSpread = 500 * time.Millisecond
 	// maxCrashAge bounds the age of a crash that another entry reports.
 	maxCrashAge = 10 * time.Second
-	// maxParts bounds the parts of which something is known; beyond it further ones are ignored.
-	maxParts = 8192
+	// maxParts bounds the parts of which something is known. Beyond it, the oldest one with a single crash is dropped for a
+	// new one, if it is found in maxDropTries.
+	maxParts     = 8192
+	maxDropTries = 64
 )
 
 // Quarantine holds what one entry knows of the parts of prompts; it is safe for concurrent use.
@@ -41,9 +42,11 @@
 
 	mu    sync.Mutex
 	parts map[Part]*record
+	// order holds the parts in the order in which they were first recorded, and some that are recorded no longer.
+	order []Part
 	// answered holds the time of the last answer to requests with a part, and answeredRequests that to whole requests. Each is bounded by
 	// itself, as most whole requests come once.
-	answered, answeredRequests map[Part]time.Time
+	answered, answeredRequests *answers
 	// crashedAt holds the upstreams that crashed a short time ago.
 	crashedAt map[identifier.Upstream]time.Time
 	// explained holds the crashes for which a blocked part is responsible.
@@ -81,14 +84,13 @@
 func New(opts ...Option) *Quarantine {
 	q := &Quarantine{
 		now: time.Now, share: func(Fact) {}, onBlock: func(Block) {},
-		schedule:         func(at time.Time, f func()) { time.AfterFunc(time.Until(at), f) },
-		chart:            interpreter.MustParse(partChart),
-		parts:            map[Part]*record{},
-		answered:         map[Part]time.Time{},
-		answeredRequests: map[Part]time.Time{},
-		explained:        map[identifier.Upstream]time.Time{},
-		crashedAt:        map[identifier.Upstream]time.Time{},
-		sharedAt:         map[Part]time.Time{},
+		schedule: func(at time.Time, f func()) { time.AfterFunc(time.Until(at), f) },
+		chart:    interpreter.MustParse(partChart),
+		parts:    map[Part]*record{},
+		answered: newAnswers(answerMemory), answeredRequests: newAnswers(requestAnswerMemory),
+		explained: map[identifier.Upstream]time.Time{},
+		crashedAt: map[identifier.Upstream]time.Time{},
+		sharedAt:  map[Part]time.Time{},
 	}
 	for _, o := range opts {
 		o(q)
@@ -151,7 +153,7 @@
 			continue
 		}
 		if len(r.crashes) == 0 {
-			r.answeredAt = q.answersOf(s.Part)[s.Part]
+			r.answeredAt = q.answersTo(s.Part).last(s.Part)
 		}
 		r.forget(now.Add(-crashMemory))
 		isNew := r.add(c.Upstream, s.Account, c.At)
@@ -173,138 +175,48 @@
 	return ok && at.Before(before)
 }
 
-// record returns the record of a part, or nil if there are too many.
+// record returns the record of a part, or nil if there are too many and none can be dropped for it.
 func (q *Quarantine) record(p Part) *record {
 	r := q.parts[p]
 	if r == nil {
 		if len(q.parts) >= maxParts {
 			q.ignored++
-			return nil
+			if !q.dropOldest() {
+				return nil
+			}
 		}
 		r = &record{machine: interpreter.NewMachine(q.chart), isRequest: p.IsRequest()}
 		q.parts[p] = r
+		q.order = append(q.order, p)
 	}
 	return r
 }
 
-// fire fires an event of the chart, which has a transition for it in each state in which it is fired.
-func (q *Quarantine) fire(r *record, e interpreter.Event) {
-	if err := r.machine.Fire(e); err != nil {
-		panic("quarantiner: " + err.Error())
-	}
-}
-
-// decide blocks the guilty parts, those with the most crashes first, whose crashes then no longer count against other parts. The other
-// entries are told, at once if own is set, which is if this entry saw one of the crashes.
-func (q *Quarantine) decide(own bool) {
-	q.mu.Lock()
-	blocks := q.widen()
-	for {
-		guilty := q.mostGuilty()
-		if len(guilty) == 0 {
-			break
-		}
-		for _, p := range guilty {
-			r := q.parts[p]
-			r.scope, r.trials = r.scopeOfCrashes(), 0
-			r.nextTrialAt, r.isTold = q.now().Add(trialDelay(0)), own
-			q.fire(r, eventBlocked)
-			q.blocks++
-			blocks = append(blocks, Block{Part: p, Scope: r.scope})
-		}
-		q.explain(q.parts[guilty[0]])
-	}
-	now := q.now()
-	q.mu.Unlock()
-	for i := range blocks {
-		if own {
-			q.share(Fact{Block: &blocks[i]})
-		} else {
-			q.schedule(now.Add(rand.N(tellSpread)), func() { q.tell(blocks[i].Part) })
-		}
-		q.onBlock(blocks[i])
-	}
-}
-
-// tell tells the other entries of a block unless one of them has done so, so that those with answers can object.
-func (q *Quarantine) tell(p Part) {
-	q.mu.Lock()
-	r := q.parts[p]
-	if r == nil || !r.isBlocked() || r.isTold {
-		q.mu.Unlock()
-		return
-	}
-	r.isTold = true
-	b := Block{Part: p, Scope: r.scope, Trials: r.trials}
-	q.mu.Unlock()
-	q.share(Fact{Block: &b})
-}
-
-// object tells the other entries that a part which one of them has blocked was answered here, unless another entry has done so since a
-// time.
-func (q *Quarantine) object(p Part, since time.Time) {
-	q.mu.Lock()
-	if at, ok := q.sharedAt[p]; ok && !at.Before(since) {
-		q.mu.Unlock()
-		return
-	}
-	q.sharedAt[p] = q.now()
-	q.mu.Unlock()
-	q.share(Fact{Answered: []Part{p}})
-}
-
-// widen lets blocks hold for everyone if upstreams also crashed on requests of other accounts.
-func (q *Quarantine) widen() []Block {
-	var blocks []Block
-	for p, r := range q.parts {
-		if r.isBlocked() && !r.scope.Everyone && len(r.crashes) > 0 && r.scopeOfCrashes() != r.scope {
-			r.scope, r.isTold = Scope{Everyone: true}, false
-			blocks = append(blocks, Block{Part: p, Scope: r.scope, Trials: r.trials})
+// dropOldest drops the oldest record with one crash, and reports whether there was one among the oldest.
+func (q *Quarantine) dropOldest() bool {
+	for range maxDropTries {
+		if len(q.order) == 0 {
+			return false
 		}
-	}
-	return blocks
-}
-
-// mostGuilty returns the guilty parts with the most crashes. Parts that always come together cannot be told apart and have the
-// same number; if one of them is a whole request, only that is returned, as other requests may have the others in common.
-func (q *Quarantine) mostGuilty() []Part {
-	list := make([]Part, 0, 1)
-	most := 0
-	for p, r := range q.parts {
-		if r.isBlocked() || !r.isGuilty() {
+		p := q.order[0]
+		q.order = q.order[1:]
+		r := q.parts[p]
+		if r == nil {
 			continue
 		}
-		switch n := len(r.crashes); {
-		case n > most:
-			list, most = append(list[:0], p), n
-		case n == most:
-			list = append(list, p)
+		if len(r.crashes) <= 1 && !r.isBlocked() {
+			delete(q.parts, p)
+			return true
 		}
+		q.order = append(q.order, p)
 	}
-	if slices.ContainsFunc(list, Part.IsRequest) {
-		list = slices.DeleteFunc(list, func(p Part) bool { return !p.IsRequest() })
-	}
-	slices.Sort(list)
-	return list
+	return false
 }
 
-// explain removes the crashes of a blocked part from the parts that are not blocked.
-func (q *Quarantine) explain(guilty *record) {
-	now := q.now()
-	for _, c := range guilty.crashes {
-		q.explained[c.upstream] = now
-	}
-	for _, r := range q.parts {
-		if r.machine.State() != stateSuspected {
-			continue
-		}
-		r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool {
-			_, ok := q.explained[c.upstream]
-			return ok
-		})
-		if len(r.crashes) == 0 {
-			q.fire(r, eventExplained)
-		}
+// fire fires an event of the chart, which has a transition for it in each state in which it is fired.
+func (q *Quarantine) fire(r *record, e interpreter.Event) {
+	if err := r.machine.Fire(e); err != nil {
+		panic("quarantiner: " + err.Error())
 	}
 }
 
@@ -315,7 +227,7 @@
 	var tell []Part
 	var ended []Block
 	for _, p := range parts {
-		q.noteAnswer(p, now)
+		q.answersTo(p).add(p, now)
 		r := q.parts[p]
 		if r == nil || r.machine.State() == stateClear {
 			continue
@@ -339,26 +251,14 @@
 	}
 }
 
-// answersOf returns the map of answers that a part belongs to.
-func (q *Quarantine) answersOf(p Part) map[Part]time.Time {
+// answersTo returns the answers to whole requests or to those with parts of prompts, whichever a part is.
+func (q *Quarantine) answersTo(p Part) *answers {
 	if p.IsRequest() {
 		return q.answeredRequests
 	}
 	return q.answered
 }
 
-// noteAnswer records an answer in place of a random one if there are too many: popular parts are soon recorded again.
-func (q *Quarantine) noteAnswer(p Part, now time.Time) {
-	answers := q.answersOf(p)
-	if _, ok := answers[p]; !ok && len(answers) >= maxParts {
-		for other := range answers {
-			delete(answers, other)
-			break
-		}
-	}
-	answers[p] = now
-}
-
 func (q *Quarantine) clear(p Part, r *record) {
 	q.fire(r, eventAnswered)
 	q.clears++
@@ -371,7 +271,7 @@
 	defer q.mu.Unlock()
 	now := q.now()
 	for _, p := range parts {
-		q.noteAnswer(p, now)
+		q.answersTo(p).add(p, now)
 		q.sharedAt[p] = now
 		if r := q.parts[p]; r != nil && r.machine.State() != stateClear {
 			q.clear(p, r)
@@ -384,6 +284,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
+	q.order = slices.DeleteFunc(q.order, func(p Part) bool { return q.parts[p] == nil })
 	for p, r := range q.parts {
 		if r.isBlocked() {
 			continue
@@ -392,13 +293,8 @@
 			delete(q.parts, p)
 		}
 	}
-	for _, answers := range []map[Part]time.Time{q.answered, q.answeredRequests} {
-		for p, at := range answers {
-			if now.Sub(at) >= answerMemoryOf(p.IsRequest()) {
-				delete(answers, p)
-			}
-		}
-	}
+	q.answered.sweep(now)
+	q.answeredRequests.sweep(now)
 	for p, at := range q.sharedAt {
 		if now.Sub(at) >= answerInterval {
 			delete(q.sharedAt, p)
--- a/quarantiner/request_test.go
+++ b/quarantiner/request_test.go
@@ -133,6 +133,23 @@
 	must.False(t, f.refuses(one, fatalRequest))
 }
 
+// Guards against a request that is not blocked because thousands of others were lost before (issue 26).
+func TestManyLostRequests(t *testing.T) {
+	f := newFixture(newClock())
+	for i := range 3 {
+		for j := range 100 {
+			c := quarantiner.Crash{Upstream: identifier.Upstream(fmt.Sprint("other", i, "/", j))}
+			for k := range 64 {
+				c.Add(two, []quarantiner.Part{quarantiner.NewRequest(two, "GET", "host", fmt.Sprint("/", i, "/", j, "/", k), nil)})
+			}
+			f.Apply(quarantiner.Fact{Crash: &c})
+		}
+		f.crash(one, fatalRequest)
+	}
+	must.True(t, f.refuses(one, fatalRequest))
+	must.LessEq(t, 8192, len(f.State().(map[string]quarantiner.PartState)))
+}
+
 func BenchmarkNewRequest(b *testing.B) {
 	for _, n := range []int{1 << 10, 64 << 10, 4 << 20} {
 		body := []byte(strings.Repeat("x", n))
