quarantiner: an upstream that responds after its supposed crash has not crashed

Change: a response to a request that was sent after the supposed crash ends it at that entry. Result: TestCrashAfterLostConnections passes; without the call a request that crashes three such upstreams within 30 s is not blocked.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -183,6 +183,7 @@
 	}
 	c.response = w
 	f.recordActivity(name)
+	f.quarantine.Heard(name, now)
 	c.timeToHead = f.Now().Sub(now)
 	return c, c.inspect()
 }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -175,6 +175,16 @@
 	return ok && at.Before(before)
 }
 
+// Heard records that an upstream has responded to a request that was sent at a time. One that was sent after a crash shows that there was
+// none: the connections had ended on their way.
+func (q *Quarantine) Heard(u identifier.Upstream, sentAt time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if at, ok := q.crashedAt[u]; ok && at.Before(sentAt) {
+		delete(q.crashedAt, u)
+	}
+}
+
 // record returns the record of a part, or nil if there are too many and none can be dropped for it.
 func (q *Quarantine) record(p Part) *record {
 	r := q.parts[p]
--- a/quarantiner/request_test.go
+++ b/quarantiner/request_test.go
@@ -97,6 +97,23 @@
 	must.False(t, f.refuses(two, sound))
 }
 
+// Guards against crashes that are not counted because the upstream seemed to have crashed before.
+func TestCrashAfterLostConnections(t *testing.T) {
+	f := newFixture(newClock())
+	for i := range 3 {
+		name := identifier.Upstream(fmt.Sprint("u", i))
+		f.ReportCrash(quarantiner.Crash{Upstream: name})
+		f.advance(time.Second)
+		f.Heard(name, f.now)
+		must.False(t, f.HasCrashed(name, f.now))
+		c := quarantiner.Crash{Upstream: name}
+		c.Add(one, []quarantiner.Part{fatalRequest})
+		f.ReportCrash(c)
+		f.advance(time.Second)
+	}
+	must.True(t, f.refuses(one, fatalRequest))
+}
+
 // Guards against the refusal of the parts of a prompt that other requests share with the one on which upstreams crash (issue 26).
 func TestRequestIsBlockedBeforeItsParts(t *testing.T) {
 	f := newFixture(newClock())
