--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -115,7 +115,7 @@
 	switch {
 	case f.Crash != nil:
 		c := *f.Crash
-		age := min(max(time.Duration(c.AgeMillis), 0), time.Duration(maxCrashAge/time.Millisecond)) * time.Millisecond
+		age := time.Duration(min(max(c.AgeMillis, 0), maxCrashAge.Milliseconds())) * time.Millisecond
 		c.At = q.now().Add(-age)
 		q.addCrash(c, false)
 	case f.Block != nil:
