--- a/follower/follower.go
+++ b/follower/follower.go
@@ -30,24 +30,41 @@
 	// store accepts some 2,000 reads per second.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
+	// returnSpread is the time over which the entries read the whole table again after the store has come back from an older copy.
+	returnSpread = 300 * time.Millisecond
 )
 
-// Source reads a table. The versions are those of the whole store, which only grow.
+// Source reads a table. The positions are those of the whole store; within an era they only grow.
 type Source[T any] struct {
 	// Name is the name of the table in logs.
 	Name string
-	// Read returns all rows and the version of the store.
-	Read func(context.Context) ([]T, uint64, error)
-	// Changes returns the rows that changed after a version and the version of the store, as soon as there are any or after the
-	// wait.
-	Changes func(ctx context.Context, after uint64, wait time.Duration) ([]T, uint64, error)
+	// Read returns all rows and the position of the store.
+	Read func(context.Context) ([]T, storer.Position, error)
+	// Changes returns the rows that changed after a position and the position of the store, as soon as there are any or after the
+	// wait. The rows of a reply of a later era are not used.
+	Changes func(ctx context.Context, after storer.Position, wait time.Duration) ([]T, storer.Position, error)
+}
+
+// Batch is a set of rows of one reply.
+type Batch[T any] struct {
+	Rows []T
+	// At is the position of the store.
+	At storer.Position
+	// All is set if Rows are all rows of the table; otherwise they changed, in the order of their changes.
+	All bool
+	// Returned is set for the first batch after the store has come back from an older copy, which has All set too: rows may be older than
+	// those of earlier batches, or missing.
+	Returned bool
+	// CopyEnd bounds the versions of rows that may be older than what earlier batches have shown. A row with a higher version was written
+	// after them, whether before the return or in the present era. It is 0 if the store has not come back from a copy since the start.
+	CopyEnd uint64
 }
 
 // Follower follows the changes of one table.
 type Follower[T any] struct {
 	Source[T]
-	// Apply is called with all rows of the table if all is set, and otherwise with changed rows in the order of their changes.
-	Apply func(rows []T, all bool)
+	// Apply is called with each batch of rows.
+	Apply func(Batch[T])
 	// OnOutage is called when the table can no longer be read, and OnRecovery when it can be read again.
 	OnOutage   func()
 	OnRecovery func()
@@ -57,17 +74,19 @@
 	MaxWait time.Duration
 	Now     func() time.Time
 
-	version                                           atomic.Uint64
-	confirmedAt                                       atomic.Int64
-	reads, calls, failures, staleReplies, rateLimited atomic.Int64
-	inOutage                                          bool
+	position                                                   atomic.Pointer[storer.Position]
+	confirmedAt                                                atomic.Int64
+	reads, calls, failures, staleReplies, rateLimited, returns atomic.Int64
+	inOutage                                                   bool
+	// copyEnd is the CopyEnd of batches of the present era.
+	copyEnd uint64
 	// hadChanges is set if the last call returned changes.
 	hadChanges  bool
 	outageSince time.Time
 }
 
 // New returns a follower of a source.
-func New[T any](s Source[T], apply func(rows []T, all bool), log *slog.Logger) *Follower[T] {
+func New[T any](s Source[T], apply func(Batch[T]), log *slog.Logger) *Follower[T] {
 	return &Follower[T]{Source: s, Apply: apply, OnOutage: func() {}, OnRecovery: func() {}, Log: log, Now: time.Now, MaxWait: defaultWait}
 }
 
@@ -81,7 +100,11 @@
 		err := f.step(ctx, readAll)
 		switch {
 		case err == nil:
-			readAll, backoff, rateLimitedSince = false, minBackoff, time.Time{}
+			if !readAll {
+				// A read of the whole table does not show that the calls for changes work again.
+				backoff = minBackoff
+			}
+			readAll, rateLimitedSince = false, time.Time{}
 			if f.hadChanges {
 				f.pause(ctx, coalesceDelay)
 			}
@@ -91,8 +114,18 @@
 				rateLimitedSince = f.Now()
 			}
 			f.rateLimited.Add(1)
+		case errors.Is(err, errReturned), errors.Is(err, storer.ErrEraChanged):
+			readAll = true
+			// All entries learn of the return at the same time.
+			f.pause(ctx, rand.N(returnSpread))
+			continue
+		case errors.Is(err, storer.ErrEarlierEra):
+			// Another connection has shown the later era, in which this table must be read as a whole.
+			f.staleReplies.Add(1)
+			f.startOutage(err)
+			readAll = true
 		case errors.Is(err, ErrHistoryLost):
-			f.Log.Info("store no longer has the requested changes, reading the whole table", "table", f.Name, "version", f.version.Load())
+			f.Log.Info("store no longer has the requested changes, reading the whole table", "table", f.Name, "position", f.Position().String())
 			readAll = true
 			if backoff == minBackoff {
 				backoff *= 2
@@ -116,12 +149,16 @@
 	}
 }
 
-// errStale is returned for a reply with a lower version than an earlier reply.
-var errStale = errors.New("follower: reply has a lower version than an earlier one")
+var (
+	// errStale is returned for a reply with an earlier position than an earlier reply.
+	errStale = errors.New("follower: reply is older than an earlier one")
+	// errReturned is returned for changes of a later era: those that follow a position of the era before say nothing about what was lost.
+	errReturned = errors.New("follower: store has come back from an older copy")
+)
 
 // step reads the whole table or its next changes and applies them.
 func (f *Follower[T]) step(ctx context.Context, readAll bool) error {
-	after := f.version.Load()
+	after := f.Position()
 	timeout := f.MaxWait + replyMargin
 	if readAll {
 		timeout = readTimeout
@@ -129,33 +166,42 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var rows []T
-	var version uint64
+	var position storer.Position
 	var err error
 	if readAll {
 		f.reads.Add(1)
-		rows, version, err = f.Read(ctx)
+		rows, position, err = f.Read(ctx)
 	} else {
 		f.calls.Add(1)
-		rows, version, err = f.Changes(ctx, after, f.MaxWait)
+		rows, position, err = f.Changes(ctx, after, f.MaxWait)
 	}
-	if err != nil {
+	switch {
+	case err != nil:
 		f.failures.Add(1)
 		return err
-	}
-	if version < after {
+	case position.Before(after):
 		f.staleReplies.Add(1)
 		return errStale
+	case !readAll && position.Era > after.Era:
+		return errReturned
 	}
-	f.version.Store(version)
+	batch := Batch[T]{Rows: rows, At: position, All: readAll}
+	if after != (storer.Position{}) && position.Era > after.Era {
+		f.returns.Add(1)
+		f.copyEnd, batch.Returned = min(position.Version, after.Version), true
+		f.Log.Warn("store has come back from an older copy", "table", f.Name, "before", after.String(), "position", position.String())
+	}
+	batch.CopyEnd = f.copyEnd
+	f.position.Store(&position)
 	f.confirmedAt.Store(f.Now().UnixNano())
 	if f.inOutage {
 		f.inOutage = false
-		f.Log.Info("store available again", "table", f.Name, "version", version, "out", f.Now().Sub(f.outageSince))
+		f.Log.Info("store available again", "table", f.Name, "position", position.String(), "out", f.Now().Sub(f.outageSince))
 		f.OnRecovery()
 	}
 	f.hadChanges = len(rows) > 0 && !readAll
 	if readAll || len(rows) > 0 {
-		f.Apply(rows, readAll)
+		f.Apply(batch)
 	}
 	return nil
 }
@@ -166,7 +212,7 @@
 		return
 	}
 	f.inOutage, f.outageSince = true, f.Now()
-	f.Log.Warn("store unavailable", "table", f.Name, "version", f.version.Load(), "error", err.Error())
+	f.Log.Warn("store unavailable", "table", f.Name, "position", f.Position().String(), "error", err.Error())
 	f.OnOutage()
 }
 
@@ -178,16 +224,19 @@
 	return time.Time{}
 }
 
-// Version returns the version of the store up to which the copy is complete.
-func (f *Follower[T]) Version() uint64 {
-	return f.version.Load()
+// Position returns the position of the store up to which the copy is complete, or the zero position before the first read.
+func (f *Follower[T]) Position() storer.Position {
+	if p := f.position.Load(); p != nil {
+		return *p
+	}
+	return storer.Position{}
 }
 
-// Counters returns the numbers of reads of the whole table, calls for changes, failed ones of both, replies with an old version,
-// and calls that the store refused because of its rate limit.
+// Counters returns the numbers of reads of the whole table, calls for changes, failed ones of both, replies with an old position,
+// calls that the store refused because of its rate limit, and returns of the store from an older copy.
 func (f *Follower[T]) Counters() map[string]int64 {
 	return map[string]int64{
 		"reads": f.reads.Load(), "calls": f.calls.Load(), "failures": f.failures.Load(), "stale-replies": f.staleReplies.Load(),
-		"calls-over-rate": f.rateLimited.Load(),
+		"calls-over-rate": f.rateLimited.Load(), "returns": f.returns.Load(),
 	}
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
 
 	"github.com/siskinfront/siskinfront/follower"
 	"github.com/siskinfront/siskinfront/storer"
@@ -18,8 +19,8 @@
 
 // fakeStore is a store with a table of one row, whose value is the version that wrote it.
 type fakeStore struct {
-	mu      sync.Mutex
-	version uint64
+	mu           sync.Mutex
+	era, version uint64
 	// oldestChange is the first version whose change is still in the history; reads of the whole table are readLag versions old.
 	oldestChange, readLag uint64
 	// err is the error of every call; if hangs is set, calls for changes return only when their context ends.
@@ -43,37 +44,37 @@
 func (s *fakeStore) source() follower.Source[uint64] {
 	return follower.Source[uint64]{
 		Name: "test",
-		Read: func(context.Context) ([]uint64, uint64, error) {
+		Read: func(context.Context) ([]uint64, storer.Position, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.reads++
 			if s.err != nil {
-				return nil, 0, s.err
+				return nil, storer.Position{}, s.err
 			}
-			return []uint64{s.version - s.readLag}, s.version - s.readLag, nil
+			return []uint64{s.version - s.readLag}, storer.Position{Era: s.era, Version: s.version - s.readLag}, nil
 		},
-		Changes: func(ctx context.Context, after uint64, wait time.Duration) ([]uint64, uint64, error) {
+		Changes: func(ctx context.Context, after storer.Position, wait time.Duration) ([]uint64, storer.Position, error) {
 			timeout := time.After(wait)
 			for {
 				s.mu.Lock()
-				version, oldestChange, err, hangs := s.version, s.oldestChange, s.err, s.hangs
+				position, oldestChange, err, hangs := storer.Position{Era: s.era, Version: s.version}, s.oldestChange, s.err, s.hangs
 				s.mu.Unlock()
 				switch {
 				case hangs:
 					<-ctx.Done()
-					return nil, 0, ctx.Err()
+					return nil, storer.Position{}, ctx.Err()
 				case err != nil:
-					return nil, 0, err
-				case after+1 < oldestChange:
-					return nil, 0, follower.ErrHistoryLost
-				case version > after:
-					return []uint64{version}, version, nil
+					return nil, storer.Position{}, err
+				case after.Version+1 < oldestChange || after.Version > position.Version:
+					return nil, storer.Position{}, follower.ErrHistoryLost
+				case position.Version > after.Version:
+					return []uint64{position.Version}, position, nil
 				}
 				select {
 				case <-ctx.Done():
-					return nil, 0, ctx.Err()
+					return nil, storer.Position{}, ctx.Err()
 				case <-timeout:
-					return nil, version, nil
+					return nil, position, nil
 				case <-time.After(10 * time.Millisecond):
 				}
 			}
@@ -87,6 +88,7 @@
 	*follower.Follower[uint64]
 	mu                  sync.Mutex
 	applied             []uint64
+	batches             []follower.Batch[uint64]
 	outages, recoveries atomic.Int64
 }
 
@@ -95,10 +97,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{}
 		f.version = 5
-		f.Follower = follower.New(f.source(), func(rows []uint64, _ bool) {
+		f.Follower = follower.New(f.source(), func(b follower.Batch[uint64]) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			f.applied = append(f.applied, rows...)
+			f.applied = append(f.applied, b.Rows...)
+			f.batches = append(f.batches, b)
 		}, slog.New(slog.DiscardHandler))
 		f.OnOutage = func() { f.outages.Add(1) }
 		f.OnRecovery = func() { f.recoveries.Add(1) }
@@ -207,3 +210,89 @@
 		must.EqOp(t, 1, f.outages.Load())
 	})
 }
+
+// lastBatch returns the last batch that was applied.
+func (f *fixture) lastBatch() follower.Batch[uint64] {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.batches[len(f.batches)-1]
+}
+
+// Guards against a lower version that counts as old after the store has come back from an older copy (issue 20), and against changes
+// after the last version of the era before that are taken for all that differs.
+func TestStoreReturns(t *testing.T) {
+	for name, version := range map[string]uint64{"lower version": 3, "higher version": 9} {
+		t.Run(name, func(t *testing.T) {
+			runFollower(t, func(f *fixture) {
+				time.Sleep(100 * time.Millisecond)
+				must.False(t, f.lastBatch().Returned)
+				must.EqOp(t, 0, f.lastBatch().CopyEnd)
+				f.update(func(s *fakeStore) { s.era, s.version = 1, version })
+				time.Sleep(500 * time.Millisecond)
+				b := f.lastBatch()
+				must.True(t, b.All)
+				must.True(t, b.Returned)
+				must.EqOp(t, min(version, 5), b.CopyEnd)
+				must.EqOp(t, version, f.lastApplied())
+				must.EqOp(t, storer.Position{Era: 1, Version: version}, f.Position())
+				f.write()
+				time.Sleep(500 * time.Millisecond)
+				must.EqOp(t, version+1, f.lastApplied())
+				must.False(t, f.lastBatch().Returned)
+				must.EqOp(t, min(version, 5), f.lastBatch().CopyEnd)
+				must.EqOp(t, 1, f.Counters()["returns"])
+				must.EqOp(t, 0, f.outages.Load())
+			})
+		})
+	}
+}
+
+// Guards against a reply of an earlier era that is applied after one of a later era.
+func TestReplyOfEarlierEra(t *testing.T) {
+	runFollower(t, func(f *fixture) {
+		f.update(func(s *fakeStore) { s.era, s.version = 2, 5 })
+		time.Sleep(time.Second)
+		f.update(func(s *fakeStore) { s.era, s.version = 1, 90 })
+		time.Sleep(2 * time.Second)
+		must.EqOp(t, 5, f.lastApplied())
+		f.update(func(s *fakeStore) { s.err = storer.ErrEarlierEra })
+		time.Sleep(time.Second)
+		must.Positive(t, f.Counters()["stale-replies"])
+		f.update(func(s *fakeStore) { s.era, s.version, s.err = 3, 4, nil })
+		time.Sleep(time.Second)
+		must.EqOp(t, 4, f.lastApplied())
+	})
+}
+
+// Guards against a position that goes back, and against a last batch that is not the state of the store, whatever happens in which order.
+func TestPositionOnlyGrows(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.IntRange(0, 4), 1, 12).Draw(rt, "steps")
+		runFollower(t, func(f *fixture) {
+			last := storer.Position{}
+			for _, step := range steps {
+				f.update(func(s *fakeStore) {
+					switch step {
+					case 0:
+						s.version++
+					case 1:
+						s.era, s.version = s.era+1, s.version-min(s.version, 3)
+					case 2:
+						s.err = errors.New("out")
+					case 3:
+						s.err = nil
+					case 4:
+						s.oldestChange = s.version + 1
+					}
+				})
+				time.Sleep(time.Duration(step) * 150 * time.Millisecond)
+				must.False(rt, f.Position().Before(last))
+				last = f.Position()
+			}
+			var version uint64
+			f.update(func(s *fakeStore) { s.err, version = nil, s.version })
+			time.Sleep(3 * time.Second)
+			must.EqOp(rt, version, f.lastApplied())
+		})
+	})
+}
--- a/promoter/simulation_test.go
+++ b/promoter/simulation_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/promoter"
+	"github.com/siskinfront/siskinfront/storer"
 )
 
 const (
@@ -89,7 +90,7 @@
 func (s *simulation) run() result {
 	const entries = 4
 	rng := rand.New(rand.NewPCG(s.seed, 1))
-	order := promoter.RolloutOrder{Service: "drafting", To: "v2", Duration: s.duration, Number: 7}
+	order := promoter.RolloutOrder{Service: "drafting", To: "v2", Duration: s.duration, At: storer.Position{Version: 7}}
 	var r result
 	var q eventQueue
 	var now time.Duration
--- a/promoter/trial.go
+++ b/promoter/trial.go
@@ -9,6 +9,7 @@
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/interpreter"
 	"github.com/siskinfront/siskinfront/pinner"
+	"github.com/siskinfront/siskinfront/storer"
 )
 
 //go:embed trial.yaml
@@ -43,6 +44,8 @@
 	maxHeldSessions = 1000
 	// decisionLead is the time before the second half from which decisions are due.
 	decisionLead = time.Second
+	// maxVerdictAge is the age beyond which a verdict is no longer needed: a copy of the store from which it comes back is much younger.
+	maxVerdictAge = time.Hour
 	// minGoodAnswers is the number of further good answers of the new version that each step of exposure needs.
 	minGoodAnswers = 8
 )
@@ -52,8 +55,8 @@
 	Service  identifier.Service
 	To       identifier.Version
 	Duration time.Duration
-	// Number is the version of the order in the store; a later order has a higher one.
-	Number uint64
+	// At is the position of the order in the store; a later order has a later one.
+	At storer.Position
 }
 
 // RolloutStatus is the state of an order as the store publishes it: in progress or final.
@@ -61,19 +64,21 @@
 	Service identifier.Service
 	To      identifier.Version
 	State   interpreter.State
-	// Number is the version of the status in the store, 0 if there is none.
-	Number uint64
+	// At is the position of the status in the store; its version is 0 if there is none.
+	At storer.Position
 }
 
 // Ends reports whether the status is the final state of an order.
 func (s *RolloutStatus) Ends(o *RolloutOrder) bool {
-	return s.To == o.To && s.Number > o.Number && (s.State == TimedRolloutSucceeded || s.State == TimedRolloutRolledBack)
+	return s.To == o.To && s.At.Era == o.At.Era && o.At.Before(s.At) && IsFinal(s.State)
 }
 
 // Tally holds the observations of one entry during a roll-out, by route.
 type Tally struct {
-	Entry  identifier.Instance `json:"entry"`
-	Number uint64              `json:"number"`
+	Entry identifier.Instance `json:"entry"`
+	// To and Number identify the order: its version of the service and its version in the store.
+	To     identifier.Version `json:"to"`
+	Number uint64             `json:"number"`
 	// Began and At are times of the store's steady clock in milliseconds.
 	Began int64 `json:"began-ms"`
 	At    int64 `json:"at-ms"`
@@ -87,14 +92,48 @@
 	HeldSessions []uint64 `json:"held"`
 }
 
-// Verdict is the final state of an order; all entries agree on it through one row of the store.
+// Verdict is the final state of an order; all entries agree on it through rows of the store that are written once.
 type Verdict struct {
-	Number uint64            `json:"number"`
+	// To and Number identify the order, as in a tally.
+	To     identifier.Version `json:"to"`
+	Number uint64             `json:"number"`
+	// Era is the era of the store in which the verdict was reached.
+	Era    uint64            `json:"era"`
 	State  interpreter.State `json:"state"`
 	Reason string            `json:"reason"`
 	By     string            `json:"by"`
-	// RowVersion is the store's version of the row that was read, 0 if there was none.
-	RowVersion uint64 `json:"-"`
+	// At is the time of the store's steady clock in milliseconds.
+	At int64 `json:"at-ms"`
+}
+
+// IsOn reports whether the verdict is that on an order, in the era of the order's position.
+func (v *Verdict) IsOn(o *RolloutOrder) bool {
+	return v.To == o.To && v.Number == o.At.Version
+}
+
+// OldVerdicts returns the verdicts on other orders that are older than maxVerdictAge at a time of the store's clock in milliseconds.
+func OldVerdicts(verdicts []Verdict, o *RolloutOrder, storeNow int64) []Verdict {
+	var old []Verdict
+	for i := range verdicts {
+		if v := &verdicts[i]; !v.IsOn(o) && storeNow-v.At > maxVerdictAge.Milliseconds() {
+			old = append(old, *v)
+		}
+	}
+	return old
+}
+
+// FirstVerdict returns the verdict on an order that was reached in the earliest era, or false if there is none. A store that comes back
+// from an older copy may have lost a verdict on which entries and the operator have acted; it counts more than one that entries
+// without knowledge of it have reached since.
+func FirstVerdict(verdicts []Verdict, o *RolloutOrder) (Verdict, bool) {
+	var first Verdict
+	found := false
+	for i := range verdicts {
+		if v := &verdicts[i]; v.IsOn(o) && IsFinal(v.State) && (!found || v.Era < first.Era) {
+			first, found = *v, true
+		}
+	}
+	return first, found
 }
 
 // IsFinal reports whether a state ends a timed roll-out.
@@ -143,13 +182,15 @@
 		order: o, entry: entry, canaryExposure: bound.Share * canaryShare,
 		machine:  interpreter.NewMachine(interpreter.MustParse(timedRolloutChart)),
 		exposure: bound.Share * canaryShare,
-		tally:    Tally{Entry: entry, Number: o.Number, Candidate: map[string]VersionCounts{}, Stable: map[string]VersionCounts{}},
+		tally:    Tally{Entry: entry, To: o.To, Number: o.At.Version, Candidate: map[string]VersionCounts{}, Stable: map[string]VersionCounts{}},
 	}
 }
 
-// Order returns the order that is carried out.
-func (t *TimedRollout) Order() RolloutOrder {
-	return t.order
+// Confirm records the position of the order in the present era of the store.
+func (t *TimedRollout) Confirm(at storer.Position) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.order.At, t.tally.Number = at, at.Version
 }
 
 // UsesNewVersion reports whether a session goes to the new version. At the same exposure all entries give the same answer, and
@@ -209,7 +250,7 @@
 	sum := tallySums{candidate: map[string]VersionCounts{}, stable: map[string]VersionCounts{}, exposure: 1}
 	for i := range tallies {
 		tally := &tallies[i]
-		if tally.Number != t.order.Number {
+		if tally.To != t.order.To || tally.Number != t.order.At.Version {
 			continue
 		}
 		if t.beganMillis == 0 || tally.Began > 0 && tally.Began < t.beganMillis {
--- a/promoter/trial_test.go
+++ b/promoter/trial_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/promoter"
+	"github.com/siskinfront/siskinfront/storer"
 )
 
 const (
@@ -19,7 +20,7 @@
 var orderTime = time.Unix(1000, 0)
 
 func testOrder() promoter.RolloutOrder {
-	return promoter.RolloutOrder{Service: "drafting", To: "v2", Duration: 20 * time.Second, Number: 7}
+	return promoter.RolloutOrder{Service: "drafting", To: "v2", Duration: 20 * time.Second, At: storer.Position{Version: 7}}
 }
 
 // rolloutGroup holds the timed roll-outs of several entries, which exchange their tallies.
@@ -201,8 +202,8 @@
 // Guards against a status of an earlier order that is taken for the final state of a later one to the same version.
 func TestStatusEnds(t *testing.T) {
 	o := testOrder()
-	must.False(t, (&promoter.RolloutStatus{To: "v2", State: promoter.TimedRolloutRolledBack, Number: 5}).Ends(&o))
-	must.False(t, (&promoter.RolloutStatus{To: "v2", State: promoter.TimedRolloutCanary, Number: 9}).Ends(&o))
-	must.False(t, (&promoter.RolloutStatus{To: "v1", State: promoter.TimedRolloutSucceeded, Number: 9}).Ends(&o))
-	must.True(t, (&promoter.RolloutStatus{To: "v2", State: promoter.TimedRolloutSucceeded, Number: 9}).Ends(&o))
+	must.False(t, (&promoter.RolloutStatus{To: "v2", State: promoter.TimedRolloutRolledBack, At: storer.Position{Version: 5}}).Ends(&o))
+	must.False(t, (&promoter.RolloutStatus{To: "v2", State: promoter.TimedRolloutCanary, At: storer.Position{Version: 9}}).Ends(&o))
+	must.False(t, (&promoter.RolloutStatus{To: "v1", State: promoter.TimedRolloutSucceeded, At: storer.Position{Version: 9}}).Ends(&o))
+	must.True(t, (&promoter.RolloutStatus{To: "v2", State: promoter.TimedRolloutSucceeded, At: storer.Position{Version: 9}}).Ends(&o))
 }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -322,6 +322,19 @@
 	}
 }
 
+// Blocks returns the blocks in force.
+func (q *Quarantine) Blocks() []Block {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var blocks []Block
+	for p, r := range q.parts {
+		if r.isBlocked() {
+			blocks = append(blocks, Block{Part: p, Scope: r.scope, Trials: r.trials})
+		}
+	}
+	return blocks
+}
+
 // Counters returns the totals since the start.
 func (q *Quarantine) Counters() map[string]int64 {
 	q.mu.Lock()
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -70,12 +70,13 @@
 	starts          map[identifier.Upstream]*start
 	storeLost       bool
 	storeReturnedAt time.Time
+	removals        removals
 	// scheduledAt is the time for which the last call was scheduled.
 	scheduledAt time.Time
 	synced      bool
 
-	changes, keptAfterOutage, restarts, outdated int64
-	leavingByAnswer, leavingByRegistration       int64
+	changes, keptAfterOutage, restarts, outdated, held int64
+	leavingByAnswer, leavingByRegistration             int64
 }
 
 // Option configures a Registrar.
@@ -97,6 +98,7 @@
 		Now: time.Now, Update: func([]Upstream) {}, registrations: map[identifier.Upstream]*registration{},
 		leavingUntil: map[identifier.Upstream]time.Time{}, starts: map[identifier.Upstream]*start{}, OnLeaving: func(Announcement) {},
 		Schedule: func(at time.Time, f func()) { time.AfterFunc(time.Until(at), f) },
+		removals: removals{removedAt: map[identifier.Upstream]time.Time{}, held: map[identifier.Upstream]Upstream{}},
 	}
 	for _, o := range opts {
 		o(r)
@@ -140,6 +142,9 @@
 		}
 		changed = r.put(*c.Upstream, now) || changed
 	}
+	if len(r.removals.held) > 0 {
+		r.Schedule(r.removals.heldUntil, r.releaseHeld)
+	}
 	if changed {
 		r.publish()
 	}
@@ -151,6 +156,11 @@
 		r.outdated++
 		return false
 	}
+	if r.removals.hold(&u, now) {
+		r.held++
+		return false
+	}
+	delete(r.removals.removedAt, u.Incarnation())
 	// A late heartbeat must not bring back an incarnation that is leaving, even if its registration was removed meanwhile.
 	if u.Leaving {
 		r.markLeaving(&u, SourceRegistration, now)
@@ -171,6 +181,7 @@
 
 // remove removes a registration, or keeps it until removeAt if the outage may have lost it, and reports whether the list changed.
 func (r *Registrar) remove(name identifier.Upstream, now time.Time) bool {
+	delete(r.removals.held, name)
 	e := r.registrations[name]
 	if e == nil {
 		return false
@@ -187,9 +198,15 @@
 		}
 		return false
 	}
+	r.drop(name, e, now)
+	return true
+}
+
+// drop removes a registration.
+func (r *Registrar) drop(name identifier.Upstream, e *registration, now time.Time) {
 	r.changes++
 	delete(r.registrations, name)
-	return true
+	r.removals.removedAt[e.upstream.Incarnation()] = now
 }
 
 // RemoveExpired removes the upstreams that did not register again after an outage, and forgets incarnations that left long ago.
@@ -199,13 +216,13 @@
 	now, changed := r.Now(), false
 	r.forgetLeaving(now)
 	r.forgetStarts(now)
+	r.removals.forget(now)
 	if r.storeLost {
 		return
 	}
 	for name, e := range r.registrations {
 		if !e.removeAt.IsZero() && !now.Before(e.removeAt) {
-			delete(r.registrations, name)
-			r.changes++
+			r.drop(name, e, now)
 			changed = true
 		}
 	}
@@ -236,6 +253,7 @@
 	defer r.mu.Unlock()
 	return map[string]int64{
 		"changes": r.changes, "kept-after-outage": r.keptAfterOutage, "restarts": r.restarts, "outdated": r.outdated,
+		"held-after-return": r.held,
 		"leaving-by-answer": r.leavingByAnswer, "leaving-by-registration": r.leavingByRegistration,
 	}
 }
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -139,3 +139,47 @@
 	f.Apply([]registrar.Change{put("a", 1, false)}, false)
 	must.Nil(t, f.list)
 }
+
+// Guards against the use of an upstream that was removed before the store came back from a copy that lists it, and against live ones that
+// are never used again (issue 20).
+func TestRemovedBeforeReturn(t *testing.T) {
+	f := newFixture()
+	var releases []func()
+	f.Schedule = func(_ time.Time, release func()) { releases = append(releases, release) }
+	f.Apply([]registrar.Change{put("a", 1, false), put("b", 1, false), put("c", 1, false), put("d", 1, false)}, true)
+	f.Apply([]registrar.Change{removed("a"), removed("b"), removed("c")}, false)
+	// One comes back before the return.
+	f.Apply([]registrar.Change{put("c", 1, false)}, false)
+	must.Eq(t, []string{"c", "d"}, f.names())
+	f.now = f.now.Add(time.Second)
+	f.MarkStoreReturned()
+	f.Apply([]registrar.Change{put("a", 1, false), put("b", 1, false), put("c", 1, false)}, true)
+	// The copy lacks d, which is kept as after an outage.
+	must.Eq(t, []string{"c", "d"}, f.names())
+	f.now = f.now.Add(time.Second)
+	f.Apply([]registrar.Change{removed("a"), put("d", 1, false)}, false)
+	must.Eq(t, []string{"c", "d"}, f.names())
+	f.now = f.now.Add(10 * time.Second)
+	for _, release := range releases {
+		release()
+	}
+	must.Eq(t, []string{"b", "c", "d"}, f.names())
+	must.EqOp(t, 2, f.Counters()["held-after-return"])
+}
+
+// Guards against an upstream that is used again although it said that it leaves, and against a new start that is held.
+func TestLeavingBeforeReturn(t *testing.T) {
+	f := newFixture()
+	f.Apply([]registrar.Change{put("a", 1, false), put("b", 1, false)}, true)
+	f.AnnounceLeaving(put("a", 1, false).Upstream)
+	f.Apply([]registrar.Change{put("b", 1, true)}, false)
+	f.Apply([]registrar.Change{removed("b")}, false)
+	f.now = f.now.Add(time.Second)
+	f.MarkStoreReturned()
+	f.Apply([]registrar.Change{put("a", 1, false), put("b", 1, false)}, true)
+	must.Eq(t, []string{"a"}, f.names())
+	must.True(t, f.list[0].Leaving)
+	f.Apply([]registrar.Change{put("b", 2000, false)}, false)
+	must.Eq(t, []string{"a", "b"}, f.names())
+	must.False(t, f.list[1].Leaving)
+}
--- a/runner/poll_internal_test.go
+++ b/runner/poll_internal_test.go
@@ -6,9 +6,6 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-
-	"github.com/siskinfront/siskinfront/matcher"
-	"github.com/siskinfront/siskinfront/promoter"
 )
 
 // Guards against a change that takes effect too late because the store answers a call for changes only at the end of its wait.
@@ -23,7 +20,7 @@
 		must.EqOp(t, x.want, s.pollTime(x.within))
 	}
 	s := DefaultSettings()
-	r := New(s, Platform{FollowOperator: func(wait time.Duration, _ *slog.Logger, _ func(*matcher.Table, error), _ func(promoter.RolloutOrder)) Follower {
+	r := New(s, Platform{FollowOperator: func(wait time.Duration, _ *slog.Logger, _ OperatorEvents) Follower {
 		must.Less(t, s.ApplyTime, wait)
 		return Follower{Counters: func() map[string]int64 { return nil }}
 	}, Counters: func() map[string]int64 { return nil }}, slog.New(slog.DiscardHandler))
--- a/runner/reload_internal_test.go
+++ b/runner/reload_internal_test.go
@@ -15,8 +15,6 @@
 
 	"github.com/siskinfront/siskinfront/follower"
 	"github.com/siskinfront/siskinfront/forwarder"
-	"github.com/siskinfront/siskinfront/matcher"
-	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/registrar"
 )
 
@@ -42,7 +40,7 @@
 	return New(s, Platform{
 		Headers:  forwarder.Headers{Leaving: "Leaving"},
 		SetStore: setStore, Counters: noCounters, Upstreams: follower.Source[registrar.Change]{},
-		FollowOperator: func(time.Duration, *slog.Logger, func(*matcher.Table, error), func(promoter.RolloutOrder)) Follower {
+		FollowOperator: func(time.Duration, *slog.Logger, OperatorEvents) Follower {
 			return Follower{Counters: noCounters, ConfirmedAt: func() time.Time { return time.Time{} }}
 		},
 	}, slog.New(slog.DiscardHandler))
--- a/runner/rollouts.go
+++ b/runner/rollouts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -21,27 +22,54 @@
 	badTallyInterval = 500 * time.Millisecond
 	// storeCallTimeout bounds one call to the store.
 	storeCallTimeout = 700 * time.Millisecond
+	// vouchSpread is the time over which the entries look whether a store that has come back from an older copy has lost a verdict, and
+	// vouchInterval the time after which they look once more, until vouchTime after the return.
+	vouchSpread   = time.Second
+	vouchInterval = 4 * time.Second
+	vouchTime     = 6 * time.Second
+	// settleTime is how long after such a return, or after its own start, an entry reaches no verdict, so that those that know of
+	// one can write it again.
+	settleTime = 2 * time.Second
+	// verdictMemory is how long a verdict may be lost: the copies are some seconds old.
+	verdictMemory = 10 * time.Minute
 	// maxRecentSessions bounds the recent sessions of this entry that a new order keeps on the former version.
 	maxRecentSessions = 20_000
 )
 
-// RolloutStore reads and writes the status, the tallies and the verdict of roll-outs in the platform's store.
+// RolloutRecords are the tallies and verdicts of a service that the store holds.
+type RolloutRecords struct {
+	Tallies  []promoter.Tally
+	Verdicts []promoter.Verdict
+	// ClockMillis is the store's clock in milliseconds, and Era its era.
+	ClockMillis int64
+	Era         uint64
+}
+
+// RolloutStore reads and writes the status, the tallies and the verdicts of roll-outs in the platform's store.
 type RolloutStore struct {
-	Status     func(context.Context, identifier.Service) (promoter.RolloutStatus, int64, error)
-	SetStatus  func(context.Context, promoter.RolloutStatus, identifier.Version, string) error
-	PutTally   func(context.Context, identifier.Service, promoter.Tally) (int64, error)
-	Tallies    func(context.Context, identifier.Service) ([]promoter.Tally, promoter.Verdict, int64, error)
-	PutVerdict func(context.Context, identifier.Service, promoter.Verdict) error
+	Status    func(context.Context, identifier.Service) (promoter.RolloutStatus, int64, error)
+	SetStatus func(context.Context, promoter.RolloutStatus, identifier.Version, string) error
+	PutTally  func(context.Context, identifier.Service, promoter.Tally) (int64, error)
+	Records   func(context.Context, identifier.Service) (RolloutRecords, error)
+	// PutVerdict writes a verdict unless there is one on the same order of the same era, and removes old ones.
+	PutVerdict func(ctx context.Context, s identifier.Service, v promoter.Verdict, old []promoter.Verdict) error
 }
 
 // rollout is the last order for a service and its progress.
 type rollout struct {
 	order promoter.RolloutOrder
 	timed *promoter.TimedRollout
-	// statusKnown is set once the status was read from the store, verdict once the order has ended, and statusWritten once the
+	// statusKnown is set once the status was read from the store, verdict once the order has ended, at endedAt, and statusWritten once the
 	// status in the store shows the verdict.
 	statusKnown, statusWritten bool
 	verdict                    promoter.Verdict
+	endedAt                    time.Time
+	// statusLost and verdictLost are set while the store may have lost what it held of the status and the verdict, and vouchUntil is the
+	// time until which to look for the verdict.
+	statusLost, verdictLost bool
+	vouchUntil              time.Time
+	// settledAt is the time from which this entry may reach a verdict.
+	settledAt time.Time
 	// storeClockMillis is the store's clock in milliseconds at clockReadAt.
 	storeClockMillis int64
 	clockReadAt      time.Time
@@ -77,27 +105,77 @@
 
 	mu       sync.Mutex
 	services map[identifier.Service]*rollout
+	orders   map[identifier.Service]*promoter.Orders
+	// era is the era of the store since it last came back from an older copy, or 0 if it has not.
+	era uint64
 	// rolledBack holds the versions that were rolled back; a later order to another version does not return them to service.
 	rolledBack     map[serviceVersion]bool
 	activeRequests map[serviceVersion]int64
 }
 
-// addOrder starts an order; one that is already known is ignored.
-func (r *rollouts) addOrder(o promoter.RolloutOrder) {
+// addOrder starts an order that the store shows, unless it is known. mayBeOld is set if the store may have had it before it came back
+// from an older copy.
+func (r *rollouts) addOrder(o promoter.RolloutOrder, mayBeOld bool) {
+	now := r.now()
 	r.mu.Lock()
-	old := r.services[o.Service]
-	if old != nil && old.order.Number >= o.Number {
+	if r.orders[o.Service] == nil {
+		r.orders[o.Service] = &promoter.Orders{}
+	}
+	switch r.orders[o.Service].Offer(o, mayBeOld, now) {
+	case promoter.OrderIgnored:
 		r.mu.Unlock()
 		return
+	case promoter.OrderConfirmed:
+		x := r.services[o.Service]
+		before := x.order.At
+		x.order.At = o.At
+		x.timed.Confirm(o.At)
+		r.vouch(x, now)
+		r.mu.Unlock()
+		r.log.Info("roll-out order written again", "service", o.Service, "to", o.To, "before", before.String(), "order", o.At.String())
+		return
 	}
-	t := promoter.NewTimedRollout(o, r.entry, r.bound, r.sessionTime, r.now())
-	t.HoldSessions(r.recentSessions.List(r.now(), maxRecentSessions), r.now())
-	r.services[o.Service] = &rollout{order: o, timed: t}
+	t := promoter.NewTimedRollout(o, r.entry, r.bound, r.sessionTime, now)
+	t.HoldSessions(r.recentSessions.List(now, maxRecentSessions), now)
+	r.services[o.Service] = &rollout{order: o, timed: t, settledAt: now.Add(settleTime)}
 	r.mu.Unlock()
-	r.log.Info("roll-out ordered", "service", o.Service, "to", o.To, "duration", o.Duration, "order", o.Number)
+	r.log.Info("roll-out ordered", "service", o.Service, "to", o.To, "duration", o.Duration, "order", o.At.String())
 	r.regroup()
 }
 
+// storeReturned records that the store has come back from an older copy. Until it shows an order in its new era, which the operator may
+// have to write again, no step of that order is carried out.
+func (r *rollouts) storeReturned(era uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	r.era = era
+	for _, o := range r.orders {
+		o.MarkReturned(now)
+	}
+	for _, x := range r.services {
+		x.settledAt = now.Add(settleTime)
+	}
+}
+
+// vouch has the store looked through for what it may have lost of an order; r.mu is held.
+func (r *rollouts) vouch(x *rollout, now time.Time) {
+	x.nextStepAt = now.Add(rand.N(vouchSpread))
+	if x.verdict.State == "" {
+		x.statusLost = true
+		return
+	}
+	x.verdict.Number = x.order.At.Version
+	if now.Sub(x.endedAt) < verdictMemory {
+		x.verdictLost, x.statusWritten, x.vouchUntil = true, false, now.Add(vouchTime)
+	}
+}
+
+// isCurrent reports whether the store has shown an order in its present era; r.mu is held.
+func (r *rollouts) isCurrent(x *rollout) bool {
+	return r.era == 0 || x.order.At.Era == r.era
+}
+
 // configure sets the bound of the exposure and the session time for later orders.
 func (r *rollouts) configure(bound promoter.ExposureBound, sessionTime time.Duration) {
 	r.mu.Lock()
@@ -140,7 +218,7 @@
 		r.recentSessions.Use(session, now)
 		return s
 	}
-	inProgress, state := x.statusKnown && x.verdict.Number == 0, x.verdict.State
+	inProgress, state := x.statusKnown && x.verdict.State == "", x.verdict.State
 	r.mu.Unlock()
 	candidate := s + candidateSuffix
 	hasCandidates := r.groupSize(candidate) > 0
@@ -215,135 +293,221 @@
 	}
 }
 
-// due returns the orders whose next step is due, and schedules the step after it.
+// due returns the orders whose next step is due, and schedules the step after it. While the store has not shown an order in its present
+// era, only this entry's own evidence counts.
 func (r *rollouts) due() []*rollout {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
 	var due []*rollout
 	for _, x := range r.services {
-		if !x.statusWritten && !now.Before(x.nextStepAt) {
-			x.nextStepAt = now.Add(tallyInterval)
-			if x.timed.IsDeciding(x.storeNow(now)) {
-				x.nextStepAt = now.Add(badTallyInterval)
-			}
-			if bad := x.timed.BadAnswers(); bad > x.badAnswers {
-				x.badAnswers, x.nextStepAt = bad, now.Add(badTallyInterval)
-			}
-			due = append(due, x)
+		if x.statusWritten || now.Before(x.nextStepAt) {
+			continue
 		}
+		x.nextStepAt = now.Add(tallyInterval)
+		if !r.isCurrent(x) {
+			r.decideLocally(x, now)
+			continue
+		}
+		if x.timed.IsDeciding(x.storeNow(now)) {
+			x.nextStepAt = now.Add(badTallyInterval)
+		}
+		if bad := x.timed.BadAnswers(); bad > x.badAnswers {
+			x.badAnswers, x.nextStepAt = bad, now.Add(badTallyInterval)
+		}
+		due = append(due, x)
 	}
 	return due
 }
 
 // step carries out the next step of an order.
 func (r *rollouts) step(ctx context.Context, x *rollout) {
+	r.mu.Lock()
+	order, verdict, verdictLost := x.order, x.verdict, x.verdictLost
+	needsStatus := !x.statusKnown || x.statusLost
+	r.mu.Unlock()
 	var err error
 	switch {
-	case !x.statusKnown:
-		err = r.readStatus(ctx, x)
-	case x.verdict.Number != 0:
-		err = r.writeStatus(ctx, x)
+	case verdictLost:
+		err = r.restoreVerdict(ctx, x, &order, verdict)
+	case verdict.State != "":
+		err = r.writeStatus(ctx, x, &order, verdict)
+	case needsStatus:
+		err = r.readStatus(ctx, x, &order)
 	default:
-		err = r.decide(ctx, x)
+		err = r.decide(ctx, x, &order)
 	}
 	if err == nil || ctx.Err() != nil {
 		return
 	}
-	r.log.Warn("roll-out step failed", "service", x.order.Service, "to", x.order.To, "order", x.order.Number, "error", err.Error())
-	if reason, bad := x.timed.DecideLocally(r.now()); bad {
+	r.log.Warn("roll-out step failed", "service", order.Service, "to", order.To, "order", order.At.String(), "error", err.Error())
+	r.decideLocally(x, r.now())
+}
+
+// decideLocally stops a new version on the evidence of this entry alone.
+func (r *rollouts) decideLocally(x *rollout, now time.Time) {
+	if reason, bad := x.timed.DecideLocally(now); bad {
 		r.log.Warn("new version stopped on this entry's own evidence", "service", x.order.Service, "to", x.order.To, "reason", reason)
 	}
 }
 
 // readStatus reads the status of an order from the store, and writes that the order is in progress if no entry has done so.
-func (r *rollouts) readStatus(ctx context.Context, x *rollout) error {
+func (r *rollouts) readStatus(ctx context.Context, x *rollout, order *promoter.RolloutOrder) error {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	status, clock, err := r.store.Status(ctx, x.order.Service)
+	status, clock, err := r.store.Status(ctx, order.Service)
 	if err != nil {
 		return err
 	}
-	x.setClock(clock, r.now())
-	if status.Ends(&x.order) {
-		r.setVerdict(x, promoter.Verdict{Number: x.order.Number, State: status.State, Reason: "status"}, true)
+	if status.At.Era != order.At.Era {
+		return storer.ErrEraChanged
+	}
+	r.setClock(x, clock)
+	if status.Ends(order) {
+		r.setVerdict(x, promoter.Verdict{
+			To: order.To, Number: order.At.Version, Era: order.At.Era, State: status.State, Reason: "status", At: clock,
+		}, true)
 		return nil
 	}
-	if status.Number < x.order.Number {
+	if status.At.Before(order.At) {
 		// On a conflict another entry has written the status at the same time.
-		if err := r.store.SetStatus(ctx, status, x.order.To, ""); err != nil && !errors.Is(err, storer.ErrConflict) {
+		if err := r.store.SetStatus(ctx, status, order.To, ""); err != nil && !errors.Is(err, storer.ErrConflict) {
 			return err
 		}
 	}
 	r.mu.Lock()
-	x.statusKnown = true
+	x.statusKnown, x.statusLost = true, false
 	r.mu.Unlock()
 	return nil
 }
 
+func (r *rollouts) setClock(x *rollout, clock int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x.setClock(clock, r.now())
+}
+
 // decide writes this entry's tally, reads those of all entries, and decides on the state of the order.
-func (r *rollouts) decide(ctx context.Context, x *rollout) error {
+func (r *rollouts) decide(ctx context.Context, x *rollout, order *promoter.RolloutOrder) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
 	defer cancel()
-	clock, err := r.store.PutTally(ctx, x.order.Service,
-		x.timed.Tally(x.storeNow(r.now()), r.activeOnOtherVersions(&x.order), r.now()))
+	clock, err := r.store.PutTally(ctx, order.Service,
+		x.timed.Tally(x.storeNow(r.now()), r.activeOnOtherVersions(order), r.now()))
 	if err != nil {
 		return err
 	}
-	x.setClock(clock, r.now())
-	tallies, verdict, clock, err := r.store.Tallies(ctx, x.order.Service)
+	r.setClock(x, clock)
+	records, err := r.readRecords(ctx, x, order)
 	if err != nil {
 		return err
 	}
-	x.setClock(clock, r.now())
-	if verdict.Number == x.order.Number {
-		r.setVerdict(x, verdict, false)
+	if v, ok := promoter.FirstVerdict(records.Verdicts, order); ok {
+		r.setVerdict(x, v, false)
 		return nil
 	}
 	before, exposureBefore := x.timed.Stage()
-	state, reason := x.timed.Decide(tallies, clock, r.now())
+	state, reason := x.timed.Decide(records.Tallies, records.ClockMillis, r.now())
 	if _, exposure := x.timed.Stage(); state != before || exposure != exposureBefore {
-		r.log.Info("roll-out state changed", "service", x.order.Service, "to", x.order.To, "order", x.order.Number,
-			"from", before, "state", state, "exposure", exposure, "reason", reason, "tallies", len(tallies))
+		r.log.Info("roll-out state changed", "service", order.Service, "to", order.To, "order", order.At.String(),
+			"from", before, "state", state, "exposure", exposure, "reason", reason, "tallies", len(records.Tallies))
 	}
-	if !promoter.IsFinal(state) {
+	if !promoter.IsFinal(state) || !r.isSettled(x) {
 		return nil
 	}
-	rowVersion := verdict.RowVersion
-	verdict = promoter.Verdict{Number: x.order.Number, State: state, Reason: reason, By: string(r.entry), RowVersion: rowVersion}
-	if err := r.store.PutVerdict(ctx, x.order.Service, verdict); err != nil {
+	verdict := promoter.Verdict{
+		To: order.To, Number: order.At.Version, Era: order.At.Era, State: state, Reason: reason, By: string(r.entry), At: records.ClockMillis,
+	}
+	if err := r.store.PutVerdict(ctx, order.Service, verdict, promoter.OldVerdicts(records.Verdicts, order, records.ClockMillis)); err != nil {
 		return err
 	}
 	r.setVerdict(x, verdict, false)
-	return r.writeStatus(ctx, x)
+	return r.writeStatus(ctx, x, order, verdict)
+}
+
+// isSettled reports whether this entry may reach a verdict.
+func (r *rollouts) isSettled(x *rollout) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.now().Before(x.settledAt)
+}
+
+// readRecords reads the tallies and verdicts, which must be of the era of the order.
+func (r *rollouts) readRecords(ctx context.Context, x *rollout, order *promoter.RolloutOrder) (RolloutRecords, error) {
+	records, err := r.store.Records(ctx, order.Service)
+	if err != nil {
+		return records, err
+	}
+	if records.Era != order.At.Era {
+		return records, storer.ErrEraChanged
+	}
+	r.setClock(x, records.ClockMillis)
+	return records, nil
+}
+
+// restoreVerdict writes the verdict again if the store has lost it, or takes over one of an earlier era.
+func (r *rollouts) restoreVerdict(ctx context.Context, x *rollout, order *promoter.RolloutOrder, verdict promoter.Verdict) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
+	defer cancel()
+	records, err := r.readRecords(ctx, x, order)
+	if err != nil {
+		return err
+	}
+	first, ok := promoter.FirstVerdict(records.Verdicts, order)
+	switch {
+	case !ok || verdict.Era < first.Era:
+		if err := r.store.PutVerdict(ctx, order.Service, verdict, nil); err != nil {
+			return err
+		}
+		r.log.Warn("verdict written again", "service", order.Service, "to", order.To, "order", order.At.String(), "state", verdict.State,
+			"era", verdict.Era)
+	case first.State != verdict.State && first.Era < verdict.Era:
+		verdict = first
+		r.setVerdict(x, first, false)
+	}
+	if err := r.writeStatus(ctx, x, order, verdict); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.now().Before(x.vouchUntil) {
+		x.statusWritten, x.nextStepAt = false, r.now().Add(vouchInterval+rand.N(vouchSpread))
+		return nil
+	}
+	x.verdictLost = false
+	return nil
 }
 
 // setVerdict ends an order with a verdict; statusWritten is set if the status in the store shows it.
 func (r *rollouts) setVerdict(x *rollout, v promoter.Verdict, statusWritten bool) {
 	r.mu.Lock()
-	x.statusKnown, x.verdict, x.statusWritten = true, v, statusWritten
+	v.Number = x.order.At.Version
+	x.statusKnown, x.statusLost, x.verdict, x.statusWritten, x.endedAt = true, false, v, statusWritten, r.now()
 	version := serviceVersion{x.order.Service, x.order.To}
 	if v.State == promoter.TimedRolloutRolledBack {
 		r.rolledBack[version] = true
 	} else {
 		delete(r.rolledBack, version)
 	}
+	order := x.order
 	r.mu.Unlock()
-	r.log.Info("roll-out ended", "service", x.order.Service, "to", x.order.To, "order", x.order.Number, "state", v.State,
-		"reason", v.Reason, "by", v.By)
+	r.log.Info("roll-out ended", "service", order.Service, "to", order.To, "order", order.At.String(), "state", v.State,
+		"reason", v.Reason, "by", v.By, "era", v.Era)
 	r.regroup()
 }
 
 // writeStatus writes the verdict to the status in the store, unless it is there.
-func (r *rollouts) writeStatus(ctx context.Context, x *rollout) error {
+func (r *rollouts) writeStatus(ctx context.Context, x *rollout, order *promoter.RolloutOrder, verdict promoter.Verdict) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
 	defer cancel()
-	status, _, err := r.store.Status(ctx, x.order.Service)
+	status, _, err := r.store.Status(ctx, order.Service)
 	if err != nil {
 		return err
 	}
-	if !status.Ends(&x.order) {
-		if err := r.store.SetStatus(ctx, status, x.order.To, string(x.verdict.State)); err != nil {
+	if status.At.Era != order.At.Era {
+		return storer.ErrEraChanged
+	}
+	if !status.Ends(order) || status.State != verdict.State {
+		if err := r.store.SetStatus(ctx, status, order.To, string(verdict.State)); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/runner/rollouts_internal_test.go
@@ -0,0 +1,213 @@
+package runner
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/pinner"
+	"github.com/siskinfront/siskinfront/promoter"
+	"github.com/siskinfront/siskinfront/storer"
+)
+
+// rolloutTable is the part of a store with the status, tallies and verdicts of one service.
+type rolloutTable struct {
+	mu       sync.Mutex
+	at       storer.Position
+	status   promoter.RolloutStatus
+	verdicts []promoter.Verdict
+	writes   int
+}
+
+func (x *rolloutTable) store() RolloutStore {
+	return RolloutStore{
+		Status: func(context.Context, identifier.Service) (promoter.RolloutStatus, int64, error) {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			status := x.status
+			status.At.Era = x.at.Era
+			return status, time.Now().UnixMilli(), nil
+		},
+		SetStatus: func(_ context.Context, previous promoter.RolloutStatus, to identifier.Version, state string) error {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			if previous.At.Version != x.status.At.Version {
+				return storer.ErrConflict
+			}
+			x.at.Version++
+			x.writes++
+			x.status = promoter.RolloutStatus{To: to, State: promoter.TimedRolloutCanary, At: x.at}
+			if state != "" {
+				x.status.State = promoter.TimedRolloutSucceeded
+				if state == string(promoter.TimedRolloutRolledBack) {
+					x.status.State = promoter.TimedRolloutRolledBack
+				}
+			}
+			return nil
+		},
+		PutTally: func(context.Context, identifier.Service, promoter.Tally) (int64, error) {
+			return time.Now().UnixMilli(), nil
+		},
+		Records: func(context.Context, identifier.Service) (RolloutRecords, error) {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			return RolloutRecords{Verdicts: append([]promoter.Verdict(nil), x.verdicts...), ClockMillis: time.Now().UnixMilli(), Era: x.at.Era}, nil
+		},
+		PutVerdict: func(_ context.Context, _ identifier.Service, v promoter.Verdict, _ []promoter.Verdict) error {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			for i := range x.verdicts {
+				if w := &x.verdicts[i]; w.To == v.To && w.Number == v.Number && w.Era == v.Era {
+					return storer.ErrConflict
+				}
+			}
+			x.at.Version++
+			x.writes++
+			x.verdicts = append(x.verdicts, v)
+			return nil
+		},
+	}
+}
+
+// comeBack takes the store back to a copy with an order at a version and without status and verdicts.
+func (x *rolloutTable) comeBack(version uint64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.at = storer.Position{Era: x.at.Era + 1, Version: version}
+	x.status, x.verdicts, x.writes = promoter.RolloutStatus{}, nil, 0
+}
+
+// state returns the published state and the number of writes since the return.
+func (x *rolloutTable) state() (string, int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return string(x.status.State), x.writes
+}
+
+func startRollouts(ctx context.Context, x *rolloutTable, entry identifier.Instance) *rollouts {
+	r := &rollouts{
+		store: x.store(), entry: entry, bound: promoter.ExposureBound{Share: 0.1, Slack: 30}, sessionTime: 5 * time.Second, now: time.Now,
+		log: slog.New(slog.DiscardHandler), regroup: func() {}, groupSize: func(identifier.Service) int { return 1 },
+		services: map[identifier.Service]*rollout{}, orders: map[identifier.Service]*promoter.Orders{},
+		rolledBack: map[serviceVersion]bool{}, activeRequests: map[serviceVersion]int64{}, recentSessions: pinner.NewRecentSessions(5 * time.Second),
+	}
+	go func() { _ = r.run(ctx) }()
+	return r
+}
+
+func orderAt(era, version uint64) promoter.RolloutOrder {
+	return promoter.RolloutOrder{Service: "s", To: "v2", Duration: 4 * time.Second, At: storer.Position{Era: era, Version: version}}
+}
+
+// runRollouts lets three entries carry out an order until it is rolled back at its deadline, as nothing answers.
+func runRollouts(t *testing.T, test func(*testing.T, *rolloutTable, []*rollouts)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		x := &rolloutTable{at: storer.Position{Era: 1, Version: 95}}
+		var entries []*rollouts
+		for _, name := range []identifier.Instance{"a", "b", "c"} {
+			r := startRollouts(ctx, x, name)
+			r.addOrder(orderAt(1, 95), false)
+			entries = append(entries, r)
+		}
+		time.Sleep(10 * time.Second)
+		state, _ := x.state()
+		must.EqOp(t, string(promoter.TimedRolloutRolledBack), state)
+		for _, r := range entries {
+			must.EqOp(t, "s"+excludedSuffix, r.group("s", "v2"))
+		}
+		test(t, x, entries)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a verdict that is lost with the last seconds of the store, and against steps with the version that the order had before.
+func TestLostVerdictIsWrittenAgain(t *testing.T) {
+	for name, version := range map[string]uint64{"lower": 80, "same": 95, "higher": 120} {
+		t.Run(name+" version", func(t *testing.T) {
+			runRollouts(t, func(t *testing.T, x *rolloutTable, entries []*rollouts) {
+				x.comeBack(version)
+				for _, r := range entries {
+					r.storeReturned(2)
+				}
+				time.Sleep(3 * time.Second)
+				// The operator has not written the order again.
+				_, writes := x.state()
+				must.EqOp(t, 0, writes)
+				for _, r := range entries {
+					r.addOrder(orderAt(2, version), false)
+					must.EqOp(t, "s"+excludedSuffix, r.group("s", "v2"))
+				}
+				time.Sleep(2 * time.Second)
+				state, writes := x.state()
+				must.EqOp(t, string(promoter.TimedRolloutRolledBack), state)
+				must.LessEq(t, 3, writes)
+				time.Sleep(time.Minute)
+				_, later := x.state()
+				must.EqOp(t, writes, later)
+			})
+		})
+	}
+}
+
+// Guards against two entries that act on different verdicts: one that knows the verdict was cut off while another, which started anew,
+// reached its own.
+func TestEarlierVerdictCounts(t *testing.T) {
+	runRollouts(t, func(t *testing.T, x *rolloutTable, entries []*rollouts) {
+		x.comeBack(95)
+		x.mu.Lock()
+		x.at.Version = 99
+		x.verdicts = []promoter.Verdict{{To: "v2", Number: 95, Era: 2, State: promoter.TimedRolloutSucceeded, By: "new"}}
+		x.status = promoter.RolloutStatus{To: "v2", State: promoter.TimedRolloutSucceeded, At: storer.Position{Era: 2, Version: 99}}
+		x.mu.Unlock()
+		newEntry := startRollouts(t.Context(), x, "new")
+		newEntry.addOrder(orderAt(2, 95), false)
+		time.Sleep(3 * time.Second)
+		must.EqOp(t, "s", newEntry.group("s", "v2"))
+		newEntry.storeReturned(2)
+		newEntry.addOrder(orderAt(2, 96), false)
+		for _, r := range entries {
+			r.storeReturned(2)
+			r.addOrder(orderAt(2, 96), true)
+		}
+		time.Sleep(15 * time.Second)
+		state, _ := x.state()
+		must.EqOp(t, string(promoter.TimedRolloutRolledBack), state)
+		for _, r := range append(entries, newEntry) {
+			must.EqOp(t, "s"+excludedSuffix, r.group("s", "v2"))
+		}
+	})
+}
+
+// Guards against an entry that reaches a verdict before those that know one had time to write it again.
+func TestNoVerdictAtReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		x := &rolloutTable{at: storer.Position{Era: 1, Version: 95}}
+		r := startRollouts(ctx, x, "a")
+		r.addOrder(orderAt(1, 95), false)
+		time.Sleep(3900 * time.Millisecond)
+		x.comeBack(95)
+		r.storeReturned(2)
+		r.addOrder(orderAt(2, 95), true)
+		time.Sleep(settleTime - 100*time.Millisecond)
+		x.mu.Lock()
+		must.SliceEmpty(t, x.verdicts)
+		x.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		x.mu.Lock()
+		must.SliceLen(t, 1, x.verdicts)
+		x.mu.Unlock()
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -10,11 +10,13 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/siskinfront/siskinfront/arbiter"
 	"github.com/siskinfront/siskinfront/balancer"
 	"github.com/siskinfront/siskinfront/connector"
 	"github.com/siskinfront/siskinfront/follower"
@@ -27,6 +29,7 @@
 	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/reaper"
 	"github.com/siskinfront/siskinfront/registrar"
+	"github.com/siskinfront/siskinfront/storer"
 )
 
 const (
@@ -62,6 +65,9 @@
 	maxIdleTime   = 10 * time.Minute
 	// maxReportBytes bounds the report of an upstream; one with 64 requests has some 3 KB.
 	maxReportBytes = 256 << 10
+	// configurationHoldShare is the part of the time in which a configuration must be in force for which a lower revision of a later era
+	// of the store is held.
+	configurationHoldShare = 2
 	// minReadWait is the shortest wait of a long poll of the store; it bounds the number of calls, each of which has a price.
 	minReadWait = 500 * time.Millisecond
 	// maxSubset bounds the upstreams of a service to which one entry sends requests.
@@ -81,14 +87,21 @@
 	// SetStore changes the address of the store.
 	SetStore  func(netip.AddrPort)
 	Upstreams follower.Source[registrar.Change]
-	// FollowOperator returns a follower of the operator's routes and roll-out orders. For each row, in the order of the rows, it
-	// calls table with the configuration or its error, or order with the roll-out order.
-	FollowOperator func(
-		wait time.Duration, log *slog.Logger, table func(*matcher.Table, error), order func(promoter.RolloutOrder),
-	) Follower
-	Rollouts RolloutStore
-	Shared   SharedStore
-	Counters func() map[string]int64
+	// FollowOperator returns a follower of the operator's routes and roll-out orders, which reports the rows in their order.
+	FollowOperator func(wait time.Duration, log *slog.Logger, on OperatorEvents) Follower
+	Rollouts       RolloutStore
+	Shared         SharedStore
+	Counters       func() map[string]int64
+}
+
+// OperatorEvents holds the functions that receive what the operator has written.
+type OperatorEvents struct {
+	// Configuration receives a configuration, or the error in one.
+	Configuration func(arbiter.Candidate, error)
+	// Order receives an order; mayBeOld is set if the store may have had it before it came back from an older copy.
+	Order func(o promoter.RolloutOrder, mayBeOld bool)
+	// Returned is called with the era that begins when the store has come back from an older copy.
+	Returned func(era uint64)
 }
 
 // Follower is a follower whose type parameter is hidden.
@@ -100,11 +113,14 @@
 
 // Runner is an entry process.
 type Runner struct {
-	settings    atomic.Pointer[Settings]
-	platform    Platform
-	log         *slog.Logger
-	meter       *meter.Meter
-	table       atomic.Pointer[matcher.Table]
+	settings atomic.Pointer[Settings]
+	platform Platform
+	log      *slog.Logger
+	meter    *meter.Meter
+	table    atomic.Pointer[matcher.Table]
+	// arbiter is guarded by arbiterMu.
+	arbiterMu   sync.Mutex
+	arbiter     *arbiter.Arbiter
 	balancer    *balancer.Balancer
 	pool        *connector.Pool
 	registrar   *registrar.Registrar
@@ -130,7 +146,7 @@
 	r.pool = connector.New(connector.WithEcho(p.Headers.RequestID))
 	r.rollouts = &rollouts{
 		store: p.Rollouts, entry: s.Instance, bound: s.exposureBound(), sessionTime: s.SessionTime, now: time.Now, log: log,
-		services: map[identifier.Service]*rollout{}, activeRequests: map[serviceVersion]int64{},
+		services: map[identifier.Service]*rollout{}, orders: map[identifier.Service]*promoter.Orders{}, activeRequests: map[serviceVersion]int64{},
 		rolledBack: map[serviceVersion]bool{}, recentSessions: pinner.NewRecentSessions(s.SessionTime),
 	}
 	r.directory = &directory{regions: s.regions(), group: r.rollouts.group, update: r.balancer.Update}
@@ -140,10 +156,18 @@
 	r.sharing = newSharing(p.Shared, s.Instance, s.PeerAddress, log)
 	r.buildForwarder()
 	r.reaper = reaper.New(r.connectionLimits)
-	r.upstreams = follower.New(p.Upstreams, r.registrar.Apply, log)
+	r.arbiter = &arbiter.Arbiter{Hold: s.ApplyTime / configurationHoldShare}
+	r.upstreams = follower.New(p.Upstreams, func(b follower.Batch[registrar.Change]) {
+		if b.Returned {
+			r.registrar.MarkStoreReturned()
+		}
+		r.registrar.Apply(b.Rows, b.All)
+	}, log)
 	r.upstreams.MaxWait = s.pollTime(s.LeaveTime)
 	r.upstreams.OnOutage = r.registrar.MarkStoreUnavailable
-	r.operator = p.FollowOperator(s.pollTime(s.ApplyTime), log, r.applyConfiguration, r.rollouts.addOrder)
+	r.operator = p.FollowOperator(s.pollTime(s.ApplyTime), log, OperatorEvents{
+		Configuration: r.applyConfiguration, Order: r.rollouts.addOrder, Returned: r.rollouts.storeReturned,
+	})
 	for name, counters := range map[string]func() map[string]int64{
 		"forwarder": r.forwarder.Counters, "balancer": r.balancer.Counters, "connector": r.pool.Counters, "reaper": r.reaper.Counters,
 		"quarantine": r.sharing.quarantine.Counters, "throttler": r.sharing.throttler.Counters, "limit-owner": r.sharing.owner.Counters, "broadcaster": r.sharing.broadcaster.Counters, "shared": r.sharing.follower.Counters,
@@ -212,20 +236,39 @@
 	return report, nil
 }
 
-// applyConfiguration puts a configuration into force; one that is not newer than that in force is ignored.
-func (r *Runner) applyConfiguration(t *matcher.Table, err error) {
+// applyConfiguration puts a configuration into force if it is newer than that in force.
+func (r *Runner) applyConfiguration(c arbiter.Candidate, err error) {
 	if err != nil {
 		r.log.Error("configuration rejected", "error", err.Error())
 		return
 	}
-	if old := r.table.Load(); old != nil && t.Revision <= old.Revision {
-		if t.Revision < old.Revision {
-			r.log.Warn("older configuration ignored", "revision", t.Revision, "in-force", old.Revision)
+	r.arbiterMu.Lock()
+	defer r.arbiterMu.Unlock()
+	old := r.table.Load()
+	decision, at := r.arbiter.Offer(c, time.Now())
+	switch decision {
+	case arbiter.InForce:
+		r.useConfiguration(c.Table, c.At)
+	case arbiter.Held:
+		r.log.Warn("lower revision of a later era of the store is held", "revision", c.Table.Revision, "at", c.At.String(),
+			"in-force", old.Revision, "until", at)
+		time.AfterFunc(time.Until(at), func() {
+			r.arbiterMu.Lock()
+			defer r.arbiterMu.Unlock()
+			if t := r.arbiter.Due(time.Now()); t != nil {
+				r.useConfiguration(t, c.At)
+			}
+		})
+	case arbiter.Ignored:
+		if c.Table.Revision < old.Revision {
+			r.log.Warn("older configuration ignored", "revision", c.Table.Revision, "at", c.At.String(), "in-force", old.Revision)
 		}
-		return
 	}
+}
+
+func (r *Runner) useConfiguration(t *matcher.Table, at storer.Position) {
 	r.table.Store(t)
-	r.log.Info("configuration in force", "revision", t.Revision, "routes", t.NumRoutes())
+	r.log.Info("configuration in force", "revision", t.Revision, "at", at.String(), "routes", t.NumRoutes())
 }
 
 // connectionLimits returns the time that callers may take to send the headers, and the time for which their connections may be
@@ -246,7 +289,7 @@
 			leaving++
 		}
 	}
-	r.log.Info("upstreams changed", "upstreams", len(list), "leaving", leaving, "version", r.upstreams.Version())
+	r.log.Info("upstreams changed", "upstreams", len(list), "leaving", leaving, "position", r.upstreams.Position().String())
 }
 
 // isReady reports whether the load balancer should send new connections to the entry.
--- a/runner/sharing.go
+++ b/runner/sharing.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,20 +42,21 @@
 type SharedChange struct {
 	Entry identifier.Instance
 	// Address is where the entry receives datagrams; it is invalid if its row was removed.
-	Address    netip.AddrPort
-	Block      *quarantiner.Block
-	Removed    bool
-	RowVersion uint64
+	Address netip.AddrPort
+	Block   *quarantiner.Block
+	Removed bool
+	// At is the position at which the row was written, but in the era in which it was read.
+	At storer.Position
 }
 
 // SharedStore holds the functions with which an entry uses the shared table.
 type SharedStore struct {
 	Source follower.Source[SharedChange]
-	// PutEntry writes the row of an entry, and RemoveEntry removes it if it has a version, or in any case if that is 0.
+	// PutEntry writes the row of an entry, and RemoveEntry removes it if it was written at a position, or in any case if that is zero.
 	PutEntry    func(ctx context.Context, name identifier.Instance, address netip.AddrPort, renewal int64) error
-	RemoveEntry func(ctx context.Context, name identifier.Instance, rowVersion uint64) error
-	// PutBlock writes a block if its row has a version.
-	PutBlock func(ctx context.Context, b quarantiner.Block, rowVersion uint64) error
+	RemoveEntry func(ctx context.Context, name identifier.Instance, at storer.Position) error
+	// PutBlock writes a block if its row was written at a position, the zero position for a row that does not exist.
+	PutBlock func(ctx context.Context, b quarantiner.Block, at storer.Position) error
 }
 
 // message is what entries send each other; one of its fields is set.
@@ -67,9 +69,10 @@
 
 // entryRecord is another entry.
 type entryRecord struct {
-	address    netip.AddrPort
-	rowVersion uint64
-	expiresAt  time.Time
+	address netip.AddrPort
+	// at is the position of its row.
+	at        storer.Position
+	expiresAt time.Time
 	// askedAt is when the first ask was sent that the entry has not answered, and silentUntil the time until which it owns no limits
 	// because of that.
 	askedAt, silentUntil time.Time
@@ -77,7 +80,7 @@
 
 type storedBlock struct {
 	quarantiner.Block
-	rowVersion uint64
+	at storer.Position
 }
 
 // sharing keeps this entry and the others informed about each other and about blocked parts of prompts.
@@ -140,31 +143,34 @@
 	return nil
 }
 
-// apply applies changes of the shared table; if all is set, they are all of its rows.
-func (s *sharing) apply(changes []SharedChange, all bool) {
+// apply applies rows of the shared table. A store that has come back from an older copy may have lost rows, whose contents hold on: those
+// of entries until they expire, and those of blocks, which are written again.
+func (s *sharing) apply(batch follower.Batch[SharedChange]) {
 	s.mu.Lock()
 	now := s.now()
 	var before map[quarantiner.Part]storedBlock
-	if all {
+	if batch.All {
 		before = s.blocks
 		s.blocks = map[quarantiner.Part]storedBlock{}
-		clear(s.entries)
+		if !batch.Returned {
+			clear(s.entries)
+		}
 	}
 	var blocks []quarantiner.Block
-	hasOwn := !all
-	for _, c := range changes {
+	hasOwn := !batch.All
+	for _, c := range batch.Rows {
 		switch {
 		case c.Block != nil && c.Removed:
 			delete(s.blocks, c.Block.Part)
 		case c.Block != nil:
-			s.blocks[c.Block.Part] = storedBlock{*c.Block, c.RowVersion}
+			s.blocks[c.Block.Part] = storedBlock{*c.Block, c.At}
 			blocks = append(blocks, *c.Block)
 		case c.Entry == s.self:
 			hasOwn = c.Address.IsValid()
 		case !c.Address.IsValid():
 			delete(s.entries, c.Entry)
 		default:
-			s.entries[c.Entry] = entryRecord{address: c.Address, rowVersion: c.RowVersion, expiresAt: now.Add(entryLifetime)}
+			s.entries[c.Entry] = entryRecord{address: c.Address, at: c.At, expiresAt: now.Add(entryLifetime)}
 		}
 	}
 	s.updatePeers()
@@ -176,17 +182,40 @@
 		}
 	}
 	for part, b := range before {
-		if _, ok := s.blocks[part]; !ok && !b.Cleared {
+		stored, ok := s.blocks[part]
+		if !ok && !b.Cleared || batch.Returned && ok && saysMore(&b.Block, &stored.Block) {
 			// Rows of blocks are not removed, so the store has come back without it.
 			s.enqueue(b.Block)
 		}
 	}
+	if batch.Returned {
+		s.enqueueUnknown(before)
+		blocks = slices.DeleteFunc(blocks, func(b quarantiner.Block) bool { return before[b.Part].Cleared })
+	}
 	s.mu.Unlock()
 	for _, b := range blocks {
 		s.quarantine.ApplyBlock(b)
 	}
 }
 
+// enqueueUnknown has the blocks in force written to the store that it neither holds nor is known to have held before: their rows may have
+// been lost before this entry read them. s.mu is held.
+func (s *sharing) enqueueUnknown(before map[quarantiner.Part]storedBlock) {
+	for _, b := range s.quarantine.Blocks() {
+		_, isStored := s.blocks[b.Part]
+		_, wasStored := before[b.Part]
+		if !isStored && !wasStored {
+			s.enqueue(b)
+		}
+	}
+}
+
+// saysMore reports whether a block that the store held before tells more than the one that it holds now.
+func saysMore(before, now *quarantiner.Block) bool {
+	return before.Cleared && !now.Cleared || !now.Cleared && before.Trials > now.Trials ||
+		!now.Cleared && before.Scope.Everyone && !now.Scope.Everyone
+}
+
 func (s *sharing) updatePeers() {
 	peers := make([]netip.AddrPort, 0, len(s.entries))
 	for _, e := range s.entries {
@@ -224,7 +253,7 @@
 	}
 	removeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), removeEntryTimeout)
 	defer cancel()
-	if err := s.store.RemoveEntry(removeCtx, s.self, 0); err != nil {
+	if err := s.store.RemoveEntry(removeCtx, s.self, storer.Position{}); err != nil {
 		s.log.Info("row of this entry was not removed", "error", err.Error())
 	}
 }
@@ -246,18 +275,18 @@
 func (s *sharing) dropExpired(ctx context.Context) {
 	s.mu.Lock()
 	now := s.now()
-	expired := map[identifier.Instance]uint64{}
+	expired := map[identifier.Instance]storer.Position{}
 	for name, e := range s.entries {
 		if !now.Before(e.expiresAt) {
-			expired[name] = e.rowVersion
+			expired[name] = e.at
 			delete(s.entries, name)
 		}
 	}
 	s.updatePeers()
 	s.mu.Unlock()
-	for name, version := range expired {
+	for name, at := range expired {
 		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-		err := s.store.RemoveEntry(callCtx, name, version)
+		err := s.store.RemoveEntry(callCtx, name, at)
 		cancel()
 		s.log.Info("entry is gone", "entry", name, "removed", err == nil)
 	}
@@ -303,7 +332,8 @@
 	s.mu.Lock()
 	stored, ok := s.blocks[b.Part]
 	s.mu.Unlock()
-	if ok && stored.Cleared == b.Cleared && (b.Cleared || stored.Scope == b.Scope || stored.Scope.Everyone) {
+	if ok && !saysMore(&b, &stored.Block) && stored.Cleared == b.Cleared &&
+		(b.Cleared || stored.Scope == b.Scope || stored.Scope.Everyone) {
 		return nil
 	}
 	if ok && !stored.Cleared {
@@ -311,7 +341,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	return s.store.PutBlock(ctx, b, stored.rowVersion)
+	return s.store.PutBlock(ctx, b, stored.at)
 }
 
 // claimTrial reports whether this entry may send the next request with a blocked part. Of several entries that try at the same time,
@@ -325,7 +355,7 @@
 	}
 	next := stored.Block
 	next.Trials++
-	if err := s.store.PutBlock(ctx, next, stored.rowVersion); err != nil {
+	if err := s.store.PutBlock(ctx, next, stored.at); err != nil {
 		if !errors.Is(err, storer.ErrConflict) {
 			s.log.Warn("trial of a refused part cannot be claimed", "part", b.Part.String(), "error", err.Error())
 		}
--- a/runner/sharing_internal_test.go
+++ b/runner/sharing_internal_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"net/netip"
 	"sync"
@@ -27,6 +28,7 @@
 	out bool
 	// historyLost is set if the next call for changes is to be answered with a loss of the history.
 	historyLost bool
+	era         uint64
 	version     uint64
 	entries     map[identifier.Instance]SharedChange
 	blocks      map[quarantiner.Part]storedBlock
@@ -48,37 +50,37 @@
 	return SharedStore{
 		Source: follower.Source[SharedChange]{
 			Name: "shared",
-			Read: func(context.Context) ([]SharedChange, uint64, error) { return x.read() },
-			Changes: func(ctx context.Context, _ uint64, _ time.Duration) ([]SharedChange, uint64, error) {
+			Read: func(context.Context) ([]SharedChange, storer.Position, error) { return x.read() },
+			Changes: func(ctx context.Context, _ storer.Position, _ time.Duration) ([]SharedChange, storer.Position, error) {
 				_ = storer.Sleep(ctx, 100*time.Millisecond)
 				x.mu.Lock()
 				lost := x.historyLost
 				x.historyLost = false
 				x.mu.Unlock()
 				if lost {
-					return nil, 0, follower.ErrHistoryLost
+					return nil, storer.Position{}, follower.ErrHistoryLost
 				}
 				return x.read()
 			},
 		},
 		PutEntry: func(_ context.Context, name identifier.Instance, address netip.AddrPort, _ int64) error {
 			return x.change(func() error {
-				x.entries[name] = SharedChange{Entry: name, Address: address, RowVersion: x.version}
+				x.entries[name] = SharedChange{Entry: name, Address: address, At: x.position()}
 				return nil
 			})
 		},
-		RemoveEntry: func(_ context.Context, name identifier.Instance, _ uint64) error {
+		RemoveEntry: func(_ context.Context, name identifier.Instance, _ storer.Position) error {
 			return x.change(func() error {
 				delete(x.entries, name)
 				return nil
 			})
 		},
-		PutBlock: func(_ context.Context, b quarantiner.Block, version uint64) error {
+		PutBlock: func(_ context.Context, b quarantiner.Block, at storer.Position) error {
 			return x.change(func() error {
-				if x.blocks[b.Part].rowVersion != version {
+				if x.blocks[b.Part].at != at {
 					return storer.ErrConflict
 				}
-				x.blocks[b.Part] = storedBlock{b, x.version}
+				x.blocks[b.Part] = storedBlock{b, x.position()}
 				return nil
 			})
 		},
@@ -95,20 +97,25 @@
 	return f()
 }
 
-func (x *sharedTable) read() ([]SharedChange, uint64, error) {
+// position returns the position of the store; x.mu is held.
+func (x *sharedTable) position() storer.Position {
+	return storer.Position{Era: x.era, Version: x.version}
+}
+
+func (x *sharedTable) read() ([]SharedChange, storer.Position, error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.out {
-		return nil, 0, errOut
+		return nil, storer.Position{}, errOut
 	}
 	var list []SharedChange
 	for _, e := range x.entries {
 		list = append(list, e)
 	}
 	for _, b := range x.blocks {
-		list = append(list, SharedChange{Block: &b.Block, RowVersion: b.rowVersion})
+		list = append(list, SharedChange{Block: &b.Block, At: b.at})
 	}
-	return list, x.version, nil
+	return list, x.position(), nil
 }
 
 func (x *sharedTable) numBlocks() int {
@@ -251,11 +258,76 @@
 	now := time.Unix(1000, 0)
 	s.now = func() time.Time { return now }
 	address := netip.MustParseAddrPort("127.0.0.1:1")
-	s.apply([]SharedChange{{Entry: "a", Address: address}, {Entry: "b", Address: address}, {Entry: "c", Address: address}}, true)
+	s.apply(follower.Batch[SharedChange]{
+		Rows: []SharedChange{{Entry: "a", Address: address}, {Entry: "b", Address: address}, {Entry: "c", Address: address}}, All: true,
+	})
 	must.EqOp(t, 3, s.numEntries())
-	s.apply([]SharedChange{{Entry: "b"}}, false)
+	s.apply(follower.Batch[SharedChange]{Rows: []SharedChange{{Entry: "b"}}})
 	must.EqOp(t, 2, s.numEntries())
 	now = now.Add(entryLifetime)
 	s.dropExpired(t.Context())
 	must.EqOp(t, 1, s.numEntries())
 }
+
+// comeBack takes the table back to a copy.
+func (x *sharedTable) comeBack(entries map[identifier.Instance]SharedChange, blocks map[quarantiner.Part]storedBlock, version uint64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.entries, x.blocks = entries, blocks
+	x.era, x.version = x.era+1, version
+}
+
+// Guards against blocks and entries that are forgotten, trials that are counted anew, and parts that are refused again, when the store comes
+// back from an older copy (issue 20).
+func TestSharedTableComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newSharedTable()
+		a, b := startSharing(t, x, "a"), startSharing(t, x, "b")
+		blockPart(a, 7)
+		time.Sleep(5 * time.Second)
+		x.mu.Lock()
+		copied := maps.Clone(x.blocks)
+		version := x.version
+		x.mu.Unlock()
+		// After the copy, one trial of part 7 is claimed, part 8 is blocked, and part 7 is answered.
+		time.Sleep(time.Minute)
+		v := a.quarantine.Admit("one", []quarantiner.Part{7})
+		must.True(t, v.TrialDue)
+		must.True(t, a.claimTrial(t.Context(), v.Block))
+		blockPart(a, 8)
+		time.Sleep(5 * time.Second)
+		x.comeBack(map[identifier.Instance]SharedChange{}, maps.Clone(copied), version)
+		time.Sleep(5 * time.Second)
+		must.EqOp(t, 2, x.numBlocks())
+		x.mu.Lock()
+		must.EqOp(t, 1, x.blocks[7].Trials)
+		x.mu.Unlock()
+
+		a.quarantine.Answered([]quarantiner.Part{7})
+		time.Sleep(5 * time.Second)
+		must.False(t, b.quarantine.Admit("one", []quarantiner.Part{7}).Refused)
+		x.comeBack(map[identifier.Instance]SharedChange{}, maps.Clone(copied), version)
+		time.Sleep(5 * time.Second)
+		for _, s := range []*sharing{a, b} {
+			must.False(t, s.quarantine.Admit("one", []quarantiner.Part{7}).Refused)
+			must.True(t, s.quarantine.Admit("one", []quarantiner.Part{8}).Refused)
+		}
+		x.mu.Lock()
+		must.True(t, x.blocks[7].Cleared)
+		x.mu.Unlock()
+	})
+}
+
+// Guards against a number of entries that falls, and with it a limit that is divided anew, until all entries have written their rows again.
+func TestEntriesOutlastReturn(t *testing.T) {
+	s := newSharing(newSharedTable().store(), "a", netip.AddrPort{}, slog.New(slog.DiscardHandler))
+	address := netip.MustParseAddrPort("127.0.0.1:1")
+	s.apply(follower.Batch[SharedChange]{
+		Rows: []SharedChange{{Entry: "a", Address: address}, {Entry: "b", Address: address}, {Entry: "c", Address: address}}, All: true,
+	})
+	s.apply(follower.Batch[SharedChange]{Rows: []SharedChange{{Entry: "b", Address: address}}, All: true, Returned: true})
+	must.EqOp(t, 3, s.numEntries())
+	must.EqOp(t, 1, len(s.rowMissing))
+	s.apply(follower.Batch[SharedChange]{Rows: []SharedChange{{Entry: "a", Address: address}}, All: true})
+	must.EqOp(t, 1, s.numEntries())
+}
--- a/soakbencher/soak_test.go
+++ b/soakbencher/soak_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -40,15 +39,12 @@
 	return 0
 }
 
-// openFaults are the invariants that open faults violate; KNOWN-RED.txt lists them.
-var openFaults = []string{"change arrives after the faults", "service after the faults"}
-
-// runSoak runs the soak of each seed and lets check look at the bound of each invariant.
-func runSoak(t *testing.T, check func(*testing.T, bencher.Bound)) {
-	t.Helper()
+// Guards against a violated invariant under faults injected from outside the processes; the CI run uses the same seeds. With seeds 4 and 43
+// entries missed changes because the store had come back from an older copy (issue 20).
+func TestSoak(t *testing.T) {
 	program, err := os.Executable()
 	must.NoError(t, err)
-	for _, seed := range []uint64{1, 2} {
+	for _, seed := range []uint64{1, 2, 4, 43} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			r, err := soakbencher.Experiment(program, entryCommand).Run(t.Context(), bencher.Params{Seed: seed, Duration: 8 * time.Second})
@@ -58,30 +54,12 @@
 			}
 			must.Greater(t, 5, len(r.Rows))
 			for _, b := range r.Bounds {
-				check(t, b)
+				must.True(t, b.Held(), must.Sprint(b.Name))
 			}
 		})
 	}
 }
 
-// Guards against a violated invariant under faults injected from outside the processes; the CI run uses the same seeds.
-func TestSoak(t *testing.T) {
-	runSoak(t, func(t *testing.T, b bencher.Bound) {
-		if !slices.Contains(openFaults, b.Name) {
-			must.True(t, b.Held(), must.Sprint(b.Name))
-		}
-	})
-}
-
-// Guards against entries that do not keep the pauses that upstreams ask for, or that miss changes after the store's return.
-func TestSoakOpenFaults(t *testing.T) {
-	runSoak(t, func(t *testing.T, b bencher.Bound) {
-		if slices.Contains(openFaults, b.Name) {
-			must.True(t, b.Held(), must.Sprint(b.Name))
-		}
-	})
-}
-
 // Guards against a soak that reports a pass although it could not start its processes.
 func TestSoakWithoutProgram(t *testing.T) {
 	_, err := soakbencher.Experiment("/nonexistent").Run(t.Context(), bencher.Params{Seed: 1})
--- a/storer/error.go
+++ b/storer/error.go
@@ -20,3 +20,10 @@
 
 // ErrRefused is returned for a request that the service rejects as invalid; a retry does not help.
 var ErrRefused = errors.New("storer: request refused")
+
+// ErrEarlierEra is returned for a reply from before the last return of the store from an older copy; what a write did is lost.
+var ErrEarlierEra = errors.New("storer: reply of an earlier era")
+
+// ErrEraChanged is returned when the store has come back from an older copy between the parts of an operation: the pages of a read, or
+// the read on which the condition of a write is based and that write, which may have taken effect.
+var ErrEraChanged = errors.New("storer: era has changed")
