throttler, forwarder: try the last upstream in a long pause

Cause: a pause that an upstream asks for is kept for up to an hour. If the last upstream of a service names an hour by a wrong clock or unit, all requests of the service are refused for that hour, though the upstream serves. Change: a minute and ten minutes after the begin of a pause, one request each is sent there if no other upstream is left; if it is answered with success, the pause ends. At most two requests come in a pause (the users' bound), and none in one of up to a minute. Refusals name the time of the next trial.

--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 
@@ -20,7 +21,28 @@
 func (f *Forwarder) choose(q *request, model identifier.Model) (choice, error) {
 	tried := q.triedUpstreams()
 	both := f.unresponsive.appendTo(slices.Clone(tried), f.Now())
-	return f.chooseExcept(q, model, both, tried, nil)
+	to, err := f.chooseExcept(q, model, both, tried, nil)
+	if errors.Is(err, balancer.ErrNoUpstream) {
+		if last, ok := f.choosePaused(q, tried); ok {
+			return last, nil
+		}
+	}
+	return to, err
+}
+
+// choosePaused picks a pausing upstream that this request has not tried and whose pause may be tried, as no other upstream is left.
+func (f *Forwarder) choosePaused(q *request, tried []identifier.Upstream) (choice, bool) {
+	query := balancer.Query{Service: f.Group(q.service, q.sessionHash), Rank: q.rank, Exclude: tried}
+	for _, name := range f.ofService(q, f.throttler.AppendClosed(nil)) {
+		if _, err := f.balancer.ChooseNamed(query, name); err != nil {
+			continue
+		}
+		if u := f.Upstream(name); u != nil && f.throttler.TakeTrial(name) {
+			f.log.Info("upstream is tried in its pause, as no other is left", "request", q.id, "upstream", name)
+			return choice{u, name}, true
+		}
+	}
+	return choice{}, false
 }
 
 // chooseElsewhere is choose for an attempt that need not be made: never at an unsuitable upstream.
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -89,8 +89,9 @@
 func newFixture(t *testing.T, upstreams int, respond responder, opts ...matcher.Option) *fixture {
 	t.Helper()
 	f := &fixture{t: t, owner: throttler.NewOwner(), upstreams: map[identifier.Upstream]*registrar.Upstream{}}
-	f.quarantine = quarantiner.New(quarantiner.WithNow(func() time.Time { return time.Now().Add(time.Duration(f.ahead.Load())) }))
-	f.throttler = throttler.New(throttler.WithOnChange(func(s throttler.Statement) {
+	now := func() time.Time { return time.Now().Add(time.Duration(f.ahead.Load())) }
+	f.quarantine = quarantiner.New(quarantiner.WithNow(now))
+	f.throttler = throttler.New(throttler.WithNow(now), throttler.WithOnChange(func(s throttler.Statement) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.limitChanges = append(f.limitChanges, s)
--- a/forwarder/pause.go
+++ b/forwarder/pause.go
@@ -14,9 +14,12 @@
 // maxRetryAfter bounds what is read from Retry-After, so that arithmetic on it cannot overflow; pauses are shorter.
 const maxRetryAfter = time.Hour
 
-// observePause reads the pause that a rejection of an upstream asks for.
+// observePause reads the pause that a rejection of an upstream asks for, and whether an answer shows that there is none.
 func (f *Forwarder) observePause(u *registrar.Upstream, w *http.Response) {
 	if w.StatusCode != http.StatusServiceUnavailable {
+		if w.StatusCode < http.StatusMultipleChoices && w.Header.Get(f.headers.Stamp) != "" && f.throttler.Served(u.Incarnation()) {
+			f.log.Warn("upstream serves in the pause that it asked for", "upstream", u.Incarnation())
+		}
 		return
 	}
 	v := w.Header.Get("Retry-After")
--- a/forwarder/pause_test.go
+++ b/forwarder/pause_test.go
@@ -94,3 +94,51 @@
 	}
 	must.LessEq(t, 1, n)
 }
+
+// Guards against a service that is refused for an hour because its last upstream asked for a pause that it does not need (issue 20).
+func TestLastUpstreamIsTriedInPause(t *testing.T) {
+	f := newFixture(t, 2, func(w http.ResponseWriter, r *http.Request, n int) {
+		if n <= 2 {
+			pausing("86400")(w, r, n)
+			return
+		}
+		respondOK(w, r, n)
+	})
+	for range 3 {
+		w := f.send("/once/")
+		must.EqOp(t, http.StatusServiceUnavailable, w.status)
+	}
+	must.SliceLen(t, 2, f.requests())
+	f.Now = func() time.Time { return time.Now().Add(time.Duration(f.ahead.Load())) }
+	f.ahead.Store(int64(50 * time.Second))
+	w := f.send("/once/")
+	must.EqOp(t, http.StatusServiceUnavailable, w.status)
+	after, err := strconv.ParseFloat(w.header.Get("Retry-After"), 64)
+	must.NoError(t, err)
+	must.Between(t, 8, after, 20)
+	f.ahead.Store(int64(61 * time.Second))
+	for range 5 {
+		must.EqOp(t, http.StatusOK, f.send("/once/").status)
+	}
+	must.StrContains(t, f.log(), "upstream serves in the pause that it asked for")
+}
+
+// Guards against a trial of a pause while another upstream serves (issue 20).
+func TestNoTrialWhileOthersServe(t *testing.T) {
+	f := newFixture(t, 2, func(w http.ResponseWriter, r *http.Request, n int) {
+		if w.Header().Get("Stamp") == "b" {
+			pausing("86400")(w, r, n)
+			return
+		}
+		respondOK(w, r, n)
+	})
+	for range 20 {
+		must.EqOp(t, http.StatusOK, f.send("/repeat/").status)
+	}
+	n := len(f.requests())
+	f.ahead.Store(int64(2 * time.Minute))
+	for range 20 {
+		must.EqOp(t, http.StatusOK, f.send("/repeat/").status)
+	}
+	must.SliceLen(t, n+20, f.requests())
+}
--- a/throttler/pause_test.go
+++ b/throttler/pause_test.go
@@ -67,3 +67,43 @@
 	}
 	must.Greater(t, 15, len(ends))
 }
+
+// Guards against an upstream that shuts itself out for an hour although it serves, and against trials that do not keep the pauses that
+// upstreams in need ask for: at most two requests come in one (issue 20).
+func TestTrialOfPause(t *testing.T) {
+	f := newFixture()
+	f.Pause(u1, f.now.Add(30*time.Second))
+	for range 350 {
+		must.False(t, f.TakeTrial(u1))
+		f.now = f.now.Add(100 * time.Millisecond)
+	}
+	f.Sweep()
+	must.False(t, f.TakeTrial(u1))
+	must.False(t, f.Served(u1))
+
+	trials, began := []time.Duration{}, f.now
+	f.Pause(u1, f.now.Add(time.Hour))
+	must.EqOp(t, time.Minute, f.PauseEnd([]identifier.Upstream{u1}).Sub(f.now))
+	for f.now.Sub(began) < time.Hour {
+		if f.TakeTrial(u1) {
+			trials = append(trials, f.now.Sub(began))
+			// It asks again.
+			f.Pause(u1, f.now.Add(10*time.Second))
+		}
+		must.False(t, f.Take(u1))
+		f.now = f.now.Add(time.Second)
+	}
+	must.Eq(t, []time.Duration{time.Minute, 10 * time.Minute}, trials)
+
+	f.now = f.now.Add(time.Minute)
+	f.Sweep()
+	f.Pause(u1, f.now.Add(time.Hour))
+	must.False(t, f.Served(u1))
+	must.False(t, f.Take(u1))
+	f.now = f.now.Add(time.Minute)
+	must.True(t, f.TakeTrial(u1))
+	must.False(t, f.TakeTrial(u1))
+	must.True(t, f.Served(u1))
+	must.True(t, f.Take(u1))
+	must.SliceEmpty(t, f.AppendClosed(nil))
+}
--- a/throttler/state.go
+++ b/throttler/state.go
@@ -12,7 +12,7 @@
 	defer t.mu.Unlock()
 	return map[string]int64{
 		"limits-named": t.named, "slots-used": t.used, "requests-held-back": t.closed, "asks-unanswered": t.unanswered,
-		"slots-taken-alone": t.selfGranted, "pauses": t.pauses,
+		"slots-taken-alone": t.selfGranted, "pauses": t.pauses, "pause-trials": t.trials,
 	}
 }
 
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -72,10 +72,11 @@
 	ended  map[identifier.Upstream]time.Time
 	// pausedUntil holds the ends of the pauses that upstreams asked this entry for.
 	pausedUntil map[identifier.Upstream]time.Time
+	pauseTrials map[identifier.Upstream]*pauseTrials
 	granted     chan struct{}
 	lastID      uint64
 
-	named, used, closed, unanswered, selfGranted, pauses int64
+	named, used, closed, unanswered, selfGranted, pauses, trials int64
 }
 
 // Option configures a Throttler.
@@ -111,7 +112,7 @@
 	t := &Throttler{
 		now: time.Now, send: func(Ask) {}, share: func(Statement) {}, numEntries: func() int { return 1 }, onChange: func(Statement) {},
 		limits: map[identifier.Upstream]*limit{}, ended: map[identifier.Upstream]time.Time{},
-		pausedUntil: map[identifier.Upstream]time.Time{}, granted: make(chan struct{}),
+		pausedUntil: map[identifier.Upstream]time.Time{}, pauseTrials: map[identifier.Upstream]*pauseTrials{}, granted: make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(t)
@@ -287,8 +288,7 @@
 	}
 	for u, until := range t.pausedUntil {
 		if !now.Before(until) {
-			delete(t.pausedUntil, u)
-			t.restricted.Add(-1)
+			t.endPause(u)
 		}
 	}
 	for u, at := range t.ended {
