soakbencher: one goroutine waits for the end of a process

Cause: a kill may come while a planned stop still waits for the same process, and both called Wait of its exec.Cmd: a data race in the soak itself. Change: one goroutine waits and keeps the error; all others wait for it. An entry that ends by itself still counts as running until somebody waits for it, as before.

--- a/soakbencher/inject.go
+++ b/soakbencher/inject.go
@@ -164,12 +164,12 @@
 	}
 	s.mu.Unlock()
 	e.mu.Lock()
-	cmd := e.cmd
+	p := e.process
 	e.mu.Unlock()
 	e.signal(syscall.SIGTERM, 0)
 	go func() {
 		err := e.wait()
-		if cmd != nil && err == nil {
+		if p != nil && err == nil {
 			s.check(invariantPlannedStopInTime, time.Since(at) < shutdownTimeout+time.Second || !s.undisturbedBetween(at, time.Now(), e),
 				"%s ended after %v", e.name, time.Since(at))
 		}
--- a/soakbencher/process.go
+++ b/soakbencher/process.go
@@ -38,8 +38,8 @@
 	storeProxy   *proxy
 
 	mu sync.Mutex
-	// cmd is nil while no process is running; incarnation counts the starts.
-	cmd         *exec.Cmd
+	// process is nil while none is running; incarnation counts the starts.
+	process     *process
 	incarnation int
 	paused      bool
 	stopping    bool
@@ -47,6 +47,14 @@
 	disturbedUntil time.Time
 }
 
+// process is a started process. A stop and a kill may wait for its end at the same time.
+type process struct {
+	*exec.Cmd
+	// ended is closed at its end, after err was set.
+	ended chan struct{}
+	err   error
+}
+
 func newEntry(dir, name, program string, args []string, store *proxy) (*entry, error) {
 	n := lastHost.Add(1)
 	pid := os.Getpid()
@@ -95,7 +103,7 @@
 func (e *entry) start() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.cmd != nil {
+	if e.process != nil {
 		return nil
 	}
 	// No context ends the process: stopEntry and kill signal it by its id.
@@ -108,7 +116,12 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("soakbencher: start %s: %w", e.name, err)
 	}
-	e.cmd, e.paused, e.stopping = cmd, false, false
+	p := &process{Cmd: cmd, ended: make(chan struct{})}
+	go func() {
+		defer close(p.ended)
+		p.err = p.Wait()
+	}()
+	e.process, e.paused, e.stopping = p, false, false
 	e.incarnation++
 	e.noteFault(startupTime)
 	return nil
@@ -129,10 +142,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.noteFault(disturbance)
-	if e.cmd == nil {
+	if e.process == nil {
 		return
 	}
-	if err := e.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+	if err := e.process.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return
 	}
 	switch s {
@@ -149,18 +162,18 @@
 // wait waits for the end of the process and returns its error.
 func (e *entry) wait() error {
 	e.mu.Lock()
-	cmd := e.cmd
+	p := e.process
 	e.mu.Unlock()
-	if cmd == nil {
+	if p == nil {
 		return nil
 	}
-	err := cmd.Wait()
+	<-p.ended
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.cmd == cmd {
-		e.cmd = nil
+	if e.process == p {
+		e.process = nil
 	}
-	return err
+	return p.err
 }
 
 // state returns the incarnation, whether the process accepts connections (it is running and not stopping), and whether no fault
@@ -168,7 +181,7 @@
 func (e *entry) state() (incarnation int, open, undisturbed bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.incarnation, e.cmd != nil && !e.stopping, time.Now().After(e.disturbedUntil)
+	return e.incarnation, e.process != nil && !e.stopping, time.Now().After(e.disturbedUntil)
 }
 
 func (e *entry) address() netip.AddrPort {
