pacer: read tables of the store as rarely as their bounds allow

The shared table changes all the time in a large fleet, as each entry renews its row. Change: pacer plans the wait of a call and the pause after changes from the time within which a change must be in effect, the time to reconnect, the number of entries and the store's rate of reads (new setting store-reads-per-second). The pause shortens the next wait, so that a silent connection or a lost reply still leaves time for the same call on a new one. After an outage, while upstreams register again, the pause stays 0.2 s. The shared table, whose news comes in datagrams, pauses 3 s.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/siskinfront/siskinfront/pacer"
 	"github.com/siskinfront/siskinfront/storer"
 )
 
@@ -15,15 +16,11 @@
 var ErrHistoryLost = errors.New("follower: history is no longer available")
 
 const (
-	// defaultWait is how long the store may hold a call for changes while there are none.
-	defaultWait = time.Second
-	// replyMargin is how much longer than that wait a reply may take.
-	replyMargin = 500 * time.Millisecond
+	// defaultWait and defaultPause are the Pace unless another one is set.
+	defaultWait  = time.Second
+	defaultPause = 200 * time.Millisecond
 	// readTimeout bounds a read of the whole table.
 	readTimeout = time.Second
-	// coalesceDelay is the pause after a reply with changes, so that the next call returns several. Without it, each change of one
-	// of 3,000 upstreams costs a call from each of 300 entries, and the store refuses calls beyond its rate limit.
-	coalesceDelay = 200 * time.Millisecond
 	// rateLimitGrace is how long the store may refuse calls because of its rate limit before that counts as an outage.
 	rateLimitGrace = time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call, which doubles with each failure and has a random part. The
@@ -69,10 +66,10 @@
 	OnOutage   func()
 	OnRecovery func()
 	Log        *slog.Logger
-	// MaxWait is how long the store may hold a call while there are no changes. Together with replyMargin it bounds how long a
-	// connection that delivers nothing any more can hide a change.
-	MaxWait time.Duration
-	Now     func() time.Time
+	// Pace returns how long the store may hold a call, which bounds how long a connection that delivers nothing any more can hide a
+	// change, and the pause after a reply with changes, in which more of them gather for one call.
+	Pace func() pacer.Pace
+	Now  func() time.Time
 
 	position                                                   atomic.Pointer[storer.Position]
 	confirmedAt                                                atomic.Int64
@@ -80,14 +77,17 @@
 	inOutage                                                   bool
 	// copyEnd is the CopyEnd of batches of the present era.
 	copyEnd uint64
-	// hadChanges is set if the last call returned changes.
-	hadChanges  bool
+	// paused is the pause before the next call, after a reply with changes.
+	paused      time.Duration
 	outageSince time.Time
 }
 
 // New returns a follower of a source.
 func New[T any](s Source[T], apply func(Batch[T]), log *slog.Logger) *Follower[T] {
-	return &Follower[T]{Source: s, Apply: apply, OnOutage: func() {}, OnRecovery: func() {}, Log: log, Now: time.Now, MaxWait: defaultWait}
+	return &Follower[T]{
+		Source: s, Apply: apply, OnOutage: func() {}, OnRecovery: func() {}, Log: log, Now: time.Now,
+		Pace: func() pacer.Pace { return pacer.Pace{Wait: defaultWait, Pause: defaultPause} },
+	}
 }
 
 // Run follows the table until ctx ends.
@@ -105,8 +105,8 @@
 				backoff = minBackoff
 			}
 			readAll, rateLimitedSince = false, time.Time{}
-			if f.hadChanges {
-				f.pause(ctx, coalesceDelay)
+			if f.paused > 0 {
+				f.pause(ctx, f.paused)
 			}
 			continue
 		case errors.Is(err, storer.ErrRateLimited) && (rateLimitedSince.IsZero() || f.Now().Sub(rateLimitedSince) < rateLimitGrace):
@@ -159,7 +159,9 @@
 // step reads the whole table or its next changes and applies them.
 func (f *Follower[T]) step(ctx context.Context, readAll bool) error {
 	after := f.Position()
-	timeout := f.MaxWait + replyMargin
+	pace := f.Pace()
+	wait := max(pace.Wait-f.paused, 0)
+	timeout := wait + pacer.ReplyMargin
 	if readAll {
 		timeout = readTimeout
 	}
@@ -173,7 +175,7 @@
 		rows, position, err = f.Read(ctx)
 	} else {
 		f.calls.Add(1)
-		rows, position, err = f.Changes(ctx, after, f.MaxWait)
+		rows, position, err = f.Changes(ctx, after, wait)
 	}
 	switch {
 	case err != nil:
@@ -199,7 +201,10 @@
 		f.Log.Info("store available again", "table", f.Name, "position", position.String(), "out", f.Now().Sub(f.outageSince))
 		f.OnRecovery()
 	}
-	f.hadChanges = len(rows) > 0 && !readAll
+	f.paused = 0
+	if len(rows) > 0 && !readAll {
+		f.paused = pace.Pause
+	}
 	if readAll || len(rows) > 0 {
 		f.Apply(batch)
 	}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/siskinfront/siskinfront/follower"
+	"github.com/siskinfront/siskinfront/pacer"
 	"github.com/siskinfront/siskinfront/storer"
 )
 
@@ -195,6 +196,43 @@
 	})
 }
 
+// Guards against calls that grow with the number of changes beyond one in each pause, and against a wait that the pause before it does
+// not shorten, so that a change behind a silent connection is late.
+func TestPaceIsKept(t *testing.T) {
+	for name, x := range map[string]struct {
+		pace        pacer.Pace
+		most, least int64
+	}{
+		"short": {pacer.Pace{Wait: time.Second, Pause: 500 * time.Millisecond}, 120, 100},
+		"long":  {pacer.Pace{Wait: 3 * time.Second, Pause: 1500 * time.Millisecond}, 41, 35},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFollower(t, func(f *fixture) {
+				f.Pace = func() pacer.Pace { return x.pace }
+				time.Sleep(2 * time.Second)
+				before := f.Counters()["calls"]
+				for range 1200 {
+					f.write()
+					time.Sleep(50 * time.Millisecond)
+				}
+				must.Between(t, x.least, f.Counters()["calls"]-before, x.most)
+
+				time.Sleep(2 * x.pace.Wait)
+				f.write()
+				time.Sleep(x.pace.Pause + 20*time.Millisecond)
+				f.update(func(s *fakeStore) { s.hangs = true })
+				time.Sleep(x.pace.Wait - x.pace.Pause + pacer.ReplyMargin)
+				f.update(func(s *fakeStore) { s.hangs = false })
+				f.write()
+				var version uint64
+				f.update(func(s *fakeStore) { version = s.version })
+				time.Sleep(pacer.RepeatTime)
+				must.EqOp(t, version, f.lastApplied())
+			})
+		})
+	}
+}
+
 // Guards against an outage that is reported although the store refuses calls because of its rate limit only for a short time,
 // and against one that is not reported although the store refuses every call for longer.
 func TestRateLimited(t *testing.T) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -113,6 +113,13 @@
 	r.storeLost = true
 }
 
+// IsRecovering reports whether the store is unavailable, or so shortly back that upstreams may still have to register again.
+func (r *Registrar) IsRecovering() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.storeLost || !r.storeReturnedAt.IsZero() && r.Now().Before(r.storeReturnedAt.Add(keepAfterOutage))
+}
+
 // Apply applies changes in the order in which the store made them. If all is set they are the whole list, and upstreams that
 // it lacks were removed.
 func (r *Registrar) Apply(changes []Change, all bool) {
--- a/runner/reload_internal_test.go
+++ b/runner/reload_internal_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/siskinfront/siskinfront/follower"
 	"github.com/siskinfront/siskinfront/forwarder"
+	"github.com/siskinfront/siskinfront/pacer"
 	"github.com/siskinfront/siskinfront/registrar"
 )
 
@@ -40,7 +41,7 @@
 	return New(s, Platform{
 		Headers:  forwarder.Headers{Leaving: "Leaving"},
 		SetStore: setStore, Counters: noCounters, Upstreams: follower.Source[registrar.Change]{},
-		FollowOperator: func(time.Duration, *slog.Logger, OperatorEvents) Follower {
+		FollowOperator: func(func() pacer.Pace, *slog.Logger, OperatorEvents) Follower {
 			return Follower{Counters: noCounters, ConfirmedAt: func() time.Time { return time.Time{} }}
 		},
 	}, slog.New(slog.DiscardHandler))
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -25,6 +25,7 @@
 	"github.com/siskinfront/siskinfront/limiter"
 	"github.com/siskinfront/siskinfront/matcher"
 	"github.com/siskinfront/siskinfront/meter"
+	"github.com/siskinfront/siskinfront/pacer"
 	"github.com/siskinfront/siskinfront/pinner"
 	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/reaper"
@@ -56,9 +57,8 @@
 	closeLead         = time.Second
 	// exitReserve is the part of the shutdown time that is reserved for the exit of the process.
 	exitReserve = 400 * time.Millisecond
-	// reconnectMargin is the time to replace a silent connection to the store beyond the wait of a long poll: the response time
-	// and a new connection.
-	reconnectMargin = time.Second
+	// followedTables is the number of tables of the store that an entry follows.
+	followedTables = 3
 	// maxHeaderTime and maxIdleTime bound the header and idle times of callers' connections, whatever the configuration sets and
 	// while there is none.
 	maxHeaderTime = time.Minute
@@ -68,8 +68,6 @@
 	// configurationHoldShare is the part of the time in which a configuration must be in force for which a lower revision of a later era
 	// of the store is held.
 	configurationHoldShare = 2
-	// minReadWait is the shortest wait of a long poll of the store; it bounds the number of calls, each of which has a price.
-	minReadWait = 500 * time.Millisecond
 	// maxSubset bounds the upstreams of a service to which one entry sends requests.
 	maxSubset = 64
 	// waitingWeight is the number of running requests that a waiting one counts as in the load. With 1 the load does not show
@@ -88,7 +86,7 @@
 	SetStore  func(netip.AddrPort)
 	Upstreams follower.Source[registrar.Change]
 	// FollowOperator returns a follower of the operator's routes and roll-out orders, which reports the rows in their order.
-	FollowOperator func(wait time.Duration, log *slog.Logger, on OperatorEvents) Follower
+	FollowOperator func(pace func() pacer.Pace, log *slog.Logger, on OperatorEvents) Follower
 	Rollouts       RolloutStore
 	Shared         SharedStore
 	Counters       func() map[string]int64
@@ -163,9 +161,16 @@
 		}
 		r.registrar.Apply(b.Rows, b.All)
 	}, log)
-	r.upstreams.MaxWait = s.pollTime(s.LeaveTime)
+	upstreamPace := r.paceWithin(s.LeaveTime)
+	r.upstreams.Pace = func() pacer.Pace {
+		p := upstreamPace()
+		if r.registrar.IsRecovering() {
+			p.Pause = pacer.MinPause
+		}
+		return p
+	}
 	r.upstreams.OnOutage = r.registrar.MarkStoreUnavailable
-	r.operator = p.FollowOperator(s.pollTime(s.ApplyTime), log, OperatorEvents{
+	r.operator = p.FollowOperator(r.paceWithin(s.ApplyTime), log, OperatorEvents{
 		Configuration: r.applyConfiguration, Order: r.rollouts.addOrder, Returned: r.rollouts.storeReturned,
 	})
 	for name, counters := range map[string]func() map[string]int64{
@@ -178,6 +183,16 @@
 	return r
 }
 
+// paceWithin returns the pace of a table whose changes must be in effect within a time.
+func (r *Runner) paceWithin(within time.Duration) func() pacer.Pace {
+	return func() pacer.Pace {
+		s := r.settings.Load()
+		return pacer.Plan(pacer.Bounds{Within: within, Reconnect: s.ReconnectTime}, pacer.Readers{
+			Entries: r.sharing.numEntries(), Tables: followedTables, ReadsPerSecond: s.StoreReads,
+		})
+	}
+}
+
 // Register adds the counters of a component to the metrics; it must be called before Run.
 func (r *Runner) Register(name string, counters func() map[string]int64) {
 	r.meter.Register(name, counters)
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -30,6 +30,8 @@
 	PeerAddress netip.AddrPort `yaml:"peer-address"`
 	// Store is the address of the platform's store.
 	Store netip.AddrPort `yaml:"store" validate:"required"`
+	// StoreReads is the number of reads per second that the store takes from all entries together, or 0 if it is not known.
+	StoreReads float64 `yaml:"store-reads-per-second" validate:"gte=0"`
 	// MemoryBytes is the memory that the process may use.
 	MemoryBytes int64 `yaml:"memory-bytes" validate:"gt=0"`
 	// Shutdown is the time from the request to stop until the process is killed.
@@ -94,9 +96,3 @@
 	err := configurer.DecodeAndValidate(file, data, &s)
 	return s, err
 }
-
-// pollTime returns how long the store may hold a call for changes that must take effect within a time. A call that begins just as a
-// change is made may be answered only at the end of its wait.
-func (s *Settings) pollTime(within time.Duration) time.Duration {
-	return max(min(s.ReconnectTime-reconnectMargin, within/2), minReadWait)
-}
--- a/runner/settings_test.go
+++ b/runner/settings_test.go
@@ -21,7 +21,7 @@
 	return strings.NewReplacer(dataCentres, "  - name: ie-west-a\n    region: \"ie-west\"\n",
 		"{{NodeName|json}}", `"front-1"`, "{{Zone|json}}", `"ie-west-a"`, "{{Region|json}}", `"ie-west"`,
 		"{{Listen.Front|json}}", `"10.1.0.40:8227"`, "{{Listen.Ready|json}}", `"10.1.0.40:8220"`, "{{Ip}}", "10.1.0.40", "{{InternalPorts.0}}", "7340",
-		"{{Platform.Address|json}}", `"10.200.1.7:8223"`, "{{Limits.MemoryMb}}", "134", "{{Bounds.GraceS}}", "8",
+		"{{Platform.Address|json}}", `"10.200.1.7:8223"`, "{{Platform.ReadsPerS}}", "2000", "{{Limits.MemoryMb}}", "134", "{{Bounds.GraceS}}", "8",
 		"{{Bounds.ExposeShare}}", "0.15", "{{Bounds.ExposeSlack}}", "30",
 		"{{Bounds.RetryBudgetRatio}}", "0.9", "{{Bounds.RetryBudgetExtra}}", "56",
 		"{{Bounds.SessionS}}", "8.5", "{{Bounds.ContactMs}}", "3000", "{{Bounds.DrainMs}}", "2000",
--- a/runner/sharing.go
+++ b/runner/sharing.go
@@ -14,6 +14,7 @@
 	"github.com/siskinfront/siskinfront/buffer"
 	"github.com/siskinfront/siskinfront/follower"
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/pacer"
 	"github.com/siskinfront/siskinfront/quarantiner"
 	"github.com/siskinfront/siskinfront/storer"
 	"github.com/siskinfront/siskinfront/throttler"
@@ -24,8 +25,10 @@
 	// entry counts as gone.
 	renewInterval = time.Minute
 	entryLifetime = 3 * time.Minute
-	// sharedWait is how long the store may hold a call for changes of the shared table, whose news also comes in datagrams.
-	sharedWait = 10 * time.Second
+	// sharedWait and sharedPause are the pace of the shared table, whose news also comes in datagrams. Each entry changes its row each
+	// renewInterval, so that of a large fleet the table changes all the time.
+	sharedWait  = 10 * time.Second
+	sharedPause = 3 * time.Second
 	// minShareBackoff and maxShareBackoff bound the pause after a failed write of a shared row, which doubles with each failure.
 	minShareBackoff = 100 * time.Millisecond
 	maxShareBackoff = 5 * time.Second
@@ -118,7 +121,7 @@
 		throttler.WithNumEntries(s.numEntries), throttler.WithOnChange(s.logLimit))
 	s.broadcaster.Receive = s.receive
 	s.follower = follower.New(store.Source, s.apply, log)
-	s.follower.MaxWait = sharedWait
+	s.follower.Pace = func() pacer.Pace { return pacer.Pace{Wait: sharedWait, Pause: sharedPause} }
 	return s
 }
 
