runner: entries that do not know each other yet read the shared table often

Cause: with a pause of 3 s after changes, an entry that starts beside others did not know their addresses for up to 3 s, and sent and got no datagrams: crashes, blocks and limits were not exchanged in that time. Change: the pause is 1 s, and 0.2 s until 2 s after the start or after another entry has come. Renewals, which make up nearly all changes, do not shorten it.

--- a/runner/sharing.go
+++ b/runner/sharing.go
@@ -28,7 +28,10 @@
 	// sharedWait and sharedPause are the pace of the shared table, whose news also comes in datagrams. Each entry changes its row each
 	// renewInterval, so that of a large fleet the table changes all the time.
 	sharedWait  = 10 * time.Second
-	sharedPause = 3 * time.Second
+	sharedPause = time.Second
+	// acquaintanceTime is how long after its start, or after another one has come, an entry reads the table with the shortest pause: without
+	// the addresses of the others it neither gets nor sends datagrams.
+	acquaintanceTime = 2 * time.Second
 	// minShareBackoff and maxShareBackoff bound the pause after a failed write of a shared row, which doubles with each failure.
 	minShareBackoff = 100 * time.Millisecond
 	maxShareBackoff = 5 * time.Second
@@ -105,6 +108,8 @@
 	mu      sync.Mutex
 	entries map[identifier.Instance]entryRecord
 	blocks  map[quarantiner.Part]storedBlock
+	// acquaintedAt is the time from which the entries probably know each other.
+	acquaintedAt time.Time
 }
 
 func newSharing(store SharedStore, self identifier.Instance, address netip.AddrPort, log *slog.Logger) *sharing {
@@ -121,10 +126,22 @@
 		throttler.WithNumEntries(s.numEntries), throttler.WithOnChange(s.logLimit))
 	s.broadcaster.Receive = s.receive
 	s.follower = follower.New(store.Source, s.apply, log)
-	s.follower.Pace = func() pacer.Pace { return pacer.Pace{Wait: sharedWait, Pause: sharedPause} }
+	s.follower.Pace = s.pace
+	s.acquaintedAt = s.now().Add(acquaintanceTime)
 	return s
 }
 
+// pace returns the pace of the shared table.
+func (s *sharing) pace() pacer.Pace {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := pacer.Pace{Wait: sharedWait, Pause: sharedPause}
+	if s.now().Before(s.acquaintedAt) {
+		p.Pause = pacer.MinPause
+	}
+	return p
+}
+
 // run shares until ctx ends, and then removes the row of this entry.
 func (s *sharing) run(ctx context.Context) error {
 	var duties sync.WaitGroup
@@ -173,6 +190,9 @@
 		case !c.Address.IsValid():
 			delete(s.entries, c.Entry)
 		default:
+			if s.entries[c.Entry].address != c.Address {
+				s.acquaintedAt = now.Add(acquaintanceTime)
+			}
 			s.entries[c.Entry] = entryRecord{address: c.Address, at: c.At, expiresAt: now.Add(entryLifetime)}
 		}
 	}
--- a/runner/sharing_internal_test.go
+++ b/runner/sharing_internal_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/siskinfront/siskinfront/follower"
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/pacer"
 	"github.com/siskinfront/siskinfront/quarantiner"
 	"github.com/siskinfront/siskinfront/storer"
 )
@@ -331,3 +332,20 @@
 	s.apply(follower.Batch[SharedChange]{Rows: []SharedChange{{Entry: "a", Address: address}}, All: true})
 	must.EqOp(t, 1, s.numEntries())
 }
+
+// Guards against entries that do not know each other's addresses for seconds after they start, and against a read for each renewal of one of
+// many entries.
+func TestPaceOfSharedTable(t *testing.T) {
+	s := newSharing(newSharedTable().store(), "a", netip.AddrPort{}, slog.New(slog.DiscardHandler))
+	now := s.now()
+	s.now = func() time.Time { return now }
+	must.EqOp(t, pacer.MinPause, s.pace().Pause)
+	now = now.Add(3 * time.Second)
+	must.EqOp(t, sharedPause, s.pace().Pause)
+	address := netip.MustParseAddrPort("127.0.0.1:1")
+	for _, want := range []time.Duration{pacer.MinPause, sharedPause} {
+		s.apply(follower.Batch[SharedChange]{Rows: []SharedChange{{Entry: "b", Address: address}}})
+		must.EqOp(t, want, s.pace().Pause)
+		now = now.Add(3 * time.Second)
+	}
+}
