follower: a pace in tests that is set before the follower runs

Cause: the test set the field after the start, and it began to count at the very instant at which a held call ended, so that a call at both ends of the 60 s was counted. The pace now is given before the start, and the count begins while a call is held. The bound of the short pace stays (120); that of the long one goes from 41 to 40.

--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -95,6 +95,11 @@
 
 // runFollower calls test in a synctest bubble while the follower runs; the store starts at version 5.
 func runFollower(t *testing.T, test func(*fixture)) {
+	runFollowerAt(t, pacer.Pace{Wait: time.Second, Pause: 200 * time.Millisecond}, test)
+}
+
+// runFollowerAt is runFollower at a pace.
+func runFollowerAt(t *testing.T, pace pacer.Pace, test func(*fixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{}
 		f.version = 5
@@ -104,6 +109,7 @@
 			f.applied = append(f.applied, b.Rows...)
 			f.batches = append(f.batches, b)
 		}, slog.New(slog.DiscardHandler))
+		f.Pace = func() pacer.Pace { return pace }
 		f.OnOutage = func() { f.outages.Add(1) }
 		f.OnRecovery = func() { f.recoveries.Add(1) }
 		ctx, cancel := context.WithCancel(t.Context())
@@ -204,12 +210,12 @@
 		most, least int64
 	}{
 		"short": {pacer.Pace{Wait: time.Second, Pause: 500 * time.Millisecond}, 120, 100},
-		"long":  {pacer.Pace{Wait: 3 * time.Second, Pause: 1500 * time.Millisecond}, 41, 35},
+		"long":  {pacer.Pace{Wait: 3 * time.Second, Pause: 1500 * time.Millisecond}, 40, 35},
 	} {
 		t.Run(name, func(t *testing.T) {
-			runFollower(t, func(f *fixture) {
-				f.Pace = func() pacer.Pace { return x.pace }
-				time.Sleep(2 * time.Second)
+			runFollowerAt(t, x.pace, func(f *fixture) {
+				// The store holds a call as the changes begin.
+				time.Sleep(2500 * time.Millisecond)
 				before := f.Counters()["calls"]
 				for range 1200 {
 					f.write()
