soakbencher: leaving upstreams are those of a start, and crashed ones are not told to leave

Cause (traced): u3 had crashed when it was told to leave; the check went by its name, so the runs of its next start counted, which does not leave. Runs now carry the start of their upstream, the check compares it, and an upstream that has crashed or left is not chosen for a further fault while another one runs.

--- a/soakbencher/inject.go
+++ b/soakbencher/inject.go
@@ -194,7 +194,11 @@
 func (s *soak) randomUpstream() *upstream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.upstreams[s.rand.IntN(len(s.upstreams))]
+	running := slices.DeleteFunc(slices.Clone(s.upstreams), func(u *upstream) bool { return u.Stopped() })
+	if len(running) == 0 {
+		running = s.upstreams
+	}
+	return running[s.rand.IntN(len(running))]
 }
 
 // replaceUpstream starts a new upstream and lets one of the same service and version crash or leave.
@@ -225,7 +229,7 @@
 func (s *soak) leave(u *upstream) {
 	s.logEvent("%s leaves", u.Name)
 	s.mu.Lock()
-	s.leavingUpstreams = append(s.leavingUpstreams, namedEvent{name: u.Name, at: time.Now()})
+	s.leavingUpstreams = append(s.leavingUpstreams, namedEvent{name: u.Name, start: u.Start(), at: time.Now()})
 	s.mu.Unlock()
 	u.Leave(leaveGracePeriod + callerDeadline)
 }
--- a/soakbencher/promise.go
+++ b/soakbencher/promise.go
@@ -173,7 +173,7 @@
 			continue
 		}
 		for _, r := range runs {
-			if r.Upstream == l.name {
+			if r.Upstream == l.name && r.Start == l.start {
 				s.check(invariantLeavingUpstream, r.At.Before(l.at.Add(leaveGracePeriod)), "%s ran at %s %v after it left",
 					r.ID, l.name, r.At.Sub(l.at))
 			}
--- a/soakbencher/soak.go
+++ b/soakbencher/soak.go
@@ -54,9 +54,10 @@
 	scope    scope
 }
 
-// namedEvent is the leave of an upstream, or the withdrawal of an account's key from at until it is restored.
+// namedEvent is the leave of an upstream with a start, or the withdrawal of an account's key from at until it is restored.
 type namedEvent struct {
 	name      string
+	start     int64
 	at, until time.Time
 }
 
