throttler: an ask without an answer is repeated, and the owner answers it with the same slots

Cause: the answer to an ask that is lost took its slot with it. With a slot every 2.8 s the next ask was denied, so that the entry asked again up to 4.2 s later, and learned of the end of the limit after more than 7 s.

An ask now is repeated under its ID every 40 ms, while the request that wants the slot still waits, and the owner remembers its grants for a second.

TestLostGrantIsRepeated fails without the memory of the owner. TestInvalidGrants names the ID of the ask instead of 1.

--- a/throttler/message.go
+++ b/throttler/message.go
@@ -17,9 +17,11 @@
 	Upstream identifier.Upstream `json:"upstream"`
 	// PerSecond is the limit as the entry knows it.
 	PerSecond float64 `json:"per-second"`
-	// Number is the number of slots, and ID tells the asks of an entry apart.
+	// Number is the number of slots, and ID tells asks apart, also those of different entries.
 	Number int    `json:"number"`
 	ID     uint64 `json:"id"`
+	// Repeated is set if the ask was sent before and not answered.
+	Repeated bool `json:"repeated,omitempty"`
 }
 
 // Grant is the answer to an Ask. The slots begin AfterMillis after the answer was sent and follow each other by IntervalMillis.
--- a/throttler/owner.go
+++ b/throttler/owner.go
@@ -22,20 +22,30 @@
 	shortHorizon = 10 * time.Millisecond
 	// scheduleMemory is how long the slots of a limit are remembered after the last one.
 	scheduleMemory = time.Minute
+	// grantMemory is how long a grant is remembered, which may be lost on its way.
+	grantMemory = time.Second
 )
 
+// pastGrant is a grant with the time at which its first slot begins.
+type pastGrant struct {
+	Grant
+	begin, at time.Time
+}
+
 // Owner grants the slots of the limits that this entry owns; it is safe for concurrent use.
 type Owner struct {
 	mu sync.Mutex
 	// nextSlot holds the begin of the first slot of each upstream that is not granted.
 	nextSlot map[identifier.Upstream]time.Time
+	// past holds the grants of the last time by the asks that they answer.
+	past map[uint64]pastGrant
 
 	asks, slots, denied int64
 }
 
 // NewOwner returns an owner that has granted nothing.
 func NewOwner() *Owner {
-	return &Owner{nextSlot: map[identifier.Upstream]time.Time{}}
+	return &Owner{nextSlot: map[identifier.Upstream]time.Time{}, past: map[uint64]pastGrant{}}
 }
 
 // OwnerOf returns the entry that owns the limit of an upstream, chosen by rendezvous hashing, or "" if there are no entries.
@@ -61,6 +71,10 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.asks++
+	if p, ok := o.past[a.ID]; ok && a.Repeated && p.Upstream == a.Upstream {
+		p.AfterMillis = millis(p.begin.Sub(now))
+		return p.Grant
+	}
 	step := interval(a.PerSecond)
 	next, ok := o.nextSlot[a.Upstream]
 	if !ok {
@@ -83,6 +97,7 @@
 	g.Number = min(max(a.Number, 1), 1+int((horizon-min(next.Sub(now), horizon))/step))
 	o.slots += int64(g.Number)
 	o.nextSlot[a.Upstream] = next.Add(time.Duration(g.Number) * step)
+	o.past[a.ID] = pastGrant{g, next, now}
 	return g
 }
 
@@ -99,6 +114,11 @@
 			delete(o.nextSlot, u)
 		}
 	}
+	for id, p := range o.past {
+		if now.Sub(p.at) >= grantMemory {
+			delete(o.past, id)
+		}
+	}
 }
 
 // Counters returns the totals since the start.
--- a/throttler/slot.go
+++ b/throttler/slot.go
@@ -38,27 +38,27 @@
 
 // nextAsk returns the ask to send for a limit now, if there is one. Without answers from the owner it takes a slot of an even share.
 func (t *Throttler) nextAsk(u identifier.Upstream, l *limit, now time.Time) (Ask, bool) {
-	if l.askID != 0 && now.Sub(l.askedAt) >= askTimeout {
-		l.askID = 0
-		l.unanswered++
-		t.unanswered++
-	}
 	l.hasSlot(now)
-	if l.askID != 0 || len(l.slots) > 0 || now.Before(l.nextAskAt) {
+	repeated := l.askID != 0
+	if repeated && now.Sub(l.repeatedAt) < repeatInterval || len(l.slots) > 0 || now.Before(l.nextAskAt) {
 		return Ask{}, false
 	}
-	if l.unanswered >= maxUnanswered {
-		l.unanswered = 0
+	if repeated && now.Sub(l.askedAt) >= askTimeout {
+		l.askID = 0
+		t.unanswered++
 		step := time.Duration(float64(interval(l.perSecond)) * float64(max(t.numEntries(), 1)) / evenShareReserve)
 		l.slots = []time.Time{now.Add(rand.N(step))}
 		l.nextAskAt = now.Add(step)
 		t.selfGranted++
 		return Ask{}, false
 	}
-	t.lastID++
-	l.askID, l.askedAt = t.lastID, now
+	if !repeated {
+		t.lastID++
+		l.askID, l.askedAt = t.lastID, now
+	}
+	l.repeatedAt = now
 	number := min(max(len(l.wants)*int(advanceTime)/int(demandWindow), 1), maxSlotsPerAsk)
-	return Ask{Upstream: u, PerSecond: l.perSecond, Number: number, ID: l.askID}, true
+	return Ask{Upstream: u, PerSecond: l.perSecond, Number: number, ID: l.askID, Repeated: repeated}, true
 }
 
 // Grant records the answer to an ask, unless it comes too late.
@@ -70,7 +70,7 @@
 	if l == nil || l.askID != g.ID || g.ID == 0 {
 		return
 	}
-	l.askID, l.unanswered = 0, 0
+	l.askID = 0
 	after := time.Duration(g.AfterMillis * float64(time.Millisecond))
 	if g.Number <= 0 {
 		// A random part of the time keeps the entries that were denied from asking all at once.
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -13,10 +13,11 @@
 	// slotLifetime is how long after its begin a slot may be used. The longer it is, the more slots of several entries may be used at
 	// the same time.
 	slotLifetime = time.Second
-	// askTimeout is how long the answer to an ask may take.
-	askTimeout = 150 * time.Millisecond
-	// maxUnanswered is the number of asks without an answer after which the entry keeps to an even share of the limit by itself.
-	maxUnanswered = 3
+	// repeatInterval is how long an entry waits for the answer to an ask before it repeats it. It is shorter than the time for which
+	// requests wait for a slot, so that a lost answer does not cost the slot.
+	repeatInterval = 40 * time.Millisecond
+	// askTimeout is the time without an answer to an ask after which the entry keeps to an even share of the limit by itself.
+	askTimeout = 450 * time.Millisecond
 	// evenShareReserve is the part of an even share that an entry uses by itself, as others may still get slots from the owner.
 	evenShareReserve = 0.5
 	// ownObservation is how long an answer that this entry got counts more than what other entries state.
@@ -45,10 +46,10 @@
 	forgetAt                          time.Time
 	// slots are the begins of the slots that are left, in order.
 	slots []time.Time
-	// askID is the ask in progress, 0 if there is none, sent at askedAt; the next one may be sent from nextAskAt on.
-	askID              uint64
-	askedAt, nextAskAt time.Time
-	unanswered         int
+	// askID is the ask in progress, 0 if there is none, first sent at askedAt and last at repeatedAt; the next one may be sent from
+	// nextAskAt on.
+	askID                          uint64
+	askedAt, repeatedAt, nextAskAt time.Time
 	// wants are the times at which a request was not sent for want of a slot, within demandWindow.
 	wants []time.Time
 }
@@ -74,7 +75,8 @@
 	pausedUntil map[identifier.Upstream]time.Time
 	pauseTrials map[identifier.Upstream]*pauseTrials
 	granted     chan struct{}
-	lastID      uint64
+	// lastID is the ID of the last ask. The first one is random, so that those of different entries differ.
+	lastID uint64
 
 	named, used, closed, unanswered, selfGranted, pauses, trials int64
 }
@@ -112,7 +114,7 @@
 	t := &Throttler{
 		now: time.Now, send: func(Ask) {}, share: func(Statement) {}, numEntries: func() int { return 1 }, onChange: func(Statement) {},
 		limits: map[identifier.Upstream]*limit{}, ended: map[identifier.Upstream]time.Time{},
-		pausedUntil: map[identifier.Upstream]time.Time{}, pauseTrials: map[identifier.Upstream]*pauseTrials{}, granted: make(chan struct{}),
+		pausedUntil: map[identifier.Upstream]time.Time{}, pauseTrials: map[identifier.Upstream]*pauseTrials{}, granted: make(chan struct{}), lastID: rand.Uint64(),
 	}
 	for _, o := range opts {
 		o(t)
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -18,6 +18,7 @@
 	now     time.Time
 	owner   *throttler.Owner
 	asks    int
+	lastAsk throttler.Ask
 	stated  []throttler.Statement
 	changes []throttler.Statement
 	// silent is set if the owner does not answer.
@@ -30,6 +31,7 @@
 	f.Throttler = throttler.New(throttler.WithNow(func() time.Time { return f.now }),
 		throttler.WithSend(func(a throttler.Ask) {
 			f.asks++
+			f.lastAsk = a
 			if !f.silent {
 				f.Grant(f.owner.Answer(a, f.now))
 			}
@@ -142,11 +144,11 @@
 	f.silent = true
 	f.Observe(u1, 2)
 	must.False(t, f.try())
-	f.Grant(throttler.Grant{Upstream: u1, ID: 99, Number: 5})
-	f.Grant(throttler.Grant{Upstream: "other", ID: 1, Number: 5})
+	f.Grant(throttler.Grant{Upstream: u1, ID: f.lastAsk.ID + 98, Number: 5})
+	f.Grant(throttler.Grant{Upstream: "other", ID: f.lastAsk.ID, Number: 5})
 	must.False(t, f.Take(u1))
-	f.Grant(throttler.Grant{Upstream: u1, ID: 1, Number: 1 << 30, IntervalMillis: 1})
-	f.Grant(throttler.Grant{Upstream: u1, ID: 1, Number: 1 << 30, IntervalMillis: 1})
+	f.Grant(throttler.Grant{Upstream: u1, ID: f.lastAsk.ID, Number: 1 << 30, IntervalMillis: 1})
+	f.Grant(throttler.Grant{Upstream: u1, ID: f.lastAsk.ID, Number: 1 << 30, IntervalMillis: 1})
 	f.now = f.now.Add(500 * time.Millisecond)
 	n := 0
 	for f.Take(u1) {
@@ -154,3 +156,47 @@
 	}
 	must.EqOp(t, 64, n)
 }
+
+// Guards against slots that nobody uses because the answer to the ask for them was lost.
+func TestLostGrantIsRepeated(t *testing.T) {
+	const limit = 0.4
+	owner := throttler.NewOwner()
+	now := time.Unix(1000, 0)
+	var grants []throttler.Grant
+	x := throttler.New(throttler.WithNow(func() time.Time { return now }),
+		throttler.WithSend(func(a throttler.Ask) { grants = append(grants, owner.Answer(a, now)) }))
+	x.Observe(u1, limit)
+	for range 2000 {
+		now = now.Add(2 * time.Millisecond)
+		x.Want(u1, true)
+		if n := len(grants); n > 0 && grants[n-1].Number > 0 {
+			break
+		}
+		if n := len(grants); n > 0 {
+			x.Grant(grants[n-1])
+		}
+	}
+	asks := len(grants)
+	lost, lostAt := grants[asks-1], now
+	must.Positive(t, lost.Number)
+	for len(grants) == asks {
+		now = now.Add(2 * time.Millisecond)
+		must.Less(t, time.Second, now.Sub(lostAt))
+		x.Want(u1, true)
+	}
+	again := grants[asks]
+	must.EqOp(t, lost.ID, again.ID)
+	must.EqOp(t, lost.Number, again.Number)
+	begin := lostAt.Add(time.Duration(lost.AfterMillis * float64(time.Millisecond))).Round(time.Microsecond)
+	must.EqOp(t, begin, now.Add(time.Duration(again.AfterMillis*float64(time.Millisecond))).Round(time.Microsecond))
+	x.Grant(again)
+	if now.Before(begin) {
+		now = begin.Add(time.Millisecond)
+	}
+	must.True(t, x.Take(u1))
+
+	// The next ask gets the slot after it.
+	g := owner.Answer(throttler.Ask{Upstream: u1, PerSecond: limit, Number: 1, ID: lost.ID + 1}, now)
+	must.EqOp(t, 0, g.Number)
+	must.Greater(t, 2000.0, g.AfterMillis)
+}
