runner: an entry that starts asks others before its first configuration comes into force

An entry that started after the store had come back from an older copy, before the operator had written again, took the older configuration of the copy: callers got answers with a key that had been withdrawn. It also used upstreams that had left or were removed, and a version that was rolled back, until the others had written the verdict again.

Cause: the store alone cannot tell an entry without a past that it has lost its last seconds. Entries that were running know, so the starting one asks three of them by datagram and gets a statement: configuration in force, upstreams that are gone, verdicts and rolled-back versions. Rows in the shared table were ruled out: those of the copy say the same as the copy, until each entry has written again. Until then there is no configuration and the entry is not ready.

The status of an order is read as soon as an entry that starts has read the order, no longer at the next tick of 250 ms, and again 0.5 s after a failure instead of 1.5 s, because readiness waits for it.

TestStatedVerdictIsAdopted covers verdicts.

--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -97,6 +97,14 @@
 	return a.inForce.Table
 }
 
+// Claim returns what this entry says of its configuration.
+func (a *Arbiter) Claim() Claim {
+	if a.inForce == nil {
+		return Claim{Starts: true}
+	}
+	return Claim{Revision: a.inForce.Table.Revision, Digest: a.inForce.Digest}
+}
+
 func (a *Arbiter) putInForce(c Candidate) {
 	if a.inForce != nil {
 		a.replaced = append(a.replaced, a.inForce.identity())
--- a/runner/limits.go
+++ b/runner/limits.go
@@ -25,6 +25,10 @@
 	case m.Ask != nil:
 		g := s.owner.Answer(*m.Ask, s.now())
 		s.broadcaster.SendTo(from, message{Grant: &g})
+	case m.Question != nil:
+		s.onQuestion(from, *m.Question)
+	case m.Statement != nil:
+		s.onStatement(from, m.Statement)
 	case m.Grant != nil:
 		s.noteAnswer(from)
 		s.throttler.Grant(*m.Grant)
--- a/runner/rollouts.go
+++ b/runner/rollouts.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/siskinfront/siskinfront/identifier"
@@ -22,16 +22,6 @@
 	badTallyInterval = 500 * time.Millisecond
 	// storeCallTimeout bounds one call to the store.
 	storeCallTimeout = 700 * time.Millisecond
-	// vouchSpread is the time over which the entries look whether a store that has come back from an older copy has lost a verdict, and
-	// vouchInterval the time after which they look once more, until vouchTime after the return.
-	vouchSpread   = time.Second
-	vouchInterval = 4 * time.Second
-	vouchTime     = 6 * time.Second
-	// settleTime is how long after such a return, or after its own start, an entry reaches no verdict, so that those that know of
-	// one can write it again.
-	settleTime = 2 * time.Second
-	// verdictMemory is how long a verdict may be lost: the copies are some seconds old.
-	verdictMemory = 10 * time.Minute
 	// maxRecentSessions bounds the recent sessions of this entry that a new order keeps on the former version.
 	maxRecentSessions = 20_000
 )
@@ -111,6 +101,11 @@
 	// rolledBack holds the versions that were rolled back; a later order to another version does not return them to service.
 	rolledBack     map[serviceVersion]bool
 	activeRequests map[serviceVersion]int64
+	// learned holds the verdicts that other entries stated while this one started.
+	learned map[identifier.Service][]statedVerdict
+	// ready is set once the entry was ready; before, run is woken to read the status of an order.
+	ready atomic.Bool
+	wake  chan struct{}
 }
 
 // addOrder starts an order that the store shows, unless it is known. mayBeOld is set if the store may have had it before it came back
@@ -139,43 +134,16 @@
 	t.HoldSessions(r.recentSessions.List(now, maxRecentSessions), now)
 	r.services[o.Service] = &rollout{order: o, timed: t, settledAt: now.Add(settleTime)}
 	r.mu.Unlock()
+	if !r.ready.Load() {
+		select {
+		case r.wake <- struct{}{}:
+		default:
+		}
+	}
 	r.log.Info("roll-out ordered", "service", o.Service, "to", o.To, "duration", o.Duration, "order", o.At.String())
 	r.regroup()
 }
 
-// storeReturned records that the store has come back from an older copy. Until it shows an order in its new era, which the operator may
-// have to write again, no step of that order is carried out.
-func (r *rollouts) storeReturned(era uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.now()
-	r.era = era
-	for _, o := range r.orders {
-		o.MarkReturned(now)
-	}
-	for _, x := range r.services {
-		x.settledAt = now.Add(settleTime)
-	}
-}
-
-// vouch has the store looked through for what it may have lost of an order; r.mu is held.
-func (r *rollouts) vouch(x *rollout, now time.Time) {
-	x.nextStepAt = now.Add(rand.N(vouchSpread))
-	if x.verdict.State == "" {
-		x.statusLost = true
-		return
-	}
-	x.verdict.Number = x.order.At.Version
-	if now.Sub(x.endedAt) < verdictMemory {
-		x.verdictLost, x.statusWritten, x.vouchUntil = true, false, now.Add(vouchTime)
-	}
-}
-
-// isCurrent reports whether the store has shown an order in its present era; r.mu is held.
-func (r *rollouts) isCurrent(x *rollout) bool {
-	return r.era == 0 || x.order.At.Era == r.era
-}
-
 // configure sets the bound of the exposure and the session time for later orders.
 func (r *rollouts) configure(bound promoter.ExposureBound, sessionTime time.Duration) {
 	r.mu.Lock()
@@ -248,8 +216,8 @@
 
 // serviceVersion is one version of a service.
 type serviceVersion struct {
-	service identifier.Service
-	version identifier.Version
+	Service identifier.Service `json:"service"`
+	Version identifier.Version `json:"version"`
 }
 
 // activeOnOtherVersions returns the number of requests in flight at upstreams whose version is not that of the order.
@@ -258,7 +226,7 @@
 	defer r.mu.Unlock()
 	n := int64(0)
 	for k, active := range r.activeRequests {
-		if k.service == o.Service && k.version != o.To {
+		if k.Service == o.Service && k.Version != o.To {
 			n += active
 		}
 	}
@@ -286,6 +254,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
+		case <-r.wake:
 		}
 		for _, x := range r.due() {
 			r.step(ctx, x)
@@ -341,6 +310,12 @@
 		return
 	}
 	r.log.Warn("roll-out step failed", "service", order.Service, "to", order.To, "order", order.At.String(), "error", err.Error())
+	r.mu.Lock()
+	if !x.statusKnown {
+		// The entry is not ready before.
+		x.nextStepAt = r.now().Add(badTallyInterval)
+	}
+	r.mu.Unlock()
 	r.decideLocally(x, r.now())
 }
 
@@ -378,6 +353,7 @@
 	r.mu.Lock()
 	x.statusKnown, x.statusLost = true, false
 	r.mu.Unlock()
+	r.adopt(x)
 	return nil
 }
 
@@ -444,39 +420,6 @@
 	return records, nil
 }
 
-// restoreVerdict writes the verdict again if the store has lost it, or takes over one of an earlier era.
-func (r *rollouts) restoreVerdict(ctx context.Context, x *rollout, order *promoter.RolloutOrder, verdict promoter.Verdict) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
-	defer cancel()
-	records, err := r.readRecords(ctx, x, order)
-	if err != nil {
-		return err
-	}
-	first, ok := promoter.FirstVerdict(records.Verdicts, order)
-	switch {
-	case !ok || verdict.Era < first.Era:
-		if err := r.store.PutVerdict(ctx, order.Service, verdict, nil); err != nil {
-			return err
-		}
-		r.log.Warn("verdict written again", "service", order.Service, "to", order.To, "order", order.At.String(), "state", verdict.State,
-			"era", verdict.Era)
-	case first.State != verdict.State && first.Era < verdict.Era:
-		verdict = first
-		r.setVerdict(x, first, false)
-	}
-	if err := r.writeStatus(ctx, x, order, verdict); err != nil {
-		return err
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.now().Before(x.vouchUntil) {
-		x.statusWritten, x.nextStepAt = false, r.now().Add(vouchInterval+rand.N(vouchSpread))
-		return nil
-	}
-	x.verdictLost = false
-	return nil
-}
-
 // setVerdict ends an order with a verdict; statusWritten is set if the status in the store shows it.
 func (r *rollouts) setVerdict(x *rollout, v promoter.Verdict, statusWritten bool) {
 	r.mu.Lock()
--- a/runner/rollouts_internal_test.go
+++ b/runner/rollouts_internal_test.go
@@ -95,7 +95,7 @@
 		store: x.store(), entry: entry, bound: promoter.ExposureBound{Share: 0.1, Slack: 30}, sessionTime: 5 * time.Second, now: time.Now,
 		log: slog.New(slog.DiscardHandler), regroup: func() {}, groupSize: func(identifier.Service) int { return 1 },
 		services: map[identifier.Service]*rollout{}, orders: map[identifier.Service]*promoter.Orders{},
-		rolledBack: map[serviceVersion]bool{}, activeRequests: map[serviceVersion]int64{}, recentSessions: pinner.NewRecentSessions(5 * time.Second),
+		rolledBack: map[serviceVersion]bool{}, learned: map[identifier.Service][]statedVerdict{}, activeRequests: map[serviceVersion]int64{}, recentSessions: pinner.NewRecentSessions(5 * time.Second),
 	}
 }
 
@@ -221,3 +221,39 @@
 		must.EqOp(t, 1, stepFor(200*time.Millisecond))
 	})
 }
+
+// Guards against an entry that starts after the store has lost a verdict and tries the version that was rolled back, and against the
+// verdict on an earlier order that ends a later one.
+func TestStatedVerdictIsAdopted(t *testing.T) {
+	stated := statedVerdict{Service: "s", To: "v2", Number: 95, Era: 1, State: string(promoter.TimedRolloutRolledBack), VerdictEra: 1}
+	for name, x := range map[string]struct {
+		order   promoter.RolloutOrder
+		learnAt time.Duration
+		group   identifier.Service
+	}{
+		"before the status is read": {orderAt(2, 80), 0, "s" + excludedSuffix},
+		"after it":                  {orderAt(2, 80), time.Second, "s" + excludedSuffix},
+		"the same order":            {orderAt(1, 95), 0, "s" + excludedSuffix},
+		"a later order":             {orderAt(1, 120), 0, "s" + candidateSuffix},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				table := &rolloutTable{at: storer.Position{Era: x.order.At.Era, Version: 130}}
+				r := startRollouts(ctx, table, "a")
+				r.addOrder(x.order, false)
+				time.Sleep(x.learnAt)
+				r.learn([]statedVerdict{stated}, []serviceVersion{{"s", "v1"}})
+				time.Sleep(time.Second)
+				must.True(t, r.allKnown())
+				must.EqOp(t, x.group, r.group("s", "v2"))
+				must.EqOp(t, "s"+excludedSuffix, r.group("s", "v1"))
+				verdicts, rolledBack := r.stated(1)
+				must.EqOp(t, x.group != "s"+candidateSuffix, len(verdicts) == 1)
+				must.Len(t, 1, rolledBack)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -119,6 +119,7 @@
 	// arbiter is guarded by arbiterMu.
 	arbiterMu   sync.Mutex
 	arbiter     *arbiter.Arbiter
+	inquiry     *inquiry
 	balancer    *balancer.Balancer
 	pool        *connector.Pool
 	registrar   *registrar.Registrar
@@ -145,7 +146,8 @@
 	r.rollouts = &rollouts{
 		store: p.Rollouts, entry: s.Instance, bound: s.exposureBound(), sessionTime: s.SessionTime, now: time.Now, log: log,
 		services: map[identifier.Service]*rollout{}, orders: map[identifier.Service]*promoter.Orders{}, activeRequests: map[serviceVersion]int64{},
-		rolledBack: map[serviceVersion]bool{}, recentSessions: pinner.NewRecentSessions(s.SessionTime),
+		rolledBack: map[serviceVersion]bool{}, learned: map[identifier.Service][]statedVerdict{}, wake: make(chan struct{}, 1),
+		recentSessions: pinner.NewRecentSessions(s.SessionTime),
 	}
 	r.directory = &directory{regions: s.regions(), group: r.rollouts.group, update: r.balancer.Update}
 	r.rollouts.regroup, r.rollouts.groupSize = r.directory.regroup, r.directory.size
@@ -155,6 +157,8 @@
 	r.buildForwarder()
 	r.reaper = reaper.New(r.connectionLimits)
 	r.arbiter = &arbiter.Arbiter{Hold: s.ApplyTime / configurationHoldShare}
+	r.inquiry = newInquiry(r.arbiter.Hold)
+	r.sharing.onQuestion, r.sharing.onStatement, r.sharing.onPeers = r.answer, r.learn, r.inquiry.notify
 	r.upstreams = follower.New(p.Upstreams, func(b follower.Batch[registrar.Change]) {
 		if b.Returned {
 			r.registrar.MarkStoreReturned()
@@ -251,12 +255,19 @@
 	return report, nil
 }
 
-// applyConfiguration puts a configuration into force if it is newer than that in force.
+// applyConfiguration receives a configuration that the store shows.
 func (r *Runner) applyConfiguration(c arbiter.Candidate, err error) {
 	if err != nil {
 		r.log.Error("configuration rejected", "error", err.Error())
 		return
 	}
+	if !r.inquiry.defers(c) {
+		r.offerConfiguration(c)
+	}
+}
+
+// offerConfiguration puts a configuration into force if it is newer than that in force.
+func (r *Runner) offerConfiguration(c arbiter.Candidate) {
 	r.arbiterMu.Lock()
 	defer r.arbiterMu.Unlock()
 	old := r.table.Load()
@@ -313,6 +324,7 @@
 		return false
 	}
 	if !r.wasReady.Swap(true) {
+		r.rollouts.ready.Store(true)
 		r.log.Info("entry is ready", "revision", r.table.Load().Revision)
 	}
 	return true
@@ -346,6 +358,7 @@
 	g.Go(func() error { return r.operator.Run(background) })
 	g.Go(func() error { return r.rollouts.run(background) })
 	g.Go(func() error { return r.sharing.run(background) })
+	g.Go(func() error { return r.inquire(background) })
 	g.Go(func() error { return r.sweepPeriodically(background) })
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- callers.Serve(callerListener) }()
--- a/runner/sharing.go
+++ b/runner/sharing.go
@@ -71,6 +71,9 @@
 	Limit *throttler.Statement `json:"limit,omitempty"`
 	Ask   *throttler.Ask       `json:"ask,omitempty"`
 	Grant *throttler.Grant     `json:"grant,omitempty"`
+	// Question is sent by an entry that starts, and Statement answers it.
+	Question  *question  `json:"question,omitempty"`
+	Statement *statement `json:"statement,omitempty"`
 }
 
 // entryRecord is another entry.
@@ -104,12 +107,19 @@
 	rowMissing chan struct{}
 	now        func() time.Time
 	log        *slog.Logger
+	// onQuestion and onStatement receive the questions and the statements of other entries, and onPeers is called when the table of the
+	// entries was read.
+	onQuestion  func(netip.AddrPort, question)
+	onStatement func(netip.AddrPort, *statement)
+	onPeers     func()
 
 	mu      sync.Mutex
 	entries map[identifier.Instance]entryRecord
 	blocks  map[quarantiner.Part]storedBlock
 	// acquaintedAt is the time from which the entries probably know each other.
 	acquaintedAt time.Time
+	// peersKnown is set once the table was read.
+	peersKnown bool
 }
 
 func newSharing(store SharedStore, self identifier.Instance, address netip.AddrPort, log *slog.Logger) *sharing {
@@ -117,6 +127,9 @@
 		store: store, self: self, address: address, log: log, now: time.Now, entries: map[identifier.Instance]entryRecord{},
 		blocks: map[quarantiner.Part]storedBlock{}, owner: throttler.NewOwner(), pending: buffer.NewRing[quarantiner.Block](maxPendingBlocks),
 		rowMissing:  make(chan struct{}, 1),
+		onQuestion:  func(netip.AddrPort, question) {},
+		onStatement: func(netip.AddrPort, *statement) {},
+		onPeers:     func() {},
 		broadcaster: broadcaster.New[message](self, log),
 	}
 	s.quarantine = quarantiner.New(
@@ -196,6 +209,7 @@
 			s.entries[c.Entry] = entryRecord{address: c.Address, at: c.At, expiresAt: now.Add(entryLifetime)}
 		}
 	}
+	s.peersKnown = true
 	s.updatePeers()
 	if !hasOwn {
 		// A removal by the process before this one came late, or the store has come back without the row.
@@ -219,6 +233,19 @@
 	for _, b := range blocks {
 		s.quarantine.ApplyBlock(b)
 	}
+	s.onPeers()
+}
+
+// somePeers returns the addresses of at most n other entries, drawn at random, and whether the others are known.
+func (s *sharing) somePeers(n int) ([]netip.AddrPort, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]netip.AddrPort, 0, len(s.entries))
+	for _, e := range s.entries {
+		list = append(list, e.address)
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(n, len(list))], s.peersKnown
 }
 
 // enqueueUnknown has the blocks in force written to the store that it neither holds nor is known to have held before: their rows may have
