--- a/runner/rollouts_internal_test.go
+++ b/runner/rollouts_internal_test.go
@@ -257,3 +257,24 @@
 		})
 	}
 }
+
+// Guards against a roll-out whose calls of the store are not counted a kind.
+func TestRolloutCallsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		table, calls := &rolloutTable{at: storer.Position{Era: 1, Version: 95}}, &rolloutCalls{}
+		r := newRollouts(table, "a")
+		r.store = calls.count(r.store)
+		go func() { _ = r.run(ctx) }()
+		r.addOrder(orderAt(1, 95), false)
+		time.Sleep(10 * time.Second)
+		n := calls.Counters()
+		must.EqOp(t, 1, n["verdict-writes"])
+		must.EqOp(t, 2, n["status-writes"])
+		must.EqOp(t, n["tally-writes"], n["record-reads"])
+		must.Positive(t, n["tally-writes"])
+		must.Between(t, 2, n["status-reads"], 3)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -143,8 +143,9 @@
 	r.balancer = balancer.New(s.DataCentre, balancer.WithRegion(s.Region), balancer.WithSelf(s.Instance),
 		balancer.WithSubsetSize(maxSubset), balancer.WithWaitingWeight(waitingWeight))
 	r.pool = connector.New(connector.WithEcho(p.Headers.RequestID))
+	calls := &rolloutCalls{}
 	r.rollouts = &rollouts{
-		store: p.Rollouts, entry: s.Instance, bound: s.exposureBound(), sessionTime: s.SessionTime, now: time.Now, log: log,
+		store: calls.count(p.Rollouts), entry: s.Instance, bound: s.exposureBound(), sessionTime: s.SessionTime, now: time.Now, log: log,
 		services: map[identifier.Service]*rollout{}, orders: map[identifier.Service]*promoter.Orders{}, activeRequests: map[serviceVersion]int64{},
 		rolledBack: map[serviceVersion]bool{}, learned: map[identifier.Service][]statedVerdict{}, wake: make(chan struct{}, 1),
 		recentSessions: pinner.NewRecentSessions(s.SessionTime),
@@ -180,7 +181,7 @@
 	for name, counters := range map[string]func() map[string]int64{
 		"forwarder": r.forwarder.Counters, "balancer": r.balancer.Counters, "connector": r.pool.Counters, "reaper": r.reaper.Counters,
 		"quarantine": r.sharing.quarantine.Counters, "throttler": r.sharing.throttler.Counters, "limit-owner": r.sharing.owner.Counters, "broadcaster": r.sharing.broadcaster.Counters, "shared": r.sharing.follower.Counters,
-		"registrar": r.registrar.Counters, "follower": r.upstreams.Counters, "operator": r.operator.Counters, "store": p.Counters,
+		"registrar": r.registrar.Counters, "follower": r.upstreams.Counters, "operator": r.operator.Counters, "store": p.Counters, "rollouts": calls.Counters,
 	} {
 		r.meter.Register(name, counters)
 	}
