forwarder: a comment of a stalled engine is no event

Callers of a stream whose engine had stalled, but sent a comment such as ": keep-alive" now and then, got nothing more until their deadline, and a stream without an event yet got a response head with 200 that could not be refused any more.

Cause: relayer.Reader returned a block of comments like an event, and the watchdog took its arrival for progress, so the request was never late and its engine never asked whether it still had it. TestCommentsAreNoEvents showed it: no events, or one of two, after 4 s.

The reader now says what is a comment. Comments are dropped before the first event and passed on after it, but do not reset the wait for the next event; the engine counts as alive. A slow caller who reads a comment is no silence.

--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -131,6 +131,12 @@
 			return fmt.Errorf("forwarder: read events of %s: %w", c.name, err)
 		}
 		f.recordActivity(c.name)
+		if events.IsComment {
+			if err := f.relayComment(w, control, c, b); err != nil {
+				return err
+			}
+			continue
+		}
 		a := &q.attempts[c.index]
 		c.countEvent()
 		if c.pace.firstAt.IsZero() {
@@ -165,6 +171,24 @@
 	}
 }
 
+// relayComment passes a comment on if the response has started. A comment is no progress of the stream.
+func (f *Forwarder) relayComment(w http.ResponseWriter, control *http.ResponseController, c *call, b []byte) error {
+	if !c.q.responseStarted {
+		return nil
+	}
+	c.watch.beginComment()
+	_, err := w.Write(b)
+	if err == nil {
+		err = control.Flush()
+	}
+	if err != nil {
+		c.end(balancer.ResultCanceled, outcomeCanceled, false)
+		return errors.Join(errCallerConnection, err)
+	}
+	c.watch.endComment()
+	return nil
+}
+
 // startResponse sends the head of the response, which is taken from the first upstream that sent an event.
 func (f *Forwarder) startResponse(w http.ResponseWriter, control *http.ResponseController, c *call) {
 	q := c.q
--- a/forwarder/stream_test.go
+++ b/forwarder/stream_test.go
@@ -200,6 +200,37 @@
 	}
 }
 
+// Guards against a stalled stream that never ends because its engine sends comments now and then, which are no events, and against a
+// response that begins with a comment and cannot be refused any more.
+func TestCommentsAreNoEvents(t *testing.T) {
+	for _, eventsBefore := range []int{0, 1} {
+		t.Run(fmt.Sprint(eventsBefore, " events before"), func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 2, func(w http.ResponseWriter, r *http.Request, n int) {
+				if n > 1 {
+					writeEvents(w, r, 2, 0)
+					return
+				}
+				if eventsBefore > 0 {
+					fmt.Fprint(w, "id: 1\ndata: 1\n\n")
+				}
+				for r.Context().Err() == nil {
+					fmt.Fprint(w, ": keep-alive\n\n")
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(50 * time.Millisecond)
+				}
+			})
+			f.probe = func(identifier.Upstream) (forwarder.Report, error) { return forwarder.Report{}, nil }
+			begin := time.Now()
+			got := f.send("/patient/", "Id", "request-1")
+			must.Eq(t, []int{1, 2}, eventIDs(got.body))
+			must.SliceLen(t, 2, f.requests())
+			must.EqOp(t, eventsBefore > 0, strings.Contains(got.body, ": keep-alive"))
+			must.Less(t, 2*time.Second, time.Since(begin))
+		})
+	}
+}
+
 // Guards against delivering an answer in which a small model has too little confidence, and against mixing two models' answers.
 func TestCascade(t *testing.T) {
 	for confidence, want := range map[string][]string{"90": {"small"}, "10": {"small", "large"}, "": {"small"}} {
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -33,6 +33,8 @@
 	// passingOn is set while an event is written to the caller, who may read slowly.
 	lastEventAt atomic.Int64
 	passingOn   atomic.Bool
+	// commentAt is when the last comment began to be written to the caller. Only the goroutine of the request uses it.
+	commentAt time.Time
 	// nextReportAt is when the engine is next asked whether it has the request. It holds for the wait that began at reportSince,
 	// which is the time of the last event or the start of the attempt. Only check uses both.
 	nextReportAt, reportSince time.Time
@@ -103,6 +105,20 @@
 	d.passingOn.Store(false)
 }
 
+// beginComment and endComment record that a comment is written to the caller, which is no event. The time that the caller takes to read
+// it does not count as waiting for the upstream.
+func (d *watchdog) beginComment() {
+	d.commentAt = d.c.f.Now()
+	d.passingOn.Store(true)
+}
+
+func (d *watchdog) endComment() {
+	if d.lastEventAt.Load() > 0 {
+		d.lastEventAt.Add(int64(d.c.f.Now().Sub(d.commentAt)))
+	}
+	d.passingOn.Store(false)
+}
+
 func (d *watchdog) check() {
 	e := d.observe()
 	result, ask := decide(e)
--- a/relayer/event.go
+++ b/relayer/event.go
@@ -29,6 +29,8 @@
 	LastID int64
 	// HasLastID is set once LastID is known.
 	HasLastID bool
+	// IsComment is set if what Next returned has only comments and empty lines, which engines send to keep connections open.
+	IsComment bool
 }
 
 // NewReader returns a reader of a stream that starts after the event last; hasID is false if that id is not known.
@@ -43,10 +45,10 @@
 	return bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\n\r\n"))
 }
 
-// Next returns the bytes of the next event with the empty line that ends it, valid until the next call. It returns io.EOF
+// Next returns the bytes of the next event or comment with the empty line that ends it, valid until the next call. It returns io.EOF
 // after the last whole event of a complete stream.
 func (r *Reader) Next() ([]byte, error) {
-	r.buf = r.buf[:0]
+	r.buf, r.IsComment = r.buf[:0], true
 	lineStart := 0
 	for {
 		line, err := r.br.ReadSlice('\n')
@@ -68,6 +70,9 @@
 		if len(content) == 0 {
 			return r.buf, r.checkID()
 		}
+		if content[0] != ':' {
+			r.IsComment = false
+		}
 	}
 }
 
--- a/relayer/event_test.go
+++ b/relayer/event_test.go
@@ -86,3 +86,25 @@
 		}
 	})
 }
+
+// Guards against comments that count as events, and events that do not.
+func TestIsComment(t *testing.T) {
+	for block, want := range map[string]bool{
+		": c\n\n": true, "\n": true, "\r\n": true, ": a\r\n:\r\n\r\n": true,
+		"data: a\n\n": false, "id: 1\n\n": false, ": c\ndata: a\n\n": false, "data: a\n: c\n\n": false,
+	} {
+		r := relayer.NewReader(strings.NewReader(block+event(1, "a")+block), 0, true)
+		if want {
+			_, err := r.Next()
+			must.NoError(t, err)
+			must.True(t, r.IsComment, must.Sprintf("%q", block))
+			_, err = r.Next()
+			must.NoError(t, err)
+			must.False(t, r.IsComment)
+			continue
+		}
+		_, err := r.Next()
+		must.NoError(t, err)
+		must.False(t, r.IsComment, must.Sprintf("%q", block))
+	}
+}
