--- a/forwarder/unary_test.go
+++ b/forwarder/unary_test.go
@@ -82,11 +82,14 @@
 
 // Guards against a request that may run only once and is sent again, or reported as not run, after its response was lost.
 func TestAtMostOnce(t *testing.T) {
-	f := newFixture(t, 3, func(http.ResponseWriter, *http.Request, int) { abort() })
-	x := f.send("/once/")
-	must.EqOp(t, 502, x.status)
-	must.EqOp(t, "", x.header.Get("Retry-After"))
-	must.SliceLen(t, 1, f.requests())
+	// The second route allows three attempts.
+	for _, path := range []string{"/once/", "/public/"} {
+		f := newFixture(t, 3, func(http.ResponseWriter, *http.Request, int) { abort() })
+		x := f.send(path)
+		must.EqOp(t, 502, x.status)
+		must.EqOp(t, "", x.header.Get("Retry-After"))
+		must.SliceLen(t, 1, f.requests())
+	}
 }
 
 // Guards against an upstream's rejection that is passed on without a Retry-After header, and against more attempts than the
--- a/runner/rollouts_internal_test.go
+++ b/runner/rollouts_internal_test.go
@@ -178,6 +178,11 @@
 		must.EqOp(t, "s", newEntry.group("s", "v2"))
 		newEntry.storeReturned(2)
 		newEntry.addOrder(orderAt(2, 96), false)
+		// It writes its verdict first.
+		time.Sleep(vouchSpread + badTallyInterval)
+		verdict, ok := promoter.FirstVerdict(x.verdicts, &promoter.RolloutOrder{To: "v2", At: storer.Position{Era: 2, Version: 96}})
+		must.True(t, ok)
+		must.EqOp(t, promoter.TimedRolloutSucceeded, verdict.State)
 		for _, r := range entries {
 			r.storeReturned(2)
 			r.addOrder(orderAt(2, 96), true)
