--- a/runner/runner.go
+++ b/runner/runner.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
@@ -30,7 +29,6 @@
 	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/reaper"
 	"github.com/siskinfront/siskinfront/registrar"
-	"github.com/siskinfront/siskinfront/storer"
 )
 
 const (
@@ -51,12 +49,6 @@
 	// do not know how many entries there are.
 	retryBurst   = 20
 	cascadeBurst = 10
-	// stopCheckInterval is the time between two checks for remaining streams while the entry stops, and closeLead is how long
-	// before the deadline its listener is closed.
-	stopCheckInterval = 100 * time.Millisecond
-	closeLead         = time.Second
-	// exitReserve is the part of the shutdown time that is reserved for the exit of the process.
-	exitReserve = 400 * time.Millisecond
 	// followedTables is the number of tables of the store that an entry follows.
 	followedTables = 3
 	// maxHeaderTime and maxIdleTime bound the header and idle times of callers' connections, whatever the configuration sets and
@@ -65,9 +57,6 @@
 	maxIdleTime   = 10 * time.Minute
 	// maxReportBytes bounds the report of an upstream; one with 64 requests has some 3 KB.
 	maxReportBytes = 256 << 10
-	// configurationHoldShare is the part of the time in which a configuration must be in force for which a lower revision of a later era
-	// of the store is held.
-	configurationHoldShare = 2
 	// maxSubset bounds the upstreams of a service to which one entry sends requests.
 	maxSubset = 64
 	// waitingWeight is the number of running requests that a waiting one counts as in the load. With 1 the load does not show
@@ -256,48 +245,6 @@
 	return report, nil
 }
 
-// applyConfiguration receives a configuration that the store shows.
-func (r *Runner) applyConfiguration(c arbiter.Candidate, err error) {
-	if err != nil {
-		r.log.Error("configuration rejected", "error", err.Error())
-		return
-	}
-	if !r.inquiry.defers(c) {
-		r.offerConfiguration(c)
-	}
-}
-
-// offerConfiguration puts a configuration into force if it is newer than that in force.
-func (r *Runner) offerConfiguration(c arbiter.Candidate) {
-	r.arbiterMu.Lock()
-	defer r.arbiterMu.Unlock()
-	old := r.table.Load()
-	decision, at := r.arbiter.Offer(c, time.Now())
-	switch decision {
-	case arbiter.InForce:
-		r.useConfiguration(c.Table, c.At)
-	case arbiter.Held:
-		r.log.Warn("lower revision of a later era of the store is held", "revision", c.Table.Revision, "at", c.At.String(),
-			"in-force", old.Revision, "until", at)
-		time.AfterFunc(time.Until(at), func() {
-			r.arbiterMu.Lock()
-			defer r.arbiterMu.Unlock()
-			if t := r.arbiter.Due(time.Now()); t != nil {
-				r.useConfiguration(t, c.At)
-			}
-		})
-	case arbiter.Ignored:
-		if c.Table.Revision < old.Revision {
-			r.log.Warn("older configuration ignored", "revision", c.Table.Revision, "at", c.At.String(), "in-force", old.Revision)
-		}
-	}
-}
-
-func (r *Runner) useConfiguration(t *matcher.Table, at storer.Position) {
-	r.table.Store(t)
-	r.log.Info("configuration in force", "revision", t.Revision, "at", at.String(), "routes", t.NumRoutes())
-}
-
 // connectionLimits returns the time that callers may take to send the headers, and the time for which their connections may be
 // idle.
 func (r *Runner) connectionLimits() (header, idle time.Duration) {
@@ -375,39 +322,6 @@
 	return errors.Join(err, g.Wait())
 }
 
-// plannedStop is a planned stop in progress.
-type plannedStop struct {
-	began, deadline time.Time
-}
-
-// shutDown ends serving within the shutdown time: the entry reports not ready, still serves the requests that it gets until its
-// streams have ended, with responses that tell callers to open another connection, and then closes its listener.
-func (r *Runner) shutDown(callers *http.Server) error {
-	now := time.Now()
-	planned := &plannedStop{began: now, deadline: now.Add(r.settings.Load().Shutdown - exitReserve)}
-	r.plannedStop.Store(planned)
-	r.stopping.Store(true)
-	r.reaper.CloseAfterResponse()
-	r.log.Info("entry stops", "active", r.forwarder.Active(), "streams", r.forwarder.Streams(), "deadline", planned.deadline)
-	for {
-		time.Sleep(stopCheckInterval)
-		now := time.Now()
-		if now.After(planned.deadline.Add(-closeLead)) ||
-			now.After(planned.began.Add(forwarder.DeregistrationDelay)) && r.forwarder.Streams() == 0 {
-			break
-		}
-	}
-	shutdownCtx, cancel := context.WithDeadline(context.Background(), planned.deadline)
-	defer cancel()
-	err := r.reaper.Shutdown(shutdownCtx)
-	if err != nil {
-		r.log.Warn("requests aborted by the shutdown deadline", "active", r.forwarder.Active(), "error", err.Error())
-		err = callers.Close()
-	}
-	r.log.Info("entry stopped")
-	return err
-}
-
 // readyHandler returns the handler of the load balancer's health check.
 func (r *Runner) readyHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -443,32 +357,3 @@
 		}
 	}
 }
-
-func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
-	var c net.ListenConfig
-	l, err := c.Listen(ctx, "tcp", address.String())
-	if err != nil {
-		return nil, fmt.Errorf("runner: listen at %s: %w", address, err)
-	}
-	return l, nil
-}
-
-// serve serves HTTP until ctx ends, and answers the requests that it has read by then.
-func serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
-	connections := reaper.New(reaper.NoLimits)
-	attached := connections.Attach(s, l)
-	served := make(chan error, 1)
-	go func() { served <- s.Serve(attached) }()
-	select {
-	case err := <-served:
-		return fmt.Errorf("runner: serve %s: %w", l.Addr(), err)
-	case <-ctx.Done():
-	}
-	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), exitReserve/2)
-	defer cancel()
-	if err := connections.Shutdown(shutdownCtx); err != nil {
-		return s.Close()
-	}
-	return nil
-}
