--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -137,19 +137,7 @@
 			}
 			continue
 		}
-		a := &q.attempts[c.index]
-		c.countEvent()
-		if c.pace.firstAt.IsZero() {
-			f.OnResponse(c.info, f.Now().Sub(c.beganAt))
-		}
-		if d, ok := c.pace.add(f.Now()); ok {
-			a.pace = d
-			f.OnPace(c.info, d)
-		}
-		if pause := c.watch.recordEvent(); pause > 0 {
-			a.longestPause = max(a.longestPause, pause)
-			f.slowdowns.observe(c.name, f.modelName(q, a.model), pause, f.Now())
-		}
+		f.recordEvent(c)
 		if err := ctx.Err(); err != nil && !q.responseStarted {
 			// The caller gets a refusal instead of a response that cannot be written any more.
 			c.endOnError(ctx, err)
@@ -171,6 +159,23 @@
 	}
 }
 
+// recordEvent records that an event of a stream has arrived.
+func (f *Forwarder) recordEvent(c *call) {
+	a := &c.q.attempts[c.index]
+	c.countEvent()
+	if c.pace.firstAt.IsZero() {
+		f.OnResponse(c.info, f.Now().Sub(c.beganAt))
+	}
+	if d, ok := c.pace.add(f.Now()); ok {
+		a.pace = d
+		f.OnPace(c.info, d)
+	}
+	if pause := c.watch.recordEvent(); pause > 0 {
+		a.longestPause = max(a.longestPause, pause)
+		f.slowdowns.observe(c.name, f.modelName(c.q, a.model), pause, f.Now())
+	}
+}
+
 // relayComment passes a comment on if the response has started. A comment is no progress of the stream.
 func (f *Forwarder) relayComment(w http.ResponseWriter, control *http.ResponseController, c *call, b []byte) error {
 	if !c.q.responseStarted {
