throttler: one lost answer is no silent owner; runner: a first configuration that waits is logged

Found as the diff was read. Since an ask is repeated, an entry with few requests whose ask was not answered took a slot of its even share at its next request, though only one datagram was lost: the time without an answer had passed, but nothing had been sent in it. It takes one only after three sends now. TestOneLostAnswerIsNoSilentOwner fails without the count.

An operator could not see why an entry that starts is not ready while others contradict its configuration; after 0.5 s it logs that now.

--- a/runner/inquiry.go
+++ b/runner/inquiry.go
@@ -16,6 +16,8 @@
 	// inquiryInterval is the time between two rounds of questions, and maxAsked bounds the entries that are asked in a round.
 	inquiryInterval = 100 * time.Millisecond
 	maxAsked        = 3
+	// waitLogTime is the time after which a configuration that waits is logged.
+	waitLogTime = 500 * time.Millisecond
 	// maxStated bounds the items of each kind in a statement, and maxStatementBytes the statement, which must fit into a datagram.
 	maxStated         = 8
 	maxStatementBytes = broadcaster.MaxDatagramBytes - 300
@@ -43,9 +45,9 @@
 	mu       sync.Mutex
 	decision *arbiter.Inquiry
 	// shown holds the configurations that the store has shown meanwhile, the oldest first.
-	shown   []arbiter.Candidate
-	askedAt time.Time
-	ended   bool
+	shown             []arbiter.Candidate
+	beganAt, askedAt  time.Time
+	waitLogged, ended bool
 }
 
 func newInquiry(hold time.Duration) *inquiry {
@@ -95,6 +97,9 @@
 		return false
 	}
 	x.decision.Begin(now)
+	if x.beganAt.IsZero() {
+		x.beganAt = now
+	}
 	newest := &x.shown[0]
 	for i := range x.shown {
 		if x.shown[i].Table.Revision > newest.Table.Revision {
@@ -112,6 +117,11 @@
 				x.notify()
 			}
 		}
+		if !x.waitLogged && now.Sub(x.beganAt) >= waitLogTime {
+			x.waitLogged = true
+			r.log.Warn("configuration of the store waits, other entries have another one in force", "revision", newest.Table.Revision,
+				"at", newest.At.String())
+		}
 		return false
 	}
 	x.ended = true
--- a/throttler/slot.go
+++ b/throttler/slot.go
@@ -43,7 +43,7 @@
 	if repeated && now.Sub(l.repeatedAt) < repeatInterval || len(l.slots) > 0 || now.Before(l.nextAskAt) {
 		return Ask{}, false
 	}
-	if repeated && now.Sub(l.askedAt) >= askTimeout {
+	if l.sends >= minSends && repeated && now.Sub(l.askedAt) >= askTimeout {
 		l.askID = 0
 		t.unanswered++
 		step := time.Duration(float64(interval(l.perSecond)) * float64(max(t.numEntries(), 1)) / evenShareReserve)
@@ -54,9 +54,10 @@
 	}
 	if !repeated {
 		t.lastID++
-		l.askID, l.askedAt = t.lastID, now
+		l.askID, l.askedAt, l.sends = t.lastID, now, 0
 	}
 	l.repeatedAt = now
+	l.sends++
 	number := min(max(len(l.wants)*int(advanceTime)/int(demandWindow), 1), maxSlotsPerAsk)
 	return Ask{Upstream: u, PerSecond: l.perSecond, Number: number, ID: l.askID, Repeated: repeated}, true
 }
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -16,8 +16,10 @@
 	// repeatInterval is how long an entry waits for the answer to an ask before it repeats it. It is shorter than the time for which
 	// requests wait for a slot, so that a lost answer does not cost the slot.
 	repeatInterval = 40 * time.Millisecond
-	// askTimeout is the time without an answer to an ask after which the entry keeps to an even share of the limit by itself.
+	// askTimeout is the time without an answer to an ask, sent at least minSends times, after which the entry keeps to an even share of
+	// the limit by itself.
 	askTimeout = 450 * time.Millisecond
+	minSends   = 3
 	// evenShareReserve is the part of an even share that an entry uses by itself, as others may still get slots from the owner.
 	evenShareReserve = 0.5
 	// ownObservation is how long an answer that this entry got counts more than what other entries state.
@@ -46,9 +48,10 @@
 	forgetAt                          time.Time
 	// slots are the begins of the slots that are left, in order.
 	slots []time.Time
-	// askID is the ask in progress, 0 if there is none, first sent at askedAt and last at repeatedAt; the next one may be sent from
-	// nextAskAt on.
+	// askID is the ask in progress, 0 if there is none, sent so many times, first at askedAt and last at repeatedAt; the next one may be
+	// sent from nextAskAt on.
 	askID                          uint64
+	sends                          int
 	askedAt, repeatedAt, nextAskAt time.Time
 	// wants are the times at which a request was not sent for want of a slot, within demandWindow.
 	wants []time.Time
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -200,3 +200,17 @@
 	must.EqOp(t, 0, g.Number)
 	must.Greater(t, 2000.0, g.AfterMillis)
 }
+
+// Guards against an entry with few requests that takes slots by itself because a single answer was lost.
+func TestOneLostAnswerIsNoSilentOwner(t *testing.T) {
+	f := newFixture()
+	f.Observe(u1, 0.4)
+	f.silent = true
+	must.False(t, f.try())
+	f.silent = false
+	f.now = f.now.Add(10 * time.Second)
+	asks := f.asks
+	must.False(t, f.try())
+	must.EqOp(t, asks+1, f.asks)
+	must.EqOp(t, 0, f.Counters()["slots-taken-alone"])
+}
