--- a/runner/rollouts_internal_test.go
+++ b/runner/rollouts_internal_test.go
@@ -180,7 +180,9 @@
 		newEntry.addOrder(orderAt(2, 96), false)
 		// It writes its verdict first.
 		time.Sleep(vouchSpread + badTallyInterval)
+		x.mu.Lock()
 		verdict, ok := promoter.FirstVerdict(x.verdicts, &promoter.RolloutOrder{To: "v2", At: storer.Position{Era: 2, Version: 96}})
+		x.mu.Unlock()
 		must.True(t, ok)
 		must.EqOp(t, promoter.TimedRolloutSucceeded, verdict.State)
 		for _, r := range entries {
