throttler: a comment that claimed too much

Cause: it said that an ask is repeated sooner than requests stop waiting for a slot. They wait for an eighth of their latency target, which for a target of 200 ms is 25 ms, less than the interval of 40 ms; a lost grant then still costs the slot. Change: the comment. Result: tests and linter of the package pass; no change of behaviour. That the interval does not follow the target is open.

--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -13,8 +13,8 @@
 	// slotLifetime is how long after its begin a slot may be used. The longer it is, the more slots of several entries may be used at
 	// the same time.
 	slotLifetime = time.Second
-	// repeatInterval is how long an entry waits for the answer to an ask before it repeats it. It is shorter than the time for which
-	// requests wait for a slot, so that a lost answer does not cost the slot.
+	// repeatInterval is how long an entry waits for the answer to an ask before it repeats it. Requests wait for a slot only for a part of
+	// their latency target, and a request that still waits can use the slot of an answer that was lost.
 	repeatInterval = 40 * time.Millisecond
 	// askTimeout is the time without an answer to an ask, sent at least minSends times, after which the entry keeps to an even share of
 	// the limit by itself.
