soakbencher: wait for what still changes the run before its checks

The checks at the end read the calls, the events and the roll-outs without the lock, while goroutines that nobody waited for could still change them: requests on which upstreams crash that were being recorded, the goroutine that waits for the result of a roll-out (up to 12 s, while the time after the faults is 8 s), and timers that write events.

The run now waits for these before its checks. The wait for a roll-out ends with the run. The report takes the lock, because a planned stop may still check its time.

--- a/soakbencher/configure.go
+++ b/soakbencher/configure.go
@@ -191,5 +191,5 @@
 	at := time.Now()
 	s.withdrawnKeys = append(s.withdrawnKeys, namedEvent{name: name, at: at, until: at.Add(d - 100*time.Millisecond)})
 	s.mu.Unlock()
-	time.AfterFunc(d, func() { set("key of "+name+" restored", "key-of-"+name) })
+	s.after(d, func() { set("key of "+name+" restored", "key-of-"+name) })
 }
--- a/soakbencher/disrupt.go
+++ b/soakbencher/disrupt.go
@@ -96,7 +96,7 @@
 	s.logEvent("store in mode %d for %v, returns from its copy, rows written again after %v", mode, away, rewriteDelay)
 	s.noteFault(scopeStore, nil, away+rewriteDelay)
 	s.store.SetMode(mode)
-	time.AfterFunc(away, func() {
+	s.after(away, func() {
 		s.store.Return(rewriteDelay)
 		s.store.SetMode(standin.Serving)
 		s.logEvent("store is in era %d", s.store.Era())
@@ -130,7 +130,7 @@
 		u.silentAgainAt = time.Now().Add(crowdLead + d + silencePause)
 	}
 	s.mu.Unlock()
-	time.AfterFunc(crowdLead, func() {
+	s.after(crowdLead, func() {
 		for _, u := range engines {
 			s.logEvent("%s is silent for %v, its reports too: %v", u.Name, d, reports)
 			if reports {
@@ -185,5 +185,5 @@
 	s.mu.Lock()
 	s.announcing = append(s.announcing, u)
 	s.mu.Unlock()
-	time.AfterFunc(d, func() { s.leave(u) })
+	s.after(d, func() { s.leave(u) })
 }
--- a/soakbencher/fatal.go
+++ b/soakbencher/fatal.go
@@ -66,10 +66,10 @@
 		e := s.pickReadyEntry(r)
 		if e != nil {
 			c := &call{id: fmt.Sprint(fatalPrefix, i), entry: e, kind: standin.Stream, account: accounts[r.IntN(2)], session: fmt.Sprint("fatal", i), part: s.fatal.name}
-			go func() {
+			s.background.Go(func() {
 				s.send(ctx, pool, c)
 				s.record(c)
-			}()
+			})
 		}
 		time.Sleep(time.Duration(r.ExpFloat64() * float64(fatalInterval)))
 	}
--- a/soakbencher/fatalrequest.go
+++ b/soakbencher/fatalrequest.go
@@ -49,10 +49,10 @@
 			n++
 			if e := s.pickReadyEntry(r); e != nil {
 				c := &call{id: fmt.Sprint(fatalRequestPrefix, n), entry: e, kind: kind, account: account, body: body}
-				go func() {
+				s.background.Go(func() {
 					s.send(ctx, pool, c)
 					s.record(c)
-				}()
+				})
 			}
 		}
 		time.Sleep(time.Duration(r.ExpFloat64() * float64(fatalInterval)))
--- a/soakbencher/inject.go
+++ b/soakbencher/inject.go
@@ -124,7 +124,7 @@
 	case 12:
 		s.withdrawKey(d)
 	case 13:
-		s.startRollOut()
+		s.startRollOut(ctx)
 	}
 }
 
@@ -132,7 +132,7 @@
 	s.logEvent("kill %s", e.name)
 	s.noteFault(scopeProcess, e, time.Second)
 	e.kill()
-	time.AfterFunc(500*time.Millisecond, func() { s.startEntry(e) })
+	s.after(500*time.Millisecond, func() { s.startEntry(e) })
 }
 
 // kill ends the process with SIGKILL and waits for its end.
@@ -149,6 +149,14 @@
 	}
 }
 
+// after calls f after d. The checks at the end of the run wait for that.
+func (s *soak) after(d time.Duration, f func()) {
+	s.background.Go(func() {
+		time.Sleep(d)
+		f()
+	})
+}
+
 // stopEntry stops an entry gracefully with SIGTERM, and starts it again once it has ended.
 func (s *soak) stopEntry(e *entry) {
 	_, open, undisturbed := e.state()
@@ -235,7 +243,7 @@
 }
 
 // startRollOut rolls out a new version of the engines, half the time a failing one, unless another roll-out is in progress.
-func (s *soak) startRollOut() {
+func (s *soak) startRollOut(ctx context.Context) {
 	s.mu.Lock()
 	for _, o := range s.rollOuts {
 		if o.state == "" {
@@ -266,14 +274,14 @@
 		}
 	}
 	s.operator.Order("engine", o.version, within)
-	go s.followRollOut(o, within+4*time.Second)
+	s.background.Go(func() { s.followRollOut(ctx, o, within+4*time.Second) })
 }
 
 // followRollOut waits for the result of a roll-out, after which the upstreams of the version no longer in use leave.
-func (s *soak) followRollOut(o *rollOut, within time.Duration) {
+func (s *soak) followRollOut(ctx context.Context, o *rollOut, within time.Duration) {
 	deadline := time.Now().Add(within)
 	state := ""
-	for time.Now().Before(deadline) {
+	for time.Now().Before(deadline) && ctx.Err() == nil {
 		time.Sleep(100 * time.Millisecond)
 		if state = s.operator.Status("engine"); state == "succeeded" || state == "rolled_back" {
 			break
--- a/soakbencher/soak.go
+++ b/soakbencher/soak.go
@@ -113,6 +113,8 @@
 	routesAdded    int
 
 	crowdsSending sync.WaitGroup
+	// background holds what else changes the state of the run; the last checks read it without the lock.
+	background sync.WaitGroup
 }
 
 // Experiment returns the experiment named soak, which runs the program with arguments as entries.
@@ -177,6 +179,7 @@
 	s.checkRecovery(faultsEndedAt.Add(faultFreeTime - recoveryCheckTime))
 	cancel()
 	watching.Wait()
+	s.background.Wait()
 	s.checkRun()
 	return s.report(p.Seed)
 }
@@ -341,6 +344,9 @@
 
 // report returns the results and removes the logs of the run unless an invariant was violated.
 func (s *soak) report(seed uint64) (bencher.Report, error) {
+	// A planned stop that has not ended may still check its time.
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	names := make([]string, 0, len(s.results))
 	total, violations := 0, 0
 	for name, r := range s.results {
