forwarder: the test of waiting streams gives them the attempts and the time

Traced by the counters after each wave of plain requests: the first wave is refused by open circuit breakers and earns nothing to spend by answers, on slow machines the second one too; and streams that are resumed before the upstreams work again break a second and a third time, which uses up the three attempts of the route ("ended-for-attempts": 1 where 59 of 60 were whole). Neither is the fault against which the test guards, which is an empty budget.

The route now allows 10 attempts, the streams have 8 s, and plain requests are sent each second until all streams have ended, instead of four times. With the fault put in (a started stream ends when the budget is empty) the test fails with 50 of 60 streams whole.

--- a/forwarder/resume_test.go
+++ b/forwarder/resume_test.go
@@ -77,12 +77,14 @@
 // Guards against started streams that end long before their deadline because the retry budget was empty for a moment.
 func TestStreamsResumeOnceBudgetAllows(t *testing.T) {
 	const n = 60
-	s := newService(t, 3, 2*n)
+	// On a slow machine some streams break more than once before the upstreams work again.
+	s := newServiceWithAttempts(t, 3, 2*n, 10)
+	s.deadline = "8000"
 	for _, u := range s.upstreams {
 		u.SetBehaviour(standin.Breaking)
 	}
 	var wg sync.WaitGroup
-	defer wg.Wait()
+	ended := make(chan struct{})
 	wg.Go(func() {
 		for len(s.runs.Runs()) < n {
 			time.Sleep(time.Millisecond)
@@ -91,12 +93,18 @@
 			u.SetBehaviour(standin.Working)
 		}
 		// The budget holds at most 20 retries, so requests of one moment would not earn enough.
-		for range 4 {
-			time.Sleep(time.Second)
-			s.sendAll(t, "/plain/", n, standin.Body)
+		for {
+			select {
+			case <-ended:
+				return
+			case <-time.After(time.Second):
+				s.sendAll(t, "/plain/", n, standin.Body)
+			}
 		}
 	})
 	whole := s.sendAll(t, "/stream/", n, wholeStream)
+	close(ended)
+	wg.Wait()
 	// A stream that arrives after the first failures opened the circuit breakers is refused and has not started.
 	started := n - int(s.refusedStreams.Load())
 	t.Logf("%d of %d whole", whole, started)
--- a/forwarder/silence_test.go
+++ b/forwarder/silence_test.go
@@ -35,13 +35,20 @@
 	runs      *standin.RunLog
 	// refusedStreams counts the streams that were refused before they started.
 	refusedStreams atomic.Int64
+	// deadline is that of the requests in milliseconds, or empty for the default.
+	deadline string
 }
 
 func newService(t *testing.T, upstreams, slots int) *service {
+	t.Helper()
+	return newServiceWithAttempts(t, upstreams, slots, 3)
+}
+
+func newServiceWithAttempts(t *testing.T, upstreams, slots, attempts int) *service {
 	t.Helper()
 	s := &service{runs: &standin.RunLog{}}
 	split := []matcher.WeightedService{{Service: "s", Weight: 1}}
-	base := matcher.Route{Host: "h", Timeout: 8 * time.Second, MaxAttempts: 3, Split: split, Rank: 1}
+	base := matcher.Route{Host: "h", Timeout: 8 * time.Second, MaxAttempts: attempts, Split: split, Rank: 1}
 	stream, plain := base, base
 	stream.Name, stream.Prefix, stream.Kind, stream.Resumable, stream.HasSessions = "stream", "/stream/", matcher.Stream, true, true
 	stream.LatencyTarget, stream.EventGap = 1500*time.Millisecond, 1200*time.Millisecond
@@ -107,6 +114,9 @@
 			if path == "/stream/" {
 				r.Header.Set(platform.Headers().Prefix, "a:1")
 			}
+			if s.deadline != "" {
+				r.Header.Set(platform.Headers().Deadline, s.deadline)
+			}
 			w, err := client.Do(r)
 			if err != nil {
 				t.Logf("%s: %v", id, err)
