quarantiner, runner: crashes are told to the collectors of a service

Each entry with an unanswered request at an upstream that crashed told all others of it, three times: at 330 entries 400 kB from one entry and 14 MB in all for one crash that 64 of them saw, against a limit of 3 kB a second and node. The traffic grew with the square of the number of entries.

Only those that decide need the crashes that all entries saw. Up to 16 entries, chosen for each service by rendezvous hashing, are now told the crashes, and the answers that end a mere suspicion; blocks, their ends and objections still go to all. With up to 16 entries nothing changes. An entry still decides by the crashes that it saw itself, and repeats no request on whose parts it has seen two upstreams crash.

TestBytesOfCrash bounds what one entry sends for a crash (30 kB); it fails with all entries told (60 kB at 40).

--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -42,6 +42,12 @@
 	Body   T      `json:"body"`
 }
 
+// outgoing is an encoded message to some entries, or to all others if to is nil.
+type outgoing struct {
+	data []byte
+	to   []netip.AddrPort
+}
+
 type messageID struct {
 	from   identifier.Instance
 	start  int64
@@ -58,7 +64,7 @@
 	log    *slog.Logger
 	conn   atomic.Pointer[net.UDPConn]
 	peers  atomic.Pointer[[]netip.AddrPort]
-	queue  *buffer.Ring[[]byte]
+	queue  *buffer.Ring[outgoing]
 	number atomic.Uint64
 
 	mu   sync.Mutex
@@ -72,7 +78,7 @@
 // New returns a broadcaster of one entry; Receive must be set before Run.
 func New[T any](self identifier.Instance, log *slog.Logger) *Broadcaster[T] {
 	return &Broadcaster[T]{
-		Receive: func(netip.AddrPort, T) {}, self: self, start: time.Now().UnixNano(), log: log, queue: buffer.NewRing[[]byte](ringSlots),
+		Receive: func(netip.AddrPort, T) {}, self: self, start: time.Now().UnixNano(), log: log, queue: buffer.NewRing[outgoing](ringSlots),
 		seen: map[messageID]struct{}{},
 	}
 }
@@ -85,8 +91,19 @@
 
 // Send sends a message to all other entries without waiting; if too many messages wait, it is dropped.
 func (b *Broadcaster[T]) Send(body T) {
+	b.enqueue(nil, body)
+}
+
+// SendToSome is Send to some of the other entries.
+func (b *Broadcaster[T]) SendToSome(to []netip.AddrPort, body T) {
+	if len(to) > 0 {
+		b.enqueue(to, body)
+	}
+}
+
+func (b *Broadcaster[T]) enqueue(to []netip.AddrPort, body T) {
 	data := b.encode(body)
-	if data != nil && b.queue.Offer(data) != nil {
+	if data != nil && b.queue.Offer(outgoing{data, to}) != nil {
 		b.dropped.Add(1)
 	}
 }
@@ -129,28 +146,32 @@
 // sendQueued sends the messages in the queue, each at once and again after repeatDelays.
 func (b *Broadcaster[T]) sendQueued(ctx context.Context) {
 	for {
-		data, err := b.queue.Take(ctx)
+		m, err := b.queue.Take(ctx)
 		if err != nil {
 			return
 		}
-		b.transmit(data)
+		b.transmit(m)
 		for _, d := range repeatDelays() {
 			time.AfterFunc(d, func() {
 				if ctx.Err() == nil {
-					b.transmit(data)
+					b.transmit(m)
 				}
 			})
 		}
 	}
 }
 
-func (b *Broadcaster[T]) transmit(data []byte) {
+func (b *Broadcaster[T]) transmit(m outgoing) {
 	conn, peers := b.conn.Load(), b.peers.Load()
-	if conn == nil || peers == nil {
+	to := m.to
+	if to == nil && peers != nil {
+		to = *peers
+	}
+	if conn == nil {
 		return
 	}
-	for _, p := range *peers {
-		b.write(conn, p, data)
+	for _, p := range to {
+		b.write(conn, p, m.data)
 	}
 }
 
--- a/broadcaster/broadcaster_test.go
+++ b/broadcaster/broadcaster_test.go
@@ -99,6 +99,15 @@
 	a.SendTo(b.address, "alone")
 	must.Wait(t, wait.InitialSuccess(wait.Timeout(2*time.Second), wait.BoolFunc(func() bool { return len(b.messages()) == 3 })))
 
+	// A message to some entries reaches only them.
+	c := start(t, "c")
+	a.SetPeers([]netip.AddrPort{b.address, c.address})
+	a.SendToSome([]netip.AddrPort{c.address}, "some")
+	a.SendToSome(nil, "none")
+	must.Wait(t, wait.InitialSuccess(wait.Timeout(2*time.Second), wait.BoolFunc(func() bool { return len(c.messages()) == 1 })))
+	must.Eq(t, []string{"some"}, c.messages())
+	must.SliceLen(t, 3, b.messages())
+
 	// A restart under the same name begins its numbers anew.
 	again := start(t, "a")
 	again.SetPeers([]netip.AddrPort{b.address})
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -162,5 +162,6 @@
 	}
 	f.unresponsive.add(name, f.Now())
 	f.log.Warn("upstream crashed", "upstream", name, "suspects", len(crash.Suspects), "error", err.Error())
+	crash.Service = u.Service
 	f.quarantine.ReportCrash(crash)
 }
--- a/quarantiner/fact.go
+++ b/quarantiner/fact.go
@@ -48,6 +48,7 @@
 type Crash struct {
 	// Upstream is the name of the incarnation that crashed.
 	Upstream identifier.Upstream `json:"upstream"`
+	Service  identifier.Service  `json:"service,omitempty"`
 	// At is when the entry lost the upstream. Entries tell each other the age, as their clocks may differ.
 	At        time.Time `json:"-"`
 	AgeMillis int64     `json:"age-millis,omitempty"`
@@ -92,8 +93,11 @@
 	Cleared bool `json:"cleared,omitempty"`
 }
 
-// Fact is what one entry tells the others; one of its fields is set.
+// Fact is what one entry tells others; one of Crash, Answered and Block is set.
 type Fact struct {
+	// CollectorsOf is the service whose collectors are told; without it all entries are.
+	CollectorsOf identifier.Service `json:"-"`
+
 	Crash *Crash `json:"crash,omitempty"`
 	// Answered lists parts of requests that upstreams have begun to answer.
 	Answered []Part `json:"answered,omitempty"`
@@ -116,7 +120,9 @@
 	for _, s := range c.Suspects {
 		n := suspectBytes + len(s.Account)
 		if size+n > maxSuspectBytes {
-			list, size = append(list, Fact{Crash: &Crash{Upstream: c.Upstream, AgeMillis: c.AgeMillis}}), 0
+			list, size = append(list, Fact{
+				CollectorsOf: c.Service, Crash: &Crash{Upstream: c.Upstream, Service: c.Service, AgeMillis: c.AgeMillis},
+			}), 0
 		}
 		last := list[len(list)-1].Crash
 		last.Suspects = append(last.Suspects, s)
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -153,6 +153,7 @@
 			continue
 		}
 		if len(r.crashes) == 0 {
+			r.service = c.Service
 			r.answeredAt = q.answersTo(s.Part).last(s.Part)
 		}
 		r.forget(now.Add(-crashMemory))
@@ -234,7 +235,7 @@
 func (q *Quarantine) Answered(parts []Part) {
 	q.mu.Lock()
 	now := q.now()
-	var tell []Part
+	tell := map[identifier.Service][]Part{}
 	var ended []Block
 	for _, p := range parts {
 		q.answersTo(p).add(p, now)
@@ -245,7 +246,11 @@
 		isBlocked := r.isBlocked()
 		if (isBlocked || r.groups() > 1) && now.Sub(q.sharedAt[p]) >= answerInterval {
 			q.sharedAt[p] = now
-			tell = append(tell, p)
+			audience := r.service
+			if isBlocked {
+				audience = ""
+			}
+			tell[audience] = append(tell[audience], p)
 		}
 		if isBlocked {
 			ended = append(ended, Block{Part: p, Scope: r.scope, Trials: r.trials, Cleared: true})
@@ -253,8 +258,10 @@
 		q.clear(p, r)
 	}
 	q.mu.Unlock()
-	for chunk := range slices.Chunk(tell, maxAnsweredParts) {
-		q.share(Fact{Answered: chunk})
+	for service, parts := range tell {
+		for chunk := range slices.Chunk(parts, maxAnsweredParts) {
+			q.share(Fact{CollectorsOf: service, Answered: chunk})
+		}
 	}
 	for _, b := range ended {
 		q.onBlock(b)
--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -60,6 +60,8 @@
 type record struct {
 	machine   *interpreter.Machine
 	isRequest bool
+	// service is that of the first crash.
+	service identifier.Service
 	// crashes are those since the last answer, in the order of their times.
 	crashes []crash
 	// answeredAt is when an upstream last began to answer a request with the part, before the first of the crashes.
--- a/quarantiner/simulation_test.go
+++ b/quarantiner/simulation_test.go
@@ -1,8 +1,10 @@
 package quarantiner_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,6 +34,9 @@
 	// sound and refused count the requests without the fatal part and those of them that were refused.
 	sound, refused int
 	inProgress     []map[int][]simulatedRequest
+	// sent holds the bytes that each entry has sent to others, and received those that it has got.
+	names          []identifier.Instance
+	sent, received []int
 }
 
 type simulatedRequest struct {
@@ -41,7 +46,9 @@
 
 func newFleet(seed uint64, entries, upstreams int) *fleet {
 	f := &fleet{clock: newClock(), rand: rand.New(rand.NewPCG(seed, 1)), upstreams: upstreams}
+	f.sent, f.received = make([]int, entries), make([]int, entries)
 	for i := range entries {
+		f.names = append(f.names, identifier.Instance(fmt.Sprint("entry-", i)))
 		f.entries = append(f.entries, quarantiner.New(quarantiner.WithNow(func() time.Time { return f.now }),
 			quarantiner.WithSchedule(f.schedule), quarantiner.WithShare(func(x quarantiner.Fact) { f.deliver(i, x) })))
 		f.inProgress = append(f.inProgress, map[int][]simulatedRequest{})
@@ -49,10 +56,30 @@
 	return f
 }
 
-// deliver delivers a fact to the other entries; a tenth of the entries do not get it.
+const (
+	// sends is how often a fact is sent, and envelopeBytes the size of a datagram without it.
+	sends         = 3
+	envelopeBytes = 130
+)
+
+// deliver delivers a fact to other entries; a tenth of them do not get it.
 func (f *fleet) deliver(from int, x quarantiner.Fact) {
+	data, err := json.Marshal(x)
+	if err != nil {
+		panic(err)
+	}
+	size := sends * (envelopeBytes + len(data))
+	var collectors []identifier.Instance
+	if x.CollectorsOf != "" {
+		collectors = quarantiner.Collectors(x.CollectorsOf, f.names)
+	}
 	for i, e := range f.entries {
-		if i != from && f.rand.Float64() > 0.1 {
+		if i == from || x.CollectorsOf != "" && !slices.Contains(collectors, f.names[i]) {
+			continue
+		}
+		f.sent[from] += size
+		f.received[i] += size
+		if f.rand.Float64() > 0.1 {
 			f.schedule(f.now.Add(time.Duration(f.rand.IntN(300))*time.Millisecond), func() { e.Apply(x) })
 		}
 	}
@@ -93,7 +120,7 @@
 	f.crashTime = append(f.crashTime, f.now)
 	name := identifier.Upstream(fmt.Sprintf("u%d/%d", upstream, f.crashed))
 	for i, e := range f.entries {
-		c := quarantiner.Crash{Upstream: name}
+		c := quarantiner.Crash{Upstream: name, Service: "s"}
 		for _, r := range f.inProgress[i][upstream] {
 			c.Add(r.account, r.parts)
 		}
@@ -161,3 +188,25 @@
 		})
 	}
 }
+
+// maxBytesOfCrash is what an entry may send for one crash, which is the limit of 3 kB a second over 10 s.
+const maxBytesOfCrash = 30_000
+
+// Guards against datagrams that grow with the square of the number of entries: all those with a request at an upstream tell of its crash.
+func TestBytesOfCrash(t *testing.T) {
+	for _, entries := range []int{10, 40, 100, 330} {
+		f := newFleet(1, entries, 40)
+		for range min(entries, 64) {
+			entry := f.rand.IntN(entries)
+			f.inProgress[entry][0] = append(f.inProgress[entry][0], f.draw())
+		}
+		f.crash(0)
+		f.advance(time.Second)
+		total := 0
+		for _, n := range f.sent {
+			total += n
+		}
+		t.Logf("%d entries: at most %d bytes sent and %d received by an entry, %d in all", entries, slices.Max(f.sent), slices.Max(f.received), total)
+		must.LessEq(t, maxBytesOfCrash, slices.Max(f.sent))
+	}
+}
--- a/runner/sharing.go
+++ b/runner/sharing.go
@@ -131,8 +131,7 @@
 		onPeers:     func() {},
 		broadcaster: broadcaster.New[message](self, log),
 	}
-	s.quarantine = quarantiner.New(
-		quarantiner.WithShare(func(f quarantiner.Fact) { s.broadcaster.Send(message{Fact: &f}) }), quarantiner.WithOnBlock(s.recordBlock))
+	s.quarantine = quarantiner.New(quarantiner.WithShare(s.sendFact), quarantiner.WithOnBlock(s.recordBlock))
 	s.throttler = throttler.New(
 		throttler.WithShare(func(x throttler.Statement) { s.broadcaster.Send(message{Limit: &x}) }), throttler.WithSend(s.sendAsk),
 		throttler.WithNumEntries(s.numEntries), throttler.WithOnChange(s.logLimit))
--- a/runner/sharing_internal_test.go
+++ b/runner/sharing_internal_test.go
@@ -357,3 +357,28 @@
 		now = now.Add(3 * time.Second)
 	}
 }
+
+// Guards against crashes that reach the collectors of one entry and not those of another.
+func TestCrashesReachTheSameCollectors(t *testing.T) {
+	const n = 40
+	told := map[netip.AddrPort]int{}
+	var names []identifier.Instance
+	for i := range n {
+		names = append(names, identifier.Instance(fmt.Sprint("entry-", i)))
+	}
+	for self := range n {
+		s := newSharing(newSharedTable().store(), names[self], netip.AddrPort{}, slog.New(slog.DiscardHandler))
+		for i := range n {
+			if i != self {
+				s.entries[names[i]] = entryRecord{address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(1000+i))}
+			}
+		}
+		for _, to := range s.collectors("s") {
+			told[to]++
+		}
+	}
+	must.MapLen(t, 16, told)
+	for to, times := range told {
+		must.EqOp(t, n-1, times, must.Sprint(to))
+	}
+}
