arbiter: an inquiry that is contradicted asks less and less

An entry that starts after the store has come back from a copy asked three others every 0.1 s for as long as their answers contradicted the store, up to twice apply-time.

The time between two rounds now doubles from 0.1 s to 2 s, decided in arbiter.Inquiry. A configuration that the store shows for the first time begins anew at 0.1 s, so the operator's next write is asked about at once.

TestContradictedInquiryAsksLess: 8 to 15 rounds in 20 s (200 before), and a round at once for another configuration.

--- a/arbiter/inquiry.go
+++ b/arbiter/inquiry.go
@@ -2,8 +2,14 @@
 
 import "time"
 
-// inquirySilence is how long an inquiry lasts at most without an answer.
-const inquirySilence = 200 * time.Millisecond
+const (
+	// inquirySilence is how long an inquiry lasts at most without an answer.
+	inquirySilence = 200 * time.Millisecond
+	// minAskInterval and maxAskInterval bound the time between two rounds of questions, which doubles with each round for the same
+	// configuration.
+	minAskInterval = 100 * time.Millisecond
+	maxAskInterval = 2 * time.Second
+)
 
 // Claim is what another entry says of the configuration that it has in force.
 type Claim struct {
@@ -20,6 +26,11 @@
 	// doubt is how long the inquiry lasts at most while answers contradict the store.
 	doubt time.Duration
 	began time.Time
+	// nextAskAt is when the next round is due, and askInterval the time from that to the one after it.
+	nextAskAt   time.Time
+	askInterval time.Duration
+	// shown identifies the configuration on which the last round was asked.
+	shown identity
 	// asked is the number of entries asked in the present round, and answers holds their answers.
 	asked   int
 	answers map[string]Claim
@@ -39,9 +50,19 @@
 	}
 }
 
+// IsAskDue reports whether a round of questions is due while the store shows a configuration. One that is new begins anew.
+func (x *Inquiry) IsAskDue(shown *Candidate, now time.Time) bool {
+	if shown.identity() != x.shown {
+		x.shown, x.nextAskAt, x.askInterval = shown.identity(), now, minAskInterval
+	}
+	return !now.Before(x.nextAskAt)
+}
+
 // Ask begins a round in which a number of entries are asked, 0 if there are no others.
-func (x *Inquiry) Ask(asked int) {
+func (x *Inquiry) Ask(asked int, now time.Time) {
 	x.asked, x.answers = asked, map[string]Claim{}
+	x.nextAskAt = now.Add(x.askInterval)
+	x.askInterval = min(2*x.askInterval, maxAskInterval)
 }
 
 // Answer records the answer of an entry.
--- a/arbiter/inquiry_test.go
+++ b/arbiter/inquiry_test.go
@@ -33,7 +33,7 @@
 			began := time.Unix(1000, 0)
 			i := arbiter.NewInquiry(hold)
 			i.Begin(began)
-			i.Ask(x.asked)
+			i.Ask(x.asked, began)
 			for n, c := range x.answers {
 				i.Answer(string(rune('a'+n)), c)
 			}
@@ -60,10 +60,10 @@
 	shown, now := candidate(10, 1, 2, 80), time.Unix(1000, 0)
 	i := arbiter.NewInquiry(hold)
 	i.Begin(now)
-	i.Ask(2)
+	i.Ask(2, now)
 	i.Answer("a", arbiter.Claim{Revision: 12, Digest: 2})
 	must.False(t, i.Allows(&shown, now))
-	i.Ask(2)
+	i.Ask(2, now)
 	now = now.Add(hold)
 	must.False(t, i.Allows(&shown, now))
 	i.Answer("a", arbiter.Claim{Revision: 10, Digest: 1})
@@ -71,3 +71,26 @@
 	i.Answer("b", arbiter.Claim{Revision: 10, Digest: 1})
 	must.True(t, i.Allows(&shown, now))
 }
+
+// Guards against an entry that sends more than the limit for control while the others contradict the store, and against one that asks late
+// after the operator has written again.
+func TestContradictedInquiryAsksLess(t *testing.T) {
+	shown, now := candidate(10, 1, 2, 80), time.Unix(1000, 0)
+	i := arbiter.NewInquiry(10 * time.Second)
+	i.Begin(now)
+	rounds := 0
+	for end := now.Add(20 * time.Second); now.Before(end); now = now.Add(50 * time.Millisecond) {
+		must.False(t, i.Allows(&shown, now))
+		if i.IsAskDue(&shown, now) {
+			rounds++
+			i.Ask(1, now)
+			i.Answer("a", arbiter.Claim{Revision: 12, Digest: 2})
+		}
+	}
+	must.Between(t, 8, rounds, 15)
+	again := candidate(11, 3, 2, 90)
+	must.True(t, i.IsAskDue(&again, now))
+	i.Ask(1, now)
+	must.False(t, i.IsAskDue(&again, now.Add(99*time.Millisecond)))
+	must.True(t, i.IsAskDue(&again, now.Add(100*time.Millisecond)))
+}
--- a/runner/inquiry.go
+++ b/runner/inquiry.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// inquiryInterval is the time between two rounds of questions, and maxAsked bounds the entries that are asked in a round.
-	inquiryInterval = 100 * time.Millisecond
+	// inquiryInterval is the time between two looks at the inquiry, and maxAsked bounds the entries that are asked in a round.
+	inquiryInterval = 50 * time.Millisecond
 	maxAsked        = 3
 	// waitLogTime is the time after which a configuration that waits is logged.
 	waitLogTime = 500 * time.Millisecond
@@ -46,7 +46,7 @@
 	decision *arbiter.Inquiry
 	// shown holds the configurations that the store has shown meanwhile, the oldest first.
 	shown             []arbiter.Candidate
-	beganAt, askedAt  time.Time
+	beganAt           time.Time
 	waitLogged, ended bool
 }
 
@@ -107,9 +107,8 @@
 		}
 	}
 	if r.sharing.address.IsValid() && !x.decision.Allows(newest, now) {
-		if peers, known := r.sharing.somePeers(maxAsked); known && now.Sub(x.askedAt) >= inquiryInterval {
-			x.askedAt = now
-			x.decision.Ask(len(peers))
+		if peers, known := r.sharing.somePeers(maxAsked); known && x.decision.IsAskDue(newest, now) {
+			x.decision.Ask(len(peers), now)
 			for _, p := range peers {
 				r.sharing.broadcaster.SendTo(p, message{Question: &question{Era: r.upstreams.Position().Era}})
 			}
