soakbencher: a drill of what each run must contain

Each run now begins with a drill of some six seconds: an engine announces that it leaves six seconds before its registration does, half of the engines and of the plain services ask to pause for 3 s, the store loses a new route, a withdrawn key and forty versions and is back for a second before its rows are written again, an upstream loses its responses, and a change after the return must be in force at all entries within the time to apply ("change after a return arrives", new).

--- a/soakbencher/disrupt.go
+++ b/soakbencher/disrupt.go
@@ -92,7 +92,11 @@
 func (s *soak) returnStore() {
 	away := time.Duration(100+s.rand.IntN(900)) * time.Millisecond
 	rewriteDelay := time.Duration(s.rand.IntN(2)*s.rand.IntN(1500)) * time.Millisecond
-	mode := []standin.Mode{standin.Away, standin.Refusing, standin.Silent}[s.rand.IntN(3)]
+	s.returnStoreAfter([]standin.Mode{standin.Away, standin.Refusing, standin.Silent}[s.rand.IntN(3)], away, rewriteDelay)
+}
+
+// returnStoreAfter is returnStore with drawn values.
+func (s *soak) returnStoreAfter(mode standin.Mode, away, rewriteDelay time.Duration) {
 	s.logEvent("store in mode %d for %v, returns from its copy, rows written again after %v", mode, away, rewriteDelay)
 	s.noteFault(scopeStore, nil, away+rewriteDelay)
 	s.store.SetMode(mode)
@@ -174,7 +178,11 @@
 
 // announce lets an upstream say in its answers that it leaves, before its registration does.
 func (s *soak) announce() {
-	u, d := s.randomUpstream(), time.Duration(s.rand.IntN(3000))*time.Millisecond
+	s.announceFor(s.randomUpstream(), time.Duration(s.rand.IntN(3000))*time.Millisecond)
+}
+
+// announceFor lets an upstream say in its answers that it leaves for d before its registration does.
+func (s *soak) announceFor(u *upstream, d time.Duration) {
 	if err := s.addUpstream(u.Service, u.Version); err != nil {
 		s.check(invariantRecovery, false, "%v", err)
 		return
--- /dev/null
+++ b/soakbencher/drill.go
@@ -0,0 +1,74 @@
+package soakbencher
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/siskinfront/siskinfront/platform/standin"
+)
+
+// invariantReturnedChange is that on a change that is written after the store has come back.
+const invariantReturnedChange = "change after a return arrives"
+
+const (
+	// drillPause is how long upstreams ask to pause in the drill, and drillLeaving how long one says that it leaves before its
+	// registration does.
+	drillPause   = 3 * time.Second
+	drillLeaving = leaveGracePeriod + 4*time.Second
+	// drillWithdrawal is how long a key is withdrawn in the drill, less configApplyTime.
+	drillWithdrawal = 4 * time.Second
+	// lostChanges is the number of changes that the store loses, so that its versions stay below those that entries have seen.
+	lostChanges = 40
+	// drillAway is how long the store is away, and drillRewrite how much later its rows are written again.
+	drillAway, drillRewrite = 300 * time.Millisecond, time.Second
+	// drillDropping is how long an upstream loses its responses.
+	drillDropping = time.Second
+	// afterReturn is how long after a return the next change is written.
+	afterReturn = 500 * time.Millisecond
+)
+
+// drill injects what each run contains, whatever its seed draws: an upstream that says that it leaves, upstreams that ask to pause, a
+// withdrawn key and a new route that the store loses, responses that are lost, and a change after the return.
+func (s *soak) drill(ctx context.Context) {
+	s.logEvent("drill")
+	s.announceFor(s.upstreamOf("engine"), drillLeaving)
+	for _, service := range []string{"engine", plainService} {
+		list := s.upstreamsOf(service)
+		for _, u := range list[:len(list)/2] {
+			s.logEvent("%s asks to pause for %v", u.Name, drillPause)
+			u.Pause(drillPause)
+		}
+	}
+	s.logEvent("store copied")
+	s.store.Copy()
+	s.addRoute()
+	s.withdrawKey(drillWithdrawal)
+	for range lostChanges {
+		s.operator.Change(func(*standin.Configuration) {})
+	}
+	time.Sleep(max(configApplyTime, drillPause))
+	u := s.upstreamOf(plainService)
+	s.logEvent("%s loses its responses for %v", u.Name, drillDropping)
+	s.noteFault(scopeTraffic, nil, drillDropping)
+	u.SetBehaviour(standin.DroppingResponses)
+	s.after(drillDropping, func() { u.SetBehaviour(standin.Working) })
+	s.returnStoreAfter(standin.Away, drillAway, drillRewrite)
+	time.Sleep(drillAway + drillRewrite + afterReturn)
+	n := s.addRoute()
+	time.Sleep(configApplyTime)
+	s.checkChangeArrives(ctx, invariantReturnedChange, n)
+}
+
+// upstreamsOf returns the upstreams of a service that neither leave nor have crashed.
+func (s *soak) upstreamsOf(service string) []*upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(s.upstreams), func(u *upstream) bool { return u.Service != service || u.Stopped() })
+}
+
+// upstreamOf returns a random one of them.
+func (s *soak) upstreamOf(service string) *upstream {
+	list := s.upstreamsOf(service)
+	return list[s.rand.IntN(len(list))]
+}
--- a/soakbencher/routes.go
+++ b/soakbencher/routes.go
@@ -58,11 +58,11 @@
 	return s.requestRoute(ctx, pool, c, fmt.Sprintf("/added-%d/", n))
 }
 
-// checkChangeArrives checks that every entry has the n-th added route some time after the faults.
-func (s *soak) checkChangeArrives(ctx context.Context, n int) {
+// checkChangeArrives checks that every entry has the n-th added route some time after it was written.
+func (s *soak) checkChangeArrives(ctx context.Context, invariant string, n int) {
 	pool := connector.New()
 	for i, e := range s.entries {
 		status := s.requestAddedRoute(ctx, pool, e, n, -1-i)
-		s.check(invariantChangeArrives, showsRoute(status), "%s does not have route %d: status %d", e.name, n, status)
+		s.check(invariant, showsRoute(status), "%s does not have route %d: status %d", e.name, n, status)
 	}
 }
--- a/soakbencher/soak.go
+++ b/soakbencher/soak.go
@@ -163,6 +163,7 @@
 		duration = defaultDuration
 	}
 	time.Sleep(startupTime)
+	s.drill(ctx)
 	s.store.Copy()
 	s.injectDisruptions(ctx, duration/2)
 	s.injectFaults(ctx, duration)
@@ -172,7 +173,7 @@
 	time.Sleep(faultFreeTime - recoveryCheckTime)
 	added := s.addRoute()
 	time.Sleep(recoveryCheckTime)
-	s.checkChangeArrives(ctx, added)
+	s.checkChangeArrives(ctx, invariantChangeArrives, added)
 	stopCalls()
 	calling.Wait()
 	s.crowdsSending.Wait()
