promoter, runner: an entry that starts knows the versions rolled back before

Cause: an entry read only the status of the last order of a service at its start. What callers would see: after two orders in a row that were rolled back, or during the second one, an entry that restarts sends requests to the version of the first if its upstreams are still registered.

The verdicts are in the store, one row each. An entry that is not yet ready now reads them with the status and takes from promoter.RolledBack, by (era, number of the order), which versions stay out of service. It is one more read for each ordered service at a start. Verdicts that rolled a version back stay for 24 h instead of 1 h before another verdict removes them.

TestEarlierRollbackIsKnownAtStart fails without the read (2 of 2 cases); TestRolledBack. TestFirstVerdict checked that a rollback is removed after two hours; it now checks this of a success, and after 25 hours of both. TestRolloutCallsAreCounted runs with an entry that was ready, as the read is made only before.

--- a/promoter/orders_test.go
+++ b/promoter/orders_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/interpreter"
 	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/storer"
 )
@@ -67,8 +68,25 @@
 	v, ok := promoter.FirstVerdict([]promoter.Verdict{verdict("v2", 95, 3, false), verdict("v2", 95, 2, true), verdict("v2", 95, 3, false)}, &o)
 	must.True(t, ok)
 	must.EqOp(t, promoter.TimedRolloutRolledBack, v.State)
-	old := promoter.OldVerdicts([]promoter.Verdict{verdict("v2", 95, 3, false), verdict("v1", 7, 1, true)}, &o, (2 * time.Hour).Milliseconds())
+	all := []promoter.Verdict{verdict("v2", 95, 3, false), verdict("v1", 7, 1, true), verdict("v0", 6, 1, false)}
+	old := promoter.OldVerdicts(all, &o, (2 * time.Hour).Milliseconds())
 	must.SliceLen(t, 1, old)
-	must.EqOp(t, "v1", string(old[0].To))
-	must.SliceEmpty(t, promoter.OldVerdicts(old, &o, time.Minute.Milliseconds()))
+	must.EqOp(t, "v0", string(old[0].To))
+	must.SliceLen(t, 2, promoter.OldVerdicts(all, &o, (25*time.Hour).Milliseconds()))
+	must.SliceEmpty(t, promoter.OldVerdicts(all, &o, time.Minute.Milliseconds()))
+}
+
+// Guards against a version that stays out of service although a later order kept it, and against one that returns because an order of a
+// later era had a lower number.
+func TestRolledBack(t *testing.T) {
+	o := orderTo("v9", 3, 95)
+	verdict := func(to identifier.Version, number, era uint64, state interpreter.State) promoter.Verdict {
+		return promoter.Verdict{To: to, Number: number, Era: era, State: state}
+	}
+	bad, good := promoter.TimedRolloutRolledBack, promoter.TimedRolloutSucceeded
+	must.Eq(t, []identifier.Version{"v1", "v3", "v5"}, promoter.RolledBack([]promoter.Verdict{
+		verdict("v1", 10, 1, bad), verdict("v2", 12, 1, bad), verdict("v2", 11, 1, bad), verdict("v2", 13, 1, good),
+		verdict("v3", 20, 1, good), verdict("v3", 15, 2, bad), verdict("v4", 20, 1, bad), verdict("v4", 15, 2, good),
+		verdict("v5", 30, 1, bad), verdict("v5", 40, 1, promoter.TimedRolloutCanary), verdict("v9", 50, 1, bad),
+	}, &o))
 }
--- a/promoter/trial.go
+++ b/promoter/trial.go
@@ -3,6 +3,7 @@
 import (
 	_ "embed"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,7 +46,9 @@
 	// decisionLead is the time before the second half from which decisions are due.
 	decisionLead = time.Second
 	// maxVerdictAge is the age beyond which a verdict is no longer needed: a copy of the store from which it comes back is much younger.
-	maxVerdictAge = time.Hour
+	// That a version was rolled back counts longer, as entries that start must know it while its upstreams remain.
+	maxVerdictAge    = time.Hour
+	maxRolledBackAge = 24 * time.Hour
 	// minGoodAnswers is the number of further good answers of the new version that each step of exposure needs.
 	minGoodAnswers = 8
 )
@@ -111,17 +114,45 @@
 	return v.To == o.To && v.Number == o.At.Version
 }
 
-// OldVerdicts returns the verdicts on other orders that are older than maxVerdictAge at a time of the store's clock in milliseconds.
+// OldVerdicts returns the verdicts on other orders that are no longer needed at a time of the store's clock in milliseconds.
 func OldVerdicts(verdicts []Verdict, o *RolloutOrder, storeNow int64) []Verdict {
 	var old []Verdict
 	for i := range verdicts {
-		if v := &verdicts[i]; !v.IsOn(o) && storeNow-v.At > maxVerdictAge.Milliseconds() {
+		v, age := &verdicts[i], maxVerdictAge
+		if v.State == TimedRolloutRolledBack {
+			age = maxRolledBackAge
+		}
+		if !v.IsOn(o) && storeNow-v.At > age.Milliseconds() {
 			old = append(old, *v)
 		}
 	}
 	return old
 }
 
+// RolledBack returns the versions that orders before an order have rolled back and none has returned to service since.
+func RolledBack(verdicts []Verdict, o *RolloutOrder) []identifier.Version {
+	last := map[identifier.Version]*Verdict{}
+	for i := range verdicts {
+		v := &verdicts[i]
+		if v.To != o.To && IsFinal(v.State) && (last[v.To] == nil || last[v.To].position().Before(v.position())) {
+			last[v.To] = v
+		}
+	}
+	var versions []identifier.Version
+	for version, v := range last {
+		if v.State == TimedRolloutRolledBack {
+			versions = append(versions, version)
+		}
+	}
+	slices.Sort(versions)
+	return versions
+}
+
+// position returns that of the order, in the era in which the verdict was reached.
+func (v *Verdict) position() storer.Position {
+	return storer.Position{Era: v.Era, Version: v.Number}
+}
+
 // FirstVerdict returns the verdict on an order that was reached in the earliest era, or false if there is none. A store that comes back
 // from an older copy may have lost a verdict on which entries and the operator have acted; it counts more than one that entries
 // without knowledge of it have reached since.
--- a/runner/rollouts_internal_test.go
+++ b/runner/rollouts_internal_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/interpreter"
 	"github.com/siskinfront/siskinfront/pinner"
 	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/storer"
@@ -265,6 +266,41 @@
 	}
 }
 
+// Guards against an entry that starts and returns a version to service that an order before the present one has rolled back: the row of the
+// status shows only the present one.
+func TestEarlierRollbackIsKnownAtStart(t *testing.T) {
+	verdict := func(to identifier.Version, number uint64, state interpreter.State) promoter.Verdict {
+		return promoter.Verdict{To: to, Number: number, Era: 1, State: state}
+	}
+	for name, x := range map[string]struct {
+		status interpreter.State
+		// v2 is the group of the version that was rolled back.
+		v2 identifier.Service
+	}{
+		"in progress": {promoter.TimedRolloutCanary, "s" + excludedSuffix},
+		"rolled back": {promoter.TimedRolloutRolledBack, "s" + excludedSuffix},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				at := storer.Position{Era: 1, Version: 130}
+				table := &rolloutTable{at: at, status: promoter.RolloutStatus{To: "v4", State: x.status, At: at}, verdicts: []promoter.Verdict{
+					verdict("v2", 50, promoter.TimedRolloutRolledBack), verdict("v3", 60, promoter.TimedRolloutRolledBack),
+					verdict("v3", 70, promoter.TimedRolloutSucceeded),
+				}}
+				r := startRollouts(ctx, table, "a")
+				r.addOrder(promoter.RolloutOrder{Service: "s", To: "v4", Duration: time.Minute, At: storer.Position{Era: 1, Version: 120}}, false)
+				time.Sleep(time.Second)
+				must.True(t, r.allKnown())
+				must.EqOp(t, x.v2, r.group("s", "v2"))
+				must.EqOp(t, "s", r.group("s", "v3"))
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // Guards against a roll-out whose calls of the store are not counted a kind.
 func TestRolloutCallsAreCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -272,6 +308,7 @@
 		table, calls := &rolloutTable{at: storer.Position{Era: 1, Version: 95}}, &rolloutCalls{}
 		r := newRollouts(table, "a")
 		r.store = calls.count(r.store)
+		r.ready.Store(true)
 		go func() { _ = r.run(ctx) }()
 		r.addOrder(orderAt(1, 95), false)
 		time.Sleep(10 * time.Second)
--- a/runner/verdict.go
+++ b/runner/verdict.go
@@ -10,7 +10,7 @@
 
 // readStatus reads the status of an order from the store, and writes that the order is in progress if no entry has done so.
 func (r *rollouts) readStatus(ctx context.Context, x *rollout, order *promoter.RolloutOrder) error {
-	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
 	defer cancel()
 	status, clock, err := r.store.Status(ctx, order.Service)
 	if err != nil {
@@ -20,6 +20,9 @@
 		return storer.ErrEraChanged
 	}
 	r.setClock(x, clock)
+	if err := r.learnRolledBack(ctx, x, order); err != nil {
+		return err
+	}
 	if status.Ends(order) {
 		r.setVerdict(x, promoter.Verdict{
 			To: order.To, Number: order.At.Version, Era: order.At.Era, State: status.State, Reason: "status", At: clock,
@@ -39,6 +42,23 @@
 	return nil
 }
 
+// learnRolledBack reads the versions that earlier orders have rolled back, unless this entry was there.
+func (r *rollouts) learnRolledBack(ctx context.Context, x *rollout, order *promoter.RolloutOrder) error {
+	if r.ready.Load() {
+		return nil
+	}
+	records, err := r.readRecords(ctx, x, order)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, version := range promoter.RolledBack(records.Verdicts, order) {
+		r.rolledBack[serviceVersion{order.Service, version}] = true
+	}
+	return nil
+}
+
 // decide writes this entry's tally, reads those of all entries, and decides on the state of the order.
 func (r *rollouts) decide(ctx context.Context, x *rollout, order *promoter.RolloutOrder) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
