soakbencher: the drill comes before crashes and leaves one upstream

Traced: the upstreams that announced had crashed on the fatal requests, and entries sent to a pausing upstream seldom enough while half of the others served.

Fatal requests now begin after the drill, an engine and a plain service announce that they leave, ten seconds before their registrations do, and all others of a service but one pause.

--- a/soakbencher/drill.go
+++ b/soakbencher/drill.go
@@ -15,7 +15,7 @@
 	// drillPause is how long upstreams ask to pause in the drill, and drillLeaving how long one says that it leaves before its
 	// registration does.
 	drillPause   = 3 * time.Second
-	drillLeaving = leaveGracePeriod + 4*time.Second
+	drillLeaving = leaveGracePeriod + 8*time.Second
 	// drillWithdrawal is how long a key is withdrawn in the drill, less configApplyTime.
 	drillWithdrawal = 4 * time.Second
 	// lostChanges is the number of changes that the store loses, so that its versions stay below those that entries have seen.
@@ -28,14 +28,14 @@
 	afterReturn = 500 * time.Millisecond
 )
 
-// drill injects what each run contains, whatever its seed draws: an upstream that says that it leaves, upstreams that ask to pause, a
-// withdrawn key and a new route that the store loses, responses that are lost, and a change after the return.
+// drill injects what each run contains, whatever its seed draws: upstreams that say that they leave, all others but one that ask to
+// pause, a withdrawn key and a new route that the store loses, responses that are lost, and a change after the return.
 func (s *soak) drill(ctx context.Context) {
 	s.logEvent("drill")
-	s.announceFor(s.upstreamOf("engine"), drillLeaving)
 	for _, service := range []string{"engine", plainService} {
+		s.announceFor(s.upstreamOf(service), drillLeaving)
 		list := s.upstreamsOf(service)
-		for _, u := range list[:len(list)/2] {
+		for _, u := range list[:len(list)-1] {
 			s.logEvent("%s asks to pause for %v", u.Name, drillPause)
 			u.Pause(drillPause)
 		}
--- a/soakbencher/fatal.go
+++ b/soakbencher/fatal.go
@@ -48,14 +48,19 @@
 	from time.Time
 }
 
-// sendFatal sends requests with the part to all entries from a drawn time on, until ctx ends. Every other request shares its client
+// sendFatal sends requests with the part to all entries from a drawn time after the drill on, until ctx ends. Every other request shares its client
 // account and its first part with sound ones.
 func (s *soak) sendFatal(ctx context.Context, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 1<<32))
 	if r.IntN(3) == 0 {
 		return
 	}
-	time.Sleep(startupTime + time.Duration(r.IntN(4000))*time.Millisecond)
+	select {
+	case <-s.drilled:
+	case <-ctx.Done():
+		return
+	}
+	time.Sleep(time.Duration(r.IntN(4000)) * time.Millisecond)
 	s.mu.Lock()
 	s.fatal = fatalPart{name: fmt.Sprintf("f%x", seed), from: time.Now()}
 	s.mu.Unlock()
--- a/soakbencher/fatalrequest.go
+++ b/soakbencher/fatalrequest.go
@@ -28,13 +28,18 @@
 	maxFatalBurst = 4
 )
 
-// sendFatalRequest sends the same request to all entries from a drawn time on, now and then several at once, until ctx ends.
+// sendFatalRequest sends the same request to all entries from a drawn time after the drill on, now and then several at once, until ctx ends.
 func (s *soak) sendFatalRequest(ctx context.Context, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 2<<32))
 	if r.IntN(3) == 0 {
 		return
 	}
-	time.Sleep(startupTime + time.Duration(r.IntN(4000))*time.Millisecond)
+	select {
+	case <-s.drilled:
+	case <-ctx.Done():
+		return
+	}
+	time.Sleep(time.Duration(r.IntN(4000)) * time.Millisecond)
 	kind := []standin.Kind{standin.Idempotent, standin.NonIdempotent}[r.IntN(2)]
 	body, account := fmt.Sprintf("crash %x", seed), accounts[r.IntN(2)]
 	s.logEvent("plain services crash on one request of kind %s", kind)
--- a/soakbencher/soak.go
+++ b/soakbencher/soak.go
@@ -112,6 +112,8 @@
 	versions       map[string]bool
 	routesAdded    int
 
+	// drilled is closed when the drill has ended.
+	drilled       chan struct{}
 	crowdsSending sync.WaitGroup
 	// background holds what else changes the state of the run; the last checks read it without the lock.
 	background sync.WaitGroup
@@ -136,7 +138,7 @@
 	s := &soak{
 		startedAt: time.Now(), rand: rand.New(rand.NewPCG(p.Seed, 1)), dir: dir, size: sizeForSeed(p.Seed),
 		log: &standin.RunLog{}, crasher: &standin.Crasher{}, requestCrasher: &standin.Crasher{}, results: map[string]*invariantResult{},
-		versions: map[string]bool{"v1": true}, timeouts: map[standin.Kind][]setting{},
+		versions: map[string]bool{"v1": true}, timeouts: map[standin.Kind][]setting{}, drilled: make(chan struct{}),
 	}
 	defer s.close()
 	if err := s.start(ctx, program, args); err != nil {
@@ -164,6 +166,7 @@
 	}
 	time.Sleep(startupTime)
 	s.drill(ctx)
+	close(s.drilled)
 	s.store.Copy()
 	s.injectDisruptions(ctx, duration/2)
 	s.injectFaults(ctx, duration)
