soakbencher: the drill pauses an entry through a return of the store

At its end the drill now takes the store back a second time while an entry is paused from before the outage until the rows are written again, and checks that a change written half a second later is in force at all entries within the time to apply.

--- a/soakbencher/drill.go
+++ b/soakbencher/drill.go
@@ -29,7 +29,8 @@
 )
 
 // drill injects what each run contains, whatever its seed draws: upstreams that say that they leave, all others but one that ask to
-// pause, a withdrawn key and a new route that the store loses, responses that are lost, and a change after the return.
+// pause, a withdrawn key and a new route that the store loses, responses that are lost, a change after the return, and an entry
+// that is paused through another one.
 func (s *soak) drill(ctx context.Context) {
 	s.logEvent("drill")
 	for _, service := range []string{"engine", plainService} {
@@ -44,15 +45,32 @@
 	s.store.Copy()
 	s.addRoute()
 	s.withdrawKey(drillWithdrawal)
-	for range lostChanges {
-		s.operator.Change(func(*standin.Configuration) {})
-	}
+	s.loseChanges()
 	time.Sleep(max(configApplyTime, drillPause))
 	u := s.upstreamOf(plainService)
 	s.logEvent("%s loses its responses for %v", u.Name, drillDropping)
 	s.noteFault(scopeTraffic, nil, drillDropping)
 	u.SetBehaviour(standin.DroppingResponses)
 	s.after(drillDropping, func() { u.SetBehaviour(standin.Working) })
+	s.returnAndChange(ctx)
+
+	// An entry that was paused through a return has replies of the era before in its buffers.
+	s.logEvent("store copied")
+	s.store.Copy()
+	s.loseChanges()
+	s.pauseEntry(s.entries[s.rand.IntN(len(s.entries))], drillAway+drillRewrite)
+	s.returnAndChange(ctx)
+}
+
+// loseChanges writes versions that the next return of the store loses.
+func (s *soak) loseChanges() {
+	for range lostChanges {
+		s.operator.Change(func(*standin.Configuration) {})
+	}
+}
+
+// returnAndChange lets the store come back from its copy and checks that a change which is written then arrives.
+func (s *soak) returnAndChange(ctx context.Context) {
 	s.returnStoreAfter(standin.Away, drillAway, drillRewrite)
 	time.Sleep(drillAway + drillRewrite + afterReturn)
 	n := s.addRoute()
--- a/soakbencher/inject.go
+++ b/soakbencher/inject.go
@@ -91,10 +91,7 @@
 	case 1:
 		s.stopEntry(e)
 	case 2:
-		s.logEvent("pause %s for %v", e.name, d)
-		s.noteFault(scopeProcess, e, d)
-		e.signal(syscall.SIGSTOP, d+faultRecoveryTime)
-		time.AfterFunc(d, func() { e.signal(syscall.SIGCONT, faultRecoveryTime) })
+		s.pauseEntry(e, d)
 	case 3:
 		s.hangUp(e)
 	case 4, 5:
@@ -128,6 +125,14 @@
 	}
 }
 
+// pauseEntry stops the process of an entry for d and lets it go on.
+func (s *soak) pauseEntry(e *entry, d time.Duration) {
+	s.logEvent("pause %s for %v", e.name, d)
+	s.noteFault(scopeProcess, e, d)
+	e.signal(syscall.SIGSTOP, d+faultRecoveryTime)
+	time.AfterFunc(d, func() { e.signal(syscall.SIGCONT, faultRecoveryTime) })
+}
+
 func (s *soak) killEntry(e *entry) {
 	s.logEvent("kill %s", e.name)
 	s.noteFault(scopeProcess, e, time.Second)
