soakbencher: the drill loses the responses of the upstream that serves

The upstream whose responses were lost had mostly just ended its pause and had few requests. It is now the one that did not pause.

--- a/soakbencher/drill.go
+++ b/soakbencher/drill.go
@@ -33,13 +33,16 @@
 // that is paused through another one.
 func (s *soak) drill(ctx context.Context) {
 	s.logEvent("drill")
+	// serving is the plain upstream that does not pause, so that it has requests whose responses are lost later.
+	var serving *upstream
 	for _, service := range []string{"engine", plainService} {
-		s.announceFor(s.upstreamOf(service), drillLeaving)
+		s.announceFor(s.upstreamsOf(service)[0], drillLeaving)
 		list := s.upstreamsOf(service)
 		for _, u := range list[:len(list)-1] {
 			s.logEvent("%s asks to pause for %v", u.Name, drillPause)
 			u.Pause(drillPause)
 		}
+		serving = list[len(list)-1]
 	}
 	s.logEvent("store copied")
 	s.store.Copy()
@@ -47,11 +50,10 @@
 	s.withdrawKey(drillWithdrawal)
 	s.loseChanges()
 	time.Sleep(max(configApplyTime, drillPause))
-	u := s.upstreamOf(plainService)
-	s.logEvent("%s loses its responses for %v", u.Name, drillDropping)
+	s.logEvent("%s loses its responses for %v", serving.Name, drillDropping)
 	s.noteFault(scopeTraffic, nil, drillDropping)
-	u.SetBehaviour(standin.DroppingResponses)
-	s.after(drillDropping, func() { u.SetBehaviour(standin.Working) })
+	serving.SetBehaviour(standin.DroppingResponses)
+	s.after(drillDropping, func() { serving.SetBehaviour(standin.Working) })
 	s.returnAndChange(ctx)
 
 	// An entry that was paused through a return has replies of the era before in its buffers.
@@ -84,9 +86,3 @@
 	defer s.mu.Unlock()
 	return slices.DeleteFunc(slices.Clone(s.upstreams), func(u *upstream) bool { return u.Service != service || u.Stopped() })
 }
-
-// upstreamOf returns a random one of them.
-func (s *soak) upstreamOf(service string) *upstream {
-	list := s.upstreamsOf(service)
-	return list[s.rand.IntN(len(list))]
-}
