runner: sessions are held from the order on, not from the read of its status

Cause: an order takes over the sessions that were in use before it, and sessions of the canary are held on the former version once the status of the order is known. A running entry reads that status up to 250 ms after it has seen the order. Sessions that were served in between were held nowhere, nor told to the others.

Sessions are now held as soon as the order is known and until it has ended. A session that is recorded while an order is being added is recorded before the order looks. TestSessionBeforeStatusIsHeld fails without the change.

--- a/runner/rollouts.go
+++ b/runner/rollouts.go
@@ -180,18 +180,20 @@
 	r.mu.Lock()
 	x := r.services[s]
 	if x == nil {
-		r.mu.Unlock()
+		// An order that is added next finds the session.
 		r.recentSessions.Use(session, now)
+		r.mu.Unlock()
 		return s
 	}
-	inProgress, state := x.statusKnown && x.verdict.State == "", x.verdict.State
+	statusKnown, state := x.statusKnown, x.verdict.State
 	r.mu.Unlock()
 	candidate := s + candidateSuffix
 	hasCandidates := r.groupSize(candidate) > 0
-	if inProgress {
-		if hasCandidates && x.timed.UsesNewVersion(session, now) {
+	if state == "" {
+		if statusKnown && hasCandidates && x.timed.UsesNewVersion(session, now) {
 			return candidate
 		}
+		// Until the status is read, sessions are served on the former version too.
 		x.timed.HoldSessions([]uint64{session}, now)
 	}
 	r.recentSessions.Use(session, now)
--- a/runner/rollouts_internal_test.go
+++ b/runner/rollouts_internal_test.go
@@ -266,6 +266,25 @@
 	}
 }
 
+// Guards against a session that is served on the former version between the order and the read of its status, and moves in the canary.
+func TestSessionBeforeStatusIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		table := &rolloutTable{at: storer.Position{Era: 1, Version: 95}}
+		r := newRollouts(table, "a")
+		r.addOrder(promoter.RolloutOrder{Service: "s", To: "v2", Duration: time.Minute, At: table.at}, false)
+		// Both are in the share of the canary.
+		const held, later = 1 << 20, 1 << 21
+		must.EqOp(t, "s", r.sessionGroup("s", held))
+		go func() { _ = r.run(ctx) }()
+		time.Sleep(5 * time.Second)
+		must.EqOp(t, "s", r.sessionGroup("s", held))
+		must.EqOp(t, "s"+candidateSuffix, r.sessionGroup("s", later))
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against an entry that starts and returns a version to service that an order before the present one has rolled back: the row of the
 // status shows only the present one.
 func TestEarlierRollbackIsKnownAtStart(t *testing.T) {
