matcher: require keys also after the last one is withdrawn

Cause: whether requests need a key followed from whether any account has one, so a configuration whose keys are all withdrawn counted as one without client accounts.

Only a configuration without the list needs no keys; with an empty list, a null list or accounts without keys, requests get 401 unless their route is public.

--- a/matcher/table.go
+++ b/matcher/table.go
@@ -132,6 +132,8 @@
 
 	routesByHost      map[string][]*Route
 	accountsByKeyHash map[[sha256.Size]byte]*Account
+	// requiresKeys is kept apart from the keys, because the last key may have been withdrawn.
+	requiresKeys bool
 }
 
 // Option adds to a Table.
@@ -150,9 +152,16 @@
 	return func(t *Table) { t.Services[s.Name] = s }
 }
 
-// WithAccount adds a client account with its keys, of which only hashes are kept.
+// WithRequiredKeys makes requests need a key, whether or not there is an account that has one.
+func WithRequiredKeys() Option {
+	return func(t *Table) { t.requiresKeys = true }
+}
+
+// WithAccount adds a client account with its keys, of which only hashes are kept. Requests need a key from then on, also if the account has
+// none.
 func WithAccount(a *Account, keys ...string) Option {
 	return func(t *Table) {
+		t.requiresKeys = true
 		for _, k := range keys {
 			t.accountsByKeyHash[sha256.Sum256([]byte(k))] = a
 		}
@@ -192,9 +201,9 @@
 	return t.accountsByKeyHash[sha256.Sum256([]byte(key))]
 }
 
-// RequiresKeys reports whether any account has a key; if so, requests need one unless their route is public.
+// RequiresKeys reports whether requests need a key unless their route is public. Without a key in the table, none of them is served then.
 func (t *Table) RequiresKeys() bool {
-	return len(t.accountsByKeyHash) > 0
+	return t.requiresKeys
 }
 
 // NumRoutes returns the number of routes.
--- a/matcher/table_test.go
+++ b/matcher/table_test.go
@@ -44,6 +44,23 @@
 	must.True(t, table.RequiresKeys())
 }
 
+// Guards against a table that admits everybody because its last key was withdrawn (issue 35).
+func TestRequiresKeys(t *testing.T) {
+	for name, x := range map[string]struct {
+		opts []matcher.Option
+		want bool
+	}{
+		"no accounts":          {nil, false},
+		"account with a key":   {[]matcher.Option{matcher.WithAccount(&matcher.Account{Name: "one"}, "k")}, true},
+		"account without keys": {[]matcher.Option{matcher.WithAccount(&matcher.Account{Name: "one"})}, true},
+		"required, no account": {[]matcher.Option{matcher.WithRequiredKeys()}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			must.EqOp(t, x.want, matcher.NewTable(1, matcher.Limits{}, x.opts...).RequiresKeys())
+		})
+	}
+}
+
 // Guards against a split that gives a service no requests or a wrong part of them, and against one that returns no service for
 // numbers beyond the last weight.
 func TestSplit(t *testing.T) {
