matcher: send nothing to a service without weight

What callers saw: with no positive weight in the split of a route, its requests ran at the last service listed, although the configuration gives none to it. A route without a split made Route.Service panic, which the decoder prevents.

Cause: Route.Service returned the last service when the numbers ran out, whether or not it has a weight. Change: only services with a positive weight count; without one the request is refused with 503 and Retry-After.

Evidence: TestServiceWithoutWeightGetsNoRequest got 200 instead of 503 before, TestServiceWithoutWeight returned "b" for a split of zeros and panicked without a split.

--- a/forwarder/unary_test.go
+++ b/forwarder/unary_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/siskinfront/siskinfront/matcher"
+
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/registrar"
 )
@@ -80,6 +82,19 @@
 	must.EqOp(t, "in chunks", f.requests()[1].body)
 }
 
+// Guards against a request that runs at a service whose weight in the split of its route was set to zero, also if it was the last one with a
+// weight (issue 35).
+func TestServiceWithoutWeightGetsNoRequest(t *testing.T) {
+	f := newFixture(t, 2, respondOK, matcher.WithRoute(&matcher.Route{
+		Name: "unweighted", Host: "h", Prefix: "/unweighted/", Timeout: time.Second, MaxAttempts: 2, Kind: matcher.Idempotent,
+		Split: []matcher.WeightedService{{Service: "s", Weight: 0}},
+	}))
+	x := f.send("/unweighted/")
+	must.EqOp(t, 503, x.status)
+	must.NotEqOp(t, "", x.header.Get("Retry-After"))
+	must.SliceEmpty(t, f.requests())
+}
+
 // Guards against a request that may run only once and is sent again, or reported as not run, after its response was lost.
 func TestAtMostOnce(t *testing.T) {
 	// The second route allows three attempts.
--- a/matcher/table.go
+++ b/matcher/table.go
@@ -64,7 +64,7 @@
 	Resumable bool
 	// Models lists the models that may answer, the smallest first; it is empty if the caller names the model.
 	Models []identifier.Model
-	// Split divides the requests among services by weight; it has at least one.
+	// Split divides the requests among services by weight; nothing is served if none has a positive one.
 	Split []WeightedService
 }
 
@@ -73,20 +73,26 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
-// Service returns the service for a request; numbers u that are uniform in [0, 1) divide requests by the weights.
+// Service returns the service for a request, or "" if none has a positive weight; numbers u that are uniform in [0, 1) divide requests by
+// the weights. A service without a positive weight gets no requests.
 func (r *Route) Service(u float64) identifier.Service {
 	total := 0.0
 	for _, s := range r.Split {
-		total += s.Weight
+		total += max(s.Weight, 0)
 	}
 	u *= total
+	// The last service with a weight also takes what rounding leaves beyond the sum.
+	var last identifier.Service
 	for _, s := range r.Split {
-		if u < s.Weight {
-			return s.Service
+		if s.Weight <= 0 {
+			continue
+		}
+		if last = s.Service; u < s.Weight {
+			break
 		}
 		u -= s.Weight
 	}
-	return r.Split[len(r.Split)-1].Service
+	return last
 }
 
 // Model is a model of an engine with its price.
--- a/matcher/table_test.go
+++ b/matcher/table_test.go
@@ -1,6 +1,7 @@
 package matcher_test
 
 import (
+	"math"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -71,6 +72,28 @@
 	must.EqOp(t, identifier.Service("b"), r.Service(1))
 }
 
+// Guards against requests that run at a service from which the split has taken its whole weight (issue 35).
+func TestServiceWithoutWeight(t *testing.T) {
+	for name, x := range map[string]struct {
+		split []matcher.WeightedService
+		want  identifier.Service
+	}{
+		"last one":      {[]matcher.WeightedService{{Service: "a", Weight: 1}, {Service: "b", Weight: 0}}, "a"},
+		"first one":     {[]matcher.WeightedService{{Service: "a", Weight: 0}, {Service: "b", Weight: 1}}, "b"},
+		"negative":      {[]matcher.WeightedService{{Service: "a", Weight: 1}, {Service: "b", Weight: -1}}, "a"},
+		"all":           {[]matcher.WeightedService{{Service: "a", Weight: 0}, {Service: "b", Weight: 0}}, ""},
+		"all, negative": {[]matcher.WeightedService{{Service: "a", Weight: -1}, {Service: "b", Weight: 0}}, ""},
+		"none listed":   {nil, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &matcher.Route{Split: x.split}
+			for _, u := range []float64{0, 0.5, math.Nextafter(1, 0), 1} {
+				must.EqOp(t, x.want, r.Service(u))
+			}
+		})
+	}
+}
+
 // Guards against a request that is retried although its route does not permit it.
 func TestRetryable(t *testing.T) {
 	for _, c := range []struct {
