administrator: refuse to take the last version out of an account's list

What operators and callers saw: a client account that may use listed versions of a model could use all of them once a change had emptied the list, as an empty list and an absent one both permit all versions.

Cause: the format has one value for "all" and for "none left". The files of all deployments, and what Marshal writes, rely on the empty list for "all", so its meaning stays. Change: a change of the configuration that empties such a list is refused with 422 allows-all-versions; the message says how to permit none and how to permit all. The return to an earlier revision states its permissions and is exempt.

--- a/administrator/change.go
+++ b/administrator/change.go
@@ -52,6 +52,8 @@
 type edit struct {
 	tag   func(c *configurer.Configuration) (string, error)
 	apply func(c *configurer.Configuration) error
+	// isReturn is set for the return to an earlier revision.
+	isReturn bool
 }
 
 // commitEdit commits an edit. If another item changed concurrently, it repeats the edit on the new configuration; if the
@@ -77,6 +79,11 @@
 		if err := checkPermission(c.operator, current, next); err != nil {
 			return nil, err
 		}
+		if !e.isReturn {
+			if err := checkAllowed(current, next); err != nil {
+				return nil, err
+			}
+		}
 		if err := configurer.Validate(next); err != nil {
 			return nil, err
 		}
--- a/administrator/configuration.go
+++ b/administrator/configuration.go
@@ -107,6 +107,9 @@
 		if err := checkPermission(c.operator, c.current, &next); err != nil {
 			return reply{}, err
 		}
+		if err := checkAllowed(c.current, &next); err != nil {
+			return reply{}, err
+		}
 		return newApplyReply(c.current, c.current.Revision, &next, true)
 	}
 	before := c.current
@@ -200,7 +203,7 @@
 		return reply{}, err
 	}
 	before := c.current
-	after, err := s.commitEdit(c, edit{tag: configurationTag, apply: replaceContent(earlier)})
+	after, err := s.commitEdit(c, edit{tag: configurationTag, apply: replaceContent(earlier), isReturn: true})
 	if err != nil {
 		return reply{}, err
 	}
--- a/administrator/server_test.go
+++ b/administrator/server_test.go
@@ -263,6 +263,35 @@
 	must.StrContains(t, duty.do(http.MethodGet, "configuration/diff?from=0&to=1", "", "").Body.String(), `"key":"spend"`)
 }
 
+// Guards against an account that may use all versions of a model because the last one in its list was withdrawn (issue 35).
+func TestLastAllowedVersionIsWithdrawn(t *testing.T) {
+	_, as := newServer(t)
+	duty := as("duty")
+	account := func(allowed string) string {
+		return `{"name": "crew", "weight": 1, "work-kinds": ["check"], "allowed": [` + allowed + `]}`
+	}
+	put := func(allowed string) *httptest.ResponseRecorder {
+		return duty.do(http.MethodPut, "client-accounts/crew", duty.etag("client-accounts/crew"), account(allowed))
+	}
+	must.EqOp(t, http.StatusOK, put(`{"model": "finch", "versions": ["v1"]}`).Code)
+	next := configuration()
+	body, err := configurer.Marshal(next)
+	must.NoError(t, err)
+	for _, empty := range []string{`{"model": "finch", "versions": []}`, `{"model": "finch"}`} {
+		requireCode(t, put(empty), http.StatusUnprocessableEntity, "allows-all-versions")
+	}
+	requireCode(t, put(`{"model": "finch", "versions": null}`), http.StatusUnprocessableEntity, "invalid-configuration")
+	for _, path := range []string{"configuration", "configuration?dry-run=true"} {
+		requireCode(t, duty.do(http.MethodPut, path, duty.etag("configuration"), string(body)), http.StatusUnprocessableEntity, "allows-all-versions")
+	}
+	must.EqOp(t, http.StatusOK, put("").Code)
+	must.EqOp(t, http.StatusOK, put(`{"model": "finch"}`).Code)
+	must.EqOp(t, http.StatusOK, put(`{"model": "finch", "versions": ["v1"]}`).Code)
+	// The return to an earlier revision states what it permits.
+	w := duty.do(http.MethodPost, "configuration/undo", duty.etag("configuration"), "")
+	must.EqOp(t, http.StatusOK, w.Code, must.Sprint(w.Body.String()))
+}
+
 // Guards against entries of a collection that cannot be created, read back or deleted, and against a second creation.
 func TestCollection(t *testing.T) {
 	_, as := newServer(t)
