relayer, forwarder: continue a stream only with its own events

Errors by status were held; answers with a success status that are no continuation were not, nor what an upstream writes into its own stream after it has broken off.

Cause: relayer accepted events without an id anywhere and looked only at the line with the id; forwarder took each 2xx for a continuation and the end of its body for the end of the stream, also of a body without length or chunks that brought nothing. Change: once an event had an id, each needs exactly one, and a line that is no field of an event is an error. A continuation has the status of the head that the caller has, and the type of events or that of the head. The end of an answer without length or chunks ends the stream only after an event. TestIsComment reads blocks without ids from a stream that had one; it now reads them from a stream whose ids are not known.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -207,6 +207,11 @@
 	return n, err
 }
 
+// IsFramed reports whether the response has a length or chunks, which show whether it is complete; without them it ends with its connection.
+func (w *Response) IsFramed() bool {
+	return w.ContentLength >= 0 || len(w.TransferEncoding) > 0
+}
+
 // Buffered returns the number of bytes that were received but not read yet.
 func (w *Response) Buffered() int {
 	return w.conn.br.Buffered()
@@ -223,7 +228,7 @@
 		return
 	}
 	w.closed = true
-	if !w.stopWatching() || w.identity != named || !w.complete || w.Response.Close || w.ContentLength < 0 && len(w.TransferEncoding) == 0 ||
+	if !w.stopWatching() || w.identity != named || !w.complete || w.Response.Close || !w.IsFramed() ||
 		w.conn.br.Buffered() > 0 || w.conn.closed.Load() {
 		w.conn.close()
 		return
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -76,6 +76,8 @@
 	// denial is why the request ended without a further attempt.
 	denial denial
 	status int
+	// contentType is that of a stream whose response has started.
+	contentType string
 	// connectionEnd is why the caller's connection ended before the response, or "".
 	connectionEnd string
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -7,13 +7,18 @@
 	"io"
 	"maps"
 	"net/http"
+	"strings"
 
 	"github.com/siskinfront/siskinfront/balancer"
+	"github.com/siskinfront/siskinfront/connector"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/relayer"
 	"github.com/siskinfront/siskinfront/selector"
 )
 
+// eventStreamType is the media type of server-sent events.
+const eventStreamType = "text/event-stream"
+
 // stream serves a request that is answered by events. A resumable stream that breaks is resumed at another upstream after the
 // last event.
 func (f *Forwarder) stream(ctx context.Context, w http.ResponseWriter, q *request) error {
@@ -115,13 +120,18 @@
 		return f.relayFailure(ctx, w, c)
 	}
 	if q.responseStarted {
+		if !q.isContinuation(resp) {
+			f.counters.unverified.Add(1)
+			c.end(balancer.ResultFailure, outcomeUnverified, true)
+			return fmt.Errorf("%w: status %d and type %q at %s do not continue the stream", errUnverified, resp.StatusCode, resp.Header.Get("Content-Type"), c.name)
+		}
 		f.counters.resumed.Add(1)
 	}
 	events := relayer.NewReader(resp, q.lastEventID, q.hasLastEventID)
 	control := http.NewResponseController(w)
 	for {
 		b, err := events.Next()
-		if errors.Is(err, io.EOF) && q.responseStarted {
+		if errors.Is(err, io.EOF) && q.responseStarted && (resp.IsFramed() || q.attempts[c.index].events > 0) {
 			c.settle()
 			c.end(balancer.ResultSuccess, outcomeComplete, false)
 			return nil
@@ -201,13 +211,26 @@
 		return
 	}
 	maps.Copy(w.Header(), f.responseHeader(c))
-	q.responseStarted, q.status = true, c.response.StatusCode
+	q.responseStarted, q.status, q.contentType = true, c.response.StatusCode, c.response.Header.Get("Content-Type")
 	// A response that the caller does not read ends at its deadline. A response recorder in tests supports no deadlines.
 	_ = control.SetWriteDeadline(q.deadline)
 	w.WriteHeader(c.response.StatusCode)
 	f.observeFirstByte(q)
 }
 
+// isContinuation reports whether a response may continue the stream that the caller receives: it has the status of its head, and the type of
+// events or that of its head.
+func (q *request) isContinuation(resp *connector.Response) bool {
+	contentType := mediaType(resp.Header.Get("Content-Type"))
+	return resp.StatusCode == q.status && (contentType == eventStreamType || contentType == mediaType(q.contentType))
+}
+
+// mediaType returns a content type without its parameters, in lower case.
+func mediaType(contentType string) string {
+	name, _, _ := strings.Cut(contentType, ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // relayFailure handles a response to a stream request whose status is not a success: it passes the response on, or returns an
 // error if the request may be retried or events were already sent.
 func (f *Forwarder) relayFailure(ctx context.Context, w http.ResponseWriter, c *call) error {
--- a/relayer/event.go
+++ b/relayer/event.go
@@ -18,9 +18,12 @@
 // ErrPartialEvent is returned when the stream ends within an event.
 var ErrPartialEvent = errors.New("relayer: stream ended within an event")
 
-// ErrOutOfOrder is returned for an event whose id is not a number or not the one after the last id.
+// ErrOutOfOrder is returned for an event whose id is not a number or not the one after the last id, or that has no id or several.
 var ErrOutOfOrder = errors.New("relayer: event out of order")
 
+// ErrMalformedEvent is returned for an event with a line that is no field, such as the head or the text of an error.
+var ErrMalformedEvent = errors.New("relayer: malformed event")
+
 // Reader reads whole events; it is not safe for concurrent use.
 type Reader struct {
 	br  *bufio.Reader
@@ -68,7 +71,7 @@
 		content := bytes.TrimRight(r.buf[lineStart:], "\r\n")
 		lineStart = len(r.buf)
 		if len(content) == 0 {
-			return r.buf, r.checkID()
+			return r.buf, r.check()
 		}
 		if content[0] != ':' {
 			r.IsComment = false
@@ -76,22 +79,75 @@
 	}
 }
 
-// checkID checks that the id of the event in the buffer follows the last one and stores it. An event without an id is accepted.
-func (r *Reader) checkID() error {
+// check checks the lines of the event in the buffer and that its id follows the last one, and stores the id. Without an id, it is accepted only
+// as long as no event of the stream had one.
+func (r *Reader) check() error {
+	if r.IsComment {
+		return nil
+	}
+	var id []byte
+	isFirst := true
 	for line := range bytes.Lines(r.buf) {
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			break
 		}
-		n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-		if err != nil {
-			return fmt.Errorf("%w: id %q", ErrOutOfOrder, bytes.TrimSpace(value))
+		name, value, hasValue := bytes.Cut(line, []byte(":"))
+		switch {
+		case isField(name), isFirst && hasValue && isOwnField(name):
+		default:
+			return fmt.Errorf("%w: line %.40q", ErrMalformedEvent, line)
 		}
-		if r.HasLastID && n != r.LastID+1 {
-			return fmt.Errorf("%w: id %d after %d", ErrOutOfOrder, n, r.LastID)
+		isFirst = false
+		if string(name) != "id" {
+			continue
+		}
+		if id != nil {
+			return fmt.Errorf("%w: ids %q and %q in one event", ErrOutOfOrder, id, bytes.TrimSpace(value))
 		}
-		r.LastID, r.HasLastID = n, true
+		id = bytes.TrimSpace(value)
+	}
+	switch {
+	case id != nil:
+		return r.advance(string(id))
+	case r.HasLastID:
+		return fmt.Errorf("%w: no id after %d", ErrOutOfOrder, r.LastID)
+	default:
 		return nil
 	}
+}
+
+// advance stores the id of an event if it is the one after the last.
+func (r *Reader) advance(id string) error {
+	n, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return fmt.Errorf("%w: id %.40q", ErrOutOfOrder, id)
+	}
+	if r.HasLastID && n != r.LastID+1 {
+		return fmt.Errorf("%w: id %d after %d", ErrOutOfOrder, n, r.LastID)
+	}
+	r.LastID, r.HasLastID = n, true
 	return nil
 }
+
+// isField reports whether a line with a name may be in an event: one of the fields of the specification of server-sent events, or a comment,
+// which has no name.
+func isField(name []byte) bool {
+	switch string(name) {
+	case "", "id", "data", "event", "retry":
+		return true
+	default:
+		return false
+	}
+}
+
+// isOwnField reports whether a name may be that of an engine's own field, which only the first line of an event may hold: lower-case letters,
+// digits and hyphens.
+func isOwnField(name []byte) bool {
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
--- a/relayer/event_test.go
+++ b/relayer/event_test.go
@@ -49,6 +49,14 @@
 		"wrong start":   {event(4, "a"), relayer.ErrOutOfOrder, 0},
 		"no number":     {"id: x\ndata: a\n\n", relayer.ErrOutOfOrder, 0},
 		"partial event": {event(5, "a") + "id: 6\ndata: b\n", relayer.ErrPartialEvent, 1},
+		"no id":         {event(5, "a") + "data: b\n\n", relayer.ErrOutOfOrder, 1},
+		"no id first":   {"data: a\n\n", relayer.ErrOutOfOrder, 0},
+		"two ids":       {event(5, "a") + "id: 6\nid: 9\ndata: b\n\n", relayer.ErrOutOfOrder, 1},
+		"error text":    {event(5, "a") + "upstream is overloaded\n\n", relayer.ErrMalformedEvent, 1},
+		"error object":  {event(5, "a") + "{\"error\": \"overloaded\"}\n\n", relayer.ErrMalformedEvent, 1},
+		"error field":   {event(5, "a") + "error: overloaded\n\n", relayer.ErrOutOfOrder, 1},
+		"head":          {event(5, "a") + "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", relayer.ErrMalformedEvent, 1},
+		"head in event": {event(5, "a") + "id: 6\ndata: bHTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", relayer.ErrMalformedEvent, 1},
 		"too long":      {"data: " + strings.Repeat("x", 2<<20) + "\n\n", relayer.ErrEventTooLong, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -87,13 +95,22 @@
 	})
 }
 
+// Guards against an event that is refused although it has all that a reader of events may meet: the engine's own field in its first line,
+// comments, and fields without a space or a value.
+func TestFields(t *testing.T) {
+	events := []string{"x-version: 7\nid: 1\ndata: a\n\n", ": c\nid:2\nevent: e\nretry: 5\ndata\ndata:\n\n", "data: a: b\r\nid: 3\r\n: c\r\n\r\n"}
+	got, err := readAll(relayer.NewReader(strings.NewReader(strings.Join(events, "")), 0, true))
+	must.ErrorIs(t, err, io.EOF)
+	must.Eq(t, events, got)
+}
+
 // Guards against comments that count as events, and events that do not.
 func TestIsComment(t *testing.T) {
 	for block, want := range map[string]bool{
 		": c\n\n": true, "\n": true, "\r\n": true, ": a\r\n:\r\n\r\n": true,
 		"data: a\n\n": false, "id: 1\n\n": false, ": c\ndata: a\n\n": false, "data: a\n: c\n\n": false,
 	} {
-		r := relayer.NewReader(strings.NewReader(block+event(1, "a")+block), 0, true)
+		r := relayer.NewReader(strings.NewReader(block+event(1, "a")+block), 0, false)
 		if want {
 			_, err := r.Next()
 			must.NoError(t, err)
