registrar: take back an upstream's own registrations

A complete registration of another writer with another start could replace an upstream for good.

Cause: identify took each start that it did not remember for a new one, also that of a copy, and ignored all registrations of the one before from then on. Change: for 5 s after a return, an earlier time is an earlier start; at other times it is that of a clock that went back, as before. A registration of an earlier start that stays in the list for 5 s while the store is available becomes the present one, as an upstream that runs would have written over it.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -68,6 +68,7 @@
 	// leavingUntil holds the incarnations that announced that they leave, with the time at which they may be forgotten.
 	leavingUntil    map[identifier.Upstream]time.Time
 	starts          map[identifier.Upstream]*start
+	earlier         map[identifier.Upstream]earlierRegistration
 	storeLost       bool
 	storeReturnedAt time.Time
 	removals        removals
@@ -75,8 +76,8 @@
 	scheduledAt time.Time
 	synced      bool
 
-	changes, keptAfterOutage, restarts, outdated, held int64
-	leavingByAnswer, leavingByRegistration             int64
+	changes, keptAfterOutage, restarts, outdated, restored, held int64
+	leavingByAnswer, leavingByRegistration                       int64
 }
 
 // Option configures a Registrar.
@@ -96,7 +97,8 @@
 func New(opts ...Option) *Registrar {
 	r := &Registrar{
 		Now: time.Now, Update: func([]Upstream) {}, registrations: map[identifier.Upstream]*registration{},
-		leavingUntil: map[identifier.Upstream]time.Time{}, starts: map[identifier.Upstream]*start{}, OnLeaving: func(Announcement) {},
+		leavingUntil: map[identifier.Upstream]time.Time{}, starts: map[identifier.Upstream]*start{},
+		earlier: map[identifier.Upstream]earlierRegistration{}, OnLeaving: func(Announcement) {},
 		Schedule: func(at time.Time, f func()) { time.AfterFunc(time.Until(at), f) },
 		removals: removals{removedAt: map[identifier.Upstream]time.Time{}, held: map[identifier.Upstream]Upstream{}},
 	}
@@ -136,6 +138,7 @@
 		for _, c := range changes {
 			listed[c.Name] = true
 		}
+		maps.DeleteFunc(r.earlier, func(name identifier.Upstream, _ earlierRegistration) bool { return !listed[name] })
 		for name := range r.registrations {
 			if !listed[name] {
 				changed = r.remove(name, now) || changed
@@ -161,8 +164,10 @@
 func (r *Registrar) put(u Upstream, now time.Time) bool {
 	if !r.identify(&u, now) {
 		r.outdated++
+		r.suspend(&u, now)
 		return false
 	}
+	delete(r.earlier, u.Name)
 	if r.removals.hold(&u, now) {
 		r.held++
 		return false
@@ -189,6 +194,7 @@
 // remove removes a registration, or keeps it until removeAt if the outage may have lost it, and reports whether the list changed.
 func (r *Registrar) remove(name identifier.Upstream, now time.Time) bool {
 	delete(r.removals.held, name)
+	delete(r.earlier, name)
 	e := r.registrations[name]
 	if e == nil {
 		return false
@@ -233,7 +239,7 @@
 			changed = true
 		}
 	}
-	if changed {
+	if r.confirmEarlier(now) || changed {
 		r.publish()
 	}
 }
@@ -259,7 +265,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return map[string]int64{
-		"changes": r.changes, "kept-after-outage": r.keptAfterOutage, "restarts": r.restarts, "outdated": r.outdated,
+		"changes": r.changes, "kept-after-outage": r.keptAfterOutage, "restarts": r.restarts, "outdated": r.outdated, "restored": r.restored,
 		"held-after-return": r.held,
 		"leaving-by-answer": r.leavingByAnswer, "leaving-by-registration": r.leavingByRegistration,
 	}
--- a/registrar/start.go
+++ b/registrar/start.go
@@ -26,7 +26,8 @@
 
 // identify sets the start of a registered upstream to the one under which it is known. A registration that states no start is that of
 // the current one. It reports false for a registration of an earlier start, which comes from a write that was late or from an
-// older copy of the store.
+// older copy of the store. Just after the store has come back from one, an earlier time is taken for an earlier start; at other times it is that of
+// an upstream whose clock has gone back.
 func (r *Registrar) identify(u *Upstream, now time.Time) bool {
 	s := r.starts[u.Name]
 	if s == nil {
@@ -35,23 +36,28 @@
 	}
 	switch stated := u.StartMillis; {
 	case stated == 0 || stated == s.stated:
-	case slices.Contains(s.earlier, stated):
+	case slices.Contains(s.earlier, stated), stated < s.stated && now.Before(r.removals.heldUntil):
 		return false
 	case s.stated == 0 && stated <= s.listedAt.UnixMilli():
 		// It started before it was first listed, so the registration without a time was already its own.
 		s.stated = stated
 	default:
-		s.earlier = append(s.earlier, s.stated)
-		if len(s.earlier) > maxEarlierStarts {
-			s.earlier = s.earlier[1:]
-		}
-		s.millis, s.stated, s.listedAt = stated, stated, now
+		s.replace(stated, now)
 	}
 	s.forgetAt = now.Add(retention)
 	u.StartMillis = s.millis
 	return true
 }
 
+// replace makes a stated time the current start.
+func (s *start) replace(stated int64, now time.Time) {
+	s.earlier = slices.DeleteFunc(append(s.earlier, s.stated), func(millis int64) bool { return millis == stated })
+	if len(s.earlier) > maxEarlierStarts {
+		s.earlier = s.earlier[1:]
+	}
+	s.millis, s.stated, s.listedAt = stated, stated, now
+}
+
 // forgetStarts forgets the starts of upstreams that have not been listed for the retention time.
 func (r *Registrar) forgetStarts(now time.Time) {
 	for name, s := range r.starts {
