runner: use no upstream whose service is named like a group

What callers could see: a registration of another writer for a service "s@candidate" joins the group of the new version in a roll-out of the service "s" and gets its requests.

Cause: groups of a service are named by its name and a suffix, and a registration may name any service. Change: upstreams whose service ends in such a suffix are left out.

Evidence: TestServiceIsNoGroup listed four upstreams instead of one before.

--- a/runner/directory.go
+++ b/runner/directory.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -51,6 +52,9 @@
 	sizes := map[identifier.Service]int{}
 	for i := range d.list {
 		u := &d.list[i]
+		if isGroup(u.Service) {
+			continue
+		}
 		name, group := u.Incarnation(), d.group(u.Service, u.Version)
 		upstreams = append(upstreams, balancer.Upstream{
 			Name: name, Region: d.regions[u.DataCentre], DataCentre: u.DataCentre, Service: group, Slots: u.Slots, Leaving: u.Leaving,
@@ -65,6 +69,12 @@
 	d.update(upstreams)
 }
 
+// isGroup reports whether the name of a service is that of a group of another service. No service of a configuration has such a name, but a
+// registration of another writer may.
+func isGroup(s identifier.Service) bool {
+	return strings.HasSuffix(string(s), candidateSuffix) || strings.HasSuffix(string(s), excludedSuffix)
+}
+
 // upstream returns the upstream with a name that the balancer chose, or nil if it is no longer listed.
 func (d *directory) upstream(name identifier.Upstream) *registrar.Upstream {
 	if m := d.byName.Load(); m != nil {
