agentserver: open a connection to the upstream for each request

What callers could see: the answer to the request of another caller, after an upstream had sent a copy of that answer late on a kept connection. Requests that may run only once had a connection of their own already.

Cause: engines and plain services behind agents name no requests in their answers, so an answer on a kept connection cannot be told from a late copy of the one before. Change: an agent, which runs beside its upstream, opens a connection for each request, command and probe.

Evidence: TestLateCopyOfAnswer got "/answer/0" instead of "/answer/1" before. Result: it passes, three times with -race; the tests of agentserver, assembler and entryserver pass (one run, but for TestCrashingMessageIsRefused, a known fault).

--- a/agentserver/command.go
+++ b/agentserver/command.go
@@ -179,7 +179,7 @@
 		return CommandReply{}, &CommandError{http.StatusBadRequest, "command is invalid"}
 	}
 	hr.Header.Set("Content-Type", "application/json")
-	resp, err := s.pooled.Do(hr)
+	resp, err := s.upstream.Do(hr)
 	if err != nil {
 		return CommandReply{}, &CommandError{http.StatusBadGateway, "engine does not answer"}
 	}
--- a/agentserver/execute.go
+++ b/agentserver/execute.go
@@ -135,12 +135,8 @@
 		f := s.interruptedFrame(ctx, r)
 		return nil, &f, nil
 	}
-	client := s.pooled
-	if r.order.NonIdempotent {
-		// http.Transport may retry a request on its own, but only after a reused connection has failed.
-		client = s.unpooled
-	}
-	resp, err := client.Do(hr)
+	// http.Transport may retry a request on its own, but only after a reused connection has failed.
+	resp, err := s.upstream.Do(hr)
 	if err == nil {
 		return resp, nil, nil
 	}
--- a/agentserver/probe.go
+++ b/agentserver/probe.go
@@ -55,7 +55,7 @@
 		return fmt.Errorf("agentserver: build probe: %w", err)
 	}
 	r.Header.Set("Content-Type", "application/json")
-	resp, err := s.pooled.Do(r)
+	resp, err := s.upstream.Do(r)
 	if err != nil {
 		return fmt.Errorf("agentserver: probe engine at %s: %w", s.address, err)
 	}
--- a/agentserver/server.go
+++ b/agentserver/server.go
@@ -20,8 +20,6 @@
 	maxRetainedRuns = 1 << 16
 	// defaultResumeWindow is how long a run continues without a reader.
 	defaultResumeWindow = 10 * time.Second
-	// maxIdleConnections limits the idle connections kept open to the upstream.
-	maxIdleConnections = 256
 	// maxHeadBytes bounds the head of an upstream's response.
 	maxHeadBytes = 256 << 10
 )
@@ -47,9 +45,9 @@
 	ResumeWindow time.Duration
 
 	address netip.AddrPort
-	pooled  *http.Client
-	// unpooled opens a new connection for each request.
-	unpooled *http.Client
+	// upstream opens a new connection for each request. Engines and plain services name no requests in their answers, so that a late copy of
+	// an answer on a kept connection would be taken for that to the next request.
+	upstream *http.Client
 	mux      *http.ServeMux
 	bills    billBuffer
 	counters counters
@@ -88,10 +86,7 @@
 		Loaded:              func(identifier.Target) bool { return true },
 		HighestFencingToken: func(context.Context) (uint64, error) { return 0, nil },
 		ResumeWindow:        defaultResumeWindow,
-		pooled: &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
-		}},
-		unpooled: &http.Client{Transport: &http.Transport{
+		upstream: &http.Client{Transport: &http.Transport{
 			DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 		}},
 		mux:            http.NewServeMux(),
@@ -153,7 +148,7 @@
 
 // WithTransport sets the HTTP transport to the upstream.
 func WithTransport(t http.RoundTripper) Option {
-	return func(s *Server) { s.pooled.Transport, s.unpooled.Transport = t, t }
+	return func(s *Server) { s.upstream.Transport = t }
 }
 
 // ServeHTTP serves the agent's side of the response protocol and the commands to the engine.
