agentserver: end a run whose engine sends an error within its stream

What callers saw: the error object of an engine among the tokens of their stream, which then ended with [DONE] as if it were complete and was billed as such, when the engine ended its stream as usual after the error.

Cause: the agent passed each valid JSON object of the engine's stream on as a token. Change: an object with an error and without choices ends the run as failed, engine-failed, with the tokens so far on its bill; entries treat it as they do engine-ended-early.

--- a/agentserver/engine.go
+++ b/agentserver/engine.go
@@ -81,6 +81,11 @@
 			usage = u
 			continue
 		}
+		if isError(data) {
+			// An engine may end its stream as usual after it.
+			e.s.addBill(e.r, nil, false)
+			return streamer.Frame{Kind: streamer.KindFailed, Code: "engine-failed", Outcome: streamer.OutcomeRun}, nil
+		}
 		if !json.Valid(data) {
 			e.s.addBill(e.r, nil, false)
 			return streamer.Frame{Kind: streamer.KindFailed, Code: "engine-malformed", Outcome: streamer.OutcomeRun}, nil
@@ -129,6 +134,18 @@
 	} `json:"prompt_tokens_details"`
 }
 
+// isError reports whether data is an error object instead of a chunk.
+func isError(data []byte) bool {
+	if !bytes.Contains(data, []byte(`"error"`)) {
+		return false
+	}
+	var c struct {
+		Error   json.RawMessage `json:"error"`
+		Choices json.RawMessage `json:"choices"`
+	}
+	return json.Unmarshal(data, &c) == nil && len(c.Error) > 0 && string(c.Error) != "null" && c.Choices == nil
+}
+
 // decodeUsage decodes a chunk that has usage and no choices, and reports whether data is one. A chunk with null usage, or
 // with usage and choices, is passed on to the caller, who needs the choices; some engines send usage in every chunk.
 func decodeUsage(data []byte) (*streamer.Usage, bool) {
--- a/entryserver/redirect.go
+++ b/entryserver/redirect.go
@@ -121,7 +121,7 @@
 		return false
 	}
 	switch e.Code {
-	case "engine-refused", "engine-ended-early", "engine-malformed", "upstream-broken", "upstream-lost", "upstream-unreachable":
+	case "engine-refused", "engine-failed", "engine-ended-early", "engine-malformed", "upstream-broken", "upstream-lost", "upstream-unreachable":
 		return true
 	}
 	return false
