administrator, forwarder: split two functions

Change: edit.check, checkContinuation and endsStream are functions of their own; nothing else changes.

--- a/administrator/change.go
+++ b/administrator/change.go
@@ -56,6 +56,19 @@
 	isReturn bool
 }
 
+// check checks that an operator may make the edit and that its result is valid.
+func (e *edit) check(o *configurer.Operator, before, after *configurer.Configuration) error {
+	if err := checkPermission(o, before, after); err != nil {
+		return err
+	}
+	if !e.isReturn {
+		if err := checkAllowed(before, after); err != nil {
+			return err
+		}
+	}
+	return configurer.Validate(after)
+}
+
 // commitEdit commits an edit. If another item changed concurrently, it repeats the edit on the new configuration; if the
 // edited item itself changed, it returns 412 with the current ETag.
 func (s *Server) commitEdit(c *call, e edit) (*configurer.Configuration, error) {
@@ -76,15 +89,7 @@
 		if err := e.apply(next); err != nil {
 			return nil, err
 		}
-		if err := checkPermission(c.operator, current, next); err != nil {
-			return nil, err
-		}
-		if !e.isReturn {
-			if err := checkAllowed(current, next); err != nil {
-				return nil, err
-			}
-		}
-		if err := configurer.Validate(next); err != nil {
+		if err := e.check(c.operator, current, next); err != nil {
 			return nil, err
 		}
 		revision, err := s.store.Commit(c.Context(), current.Revision, next, c.operator.Name)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -119,19 +119,14 @@
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return f.relayFailure(ctx, w, c)
 	}
-	if q.responseStarted {
-		if !q.isContinuation(resp) {
-			f.counters.unverified.Add(1)
-			c.end(balancer.ResultFailure, outcomeUnverified, true)
-			return fmt.Errorf("%w: status %d and type %q at %s do not continue the stream", errUnverified, resp.StatusCode, resp.Header.Get("Content-Type"), c.name)
-		}
-		f.counters.resumed.Add(1)
+	if err := f.checkContinuation(c); err != nil {
+		return err
 	}
 	events := relayer.NewReader(resp, q.lastEventID, q.hasLastEventID)
 	control := http.NewResponseController(w)
 	for {
 		b, err := events.Next()
-		if errors.Is(err, io.EOF) && q.responseStarted && (resp.IsFramed() || q.attempts[c.index].events > 0) {
+		if errors.Is(err, io.EOF) && c.endsStream() {
 			c.settle()
 			c.end(balancer.ResultSuccess, outcomeComplete, false)
 			return nil
@@ -218,6 +213,26 @@
 	f.observeFirstByte(q)
 }
 
+// checkContinuation ends an attempt whose response does not continue the stream that the caller receives.
+func (f *Forwarder) checkContinuation(c *call) error {
+	if !c.q.responseStarted {
+		return nil
+	}
+	if resp := c.response; !c.q.isContinuation(resp) {
+		f.counters.unverified.Add(1)
+		c.end(balancer.ResultFailure, outcomeUnverified, true)
+		return fmt.Errorf("%w: status %d and type %q at %s do not continue the stream", errUnverified, resp.StatusCode, resp.Header.Get("Content-Type"), c.name)
+	}
+	f.counters.resumed.Add(1)
+	return nil
+}
+
+// endsStream reports whether the end of the response is that of the stream. A response without length or chunks may have been cut before its
+// first event.
+func (c *call) endsStream() bool {
+	return c.q.responseStarted && (c.response.IsFramed() || c.q.attempts[c.index].events > 0)
+}
+
 // isContinuation reports whether a response may continue the stream that the caller receives: it has the status of its head, and the type of
 // events or that of its head.
 func (q *request) isContinuation(resp *connector.Response) bool {
