forwarder: pass no promise on without evidence

Found while looking for ways in which a caller is told "not run" for a request that runs.

What callers could see: 408, 429 or 503, which they take for "not run, try again", from a response that bears no statement that the request did not run and is not stamped as the upstream's own answer, so that the request may have run.

Cause: inspect verified only responses with a success status. Change: such a response counts as spoiled, like a success without a stamp: the request is sent again if its route allows that, and gets 502 otherwise. The upstream's own answer with such a status is passed on unchanged, as the platform demands.

Evidence: TestUnprovenRejection got 408, 429 and 503 instead of 502 before.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -212,7 +212,7 @@
 		return errNotRun
 	}
 	c.q.mayHaveRun = true
-	if !stamped && w.StatusCode < http.StatusMultipleChoices {
+	if !stamped && (w.StatusCode < http.StatusMultipleChoices || promisesNotRun(w.StatusCode)) {
 		f.counters.unverified.Add(1)
 		c.end(balancer.ResultFailure, outcomeUnverified, true)
 		return fmt.Errorf("%w: status %d at %s", errUnverified, w.StatusCode, c.name)
@@ -220,6 +220,16 @@
 	return nil
 }
 
+// promisesNotRun reports whether callers take a status as the promise that a request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // reportLoad reports the load that the response states to the balancer and, for a stream, to the pressure of the service.
 func (c *call) reportLoad() {
 	fields := strings.Split(c.response.Header.Get(c.f.headers.Load), ",")
