registrar: remember an earlier start that leaves

What callers could see: requests to an upstream that had registered that it leaves, if its start counted as an earlier one at that moment and was taken back later.

Cause: a registration of an earlier start was suspended without a look at its state, and a later one without the state replaced it. Change: the incarnation counts as leaving from then on, as with a registration of the present start.

Evidence: TestEarlierStartThatLeaves failed before.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -164,6 +164,9 @@
 func (r *Registrar) put(u Upstream, now time.Time) bool {
 	if !r.identify(&u, now) {
 		r.outdated++
+		if u.Leaving {
+			r.markLeaving(&u, SourceRegistration, now)
+		}
 		r.suspend(&u, now)
 		return false
 	}
--- a/registrar/start_test.go
+++ b/registrar/start_test.go
@@ -120,6 +120,19 @@
 	}
 }
 
+// Guards against an incarnation that registered that it leaves while its start counted as an earlier one, and that is used once it is taken back.
+func TestEarlierStartThatLeaves(t *testing.T) {
+	f := newFixture()
+	f.Apply([]registrar.Change{put("a", 5, false)}, true)
+	f.Apply([]registrar.Change{put("a", 9, false)}, false)
+	f.Apply([]registrar.Change{put("a", 5, true)}, false)
+	f.Apply([]registrar.Change{put("a", 5, false)}, false)
+	f.now = f.now.Add(10 * time.Second)
+	f.RemoveExpired()
+	must.EqOp(t, identifier.Upstream("a/5"), f.list[0].Incarnation())
+	must.Nil(t, f.available())
+}
+
 // Guards against a late registration of an earlier start that replaces a live one, which writes its own again or cannot while the store is away.
 func TestLateRegistrationIsNotRestored(t *testing.T) {
 	for name, during := range map[string]func(*fixture){
