connector: take an empty id for none

Change: it is a response without an id, after which the connection is closed. A comment in agentserver says why the transport never retries.

--- a/agentserver/execute.go
+++ b/agentserver/execute.go
@@ -135,7 +135,7 @@
 		f := s.interruptedFrame(ctx, r)
 		return nil, &f, nil
 	}
-	// http.Transport may retry a request on its own, but only after a reused connection has failed.
+	// http.Transport may retry a request on its own, but only after a reused connection has failed, and none is reused.
 	resp, err := s.upstream.Do(hr)
 	if err == nil {
 		return resp, nil, nil
--- a/connector/identity.go
+++ b/connector/identity.go
@@ -29,7 +29,7 @@
 		return named
 	}
 	switch ids := h.Values(echoHeader); {
-	case len(ids) == 0:
+	case len(ids) == 0, len(ids) == 1 && ids[0] == "":
 		return unnamed
 	case len(ids) == 1 && ids[0] == id:
 		return named
--- a/connector/late_copy_test.go
+++ b/connector/late_copy_test.go
@@ -58,7 +58,8 @@
 func TestCopyOfUnnamedResponse(t *testing.T) {
 	for name, response := range map[string]string{
 		"rejection": rejection(""), "error": "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 1\r\n\r\nx",
-		"success": "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+		"empty id": "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id:\r\nContent-Length: 0\r\n\r\n",
+		"success":  "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
 	} {
 		t.Run(name, func(t *testing.T) {
 			u := newCopyingUpstream(t, func(string) string { return response })
