platform: bound the read of each page of a table, not of all

What callers could see: an entry on a small or busy machine never read a long table whole, for instance after another writer had left many long rows, and so used upstreams that had left and knew no new ones.

Cause: one second bounded the read of the whole table, of which each page is one call. Change: each page has one second, as a silent connection must be noticed, and the whole table ten.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -19,8 +19,8 @@
 	// defaultWait and defaultPause are the Pace unless another one is set.
 	defaultWait  = time.Second
 	defaultPause = 200 * time.Millisecond
-	// readTimeout bounds a read of the whole table.
-	readTimeout = time.Second
+	// readTimeout bounds a read of the whole table. The source bounds each page of it, so that a silent connection is noticed sooner.
+	readTimeout = 10 * time.Second
 	// rateLimitGrace is how long the store may refuse calls because of its rate limit before that counts as an outage.
 	rateLimitGrace = time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call, which doubles with each failure and has a random part. The
