selector: tolerate more waiting while answers come well in time

Change: the pressure is divided by a headroom from 1 to 4, which answers within a quarter of the latency target raise and others lower. TestPressureDependsOnTargets fails with the factor left out.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -248,7 +248,7 @@
 		c.f.livenessOf(c.name).busyAt.Store(now.UnixNano())
 	}
 	if c.q.route.Kind == matcher.Stream {
-		c.f.pressure(c.q.service).Observe(waiting, c.upstream.Slots, now)
+		c.f.queueingOf(c.q.service).Observe(waiting, c.upstream.Slots, now)
 	}
 	l := streamer.Load{At: now, Running: running, TokenInterval: c.f.slowdowns.tokenInterval(c.name, now)}
 	if waiting > 0 {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -137,7 +137,7 @@
 	throttler  *throttler.Throttler
 	losses     lossList
 
-	pressures    sync.Map // identifier.Service to *selector.Pressure
+	queues       sync.Map // identifier.Service to *queueing
 	liveness     sync.Map // identifier.Upstream to *liveness
 	bodyBytes    atomic.Int64
 	maxBodyBytes int64
@@ -332,15 +332,6 @@
 	return f.active.Load()
 }
 
-// pressure returns the measure of queueing at the engines of a service.
-func (f *Forwarder) pressure(s identifier.Service) *selector.Pressure {
-	if p, ok := f.pressures.Load(s); ok {
-		return p.(*selector.Pressure)
-	}
-	p, _ := f.pressures.LoadOrStore(s, &selector.Pressure{})
-	return p.(*selector.Pressure)
-}
-
 // recordActivity records that an upstream has just sent something.
 func (f *Forwarder) recordActivity(name identifier.Upstream) {
 	s := f.livenessOf(name)
@@ -377,8 +368,10 @@
 // Counters returns the totals since the start.
 func (f *Forwarder) Counters() map[string]int64 {
 	c := &f.counters
+	_, atRisk := f.headrooms()
 	return map[string]int64{
-		"requests": c.requests.Load(), "answered": c.answered.Load(), "refused": c.refused.Load(), "failed": c.failed.Load(),
+		"answers-at-risk": atRisk,
+		"requests":        c.requests.Load(), "answered": c.answered.Load(), "refused": c.refused.Load(), "failed": c.failed.Load(),
 		"streams-broken": c.streamsBroken.Load(), "callers-left": c.callersLeft.Load(), "connections-cut": c.connectionsCut.Load(), "unmatched": c.unmatched.Load(),
 		"unknown-keys": c.unknownKey.Load(), "invalid": c.invalid.Load(), "attempts": c.attempts.Load(),
 		"attempts-not-run": c.notRun.Load(), "attempts-lost": c.lost.Load(), "streams-resumed": c.resumed.Load(),
@@ -393,9 +386,12 @@
 type State struct {
 	Active    int64 `json:"active"`
 	BodyBytes int64 `json:"body-bytes"`
+	// Headrooms holds the headroom of each service whose requests leave the choice of the model to the system.
+	Headrooms map[identifier.Service]float64 `json:"headrooms"`
 }
 
 // State returns the forwarder's part of the state dump.
 func (f *Forwarder) State() any {
-	return State{Active: f.active.Load(), BodyBytes: f.bodyBytes.Load()}
+	headrooms, _ := f.headrooms()
+	return State{Active: f.active.Load(), BodyBytes: f.bodyBytes.Load(), Headrooms: headrooms}
 }
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -81,5 +81,7 @@
 
 // observeFirstByte records the time to the first byte or event.
 func (f *Forwarder) observeFirstByte(q *request) {
-	f.meter.Observe(meter.AllLatencies().FirstToken, strconv.Itoa(q.rank), f.Now().Sub(q.arrived))
+	took := f.Now().Sub(q.arrived)
+	f.meter.Observe(meter.AllLatencies().FirstToken, strconv.Itoa(q.rank), took)
+	f.observeFirstDelay(q, took)
 }
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -49,7 +49,9 @@
 	hasLastEventID             bool
 	// anyModel is set if the caller leaves the choice of the model to the system.
 	anyModel bool
-	// pressure is the pressure on the engines at the last cascade decision.
+	// wasAtRisk is set once an event came close to missing the targets of the route.
+	wasAtRisk bool
+	// pressure is the pressure on the engines, divided by the headroom, at the last cascade decision.
 	pressure float64
 	// relativePromptSize is the length of the prompt relative to the mean.
 	relativePromptSize float64
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -27,7 +27,7 @@
 	defer q.releasePermit()
 	cascade := f.cascade(q)
 	step := cascade.First()
-	q.relativePromptSize = f.pressure(q.service).RelativePromptSize(q.promptTokens)
+	q.relativePromptSize = f.queueingOf(q.service).RelativePromptSize(q.promptTokens)
 	resuming := q.hasLastEventID
 	for {
 		if err := f.admitSuspect(ctx, q); err != nil {
@@ -95,7 +95,7 @@
 	if !q.anyModel || q.isTrial {
 		return 0, false
 	}
-	q.pressure = f.pressure(q.service).Value(f.Now())
+	q.pressure = f.queueingOf(q.service).effectivePressure(f.Now())
 	confidence := q.attempts[c.index].confidence
 	if confidence < 0 || cascade.Accept(step, confidence, q.rank, q.pressure, q.relativePromptSize) {
 		return 0, false
@@ -176,6 +176,7 @@
 		f.OnPace(c.info, d)
 	}
 	if pause := c.watch.recordEvent(); pause > 0 {
+		f.observeEventPause(c.q, pause)
 		a.longestPause = max(a.longestPause, pause)
 		f.slowdowns.observe(c.name, f.modelName(c.q, a.model), pause, f.Now())
 	}
