balancer, forwarder: choose by expected time, and read the fourth figure of a load

Cause: the choice equalises the numbers of requests in flight, although the time for the same events ranges from 140 ms to over 700 ms between engines, and nothing reads the fourth figure of X-Server-Load.

Change: with even-load (off by default, on in deploy/settings.yaml.tmpl), the load of an upstream is (load + slots/4) x slowdown - slots/4. The slowdown is learned from pauses between events with a decay of 6 s, corrected by the fourth figure, and bounded to 1/4 to 4. An upstream with over 3 times the mean of recent choices is expected to have a load in proportion to them. An invalid figure is counted and logged once for an upstream.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -202,6 +202,10 @@
 		b.sessions.put(session, best.candidate.tracked.number, now)
 	}
 	best.candidate.tracked.uses.Add(1)
+	if b.opts.evenLoad {
+		best.candidate.tracked.choices.add(1, nowNanos)
+		p.choices.add(1, nowNanos)
+	}
 	b.counters.chosen.Add(1)
 	if best.candidate.distance != sameDataCentre {
 		b.counters.otherDataCentre.Add(1)
@@ -305,6 +309,10 @@
 		waiting += int64(n)
 	}
 	load := int64(l.Running) + waiting*int64(b.opts.waitingWeight)
+	if b.opts.evenLoad {
+		load = c.tracked.boundLoad(load)
+		c.tracked.speed.set(l.Slowdown, l.SlowdownCorrection, at)
+	}
 	wasStalled, previousInterval := c.tracked.isStalled.Swap(l.Stalled), c.tracked.tokenInterval.Swap(int64(l.TokenInterval))
 	for _, p := range c.pools {
 		p.stalledCount.Add(boolToInt(l.Stalled) - boolToInt(wasStalled))
--- a/balancer/option.go
+++ b/balancer/option.go
@@ -42,6 +42,7 @@
 	halfAge       time.Duration
 	maxUses       int64
 	probeRate     float64
+	evenLoad      bool
 }
 
 // Option configures a Balancer.
@@ -110,6 +111,11 @@
 	return func(o *options) { o.probeRate = perSecond }
 }
 
+// WithEvenLoad compares upstreams by the time that work is expected to take there instead of their numbers of requests.
+func WithEvenLoad() Option {
+	return func(o *options) { o.evenLoad = true }
+}
+
 func defaultDistance(self identifier.DataCentre, region identifier.Region, u Upstream) int {
 	switch {
 	case u.DataCentre == self:
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -152,7 +152,9 @@
 		full = c.tracked.load.Load()+min(c.tracked.deltaSinceSample.Load(), 0) >= slots && !sampleExpired
 		overloaded = load >= float64(slots)
 	}
-	if slowdown := p.slowdown(c.tracked); slowdown > 1 {
+	if b.opts.evenLoad {
+		load = b.expectedTime(p, c.tracked, load, mean, nowNanos)
+	} else if slowdown := p.slowdown(c.tracked); slowdown > 1 {
 		load = (load+1)*slowdown - 1
 	}
 	penalty := distancePenalties[c.distance]
--- a/balancer/probe.go
+++ b/balancer/probe.go
@@ -120,6 +120,10 @@
 	InFlight  int64               `json:"in-flight"`
 	Load      int64               `json:"load"`
 	SampleAge time.Duration       `json:"sample-age"`
+	// Slowdown is the time that work takes there relative to the others, and Correction the factor that the upstream reported with
+	// its last sample; both are 0 without WithEvenLoad.
+	Slowdown   float64 `json:"slowdown,omitempty"`
+	Correction float64 `json:"correction,omitempty"`
 }
 
 // State returns a State with the upstreams that are leaving or in at least one subset.
@@ -138,6 +142,9 @@
 		if at := c.tracked.sampleAt.Load(); at != 0 {
 			u.SampleAge = time.Duration(now - at)
 		}
+		if b.opts.evenLoad {
+			u.Slowdown, u.Correction = c.tracked.speed.slowdown(now), c.tracked.speed.correction()
+		}
 		st.Upstreams = append(st.Upstreams, u)
 	}
 	return st
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -47,6 +47,9 @@
 	uses             atomic.Int64 // choices since the sample
 	probedAt         atomic.Int64 // Unix nanoseconds of the last probe sent
 	history          history
+	// speed and choices are used with WithEvenLoad only.
+	speed   speed
+	choices choiceWindow // of this entry
 }
 
 // candidate is an upstream within one snapshot.
@@ -84,6 +87,8 @@
 	usedAt       atomic.Int64 // Unix nanoseconds of the last choice
 	// prefixes is kept from one snapshot to the next.
 	prefixes *prefixWindow
+	// choices counts the choices from the pool, with WithEvenLoad only.
+	choices choiceWindow
 	// probePool is a ring buffer of the indexes in subset of the candidates with the latest samples, -1 for none.
 	probePool       [probePoolSize]atomic.Int32
 	probePoolWrites atomic.Uint32 // the next write goes to this index modulo probePoolSize
@@ -213,6 +218,13 @@
 	for i := range p.probePool {
 		p.probePool[i].Store(-1)
 	}
+	if b.opts.evenLoad {
+		// The sum over the members also holds when members have moved here from another pool.
+		now := b.opts.now().UnixNano()
+		for _, c := range p.subset {
+			p.choices.add(uint64(c.tracked.choices.count(now)), now)
+		}
+	}
 }
 
 // ownRegion returns the region of the entry's data centre as stated in the list, or else the configured one.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -15,9 +15,7 @@
 	"github.com/siskinfront/siskinfront/balancer"
 	"github.com/siskinfront/siskinfront/connector"
 	"github.com/siskinfront/siskinfront/identifier"
-	"github.com/siskinfront/siskinfront/matcher"
 	"github.com/siskinfront/siskinfront/registrar"
-	"github.com/siskinfront/siskinfront/streamer"
 )
 
 const (
@@ -230,33 +228,6 @@
 	}
 }
 
-// reportLoad reports the load that the response states to the balancer and, for a stream, to the pressure of the service.
-func (c *call) reportLoad() {
-	fields := strings.Split(c.response.Header.Get(c.f.headers.Load), ",")
-	if len(fields) < 2 {
-		return
-	}
-	running, err1 := strconv.Atoi(strings.TrimSpace(fields[0]))
-	waiting, err2 := strconv.Atoi(strings.TrimSpace(fields[1]))
-	if err1 != nil || err2 != nil {
-		return
-	}
-	a := &c.q.attempts[c.index]
-	a.running, a.waiting = running, waiting
-	now := c.f.Now()
-	if waiting > 0 {
-		c.f.livenessOf(c.name).busyAt.Store(now.UnixNano())
-	}
-	if c.q.route.Kind == matcher.Stream {
-		c.f.pressure(c.q.service).Observe(waiting, c.upstream.Slots, now)
-	}
-	l := streamer.Load{At: now, Running: running, TokenInterval: c.f.slowdowns.tokenInterval(c.name, now)}
-	if waiting > 0 {
-		l.Queued = []int{waiting}
-	}
-	c.f.reportUpstreamLoad(c.name, l)
-}
-
 // drain reads the rest of a short body, so that the connection can be reused.
 func (c *call) drain() {
 	// If the body breaks off, the connection is not reused, which is the only effect.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -19,7 +19,6 @@
 	"github.com/siskinfront/siskinfront/quarantiner"
 	"github.com/siskinfront/siskinfront/registrar"
 	"github.com/siskinfront/siskinfront/selector"
-	"github.com/siskinfront/siskinfront/streamer"
 	"github.com/siskinfront/siskinfront/throttler"
 )
 
@@ -146,6 +145,7 @@
 	attempts     atomic.Uint64
 	unresponsive unresponsiveList
 	slowdowns    *slowdownTracker
+	evenLoad     bool
 	counters     counters
 }
 
@@ -154,7 +154,7 @@
 
 	requests, answered, refused, failed, streamsBroken, callersLeft, connectionsCut, unmatched, unknownKey, invalid                        atomic.Int64
 	attempts, notRun, lost, resumed, abandoned, escalated, unverified, upstreamErrors, budgetExceeded, unresponsive, requestsMissing, kept atomic.Int64
-	invalidLeaving, invalidLimit, invalidPause                                                                                             atomic.Int64
+	invalidLeaving, invalidLimit, invalidPause, invalidLoad                                                                                atomic.Int64
 	deniedBudget, deniedAttempts, deniedRejections, deniedDeadline, deniedNoUpstream, deniedSuspected                                      atomic.Int64
 }
 
@@ -171,6 +171,8 @@
 	announcedLeaving, invalidLeaving atomic.Bool
 	// invalidLimit is set once a response named an invalid limit, and invalidPause once one asked for an invalid pause.
 	invalidLimit, invalidPause atomic.Bool
+	// invalidLoad is set once a response had an invalid fourth figure in its load.
+	invalidLoad atomic.Bool
 
 	// probe is the last probe, or nil.
 	probe atomic.Pointer[probe]
@@ -369,11 +371,6 @@
 	})
 }
 
-// reportUpstreamLoad passes the load that a response stated on to the balancer.
-func (f *Forwarder) reportUpstreamLoad(name identifier.Upstream, l streamer.Load) {
-	f.balancer.Report(name, l)
-}
-
 // Counters returns the totals since the start.
 func (f *Forwarder) Counters() map[string]int64 {
 	c := &f.counters
@@ -382,7 +379,7 @@
 		"streams-broken": c.streamsBroken.Load(), "callers-left": c.callersLeft.Load(), "connections-cut": c.connectionsCut.Load(), "unmatched": c.unmatched.Load(),
 		"unknown-keys": c.unknownKey.Load(), "invalid": c.invalid.Load(), "attempts": c.attempts.Load(),
 		"attempts-not-run": c.notRun.Load(), "attempts-lost": c.lost.Load(), "streams-resumed": c.resumed.Load(),
-		"panics": c.panics.Load(), "leaving-invalid": c.invalidLeaving.Load(), "limits-invalid": c.invalidLimit.Load(), "pauses-invalid": c.invalidPause.Load(), "attempts-rescued": c.abandoned.Load(), "cascade-steps": c.escalated.Load(), "responses-spoiled": c.unverified.Load(),
+		"panics": c.panics.Load(), "leaving-invalid": c.invalidLeaving.Load(), "limits-invalid": c.invalidLimit.Load(), "pauses-invalid": c.invalidPause.Load(), "load-figures-invalid": c.invalidLoad.Load(), "attempts-rescued": c.abandoned.Load(), "cascade-steps": c.escalated.Load(), "responses-spoiled": c.unverified.Load(),
 		"attempts-kept": c.kept.Load(), "upstreams-silent": c.unresponsive.Load(), "requests-missing": c.requestsMissing.Load(), "upstream-errors": c.upstreamErrors.Load(), "retries-over-budget": c.budgetExceeded.Load(),
 		"ended-for-budget": c.deniedBudget.Load(), "ended-for-attempts": c.deniedAttempts.Load(), "ended-for-rejections": c.deniedRejections.Load(),
 		"ended-for-deadline": c.deniedDeadline.Load(), "ended-for-upstream": c.deniedNoUpstream.Load(), "ended-for-suspicion": c.deniedSuspected.Load(),
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -129,8 +129,13 @@
 	r := &Runner{platform: p, log: log, meter: meter.New()}
 	r.settings.Store(&s)
 	debug.SetMemoryLimit(int64(heapFraction * float64(s.MemoryBytes)))
-	r.balancer = balancer.New(s.DataCentre, balancer.WithRegion(s.Region), balancer.WithSelf(s.Instance),
-		balancer.WithSubsetSize(maxSubset), balancer.WithWaitingWeight(waitingWeight))
+	balancing := []balancer.Option{
+		balancer.WithRegion(s.Region), balancer.WithSelf(s.Instance), balancer.WithSubsetSize(maxSubset), balancer.WithWaitingWeight(waitingWeight),
+	}
+	if s.EvenLoad {
+		balancing = append(balancing, balancer.WithEvenLoad())
+	}
+	r.balancer = balancer.New(s.DataCentre, balancing...)
 	r.pool = connector.New(connector.WithEcho(p.Headers.RequestID))
 	calls := &rolloutCalls{}
 	r.rollouts = &rollouts{
@@ -201,10 +206,16 @@
 			Cascades: limiter.NewBudget(limiter.WithRatio(cascadeShare*ratio), limiter.WithBurst(cascadeBurst), limiter.WithFloor(0)),
 		}
 	}}
-	r.forwarder = forwarder.New(forwarder.WithHeaders(r.platform.Headers), forwarder.WithBalancer(r.balancer),
+	opts := []forwarder.Option{
+		forwarder.WithHeaders(r.platform.Headers), forwarder.WithBalancer(r.balancer),
 		forwarder.WithPool(r.pool), forwarder.WithLog(r.log), forwarder.WithMeter(r.meter), forwarder.WithBudgets(budgets),
-		forwarder.WithMaxBodyBytes(int64(bodyFraction*float64(s.MemoryBytes))), forwarder.WithQuarantine(r.sharing.quarantine),
-		forwarder.WithThrottler(r.sharing.throttler))
+		forwarder.WithMaxBodyBytes(int64(bodyFraction * float64(s.MemoryBytes))), forwarder.WithQuarantine(r.sharing.quarantine),
+		forwarder.WithThrottler(r.sharing.throttler),
+	}
+	if s.EvenLoad {
+		opts = append(opts, forwarder.WithEvenLoad())
+	}
+	r.forwarder = forwarder.New(opts...)
 	r.forwarder.ClaimTrial = r.sharing.claimTrial
 	r.forwarder.Table = r.table.Load
 	r.forwarder.Upstream = r.directory.upstream
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -50,6 +50,8 @@
 	MaxExposure float64 `yaml:"exposure" validate:"gt=0,lte=1"`
 	// ExposureSlack is the number of requests beyond that share that a bad version may get.
 	ExposureSlack float64 `yaml:"exposure-slack" validate:"gte=0"`
+	// EvenLoad makes the choice of an upstream depend on the time that work is expected to take there.
+	EvenLoad bool `yaml:"even-load"`
 	// LogLinesPerSecond bounds the lines of the log.
 	LogLinesPerSecond int `yaml:"log-lines-per-second" validate:"gt=0"`
 }
--- a/runner/settings_test.go
+++ b/runner/settings_test.go
@@ -44,6 +44,7 @@
 	must.EqOp(t, 0.9, s.Retries.Ratio)
 	must.EqOp(t, 2*time.Second, s.LeaveTime)
 	must.EqOp(t, 4*time.Second, s.ApplyTime)
+	must.True(t, s.EvenLoad)
 }
 
 // Guards against an entry that starts with invalid settings: the error names the file, the line and the field.
--- a/streamer/frame.go
+++ b/streamer/frame.go
@@ -103,6 +103,10 @@
 	// TokenInterval is the mean time between two tokens of a run, including the time to its first token, or 0 if there are
 	// too few recent tokens.
 	TokenInterval time.Duration `json:"step,omitempty"`
+	// Slowdown is the time that work takes relative to the mean of upstreams that do the same work, or 0 if it is not known.
+	Slowdown float64 `json:"slowdown,omitempty"`
+	// SlowdownCorrection is the factor by which the slowdown differs now, or 0 if it is not known.
+	SlowdownCorrection float64 `json:"slowdown-correction,omitempty"`
 	// LoadedHash is a hash of the versions that the engine has loaded; it changes when they do.
 	LoadedHash uint64 `json:"loaded,omitempty"`
 }
