follower: confirm a copy after its reply is applied

Cause: ConfirmedAt showed a reply before its rows were applied. An evacuation that is held until the next reply could end for a moment although that reply has its row. Change: the time is taken as before but published after Apply. TestConfirmedAfterApply fails with the time published first, and passes now.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -195,10 +195,10 @@
 	}
 	batch.CopyEnd = f.copyEnd
 	f.position.Store(&position)
-	f.confirmedAt.Store(f.Now().UnixNano())
+	now := f.Now()
 	if f.inOutage {
 		f.inOutage = false
-		f.Log.Info("store available again", "table", f.Name, "position", position.String(), "out", f.Now().Sub(f.outageSince))
+		f.Log.Info("store available again", "table", f.Name, "position", position.String(), "out", now.Sub(f.outageSince))
 		f.OnRecovery()
 	}
 	f.paused = 0
@@ -208,6 +208,8 @@
 	if readAll || len(rows) > 0 {
 		f.Apply(batch)
 	}
+	// Whoever sees this time must also see what the reply has changed.
+	f.confirmedAt.Store(now.UnixNano())
 	return nil
 }
 
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -340,3 +340,26 @@
 		})
 	})
 }
+
+// Guards against a copy that is said to be current before the reply which shows that is applied: an order that was written again in time would
+// end for a moment.
+func TestConfirmedAfterApply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{era: 1, version: 1}
+		var f *follower.Follower[uint64]
+		var confirmed []time.Time
+		f = follower.New(s.source(), func(follower.Batch[uint64]) { confirmed = append(confirmed, f.ConfirmedAt()) }, slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		synctest.Wait()
+		first := f.ConfirmedAt()
+		must.False(t, first.IsZero())
+		time.Sleep(100 * time.Millisecond)
+		s.write()
+		time.Sleep(2 * time.Second)
+		must.Eq(t, []time.Time{{}, first}, confirmed[:2])
+		cancel()
+		must.NoError(t, <-done)
+	})
+}
