forwarder: send nothing to evacuated upstreams

Cause: an upstream that is out of the choice may have been chosen before, with a permit, a slot or as a trial, and a request would wait for its slot or be told the end of its pause although no upstream is left. Change: registrar.Upstream has Evacuated; each choice and each upstream chosen before is checked by IsEligible just before the send. Limits and pauses of upstreams that are not eligible neither delay a request nor set its Retry-After.

--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -37,7 +37,7 @@
 		if _, err := f.balancer.ChooseNamed(query, name); err != nil {
 			continue
 		}
-		if u := f.Upstream(name); u != nil && f.throttler.TakeTrial(name) {
+		if u := f.eligible(name); u != nil && f.throttler.TakeTrial(name) {
 			f.log.Info("upstream is tried in its pause, as no other is left", "request", q.id, "upstream", name)
 			return choice{u, name}, true
 		}
@@ -92,10 +92,10 @@
 			if u, err = f.balancer.Choose(query); err != nil {
 				break
 			}
-			if x := f.Upstream(u.Name); x != nil && f.takeSlot(q, u.Name) {
+			if x := f.eligible(u.Name); x != nil && f.takeSlot(q, u.Name) {
 				return choice{x, u.Name}, nil
 			}
-			// It left between the choice and the lookup, or its limit allows no request now.
+			// It left or was evacuated between the choice and the lookup, or its limit allows no request now.
 			f.balancer.Begin(u.Name)
 			f.balancer.End(u.Name, balancer.ResultCanceled)
 			left = append(left, u.Name)
--- a/forwarder/leaving.go
+++ b/forwarder/leaving.go
@@ -53,8 +53,15 @@
 
 // isAvailable reports whether an upstream is listed and accepts new requests.
 func (f *Forwarder) isAvailable(name identifier.Upstream) bool {
-	u := f.Upstream(name)
-	return u != nil && !u.Leaving
+	return f.eligible(name) != nil
+}
+
+// eligible returns the upstream with a name if it is listed and accepts new requests, or nil.
+func (f *Forwarder) eligible(name identifier.Upstream) *registrar.Upstream {
+	if u := f.Upstream(name); u != nil && u.IsEligible() {
+		return u
+	}
+	return nil
 }
 
 // dropSignal removes an invalid header from the head of an upstream's response, so that callers get the response without it, counts it
--- a/forwarder/limit.go
+++ b/forwarder/limit.go
@@ -98,7 +98,7 @@
 		if _, err := f.balancer.ChooseNamed(query, name); err != nil {
 			continue
 		}
-		if u := f.Upstream(name); u != nil && f.throttler.Take(name) {
+		if u := f.eligible(name); u != nil && f.throttler.Take(name) {
 			return choice{u, name}, true
 		}
 	}
@@ -108,10 +108,10 @@
 	return choice{}, false
 }
 
-// ofService returns the upstreams of the request's service among some.
+// ofService returns the upstreams of the request's service among some that accept new requests.
 func (f *Forwarder) ofService(q *request, names []identifier.Upstream) []identifier.Upstream {
 	return slices.DeleteFunc(slices.Clone(names), func(name identifier.Upstream) bool {
-		u := f.Upstream(name)
+		u := f.eligible(name)
 		return u == nil || u.Service != q.service
 	})
 }
--- a/forwarder/permit_internal_test.go
+++ b/forwarder/permit_internal_test.go
@@ -81,3 +81,22 @@
 	must.True(t, q.permit.held)
 	must.Nil(t, q.permit.to.upstream)
 }
+
+// Guards against an attempt at an upstream that leaves or was evacuated after it was chosen with the permit for the attempt.
+func TestIneligibleChoiceIsNotUsed(t *testing.T) {
+	for _, u := range []*registrar.Upstream{{Name: "u", Leaving: true}, {Name: "u", Evacuated: true}} {
+		dials := 0
+		dial := func(context.Context, netip.AddrPort) (net.Conn, error) {
+			dials++
+			return nil, errors.New("connection refused")
+		}
+		f := New(WithBalancer(balancer.New("dc")), WithPool(connector.New(connector.WithDial(dial))))
+		f.Upstream = func(identifier.Upstream) *registrar.Upstream { return u }
+		f.Group = func(s identifier.Service, _ uint64) identifier.Service { return s }
+		q := &request{route: &matcher.Route{MaxAttempts: 3, Kind: matcher.Idempotent}, deadline: time.Now().Add(time.Second), header: http.Header{}}
+		q.hold(permit{held: true, to: choice{upstream: &registrar.Upstream{Name: "u"}, name: u.Incarnation()}})
+		_, err := f.send(t.Context(), q, "", defaultUrgency)
+		must.ErrorIs(t, err, balancer.ErrNoUpstream)
+		must.EqOp(t, 0, dials)
+	}
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -27,6 +27,8 @@
 	Slots int
 	// Leaving is set when it must receive no new requests.
 	Leaving bool
+	// Evacuated is set while its data centre is evacuated: it must receive no new requests. No registration states it.
+	Evacuated bool
 	// StartMillis is the start time of the upstream in Unix milliseconds, or 0 if it is not known; it changes with a restart under the
 	// same name.
 	StartMillis int64
@@ -37,6 +39,11 @@
 	return u.Name + "/" + identifier.Upstream(strconv.FormatInt(u.StartMillis, 10))
 }
 
+// IsEligible reports whether the upstream may receive new requests.
+func (u *Upstream) IsEligible() bool {
+	return !u.Leaving && !u.Evacuated
+}
+
 // Change is the new value of a registration; a nil Upstream means that it was removed or describes no usable upstream.
 type Change struct {
 	Name     identifier.Upstream
