runner: evacuate data centres as the operator orders

The directory takes the upstreams out of the choice and keeps them by name. The pace of the operator's table keeps evacuate-time too. An entry that starts learns from others which orders the store may have lost. The settings template renders evacuate-time only where the site has it.

--- a/runner/directory.go
+++ b/runner/directory.go
@@ -21,8 +21,10 @@
 type directory struct {
 	regions map[identifier.DataCentre]identifier.Region
 	// group returns the group of a version of a service.
-	group  func(identifier.Service, identifier.Version) identifier.Service
-	update func([]balancer.Upstream)
+	group func(identifier.Service, identifier.Version) identifier.Service
+	// isEvacuated reports whether a data centre must get no new requests.
+	isEvacuated func(identifier.DataCentre) bool
+	update      func([]balancer.Upstream)
 
 	mu   sync.Mutex
 	list []registrar.Upstream
@@ -39,7 +41,7 @@
 	d.rebuild()
 }
 
-// regroup rebuilds the groups after the state of a roll-out has changed.
+// regroup rebuilds the groups after the state of a roll-out or the evacuated data centres have changed.
 func (d *directory) regroup() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -56,6 +58,13 @@
 			continue
 		}
 		name, group := u.Incarnation(), d.group(u.Service, u.Version)
+		if d.isEvacuated(u.DataCentre) {
+			// It is found by its name, for the requests in flight, but not known to the balancer, which so forgets its load samples.
+			evacuated := *u
+			evacuated.Evacuated = true
+			byName[name] = &evacuated
+			continue
+		}
 		upstreams = append(upstreams, balancer.Upstream{
 			Name: name, Region: d.regions[u.DataCentre], DataCentre: u.DataCentre, Service: group, Slots: u.Slots, Leaving: u.Leaving,
 		})
@@ -86,7 +95,20 @@
 // isAvailable reports whether an upstream is listed and accepts new requests.
 func (d *directory) isAvailable(name identifier.Upstream) bool {
 	u := d.upstream(name)
-	return u != nil && !u.Leaving
+	return u != nil && u.IsEligible()
+}
+
+// sizeOf returns the number of listed upstreams of a data centre.
+func (d *directory) sizeOf(name identifier.DataCentre) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for i := range d.list {
+		if d.list[i].DataCentre == name {
+			n++
+		}
+	}
+	return n
 }
 
 // size returns the number of upstreams of a group that accept new requests.
--- a/runner/inquiry.go
+++ b/runner/inquiry.go
@@ -9,6 +9,7 @@
 
 	"github.com/siskinfront/siskinfront/arbiter"
 	"github.com/siskinfront/siskinfront/broadcaster"
+	"github.com/siskinfront/siskinfront/evacuator"
 	"github.com/siskinfront/siskinfront/registrar"
 )
 
@@ -19,8 +20,11 @@
 	// waitLogTime is the time after which a configuration that waits is logged.
 	waitLogTime = 500 * time.Millisecond
 	// maxStated bounds the items of each kind in a statement, and maxStatementBytes the statement, which must fit into a datagram.
-	maxStated         = 8
-	maxStatementBytes = broadcaster.MaxDatagramBytes - 300
+	maxStated = 8
+	// evacuationsPerItem is how many more evacuations a statement may have than items of another kind; a deployment has up to 10 data
+	// centres.
+	evacuationsPerItem = 2
+	maxStatementBytes  = broadcaster.MaxDatagramBytes - 300
 )
 
 // question asks another entry for its statement.
@@ -35,6 +39,8 @@
 	Upstreams     registrar.Gone   `json:"upstreams"`
 	Verdicts      []statedVerdict  `json:"verdicts,omitempty"`
 	RolledBack    []serviceVersion `json:"rolled-back,omitempty"`
+	// Evacuations are the orders to evacuate data centres that the entry knows.
+	Evacuations []evacuator.Claim `json:"evacuations,omitempty"`
 }
 
 // inquiry asks other entries before the first configuration that the store shows comes into force.
@@ -139,7 +145,9 @@
 	returned := q.Era > r.upstreams.Position().Era
 	var s statement
 	for most := maxStated; ; most /= 2 {
-		s = statement{Configuration: claim, Upstreams: r.registrar.Gone(most, returned)}
+		s = statement{
+			Configuration: claim, Upstreams: r.registrar.Gone(most, returned), Evacuations: r.evacuator.Claims(evacuationsPerItem * most),
+		}
 		s.Verdicts, s.RolledBack = r.rollouts.stated(most)
 		if data, err := json.Marshal(s); err == nil && len(data) <= maxStatementBytes || most == 0 {
 			break
@@ -156,6 +164,7 @@
 	if ended {
 		return
 	}
+	r.evacuator.Learn(s.Evacuations)
 	r.registrar.LearnGone(s.Upstreams)
 	r.rollouts.learn(s.Verdicts, s.RolledBack)
 	r.inquiry.mu.Lock()
--- a/runner/poll_internal_test.go
+++ b/runner/poll_internal_test.go
@@ -28,6 +28,19 @@
 	must.EqOp(t, pacer.Pace{Wait: time.Second, Pause: 500 * time.Millisecond}, operatorPace())
 }
 
+// Guards against an order to evacuate a data centre that takes effect too late because the pace of the table keeps only the bound of
+// configurations.
+func TestPaceKeepsEvacuateTime(t *testing.T) {
+	s := DefaultSettings()
+	s.ReconnectTime, s.ApplyTime, s.EvacuateTime = 5*time.Second, 4*time.Second, 2500*time.Millisecond
+	var operatorPace func() pacer.Pace
+	New(s, Platform{FollowOperator: func(pace func() pacer.Pace, _ *slog.Logger, _ OperatorEvents) Follower {
+		operatorPace = pace
+		return Follower{Counters: func() map[string]int64 { return nil }}
+	}, Counters: func() map[string]int64 { return nil }}, slog.New(slog.DiscardHandler))
+	must.EqOp(t, pacer.Pace{Wait: 1500 * time.Millisecond, Pause: 750 * time.Millisecond}, operatorPace())
+}
+
 // Guards against upstreams that register again after an outage and are dropped because their registrations are read too late.
 func TestPaceAfterOutage(t *testing.T) {
 	s := DefaultSettings()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -18,6 +18,7 @@
 	"github.com/siskinfront/siskinfront/arbiter"
 	"github.com/siskinfront/siskinfront/balancer"
 	"github.com/siskinfront/siskinfront/connector"
+	"github.com/siskinfront/siskinfront/evacuator"
 	"github.com/siskinfront/siskinfront/follower"
 	"github.com/siskinfront/siskinfront/forwarder"
 	"github.com/siskinfront/siskinfront/identifier"
@@ -87,6 +88,8 @@
 	Configuration func(arbiter.Candidate, error)
 	// Order receives an order; mayBeOld is set if the store may have had it before it came back from an older copy.
 	Order func(o promoter.RolloutOrder, mayBeOld bool)
+	// Evacuations receives the changes of orders to evacuate data centres in each batch, before anything else of it.
+	Evacuations func(evacuator.Batch)
 	// Returned is called with the era that begins when the store has come back from an older copy.
 	Returned func(era uint64)
 }
@@ -113,6 +116,7 @@
 	pool        *connector.Pool
 	registrar   *registrar.Registrar
 	directory   *directory
+	evacuator   *evacuator.Evacuator
 	rollouts    *rollouts
 	forwarder   *forwarder.Forwarder
 	sharing     *sharing
@@ -139,7 +143,10 @@
 		rolledBack: map[serviceVersion]bool{}, learned: map[identifier.Service][]statedVerdict{}, wake: make(chan struct{}, 1),
 		recentSessions: pinner.NewRecentSessions(s.SessionTime),
 	}
-	r.directory = &directory{regions: s.regions(), group: r.rollouts.group, update: r.balancer.Update}
+	r.evacuator = evacuator.New(s.EvacuateTime, evacuator.WithOnEvent(r.applyEvacuation))
+	r.directory = &directory{
+		regions: s.regions(), group: r.rollouts.group, isEvacuated: r.evacuator.IsEvacuated, update: r.balancer.Update,
+	}
 	r.rollouts.regroup, r.rollouts.groupSize = r.directory.regroup, r.directory.size
 	r.registrar = registrar.New(registrar.WithUpdate(r.updateUpstreams))
 	r.registrar.OnLeaving = r.logLeaving
@@ -164,13 +171,13 @@
 		return p
 	}
 	r.upstreams.OnOutage = r.registrar.MarkStoreUnavailable
-	r.operator = p.FollowOperator(r.paceWithin(s.ApplyTime), log, OperatorEvents{
-		Configuration: r.applyConfiguration, Order: r.rollouts.addOrder, Returned: r.rollouts.storeReturned,
+	r.operator = p.FollowOperator(r.paceWithin(min(s.ApplyTime, s.EvacuateTime)), log, OperatorEvents{
+		Configuration: r.applyConfiguration, Order: r.rollouts.addOrder, Evacuations: r.evacuator.Apply, Returned: r.rollouts.storeReturned,
 	})
 	for name, counters := range map[string]func() map[string]int64{
 		"forwarder": r.forwarder.Counters, "balancer": r.balancer.Counters, "connector": r.pool.Counters, "reaper": r.reaper.Counters,
 		"quarantine": r.sharing.quarantine.Counters, "throttler": r.sharing.throttler.Counters, "limit-owner": r.sharing.owner.Counters, "broadcaster": r.sharing.broadcaster.Counters, "shared": r.sharing.follower.Counters,
-		"registrar": r.registrar.Counters, "follower": r.upstreams.Counters, "operator": r.operator.Counters, "store": p.Counters, "rollouts": calls.Counters,
+		"evacuator": r.evacuator.Counters, "registrar": r.registrar.Counters, "follower": r.upstreams.Counters, "operator": r.operator.Counters, "store": p.Counters, "rollouts": calls.Counters,
 	} {
 		r.meter.Register(name, counters)
 	}
@@ -345,6 +352,7 @@
 		case <-t.C:
 		}
 		r.registrar.RemoveExpired()
+		r.evacuator.EndHolds(r.operator.ConfirmedAt())
 		r.reaper.CloseExpired()
 		r.sharing.quarantine.Sweep()
 		r.sharing.throttler.Sweep()
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -46,6 +46,9 @@
 	// in force.
 	LeaveTime time.Duration `yaml:"leave-time" validate:"gt=0"`
 	ApplyTime time.Duration `yaml:"apply-time" validate:"gt=0"`
+	// EvacuateTime is the time within which an evacuated data centre must get no new requests, and for which an order to evacuate it holds
+	// that the store may have lost.
+	EvacuateTime time.Duration `yaml:"evacuate-time" validate:"gt=0"`
 	// MaxExposure is the largest share of a service's requests that a bad version may get.
 	MaxExposure float64 `yaml:"exposure" validate:"gt=0,lte=1"`
 	// ExposureSlack is the number of requests beyond that share that a bad version may get.
@@ -85,7 +88,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Shutdown: 8 * time.Second, MaxExposure: 0.1, SessionTime: 5 * time.Second, ReconnectTime: 3 * time.Second,
-		LeaveTime: 2 * time.Second, ApplyTime: 2 * time.Second,
+		LeaveTime: 2 * time.Second, ApplyTime: 2 * time.Second, EvacuateTime: 5 * time.Second,
 		LogLinesPerSecond: 400, Retries: RetrySettings{Ratio: 0.1},
 	}
 }
--- a/runner/settings_test.go
+++ b/runner/settings_test.go
@@ -11,14 +11,17 @@
 	"github.com/siskinfront/siskinfront/runner"
 )
 
-// renderTemplate returns the settings template in deploy with its placeholders filled in as the platform does it.
-func renderTemplate(t *testing.T) string {
+// renderTemplate returns the settings template in deploy with its placeholders filled in as the platform does it; what replaces the section
+// that the platform renders only for an evacuate time.
+func renderTemplate(t *testing.T, evacuateTime string) string {
 	t.Helper()
 	b, err := os.ReadFile("../deploy/settings.yaml.tmpl")
 	must.NoError(t, err)
 	dataCentres := "{{#Zones}}  - name: {{@}}\n    region: {{.|json}}\n{{/Zones}}"
 	must.StrContains(t, string(b), dataCentres)
-	return strings.NewReplacer(dataCentres, "  - name: ie-west-a\n    region: \"ie-west\"\n",
+	const evacuation = "{{#Bounds.EvacuateMs}}evacuate-time: {{Bounds.EvacuateMs}}ms\n{{/Bounds.EvacuateMs}}"
+	must.StrContains(t, string(b), evacuation)
+	return strings.NewReplacer(evacuation, evacuateTime, dataCentres, "  - name: ie-west-a\n    region: \"ie-west\"\n",
 		"{{NodeName|json}}", `"front-1"`, "{{Zone|json}}", `"ie-west-a"`, "{{Region|json}}", `"ie-west"`,
 		"{{Listen.Front|json}}", `"10.1.0.40:8227"`, "{{Listen.Ready|json}}", `"10.1.0.40:8220"`, "{{Ip}}", "10.1.0.40", "{{InternalPorts.0}}", "7340",
 		"{{Platform.Address|json}}", `"10.200.1.7:8223"`, "{{Platform.ReadsPerS}}", "2000", "{{Limits.MemoryMb}}", "134", "{{Bounds.GraceS}}", "8",
@@ -30,7 +33,7 @@
 
 // Guards against a template that renders to settings which the entry rejects, and against a placeholder that is not filled in.
 func TestTemplate(t *testing.T) {
-	text := renderTemplate(t)
+	text := renderTemplate(t, "evacuate-time: 6000ms\n")
 	must.StrNotContains(t, text, "{{")
 	s, err := runner.ParseSettings("entry.yaml", []byte(text))
 	must.NoError(t, err)
@@ -44,6 +47,11 @@
 	must.EqOp(t, 0.9, s.Retries.Ratio)
 	must.EqOp(t, 2*time.Second, s.LeaveTime)
 	must.EqOp(t, 4*time.Second, s.ApplyTime)
+	must.EqOp(t, 6*time.Second, s.EvacuateTime)
+	s, err = runner.ParseSettings("entry.yaml", []byte(renderTemplate(t, "")))
+	must.NoError(t, err)
+	must.EqOp(t, 4*time.Second, s.ApplyTime)
+	must.EqOp(t, 5*time.Second, s.EvacuateTime)
 }
 
 // Guards against an entry that starts with invalid settings: the error names the file, the line and the field.
@@ -54,9 +62,14 @@
 		"missing field": {"store: \"10.200.1.7:8223\"\n", "", "store"},
 		"bad address":   {"10.1.0.40:8227", "10.1.0.40", "caller-address"},
 		"no share":      {"exposure: 0.15", "exposure: 1.5", "exposure"},
+		"no time":       {"evacuate-time: 6000ms", "evacuate-time: 0s", "evacuate-time"},
+		"negative time": {"evacuate-time: 6000ms", "evacuate-time: -1s", "evacuate-time"},
+		"empty time":    {"evacuate-time: 6000ms", "evacuate-time:", "evacuate-time"},
+		"time as text":  {"evacuate-time: 6000ms", "evacuate-time: soon", "evacuate-time"},
+		"huge time":     {"evacuate-time: 6000ms", "evacuate-time: 99999999999999h", "evacuate-time"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			text := strings.Replace(renderTemplate(t), test.old, test.replacement, 1)
+			text := strings.Replace(renderTemplate(t, "evacuate-time: 6000ms\n"), test.old, test.replacement, 1)
 			_, err := runner.ParseSettings("entry.yaml", []byte(text))
 			must.Error(t, err)
 			must.StrContains(t, err.Error(), "entry.yaml")
