balancer, choicebencher: compare even load with other mechanisms

Cause: the choice by expected time was not compared with other mechanisms; entries that use an upstream once in a minute lost its speed after 6 s, and drew slow engines as often as fast ones.

With the option, a slowdown has half its weight after 120 s, is learned with a decay of 30 s, and two random upstreams of each distance are drawn in proportion to their speed. The state dump has expected times, slowdowns and how even the load of each pool is.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -320,6 +320,7 @@
 		p.tokenIntervalCount.Add(boolToInt(l.TokenInterval > 0) - boolToInt(previousInterval > 0))
 	}
 	c.tracked.runningInSample.Store(int64(l.Running))
+	c.tracked.waitsInSample.Store(waiting > 0)
 	if waiting > 0 {
 		c.tracked.learnSlots()
 	}
--- a/balancer/evenload.go
+++ b/balancer/evenload.go
@@ -11,9 +11,9 @@
 	// has a bounded effect.
 	maxSlowdown = 4
 	// slowdownHalfAge and correctionHalfAge are the ages at which a learned slowdown and its correction by a reported figure have
-	// half their weight. An upstream of which nothing is heard tends to the mean, so that it is tried again. Upstreams turn slow for
-	// some 0.6 s at a time.
-	slowdownHalfAge   = 6 * time.Second
+	// half their weight. An upstream of which nothing is heard tends to the mean, so that it is tried again. With 330 entries and 55
+	// upstreams, an entry uses each upstream about once in a minute. Upstreams turn slow for some 0.6 s at a time.
+	slowdownHalfAge   = 120 * time.Second
 	correctionHalfAge = 500 * time.Millisecond
 	// baseShare is the time of a step of an idle engine as a share of the time that requests in all slots add to it. Engines take
 	// 3 ms and 0.12 ms for each running request, and have 64 slots.
@@ -25,6 +25,10 @@
 	// choicePeriod is the length of the two periods over which choices are counted. One of 30 entries chooses an engine of 55 some
 	// 0.6 times in a second.
 	choicePeriod = 8 * time.Second
+	// maxDraws bounds the cost of a random choice by speed.
+	maxDraws = 4
+	// extraDraws is the number of random candidates of each distance beyond the first.
+	extraDraws = 1
 	// maxWaitingPerSlot bounds the load that an upstream reports, in multiples of its slots. Engines queue three times their slots.
 	maxWaitingPerSlot = 16
 )
@@ -57,6 +61,32 @@
 	return boundSlowdown(learned * correction)
 }
 
+// drawBySpeed returns a random index between two of the subset. An upstream that is slower than the mean is drawn less often, in
+// proportion to its speed, because most of its loads are unknown when many entries share few upstreams.
+func (p *pool) drawBySpeed(from, to int, r uint64, nowNanos int64) int {
+	i := 0
+	for range maxDraws {
+		i = from + int(uint32(r)%uint32(to-from))
+		if slowdown := p.subset[i].tracked.speed.slowdown(nowNanos); float64(r>>32)*slowdown <= 1<<32 {
+			break
+		}
+		r = mix(r)
+	}
+	return i
+}
+
+// drawMore returns the best of a candidate and of extraDraws random ones between two indexes of the subset.
+func (b *Balancer) drawMore(p *pool, q *Query, from, to int, r uint64, best scoredCandidate, mean float64, nowNanos int64) scoredCandidate {
+	for range extraDraws {
+		r = mix(r + 1)
+		c := p.subset[p.drawBySpeed(from, to, r, nowNanos)]
+		if scored := b.score(p, q, c, mean, nowNanos); scored.betterThan(best) && b.isUsable(c, q) {
+			best = scored
+		}
+	}
+	return best
+}
+
 // correction returns the correction in the last sample.
 func (s *speed) correction() float64 {
 	if packed := s.packed.Load(); packed != 0 {
@@ -78,13 +108,29 @@
 	return min(max(x, 1.0/maxSlowdown), maxSlowdown)
 }
 
+// expectedLoad is estimateLoad, except that the end of a request lowers the load only as far as the sample that includes the request
+// counts. Otherwise an upstream whose sample has expired would seem better than the mean because it was used once, and would be
+// used again.
+func (u *trackedUpstream) expectedLoad(mean float64, nowNanos int64, opts *options) float64 {
+	load, delta, uses := mean, u.deltaSinceSample.Load(), u.uses.Load()
+	if uses > 0 {
+		delta = max(delta, uses)
+	}
+	age := time.Duration(max(nowNanos-u.sampleAt.Load(), 0))
+	if age < opts.maxAge && uses < opts.maxUses {
+		weight := float64(opts.halfAge) / float64(opts.halfAge+age)
+		load += (float64(u.load.Load()+min(delta, 0)) - mean) * weight
+	}
+	return max(load+float64(max(delta, 0)), 0)
+}
+
 // expectedTime returns the load of a candidate as the time that work takes there, in requests at an upstream of mean speed.
 func (b *Balancer) expectedTime(p *pool, u *trackedUpstream, load, mean float64, nowNanos int64) float64 {
 	slowdown := u.speed.slowdown(nowNanos)
+	base := max(baseShare*float64(u.slots.Load()), 1)
 	if excess := p.excessShare(u, nowNanos); excess > 1 {
 		load, slowdown = max(load, (mean+1)*excess), max(slowdown, 1)
 	}
-	base := max(baseShare*float64(u.slots.Load()), 1)
 	return (load+base)*slowdown - base
 }
 
--- a/balancer/evenload_test.go
+++ b/balancer/evenload_test.go
@@ -141,3 +141,28 @@
 		}
 	}
 }
+
+// Guards against a state that shows no uneven load although an upstream is idle while requests wait at another, and against one that
+// counts samples that are too old.
+func TestPoolState(t *testing.T) {
+	now := start
+	b := balancer.New("dc", balancer.WithNow(func() time.Time { return now }), balancer.WithEvenLoad())
+	var ups []balancer.Upstream
+	for i := range 4 {
+		ups = append(ups, balancer.Upstream{Name: identifier.Upstream(fmt.Sprint("u", i)), Service: "s", DataCentre: "dc", Region: "r", Slots: 8})
+	}
+	b.Update(ups)
+	must.SliceEmpty(t, b.State().(balancer.State).Pools)
+	b.Report("u0", streamer.Load{At: now})
+	now = now.Add(2 * time.Second)
+	b.Report("u1", streamer.Load{At: now, Running: 8, Queued: []int{1}, Slowdown: 2, SlowdownCorrection: 1.5})
+	b.Report("u2", streamer.Load{At: now, Running: 3})
+	state := b.State().(balancer.State)
+	must.Eq(t, []balancer.PoolState{{Service: "s", BusiestOverMean: 9.0 * 3 / 12, IdleWhileOthersWait: 1}}, state.Pools)
+	must.EqOp(t, 3, state.Upstreams[1].Slowdown)
+	must.EqOp(t, 1.5, state.Upstreams[1].Correction)
+	must.EqOp(t, (9+2)*3-2, state.Upstreams[1].ExpectedTime)
+	now = now.Add(2 * time.Second)
+	b.Report("u2", streamer.Load{At: now, Running: 2})
+	must.Eq(t, []balancer.PoolState{{Service: "s", BusiestOverMean: 9.0 * 2 / 11}}, b.State().(balancer.State).Pools)
+}
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -56,6 +56,9 @@
 		if drawn.candidate != nil && drawn.betterThan(best) {
 			best = drawn
 		}
+		if b.opts.evenLoad {
+			best = b.drawMore(p, q, from, to, r, best, mean, nowNanos)
+		}
 		r = r>>17 | r<<47
 		from = to
 	}
@@ -120,6 +123,9 @@
 	nowNanos int64,
 ) scoredCandidate {
 	i := from + int(uint32(r)%uint32(to-from))
+	if b.opts.evenLoad {
+		i = p.drawBySpeed(from, to, r, nowNanos)
+	}
 	var fallback scoredCandidate
 	for range to - from {
 		c := p.subset[i]
@@ -143,7 +149,12 @@
 
 // score returns a candidate with its expected load, which includes the slowdown of its engine and the penalty for its distance.
 func (b *Balancer) score(p *pool, q *Query, c *candidate, mean float64, nowNanos int64) scoredCandidate {
-	load := c.tracked.estimateLoad(mean, nowNanos, &b.opts)
+	var load float64
+	if b.opts.evenLoad {
+		load = c.tracked.expectedLoad(mean, nowNanos, &b.opts)
+	} else {
+		load = c.tracked.estimateLoad(mean, nowNanos, &b.opts)
+	}
 	sampleExpired := nowNanos-c.tracked.sampleAt.Load() >= int64(fullSampleTTL)
 	overloaded, full := load > mean*overloadFactor+overloadMargin, false
 	if slots := c.tracked.slots.Load(); slots > 0 {
--- a/balancer/probe.go
+++ b/balancer/probe.go
@@ -4,8 +4,6 @@
 	"context"
 	"sync"
 	"time"
-
-	"github.com/siskinfront/siskinfront/identifier"
 )
 
 const (
@@ -105,47 +103,3 @@
 		"probes": c.probes.Load(), "probe-failures": c.probeFailures.Load(),
 	}
 }
-
-// State is the state of a Balancer for the debugging interface.
-type State struct {
-	Upstreams []UpstreamState `json:"upstreams"`
-}
-
-// UpstreamState is the state of one upstream in State.
-type UpstreamState struct {
-	Upstream  identifier.Upstream `json:"upstream"`
-	Distance  int                 `json:"distance"`
-	Breaker   string              `json:"breaker"`
-	Leaving   bool                `json:"leaving"`
-	InFlight  int64               `json:"in-flight"`
-	Load      int64               `json:"load"`
-	SampleAge time.Duration       `json:"sample-age"`
-	// Slowdown is the time that work takes there relative to the others, and Correction the factor that the upstream reported with
-	// its last sample; both are 0 without WithEvenLoad.
-	Slowdown   float64 `json:"slowdown,omitempty"`
-	Correction float64 `json:"correction,omitempty"`
-}
-
-// State returns a State with the upstreams that are leaving or in at least one subset.
-func (b *Balancer) State() any {
-	s := b.current.Load()
-	now := b.opts.now().UnixNano()
-	var st State
-	for _, c := range s.byNumber {
-		if c == nil || len(c.pools) == 0 && !c.tracked.isLeaving.Load() {
-			continue
-		}
-		u := UpstreamState{
-			Upstream: c.upstream.Name, Distance: c.distance, Breaker: string(c.tracked.breaker.state()),
-			Leaving: c.tracked.isLeaving.Load(), InFlight: c.tracked.inFlight.Load(), Load: c.tracked.load.Load(),
-		}
-		if at := c.tracked.sampleAt.Load(); at != 0 {
-			u.SampleAge = time.Duration(now - at)
-		}
-		if b.opts.evenLoad {
-			u.Slowdown, u.Correction = c.tracked.speed.slowdown(now), c.tracked.speed.correction()
-		}
-		st.Upstreams = append(st.Upstreams, u)
-	}
-	return st
-}
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -42,6 +42,7 @@
 	slots            atomic.Int64 // concurrent requests: from the list, or those that ran while others waited; 0 if unknown
 	slotsConfigured  atomic.Bool  // the list of upstreams states the slots
 	runningInSample  atomic.Int64 // running requests in the sample
+	waitsInSample    atomic.Bool  // requests waited in the sample
 	tokenInterval    atomic.Int64 // nanoseconds between two tokens in the sample, 0 if unknown
 	deltaSinceSample atomic.Int64 // requests of this entry begun minus those ended since the sample
 	uses             atomic.Int64 // choices since the sample
--- a/choicebencher/experiment.go
+++ b/choicebencher/experiment.go
@@ -79,6 +79,7 @@
 const (
 	allKnowing       policy = "all-knowing"
 	lateBinding      policy = "routed"
+	evenLoad         policy = "routed, even load"
 	noLateBinding    policy = "10 probes/s, no late binding"
 	manyProbes       policy = "40 probes/s, no late binding"
 	manyChoices      policy = "8 choices, no late binding"
@@ -144,7 +145,7 @@
 		duration = p.Duration
 	}
 	series := make(map[policy]*bencher.Series)
-	policies := []policy{allKnowing, lateBinding, noLateBinding, manyProbes, manyChoices, probesInPath, centralQueue, leastSampledLoad, roundRobin, random}
+	policies := []policy{allKnowing, lateBinding, evenLoad, noLateBinding, manyProbes, manyChoices, probesInPath, centralQueue, leastSampledLoad, roundRobin, random}
 	for _, z := range deployments {
 		if err := ctx.Err(); err != nil {
 			return report, err
--- a/choicebencher/fault.go
+++ b/choicebencher/fault.go
@@ -17,6 +17,7 @@
 
 // scheduleFault slows one engine down at the end of the warm-up, if the scenario has a fault.
 func (s *simulation) scheduleFault() {
+	s.slowDownQuarter()
 	if s.scenario.slowdown == 0 {
 		return
 	}
@@ -29,6 +30,20 @@
 	})
 }
 
+// slowDownQuarter slows down a quarter of the engines of each version, if the scenario has unequal engines.
+func (s *simulation) slowDownQuarter() {
+	if s.scenario.unequal == 0 {
+		return
+	}
+	sh := speedProfile()
+	sh.Step = time.Duration(float64(sh.Step) * s.scenario.unequal)
+	for _, list := range s.serving {
+		for i := 0; i < len(list); i += 4 {
+			list[i].engine.SetSpeedProfile(sh)
+		}
+	}
+}
+
 // countSubmission counts a request that a worker takes into its queue, by the second since the fault.
 func (s *simulation) countSubmission(w *worker) {
 	if s.faulty == nil || s.loop.Now().Before(s.measuredFrom) || !slices.Contains(s.serving[0], w) {
--- a/choicebencher/policy.go
+++ b/choicebencher/policy.go
@@ -14,6 +14,8 @@
 	switch p {
 	case lateBinding, noLateBinding, manyProbes, probesInPath:
 		return nil, true
+	case evenLoad:
+		return []balancer.Option{balancer.WithEvenLoad()}, true
 	case manyChoices:
 		return []balancer.Option{balancer.WithChoices(8), balancer.WithSampleLimits(15*time.Second, time.Second, 1)}, true
 	}
@@ -23,7 +25,7 @@
 // probeRate returns the number of probes per second that an entry sends.
 func (p policy) probeRate() float64 {
 	switch p {
-	case lateBinding, probesInPath:
+	case lateBinding, evenLoad, probesInPath:
 		return balancer.DefaultProbeRate
 	case manyProbes:
 		return 4 * noLateBindingProbeRate
--- a/choicebencher/request.go
+++ b/choicebencher/request.go
@@ -32,7 +32,7 @@
 	}
 	s.requests++
 	switch s.policy {
-	case lateBinding:
+	case lateBinding, evenLoad:
 		r.dispatch()
 	case probesInPath:
 		r.probeThenSend()
--- a/choicebencher/scenario.go
+++ b/choicebencher/scenario.go
@@ -15,6 +15,8 @@
 	name string
 	// slowdown multiplies the step time of one engine from the end of the warm-up on; 0 means no fault.
 	slowdown float64
+	// unequal makes a quarter of the engines of each version take unequal times as long for a step from the start on; 0 means none.
+	unequal float64
 	// prefixes is the number of prefixes per version that prompts share and engines cache; affinity passes them to the balancer.
 	prefixes int
 	affinity bool
@@ -23,8 +25,10 @@
 }
 
 const (
-	slowFactor  = 2
-	stuckFactor = 1e6
+	slowFactor = 2
+	// unequalFactor is that of a deployment in which a quarter of the engines works at less than half of the speed of the others.
+	unequalFactor = 2.5
+	stuckFactor   = 1e6
 	// faultWindow is the time within which a stuck engine must lose its traffic; maxStuckShare bounds what it takes afterwards,
 	// relative to the mean.
 	faultWindow   = 5 * time.Second
@@ -133,6 +137,11 @@
 	if err != nil {
 		return err
 	}
+	for _, p := range []policy{allKnowing, lateBinding, evenLoad} {
+		if _, _, err = run(p, scenario{name: "a quarter of the engines 2.5 times slower", unequal: unequalFactor}); err != nil {
+			return err
+		}
+	}
 	var plain result
 	for _, sc := range []scenario{
 		{name: "prefixes, no affinity", prefixes: prefixesPerVersion},
--- a/forwarder/pace.go
+++ b/forwarder/pace.go
@@ -12,9 +12,9 @@
 	// slowdownDecayTime is the time constant with which an upstream's samples decay. It spans several of the pauses of some 0.4 s
 	// that an engine makes while it reads a long prompt.
 	slowdownDecayTime = 1500 * time.Millisecond
-	// evenLoadDecayTime is that time constant with WithEvenLoad. With 30 entries and 55 engines an entry sees some 5 events of an
-	// engine in a second, and 8 are needed to outweigh the mean.
-	evenLoadDecayTime = 6 * time.Second
+	// evenLoadDecayTime is that time constant with WithEvenLoad. With 30 entries and 55 engines an entry sends an engine a request
+	// every 6 s or so; with 6 s, the 99th percentile of whole responses is 4.7 s instead of 4.4 s (docs/design/even-load.md).
+	evenLoadDecayTime = 30 * time.Second
 	// reportedTTL is how long a figure that an upstream reported applies to the pauses measured there.
 	reportedTTL = time.Second
 	// workMeanWeight is the weight of a new sample in the moving mean of its kind of work, which spans some 200 events.
