runner: collect less often on small instances

Change: below 0.3 of a core (new setting processor-share) the heap grows by more than 100% before a collection, in proportion, at most 400%.

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"net/http"
 	"net/netip"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -132,7 +131,7 @@
 func New(s Settings, p Platform, log *slog.Logger) *Runner {
 	r := &Runner{platform: p, log: log, meter: meter.New()}
 	r.settings.Store(&s)
-	debug.SetMemoryLimit(int64(heapFraction * float64(s.MemoryBytes)))
+	limitMemory(&s)
 	balancing := []balancer.Option{
 		balancer.WithRegion(s.Region), balancer.WithSelf(s.Instance), balancer.WithSubsetSize(maxSubset), balancer.WithWaitingWeight(waitingWeight),
 	}
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -34,6 +34,8 @@
 	StoreReads float64 `yaml:"store-reads-per-second" validate:"gte=0"`
 	// MemoryBytes is the memory that the process may use.
 	MemoryBytes int64 `yaml:"memory-bytes" validate:"gt=0"`
+	// ProcessorShare is the share of a core that the process gets, or 0 if it is not known.
+	ProcessorShare float64 `yaml:"processor-share" validate:"gte=0"`
 	// Shutdown is the time from the request to stop until the process is killed.
 	Shutdown time.Duration `yaml:"shutdown" validate:"gt=0"`
 	// Retries bounds the retries and cascades.
--- a/runner/settings_test.go
+++ b/runner/settings_test.go
@@ -24,7 +24,7 @@
 	return strings.NewReplacer(evacuation, evacuateTime, dataCentres, "  - name: ie-west-a\n    region: \"ie-west\"\n",
 		"{{NodeName|json}}", `"front-1"`, "{{Zone|json}}", `"ie-west-a"`, "{{Region|json}}", `"ie-west"`,
 		"{{Listen.Front|json}}", `"10.1.0.40:8227"`, "{{Listen.Ready|json}}", `"10.1.0.40:8220"`, "{{Ip}}", "10.1.0.40", "{{InternalPorts.0}}", "7340",
-		"{{Platform.Address|json}}", `"10.200.1.7:8223"`, "{{Platform.ReadsPerS}}", "2000", "{{Limits.MemoryMb}}", "134", "{{Bounds.GraceS}}", "8",
+		"{{Platform.Address|json}}", `"10.200.1.7:8223"`, "{{Platform.ReadsPerS}}", "2000", "{{Limits.MemoryMb}}", "134", "{{Limits.CpuShare}}", "0.304", "{{Bounds.GraceS}}", "8",
 		"{{Bounds.ExposeShare}}", "0.15", "{{Bounds.ExposeSlack}}", "30",
 		"{{Bounds.RetryBudgetRatio}}", "0.9", "{{Bounds.RetryBudgetExtra}}", "56",
 		"{{Bounds.SessionS}}", "8.5", "{{Bounds.ContactMs}}", "3000", "{{Bounds.DrainMs}}", "2000",
@@ -42,6 +42,7 @@
 	must.EqOp(t, "10.1.0.40:7340", s.PeerAddress.String())
 	must.EqOp(t, 8500*time.Millisecond, s.SessionTime)
 	must.EqOp(t, 134_000_000, s.MemoryBytes)
+	must.EqOp(t, 0.304, s.ProcessorShare)
 	must.EqOp(t, 8*time.Second, s.Shutdown)
 	must.EqOp(t, 30, s.ExposureSlack)
 	must.EqOp(t, 0.9, s.Retries.Ratio)
