--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -358,8 +358,8 @@
 		time.Sleep(100 * time.Millisecond)
 		s.write()
 		time.Sleep(2 * time.Second)
-		must.Eq(t, []time.Time{{}, first}, confirmed[:2])
 		cancel()
 		must.NoError(t, <-done)
+		must.Eq(t, []time.Time{{}, first}, confirmed[:2])
 	})
 }
