matcher: regions of routes and client accounts

Cause: nothing read the regions to which a route or a client account is bound, so that a request might be served in any region.

--- a/matcher/table.go
+++ b/matcher/table.go
@@ -64,6 +64,8 @@
 	Resumable bool
 	// Models lists the models that may answer, the smallest first; it is empty if the caller names the model.
 	Models []identifier.Model
+	// Regions are those to which the requests are bound.
+	Regions Regions
 	// Split divides the requests among services by weight; nothing is served if none has a positive one.
 	Split []WeightedService
 }
@@ -128,6 +130,8 @@
 	Name    identifier.ClientAccount
 	Rank    int
 	HasRank bool
+	// Regions are those to which its requests are bound, beside those of the route.
+	Regions Regions
 }
 
 // Table is one revision of the routes, services, accounts and limits; it is immutable and safe for concurrent use.
