forwarder: keep bound requests in their regions

Cause: a request of a route or client account that is bound to regions was sent to any upstream. Change: the forwarder binds a request to the regions in both lists and refuses it with no-region if there are none; balancer.Query has the regions. Outside the subset a bound request may be the trial of an open breaker, as no other request closes that. In a roll-out, a bound request without an upstream of the new version in its regions goes to the former one and its session is held there.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -28,6 +28,8 @@
 	Session     identifier.Session
 	// Rank is the index of the request's rank, 0 for the most urgent.
 	Rank int
+	// Regions are the regions whose upstreams may be chosen; nil means any upstream. An upstream without a region is in none.
+	Regions map[identifier.Region]struct{}
 	// Exclude lists the upstreams that earlier attempts of the request have used.
 	Exclude []identifier.Upstream
 	// BusyRefusals is the number of upstreams that refused the request because it would have had to wait there.
@@ -118,11 +120,13 @@
 	}
 	now := b.opts.now()
 	for _, c := range p.subset {
-		if b.isUsable(c, &q) || !c.tracked.isLeaving.Load() && !isExcluded(c, &q) && c.tracked.breaker.isTrialDue(now) {
+		if b.isUsable(c, &q) || b.mayTry(c, &q) && c.tracked.breaker.isTrialDue(now) {
 			return true
 		}
 	}
-	return slices.ContainsFunc(p.rest, func(c *candidate) bool { return b.isUsable(c, &q) })
+	return slices.ContainsFunc(p.rest, func(c *candidate) bool {
+		return b.isUsable(c, &q) || q.Regions != nil && b.mayTry(c, &q) && c.tracked.breaker.isTrialDue(now)
+	})
 }
 
 // ChooseNamed is Choose with a single candidate.
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -63,11 +63,7 @@
 		from = to
 	}
 	if best.candidate == nil {
-		for i, n := 0, len(p.rest); i < n; i++ {
-			if c := p.rest[(i+int(uint64(nowNanos)%uint64(n)))%n]; b.isUsable(c, q) {
-				return scoredCandidate{candidate: c, load: mean}
-			}
-		}
+		best = b.pickRest(p, q, mean, now, nowNanos)
 	}
 	if best.candidate != nil && (best.overloaded || best.full || q.BusyRefusals > 0) {
 		return b.bestOfSubset(p, q, best, mean, nowNanos)
@@ -75,6 +71,21 @@
 	return best
 }
 
+// pickRest picks a usable candidate outside the subset. If the request is bound to regions of which the subset may have no member, it may
+// also be the trial of an open breaker: no other request would close that again.
+func (b *Balancer) pickRest(p *pool, q *Query, mean float64, now time.Time, nowNanos int64) scoredCandidate {
+	for i, n := 0, len(p.rest); i < n; i++ {
+		c := p.rest[(i+int(uint64(nowNanos)%uint64(n)))%n]
+		if b.isUsable(c, q) {
+			return scoredCandidate{candidate: c, load: mean}
+		}
+		if q.Regions != nil && b.mayTry(c, q) && c.tracked.breaker.claimTrial(now) {
+			return scoredCandidate{candidate: c, load: mean, trial: true}
+		}
+	}
+	return scoredCandidate{}
+}
+
 // hasFreshSample reports whether the last sample of a candidate is within the limits of WithSampleLimits.
 func (b *Balancer) hasFreshSample(c *candidate, nowNanos int64) bool {
 	return nowNanos-c.tracked.sampleAt.Load() <= int64(b.opts.maxAge) && c.tracked.uses.Load() < b.opts.maxUses
@@ -137,7 +148,7 @@
 			}
 			fallback = scored
 		}
-		if !usable && !c.tracked.isLeaving.Load() && !isExcluded(c, q) && c.tracked.breaker.claimTrial(now) {
+		if !usable && b.mayTry(c, q) && c.tracked.breaker.claimTrial(now) {
 			return scoredCandidate{candidate: c, load: mean, trial: true}
 		}
 		if i++; i == to {
@@ -179,6 +190,17 @@
 	return !c.tracked.isLeaving.Load() && c.tracked.breaker.retryAt.Load() == 0 && !isExcluded(c, q)
 }
 
+// mayTry reports whether a candidate is usable, or would be if its breaker were closed.
+func (b *Balancer) mayTry(c *candidate, q *Query) bool {
+	return !c.tracked.isLeaving.Load() && !isExcluded(c, q)
+}
+
+// isExcluded reports whether a request has used a candidate before, or must not be served in its region.
 func isExcluded(c *candidate, q *Query) bool {
+	if q.Regions != nil {
+		if _, ok := q.Regions[c.upstream.Region]; !ok || c.upstream.Region == "" {
+			return true
+		}
+	}
 	return len(q.Exclude) > 0 && slices.Contains(q.Exclude, c.upstream.Name)
 }
--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -32,7 +32,8 @@
 
 // choosePaused picks a pausing upstream that this request has not tried and whose pause may be tried, as no other upstream is left.
 func (f *Forwarder) choosePaused(q *request, tried []identifier.Upstream) (choice, bool) {
-	query := balancer.Query{Service: f.Group(q.service, q.sessionHash), Rank: q.rank, Exclude: tried}
+	query := f.query(q)
+	query.Exclude = tried
 	for _, name := range f.ofService(q, f.throttler.AppendClosed(nil)) {
 		if _, err := f.balancer.ChooseNamed(query, name); err != nil {
 			continue
@@ -52,9 +53,14 @@
 
 // hasUpstream reports whether an attempt could be made now outside some upstreams.
 func (f *Forwarder) hasUpstream(q *request, unsuitable []identifier.Upstream) bool {
-	return f.balancer.HasUpstream(balancer.Query{
-		Service: f.Group(q.service, q.sessionHash), Exclude: append(f.throttler.AppendClosed(nil), unsuitable...),
-	})
+	query := f.query(q)
+	query.Exclude = append(f.throttler.AppendClosed(nil), unsuitable...)
+	return f.balancer.HasUpstream(query)
+}
+
+// query returns the query for the upstreams that may serve a request.
+func (f *Forwarder) query(q *request) balancer.Query {
+	return balancer.Query{Service: f.Group(q.service, q.sessionHash, q.regions), Rank: q.rank, Regions: q.regions}
 }
 
 // triedUpstreams returns the upstreams that the request has tried. An answer with too little confidence is no failure of its
@@ -71,8 +77,8 @@
 
 // chooseExcept picks an upstream outside the first of several lists, or outside the next one if there is none.
 func (f *Forwarder) chooseExcept(q *request, model identifier.Model, excluded ...[]identifier.Upstream) (choice, error) {
-	group := f.Group(q.service, q.sessionHash)
-	query := balancer.Query{Service: group, Prefix: f.affinityHash(q, model), Rank: q.rank}
+	query := f.query(q)
+	query.Prefix = f.affinityHash(q, model)
 	if q.promptTokens > 0 {
 		query.PrefixRatio = q.relativePromptSize * float64(q.sharedTokens) / float64(q.promptTokens)
 	}
@@ -101,5 +107,5 @@
 			left = append(left, u.Name)
 		}
 	}
-	return choice{}, fmt.Errorf("forwarder: choose an upstream of %s: %w", group, err)
+	return choice{}, fmt.Errorf("forwarder: choose an upstream of %s: %w", query.Service, err)
 }
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -131,7 +131,7 @@
 		}}))
 	f.Table = func() *matcher.Table { return f.table }
 	f.Upstream = func(n identifier.Upstream) *registrar.Upstream { return f.upstreams[n] }
-	f.Group = func(s identifier.Service, _ uint64) identifier.Service { return s }
+	f.Group = func(s identifier.Service, _ uint64, _ matcher.Regions) identifier.Service { return s }
 	f.OnResult = func(r forwarder.Result) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -100,8 +100,8 @@
 	Table func() *matcher.Table
 	// Upstream returns the upstream that the balancer chose by name, or nil if it has left since.
 	Upstream func(identifier.Upstream) *registrar.Upstream
-	// Group returns the group of upstreams of a service that serves a session while versions change.
-	Group func(service identifier.Service, session uint64) identifier.Service
+	// Group returns the group of upstreams of a service that serves the requests of a session, bound to some regions, while versions change.
+	Group func(service identifier.Service, session uint64, bound matcher.Regions) identifier.Service
 	// OnAttemptStart and OnAttemptEnd are called at the start and the end of each attempt. OnResult receives the result of each
 	// attempt in which the request may have run, unless it was canceled, before OnAttemptEnd.
 	OnAttemptStart, OnAttemptEnd func(Attempt)
@@ -117,6 +117,8 @@
 	Probe func(context.Context, *registrar.Upstream, identifier.Upstream) (Report, error)
 	// StopTimes returns when a planned stop of the entry began and by when its requests must have ended, or zero times.
 	StopTimes func() (began, deadline time.Time)
+	// Region returns the region of a data centre, or "" if it is in no known one.
+	Region func(identifier.DataCentre) identifier.Region
 	// ConnectionEnd returns why the connection of a request with this context ended, or "", and whether the caller ended it.
 	ConnectionEnd func(context.Context) (reason string, byCaller bool)
 
@@ -152,7 +154,7 @@
 type counters struct {
 	panics atomic.Int64
 
-	requests, answered, refused, failed, streamsBroken, callersLeft, connectionsCut, unmatched, unknownKey, invalid                        atomic.Int64
+	requests, answered, refused, failed, streamsBroken, callersLeft, connectionsCut, unmatched, unknownKey, invalid, noRegion              atomic.Int64
 	attempts, notRun, lost, resumed, abandoned, escalated, unverified, upstreamErrors, budgetExceeded, unresponsive, requestsMissing, kept atomic.Int64
 	invalidLeaving, invalidLimit, invalidPause, invalidLoad                                                                                atomic.Int64
 	deniedBudget, deniedAttempts, deniedRejections, deniedDeadline, deniedNoUpstream, deniedSuspected                                      atomic.Int64
@@ -246,6 +248,7 @@
 		OnResponse: func(Attempt, time.Duration) {}, OnPace: func(Attempt, time.Duration) {},
 		StopTimes:     func() (time.Time, time.Time) { return time.Time{}, time.Time{} },
 		ConnectionEnd: func(context.Context) (string, bool) { return "", false },
+		Region:        func(identifier.DataCentre) identifier.Region { return "" },
 		ClaimTrial:    func(context.Context, quarantiner.Block) bool { return false }, quarantine: quarantiner.New(), throttler: throttler.New(),
 		cascades: selector.NewConfidenceCascades(), log: slog.Default(), meter: meter.New(), rand: rand.Float64, maxBodyBytes: 16 << 20, slowdowns: newSlowdownTracker(),
 	}
@@ -324,16 +327,6 @@
 	f.refuse(w, q, x)
 }
 
-// Streams returns the number of streams in progress.
-func (f *Forwarder) Streams() int64 {
-	return f.streams.Load()
-}
-
-// Active returns the number of requests in progress.
-func (f *Forwarder) Active() int64 {
-	return f.active.Load()
-}
-
 // recordActivity records that an upstream has just sent something.
 func (f *Forwarder) recordActivity(name identifier.Upstream) {
 	s := f.livenessOf(name)
@@ -370,7 +363,7 @@
 		"answers-at-risk": atRisk,
 		"requests":        c.requests.Load(), "answered": c.answered.Load(), "refused": c.refused.Load(), "failed": c.failed.Load(),
 		"streams-broken": c.streamsBroken.Load(), "callers-left": c.callersLeft.Load(), "connections-cut": c.connectionsCut.Load(), "unmatched": c.unmatched.Load(),
-		"unknown-keys": c.unknownKey.Load(), "invalid": c.invalid.Load(), "attempts": c.attempts.Load(),
+		"unknown-keys": c.unknownKey.Load(), "invalid": c.invalid.Load(), "no-region": c.noRegion.Load(), "attempts": c.attempts.Load(),
 		"attempts-not-run": c.notRun.Load(), "attempts-lost": c.lost.Load(), "streams-resumed": c.resumed.Load(),
 		"panics": c.panics.Load(), "leaving-invalid": c.invalidLeaving.Load(), "limits-invalid": c.invalidLimit.Load(), "pauses-invalid": c.invalidPause.Load(), "load-figures-invalid": c.invalidLoad.Load(), "attempts-rescued": c.abandoned.Load(), "cascade-steps": c.escalated.Load(), "responses-spoiled": c.unverified.Load(),
 		"attempts-kept": c.kept.Load(), "upstreams-silent": c.unresponsive.Load(), "requests-missing": c.requestsMissing.Load(), "upstream-errors": c.upstreamErrors.Load(), "retries-over-budget": c.budgetExceeded.Load(),
--- a/forwarder/limit.go
+++ b/forwarder/limit.go
@@ -108,11 +108,11 @@
 	return choice{}, false
 }
 
-// ofService returns the upstreams of the request's service among some that accept new requests.
+// ofService returns the upstreams of the request's service among some that accept new requests and may serve this one.
 func (f *Forwarder) ofService(q *request, names []identifier.Upstream) []identifier.Upstream {
 	return slices.DeleteFunc(slices.Clone(names), func(name identifier.Upstream) bool {
 		u := f.eligible(name)
-		return u == nil || u.Service != q.service
+		return u == nil || u.Service != q.service || !q.regions.Allows(f.Region(u.DataCentre))
 	})
 }
 
--- a/forwarder/permit_internal_test.go
+++ b/forwarder/permit_internal_test.go
@@ -92,7 +92,7 @@
 		}
 		f := New(WithBalancer(balancer.New("dc")), WithPool(connector.New(connector.WithDial(dial))))
 		f.Upstream = func(identifier.Upstream) *registrar.Upstream { return u }
-		f.Group = func(s identifier.Service, _ uint64) identifier.Service { return s }
+		f.Group = func(s identifier.Service, _ uint64, _ matcher.Regions) identifier.Service { return s }
 		q := &request{route: &matcher.Route{MaxAttempts: 3, Kind: matcher.Idempotent}, deadline: time.Now().Add(time.Second), header: http.Header{}}
 		q.hold(permit{held: true, to: choice{upstream: &registrar.Upstream{Name: "u"}, name: u.Incarnation()}})
 		_, err := f.send(t.Context(), q, "", defaultUrgency)
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -26,9 +26,11 @@
 	route    *matcher.Route
 	account  identifier.ClientAccount
 	rank     int
-	method   string
-	uri      string
-	host     string
+	// regions are those to which the request is bound.
+	regions matcher.Regions
+	method  string
+	uri     string
+	host    string
 	// header holds the headers that are passed on.
 	header http.Header
 	body   []byte
@@ -107,7 +109,7 @@
 		f.counters.unmatched.Add(1)
 		return q, &refusal{status: http.StatusNotFound, reason: "no-route"}
 	}
-	q.rank = q.route.Rank
+	q.rank, q.regions = q.route.Rank, q.route.Regions
 	if x := f.authenticate(q, r); x != nil {
 		return q, x
 	}
@@ -129,6 +131,10 @@
 	if x := f.stopRefusal(q.deadline, now); x != nil {
 		return q, x
 	}
+	if q.regions != nil && len(q.regions) == 0 {
+		f.counters.noRegion.Add(1)
+		return q, &refusal{status: http.StatusServiceUnavailable, reason: "no-region", retryAfter: upstreamRetryAfter}
+	}
 	if x := f.readBody(w, r, q); x != nil {
 		return q, x
 	}
@@ -160,7 +166,7 @@
 		f.counters.unknownKey.Add(1)
 		return &refusal{status: http.StatusUnauthorized, reason: "unknown-key"}
 	}
-	q.account = account.Name
+	q.account, q.regions = account.Name, q.regions.And(account.Regions)
 	if account.HasRank {
 		q.rank = account.Rank
 	}
--- a/forwarder/silence_test.go
+++ b/forwarder/silence_test.go
@@ -77,7 +77,7 @@
 		}}))
 	s.Table = func() *matcher.Table { return table }
 	s.Upstream = func(n identifier.Upstream) *registrar.Upstream { return byName[n] }
-	s.Group = func(x identifier.Service, _ uint64) identifier.Service { return x }
+	s.Group = func(x identifier.Service, _ uint64, _ matcher.Regions) identifier.Service { return x }
 	report := platform.New(netip.AddrPort{})
 	s.Probe = func(ctx context.Context, u *registrar.Upstream, n identifier.Upstream) (forwarder.Report, error) {
 		w, err := pool.Send(ctx, connector.Peer{Name: n, Address: u.Address}, &connector.Request{
--- a/runner/directory.go
+++ b/runner/directory.go
@@ -7,6 +7,7 @@
 
 	"github.com/siskinfront/siskinfront/balancer"
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/matcher"
 	"github.com/siskinfront/siskinfront/registrar"
 )
 
@@ -30,7 +31,14 @@
 	list []registrar.Upstream
 
 	byName atomic.Pointer[map[identifier.Upstream]*registrar.Upstream]
-	sizes  atomic.Pointer[map[identifier.Service]int]
+	sizes  atomic.Pointer[map[regionalGroup]int]
+}
+
+// regionalGroup is the part of a group in a region, or the whole group if allRegions is set.
+type regionalGroup struct {
+	group      identifier.Service
+	region     identifier.Region
+	allRegions bool
 }
 
 // setList replaces the list of upstreams.
@@ -51,7 +59,7 @@
 func (d *directory) rebuild() {
 	upstreams := make([]balancer.Upstream, 0, len(d.list))
 	byName := make(map[identifier.Upstream]*registrar.Upstream, len(d.list))
-	sizes := map[identifier.Service]int{}
+	sizes := map[regionalGroup]int{}
 	for i := range d.list {
 		u := &d.list[i]
 		if isGroup(u.Service) {
@@ -70,7 +78,8 @@
 		})
 		byName[name] = u
 		if !u.Leaving {
-			sizes[group]++
+			sizes[regionalGroup{group: group, allRegions: true}]++
+			sizes[regionalGroup{group: group, region: d.regions[u.DataCentre]}]++
 		}
 	}
 	d.byName.Store(&byName)
@@ -111,10 +120,18 @@
 	return n
 }
 
-// size returns the number of upstreams of a group that accept new requests.
-func (d *directory) size(group identifier.Service) int {
-	if m := d.sizes.Load(); m != nil {
-		return (*m)[group]
+// size returns the number of upstreams of a group that accept new requests and may serve those that are bound to some regions.
+func (d *directory) size(group identifier.Service, bound matcher.Regions) int {
+	m := d.sizes.Load()
+	if m == nil {
+		return 0
+	}
+	if bound == nil {
+		return (*m)[regionalGroup{group: group, allRegions: true}]
 	}
-	return 0
+	n := 0
+	for region := range bound {
+		n += (*m)[regionalGroup{group: group, region: region}]
+	}
+	return n
 }
--- a/runner/directory_internal_test.go
+++ b/runner/directory_internal_test.go
@@ -9,6 +9,7 @@
 	"github.com/siskinfront/siskinfront/balancer"
 	"github.com/siskinfront/siskinfront/evacuator"
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/matcher"
 	"github.com/siskinfront/siskinfront/registrar"
 	"github.com/siskinfront/siskinfront/streamer"
 )
@@ -28,7 +29,7 @@
 	})
 	must.SliceLen(t, 1, list)
 	must.EqOp(t, identifier.Service("s"), list[0].Service)
-	must.EqOp(t, 0, d.size("s"+candidateSuffix))
+	must.EqOp(t, 0, d.size("s"+candidateSuffix, nil))
 }
 
 // Guards against new requests to an evacuated data centre, against an upstream of it that the requests in flight no longer find, and against
@@ -51,7 +52,7 @@
 	d.regroup()
 	must.SliceLen(t, 1, list)
 	must.EqOp(t, identifier.Upstream("b/0"), list[0].Name)
-	must.EqOp(t, 1, d.size("s"))
+	must.EqOp(t, 1, d.size("s", nil))
 	must.EqOp(t, 2, d.sizeOf("dc-a"))
 	for name, available := range map[identifier.Upstream]bool{"a/0": false, "b/0": true, "c/0": false} {
 		must.NotNil(t, d.upstream(name))
@@ -62,7 +63,7 @@
 	out = ""
 	d.regroup()
 	must.SliceLen(t, 3, list)
-	must.EqOp(t, 2, d.size("s"))
+	must.EqOp(t, 2, d.size("s", nil))
 	must.True(t, d.isAvailable("a/0"))
 }
 
@@ -79,3 +80,23 @@
 	r.evacuator.Apply(evacuator.Batch{Changes: []evacuator.Change{{DataCentre: "dc-a", Withdrawn: true}}})
 	must.EqOp(t, 0, load())
 }
+
+// Guards against a group that seems to have upstreams for requests bound to regions where it has none.
+func TestSizeInRegions(t *testing.T) {
+	d := &directory{
+		regions:     map[identifier.DataCentre]identifier.Region{"dc-a": "west", "dc-b": "east"},
+		group:       func(s identifier.Service, _ identifier.Version) identifier.Service { return s },
+		isEvacuated: func(identifier.DataCentre) bool { return false },
+		update:      func([]balancer.Upstream) {},
+	}
+	must.EqOp(t, 0, d.size("s", matcher.NewRegions("west")))
+	d.setList([]registrar.Upstream{
+		{Name: "a", Service: "s", Slots: 1, DataCentre: "dc-a"}, {Name: "b", Service: "s", Slots: 1, DataCentre: "dc-b"},
+		{Name: "c", Service: "s", Slots: 1, DataCentre: "dc-b", Leaving: true}, {Name: "d", Service: "s", Slots: 1, DataCentre: "unknown"},
+	})
+	must.EqOp(t, 3, d.size("s", nil))
+	must.EqOp(t, 1, d.size("s", matcher.NewRegions("east")))
+	must.EqOp(t, 2, d.size("s", matcher.NewRegions("east", "west", "south")))
+	must.EqOp(t, 0, d.size("s", matcher.NewRegions("south")))
+	must.EqOp(t, 0, d.size("s", matcher.NewRegions()))
+}
--- a/runner/rollouts.go
+++ b/runner/rollouts.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/matcher"
 	"github.com/siskinfront/siskinfront/pinner"
 	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/registrar"
@@ -88,7 +89,7 @@
 	now            func() time.Time
 	log            *slog.Logger
 	regroup        func()
-	groupSize      func(identifier.Service) int
+	groupSize      func(identifier.Service, matcher.Regions) int
 	recentSessions *pinner.RecentSessions
 
 	mu       sync.Mutex
@@ -174,8 +175,9 @@
 	return s
 }
 
-// sessionGroup returns the group to which the requests of a session go.
-func (r *rollouts) sessionGroup(s identifier.Service, session uint64) identifier.Service {
+// sessionGroup returns the group to which the requests of a session go that are bound to some regions. Without an upstream of the new version
+// in these regions, they go to the former one; that the former one has none there does not raise the exposure.
+func (r *rollouts) sessionGroup(s identifier.Service, session uint64, bound matcher.Regions) identifier.Service {
 	now := r.now()
 	r.mu.Lock()
 	x := r.services[s]
@@ -188,7 +190,7 @@
 	statusKnown, state := x.statusKnown, x.verdict.State
 	r.mu.Unlock()
 	candidate := s + candidateSuffix
-	hasCandidates := r.groupSize(candidate) > 0
+	hasCandidates := r.groupSize(candidate, bound) > 0
 	if state == "" {
 		if statusKnown && hasCandidates && x.timed.UsesNewVersion(session, now) {
 			return candidate
@@ -197,7 +199,7 @@
 		x.timed.HoldSessions([]uint64{session}, now)
 	}
 	r.recentSessions.Use(session, now)
-	if hasCandidates && r.groupSize(s) == 0 && state != promoter.TimedRolloutRolledBack {
+	if hasCandidates && r.groupSize(s, nil) == 0 && state != promoter.TimedRolloutRolledBack {
 		return candidate
 	}
 	return s
--- a/runner/rollouts_internal_test.go
+++ b/runner/rollouts_internal_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/interpreter"
+	"github.com/siskinfront/siskinfront/matcher"
 	"github.com/siskinfront/siskinfront/pinner"
 	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/storer"
@@ -94,7 +95,7 @@
 func newRollouts(x *rolloutTable, entry identifier.Instance) *rollouts {
 	return &rollouts{
 		store: x.store(), entry: entry, bound: promoter.ExposureBound{Share: 0.1, Slack: 30}, sessionTime: 5 * time.Second, now: time.Now,
-		log: slog.New(slog.DiscardHandler), regroup: func() {}, groupSize: func(identifier.Service) int { return 1 },
+		log: slog.New(slog.DiscardHandler), regroup: func() {}, groupSize: func(identifier.Service, matcher.Regions) int { return 1 },
 		services: map[identifier.Service]*rollout{}, orders: map[identifier.Service]*promoter.Orders{},
 		rolledBack: map[serviceVersion]bool{}, learned: map[identifier.Service][]statedVerdict{}, activeRequests: map[serviceVersion]int64{}, recentSessions: pinner.NewRecentSessions(5 * time.Second),
 	}
@@ -275,11 +276,45 @@
 		r.addOrder(promoter.RolloutOrder{Service: "s", To: "v2", Duration: time.Minute, At: table.at}, false)
 		// Both are in the share of the canary.
 		const held, later = 1 << 20, 1 << 21
-		must.EqOp(t, "s", r.sessionGroup("s", held))
+		must.EqOp(t, "s", r.sessionGroup("s", held, nil))
 		go func() { _ = r.run(ctx) }()
 		time.Sleep(5 * time.Second)
-		must.EqOp(t, "s", r.sessionGroup("s", held))
-		must.EqOp(t, "s"+candidateSuffix, r.sessionGroup("s", later))
+		must.EqOp(t, "s", r.sessionGroup("s", held, nil))
+		must.EqOp(t, "s"+candidateSuffix, r.sessionGroup("s", later, nil))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against bound requests that are refused because the new version has no upstream in their regions, against one whose session moves once the
+// new version has one there, and against a new version that gets all requests of a region, beyond its share, because the former has none there.
+func TestBoundSessionsInRollout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		table := &rolloutTable{at: storer.Position{Era: 1, Version: 95}}
+		r := newRollouts(table, "a")
+		west, east := matcher.NewRegions("west"), matcher.NewRegions("east")
+		size := map[identifier.Service]int{"s": 1}
+		r.groupSize = func(s identifier.Service, bound matcher.Regions) int {
+			switch {
+			case bound.Allows("west") && bound != nil:
+				return size[s]
+			case bound.Allows("east") && bound != nil:
+				return 1 - size[s]
+			}
+			return 1
+		}
+		r.addOrder(promoter.RolloutOrder{Service: "s", To: "v2", Duration: time.Minute, At: table.at}, false)
+		go func() { _ = r.run(ctx) }()
+		time.Sleep(5 * time.Second)
+		// All but the last are in the share of the canary.
+		const first, second, last = 1 << 20, 1 << 21, 1<<64 - 1
+		must.EqOp(t, "s"+candidateSuffix, r.sessionGroup("s", first, east))
+		must.EqOp(t, "s", r.sessionGroup("s", second, west))
+		must.EqOp(t, "s", r.sessionGroup("s", last, east))
+		size["s"+candidateSuffix] = 1
+		must.EqOp(t, "s", r.sessionGroup("s", second, west))
+		must.EqOp(t, "s"+candidateSuffix, r.sessionGroup("s", first, west))
 		cancel()
 		synctest.Wait()
 	})
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -225,6 +225,7 @@
 	r.forwarder.ClaimTrial = r.sharing.claimTrial
 	r.forwarder.Table = r.table.Load
 	r.forwarder.Upstream = r.directory.upstream
+	r.forwarder.Region = func(d identifier.DataCentre) identifier.Region { return r.directory.regions[d] }
 	r.forwarder.Group = r.rollouts.sessionGroup
 	r.forwarder.OnAttemptStart, r.forwarder.OnAttemptEnd, r.forwarder.OnResult =
 		r.rollouts.attemptStarted, r.rollouts.attemptEnded, r.rollouts.addAnswer
