throttler: rate of cold upstreams

Cause: nothing keeps the rate that an upstream takes after its start; entries together may send any number to it. Change: a limit has a cold part with an end and a rate, beside the limit that answers name. Its owner is the same for all entries with the same list and grants only if it is the owner by its own list. Refused requests get turns. Before MayGrant, TestFleetKeepsColdRateAsEntriesStart saw 46 requests in a second of 39.5 allowed (30 entries, 23 a second).

--- a/throttler/message.go
+++ b/throttler/message.go
@@ -15,8 +15,10 @@
 // Ask is the message by which an entry asks the owner of a limit for slots in which it may send.
 type Ask struct {
 	Upstream identifier.Upstream `json:"upstream"`
-	// PerSecond is the limit as the entry knows it.
+	// PerSecond is the limit as the entry knows it, or, if Cold is set, the slots per second to grant.
 	PerSecond float64 `json:"per-second"`
+	// Cold is set if the upstream is cold.
+	Cold bool `json:"cold,omitempty"`
 	// Number is the number of slots, and ID tells asks apart, also those of different entries.
 	Number int    `json:"number"`
 	ID     uint64 `json:"id"`
@@ -24,6 +26,14 @@
 	Repeated bool `json:"repeated,omitempty"`
 }
 
+// ColdReport is what an entry read in the last answer of an upstream about the time that it stays cold.
+type ColdReport struct {
+	Upstream identifier.Upstream `json:"upstream"`
+	Service  identifier.Service  `json:"service"`
+	// RemainingMillis is 0 if it is not cold any more.
+	RemainingMillis float64 `json:"remaining"`
+}
+
 // Grant is the answer to an Ask. The slots begin AfterMillis after the answer was sent and follow each other by IntervalMillis.
 type Grant struct {
 	Upstream identifier.Upstream `json:"upstream"`
--- a/throttler/owner.go
+++ b/throttler/owner.go
@@ -40,7 +40,7 @@
 	// past holds the grants of the last time by the asks that they answer.
 	past map[uint64]pastGrant
 
-	asks, slots, denied int64
+	asks, slots, denied, coldSlots, coldDenied int64
 }
 
 // NewOwner returns an owner that has granted nothing.
@@ -60,6 +60,13 @@
 	return best
 }
 
+// MayGrant reports whether an entry that knows some entries, itself included, answers an ask. Entries that have read different lists ask
+// different owners for the slots of a cold upstream; of these, only those that consider themselves the owner grant, which are at most
+// two unless three entries do not know each other.
+func MayGrant(a Ask, self identifier.Instance, known []identifier.Instance) bool {
+	return !a.Cold || OwnerOf(a.Upstream, known) == self
+}
+
 // interval returns the time between two slots of a limit.
 func interval(perSecond float64) time.Duration {
 	return time.Duration(float64(time.Second) / (paceShare * max(perSecond, minPerSecond)))
@@ -76,10 +83,17 @@
 		return p.Grant
 	}
 	step := interval(a.PerSecond)
+	if a.Cold {
+		step = coldInterval(a.PerSecond)
+	}
 	next, ok := o.nextSlot[a.Upstream]
 	if !ok {
 		// Requests that were sent before this entry owned the limit may have just arrived.
 		next = now.Add(step)
+		if a.Cold {
+			// The slots of the owner before this one have begun by then.
+			next = next.Add(horizon)
+		}
 	}
 	if next.Before(now) {
 		next = now
@@ -91,11 +105,17 @@
 	}
 	if next.Sub(now) > ahead {
 		o.denied++
+		if a.Cold {
+			o.coldDenied++
+		}
 		o.nextSlot[a.Upstream] = next
 		return g
 	}
 	g.Number = min(max(a.Number, 1), 1+int((horizon-min(next.Sub(now), horizon))/step))
 	o.slots += int64(g.Number)
+	if a.Cold {
+		o.coldSlots += int64(g.Number)
+	}
 	o.nextSlot[a.Upstream] = next.Add(time.Duration(g.Number) * step)
 	o.past[a.ID] = pastGrant{g, next, now}
 	return g
@@ -125,5 +145,5 @@
 func (o *Owner) Counters() map[string]int64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return map[string]int64{"asks": o.asks, "slots-granted": o.slots, "asks-denied": o.denied}
+	return map[string]int64{"asks": o.asks, "slots-granted": o.slots, "asks-denied": o.denied, "cold-slots-granted": o.coldSlots, "cold-asks-denied": o.coldDenied}
 }
--- a/throttler/pause.go
+++ b/throttler/pause.go
@@ -72,7 +72,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	l, x := t.limits[u], t.pauseTrials[u]
+	l, x := t.limitAt(u, now), t.pauseTrials[u]
 	if x == nil || !now.Before(t.pausedUntil[u]) || l != nil && !l.hasSlot(now) {
 		return false
 	}
--- a/throttler/slot.go
+++ b/throttler/slot.go
@@ -15,13 +15,13 @@
 		return
 	}
 	t.mu.Lock()
-	l := t.limits[u]
+	now := t.now()
+	l := t.limitAt(u, now)
 	if l == nil {
 		t.mu.Unlock()
 		return
 	}
-	now := t.now()
-	if now.Before(t.pausedUntil[u]) {
+	if now.Before(t.pausedUntil[u]) || l.isCold(now) && !t.peersKnown() {
 		t.mu.Unlock()
 		return
 	}
@@ -46,8 +46,8 @@
 	if l.sends >= minSends && repeated && now.Sub(l.askedAt) >= askTimeout {
 		l.askID = 0
 		t.unanswered++
-		step := time.Duration(float64(interval(l.perSecond)) * float64(max(t.numEntries(), 1)) / evenShareReserve)
-		l.slots = []time.Time{now.Add(rand.N(step))}
+		step := time.Duration(float64(t.slotInterval(l, now)) * float64(max(t.numEntries(), 1)) / evenShareReserve)
+		l.slots, l.slotLifetime = []time.Time{now.Add(rand.N(step))}, slotLifetime
 		l.nextAskAt = now.Add(step)
 		t.selfGranted++
 		return Ask{}, false
@@ -59,7 +59,11 @@
 	l.repeatedAt = now
 	l.sends++
 	number := min(max(len(l.wants)*int(advanceTime)/int(demandWindow), 1), maxSlotsPerAsk)
-	return Ask{Upstream: u, PerSecond: l.perSecond, Number: number, ID: l.askID, Repeated: repeated}, true
+	a := Ask{Upstream: u, PerSecond: l.perSecond, Number: number, ID: l.askID, Repeated: repeated}
+	if l.isCold(now) {
+		a.PerSecond, a.Cold = t.coldRate(l), true
+	}
+	return a, true
 }
 
 // Grant records the answer to an ask, unless it comes too late.
@@ -67,11 +71,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	l := t.limits[g.Upstream]
+	l := t.limitAt(g.Upstream, now)
 	if l == nil || l.askID != g.ID || g.ID == 0 {
 		return
 	}
 	l.askID = 0
+	l.slotLifetime = slotLifetime
+	if l.isCold(now) {
+		if now.Sub(l.askedAt) > maxGrantAge {
+			t.late++
+			return
+		}
+		l.slotLifetime = coldSlotLifetime
+	}
 	after := time.Duration(g.AfterMillis * float64(time.Millisecond))
 	if g.Number <= 0 {
 		// A random part of the time keeps the entries that were denied from asking all at once.
@@ -91,7 +103,7 @@
 	defer t.mu.Unlock()
 	var next time.Time
 	for _, u := range names {
-		if l := t.limits[u]; l != nil && len(l.slots) > 0 && (next.IsZero() || l.slots[0].Before(next)) {
+		if l := t.limitAt(u, t.now()); l != nil && len(l.slots) > 0 && (next.IsZero() || l.slots[0].Before(next)) {
 			next = l.slots[0]
 		}
 	}
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -41,13 +41,20 @@
 
 // limit is what this entry knows of the limit of one upstream, and the slots that it holds.
 type limit struct {
+	// perSecond is what answers name, and isNamed is set as long as they do.
 	perSecond float64
+	isNamed   bool
+	// coldUntil is the end of the time in which the upstream is cold, and coldPerSecond its rate then.
+	coldUntil     time.Time
+	coldPerSecond float64
 	// observedAt is when an own answer last named the limit, confirmedAt when any entry's did, and statedAt when the others were
 	// last told.
 	observedAt, confirmedAt, statedAt time.Time
 	forgetAt                          time.Time
 	// slots are the begins of the slots that are left, in order.
 	slots []time.Time
+	// slotLifetime is how long after its begin each of them may be used.
+	slotLifetime time.Duration
 	// askID is the ask in progress, 0 if there is none, sent so many times, first at askedAt and last at repeatedAt; the next one may be
 	// sent from nextAskAt on.
 	askID                          uint64
@@ -67,6 +74,10 @@
 	// numEntries returns the number of entries.
 	numEntries func() int
 	onChange   func(Statement)
+	onCold     func(ColdChange)
+	// peersKnown reports whether this entry knows the others, and owner names the owner of the limit of a cold upstream.
+	peersKnown func() bool
+	owner      func(identifier.Upstream) identifier.Instance
 
 	// restricted is the number of limits and pauses, so that without one nothing else is read.
 	restricted atomic.Int64
@@ -78,10 +89,14 @@
 	pausedUntil map[identifier.Upstream]time.Time
 	pauseTrials map[identifier.Upstream]*pauseTrials
 	granted     chan struct{}
+	coldBound   ColdBound
+	turns       Turns
 	// lastID is the ID of the last ask. The first one is random, so that those of different entries differ.
 	lastID uint64
 
 	named, used, closed, unanswered, selfGranted, pauses, trials int64
+
+	coldBegun, coldEnded, coldUsed, coldClosed, late int64
 }
 
 // Option configures a Throttler.
@@ -116,6 +131,7 @@
 func New(opts ...Option) *Throttler {
 	t := &Throttler{
 		now: time.Now, send: func(Ask) {}, share: func(Statement) {}, numEntries: func() int { return 1 }, onChange: func(Statement) {},
+		onCold: func(ColdChange) {}, peersKnown: func() bool { return true }, owner: func(identifier.Upstream) identifier.Instance { return "" },
 		limits: map[identifier.Upstream]*limit{}, ended: map[identifier.Upstream]time.Time{},
 		pausedUntil: map[identifier.Upstream]time.Time{}, pauseTrials: map[identifier.Upstream]*pauseTrials{}, granted: make(chan struct{}), lastID: rand.Uint64(),
 	}
@@ -147,7 +163,8 @@
 	t.mu.Lock()
 	now := t.now()
 	l := t.limits[s.Upstream]
-	if l != nil && s.Ended && now.Sub(l.observedAt) < ownObservation || l == nil && now.Sub(t.ended[s.Upstream]) < ownObservation {
+	isNamed := l != nil && l.isNamed
+	if isNamed && s.Ended && now.Sub(l.observedAt) < ownObservation || !isNamed && now.Sub(t.ended[s.Upstream]) < ownObservation {
 		t.mu.Unlock()
 		return
 	}
@@ -163,10 +180,10 @@
 func (t *Throttler) record(s Statement, now time.Time, own bool) (_ Statement, tell, changed bool) {
 	l := t.limits[s.Upstream]
 	if s.Ended {
-		if l == nil {
+		if l == nil || !l.isNamed {
 			return s, false, false
 		}
-		t.remove(s.Upstream)
+		t.endNamed(s.Upstream, l, now)
 		if own {
 			t.ended[s.Upstream] = now
 		}
@@ -176,6 +193,9 @@
 		l = &limit{}
 		t.limits[s.Upstream] = l
 		t.restricted.Add(1)
+	}
+	if !l.isNamed {
+		l.isNamed = true
 		t.named++
 	}
 	changed = l.perSecond != s.PerSecond
@@ -193,6 +213,14 @@
 	return s, tell, changed
 }
 
+// endNamed ends the limit that answers named; t.mu is held.
+func (t *Throttler) endNamed(u identifier.Upstream, l *limit, now time.Time) {
+	l.isNamed, l.perSecond, l.observedAt, l.confirmedAt, l.statedAt = false, 0, time.Time{}, time.Time{}, time.Time{}
+	if !l.isCold(now) && l.coldUntil.IsZero() {
+		t.remove(u)
+	}
+}
+
 func (t *Throttler) remove(u identifier.Upstream) {
 	delete(t.limits, u)
 	t.restricted.Add(-1)
@@ -214,27 +242,30 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	for u, l := range t.limits {
-		if !l.hasSlot(now) {
+		if l.holds(now) && !l.hasSlot(now) {
 			names = append(names, u)
 		}
 	}
 	for u, until := range t.pausedUntil {
-		if now.Before(until) && (t.limits[u] == nil || t.limits[u].hasSlot(now)) {
+		if l := t.limitAt(u, now); now.Before(until) && (l == nil || l.hasSlot(now)) {
 			names = append(names, u)
 		}
 	}
 	return names
 }
 
-// AppendLimited appends the upstreams that name a limit.
+// AppendLimited appends the upstreams that name a limit or are cold.
 func (t *Throttler) AppendLimited(names []identifier.Upstream) []identifier.Upstream {
 	if t.restricted.Load() == 0 {
 		return names
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for u := range t.limits {
-		names = append(names, u)
+	now := t.now()
+	for u, l := range t.limits {
+		if l.holds(now) {
+			names = append(names, u)
+		}
 	}
 	return names
 }
@@ -251,16 +282,23 @@
 		t.closed++
 		return false
 	}
-	l := t.limits[u]
+	l := t.limitAt(u, now)
 	if l == nil {
 		return true
 	}
+	isCold := l.isCold(now)
 	if !l.hasSlot(now) {
 		t.closed++
+		if isCold {
+			t.coldClosed++
+		}
 		return false
 	}
 	l.slots = l.slots[1:]
 	t.used++
+	if isCold {
+		t.coldUsed++
+	}
 	return true
 }
 
@@ -268,13 +306,14 @@
 func (t *Throttler) HasSlot(u identifier.Upstream) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l, now := t.limits[u], t.now()
+	now := t.now()
+	l := t.limitAt(u, now)
 	return l != nil && l.hasSlot(now) && !now.Before(t.pausedUntil[u])
 }
 
 // hasSlot drops the slots that are over and reports whether one has begun.
 func (l *limit) hasSlot(now time.Time) bool {
-	for len(l.slots) > 0 && now.Sub(l.slots[0]) >= slotLifetime {
+	for len(l.slots) > 0 && now.Sub(l.slots[0]) >= l.slotLifetime {
 		l.slots = l.slots[1:]
 	}
 	return len(l.slots) > 0 && !now.Before(l.slots[0])
@@ -283,14 +322,26 @@
 // Sweep forgets limits that nobody has confirmed for long, and pauses that are over. Both outlast the registration of an upstream, which
 // may lapse while the upstream goes on.
 func (t *Throttler) Sweep() {
+	for _, c := range t.sweep() {
+		t.onCold(*c)
+	}
+}
+
+// sweep is Sweep, and returns the ends of cold times.
+func (t *Throttler) sweep() []*ColdChange {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
+	var ends []*ColdChange
 	for u, l := range t.limits {
-		if !now.Before(l.forgetAt) {
-			t.remove(u)
+		if l.isNamed && !now.Before(l.forgetAt) {
+			t.endNamed(u, l, now)
+		}
+		if !l.coldUntil.IsZero() && !l.isCold(now) {
+			ends = append(ends, t.endCold(u, l))
 		}
 	}
+	t.turns.sweep(now)
 	for u, until := range t.pausedUntil {
 		if !now.Before(until) {
 			t.endPause(u)
@@ -301,4 +352,5 @@
 			delete(t.ended, u)
 		}
 	}
+	return ends
 }
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -26,9 +26,9 @@
 	entries int
 }
 
-func newFixture() *fixture {
+func newFixture(opts ...throttler.Option) *fixture {
 	f := &fixture{now: time.Unix(1000, 0), owner: throttler.NewOwner(), entries: 1}
-	f.Throttler = throttler.New(throttler.WithNow(func() time.Time { return f.now }),
+	f.Throttler = throttler.New(append(opts, throttler.WithNow(func() time.Time { return f.now }),
 		throttler.WithSend(func(a throttler.Ask) {
 			f.asks++
 			f.lastAsk = a
@@ -38,7 +38,7 @@
 		}),
 		throttler.WithShare(func(s throttler.Statement) { f.stated = append(f.stated, s) }),
 		throttler.WithOnChange(func(s throttler.Statement) { f.changes = append(f.changes, s) }),
-		throttler.WithNumEntries(func() int { return f.entries }))
+		throttler.WithNumEntries(func() int { return f.entries }))...)
 	return f
 }
 
