registrar: end of the cold time in registrations

Cause: the remaining cold time of a registration was checked and dropped. Compared as a field, a time that counts down would publish a new list with each of some 1,000 heartbeats a second at 2,200 upstreams. Change: Upstream.ColdUntil is kept apart from what is compared, and OnRegistered receives each registration in use. matcher.Service has the rate and time that the configuration states.

--- a/matcher/table.go
+++ b/matcher/table.go
@@ -111,6 +111,10 @@
 	Slots int
 	// MemoryTokens is the memory of an engine in tokens.
 	MemoryTokens int
+	// ColdPerSecond is the requests per second that a cold upstream takes from all entries together, or 0 if that is not limited.
+	ColdPerSecond float64
+	// ColdTime is how long an upstream is cold after its start.
+	ColdTime time.Duration
 	// Models lists the models of an engine.
 	Models []Model
 }
--- a/registrar/earlier.go
+++ b/registrar/earlier.go
@@ -15,7 +15,7 @@
 
 // suspend keeps a registration of an earlier start, which is not used for now.
 func (r *Registrar) suspend(u *Upstream, now time.Time) {
-	if x, ok := r.earlier[u.Name]; !ok || x.upstream != *u {
+	if x, ok := r.earlier[u.Name]; !ok || !x.upstream.equals(*u) {
 		r.earlier[u.Name] = earlierRegistration{*u, now}
 	}
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -30,6 +30,15 @@
 	// StartMillis is the start time of the upstream in Unix milliseconds, or 0 if it is not known; it changes with a restart under the
 	// same name.
 	StartMillis int64
+	// ColdUntil is the end of the time in which it is cold, as its last registration says, or the zero time. It is no part of what is
+	// compared: a remaining time that counts down is no change of the list.
+	ColdUntil time.Time
+}
+
+// equals reports whether two registrations are the same but for the time that the upstream stays cold.
+func (u Upstream) equals(v Upstream) bool {
+	u.ColdUntil, v.ColdUntil = time.Time{}, time.Time{}
+	return u == v
 }
 
 // Incarnation returns the name of this run of the upstream. State about an earlier run must not be applied to it.
@@ -41,6 +50,10 @@
 type Change struct {
 	Name     identifier.Upstream
 	Upstream *Upstream
+	// ColdTime is how much longer the upstream stays cold; it becomes a deadline when the change is applied.
+	ColdTime time.Duration
+	// Err is why a registration describes no usable upstream.
+	Err error
 }
 
 type registration struct {
@@ -62,6 +75,8 @@
 	Schedule func(time.Time, func())
 	// OnLeaving receives the first announcement of each upstream that leaves; calls do not overlap.
 	OnLeaving func(Announcement)
+	// OnRegistered receives each registration that is used, changed or not, before the list that it is in; calls do not overlap.
+	OnRegistered func(*Upstream)
 
 	mu            sync.Mutex
 	registrations map[identifier.Upstream]*registration
@@ -98,7 +113,7 @@
 	r := &Registrar{
 		Now: time.Now, Update: func([]Upstream) {}, registrations: map[identifier.Upstream]*registration{},
 		leavingUntil: map[identifier.Upstream]time.Time{}, starts: map[identifier.Upstream]*start{},
-		earlier: map[identifier.Upstream]earlierRegistration{}, OnLeaving: func(Announcement) {},
+		earlier: map[identifier.Upstream]earlierRegistration{}, OnLeaving: func(Announcement) {}, OnRegistered: func(*Upstream) {},
 		Schedule: func(at time.Time, f func()) { time.AfterFunc(time.Until(at), f) },
 		removals: removals{removedAt: map[identifier.Upstream]time.Time{}, held: map[identifier.Upstream]Upstream{}},
 	}
@@ -150,7 +165,11 @@
 			changed = r.remove(c.Name, now) || changed
 			continue
 		}
-		changed = r.put(*c.Upstream, now) || changed
+		u := *c.Upstream
+		if c.ColdTime > 0 {
+			u.ColdUntil = now.Add(c.ColdTime)
+		}
+		changed = r.put(u, now) || changed
 	}
 	if len(r.removals.held) > 0 {
 		r.Schedule(r.removals.heldUntil, r.releaseHeld)
@@ -182,8 +201,10 @@
 	} else if _, ok := r.leavingUntil[u.Incarnation()]; ok {
 		u.Leaving = true
 	}
+	r.OnRegistered(&u)
 	old := r.registrations[u.Name]
-	if old != nil && old.removeAt.IsZero() && old.upstream == u {
+	if old != nil && old.removeAt.IsZero() && old.upstream.equals(u) {
+		old.upstream.ColdUntil = u.ColdUntil
 		return false
 	}
 	if old != nil && old.upstream.StartMillis != u.StartMillis {
