throttler: bound the interval of slots of cold upstreams

Cause: a rate of 1e300 gives an interval of 0, by which an owner divides: TestAbsurdColdRates panicked without the bound. Change: intervals are from 1 us to 1 h. A trial in a pause uses a slot of a cold upstream. Result: GOMAXPROCS=2 go test ./throttler passes; 6 absurd rates neither panic nor grant over 1,000,001 slots.

--- a/throttler/cold.go
+++ b/throttler/cold.go
@@ -15,7 +15,8 @@
 	// maxGrantAge bounds the time from an ask to its answer for a cold upstream. The slots of an answer that waited longer, in the buffers of
 	// an entry that was paused, have begun earlier than it says.
 	maxGrantAge = 500 * time.Millisecond
-	// maxInterval bounds the time between two slots.
+	// minInterval and maxInterval bound the time between two slots.
+	minInterval = time.Microsecond
 	maxInterval = time.Hour
 )
 
@@ -159,7 +160,7 @@
 	if perSecond <= 1/maxInterval.Seconds() {
 		return maxInterval
 	}
-	return time.Duration(float64(time.Second) / perSecond)
+	return max(time.Duration(float64(time.Second)/perSecond), minInterval)
 }
 
 // IsCold reports whether an upstream is cold and has a rate.
--- a/throttler/cold_test.go
+++ b/throttler/cold_test.go
@@ -1,6 +1,7 @@
 package throttler_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -179,3 +180,54 @@
 	// Two upstreams of which owners grant 2.7 a second without a stated bound, for three entries.
 	must.Between(t, 5500*time.Millisecond, last.Sub(f.now), 6600*time.Millisecond)
 }
+
+// Guards against entries that grant slots of a cold upstream because others take them for its owner, and against limits that answers name
+// whose asks are not answered.
+func TestOnlyOwnersByTheirOwnListGrant(t *testing.T) {
+	names := []identifier.Instance{"e1", "e2", "e3", "e4"}
+	owner := throttler.OwnerOf(u1, names)
+	for _, name := range names {
+		must.EqOp(t, name == owner, throttler.MayGrant(throttler.Ask{Upstream: u1, Cold: true}, name, names))
+		must.True(t, throttler.MayGrant(throttler.Ask{Upstream: u1, Cold: true}, name, []identifier.Instance{name}))
+		must.True(t, throttler.MayGrant(throttler.Ask{Upstream: u1}, name, names))
+	}
+	must.False(t, throttler.MayGrant(throttler.Ask{Upstream: u1, Cold: true}, "e1", nil))
+}
+
+// Guards against a cold time that ends with the limit that answers named beside it.
+func TestColdTimeOutlastsNamedLimit(t *testing.T) {
+	f := newFixture()
+	f.SetCold(u1, 20, f.now.Add(time.Minute))
+	f.Observe(u1, 5)
+	f.Observe(u1, -1)
+	must.True(t, f.IsCold(u1))
+	must.False(t, f.Take(u1))
+	f.Observe(u1, 5)
+	f.SetCold(u1, 20, f.now)
+	must.False(t, f.Take(u1), must.Sprint("the named limit outlasts the cold time"))
+}
+
+// Guards against an owner that has just started and grants at once, while slots of the owner before it are left.
+func TestNewOwnerOfColdUpstreamWaits(t *testing.T) {
+	now := time.Unix(1000, 0)
+	owner := throttler.NewOwner()
+	for id := uint64(1); ; id++ {
+		g := owner.Answer(throttler.Ask{Upstream: u1, PerSecond: 50, Cold: true, Number: 5, ID: id}, now)
+		if begin := now.Add(time.Duration(g.AfterMillis * float64(time.Millisecond))); g.Number > 0 {
+			must.GreaterEq(t, time.Second, begin.Sub(time.Unix(1000, 0)))
+			break
+		}
+		now = now.Add(time.Millisecond)
+	}
+}
+
+// Guards against an owner that panics or grants without end at absurd rates, which a configuration or a datagram may state.
+func TestAbsurdColdRates(t *testing.T) {
+	for _, perSecond := range []float64{1e300, math.Inf(1), 1e-300, 0, -1, math.NaN()} {
+		f := newFixture()
+		f.SetCold(u1, perSecond, f.now.Add(time.Minute))
+		f.sent(2*time.Second, 10*time.Millisecond)
+		g := f.owner.Answer(throttler.Ask{Upstream: "u2/1", PerSecond: perSecond, Cold: true, Number: 1 << 30, ID: 1}, f.now)
+		must.Between(t, 0, g.Number, 1_000_001)
+	}
+}
--- a/throttler/pause.go
+++ b/throttler/pause.go
@@ -79,6 +79,9 @@
 	if at := x.nextAt(); at.IsZero() || now.Before(at) {
 		return false
 	}
+	if l != nil && l.isCold(now) {
+		l.slots = l.slots[1:]
+	}
 	x.n++
 	t.trials++
 	return true
