forwarder: slots of cold upstreams and turns of refused requests

Cause: a request asked for slots of each cold upstream that it met, and all refused requests came back after the same 400 to 600 ms. Change: OnCold receives the time in answers; a request asks at one cold upstream; if only cold ones are left it gets the next turn.

--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -31,7 +31,7 @@
 var headers = forwarder.Headers{
 	RequestID: "Id", Deadline: "Deadline-Ms", Account: "Account", ExpectUpstream: "Expect-Upstream", Urgency: "Urgency",
 	Model: "Model", Tokens: "Tokens", Prefix: "Prompt", Session: "Session", LastEventID: "Last-Event-Id", Stamp: "Stamp", NotRun: "Not-Run",
-	Confidence: "Confidence", Load: "Load", Leaving: "Leaving", Limit: "Limit", AnyModel: "*", Reserved: []string{"Hold"},
+	Confidence: "Confidence", Load: "Load", Leaving: "Leaving", Limit: "Limit", Cold: "Cold-Ms", AnyModel: "*", Reserved: []string{"Hold"},
 }
 
 // receivedRequest is a request as an upstream received it.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -32,6 +32,8 @@
 	Leaving string
 	// Limit has the requests per second that an upstream takes from all entries together, in all its responses while it needs that.
 	Limit string
+	// Cold has the milliseconds that an upstream stays cold, 0 if it is not.
+	Cold string
 	// AnyModel is what a caller sends as the model to leave the choice to the system.
 	AnyModel string
 	// Reserved lists headers that only the system sets.
@@ -112,6 +114,8 @@
 	OnResponse, OnPace func(Attempt, time.Duration)
 	// OnLeaving receives an upstream when its responses begin to say that it leaves.
 	OnLeaving func(*registrar.Upstream)
+	// OnCold receives an upstream with the end of the time in which it is cold, as each response says that names one.
+	OnCold func(*registrar.Upstream, time.Time)
 	// ClaimTrial reports whether this entry may send the next request with a part that is blocked.
 	ClaimTrial func(context.Context, quarantiner.Block) bool
 	// Probe asks an upstream for a report, which takes none of its slots; an answer shows that the upstream is responsive.
@@ -123,15 +127,15 @@
 
 	headers      Headers
 	notForwarded map[string]bool
-	// leavingHeader and limitHeader are headers.Leaving and headers.Limit in canonical form.
-	leavingHeader, limitHeader string
-	balancer                   *balancer.Balancer
-	pool                       *connector.Pool
-	cascades                   *selector.ConfidenceCascades
-	budgets                    *Budgets
-	log                        *slog.Logger
-	meter                      *meter.Meter
-	rand                       func() float64
+	// leavingHeader, limitHeader and coldHeader are headers.Leaving, headers.Limit and headers.Cold in canonical form.
+	leavingHeader, limitHeader, coldHeader string
+	balancer                               *balancer.Balancer
+	pool                                   *connector.Pool
+	cascades                               *selector.ConfidenceCascades
+	budgets                                *Budgets
+	log                                    *slog.Logger
+	meter                                  *meter.Meter
+	rand                                   func() float64
 
 	quarantine *quarantiner.Quarantine
 	throttler  *throttler.Throttler
@@ -154,7 +158,7 @@
 
 	requests, answered, refused, failed, streamsBroken, callersLeft, connectionsCut, unmatched, unknownKey, invalid                        atomic.Int64
 	attempts, notRun, lost, resumed, abandoned, escalated, unverified, upstreamErrors, budgetExceeded, unresponsive, requestsMissing, kept atomic.Int64
-	invalidLeaving, invalidLimit, invalidPause                                                                                             atomic.Int64
+	invalidLeaving, invalidLimit, invalidPause, invalidCold                                                                                atomic.Int64
 	deniedBudget, deniedAttempts, deniedRejections, deniedDeadline, deniedNoUpstream, deniedSuspected                                      atomic.Int64
 }
 
@@ -171,6 +175,8 @@
 	announcedLeaving, invalidLeaving atomic.Bool
 	// invalidLimit is set once a response named an invalid limit, and invalidPause once one asked for an invalid pause.
 	invalidLimit, invalidPause atomic.Bool
+	// invalidCold is set once a response named an invalid cold time.
+	invalidCold atomic.Bool
 
 	// probe is the last probe, or nil.
 	probe atomic.Pointer[probe]
@@ -239,7 +245,7 @@
 // New returns a forwarder; its fields Table, Upstream, Group and Probe must be set before the first request.
 func New(opts ...Option) *Forwarder {
 	f := &Forwarder{
-		Now: time.Now, OnResult: func(Result) {}, OnLeaving: func(*registrar.Upstream) {},
+		Now: time.Now, OnResult: func(Result) {}, OnLeaving: func(*registrar.Upstream) {}, OnCold: func(*registrar.Upstream, time.Time) {},
 		OnAttemptStart: func(Attempt) {}, OnAttemptEnd: func(Attempt) {},
 		OnResponse: func(Attempt, time.Duration) {}, OnPace: func(Attempt, time.Duration) {},
 		StopTimes:     func() (time.Time, time.Time) { return time.Time{}, time.Time{} },
@@ -251,6 +257,7 @@
 		o(f)
 	}
 	f.leavingHeader, f.limitHeader = http.CanonicalHeaderKey(f.headers.Leaving), http.CanonicalHeaderKey(f.headers.Limit)
+	f.coldHeader = http.CanonicalHeaderKey(f.headers.Cold)
 	f.notForwarded = map[string]bool{}
 	for _, h := range []string{
 		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
@@ -382,7 +389,7 @@
 		"streams-broken": c.streamsBroken.Load(), "callers-left": c.callersLeft.Load(), "connections-cut": c.connectionsCut.Load(), "unmatched": c.unmatched.Load(),
 		"unknown-keys": c.unknownKey.Load(), "invalid": c.invalid.Load(), "attempts": c.attempts.Load(),
 		"attempts-not-run": c.notRun.Load(), "attempts-lost": c.lost.Load(), "streams-resumed": c.resumed.Load(),
-		"panics": c.panics.Load(), "leaving-invalid": c.invalidLeaving.Load(), "limits-invalid": c.invalidLimit.Load(), "pauses-invalid": c.invalidPause.Load(), "attempts-rescued": c.abandoned.Load(), "cascade-steps": c.escalated.Load(), "responses-spoiled": c.unverified.Load(),
+		"panics": c.panics.Load(), "leaving-invalid": c.invalidLeaving.Load(), "limits-invalid": c.invalidLimit.Load(), "pauses-invalid": c.invalidPause.Load(), "cold-times-invalid": c.invalidCold.Load(), "attempts-rescued": c.abandoned.Load(), "cascade-steps": c.escalated.Load(), "responses-spoiled": c.unverified.Load(),
 		"attempts-kept": c.kept.Load(), "upstreams-silent": c.unresponsive.Load(), "requests-missing": c.requestsMissing.Load(), "upstream-errors": c.upstreamErrors.Load(), "retries-over-budget": c.budgetExceeded.Load(),
 		"ended-for-budget": c.deniedBudget.Load(), "ended-for-attempts": c.deniedAttempts.Load(), "ended-for-rejections": c.deniedRejections.Load(),
 		"ended-for-deadline": c.deniedDeadline.Load(), "ended-for-upstream": c.deniedNoUpstream.Load(), "ended-for-suspicion": c.deniedSuspected.Load(),
--- a/forwarder/leaving.go
+++ b/forwarder/leaving.go
@@ -12,9 +12,10 @@
 const maxLoggedValue = 32
 
 // ObserveSignals reads what the head of an upstream's response asks of the entries: to send no new requests as it leaves, only so many,
-// or none for some time.
+// or none for some time, or fewer while it is cold.
 func (f *Forwarder) ObserveSignals(u *registrar.Upstream, w *http.Response) {
 	f.observeLeaving(u, w.Header)
+	f.observeCold(u, w.Header)
 	f.observeLimit(u, w.Header)
 	f.observePause(u, w)
 }
--- a/forwarder/limit.go
+++ b/forwarder/limit.go
@@ -64,9 +64,13 @@
 	return false
 }
 
-// wantSlot asks for a slot of an upstream.
+// wantSlot asks for a slot of an upstream. A request asks for those of one cold upstream only, because slots of the others would end
+// unused.
 func (f *Forwarder) wantSlot(q *request, name identifier.Upstream) {
 	isNew := !slices.Contains(q.wantedSlots, name)
+	if isNew && f.wantsColdSlot(q) && f.throttler.IsCold(name) {
+		return
+	}
 	if isNew {
 		q.wantedSlots = append(q.wantedSlots, name)
 	}
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -22,6 +22,8 @@
 	status     int
 	reason     string
 	retryAfter time.Duration
+	// isTurn is set if retryAfter has its random part already.
+	isTurn bool
 	// closeConnection is set if the caller's connection is to be closed, because the request was not read whole or the entry stops.
 	closeConnection bool
 	cause           error
@@ -43,7 +45,10 @@
 	q.status = x.status
 	h := w.Header()
 	if x.retryAfter > 0 {
-		d := x.retryAfter.Seconds() * (1 + retryAfterJitter*f.rand())
+		d := x.retryAfter.Seconds()
+		if !x.isTurn {
+			d *= 1 + retryAfterJitter*f.rand()
+		}
 		h.Set("Retry-After", strconv.FormatFloat(d, 'f', 3, 64))
 	}
 	if x.closeConnection {
@@ -72,6 +77,9 @@
 		if end := f.pauseEnd(q); !end.IsZero() {
 			x.retryAfter = max(x.retryAfter, end.Sub(f.Now()))
 		}
+		if turn := f.coldTurn(q); !turn.IsZero() {
+			x.retryAfter, x.isTurn = turn.Sub(f.Now()), true
+		}
 		return x
 	case late:
 		f.counters.failed.Add(1)
