runner: cold times from registrations, answers and other entries

Cause: nothing joined the cold times of upstreams with the rates of their services. The owner of a cold upstream is the same whether it answers or not.

--- a/runner/configuration.go
+++ b/runner/configuration.go
@@ -52,6 +52,7 @@
 }
 
 func (r *Runner) useConfiguration(t *matcher.Table, at storer.Position) {
+	r.cold.configure(t)
 	r.table.Store(t)
 	r.log.Info("configuration in force", "revision", t.Revision, "at", at.String(), "routes", t.NumRoutes())
 }
--- a/runner/limits.go
+++ b/runner/limits.go
@@ -22,7 +22,13 @@
 		s.quarantine.Apply(*m.Fact)
 	case m.Limit != nil:
 		s.throttler.Apply(*m.Limit)
+	case m.Cold != nil:
+		s.onCold(*m.Cold)
 	case m.Ask != nil:
+		if !s.mayGrant(*m.Ask) {
+			// It keeps to its even share without an answer.
+			return
+		}
 		g := s.owner.Answer(*m.Ask, s.now())
 		s.broadcaster.SendTo(from, message{Grant: &g})
 	case m.Question != nil:
@@ -37,7 +43,7 @@
 
 // sendAsk sends an ask to the owner of its limit, which may be this entry.
 func (s *sharing) sendAsk(a throttler.Ask) {
-	to := s.ownerAddress(a.Upstream)
+	to := s.addressFor(a)
 	if !to.IsValid() {
 		s.throttler.Grant(s.owner.Answer(a, s.now()))
 		return
@@ -45,6 +51,17 @@
 	s.broadcaster.SendTo(to, message{Ask: &a})
 }
 
+// addressFor returns the address of the entry that an ask is sent to, or an invalid one if that is this entry.
+func (s *sharing) addressFor(a throttler.Ask) netip.AddrPort {
+	if !a.Cold {
+		return s.ownerAddress(a.Upstream)
+	}
+	owner := s.coldOwner(a.Upstream)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries[owner].address
+}
+
 // ownerAddress returns the address of the owner of a limit, or an invalid one if that is this entry. An entry that does not answer
 // owns no limits for a time.
 func (s *sharing) ownerAddress(u identifier.Upstream) netip.AddrPort {
--- a/runner/reload.go
+++ b/runner/reload.go
@@ -53,6 +53,7 @@
 	if s.Store != old.Store {
 		r.platform.SetStore(s.Store)
 	}
+	r.sharing.throttler.SetColdBound(s.coldBound())
 	r.rollouts.configure(s.exposureBound(), s.SessionTime)
 	r.log.Info("settings in force", "cause", cause, "store", s.Store, "shutdown", s.Shutdown, "exposure", s.MaxExposure,
 		"needs-restart", needsRestart)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -29,6 +29,7 @@
 	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/reaper"
 	"github.com/siskinfront/siskinfront/registrar"
+	"github.com/siskinfront/siskinfront/throttler"
 )
 
 const (
@@ -116,6 +117,7 @@
 	rollouts    *rollouts
 	forwarder   *forwarder.Forwarder
 	sharing     *sharing
+	cold        *coldness
 	reaper      *reaper.Reaper
 	upstreams   *follower.Follower[registrar.Change]
 	operator    Follower
@@ -144,6 +146,9 @@
 	r.registrar = registrar.New(registrar.WithUpdate(r.updateUpstreams))
 	r.registrar.OnLeaving = r.logLeaving
 	r.sharing = newSharing(p.Shared, s.Instance, s.PeerAddress, log)
+	r.sharing.throttler.SetColdBound(s.coldBound())
+	r.cold = newColdness(r.sharing.throttler, func(x throttler.ColdReport) { r.sharing.broadcaster.Send(message{Cold: &x}) }, log)
+	r.sharing.onCold, r.registrar.OnRegistered = r.cold.heard, r.cold.registered
 	r.buildForwarder()
 	r.reaper = reaper.New(r.connectionLimits)
 	r.arbiter = &arbiter.Arbiter{Hold: s.ApplyTime / configurationHoldShare}
@@ -153,6 +158,7 @@
 		if b.Returned {
 			r.registrar.MarkStoreReturned()
 		}
+		r.cold.noteRegistrations(b.Rows)
 		r.registrar.Apply(b.Rows, b.All)
 	}, log)
 	upstreamPace := r.paceWithin(s.LeaveTime)
@@ -212,7 +218,7 @@
 	r.forwarder.OnAttemptStart, r.forwarder.OnAttemptEnd, r.forwarder.OnResult =
 		r.rollouts.attemptStarted, r.rollouts.attemptEnded, r.rollouts.addAnswer
 	r.forwarder.OnResponse, r.forwarder.OnPace = r.rollouts.addResponse, r.rollouts.addPace
-	r.forwarder.OnLeaving = r.registrar.AnnounceLeaving
+	r.forwarder.OnLeaving, r.forwarder.OnCold = r.registrar.AnnounceLeaving, r.cold.answered
 	r.forwarder.Probe = r.probe
 	r.forwarder.ConnectionEnd = func(ctx context.Context) (string, bool) {
 		end := reaper.EndOf(ctx)
@@ -347,6 +353,7 @@
 		r.registrar.RemoveExpired()
 		r.reaper.CloseExpired()
 		r.sharing.quarantine.Sweep()
+		r.cold.sweep()
 		r.sharing.throttler.Sweep()
 		r.sharing.owner.Sweep(time.Now())
 		r.pool.CloseIdle(func(peer connector.Peer) bool { return r.directory.isAvailable(peer.Name) })
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -7,6 +7,7 @@
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/promoter"
+	"github.com/siskinfront/siskinfront/throttler"
 )
 
 // Settings are the settings of an entry without agents.
@@ -50,6 +51,8 @@
 	MaxExposure float64 `yaml:"exposure" validate:"gt=0,lte=1"`
 	// ExposureSlack is the number of requests beyond that share that a bad version may get.
 	ExposureSlack float64 `yaml:"exposure-slack" validate:"gte=0"`
+	// Cold bounds the requests to an upstream that is cold.
+	Cold ColdSettings `yaml:"cold"`
 	// LogLinesPerSecond bounds the lines of the log.
 	LogLinesPerSecond int `yaml:"log-lines-per-second" validate:"gt=0"`
 }
@@ -68,6 +71,18 @@
 	Extra float64 `yaml:"extra" validate:"gte=0"`
 }
 
+// ColdSettings bound the requests that one cold upstream gets from all entries in any second. Without them no bound is stated.
+type ColdSettings struct {
+	// Over is how many times its rate an upstream may get.
+	Over float64 `yaml:"over" validate:"gte=0"`
+	// Slack is the number of requests beyond that.
+	Slack float64 `yaml:"slack" validate:"gte=0"`
+}
+
+func (s *Settings) coldBound() throttler.ColdBound {
+	return throttler.ColdBound{Over: s.Cold.Over, Slack: s.Cold.Slack}
+}
+
 // regions returns the region of each data centre.
 func (s *Settings) regions() map[identifier.DataCentre]identifier.Region {
 	m := make(map[identifier.DataCentre]identifier.Region, len(s.DataCentres))
--- a/runner/settings_test.go
+++ b/runner/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +14,12 @@
 
 // renderTemplate returns the settings template in deploy with its placeholders filled in as the platform does it.
 func renderTemplate(t *testing.T) string {
+	t.Helper()
+	return renderTemplateWith(t, map[string]string{"ColdOver": "1.5", "ColdSlack": "5"})
+}
+
+// renderTemplateWith is renderTemplate with the bounds that may be missing.
+func renderTemplateWith(t *testing.T, bounds map[string]string) string {
 	t.Helper()
 	b, err := os.ReadFile("../deploy/settings.yaml.tmpl")
 	must.NoError(t, err)
@@ -25,7 +32,37 @@
 		"{{Bounds.ExposeShare}}", "0.15", "{{Bounds.ExposeSlack}}", "30",
 		"{{Bounds.RetryBudgetRatio}}", "0.9", "{{Bounds.RetryBudgetExtra}}", "56",
 		"{{Bounds.SessionS}}", "8.5", "{{Bounds.ContactMs}}", "3000", "{{Bounds.DrainMs}}", "2000",
-		"{{Bounds.ConfigApplyMs}}", "4000").Replace(string(b))
+		"{{Bounds.ConfigApplyMs}}", "4000").Replace(renderSections(string(b), bounds))
+}
+
+// renderSections renders the sections of bounds that may be missing.
+func renderSections(text string, bounds map[string]string) string {
+	for _, name := range []string{"ColdOver", "ColdSlack"} {
+		open, end := "{{#Bounds."+name+"}}", "{{/Bounds."+name+"}}"
+		before, rest, _ := strings.Cut(text, open)
+		section, after, _ := strings.Cut(rest, end)
+		value, ok := bounds[name]
+		if !ok {
+			section = ""
+		}
+		text = before + strings.ReplaceAll(section, "{{Bounds."+name+"}}", value) + after
+	}
+	return text
+}
+
+// Guards against a template that renders to invalid settings where the bounds of cold upstreams, or one of them, are not stated.
+func TestTemplateWithoutColdBounds(t *testing.T) {
+	for _, bounds := range []map[string]string{
+		{}, {"ColdOver": "1.5", "ColdSlack": "5"}, {"ColdOver": "1.5"}, {"ColdSlack": "5"}, {"ColdOver": "0", "ColdSlack": "0"},
+	} {
+		text := renderTemplateWith(t, bounds)
+		must.StrNotContains(t, text, "{{")
+		s, err := runner.ParseSettings("entry.yaml", []byte(text))
+		must.NoError(t, err, must.Sprint(text))
+		over, _ := strconv.ParseFloat(bounds["ColdOver"], 64)
+		slack, _ := strconv.ParseFloat(bounds["ColdSlack"], 64)
+		must.Eq(t, runner.ColdSettings{Over: over, Slack: slack}, s.Cold)
+	}
 }
 
 // Guards against a template that renders to settings which the entry rejects, and against a placeholder that is not filled in.
@@ -54,6 +91,9 @@
 		"missing field": {"store: \"10.200.1.7:8223\"\n", "", "store"},
 		"bad address":   {"10.1.0.40:8227", "10.1.0.40", "caller-address"},
 		"no share":      {"exposure: 0.15", "exposure: 1.5", "exposure"},
+		"negative over": {"over: 1.5", "over: -1", "over"},
+		"text as slack": {"slack: 5", "slack: few", "slack"},
+		"infinite over": {"over: 1.5", "over: .inf", "over"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			text := strings.Replace(renderTemplate(t), test.old, test.replacement, 1)
--- a/runner/sharing.go
+++ b/runner/sharing.go
@@ -70,6 +70,8 @@
 	Limit *throttler.Statement `json:"limit,omitempty"`
 	Ask   *throttler.Ask       `json:"ask,omitempty"`
 	Grant *throttler.Grant     `json:"grant,omitempty"`
+	// Cold is what an answer of an upstream said about the time that it stays cold.
+	Cold *throttler.ColdReport `json:"cold,omitempty"`
 	// Question is sent by an entry that starts, and Statement answers it.
 	Question  *question  `json:"question,omitempty"`
 	Statement *statement `json:"statement,omitempty"`
@@ -111,12 +113,16 @@
 	onQuestion  func(netip.AddrPort, question)
 	onStatement func(netip.AddrPort, *statement)
 	onPeers     func()
+	// onCold receives what another entry read about the cold time of an upstream.
+	onCold func(throttler.ColdReport)
 
 	mu      sync.Mutex
 	entries map[identifier.Instance]entryRecord
 	blocks  map[quarantiner.Part]storedBlock
 	// acquaintedAt is the time from which the entries probably know each other.
 	acquaintedAt time.Time
+	// settledAt is the time from which this entry asks for slots of cold upstreams and grants them.
+	settledAt time.Time
 	// peersKnown is set once the table was read.
 	peersKnown bool
 }
@@ -129,16 +135,19 @@
 		onQuestion:  func(netip.AddrPort, question) {},
 		onStatement: func(netip.AddrPort, *statement) {},
 		onPeers:     func() {},
+		onCold:      func(throttler.ColdReport) {},
 		broadcaster: broadcaster.New[message](self, log),
 	}
 	s.quarantine = quarantiner.New(quarantiner.WithShare(s.sendFact), quarantiner.WithOnBlock(s.recordBlock))
 	s.throttler = throttler.New(
 		throttler.WithShare(func(x throttler.Statement) { s.broadcaster.Send(message{Limit: &x}) }), throttler.WithSend(s.sendAsk),
-		throttler.WithNumEntries(s.numEntries), throttler.WithOnChange(s.logLimit))
+		throttler.WithNumEntries(s.numEntries), throttler.WithOnChange(s.logLimit),
+		throttler.WithOnCold(s.logCold), throttler.WithPeersKnown(s.knowsPeers), throttler.WithOwner(s.coldOwner))
 	s.broadcaster.Receive = s.receive
 	s.follower = follower.New(store.Source, s.apply, log)
 	s.follower.Pace = s.pace
 	s.acquaintedAt = s.now().Add(acquaintanceTime)
+	s.settledAt = s.acquaintedAt
 	return s
 }
 
