--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -22,21 +22,6 @@
 	"github.com/siskinfront/siskinfront/throttler"
 )
 
-// Headers names the headers of requests and responses that the forwarder reads or sets.
-type Headers struct {
-	RequestID, Deadline, Account, ExpectUpstream, Urgency, Model, Tokens, Prefix, Session, LastEventID string
-	// Stamp is set in every response that an upstream itself sends, NotRun in one which says that the request did not run.
-	Stamp, NotRun, Confidence, Load string
-	// Leaving has the value 1 in all responses of an upstream that leaves.
-	Leaving string
-	// Limit has the requests per second that an upstream takes from all entries together, in all its responses while it needs that.
-	Limit string
-	// AnyModel is what a caller sends as the model to leave the choice to the system.
-	AnyModel string
-	// Reserved lists headers that only the system sets.
-	Reserved []string
-}
-
 // Budget bounds what is sent beyond the first attempt of each request of a service.
 type Budget struct {
 	// Retries bounds attempts after a failure, Cascades those that ask a larger model. They are separate so that cascades do not
@@ -111,6 +96,10 @@
 	OnResponse, OnPace func(Attempt, time.Duration)
 	// OnLeaving receives an upstream when its responses begin to say that it leaves.
 	OnLeaving func(*registrar.Upstream)
+	// OnCold receives an upstream with the end of the time in which it is cold, as each response says that names one.
+	OnCold func(*registrar.Upstream, time.Time)
+	// OnRefused receives an upstream at whose address no process listens.
+	OnRefused func(*registrar.Upstream)
 	// ClaimTrial reports whether this entry may send the next request with a part that is blocked.
 	ClaimTrial func(context.Context, quarantiner.Block) bool
 	// Probe asks an upstream for a report, which takes none of its slots; an answer shows that the upstream is responsive.
@@ -124,15 +113,15 @@
 
 	headers      Headers
 	notForwarded map[string]bool
-	// leavingHeader and limitHeader are headers.Leaving and headers.Limit in canonical form.
-	leavingHeader, limitHeader string
-	balancer                   *balancer.Balancer
-	pool                       *connector.Pool
-	cascades                   *selector.ConfidenceCascades
-	budgets                    *Budgets
-	log                        *slog.Logger
-	meter                      *meter.Meter
-	rand                       func() float64
+	// leavingHeader, limitHeader and coldHeader are headers.Leaving, headers.Limit and headers.Cold in canonical form.
+	leavingHeader, limitHeader, coldHeader string
+	balancer                               *balancer.Balancer
+	pool                                   *connector.Pool
+	cascades                               *selector.ConfidenceCascades
+	budgets                                *Budgets
+	log                                    *slog.Logger
+	meter                                  *meter.Meter
+	rand                                   func() float64
 
 	quarantine *quarantiner.Quarantine
 	throttler  *throttler.Throttler
@@ -156,7 +145,7 @@
 
 	requests, answered, refused, failed, streamsBroken, callersLeft, connectionsCut, unmatched, unknownKey, invalid, noRegion              atomic.Int64
 	attempts, notRun, lost, resumed, abandoned, escalated, unverified, upstreamErrors, budgetExceeded, unresponsive, requestsMissing, kept atomic.Int64
-	invalidLeaving, invalidLimit, invalidPause, invalidLoad                                                                                atomic.Int64
+	invalidLeaving, invalidLimit, invalidPause, invalidLoad, invalidCold                                                                   atomic.Int64
 	deniedBudget, deniedAttempts, deniedRejections, deniedDeadline, deniedNoUpstream, deniedSuspected                                      atomic.Int64
 }
 
@@ -175,6 +164,8 @@
 	invalidLimit, invalidPause atomic.Bool
 	// invalidLoad is set once a response had an invalid fourth figure in its load.
 	invalidLoad atomic.Bool
+	// invalidCold is set once a response named an invalid cold time.
+	invalidCold atomic.Bool
 
 	// probe is the last probe, or nil.
 	probe atomic.Pointer[probe]
@@ -243,7 +234,8 @@
 // New returns a forwarder; its fields Table, Upstream, Group and Probe must be set before the first request.
 func New(opts ...Option) *Forwarder {
 	f := &Forwarder{
-		Now: time.Now, OnResult: func(Result) {}, OnLeaving: func(*registrar.Upstream) {},
+		Now: time.Now, OnResult: func(Result) {}, OnLeaving: func(*registrar.Upstream) {}, OnCold: func(*registrar.Upstream, time.Time) {},
+		OnRefused:      func(*registrar.Upstream) {},
 		OnAttemptStart: func(Attempt) {}, OnAttemptEnd: func(Attempt) {},
 		OnResponse: func(Attempt, time.Duration) {}, OnPace: func(Attempt, time.Duration) {},
 		StopTimes:     func() (time.Time, time.Time) { return time.Time{}, time.Time{} },
@@ -256,6 +248,7 @@
 		o(f)
 	}
 	f.leavingHeader, f.limitHeader = http.CanonicalHeaderKey(f.headers.Leaving), http.CanonicalHeaderKey(f.headers.Limit)
+	f.coldHeader = http.CanonicalHeaderKey(f.headers.Cold)
 	f.notForwarded = map[string]bool{}
 	for _, h := range []string{
 		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
@@ -365,7 +358,7 @@
 		"streams-broken": c.streamsBroken.Load(), "callers-left": c.callersLeft.Load(), "connections-cut": c.connectionsCut.Load(), "unmatched": c.unmatched.Load(),
 		"unknown-keys": c.unknownKey.Load(), "invalid": c.invalid.Load(), "no-region": c.noRegion.Load(), "attempts": c.attempts.Load(),
 		"attempts-not-run": c.notRun.Load(), "attempts-lost": c.lost.Load(), "streams-resumed": c.resumed.Load(),
-		"panics": c.panics.Load(), "leaving-invalid": c.invalidLeaving.Load(), "limits-invalid": c.invalidLimit.Load(), "pauses-invalid": c.invalidPause.Load(), "load-figures-invalid": c.invalidLoad.Load(), "attempts-rescued": c.abandoned.Load(), "cascade-steps": c.escalated.Load(), "responses-spoiled": c.unverified.Load(),
+		"panics": c.panics.Load(), "leaving-invalid": c.invalidLeaving.Load(), "limits-invalid": c.invalidLimit.Load(), "pauses-invalid": c.invalidPause.Load(), "cold-times-invalid": c.invalidCold.Load(), "load-figures-invalid": c.invalidLoad.Load(), "attempts-rescued": c.abandoned.Load(), "cascade-steps": c.escalated.Load(), "responses-spoiled": c.unverified.Load(),
 		"attempts-kept": c.kept.Load(), "upstreams-silent": c.unresponsive.Load(), "requests-missing": c.requestsMissing.Load(), "upstream-errors": c.upstreamErrors.Load(), "retries-over-budget": c.budgetExceeded.Load(),
 		"ended-for-budget": c.deniedBudget.Load(), "ended-for-attempts": c.deniedAttempts.Load(), "ended-for-rejections": c.deniedRejections.Load(),
 		"ended-for-deadline": c.deniedDeadline.Load(), "ended-for-upstream": c.deniedNoUpstream.Load(), "ended-for-suspicion": c.deniedSuspected.Load(),
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -7,6 +7,7 @@
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/promoter"
+	"github.com/siskinfront/siskinfront/throttler"
 )
 
 // Settings are the settings of an entry without agents.
@@ -57,6 +58,8 @@
 	ExposureSlack float64 `yaml:"exposure-slack" validate:"gte=0"`
 	// EvenLoad makes the choice of an upstream depend on the time that work is expected to take there.
 	EvenLoad bool `yaml:"even-load"`
+	// Cold bounds the requests to an upstream that is cold.
+	Cold ColdSettings `yaml:"cold"`
 	// LogLinesPerSecond bounds the lines of the log.
 	LogLinesPerSecond int `yaml:"log-lines-per-second" validate:"gt=0"`
 }
@@ -75,6 +78,18 @@
 	Extra float64 `yaml:"extra" validate:"gte=0"`
 }
 
+// ColdSettings bound the requests that one cold upstream gets from all entries in any second. Without them no bound is stated.
+type ColdSettings struct {
+	// Over is how many times its rate an upstream may get.
+	Over float64 `yaml:"over" validate:"gte=0"`
+	// Slack is the number of requests beyond that.
+	Slack float64 `yaml:"slack" validate:"gte=0"`
+}
+
+func (s *Settings) coldBound() throttler.ColdBound {
+	return throttler.ColdBound{Over: s.Cold.Over, Slack: s.Cold.Slack}
+}
+
 // regions returns the region of each data centre.
 func (s *Settings) regions() map[identifier.DataCentre]identifier.Region {
 	m := make(map[identifier.DataCentre]identifier.Region, len(s.DataCentres))
--- a/runner/settings_test.go
+++ b/runner/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -11,29 +12,63 @@
 	"github.com/siskinfront/siskinfront/runner"
 )
 
-// renderTemplate returns the settings template in deploy with its placeholders filled in as the platform does it; what replaces the section
-// that the platform renders only for an evacuate time.
-func renderTemplate(t *testing.T, evacuateTime string) string {
+// renderTemplate returns the settings template in deploy with its placeholders filled in as the platform does it, all bounds
+// stated.
+func renderTemplate(t *testing.T) string {
+	t.Helper()
+	return renderTemplateWith(t, map[string]string{"ColdOver": "1.5", "ColdSlack": "5", "EvacuateMs": "6000"})
+}
+
+// renderTemplateWith is renderTemplate with the bounds that may be missing.
+func renderTemplateWith(t *testing.T, bounds map[string]string) string {
 	t.Helper()
 	b, err := os.ReadFile("../deploy/settings.yaml.tmpl")
 	must.NoError(t, err)
 	dataCentres := "{{#Zones}}  - name: {{@}}\n    region: {{.|json}}\n{{/Zones}}"
 	must.StrContains(t, string(b), dataCentres)
-	const evacuation = "{{#Bounds.EvacuateMs}}evacuate-time: {{Bounds.EvacuateMs}}ms\n{{/Bounds.EvacuateMs}}"
-	must.StrContains(t, string(b), evacuation)
-	return strings.NewReplacer(evacuation, evacuateTime, dataCentres, "  - name: ie-west-a\n    region: \"ie-west\"\n",
+	return strings.NewReplacer(dataCentres, "  - name: ie-west-a\n    region: \"ie-west\"\n",
 		"{{NodeName|json}}", `"front-1"`, "{{Zone|json}}", `"ie-west-a"`, "{{Region|json}}", `"ie-west"`,
 		"{{Listen.Front|json}}", `"10.1.0.40:8227"`, "{{Listen.Ready|json}}", `"10.1.0.40:8220"`, "{{Ip}}", "10.1.0.40", "{{InternalPorts.0}}", "7340",
 		"{{Platform.Address|json}}", `"10.200.1.7:8223"`, "{{Platform.ReadsPerS}}", "2000", "{{Limits.MemoryMb}}", "134", "{{Limits.CpuShare}}", "0.304", "{{Bounds.GraceS}}", "8",
 		"{{Bounds.ExposeShare}}", "0.15", "{{Bounds.ExposeSlack}}", "30",
 		"{{Bounds.RetryBudgetRatio}}", "0.9", "{{Bounds.RetryBudgetExtra}}", "56",
 		"{{Bounds.SessionS}}", "8.5", "{{Bounds.ContactMs}}", "3000", "{{Bounds.DrainMs}}", "2000",
-		"{{Bounds.ConfigApplyMs}}", "4000").Replace(string(b))
+		"{{Bounds.ConfigApplyMs}}", "4000").Replace(renderSections(string(b), bounds))
+}
+
+// renderSections renders the sections of bounds that may be missing.
+func renderSections(text string, bounds map[string]string) string {
+	for _, name := range []string{"ColdOver", "ColdSlack", "EvacuateMs"} {
+		open, end := "{{#Bounds."+name+"}}", "{{/Bounds."+name+"}}"
+		before, rest, _ := strings.Cut(text, open)
+		section, after, _ := strings.Cut(rest, end)
+		value, ok := bounds[name]
+		if !ok {
+			section = ""
+		}
+		text = before + strings.ReplaceAll(section, "{{Bounds."+name+"}}", value) + after
+	}
+	return text
+}
+
+// Guards against a template that renders to invalid settings where the bounds of cold upstreams, or one of them, are not stated.
+func TestTemplateWithoutColdBounds(t *testing.T) {
+	for _, bounds := range []map[string]string{
+		{}, {"ColdOver": "1.5", "ColdSlack": "5"}, {"ColdOver": "1.5"}, {"ColdSlack": "5"}, {"ColdOver": "0", "ColdSlack": "0"},
+	} {
+		text := renderTemplateWith(t, bounds)
+		must.StrNotContains(t, text, "{{")
+		s, err := runner.ParseSettings("entry.yaml", []byte(text))
+		must.NoError(t, err, must.Sprint(text))
+		over, _ := strconv.ParseFloat(bounds["ColdOver"], 64)
+		slack, _ := strconv.ParseFloat(bounds["ColdSlack"], 64)
+		must.Eq(t, runner.ColdSettings{Over: over, Slack: slack}, s.Cold)
+	}
 }
 
 // Guards against a template that renders to settings which the entry rejects, and against a placeholder that is not filled in.
 func TestTemplate(t *testing.T) {
-	text := renderTemplate(t, "evacuate-time: 6000ms\n")
+	text := renderTemplate(t)
 	must.StrNotContains(t, text, "{{")
 	s, err := runner.ParseSettings("entry.yaml", []byte(text))
 	must.NoError(t, err)
@@ -50,7 +85,7 @@
 	must.EqOp(t, 4*time.Second, s.ApplyTime)
 	must.True(t, s.EvenLoad)
 	must.EqOp(t, 6*time.Second, s.EvacuateTime)
-	s, err = runner.ParseSettings("entry.yaml", []byte(renderTemplate(t, "")))
+	s, err = runner.ParseSettings("entry.yaml", []byte(renderTemplateWith(t, nil)))
 	must.NoError(t, err)
 	must.EqOp(t, 4*time.Second, s.ApplyTime)
 	must.EqOp(t, 5*time.Second, s.EvacuateTime)
@@ -69,9 +104,12 @@
 		"empty time":    {"evacuate-time: 6000ms", "evacuate-time:", "evacuate-time"},
 		"time as text":  {"evacuate-time: 6000ms", "evacuate-time: soon", "evacuate-time"},
 		"huge time":     {"evacuate-time: 6000ms", "evacuate-time: 99999999999999h", "evacuate-time"},
+		"negative over": {"over: 1.5", "over: -1", "over"},
+		"text as slack": {"slack: 5", "slack: few", "slack"},
+		"infinite over": {"over: 1.5", "over: .inf", "over"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			text := strings.Replace(renderTemplate(t, "evacuate-time: 6000ms\n"), test.old, test.replacement, 1)
+			text := strings.Replace(renderTemplate(t), test.old, test.replacement, 1)
 			_, err := runner.ParseSettings("entry.yaml", []byte(text))
 			must.Error(t, err)
 			must.StrContains(t, err.Error(), "entry.yaml")
--- a/throttler/pause.go
+++ b/throttler/pause.go
@@ -72,13 +72,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	l, x := t.limits[u], t.pauseTrials[u]
+	l, x := t.limitAt(u, now), t.pauseTrials[u]
 	if x == nil || !now.Before(t.pausedUntil[u]) || l != nil && !l.hasSlot(now) {
 		return false
 	}
 	if at := x.nextAt(); at.IsZero() || now.Before(at) {
 		return false
 	}
+	if l != nil && l.isCold(now) {
+		l.slots = l.slots[1:]
+	}
 	x.n++
 	t.trials++
 	return true
