meter: gauges of parts

Cause: the meter had counters and histograms only, and the memory held for slow callers goes up and down. Change: RegisterGauges takes a function as Register does; the text format has a gauge without the suffix of counters.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -33,6 +33,8 @@
 	mu sync.Mutex
 	// parts holds the function that returns the counters of each registered part.
 	parts map[string]func() map[string]int64
+	// gauges holds the function that returns the gauges of each part that has some.
+	gauges map[string]func() map[string]int64
 	// lastValues holds the value of each counter at the last scrape, by part and counter name.
 	lastValues  map[string]int64
 	histograms  map[LatencyHistogram]map[string]tally.Histogram
@@ -50,7 +52,7 @@
 		panic("meter: the root scope of tally has no snapshot")
 	}
 	m := &Meter{
-		scope: scope, buckets: latencyBuckets(), parts: map[string]func() map[string]int64{},
+		scope: scope, buckets: latencyBuckets(), parts: map[string]func() map[string]int64{}, gauges: map[string]func() map[string]int64{},
 		lastValues: map[string]int64{}, histograms: map[LatencyHistogram]map[string]tally.Histogram{},
 	}
 	m.parts["meter"] = m.Counters
@@ -78,6 +80,16 @@
 	m.parts[name] = counters
 }
 
+// RegisterGauges adds values of a part that go up and down, and panics if the part has some already.
+func (m *Meter) RegisterGauges(name string, gauges func() map[string]int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, taken := m.gauges[name]; taken {
+		panic("meter: the gauges of " + name + " are registered twice")
+	}
+	m.gauges[name] = gauges
+}
+
 // Observe adds a duration to the series of a histogram that has the given label value; a negative duration counts as 0.
 func (m *Meter) Observe(l LatencyHistogram, label string, d time.Duration) {
 	m.histogram(l, label).RecordDuration(max(0, d))
@@ -115,7 +127,7 @@
 	defer m.scrapeMu.Unlock()
 	m.mu.Lock()
 	m.scrapes++
-	parts := maps.Clone(m.parts)
+	parts, gauges := maps.Clone(m.parts), maps.Clone(m.gauges)
 	m.mu.Unlock()
 
 	// The parts are read without holding mu, because they may call Observe under their own lock, which would deadlock.
@@ -123,6 +135,11 @@
 	for part, counters := range parts {
 		values[part] = counters()
 	}
+	for part, values := range gauges {
+		for name, n := range values() {
+			m.scope.Gauge(part + " " + name).Update(float64(n))
+		}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for part, counters := range values {
--- a/meter/text.go
+++ b/meter/text.go
@@ -17,6 +17,11 @@
 	return namePrefix + "_" + sanitize(part) + "_" + sanitize(name) + "_total"
 }
 
+// GaugeName returns the name of a gauge in the text format.
+func GaugeName(part, name string) string {
+	return namePrefix + "_" + sanitize(part) + "_" + sanitize(name)
+}
+
 // LatencyName returns the name of a histogram in the text format.
 func LatencyName(l LatencyHistogram) string {
 	return namePrefix + "_" + sanitize(l.Name) + "_seconds"
@@ -51,9 +56,20 @@
 		}
 		fmt.Fprintf(b, "# HELP %s %s\n# TYPE %s counter\n%s %d\n", metric, help, metric, metric, c.Value())
 	}
+	writeGauges(b, s)
 	writeHistograms(b, s)
 }
 
+func writeGauges(b *strings.Builder, s tally.Snapshot) {
+	gauges := slices.SortedFunc(maps.Values(s.Gauges()), func(a, b tally.GaugeSnapshot) int { return cmp.Compare(a.Name(), b.Name()) })
+	for _, g := range gauges {
+		part, name, _ := strings.Cut(g.Name(), " ")
+		metric := GaugeName(part, name)
+		fmt.Fprintf(b, "# HELP %s Gauge %s of the part %s.\n# TYPE %s gauge\n%s %s\n", metric, name, part, metric, metric,
+			strconv.FormatFloat(g.Value(), 'f', -1, 64))
+	}
+}
+
 func writeHistograms(b *strings.Builder, s tally.Snapshot) {
 	all := AllLatencies()
 	byName := map[string]LatencyHistogram{}
