forwarder: responses are read on while their callers read slowly

Cause: a caller that reads slowly stopped the reading from its upstream, which ends a response that stays unread for some seconds. Change: when a write has blocked for 10 ms, the goroutine of its timer reads on into a backlog of at most 256 KiB, all of an entry a tenth of its memory, and hands the reading back when the caller has caught up. Streams are resumed after the last event in the backlog. Pauses and pace leave out the time that the caller takes. A whole response that can't become complete ends at its deadline; one that is ready does not. Counters slow-callers and reads-paused, gauge backlog-bytes, state dump, group slow-caller of the log line, section in docs/OPERATIONS.md.

--- a/forwarder/eventpace.go
+++ b/forwarder/eventpace.go
@@ -29,6 +29,13 @@
 	return now.Sub(p.firstAt), p.known
 }
 
+// exclude takes a time in which the caller was waited for out of the pace.
+func (p *pace) exclude(d time.Duration) {
+	if !p.firstAt.IsZero() {
+		p.firstAt, p.lastAt = p.firstAt.Add(d), p.lastAt.Add(d)
+	}
+}
+
 // end returns the pace of a stream that ended before it was known.
 func (p *pace) end() (time.Duration, bool) {
 	if p.known || p.events == 0 {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -141,21 +141,16 @@
 	liveness     sync.Map // identifier.Upstream to *liveness
 	bodyBytes    atomic.Int64
 	maxBodyBytes int64
-	active       atomic.Int64
-	streams      atomic.Int64
-	attempts     atomic.Uint64
-	unresponsive unresponsiveList
-	slowdowns    *slowdownTracker
-	counters     counters
-}
-
-type counters struct {
-	panics atomic.Int64
-
-	requests, answered, refused, failed, streamsBroken, callersLeft, connectionsCut, unmatched, unknownKey, invalid                        atomic.Int64
-	attempts, notRun, lost, resumed, abandoned, escalated, unverified, upstreamErrors, budgetExceeded, unresponsive, requestsMissing, kept atomic.Int64
-	invalidLeaving, invalidLimit, invalidPause                                                                                             atomic.Int64
-	deniedBudget, deniedAttempts, deniedRejections, deniedDeadline, deniedNoUpstream, deniedSuspected                                      atomic.Int64
+	// backlogBytes is the memory of all backlogs, and slow holds the deliveries whose callers are behind.
+	backlogBytes    atomic.Int64
+	maxBacklogBytes int64
+	slow            sync.Map // *delivery to struct{}
+	active          atomic.Int64
+	streams         atomic.Int64
+	attempts        atomic.Uint64
+	unresponsive    unresponsiveList
+	slowdowns       *slowdownTracker
+	counters        counters
 }
 
 // liveness is what is known of an upstream's responsiveness; its atomic times are in Unix nanoseconds.
@@ -236,6 +231,11 @@
 	return func(f *Forwarder) { f.maxBodyBytes = n }
 }
 
+// WithMaxBacklogBytes bounds the total size in bytes of what is read of responses ahead of callers that read slowly.
+func WithMaxBacklogBytes(n int64) Option {
+	return func(f *Forwarder) { f.maxBacklogBytes = n }
+}
+
 // New returns a forwarder; its fields Table, Upstream, Group and Probe must be set before the first request.
 func New(opts ...Option) *Forwarder {
 	f := &Forwarder{
@@ -245,7 +245,7 @@
 		StopTimes:     func() (time.Time, time.Time) { return time.Time{}, time.Time{} },
 		ConnectionEnd: func(context.Context) (string, bool) { return "", false },
 		ClaimTrial:    func(context.Context, quarantiner.Block) bool { return false }, quarantine: quarantiner.New(), throttler: throttler.New(),
-		cascades: selector.NewConfidenceCascades(), log: slog.Default(), meter: meter.New(), rand: rand.Float64, maxBodyBytes: 16 << 20, slowdowns: newSlowdownTracker(),
+		cascades: selector.NewConfidenceCascades(), log: slog.Default(), meter: meter.New(), rand: rand.Float64, maxBodyBytes: 16 << 20, maxBacklogBytes: 8 << 20, slowdowns: newSlowdownTracker(),
 	}
 	for _, o := range opts {
 		o(f)
@@ -284,13 +284,16 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline, errDeadline)
 	defer cancel()
+	runCtx, cancelRun := context.WithCancelCause(ctx)
+	defer cancelRun(nil)
+	q.cancel = cancelRun
 	var err error
 	if q.route.Kind == matcher.Stream {
 		f.streams.Add(1)
 		defer f.streams.Add(-1)
-		err = f.stream(ctx, w, q)
+		err = f.stream(runCtx, w, q)
 	} else {
-		err = f.unary(ctx, w, q)
+		err = f.unary(runCtx, w, q)
 	}
 	f.finish(ctx, w, q, err)
 }
@@ -373,29 +376,3 @@
 func (f *Forwarder) reportUpstreamLoad(name identifier.Upstream, l streamer.Load) {
 	f.balancer.Report(name, l)
 }
-
-// Counters returns the totals since the start.
-func (f *Forwarder) Counters() map[string]int64 {
-	c := &f.counters
-	return map[string]int64{
-		"requests": c.requests.Load(), "answered": c.answered.Load(), "refused": c.refused.Load(), "failed": c.failed.Load(),
-		"streams-broken": c.streamsBroken.Load(), "callers-left": c.callersLeft.Load(), "connections-cut": c.connectionsCut.Load(), "unmatched": c.unmatched.Load(),
-		"unknown-keys": c.unknownKey.Load(), "invalid": c.invalid.Load(), "attempts": c.attempts.Load(),
-		"attempts-not-run": c.notRun.Load(), "attempts-lost": c.lost.Load(), "streams-resumed": c.resumed.Load(),
-		"panics": c.panics.Load(), "leaving-invalid": c.invalidLeaving.Load(), "limits-invalid": c.invalidLimit.Load(), "pauses-invalid": c.invalidPause.Load(), "attempts-rescued": c.abandoned.Load(), "cascade-steps": c.escalated.Load(), "responses-spoiled": c.unverified.Load(),
-		"attempts-kept": c.kept.Load(), "upstreams-silent": c.unresponsive.Load(), "requests-missing": c.requestsMissing.Load(), "upstream-errors": c.upstreamErrors.Load(), "retries-over-budget": c.budgetExceeded.Load(),
-		"ended-for-budget": c.deniedBudget.Load(), "ended-for-attempts": c.deniedAttempts.Load(), "ended-for-rejections": c.deniedRejections.Load(),
-		"ended-for-deadline": c.deniedDeadline.Load(), "ended-for-upstream": c.deniedNoUpstream.Load(), "ended-for-suspicion": c.deniedSuspected.Load(),
-	}
-}
-
-// State is the forwarder's part of the state dump.
-type State struct {
-	Active    int64 `json:"active"`
-	BodyBytes int64 `json:"body-bytes"`
-}
-
-// State returns the forwarder's part of the state dump.
-func (f *Forwarder) State() any {
-	return State{Active: f.active.Load(), BodyBytes: f.bodyBytes.Load()}
-}
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -45,6 +45,10 @@
 			slog.Int("status", a.status), slog.Int("events", a.events), slog.Int("confidence", a.confidence), slog.Int("running", a.running),
 			slog.Int("waiting", a.waiting), a.evidenceAttr(), slog.String("outcome", string(a.outcome))))
 	}
+	if q.behind > 0 || q.pausedReads > 0 {
+		attrs = append(attrs, slog.Group("slow-caller", slog.Duration("behind", q.behind), slog.Int("held-bytes", q.mostBacklog),
+			slog.Int("reads-paused", q.pausedReads)))
+	}
 	if q.isTrial {
 		attrs = append(attrs, slog.Bool("trial", true))
 	}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"strconv"
@@ -78,6 +79,13 @@
 	status int
 	// contentType is that of a stream whose response has started.
 	contentType string
+	// cancel ends all attempts of the request.
+	cancel context.CancelCauseFunc
+	// mostBacklog is the most memory that the backlog of the response took, behind for how long the caller was behind the reading, and
+	// pausedReads how often reading paused.
+	mostBacklog int
+	behind      time.Duration
+	pausedReads int
 	// connectionEnd is why the caller's connection ended before the response, or "".
 	connectionEnd string
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"net/http"
 	"strings"
@@ -12,7 +11,6 @@
 	"github.com/siskinfront/siskinfront/balancer"
 	"github.com/siskinfront/siskinfront/connector"
 	"github.com/siskinfront/siskinfront/identifier"
-	"github.com/siskinfront/siskinfront/relayer"
 	"github.com/siskinfront/siskinfront/selector"
 )
 
@@ -25,32 +23,9 @@
 	f.budgets.ForService(q.service).recordRequest()
 	q.hold(permit{held: true})
 	defer q.releasePermit()
-	cascade := f.cascade(q)
-	step := cascade.First()
+	r := newEventRelay(f, q, w)
 	q.relativePromptSize = f.pressure(q.service).RelativePromptSize(q.promptTokens)
-	resuming := q.hasLastEventID
-	for {
-		if err := f.admitSuspect(ctx, q); err != nil {
-			return err
-		}
-		c, err := f.send(ctx, q, f.stepModel(q, step), urgency(q.rank, resuming))
-		if err == nil && !q.responseStarted && c.response.StatusCode < http.StatusMultipleChoices {
-			if next, ok := f.escalate(ctx, q, cascade, step, c); ok {
-				step = next
-				continue
-			}
-		}
-		if err == nil {
-			err = f.relayEvents(ctx, w, c)
-		}
-		if err == nil || errors.Is(err, errCallerConnection) {
-			return err
-		}
-		if d := f.awaitRetry(ctx, q, err); d != "" {
-			return f.endDenied(w, q, d, err)
-		}
-		resuming = resuming || q.responseStarted
-	}
+	return r.run(ctx)
 }
 
 // errCallerConnection is returned when a response cannot be written to the caller.
@@ -113,57 +88,6 @@
 	return cascade.Next(step), true
 }
 
-// relayEvents passes whole events on until the stream is complete.
-func (f *Forwarder) relayEvents(ctx context.Context, w http.ResponseWriter, c *call) error {
-	q, resp := c.q, c.response
-	if resp.StatusCode >= http.StatusMultipleChoices {
-		return f.relayFailure(ctx, w, c)
-	}
-	if err := f.checkContinuation(c); err != nil {
-		return err
-	}
-	events := relayer.NewReader(resp, q.lastEventID, q.hasLastEventID)
-	control := http.NewResponseController(w)
-	for {
-		b, err := events.Next()
-		if errors.Is(err, io.EOF) && c.endsStream() {
-			c.settle()
-			c.end(balancer.ResultSuccess, outcomeComplete, false)
-			return nil
-		}
-		if err != nil {
-			c.endOnError(ctx, err)
-			return fmt.Errorf("forwarder: read events of %s: %w", c.name, err)
-		}
-		f.recordActivity(c.name)
-		if events.IsComment {
-			if err := f.relayComment(w, control, c, b); err != nil {
-				return err
-			}
-			continue
-		}
-		f.recordEvent(c)
-		if err := ctx.Err(); err != nil && !q.responseStarted {
-			// The caller gets a refusal instead of a response that cannot be written any more.
-			c.endOnError(ctx, err)
-			return fmt.Errorf("forwarder: first event of %s: %w", c.name, err)
-		}
-		f.startResponse(w, control, c)
-		_, err = w.Write(b)
-		if err == nil && !events.HasNext() {
-			err = control.Flush()
-		}
-		if err != nil {
-			c.end(balancer.ResultCanceled, outcomeCanceled, false)
-			return errors.Join(errCallerConnection, err)
-		}
-		c.watch.recordPassedOn()
-		if events.HasLastID {
-			q.lastEventID, q.hasLastEventID = events.LastID, true
-		}
-	}
-}
-
 // recordEvent records that an event of a stream has arrived.
 func (f *Forwarder) recordEvent(c *call) {
 	a := &c.q.attempts[c.index]
@@ -181,24 +105,6 @@
 	}
 }
 
-// relayComment passes a comment on if the response has started. A comment is no progress of the stream.
-func (f *Forwarder) relayComment(w http.ResponseWriter, control *http.ResponseController, c *call, b []byte) error {
-	if !c.q.responseStarted {
-		return nil
-	}
-	c.watch.beginComment()
-	_, err := w.Write(b)
-	if err == nil {
-		err = control.Flush()
-	}
-	if err != nil {
-		c.end(balancer.ResultCanceled, outcomeCanceled, false)
-		return errors.Join(errCallerConnection, err)
-	}
-	c.watch.endComment()
-	return nil
-}
-
 // startResponse sends the head of the response, which is taken from the first upstream that sent an event.
 func (f *Forwarder) startResponse(w http.ResponseWriter, control *http.ResponseController, c *call) {
 	q := c.q
--- a/forwarder/unary.go
+++ b/forwarder/unary.go
@@ -99,44 +99,94 @@
 	}
 	q.responseStarted, q.status = true, resp.StatusCode
 	w.WriteHeader(resp.StatusCode)
-	caller := &callerWriter{w: w}
-	_, err = caller.Write(body)
-	if err == nil && !whole {
-		_, err = io.Copy(caller, resp)
-	}
-	if caller.err != nil {
-		c.end(balancer.ResultCanceled, outcomeCanceled, false)
-		return errors.Join(errCallerConnection, caller.err)
-	}
-	if err != nil {
-		c.endOnError(ctx, err)
-		return fmt.Errorf("forwarder: relay response of %s: %w", c.name, err)
+	r := &wholeRelay{call: c, delivery: newDelivery(f, q, w), piece: body, isFailure: failed}
+	r.delivery.read, r.isWhole = r.read, whole
+	r.detach = func() { r.buf = nil }
+	if whole {
+		r.err = io.EOF
 	}
-	result := balancer.ResultSuccess
-	if failed {
-		result = balancer.ResultFailure
+	return r.run(ctx)
+}
+
+// wholeRelay passes on a response that is no stream of events.
+type wholeRelay struct {
+	*delivery
+	call *call
+	// piece is the one to pass on next, or nil if it is still to be read into buf, and err is the error that ended the reading.
+	piece, buf []byte
+	err        error
+	// isPassing is set while a piece is passed on.
+	isPassing bool
+	isFailure bool
+}
+
+// read reads the rest of the response and passes it on.
+func (r *wholeRelay) read(ctx context.Context) error {
+	c := r.call
+	if r.isPassing {
+		if err := r.passed(r.resume(ctx)); err != nil {
+			return err
+		}
 	}
-	f.observeFirstByte(q)
-	if resp.StatusCode < http.StatusMultipleChoices {
-		c.settle()
+	for {
+		piece, err := r.next()
+		if errors.Is(err, io.EOF) {
+			r.complete()
+			return nil
+		}
+		if err != nil {
+			c.endOnError(ctx, err)
+			return fmt.Errorf("forwarder: relay response of %s: %w", c.name, err)
+		}
+		r.isPassing = true
+		if err := r.passed(r.pass(ctx, piece, false)); err != nil {
+			return err
+		}
 	}
-	c.end(result, outcomeComplete, failed)
-	return nil
 }
 
-// callerWriter writes to the caller and keeps the error, which tells it from one of the upstream.
-type callerWriter struct {
-	w   io.Writer
-	err error
+// next returns the next piece of the response, or an error after the last one.
+func (r *wholeRelay) next() ([]byte, error) {
+	if piece := r.piece; piece != nil {
+		r.piece = nil
+		return piece, nil
+	}
+	for r.err == nil {
+		if r.buf == nil {
+			r.buf = make([]byte, maxChunkBytes)
+		}
+		var n int
+		if n, r.err = r.call.response.Read(r.buf); n > 0 {
+			return r.buf[:n], nil
+		}
+	}
+	return nil, r.err
 }
 
-// Write writes to the caller.
-func (c *callerWriter) Write(b []byte) (int, error) {
-	n, err := c.w.Write(b)
+// passed ends the passing of a piece with its error. With errHandedOver the other goroutine does so.
+func (r *wholeRelay) passed(err error) error {
+	if errors.Is(err, errHandedOver) {
+		return err
+	}
+	r.isPassing = false
 	if err != nil {
-		c.err = err
+		r.call.end(balancer.ResultCanceled, outcomeCanceled, false)
+	}
+	return err
+}
+
+// complete ends the attempt of a response that was read to its end.
+func (r *wholeRelay) complete() {
+	c := r.call
+	result := balancer.ResultSuccess
+	if r.isFailure {
+		result = balancer.ResultFailure
+	}
+	c.f.observeFirstByte(c.q)
+	if c.response.StatusCode < http.StatusMultipleChoices {
+		c.settle()
 	}
-	return n, err
+	c.end(result, outcomeComplete, r.isFailure)
 }
 
 // readUpTo reads until the end or, beyond it, until at least limit bytes were read, and reports whether the end was reached.
--- a/relayer/event.go
+++ b/relayer/event.go
@@ -79,6 +79,11 @@
 	}
 }
 
+// Detach leaves the bytes of the last event to their holder, so that they stay valid beyond the next call of Next.
+func (r *Reader) Detach() {
+	r.buf = nil
+}
+
 // check checks the lines of the event in the buffer and that its id follows the last one, and stores the id. Without an id, it is accepted only
 // as long as no event of the stream had one.
 func (r *Reader) check() error {
--- a/runner/documentation_internal_test.go
+++ b/runner/documentation_internal_test.go
@@ -51,3 +51,16 @@
 		must.StrContains(t, metrics, "`"+counter+"`")
 	}
 }
+
+// Guards against a gauge that is not documented.
+func TestGaugesAreDocumented(t *testing.T) {
+	r := newTestRunner(t, testSettings+"store: \"127.0.0.1:1\"\n", nil)
+	w := httptest.NewRecorder()
+	r.meter.ServeHTTP(w, httptest.NewRequest(http.MethodGet, meter.Path, http.NoBody))
+	metrics := documentSection(t, "Metrics")
+	gauges := regexp.MustCompile(`(?m)^# TYPE (\S+) gauge$`).FindAllStringSubmatch(w.Body.String(), -1)
+	must.SliceNotEmpty(t, gauges)
+	for _, m := range gauges {
+		must.StrContains(t, metrics, "`"+m[1]+"`")
+	}
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -37,6 +37,8 @@
 	heapFraction = 0.6
 	// bodyFraction is the fraction of the memory that request bodies may use.
 	bodyFraction = 0.2
+	// backlogFraction is the fraction of the memory that responses may use which callers read slowly.
+	backlogFraction = 0.1
 	// sweepInterval is the time between two searches for expired connections.
 	sweepInterval = time.Second
 	// retryShare and cascadeShare are the fractions of the configured retry ratio for retries after failed attempts and for
@@ -174,6 +176,7 @@
 	} {
 		r.meter.Register(name, counters)
 	}
+	r.meter.RegisterGauges("forwarder", r.forwarder.Gauges)
 	return r
 }
 
@@ -204,7 +207,7 @@
 	r.forwarder = forwarder.New(forwarder.WithHeaders(r.platform.Headers), forwarder.WithBalancer(r.balancer),
 		forwarder.WithPool(r.pool), forwarder.WithLog(r.log), forwarder.WithMeter(r.meter), forwarder.WithBudgets(budgets),
 		forwarder.WithMaxBodyBytes(int64(bodyFraction*float64(s.MemoryBytes))), forwarder.WithQuarantine(r.sharing.quarantine),
-		forwarder.WithThrottler(r.sharing.throttler))
+		forwarder.WithThrottler(r.sharing.throttler), forwarder.WithMaxBacklogBytes(int64(backlogFraction*float64(s.MemoryBytes))))
 	r.forwarder.ClaimTrial = r.sharing.claimTrial
 	r.forwarder.Table = r.table.Load
 	r.forwarder.Upstream = r.directory.upstream
