connector: body of a request is sent without a copy

Cause: each attempt joined head and body before it wrote them, so a body that an upstream did not read took its size twice, of which the budget of bodies counted one. Change: head and body are written by one call from two buffers. A test sends 48 MiB to an upstream that accepts and does not read.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -142,7 +142,8 @@
 // exchange writes a request with an id and reads the head of its response; it skips responses to other requests.
 func (c *conn) exchange(r *Request, id string) (*http.Response, identity, error) {
 	c.carried.add(id)
-	if n, err := c.netConn.Write(r.encode()); err != nil {
+	wire := r.encode()
+	if n, err := wire.WriteTo(c.netConn); err != nil {
 		return nil, foreign, &Error{Step: "write", Peer: c.peer, Sent: n > 0, Err: err}
 	}
 	sent := &http.Request{Method: r.Method}
@@ -182,11 +183,11 @@
 	}
 }
 
-// encode returns the request in its wire format. It is written in one piece, so that a failed write shows whether any byte was
-// sent.
-func (r *Request) encode() []byte {
+// encode returns the head and the body of the request in its wire format. They are written by one call, so that a failed write shows
+// whether any byte was sent. The body is not copied, because the copy would be memory that nobody bounds while the upstream does not read.
+func (r *Request) encode() net.Buffers {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512)
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
@@ -194,8 +195,10 @@
 	// Writing to a bytes.Buffer returns no error.
 	_ = r.Header.Write(&b)
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return b.Bytes()
+	if len(r.Body) == 0 {
+		return net.Buffers{b.Bytes()}
+	}
+	return net.Buffers{b.Bytes(), r.Body}
 }
 
 // Read reads from the body and records whether its end was reached.
--- a/forwarder/body_test.go
+++ b/forwarder/body_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -47,3 +51,49 @@
 	must.EqOp(t, 200, f.send("/once/").status)
 	must.EqOp(t, 200, f.sendContext(t.Context(), "/once/", io.MultiReader(strings.NewReader("body"))).status)
 }
+
+// zeros is an endless body.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// Guards against an upstream that does not read a request: the body must not take more memory than the budget counts, and the request must
+// end at its deadline.
+func TestUpstreamDoesNotReadBody(t *testing.T) {
+	const size = 48 << 20
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	f := newFixture(t, 1, respondOK)
+	for _, u := range f.upstreams {
+		u.Address = netip.MustParseAddrPort(silent.Addr().String())
+	}
+	f.table.Limits.BodyBytes = size
+	forwarder.WithMaxBodyBytes(size)(f.Forwarder)
+	before := heapBytes()
+	began := time.Now()
+	result := make(chan reply, 1)
+	go func() {
+		result <- f.sendContext(t.Context(), "/once/", io.LimitReader(zeros{}, size), "Deadline-Ms", "1500", "Content-Length", "")
+	}()
+	await(t, "the body", func() bool { return f.Counters()["attempts"] == 1 })
+	time.Sleep(300 * time.Millisecond)
+	must.EqOp(t, size, f.state().BodyBytes)
+	must.Less(t, before+size*3/2, heapBytes())
+	x := <-result
+	must.EqOp(t, http.StatusGatewayTimeout, x.status)
+	must.Between(t, 1400*time.Millisecond, time.Since(began), 2500*time.Millisecond)
+	await(t, "the end of the request", func() bool { return f.Active() == 0 })
+	must.EqOp(t, 0, f.state().BodyBytes)
+}
+
+// heapBytes returns the size of the live heap.
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
