confirmer: calls for changes wait on what other entries confirm

Cause: each entry reads each table at its own pace, since a silent connection could hide a change: one call in 2 s, table and entry with bounds of 3 s. Source.Changes and Read also return the version of the last changed row.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -5,9 +5,11 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/siskinfront/siskinfront/confirmer"
 	"github.com/siskinfront/siskinfront/pacer"
 	"github.com/siskinfront/siskinfront/storer"
 )
@@ -36,10 +38,12 @@
 	// Name is the name of the table in logs.
 	Name string
 	// Read returns all rows and the position of the store.
-	Read func(context.Context) ([]T, storer.Position, error)
+	Read func(context.Context) ([]T, storer.Extent, error)
 	// Changes returns the rows that changed after a position and the position of the store, as soon as there are any or after the
-	// wait. The rows of a reply of a later era are not used.
-	Changes func(ctx context.Context, after storer.Position, wait time.Duration) ([]T, storer.Position, error)
+	// wait. The rows of a reply of a later era are not used. A Confirmer needs the last change of each reply.
+	Changes func(ctx context.Context, after storer.Position, wait time.Duration) ([]T, storer.Extent, error)
+	// Reconnect makes the next call open a new connection; it may be nil.
+	Reconnect func()
 }
 
 // Batch is a set of rows of one reply.
@@ -70,7 +74,10 @@
 	// change, and the pause after a reply with changes, in which more of them gather for one call.
 	Pace func() pacer.Pace
 	Now  func() time.Time
+	// Confirmer decides how long calls may wait from what other entries tell of the table; it is nil for the Pace alone.
+	Confirmer *confirmer.Table
 
+	held                                                       heldCall
 	position                                                   atomic.Pointer[storer.Position]
 	confirmedAt                                                atomic.Int64
 	reads, calls, failures, staleReplies, rateLimited, returns atomic.Int64
@@ -92,6 +99,11 @@
 
 // Run follows the table until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) error {
+	if f.Confirmer != nil {
+		var duties sync.WaitGroup
+		defer duties.Wait()
+		duties.Go(func() { f.confirm(ctx) })
+	}
 	backoff := minBackoff
 	readAll := true
 	// rateLimitedSince is when the store began to refuse calls because of its rate limit, zero if it does not.
@@ -114,6 +126,13 @@
 				rateLimitedSince = f.Now()
 			}
 			f.rateLimited.Add(1)
+		case errors.Is(err, errGivenUp):
+			// Nothing shows that the store is out: the same call on a new connection does.
+			f.paused = 0
+			if f.Reconnect != nil {
+				f.Reconnect()
+			}
+			continue
 		case errors.Is(err, errReturned), errors.Is(err, storer.ErrEraChanged):
 			readAll = true
 			// All entries learn of the return at the same time.
@@ -160,33 +179,37 @@
 func (f *Follower[T]) step(ctx context.Context, readAll bool) error {
 	after := f.Position()
 	pace := f.Pace()
-	wait := max(pace.Wait-f.paused, 0)
-	timeout := wait + pacer.ReplyMargin
-	if readAll {
-		timeout = readTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	began := f.Now()
 	var rows []T
-	var position storer.Position
+	var extent storer.Extent
+	var wait time.Duration
 	var err error
 	if readAll {
-		f.reads.Add(1)
-		rows, position, err = f.Read(ctx)
+		rows, extent, err = f.read(ctx)
 	} else {
-		f.calls.Add(1)
-		rows, position, err = f.Changes(ctx, after, wait)
+		rows, extent, wait, err = f.nextChanges(ctx, after, max(pace.Wait-f.paused, 0))
 	}
+	position := extent.Position
 	switch {
+	case errors.Is(err, errGivenUp):
+		return err
 	case err != nil:
 		f.failures.Add(1)
+		f.callFailed()
 		return err
 	case position.Before(after):
 		f.staleReplies.Add(1)
+		f.callFailed()
 		return errStale
 	case !readAll && position.Era > after.Era:
+		f.callFailed()
 		return errReturned
 	}
+	if f.Confirmer != nil {
+		f.Confirmer.Replied(confirmer.Reply{
+			At: position, LastChange: extent.LastChange, All: readAll, HasRows: extent.LastChange > 0, Began: began, Wait: wait,
+		})
+	}
 	batch := Batch[T]{Rows: rows, At: position, All: readAll}
 	if after != (storer.Position{}) && position.Era > after.Era {
 		f.returns.Add(1)
@@ -211,6 +234,38 @@
 	return nil
 }
 
+// read reads the whole table.
+func (f *Follower[T]) read(ctx context.Context) ([]T, storer.Extent, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	f.reads.Add(1)
+	return f.Read(ctx)
+}
+
+// nextChanges makes one call for changes and returns for how long the store was to hold it, which is a given time unless others confirm.
+func (f *Follower[T]) nextChanges(ctx context.Context, after storer.Position, wait time.Duration) ([]T, storer.Extent, time.Duration, error) {
+	var call uint64
+	if f.Confirmer != nil {
+		call, wait = f.Confirmer.Begin(f.paused)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+pacer.ReplyMargin)
+	defer cancel()
+	if f.Confirmer != nil {
+		var giveUp context.CancelCauseFunc
+		ctx, giveUp = context.WithCancelCause(ctx)
+		defer giveUp(nil)
+		f.held.set(call, giveUp)
+		defer f.held.set(0, nil)
+	}
+	f.calls.Add(1)
+	rows, extent, err := f.Changes(ctx, after, wait)
+	if err != nil && errors.Is(context.Cause(ctx), errGivenUp) {
+		f.Confirmer.GaveUp()
+		return nil, extent, wait, errGivenUp
+	}
+	return rows, extent, wait, err
+}
+
 // startOutage records and reports an outage unless there is one already.
 func (f *Follower[T]) startOutage(err error) {
 	if f.inOutage {
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -42,39 +42,45 @@
 	f(s)
 }
 
+// extentOf is how far a reply with all changes up to a version reaches.
+func extentOf(era, version uint64) storer.Extent {
+	return storer.Extent{Position: storer.Position{Era: era, Version: version}, LastChange: version}
+}
+
 func (s *fakeStore) source() follower.Source[uint64] {
 	return follower.Source[uint64]{
 		Name: "test",
-		Read: func(context.Context) ([]uint64, storer.Position, error) {
+		Read: func(context.Context) ([]uint64, storer.Extent, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.reads++
 			if s.err != nil {
-				return nil, storer.Position{}, s.err
+				return nil, storer.Extent{}, s.err
 			}
-			return []uint64{s.version - s.readLag}, storer.Position{Era: s.era, Version: s.version - s.readLag}, nil
+			return []uint64{s.version - s.readLag}, extentOf(s.era, s.version-s.readLag), nil
 		},
-		Changes: func(ctx context.Context, after storer.Position, wait time.Duration) ([]uint64, storer.Position, error) {
+		Changes: func(ctx context.Context, after storer.Position, wait time.Duration) ([]uint64, storer.Extent, error) {
 			timeout := time.After(wait)
 			for {
 				s.mu.Lock()
-				position, oldestChange, err, hangs := storer.Position{Era: s.era, Version: s.version}, s.oldestChange, s.err, s.hangs
+				position, oldestChange, err, hangs := extentOf(s.era, s.version), s.oldestChange, s.err, s.hangs
 				s.mu.Unlock()
 				switch {
 				case hangs:
 					<-ctx.Done()
-					return nil, storer.Position{}, ctx.Err()
+					return nil, storer.Extent{}, ctx.Err()
 				case err != nil:
-					return nil, storer.Position{}, err
+					return nil, storer.Extent{}, err
 				case after.Version+1 < oldestChange || after.Version > position.Version:
-					return nil, storer.Position{}, follower.ErrHistoryLost
+					return nil, storer.Extent{}, follower.ErrHistoryLost
 				case position.Version > after.Version:
 					return []uint64{position.Version}, position, nil
 				}
 				select {
 				case <-ctx.Done():
-					return nil, storer.Position{}, ctx.Err()
+					return nil, storer.Extent{}, ctx.Err()
 				case <-timeout:
+					position.LastChange = 0
 					return nil, position, nil
 				case <-time.After(10 * time.Millisecond):
 				}
--- a/runner/sharing_internal_test.go
+++ b/runner/sharing_internal_test.go
@@ -52,21 +52,24 @@
 	return SharedStore{
 		Source: follower.Source[SharedChange]{
 			Name: "shared",
-			Read: func(context.Context) ([]SharedChange, storer.Position, error) { return x.read() },
-			Changes: func(ctx context.Context, after storer.Position, _ time.Duration) ([]SharedChange, storer.Position, error) {
+			Read: func(context.Context) ([]SharedChange, storer.Extent, error) {
+				rows, at, err := x.read()
+				return rows, storer.Extent{Position: at}, err
+			},
+			Changes: func(ctx context.Context, after storer.Position, _ time.Duration) ([]SharedChange, storer.Extent, error) {
 				_ = storer.Sleep(ctx, 100*time.Millisecond)
 				x.mu.Lock()
 				lost := x.historyLost
 				x.historyLost = false
 				x.mu.Unlock()
 				if lost {
-					return nil, storer.Position{}, follower.ErrHistoryLost
+					return nil, storer.Extent{}, follower.ErrHistoryLost
 				}
 				rows, at, err := x.read()
 				if after.Version > at.Version {
-					return nil, storer.Position{}, follower.ErrHistoryLost
+					return nil, storer.Extent{}, follower.ErrHistoryLost
 				}
-				return slices.DeleteFunc(rows, func(c SharedChange) bool { return c.At.Version <= after.Version }), at, err
+				return slices.DeleteFunc(rows, func(c SharedChange) bool { return c.At.Version <= after.Version }), storer.Extent{Position: at}, err
 			},
 		},
 		PutEntry: func(_ context.Context, name identifier.Instance, address netip.AddrPort, _ int64) error {
--- a/storer/position.go
+++ b/storer/position.go
@@ -27,3 +27,10 @@
 func (p Position) String() string {
 	return fmt.Sprintf("%d/%d", p.Era, p.Version)
 }
+
+// Extent is how far a reply on a table reaches: the position of the store, and the version of the last changed row of the table in the
+// reply, also of one that is not used, or 0 if there is none.
+type Extent struct {
+	Position
+	LastChange uint64
+}
