runner: entries share confirmations of the store's tables

Cause: the decisions of confirmer need datagrams, ranks and a setting. Without the setting or peer-address nothing changes.

--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -58,6 +58,9 @@
 type Broadcaster[T any] struct {
 	// Receive is called with each message of another entry and its address; calls do not overlap.
 	Receive func(from netip.AddrPort, body T)
+	// ReceiveBytes is called with each datagram that begins with a byte below a space, which no JSON text does; calls do not overlap
+	// those of Receive. It may not keep the bytes.
+	ReceiveBytes func(from netip.AddrPort, data []byte)
 
 	self   identifier.Instance
 	start  int64
@@ -78,7 +81,7 @@
 // New returns a broadcaster of one entry; Receive must be set before Run.
 func New[T any](self identifier.Instance, log *slog.Logger) *Broadcaster[T] {
 	return &Broadcaster[T]{
-		Receive: func(netip.AddrPort, T) {}, self: self, start: time.Now().UnixNano(), log: log, queue: buffer.NewRing[outgoing](ringSlots),
+		Receive: func(netip.AddrPort, T) {}, ReceiveBytes: func(netip.AddrPort, []byte) {}, self: self, start: time.Now().UnixNano(), log: log, queue: buffer.NewRing[outgoing](ringSlots),
 		seen: map[messageID]struct{}{},
 	}
 }
@@ -117,6 +120,11 @@
 	b.write(conn, to, data)
 }
 
+// SendBytes sends a datagram once to some entries, or to all others if to is nil. It begins with a byte below a space.
+func (b *Broadcaster[T]) SendBytes(to []netip.AddrPort, data []byte) {
+	b.transmit(outgoing{data, to})
+}
+
 // encode returns a datagram with a message, or nil if that is not possible.
 func (b *Broadcaster[T]) encode(body T) []byte {
 	data, err := json.Marshal(envelope[T]{b.self, b.start, b.number.Add(1), body})
@@ -199,6 +207,12 @@
 			time.Sleep(maxReadBackoff)
 			continue
 		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		if n > 0 && data[0] < ' ' {
+			b.received.Add(1)
+			b.ReceiveBytes(from, data[:n])
+			continue
+		}
 		var e envelope[T]
 		if n > MaxDatagramBytes || json.Unmarshal(data[:n], &e) != nil {
 			b.invalid.Add(1)
@@ -209,7 +223,7 @@
 			continue
 		}
 		b.received.Add(1)
-		b.Receive(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), e.Body)
+		b.Receive(from, e.Body)
 	}
 }
 
--- a/runner/debug.go
+++ b/runner/debug.go
@@ -16,7 +16,7 @@
 		state := map[string]any{
 			"forwarder": r.forwarder.State(), "balancer": r.balancer.State(), "registrar": r.registrar.State(),
 			"roll-outs": r.rollouts.State(), "quarantine": r.sharing.quarantine.State(),
-			"limits": r.sharing.throttler.State(),
+			"limits": r.sharing.throttler.State(), "confirmations": r.confirmations.State(),
 		}
 		if t := r.table.Load(); t != nil {
 			state["revision"] = t.Revision
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -17,6 +17,7 @@
 
 	"github.com/siskinfront/siskinfront/arbiter"
 	"github.com/siskinfront/siskinfront/balancer"
+	"github.com/siskinfront/siskinfront/confirmer"
 	"github.com/siskinfront/siskinfront/connector"
 	"github.com/siskinfront/siskinfront/follower"
 	"github.com/siskinfront/siskinfront/forwarder"
@@ -96,6 +97,8 @@
 	Run         func(context.Context) error
 	ConfirmedAt func() time.Time
 	Counters    func() map[string]int64
+	// SetConfirmer sets what decides on the calls from what other entries tell; it must be called before Run, and may be nil.
+	SetConfirmer func(*confirmer.Table)
 }
 
 // Runner is an entry process.
@@ -106,22 +109,23 @@
 	meter    *meter.Meter
 	table    atomic.Pointer[matcher.Table]
 	// arbiter is guarded by arbiterMu.
-	arbiterMu   sync.Mutex
-	arbiter     *arbiter.Arbiter
-	inquiry     *inquiry
-	balancer    *balancer.Balancer
-	pool        *connector.Pool
-	registrar   *registrar.Registrar
-	directory   *directory
-	rollouts    *rollouts
-	forwarder   *forwarder.Forwarder
-	sharing     *sharing
-	reaper      *reaper.Reaper
-	upstreams   *follower.Follower[registrar.Change]
-	operator    Follower
-	stopping    atomic.Bool
-	plannedStop atomic.Pointer[plannedStop]
-	wasReady    atomic.Bool
+	arbiterMu     sync.Mutex
+	arbiter       *arbiter.Arbiter
+	inquiry       *inquiry
+	balancer      *balancer.Balancer
+	pool          *connector.Pool
+	registrar     *registrar.Registrar
+	directory     *directory
+	rollouts      *rollouts
+	forwarder     *forwarder.Forwarder
+	sharing       *sharing
+	confirmations *confirmations
+	reaper        *reaper.Reaper
+	upstreams     *follower.Follower[registrar.Change]
+	operator      Follower
+	stopping      atomic.Bool
+	plannedStop   atomic.Pointer[plannedStop]
+	wasReady      atomic.Bool
 }
 
 // New builds an entry.
@@ -167,7 +171,9 @@
 	r.operator = p.FollowOperator(r.paceWithin(s.ApplyTime), log, OperatorEvents{
 		Configuration: r.applyConfiguration, Order: r.rollouts.addOrder, Returned: r.rollouts.storeReturned,
 	})
+	r.shareConfirmations()
 	for name, counters := range map[string]func() map[string]int64{
+		"follower-confirmer": r.confirmations.upstreams.Counters, "operator-confirmer": r.confirmations.operator.Counters,
 		"forwarder": r.forwarder.Counters, "balancer": r.balancer.Counters, "connector": r.pool.Counters, "reaper": r.reaper.Counters,
 		"quarantine": r.sharing.quarantine.Counters, "throttler": r.sharing.throttler.Counters, "limit-owner": r.sharing.owner.Counters, "broadcaster": r.sharing.broadcaster.Counters, "shared": r.sharing.follower.Counters,
 		"registrar": r.registrar.Counters, "follower": r.upstreams.Counters, "operator": r.operator.Counters, "store": p.Counters, "rollouts": calls.Counters,
@@ -306,6 +312,7 @@
 	g.Go(func() error { return r.operator.Run(background) })
 	g.Go(func() error { return r.rollouts.run(background) })
 	g.Go(func() error { return r.sharing.run(background) })
+	g.Go(func() error { return r.confirmations.run(background) })
 	g.Go(func() error { return r.inquire(background) })
 	g.Go(func() error { return r.sweepPeriodically(background) })
 	serveErr := make(chan error, 1)
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -28,6 +28,9 @@
 	// PeerAddress is the address at which the entry receives datagrams of the other entries; without it, it hears nothing from them
 	// but through the store.
 	PeerAddress netip.AddrPort `yaml:"peer-address"`
+	// SharedConfirmations makes entries tell each other that tables of the store have not changed, so that their calls for changes wait
+	// longer. It needs PeerAddress.
+	SharedConfirmations bool `yaml:"shared-confirmations"`
 	// Store is the address of the platform's store.
 	Store netip.AddrPort `yaml:"store" validate:"required"`
 	// StoreReads is the number of reads per second that the store takes from all entries together, or 0 if it is not known.
--- a/runner/sharing.go
+++ b/runner/sharing.go
@@ -117,6 +117,8 @@
 	blocks  map[quarantiner.Part]storedBlock
 	// acquaintedAt is the time from which the entries probably know each other.
 	acquaintedAt time.Time
+	// peers holds the addresses of entries.
+	peers []netip.AddrPort
 	// peersKnown is set once the table was read.
 	peersKnown bool
 }
@@ -251,6 +253,7 @@
 	for _, e := range s.entries {
 		peers = append(peers, e.address)
 	}
+	s.peers = peers
 	s.broadcaster.SetPeers(peers)
 }
 
