--- a/confirmer/fault_test.go
+++ b/confirmer/fault_test.go
@@ -8,7 +8,6 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/siskinfront/siskinfront/confirmer"
-	"github.com/siskinfront/siskinfront/storer"
 )
 
 // victim is the entry that a fault concerns.
@@ -207,8 +206,7 @@
 func TestHistoryIsDropped(t *testing.T) {
 	atPhases(t, func(t *testing.T, f *fleet) {
 		f.entries[victim].silence()
-		var p storer.Position
-		p = f.update(func() {
+		p := f.update(func() {
 			f.version += 5
 			f.changes, f.oldest = append(f.changes, f.version), f.version
 		})
--- a/confirmer/fleet_test.go
+++ b/confirmer/fleet_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"hash/fnv"
 	"log/slog"
 	"net/netip"
 	"sync"
@@ -115,9 +113,9 @@
 
 func (f *fleet) rank(of int, event uint32) int {
 	draw := func(i int) uint64 {
-		h := fnv.New64a()
-		_, _ = fmt.Fprint(h, event, "/", i, "/", event)
-		return h.Sum64()
+		x := (uint64(i)+1)*0x9e3779b97f4a7c15 ^ (uint64(event)+1)*0xbf58476d1ce4e5b9
+		x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+		return (x ^ x>>27) * 0x94d049bb133111eb
 	}
 	n, own := 0, draw(of)
 	for i := range f.entries {
@@ -246,7 +244,7 @@
 			if err != nil {
 				return nil, storer.Extent{}, err
 			}
-			rows, at, _ := e.fleet.after(0)
+			rows, at, _ := e.after(0)
 			return rows, at, e.end(ctx, began)
 		},
 		Changes: func(ctx context.Context, after storer.Position, wait time.Duration) ([]uint64, storer.Extent, error) {
@@ -259,7 +257,7 @@
 				e.fleet.mu.Lock()
 				changed, lost := e.changed, after.Version+1 < e.oldest || after.Version > e.version
 				e.fleet.mu.Unlock()
-				rows, at, n := e.fleet.after(after.Version)
+				rows, at, n := e.after(after.Version)
 				switch {
 				case lost:
 					return nil, storer.Extent{}, errors.Join(follower.ErrHistoryLost, e.end(ctx, began))
--- a/confirmer/table_test.go
+++ b/confirmer/table_test.go
@@ -80,7 +80,7 @@
 	s.Replied(confirmer.Reply{At: storer.Position{Era: 1, Version: 12}, LastChange: 12, HasRows: true, Began: s.clock.Add(-4 * time.Second)})
 	s.clock = s.clock.Add(time.Second)
 	s.mustBeDue(t, confirmer.Tell)
-	s.Table.Tell()
+	s.Tell()
 	must.SliceLen(t, 1, s.told)
 	must.EqOp(t, 12, s.told[0].Lowest)
 	must.EqOp(t, 5*time.Second, s.ages[0])
@@ -185,3 +185,24 @@
 		}
 	})
 }
+
+// Guards against a claim of the store's position, which other tables move, in place of the last change of the table, and against one of too
+// many claims.
+func TestClaimNamesLastChange(t *testing.T) {
+	for _, others := range []int{0, 2, 3} {
+		s := newSingle(t, 0)
+		s.clock = s.clock.Add(time.Minute)
+		s.begin(t, 2*time.Second)
+		for range others {
+			s.Receive(confirmer.Claim{Table: tableID, Era: 1, Lowest: 5, Highest: 5}, time.Time{})
+		}
+		s.Replied(confirmer.Reply{At: storer.Position{Era: 1, Version: 30}, LastChange: 20, HasRows: true, Began: s.clock})
+		s.mustBeDue(t, confirmer.Tell)
+		s.Tell()
+		if others == 3 {
+			must.SliceEmpty(t, s.told)
+			continue
+		}
+		must.Eq(t, []confirmer.Claim{{Table: tableID, Era: 1, Lowest: 20, Highest: 20}}, s.told)
+	}
+}
--- a/runner/reload.go
+++ b/runner/reload.go
@@ -43,12 +43,13 @@
 	}
 }
 
-// applySettings applies new settings. Changes of listener addresses, of the instance's name and of its data centre need a
-// restart, and so does a change of the memory.
+// applySettings applies new settings. Changes of listener addresses, of the instance's name, of its data centre and of what it shares
+// with others need a restart, and so does a change of the memory.
 func (r *Runner) applySettings(s *Settings, cause string) {
 	old := r.settings.Load()
 	needsRestart := s.CallerAddress != old.CallerAddress || s.ReadyAddress != old.ReadyAddress ||
-		s.DebugAddress != old.DebugAddress || s.PeerAddress != old.PeerAddress || s.Instance != old.Instance || s.DataCentre != old.DataCentre
+		s.DebugAddress != old.DebugAddress || s.PeerAddress != old.PeerAddress || s.Instance != old.Instance || s.DataCentre != old.DataCentre ||
+		s.SharedConfirmations != old.SharedConfirmations
 	r.settings.Store(s)
 	if s.Store != old.Store {
 		r.platform.SetStore(s.Store)
--- a/runner/settings_test.go
+++ b/runner/settings_test.go
@@ -37,6 +37,7 @@
 	must.EqOp(t, "front-1", string(s.Instance))
 	must.EqOp(t, "10.1.0.40:9464", s.DebugAddress.String())
 	must.EqOp(t, "10.1.0.40:7340", s.PeerAddress.String())
+	must.True(t, s.SharedConfirmations)
 	must.EqOp(t, 8500*time.Millisecond, s.SessionTime)
 	must.EqOp(t, 134_000_000, s.MemoryBytes)
 	must.EqOp(t, 8*time.Second, s.Shutdown)
@@ -49,11 +50,15 @@
 // Guards against an entry that starts with invalid settings: the error names the file, the line and the field.
 func TestInvalidSettingsAreRejected(t *testing.T) {
 	for name, test := range map[string]struct{ old, replacement, want string }{
-		"unknown key":   {"shutdown:", "shut-down:", "shut-down"},
-		"wrong unit":    {"shutdown: 8s", "shutdown: 8", "shutdown"},
-		"missing field": {"store: \"10.200.1.7:8223\"\n", "", "store"},
-		"bad address":   {"10.1.0.40:8227", "10.1.0.40", "caller-address"},
-		"no share":      {"exposure: 0.15", "exposure: 1.5", "exposure"},
+		"unknown key":               {"shutdown:", "shut-down:", "shut-down"},
+		"wrong unit":                {"shutdown: 8s", "shutdown: 8", "shutdown"},
+		"missing field":             {"store: \"10.200.1.7:8223\"\n", "", "store"},
+		"bad address":               {"10.1.0.40:8227", "10.1.0.40", "caller-address"},
+		"number, not a truth value": {"confirmations: true", "confirmations: 1", "shared-confirmations"},
+		"negative truth value":      {"confirmations: true", "confirmations: -1", "shared-confirmations"},
+		"huge truth value":          {"confirmations: true", "confirmations: 1e300", "shared-confirmations"},
+		"text as truth value":       {"confirmations: true", "confirmations: often", "shared-confirmations"},
+		"no share":                  {"exposure: 0.15", "exposure: 1.5", "exposure"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			text := strings.Replace(renderTemplate(t), test.old, test.replacement, 1)
