--- a/runner/settings_test.go
+++ b/runner/settings_test.go
@@ -75,6 +75,7 @@
 	must.EqOp(t, "front-1", string(s.Instance))
 	must.EqOp(t, "10.1.0.40:9464", s.DebugAddress.String())
 	must.EqOp(t, "10.1.0.40:7340", s.PeerAddress.String())
+	must.True(t, s.SharedConfirmations)
 	must.EqOp(t, 8500*time.Millisecond, s.SessionTime)
 	must.EqOp(t, 134_000_000, s.MemoryBytes)
 	must.EqOp(t, 0.304, s.ProcessorShare)
@@ -94,19 +95,23 @@
 // Guards against an entry that starts with invalid settings: the error names the file, the line and the field.
 func TestInvalidSettingsAreRejected(t *testing.T) {
 	for name, test := range map[string]struct{ old, replacement, want string }{
-		"unknown key":   {"shutdown:", "shut-down:", "shut-down"},
-		"wrong unit":    {"shutdown: 8s", "shutdown: 8", "shutdown"},
-		"missing field": {"store: \"10.200.1.7:8223\"\n", "", "store"},
-		"bad address":   {"10.1.0.40:8227", "10.1.0.40", "caller-address"},
-		"no share":      {"exposure: 0.15", "exposure: 1.5", "exposure"},
-		"no time":       {"evacuate-time: 6000ms", "evacuate-time: 0s", "evacuate-time"},
-		"negative time": {"evacuate-time: 6000ms", "evacuate-time: -1s", "evacuate-time"},
-		"empty time":    {"evacuate-time: 6000ms", "evacuate-time:", "evacuate-time"},
-		"time as text":  {"evacuate-time: 6000ms", "evacuate-time: soon", "evacuate-time"},
-		"huge time":     {"evacuate-time: 6000ms", "evacuate-time: 99999999999999h", "evacuate-time"},
-		"negative over": {"over: 1.5", "over: -1", "over"},
-		"text as slack": {"slack: 5", "slack: few", "slack"},
-		"infinite over": {"over: 1.5", "over: .inf", "over"},
+		"unknown key":               {"shutdown:", "shut-down:", "shut-down"},
+		"wrong unit":                {"shutdown: 8s", "shutdown: 8", "shutdown"},
+		"missing field":             {"store: \"10.200.1.7:8223\"\n", "", "store"},
+		"bad address":               {"10.1.0.40:8227", "10.1.0.40", "caller-address"},
+		"no share":                  {"exposure: 0.15", "exposure: 1.5", "exposure"},
+		"no time":                   {"evacuate-time: 6000ms", "evacuate-time: 0s", "evacuate-time"},
+		"negative time":             {"evacuate-time: 6000ms", "evacuate-time: -1s", "evacuate-time"},
+		"empty time":                {"evacuate-time: 6000ms", "evacuate-time:", "evacuate-time"},
+		"time as text":              {"evacuate-time: 6000ms", "evacuate-time: soon", "evacuate-time"},
+		"huge time":                 {"evacuate-time: 6000ms", "evacuate-time: 99999999999999h", "evacuate-time"},
+		"negative over":             {"over: 1.5", "over: -1", "over"},
+		"text as slack":             {"slack: 5", "slack: few", "slack"},
+		"infinite over":             {"over: 1.5", "over: .inf", "over"},
+		"number, not a truth value": {"confirmations: true", "confirmations: 1", "shared-confirmations"},
+		"negative truth value":      {"confirmations: true", "confirmations: -1", "shared-confirmations"},
+		"huge truth value":          {"confirmations: true", "confirmations: 1e300", "shared-confirmations"},
+		"text as truth value":       {"confirmations: true", "confirmations: often", "shared-confirmations"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			text := strings.Replace(renderTemplate(t), test.old, test.replacement, 1)
