inspector, comparer: findings with lines, and what callers notice of a change

Cause: config check named the fields of the sorted configuration without a line, warned about 8 mistakes only, and could not say what a change does to callers. A file with warnings had the exit status 0. Change: package inspector holds all warnings (those of configurer moved there, 23 now) and places them in the file through configurer.ParseDocument. The JSON object keeps its keys and gets the lists findings and differences. Tests: TestWarnings of configurer became cases of TestFindings and TestAllVersionsWithdrawn with whole messages and lines; its file had an unused rank and an operator without a key, which are findings now, so inspector has its own. TestConfigCheckRefuses expects "error" instead of "problem" in the table, as the severity is error or warning. Result: go test of the root and of administrator, inspector, comparer and configurer passes. Each new test failed with its check left out: the 23 warnings and every reported difference in turn, and 32 other faults, in a scratch copy. FuzzCheck ran 20 s, 54,856 inputs, without a failure.

--- a/administrator/configuration.go
+++ b/administrator/configuration.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/inspector"
 )
 
 // ChangeReply is one change in the history.
@@ -23,7 +24,7 @@
 	Revision uint64                  `json:"revision"`
 	DryRun   bool                    `json:"dry-run"`
 	Changes  []configurer.Difference `json:"changes"`
-	Warnings []configurer.Warning    `json:"warnings"`
+	Warnings []inspector.Warning     `json:"warnings"`
 }
 
 // undoBody is the optional body of an undo request; revision 0 means the one before the current revision.
@@ -127,7 +128,7 @@
 	}
 	return reply{etag: `"` + strconv.FormatUint(revision, 10) + `"`, body: ApplyReply{
 		Revision: revision, DryRun: dryRun,
-		Changes: append([]configurer.Difference{}, diff...), Warnings: append([]configurer.Warning{}, configurer.Warnings(after)...),
+		Changes: append([]configurer.Difference{}, diff...), Warnings: append([]inspector.Warning{}, inspector.Warnings(after)...),
 	}}, nil
 }
 
--- a/command_config.go
+++ b/command_config.go
@@ -4,7 +4,6 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
-	"io"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -17,7 +16,6 @@
 	"github.com/siskinfront/siskinfront/administrator"
 	"github.com/siskinfront/siskinfront/authenticator"
 	"github.com/siskinfront/siskinfront/configurer"
-	"github.com/siskinfront/siskinfront/questioner"
 )
 
 // operatorKeyVariable is the environment variable that holds the operator key; a flag would show the key in the process list.
@@ -26,14 +24,22 @@
 // adminFlags holds the flags of commands that call the administration API.
 type adminFlags struct {
 	address string
-	keyFile string
-	caFile  string
+	// addressFlag is the name of the flag for the address.
+	addressFlag string
+	keyFile     string
+	caFile      string
 	// serverName is empty if the certificate is issued for the IP address.
 	serverName string
 }
 
 func (f *adminFlags) add(cmd *cobra.Command) {
-	cmd.Flags().StringVar(&f.address, "address", "", "IP address and port of the administration API of any entry")
+	f.addAs(cmd, "address", "IP address and port of the administration API of any entry")
+}
+
+// addAs adds the flags with another name and usage of the one for the address.
+func (f *adminFlags) addAs(cmd *cobra.Command, addressFlag, usage string) {
+	f.addressFlag = addressFlag
+	cmd.Flags().StringVar(&f.address, addressFlag, "", usage)
 	cmd.Flags().StringVar(&f.keyFile, "key-file", "", "file with the operator key; without it $"+operatorKeyVariable+" is used")
 	cmd.Flags().StringVar(&f.caFile, "ca-file", "", "PEM file with the certificate authority of the API; without it the API is called without TLS")
 	cmd.Flags().StringVar(&f.serverName, "server-name", "", "name in the certificate of the API, if it is not issued for the IP address")
@@ -42,7 +48,7 @@
 func (f *adminFlags) client() (*administrator.Client, error) {
 	address, err := netip.ParseAddrPort(f.address)
 	if err != nil {
-		return nil, fmt.Errorf("config: --address: %w", err)
+		return nil, fmt.Errorf("config: --%s: %w", f.addressFlag, err)
 	}
 	key := os.Getenv(operatorKeyVariable)
 	if f.keyFile != "" {
@@ -80,94 +86,6 @@
 	return cmd
 }
 
-// checkResult is the JSON output of config check.
-type checkResult struct {
-	File     string               `json:"file"`
-	Accepted bool                 `json:"accepted"`
-	Problems []configurer.Problem `json:"problems"`
-	Warnings []configurer.Warning `json:"warnings"`
-}
-
-// errInvalidFile is returned when a checked file has problems; they have been printed before.
-var errInvalidFile = errors.New("config: the file is invalid")
-
-func newConfigCheckCommand() *cobra.Command {
-	var kind, output string
-	cmd := &cobra.Command{
-		Use:   "check FILE",
-		Short: "Check a file and list every problem and warning",
-		Example: "  siskinfront config check configuration.yaml\n" +
-			"  siskinfront config check --kind entry entry.yaml",
-		Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			if err := checkOutput(output); err != nil {
-				return err
-			}
-			data, err := os.ReadFile(filepath.Clean(args[0]))
-			if err != nil {
-				return fmt.Errorf("config: %w", err)
-			}
-			result, err := checkFile(kind, args[0], data)
-			if err != nil {
-				return err
-			}
-			if err := writeCheck(cmd.OutOrStdout(), output, result); err != nil {
-				return err
-			}
-			if !result.Accepted {
-				return errInvalidFile
-			}
-			return nil
-		},
-	}
-	cmd.Flags().StringVar(&kind, "kind", "configuration", "configuration, entry, agent or answers")
-	addOutputFlag(cmd, &output)
-	return cmd
-}
-
-func checkFile(kind, file string, data []byte) (checkResult, error) {
-	result := checkResult{File: file, Problems: []configurer.Problem{}, Warnings: []configurer.Warning{}}
-	var err error
-	switch kind {
-	case "configuration":
-		var c *configurer.Configuration
-		if c, err = configurer.Parse(file, data); err == nil {
-			result.Warnings = append(result.Warnings, configurer.Warnings(c)...)
-		}
-	case "entry":
-		_, err = configurer.ParseEntrySettings(file, data)
-	case "agent":
-		_, err = configurer.ParseAgentSettings(file, data)
-	case "answers":
-		_, err = questioner.Parse(file, data)
-	default:
-		return result, fmt.Errorf("config: --kind is %q; it must be configuration, entry, agent or answers", kind)
-	}
-	var invalid *configurer.InvalidError
-	if errors.As(err, &invalid) {
-		result.Problems = invalid.Problems
-	} else if err != nil {
-		return result, err
-	}
-	result.Accepted = err == nil
-	return result, nil
-}
-
-func writeCheck(w io.Writer, output string, result checkResult) error {
-	rows := make([][]string, 0, len(result.Problems)+len(result.Warnings))
-	for _, p := range result.Problems {
-		rows = append(rows, []string{"problem", p.File, strconv.Itoa(p.Line), p.Field, p.Message})
-	}
-	for _, warning := range result.Warnings {
-		rows = append(rows, []string{"warning", result.File, "", warning.Field, warning.Message})
-	}
-	if len(rows) == 0 && output == outputTable {
-		_, err := fmt.Fprintf(w, "%s: accepted, no warnings\n", result.File)
-		return err
-	}
-	return writeRows(w, output, result, []string{"finding", "file", "line", "field", "message"}, rows)
-}
-
 func newConfigApplyCommand() *cobra.Command {
 	var admin adminFlags
 	var output string
--- a/command_operation_internal_test.go
+++ b/command_operation_internal_test.go
@@ -127,7 +127,7 @@
 	must.NoError(t, os.WriteFile(file, []byte("revision: 1\nrnks: []\n"), 0o600))
 	out, _, err := execute(t, "config", "check", file)
 	must.ErrorIs(t, err, errInvalidFile)
-	must.RegexMatch(t, regexp.MustCompile(`problem +\S+c.yaml +2 +rnks +unknown key`), out)
+	must.RegexMatch(t, regexp.MustCompile(`error +\S+c.yaml +2 +rnks +unknown key`), out)
 	out, _, err = execute(t, "config", "check", "--output", "json", file)
 	must.ErrorIs(t, err, errInvalidFile)
 	var result checkResult
--- a/configurer/configuration_test.go
+++ b/configurer/configuration_test.go
@@ -165,21 +165,16 @@
 	must.Eq(t, []string{"added models/wren", "removed operators/duty", "changed spend"}, got)
 }
 
-// Guards against a configuration that is accepted without a warning although it cannot work as stated.
-func TestWarnings(t *testing.T) {
-	must.SliceEmpty(t, configurer.Warnings(parse(t, configurationFile)))
-	for name, tc := range map[string]struct{ old, new, want string }{
-		"floors":           {"floor: 0.1", "floor: 0.5", "sum to 1.10"},
-		"unreachable":      {"prior-quality: 0.9", "prior-quality: 0.7", "quality target 0.8"},
-		"withdrawn":        {"state: serving", "state: withdrawn", "no version that receives new work"},
-		"late first token": {"first-token: 400ms", "first-token: 6s", "beyond its deadline"},
-		"no period":        {"  end: 2027-01-01T00:00:00Z\n", "", "cannot be paced"},
+// Guards against a file that is no YAML document at all and counts as one with a wrong field, and the reverse.
+func TestMalformed(t *testing.T) {
+	for text, want := range map[string]bool{
+		"": true, "revision: [": true, "revision: 7\n---\nrevision: 8": true, strings.Repeat("[", 1000): true,
+		"revision: x": false, "weather: 1": false, "7": false,
 	} {
-		t.Run(name, func(t *testing.T) {
-			w := configurer.Warnings(parse(t, strings.Replace(configurationFile, tc.old, tc.new, 1)))
-			must.Len(t, 1, w)
-			must.StrContains(t, w[0].Message, tc.want)
-		})
+		_, err := configurer.Parse("c.yaml", []byte(text))
+		var invalid *configurer.InvalidError
+		must.True(t, errors.As(err, &invalid))
+		must.EqOp(t, want, invalid.Malformed, must.Sprint(text))
 	}
 }
 
--- a/configurer/decode.go
+++ b/configurer/decode.go
@@ -26,6 +26,8 @@
 	File     string
 	lines    map[string]int
 	Problems []Problem
+	// Malformed is set if the file as a whole could not be read, so that no field of it is known.
+	Malformed bool
 }
 
 // Line returns the line of a field, or that of its nearest ancestor that has one, or 0.
@@ -54,7 +56,7 @@
 	if len(d.Problems) == 0 {
 		return nil
 	}
-	return &InvalidError{Problems: d.Problems}
+	return &InvalidError{Problems: d.Problems, Malformed: d.Malformed}
 }
 
 // Decode reads YAML or JSON into v, a pointer to a struct, and reports every unknown key, wrong type and wrong unit as
@@ -62,18 +64,27 @@
 // Fields that the file leaves out keep the value that v held.
 func Decode(file string, data []byte, v any) *Document {
 	d := &Document{File: file, lines: map[string]int{}}
+	body := d.parse(data)
+	if d.Malformed = body == nil; !d.Malformed {
+		d.decode("", body, reflect.ValueOf(v).Elem(), 0)
+	}
+	return d
+}
+
+// parse returns the body of the only YAML document in data, or nil after adding a problem.
+func (d *Document) parse(data []byte) ast.Node {
 	if len(data) > maxFileBytes {
 		d.AddProblem("", "the file is larger than %d bytes", maxFileBytes)
-		return d
+		return nil
 	}
 	if line := firstTooDeepLine(data); line > 0 {
-		d.Problems = append(d.Problems, Problem{File: file, Line: line, Message: "nested too deeply"})
-		return d
+		d.Problems = append(d.Problems, Problem{File: d.File, Line: line, Message: "nested too deeply"})
+		return nil
 	}
 	f, err := parser.ParseBytes(data, 0)
 	if err != nil {
 		d.addSyntaxProblem(err)
-		return d
+		return nil
 	}
 	switch {
 	case len(f.Docs) == 0 || f.Docs[0].Body == nil:
@@ -81,9 +92,9 @@
 	case len(f.Docs) > 1:
 		d.AddProblem("", "the file holds more than one document")
 	default:
-		d.decode("", f.Docs[0].Body, reflect.ValueOf(v).Elem(), 0)
+		return f.Docs[0].Body
 	}
-	return d
+	return nil
 }
 
 // firstTooDeepLine returns the first line on which brackets or list markers nest deeper than twice maxNestingDepth, or 0.
--- a/configurer/problem.go
+++ b/configurer/problem.go
@@ -29,6 +29,8 @@
 // InvalidError lists every problem of a refused file or configuration.
 type InvalidError struct {
 	Problems []Problem
+	// Malformed is set if the file as a whole could not be read, for instance because it is not YAML.
+	Malformed bool
 }
 
 // Error lists the problems, one a line.
--- a/configurer/validate.go
+++ b/configurer/validate.go
@@ -14,16 +14,22 @@
 
 // Parse reads a configuration strictly and returns an InvalidError with every problem of the file.
 func Parse(file string, data []byte) (*Configuration, error) {
-	c := &Configuration{}
-	d := Decode(file, data, c)
-	ValidateTags(d, c)
-	checkReferences(d, c)
+	c, d := ParseDocument(file, data)
 	if err := d.Err(); err != nil {
 		return nil, err
 	}
 	return c.Canonical(), nil
 }
 
+// ParseDocument is Parse without sorting, so that the document has the line of each field of the returned configuration.
+func ParseDocument(file string, data []byte) (*Configuration, *Document) {
+	c := &Configuration{}
+	d := Decode(file, data, c)
+	ValidateTags(d, c)
+	checkReferences(d, c)
+	return c, d
+}
+
 // Validate checks a configuration that did not come from a file.
 func Validate(c *Configuration) error {
 	d := &Document{File: "configuration"}
