administrator: warnings that a change of one item has added

Cause: only the replies to a whole configuration and an undo listed warnings; a change of one item had none. Change: the reply to each change has the warnings that it has added as Siskinfront-Warning headers, at most 16 and then the number of the others. No change is refused because of a warning. The replies that listed warnings list the same as config check.

--- a/administrator/change.go
+++ b/administrator/change.go
@@ -13,6 +13,7 @@
 
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/inspector"
 )
 
 // maxCommitAttempts limits the commit attempts of one request; an attempt fails if another item changes concurrently.
@@ -97,6 +98,7 @@
 			next = next.Canonical()
 			next.Revision = revision
 			s.count("changes")
+			c.warnings = inspector.AddedWarnings(current, next)
 			s.log.InfoContext(c.Context(), "configuration changed", slog.Uint64("revision", revision), slog.String("by", c.operator.Name))
 			return next, nil
 		}
--- a/administrator/server.go
+++ b/administrator/server.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/siskinfront/siskinfront/configurer"
+	"github.com/siskinfront/siskinfront/inspector"
 )
 
 // maxBodyBytes limits a request body; a configuration at the target size is about 1 MB.
@@ -93,11 +95,19 @@
 	s.counters[name]++
 }
 
+// HeaderWarning carries one warning that a change has added, as field: message.
+const HeaderWarning = "Siskinfront-Warning"
+
+// maxWarningHeaders bounds the header of one reply, because one withdrawn version can add a warning for each client account.
+const maxWarningHeaders = 16
+
 // call is one authenticated request.
 type call struct {
 	*http.Request
 	operator *configurer.Operator
 	current  *configurer.Configuration
+	// warnings are those that the committed change has added.
+	warnings []inspector.Warning
 }
 
 // reply is the result of a handler; without a body it becomes a 204.
@@ -105,6 +115,8 @@
 	status int
 	etag   string
 	body   any
+	// warnings are those that a change has added.
+	warnings []inspector.Warning
 }
 
 // Route is one operation of the API.
@@ -133,6 +145,7 @@
 			w.Header().Set("ETag", result.etag)
 		}
 		w.Header().Set("Cache-Control", "no-store")
+		addWarnings(w.Header(), result.warnings)
 		if result.body == nil {
 			w.WriteHeader(http.StatusNoContent)
 			return
@@ -141,6 +154,18 @@
 	}
 }
 
+// addWarnings adds a header for each warning, up to maxWarningHeaders. A reply to a change of one item has the item as its
+// body, so the warnings are in the header.
+func addWarnings(h http.Header, warnings []inspector.Warning) {
+	for i, warning := range warnings {
+		if i == maxWarningHeaders {
+			h.Add(HeaderWarning, fmt.Sprintf("%d more warnings", len(warnings)-i))
+			return
+		}
+		h.Add(HeaderWarning, warning.Field+": "+warning.Message)
+	}
+}
+
 // serve authenticates the operator, checks its role and that a required If-Match is present, and calls the route's handler.
 func (s *Server) serve(route Route, r *http.Request) (reply, error) {
 	current, err := s.store.Load(r.Context())
@@ -157,7 +182,10 @@
 	if route.RequiresIfMatch && r.Header.Get("If-Match") == "" {
 		return reply{}, newAPIError(http.StatusPreconditionRequired, "if-match-required", "send If-Match with the ETag of what you read, or * for something new")
 	}
-	return route.handler(&call{Request: r, operator: operator, current: current})
+	c := &call{Request: r, operator: operator, current: current}
+	result, err := route.handler(c)
+	result.warnings = c.warnings
+	return result, err
 }
 
 // roleLevel orders the roles by what they may do; an unknown role may do nothing.
