--- a/runner/runner.go
+++ b/runner/runner.go
@@ -16,6 +16,7 @@
 
 	"github.com/siskinfront/siskinfront/arbiter"
 	"github.com/siskinfront/siskinfront/balancer"
+	"github.com/siskinfront/siskinfront/confirmer"
 	"github.com/siskinfront/siskinfront/connector"
 	"github.com/siskinfront/siskinfront/evacuator"
 	"github.com/siskinfront/siskinfront/follower"
@@ -38,6 +39,8 @@
 	heapFraction = 0.6
 	// bodyFraction is the fraction of the memory that request bodies may use.
 	bodyFraction = 0.2
+	// backlogFraction is the fraction of the memory that responses may use which callers read slowly.
+	backlogFraction = 0.1
 	// sweepInterval is the time between two searches for expired connections.
 	sweepInterval = time.Second
 	// retryShare and cascadeShare are the fractions of the configured retry ratio for retries after failed attempts and for
@@ -99,6 +102,8 @@
 	Run         func(context.Context) error
 	ConfirmedAt func() time.Time
 	Counters    func() map[string]int64
+	// SetConfirmer sets what decides on the calls from what other entries tell; it must be called before Run, and may be nil.
+	SetConfirmer func(*confirmer.Table)
 }
 
 // Runner is an entry process.
@@ -109,24 +114,25 @@
 	meter    *meter.Meter
 	table    atomic.Pointer[matcher.Table]
 	// arbiter is guarded by arbiterMu.
-	arbiterMu   sync.Mutex
-	arbiter     *arbiter.Arbiter
-	inquiry     *inquiry
-	balancer    *balancer.Balancer
-	pool        *connector.Pool
-	registrar   *registrar.Registrar
-	directory   *directory
-	evacuator   *evacuator.Evacuator
-	rollouts    *rollouts
-	forwarder   *forwarder.Forwarder
-	sharing     *sharing
-	cold        *coldness
-	reaper      *reaper.Reaper
-	upstreams   *follower.Follower[registrar.Change]
-	operator    Follower
-	stopping    atomic.Bool
-	plannedStop atomic.Pointer[plannedStop]
-	wasReady    atomic.Bool
+	arbiterMu     sync.Mutex
+	arbiter       *arbiter.Arbiter
+	inquiry       *inquiry
+	balancer      *balancer.Balancer
+	pool          *connector.Pool
+	registrar     *registrar.Registrar
+	directory     *directory
+	evacuator     *evacuator.Evacuator
+	rollouts      *rollouts
+	forwarder     *forwarder.Forwarder
+	sharing       *sharing
+	cold          *coldness
+	confirmations *confirmations
+	reaper        *reaper.Reaper
+	upstreams     *follower.Follower[registrar.Change]
+	operator      Follower
+	stopping      atomic.Bool
+	plannedStop   atomic.Pointer[plannedStop]
+	wasReady      atomic.Bool
 }
 
 // New builds an entry.
@@ -184,13 +190,16 @@
 	r.operator = p.FollowOperator(r.paceWithin(min(s.ApplyTime, s.EvacuateTime)), log, OperatorEvents{
 		Configuration: r.applyConfiguration, Order: r.rollouts.addOrder, Evacuations: r.evacuator.Apply, Returned: r.rollouts.storeReturned,
 	})
+	r.shareConfirmations()
 	for name, counters := range map[string]func() map[string]int64{
+		"follower-confirmer": r.confirmations.upstreams.Counters, "operator-confirmer": r.confirmations.operator.Counters,
 		"forwarder": r.forwarder.Counters, "balancer": r.balancer.Counters, "connector": r.pool.Counters, "reaper": r.reaper.Counters,
 		"quarantine": r.sharing.quarantine.Counters, "throttler": r.sharing.throttler.Counters, "limit-owner": r.sharing.owner.Counters, "broadcaster": r.sharing.broadcaster.Counters, "shared": r.sharing.follower.Counters,
 		"evacuator": r.evacuator.Counters, "registrar": r.registrar.Counters, "follower": r.upstreams.Counters, "operator": r.operator.Counters, "store": p.Counters, "rollouts": calls.Counters,
 	} {
 		r.meter.Register(name, counters)
 	}
+	r.meter.RegisterGauges("forwarder", r.forwarder.Gauges)
 	return r
 }
 
@@ -222,7 +231,7 @@
 		forwarder.WithHeaders(r.platform.Headers), forwarder.WithBalancer(r.balancer),
 		forwarder.WithPool(r.pool), forwarder.WithLog(r.log), forwarder.WithMeter(r.meter), forwarder.WithBudgets(budgets),
 		forwarder.WithMaxBodyBytes(int64(bodyFraction * float64(s.MemoryBytes))), forwarder.WithQuarantine(r.sharing.quarantine),
-		forwarder.WithThrottler(r.sharing.throttler),
+		forwarder.WithThrottler(r.sharing.throttler), forwarder.WithMaxBacklogBytes(int64(backlogFraction * float64(s.MemoryBytes))),
 	}
 	if s.EvenLoad {
 		opts = append(opts, forwarder.WithEvenLoad())
@@ -331,6 +340,7 @@
 	g.Go(func() error { return r.operator.Run(background) })
 	g.Go(func() error { return r.rollouts.run(background) })
 	g.Go(func() error { return r.sharing.run(background) })
+	g.Go(func() error { return r.confirmations.run(background) })
 	g.Go(func() error { return r.inquire(background) })
 	g.Go(func() error { return r.sweepPeriodically(background) })
 	serveErr := make(chan error, 1)
--- a/runner/sharing.go
+++ b/runner/sharing.go
@@ -123,6 +123,8 @@
 	acquaintedAt time.Time
 	// settledAt is the time from which this entry asks for slots of cold upstreams and grants them.
 	settledAt time.Time
+	// peers holds the addresses of entries.
+	peers []netip.AddrPort
 	// peersKnown is set once the table was read.
 	peersKnown bool
 }
@@ -260,6 +262,7 @@
 	for _, e := range s.entries {
 		peers = append(peers, e.address)
 	}
+	s.peers = peers
 	s.broadcaster.SetPeers(peers)
 }
 
