forwarder: ask at another cold upstream if the first cannot be used

Cause: a request asks for slots of one cold upstream only. If that one paused, left, was evacuated or was gone, the request asked at none of the others until it was refused, although they had slots left. A pausing upstream caused that for each request that met it first. Change: a cold upstream that may not be used does not count as one that was asked.

--- a/forwarder/cold.go
+++ b/forwarder/cold.go
@@ -54,11 +54,11 @@
 	}
 }
 
-// wantsColdSlot reports whether a request has asked for slots of a cold upstream that it has not tried.
+// wantsColdSlot reports whether a request has asked for slots of a cold upstream that it has not tried and may still use.
 func (f *Forwarder) wantsColdSlot(q *request) bool {
 	tried := q.triedUpstreams()
 	return slices.ContainsFunc(q.wantedSlots, func(name identifier.Upstream) bool {
-		return f.throttler.IsCold(name) && !slices.Contains(tried, name)
+		return f.throttler.IsCold(name) && !slices.Contains(tried, name) && f.isAvailable(name) && !f.throttler.IsPaused(name)
 	})
 }
 
