--- a/runner/collection_internal_test.go
+++ b/runner/collection_internal_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"runtime/debug"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -13,3 +14,19 @@
 		must.EqOp(t, want, collectionPercent(share))
 	}
 }
+
+// Guards against a growth of the heap that the environment of the process sets and that is overridden although the share is not known.
+func TestUnknownShareKeepsCollections(t *testing.T) {
+	limit := debug.SetMemoryLimit(-1)
+	percent := debug.SetGCPercent(250)
+	defer func() {
+		debug.SetMemoryLimit(limit)
+		debug.SetGCPercent(percent)
+	}()
+	s := Settings{MemoryBytes: 1 << 30}
+	limitMemory(&s)
+	must.EqOp(t, 250, debug.SetGCPercent(250))
+	s.ProcessorShare = 0.1
+	limitMemory(&s)
+	must.EqOp(t, 300, debug.SetGCPercent(250))
+}
