throttler, runner: tests of the lifetime of cold slots and of who answers

Cause: with a lifetime of 1 s instead of 0.2 s for granted slots, and with an entry that answers asks for limits that it does not own, all tests of both packages passed. Change: a test for each. Result: go test -run 'TestGrantedColdSlotEndsSoon|TestOnlyOwnerAnswersColdAsk' ./throttler ./runner fails with either of the 2 faults put in, passes without.

--- a/runner/cold_internal_test.go
+++ b/runner/cold_internal_test.go
@@ -200,3 +200,20 @@
 	f.refused(f.upstream(3, 0))
 	must.MapNotContainsKey(t, f.until, "u/3")
 }
+
+// Guards against an entry that answers an ask for slots of a cold upstream whose limit it does not own, beside the owner.
+func TestOnlyOwnerAnswersColdAsk(t *testing.T) {
+	s := newSharing(SharedStore{}, "e1", netip.AddrPort{}, slog.New(slog.DiscardHandler))
+	s.peersKnown, s.settledAt = true, time.Time{}
+	address := netip.MustParseAddrPort("127.0.0.1:1")
+	s.entries["e2"] = entryRecord{address: address, expiresAt: time.Now().Add(time.Hour)}
+	answered := int64(0)
+	for i, u := range []identifier.Upstream{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		s.receive(address, message{Ask: &throttler.Ask{Upstream: u, PerSecond: 1, Cold: true, Number: 1, ID: uint64(i + 1)}})
+		if s.coldOwner(u) == s.self {
+			answered++
+		}
+		must.EqOp(t, answered, s.owner.Counters()["asks"])
+	}
+	must.Between(t, 1, answered, 7)
+}
--- a/throttler/cold_test.go
+++ b/throttler/cold_test.go
@@ -231,3 +231,18 @@
 		must.Between(t, 0, g.Number, 1_000_001)
 	}
 }
+
+// Guards against granted slots of a cold upstream that are used so late that those of two owners exceed the bound (ColdBound.GrantRate counts
+// on 0.2 s).
+func TestGrantedColdSlotEndsSoon(t *testing.T) {
+	f := newFixture()
+	f.silent = true
+	f.SetCold(u1, 20, f.now.Add(time.Hour))
+	must.False(t, f.try())
+	f.Grant(throttler.Grant{Upstream: u1, ID: f.lastAsk.ID, Number: 1, IntervalMillis: 50})
+	must.True(t, f.HasSlot(u1))
+	f.now = f.now.Add(199 * time.Millisecond)
+	must.True(t, f.HasSlot(u1))
+	f.now = f.now.Add(time.Millisecond)
+	must.False(t, f.Take(u1))
+}
