throttler: one loop for lists of limits, and where the bound does not hold

Cause: AppendCold repeated AppendLimited; endNamed checked a condition that the next one implies; the comment of GrantRate claimed the bound also where the least rate exceeds it. Change: appendLimits serves both, the condition is gone, and the comment names the case: a bound below 2 plus 1.08 times the rate.

--- a/throttler/cold.go
+++ b/throttler/cold.go
@@ -29,7 +29,8 @@
 }
 
 // GrantRate returns the slots per second that an owner grants for an upstream with a rate. The slots that as many as maxOwners owners grant
-// and that can be used in one second stay within the bound. Without a bound, they stay within the rate in the long run.
+// and that can be used in one second stay within the bound, unless that leaves less than one owner's half of the rate: at a bound below 2
+// plus 1.08 times the rate. Without a bound, they stay within the rate in the long run.
 func (b ColdBound) GrantRate(perSecond float64) float64 {
 	least, most := perSecond*paceShare/maxOwners, perSecond*paceShare
 	if b.Over <= 0 && b.Slack <= 0 {
@@ -179,18 +180,7 @@
 
 // AppendCold appends the upstreams that are cold and have a rate.
 func (t *Throttler) AppendCold(names []identifier.Upstream) []identifier.Upstream {
-	if t.restricted.Load() == 0 {
-		return names
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.now()
-	for u, l := range t.limits {
-		if l.isCold(now) {
-			names = append(names, u)
-		}
-	}
-	return names
+	return t.appendLimits(names, (*limit).isCold)
 }
 
 // ColdTurn returns when a request that some cold upstreams of a service cannot take may come back; each call returns a later time.
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -183,7 +183,7 @@
 		if l == nil || !l.isNamed {
 			return s, false, false
 		}
-		t.endNamed(s.Upstream, l, now)
+		t.endNamed(s.Upstream, l)
 		if own {
 			t.ended[s.Upstream] = now
 		}
@@ -213,10 +213,10 @@
 	return s, tell, changed
 }
 
-// endNamed ends the limit that answers named; t.mu is held.
-func (t *Throttler) endNamed(u identifier.Upstream, l *limit, now time.Time) {
+// endNamed ends the limit that answers named. The record of an upstream with a cold time stays until that is swept; t.mu is held.
+func (t *Throttler) endNamed(u identifier.Upstream, l *limit) {
 	l.isNamed, l.perSecond, l.observedAt, l.confirmedAt, l.statedAt = false, 0, time.Time{}, time.Time{}, time.Time{}
-	if !l.isCold(now) && l.coldUntil.IsZero() {
+	if l.coldUntil.IsZero() {
 		t.remove(u)
 	}
 }
@@ -256,6 +256,11 @@
 
 // AppendLimited appends the upstreams that name a limit or are cold.
 func (t *Throttler) AppendLimited(names []identifier.Upstream) []identifier.Upstream {
+	return t.appendLimits(names, (*limit).holds)
+}
+
+// appendLimits appends the upstreams to whose limits a condition applies now.
+func (t *Throttler) appendLimits(names []identifier.Upstream, applies func(*limit, time.Time) bool) []identifier.Upstream {
 	if t.restricted.Load() == 0 {
 		return names
 	}
@@ -263,7 +268,7 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	for u, l := range t.limits {
-		if l.holds(now) {
+		if applies(l, now) {
 			names = append(names, u)
 		}
 	}
@@ -335,7 +340,7 @@
 	var ends []*ColdChange
 	for u, l := range t.limits {
 		if l.isNamed && !now.Before(l.forgetAt) {
-			t.endNamed(u, l, now)
+			t.endNamed(u, l)
 		}
 		if !l.coldUntil.IsZero() && !l.isCold(now) {
 			ends = append(ends, t.endCold(u, l))
