balancer: test that a reported load is bounded

Cause: without the bound of 16 times the slots on a reported load all tests passed. A name in a test was figurative. Change: a test of the bound, for running and for waiting requests and for a negative number; the name says what the upstream does.

--- a/balancer/evenload_test.go
+++ b/balancer/evenload_test.go
@@ -78,10 +78,10 @@
 		name  identifier.Upstream
 	}
 	var running []request
-	loads, liar, chosen := map[identifier.Upstream]int{}, ups[0].Name, 0
+	loads, misreporting, chosen := map[identifier.Upstream]int{}, ups[0].Name, 0
 	reportTo := func(entry int, name identifier.Upstream) {
 		l := streamer.Load{At: now, Running: loads[name], Slowdown: 1, SlowdownCorrection: 1}
-		if name == liar {
+		if name == misreporting {
 			l = report(l)
 		}
 		balancers[entry].Report(name, l)
@@ -95,7 +95,7 @@
 		balancers[entry].Begin(u.Name)
 		loads[u.Name]++
 		reportTo(entry, u.Name)
-		if u.Name == liar && i >= requests/4 {
+		if u.Name == misreporting && i >= requests/4 {
 			chosen++
 		}
 		running = append(running, request{entry, u.Name})
@@ -166,3 +166,16 @@
 	b.Report("u2", streamer.Load{At: now, Running: 2})
 	must.Eq(t, []balancer.PoolState{{Service: "s", BusiestOverMean: 9.0 * 2 / 11}}, b.State().(balancer.State).Pools)
 }
+
+// Guards against an upstream that reports an absurd load and so raises the mean with which the others are compared.
+func TestReportedLoadIsBounded(t *testing.T) {
+	b := balancer.New("dc", balancer.WithEvenLoad(), balancer.WithWaitingWeight(3))
+	b.Update([]balancer.Upstream{{Name: "u", Service: "s", DataCentre: "dc", Region: "r", Slots: 8}})
+	for _, l := range []streamer.Load{{Running: math.MaxInt32}, {Running: 8, Queued: []int{1 << 30}}} {
+		l.At = time.Now()
+		b.Report("u", l)
+		must.EqOp(t, 16*8, b.State().(balancer.State).Upstreams[0].Load)
+	}
+	b.Report("u", streamer.Load{At: time.Now(), Running: -5})
+	must.EqOp(t, 0, b.State().(balancer.State).Upstreams[0].Load)
+}
