forwarder: plain names in a test of slowdowns

Cause: the names of 2 upstreams in TestSlowdownRatio were figurative. Change: they are called after what they report; the checks are the same. Result: go test -run TestSlowdownRatio ./forwarder passes, 0 failures; go test ./forwarder is run at the end of the review.

--- a/forwarder/pace_internal_test.go
+++ b/forwarder/pace_internal_test.go
@@ -48,7 +48,7 @@
 func TestSlowdownRatio(t *testing.T) {
 	tracker, now := newSlowdownTracker(), time.Unix(1000, 0)
 	tracker.decayTime = evenLoadDecayTime
-	reported := map[identifier.Upstream]float64{"liar": 0.1, "slow-liar": 0.1}
+	reported := map[identifier.Upstream]float64{"understating": 0.1, "slow-understating": 0.1}
 	slowdown, correction := tracker.ratio("unknown", 0, now)
 	must.EqOp(t, 1, slowdown)
 	must.EqOp(t, 1, correction)
@@ -58,8 +58,8 @@
 			name identifier.Upstream
 			took time.Duration
 		}{
-			{"a", 10 * time.Millisecond}, {"b", 10 * time.Millisecond}, {"slow", 15 * time.Millisecond}, {"liar", 10 * time.Millisecond},
-			{"slow-liar", 30 * time.Millisecond},
+			{"a", 10 * time.Millisecond}, {"b", 10 * time.Millisecond}, {"slow", 15 * time.Millisecond}, {"understating", 10 * time.Millisecond},
+			{"slow-understating", 30 * time.Millisecond},
 		} {
 			tracker.ratio(x.name, reported[x.name], now)
 			tracker.observe(x.name, "model", x.took, now)
@@ -68,9 +68,9 @@
 	base, _ := tracker.ratio("a", 0, now)
 	slow, _ := tracker.ratio("slow", 0, now)
 	must.Between(t, 1.35, slow/base, 1.55)
-	slowest, factor := tracker.ratio("slow-liar", 0.1, now)
+	slowest, factor := tracker.ratio("slow-understating", 0.1, now)
 	must.Between(t, 2.4, slowest*factor/base, 3.1)
-	_, factor = tracker.ratio("liar", 0.1, now)
+	_, factor = tracker.ratio("understating", 0.1, now)
 	must.Between(t, 0.7, factor, 1)
 	_, correction = tracker.ratio("a", 2.5, now)
 	must.EqOp(t, 2.5, correction)
