forwarder: refuse at once if all cold upstreams pause

Cause: requests waited an eighth of the latency target for slots of cold upstreams that pause, although none is asked for in a pause. Change: the wait leaves out upstreams that pause.

--- a/forwarder/cold_test.go
+++ b/forwarder/cold_test.go
@@ -116,3 +116,20 @@
 	}
 	must.Eq(t, map[identifier.Upstream]bool{"a": true}, refused)
 }
+
+// Guards against requests that wait for a slot although all cold upstreams pause, so that none can be had.
+func TestPausingColdUpstreamsRefuseAtOnce(t *testing.T) {
+	f := newFixture(t, 2, respondOK)
+	for _, name := range []identifier.Upstream{"a/0", "b/0"} {
+		f.throttler.SetCold(name, 20, time.Now().Add(time.Hour))
+		f.throttler.Pause(name, time.Now().Add(30*time.Second))
+	}
+	began := time.Now()
+	w := f.send("/patient/")
+	must.Less(t, 100*time.Millisecond, time.Since(began))
+	must.EqOp(t, http.StatusServiceUnavailable, w.status)
+	after, err := strconv.ParseFloat(w.header.Get("Retry-After"), 64)
+	must.NoError(t, err)
+	must.Between(t, 29, after, 60)
+	must.SliceEmpty(t, f.requests())
+}
--- a/forwarder/limit.go
+++ b/forwarder/limit.go
@@ -129,7 +129,8 @@
 		if !errors.Is(err, balancer.ErrNoUpstream) {
 			return to, err
 		}
-		limited := f.ofService(q, f.throttler.AppendLimited(nil))
+		// One that pauses gives no slot before the pause is over.
+		limited := slices.DeleteFunc(f.ofService(q, f.throttler.AppendLimited(nil)), f.throttler.IsPaused)
 		wait := deadline.Sub(f.Now())
 		if len(limited) == 0 || wait <= 0 {
 			return to, err
