--- a/forwarder/cold.go
+++ b/forwarder/cold.go
@@ -66,7 +66,7 @@
 func (f *Forwarder) coldTurn(q *request) time.Time {
 	var cold []identifier.Upstream
 	for _, name := range f.ofService(q, f.throttler.AppendCold(nil)) {
-		if f.isAvailable(name) && !f.throttler.IsPaused(name) {
+		if !f.throttler.IsPaused(name) {
 			cold = append(cold, name)
 		}
 	}
