--- a/forwarder/quality_internal_test.go
+++ b/forwarder/quality_internal_test.go
@@ -54,3 +54,15 @@
 	must.MapEq(t, map[string]float64{"s": 1}, map[string]float64{"s": factors["s"]})
 	must.EqOp(t, 1, atRisk)
 }
+
+// Guards against a request with many long pauses that counts as many answers at risk.
+func TestAnswerIsAtRiskOnce(t *testing.T) {
+	f := New()
+	q := &request{route: &matcher.Route{LatencyTarget: 4 * time.Second, EventGap: time.Second}, service: "s", anyModel: true}
+	f.observeFirstDelay(q, 300*time.Millisecond)
+	for range 3 {
+		f.observeEventPause(q, 900*time.Millisecond)
+	}
+	_, atRisk := f.headrooms()
+	must.EqOp(t, 1, atRisk)
+}
