soakbencher: evacuations, cold upstreams and slow readers

Cause: the soak neither evacuated data centres nor let upstreams be cold, and all its callers read at once. Change: the operator evacuates data centres and takes them back beside the other faults, upstreams start and turn cold, and a quarter as many callers again read streams of some 6 MB slowly or stop for 1 to 3 s. Five invariants check these from what upstreams and callers see. A later outage of the store does not excuse an entry that had the order in time.

--- a/soakbencher/announced.go
+++ b/soakbencher/announced.go
@@ -29,10 +29,7 @@
 // checkAnnounced checks that entries do as the answers of upstreams ask: send nothing to one that leaves, and nothing during a
 // pause.
 func (s *soak) checkAnnounced() {
-	byID := map[string]*call{}
-	for _, c := range s.calls {
-		byID[c.id] = c
-	}
+	byID := s.callsByID()
 	bySender := map[sender][]standin.Arrival{}
 	passedOn := map[sender]time.Time{}
 	for _, a := range s.log.Arrivals() {
--- a/soakbencher/caller.go
+++ b/soakbencher/caller.go
@@ -54,10 +54,21 @@
 	upstream string
 	// body is that of the request on which plain services crash, or empty.
 	body string
+	// slow is set if the caller reads the response slowly.
+	slow bool
 	// blocked is set if the response says that a part of the prompt, or the request, is refused.
 	blocked bool
 }
 
+// callsByID returns the calls by their ids.
+func (s *soak) callsByID() map[string]*call {
+	m := make(map[string]*call, len(s.calls))
+	for _, c := range s.calls {
+		m[c.id] = c
+	}
+	return m
+}
+
 // runCaller sends requests one after the other until ctx is done. It reuses each connection until the process
 // behind it ends.
 func (s *soak) runCaller(ctx context.Context, n int, seed uint64) {
@@ -146,6 +157,14 @@
 	return fmt.Sprintf("a1:100,m%d:50,b%s:20", len(c.id)*7%10, c.session)
 }
 
+// terms returns the prefix of the route of a call and the deadline that its caller sends.
+func (c *call) terms() (prefix string, deadline time.Duration) {
+	if c.slow {
+		return slowPrefix, slowDeadline
+	}
+	return routePrefix(c.kind), callerDeadline
+}
+
 func routePrefix(k standin.Kind) string {
 	switch k {
 	case standin.Idempotent:
@@ -171,6 +190,10 @@
 		want = events.String()
 	}
 	matches := id == c.id && strings.HasSuffix(stamp, "."+c.id) && strings.HasPrefix(want, got) && (!c.complete || got == want)
-	s.check(invariantOwnAnswer, matches, "%s: status %d, complete %v, id %q, stamp %q, %d of %d bytes: %q",
-		c.id, c.status, c.complete, id, stamp, len(got), len(want), got)
+	invariant := invariantOwnAnswer
+	if c.slow {
+		invariant = invariantSlowReader
+	}
+	s.check(invariant, matches, "%s: status %d, complete %v, id %q, stamp %q, %d of %d bytes: %s",
+		c.id, c.status, c.complete, id, stamp, len(got), len(want), excerpt(got, want))
 }
--- a/soakbencher/disrupt.go
+++ b/soakbencher/disrupt.go
@@ -136,6 +136,7 @@
 	s.mu.Unlock()
 	s.after(crowdLead, func() {
 		for _, u := range engines {
+			s.noteSilence(u, d)
 			s.logEvent("%s is silent for %v, its reports too: %v", u.Name, d, reports)
 			if reports {
 				u.FallSilent(d)
@@ -146,6 +147,13 @@
 	})
 }
 
+// noteSilence records that requests to an upstream may be held back for d from now.
+func (s *soak) noteSilence(u *upstream, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silences = append(s.silences, namedEvent{name: u.Name, at: time.Now(), until: time.Now().Add(d)})
+}
+
 // startCrowd starts long streams at one entry, each on a connection that has served a request before.
 func (s *soak) startCrowd(ctx context.Context, e *entry, crowd int) {
 	s.logEvent("%d streams at %s", crowdSize, e.name)
--- a/soakbencher/drill.go
+++ b/soakbencher/drill.go
@@ -64,6 +64,14 @@
 	s.returnAndChange(ctx)
 }
 
+// awaitDrill waits for the end of the drill or of ctx.
+func (s *soak) awaitDrill(ctx context.Context) {
+	select {
+	case <-s.drilled:
+	case <-ctx.Done():
+	}
+}
+
 // loseChanges writes versions that the next return of the store loses.
 func (s *soak) loseChanges() {
 	for range lostChanges {
--- a/soakbencher/fatal.go
+++ b/soakbencher/fatal.go
@@ -55,11 +55,7 @@
 	if r.IntN(3) == 0 {
 		return
 	}
-	select {
-	case <-s.drilled:
-	case <-ctx.Done():
-		return
-	}
+	s.awaitDrill(ctx)
 	time.Sleep(time.Duration(r.IntN(4000)) * time.Millisecond)
 	s.mu.Lock()
 	s.fatal = fatalPart{name: fmt.Sprintf("f%x", seed), from: time.Now()}
@@ -86,9 +82,8 @@
 	if s.fatal.name == "" || len(crashes) == 0 {
 		return
 	}
-	byID := map[string]*call{}
+	byID := s.callsByID()
 	for _, c := range s.calls {
-		byID[c.id] = c
 		if c.part != "" && c.status != 0 && c.status != http.StatusBadGateway && c.status != http.StatusGatewayTimeout {
 			s.check(invariantFatalAnswer, c.status != http.StatusOK || !c.complete, "%s got %d", c.id, c.status)
 		}
--- a/soakbencher/fatalrequest.go
+++ b/soakbencher/fatalrequest.go
@@ -34,11 +34,7 @@
 	if r.IntN(3) == 0 {
 		return
 	}
-	select {
-	case <-s.drilled:
-	case <-ctx.Done():
-		return
-	}
+	s.awaitDrill(ctx)
 	time.Sleep(time.Duration(r.IntN(4000)) * time.Millisecond)
 	kind := []standin.Kind{standin.Idempotent, standin.NonIdempotent}[r.IntN(2)]
 	body, account := fmt.Sprintf("crash %x", seed), accounts[r.IntN(2)]
@@ -70,10 +66,7 @@
 	if len(crashes) == 0 {
 		return
 	}
-	byID, ran := map[string]*call{}, map[string]bool{}
-	for _, c := range s.calls {
-		byID[c.id] = c
-	}
+	byID, ran := s.callsByID(), map[string]bool{}
 	knownAt := crashes[min(len(crashes), requestCrashes)-1].At.Add(contactTime)
 	n := 0
 	for _, a := range s.log.Arrivals() {
--- a/soakbencher/inject.go
+++ b/soakbencher/inject.go
@@ -107,6 +107,7 @@
 		s.injectProxyFault(e.storeProxy, scopeStore, e, "store as seen by "+e.name, d)
 	case 8:
 		u := s.randomUpstream()
+		s.noteSilence(u, d)
 		s.injectProxyFault(u.proxy, scopeTraffic, nil, u.Name, d)
 	case 9:
 		u, b := s.randomUpstream(), standin.Behaviour(1+s.rand.IntN(7))
@@ -326,6 +327,7 @@
 	for _, u := range list {
 		u.proxy.setFault(faultNone)
 		u.SetBehaviour(standin.Working)
+		u.SetCold(0)
 	}
 }
 
--- a/soakbencher/keeper.go
+++ b/soakbencher/keeper.go
@@ -97,19 +97,17 @@
 	default:
 		d = min(s.idleLimit()*4/5, maxIdlePause)
 	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
+	sleep(ctx, d)
 }
 
 // exchange sends the request of c on a kept connection and reads the response.
 func (s *soak) exchange(ctx context.Context, k *keptConn, c *call, timing bodyTiming) {
 	const body = "work"
 	names := platform.Headers()
+	prefix, deadline := c.terms()
 	var head strings.Builder
 	fmt.Fprintf(&head, "POST %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer key-of-%s\r\nContent-Length: %d\r\n",
-		routePrefix(c.kind), c.id, standin.Host, names.RequestID, c.id, names.Deadline, callerDeadline.Milliseconds(), c.account, len(body))
+		prefix, c.id, standin.Host, names.RequestID, c.id, names.Deadline, deadline.Milliseconds(), c.account, len(body))
 	if c.kind == standin.Stream {
 		fmt.Fprintf(&head, "%s: a1:100,b%s:20\r\n%s: %s\r\n%s: small\r\n", names.Prefix, c.session, names.Session, c.session, names.Model)
 	}
@@ -125,7 +123,7 @@
 			k.close()
 		}
 	}()
-	_ = k.conn.SetDeadline(c.sentAt.Add(callerDeadline + time.Second))
+	_ = k.conn.SetDeadline(c.sentAt.Add(deadline + time.Second))
 	stop := context.AfterFunc(ctx, func() { _ = k.conn.SetDeadline(time.Now()) })
 	defer stop()
 	if c.err = k.write(head.String(), body, timing); c.err != nil {
@@ -139,7 +137,7 @@
 	}
 	defer w.Body.Close()
 	c.status = w.StatusCode
-	got, err := io.ReadAll(w.Body)
+	got, err := c.read(w.Body)
 	c.complete, c.err, c.gaveUp = err == nil, err, errors.Is(err, os.ErrDeadlineExceeded)
 	if w.Close {
 		k.close()
--- a/soakbencher/limit.go
+++ b/soakbencher/limit.go
@@ -47,10 +47,7 @@
 
 // checkLimits checks the requests at upstreams with limits from entries that knew of them and were not disturbed since.
 func (s *soak) checkLimits() {
-	byID := map[string]*call{}
-	for _, c := range s.calls {
-		byID[c.id] = c
-	}
+	byID := s.callsByID()
 	arrivals := s.log.Arrivals()
 	for _, x := range s.limits {
 		for _, crash := range s.log.Crashes() {
--- a/soakbencher/lost.go
+++ b/soakbencher/lost.go
@@ -47,6 +47,10 @@
 	if c.kept && ran {
 		s.check(invariantKeptConn, ok, "%v; runs %+v", c, runs)
 	}
+	s.checkLostByEvacuation(c, runs)
+	if c.slow && c.status == 200 {
+		s.check(invariantSlowWhole, ok, "%v; runs %+v", c, runs)
+	}
 	if c.kind == standin.Stream && c.status == 200 {
 		s.check(invariantWholeStream, ok, "%v; runs %+v", c, runs)
 	}
@@ -72,6 +76,9 @@
 
 // timeLimit returns the time that a call has at least: its deadline, or the shortest timeout that may have been in force.
 func (s *soak) timeLimit(c *call) time.Duration {
+	if c.slow {
+		return slowDeadline
+	}
 	limit := min(callerDeadline, leastInForce(s.timeouts[c.kind], c.sentAt, callerDeadline))
 	for _, x := range s.timeouts[c.kind] {
 		if x.at.After(c.sentAt) && x.at.Before(c.endedAt) {
--- a/soakbencher/process.go
+++ b/soakbencher/process.go
@@ -77,9 +77,9 @@
 	text := fmt.Sprintf(`instance: %s
 data-centre: dc-a
 region: r
-data-centres:
-  - name: dc-a
-    region: r
+data-centres: [{name: dc-a, region: r}, {name: dc-b, region: r}]
+evacuate-time: %v
+cold: {over: %v, slack: %v}
 caller-address: "%s:%d"
 ready-address: "%s:%d"
 debug-address: "%s:%d"
@@ -92,7 +92,7 @@
 retries:
   ratio: 0.9
   extra: 56
-`, e.name, e.host, callerPort, e.host, readyPort, e.host, debugPort, e.host, peerPort, e.storeProxy.address(), shutdown)
+`, e.name, evacuateTime, coldOver, coldSlack, e.host, callerPort, e.host, readyPort, e.host, debugPort, e.host, peerPort, e.storeProxy.address(), shutdown)
 	if err := os.WriteFile(e.settingsFile, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("soakbencher: settings of %s: %w", e.name, err)
 	}
--- a/soakbencher/promise.go
+++ b/soakbencher/promise.go
@@ -72,7 +72,8 @@
 // record checks the duration of an undisturbed call and keeps the call for the checks after the run.
 func (s *soak) record(c *call) {
 	if c.undisturbed && c.connected {
-		late := c.endedAt.Sub(c.sentAt) > callerDeadline+deadlineSlack
+		_, deadline := c.terms()
+		late := c.endedAt.Sub(c.sentAt) > deadline+deadlineSlack
 		s.check(invariantDeadline, !late, "%s: %v, status %d, error %v", c.id, c.endedAt.Sub(c.sentAt), c.status, c.err)
 	}
 	s.mu.Lock()
@@ -111,13 +112,15 @@
 	s.checkFatalPart()
 	s.checkFatalRequest()
 	s.checkLimits()
+	s.checkEvacuations()
+	s.checkCold()
 }
 
 // checkPlannedStops checks that a planned stop without other faults breaks off no request that an upstream has begun to run.
 func (s *soak) checkPlannedStops(c *call, runs []standin.Run) {
 	ran := len(runs) > 0
-	// The operator may have set a shorter timeout than the deadline, and a request that reaches it may end.
-	if limit := s.timeLimit(c); limit < callerDeadline && c.endedAt.Sub(c.sentAt) > limit-deadlineLead {
+	// The operator may have set a shorter timeout than the deadline, and a request that reaches it may end. A slow stream may take longer than a stop.
+	if limit := s.timeLimit(c); c.slow || limit < callerDeadline && c.endedAt.Sub(c.sentAt) > limit-deadlineLead {
 		return
 	}
 	for _, p := range s.plannedStops {
--- a/soakbencher/proxy.go
+++ b/soakbencher/proxy.go
@@ -28,6 +28,8 @@
 const (
 	proxyDelay        = 80 * time.Millisecond
 	proxyPollInterval = 10 * time.Millisecond
+	// proxyBuffer is the size of the buffers of a proxy's connections.
+	proxyBuffer = 64 << 10
 )
 
 // proxy forwards TCP connections on loopback to a target.
@@ -78,6 +80,12 @@
 		_ = client.Close()
 		return
 	}
+	for _, c := range []net.Conn{client, target} {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			// Larger buffers would hide from an upstream that its response is not read. The kernel may choose other sizes.
+			_, _ = tcp.SetReadBuffer(proxyBuffer), tcp.SetWriteBuffer(proxyBuffer)
+		}
+	}
 	l := &proxyConn{client: client, target: target}
 	p.mu.Lock()
 	p.conns[l] = true
--- a/soakbencher/soak.go
+++ b/soakbencher/soak.go
@@ -54,7 +54,7 @@
 	scope    scope
 }
 
-// namedEvent is the leave of an upstream with a start, or the withdrawal of an account's key from at until it is restored.
+// namedEvent is the leave of an upstream with a start, or what happens to a key, a data centre or an upstream from at until a time.
 type namedEvent struct {
 	name      string
 	start     int64
@@ -109,8 +109,14 @@
 	// requestCrasher lets the upstreams of the plain services crash on one request.
 	requestCrasher *standin.Crasher
 	limits         []limitPeriod
-	versions       map[string]bool
-	routesAdded    int
+	// evacuations holds the orders to evacuate data centres, from their acknowledgement until just before their withdrawal, dataCentres that
+	// of each upstream, and silences the times in which requests to an upstream may be held back.
+	dataCentres           map[string]string
+	evacuations, silences []namedEvent
+	// coldPerSecond is the rate of cold upstreams, from 1 to 3.
+	coldPerSecond float64
+	versions      map[string]bool
+	routesAdded   int
 
 	// drilled is closed when the drill has ended.
 	drilled       chan struct{}
@@ -138,6 +144,7 @@
 	s := &soak{
 		startedAt: time.Now(), rand: rand.New(rand.NewPCG(p.Seed, 1)), dir: dir, size: sizeForSeed(p.Seed),
 		log: &standin.RunLog{}, crasher: &standin.Crasher{}, requestCrasher: &standin.Crasher{}, results: map[string]*invariantResult{},
+		coldPerSecond: 1 + 2*rand.New(rand.NewPCG(p.Seed, 5<<32)).Float64(), dataCentres: map[string]string{},
 		versions: map[string]bool{"v1": true}, timeouts: map[standin.Kind][]setting{}, drilled: make(chan struct{}),
 	}
 	defer s.close()
@@ -153,6 +160,9 @@
 		calling.Go(func() { s.runCaller(callCtx, n, p.Seed) })
 		calling.Go(func() { s.runKeeper(callCtx, n, p.Seed) })
 	}
+	for n := range s.size.callers / 4 {
+		calling.Go(func() { s.runSlowReader(callCtx, n, p.Seed) })
+	}
 	watching.Go(func() { s.pollReadiness(ctx) })
 	watching.Go(func() { s.checkRoutes(ctx) })
 	watching.Go(func() { s.sendFatal(ctx, p.Seed) })
@@ -160,6 +170,9 @@
 	lapseCtx, stopLapses := context.WithCancel(ctx)
 	defer stopLapses()
 	watching.Go(func() { s.lapseRegistrations(lapseCtx, p.Seed) })
+	var evacuating sync.WaitGroup
+	evacuating.Go(func() { s.evacuateDataCentres(lapseCtx, p.Seed) })
+	evacuating.Go(func() { s.turnCold(lapseCtx, p.Seed) })
 	duration := p.Duration
 	if duration == 0 {
 		duration = defaultDuration
@@ -171,6 +184,7 @@
 	s.injectDisruptions(ctx, duration/2)
 	s.injectFaults(ctx, duration)
 	stopLapses()
+	evacuating.Wait()
 	s.endFaults()
 	faultsEndedAt := time.Now()
 	time.Sleep(faultFreeTime - recoveryCheckTime)
@@ -204,6 +218,10 @@
 			}
 			c.Routes = append(c.Routes, r)
 		}
+		c.Routes = append(c.Routes, standin.Route{
+			Name: "slow", Prefix: slowPrefix, Service: "engine", Kind: standin.Stream, Timeout: slowDeadline, Attempts: 3,
+		})
+		c.ColdPerSecond, c.ColdTime = s.coldPerSecond, coldStartTime
 		for _, a := range accounts {
 			c.Keys[a] = []string{"key-of-" + a}
 		}
@@ -264,7 +282,8 @@
 func (s *soak) addUpstream(service, version string) error {
 	s.mu.Lock()
 	s.upstreamsStarted++
-	name := fmt.Sprintf("u%d", s.upstreamsStarted)
+	name, dataCentre := fmt.Sprintf("u%d", s.upstreamsStarted), dataCentres[s.upstreamsStarted/2%len(dataCentres)]
+	s.dataCentres[name] = dataCentre
 	s.mu.Unlock()
 	u, err := standin.NewUpstream(s.store, s.log, name, service, version, 16)
 	if err != nil {
@@ -274,7 +293,8 @@
 	if err != nil {
 		return err
 	}
-	u.Address = p.address()
+	u.Address, u.DataCentre = p.address(), dataCentre
+	s.startCold(u)
 	switch service {
 	case "engine":
 		s.crasher.Add(u)
@@ -316,7 +336,7 @@
 	sent, served := 0, 0
 	s.mu.Lock()
 	for _, c := range s.calls {
-		if c.sentAt.After(from) && c.account == accounts[0] && c.part == "" && c.body == "" {
+		if c.sentAt.After(from) && c.account == accounts[0] && c.part == "" && c.body == "" && !c.slow {
 			sent++
 			if c.complete && c.status == 200 {
 				served++
