forwarder: no write deadline from a finished request

Cause: the function that watches for a caller that leaves may have been started, but still wait for the mutex, when the request ends; it then set an expired write deadline through the response writer of a request that had returned. Change: delivery.stop marks the delivery as stopped, and the function then does nothing.

--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -52,6 +52,8 @@
 	// writing is set while a write runs, and piece is what is written, or handed back.
 	writing bool
 	piece   []byte
+	// isStopped is set once the request may no longer use the response writer.
+	isStopped bool
 	// isTakenOver is set while the second goroutine reads, and isReturned once it has handed the reading back until the piece is written.
 	isTakenOver, isReturned bool
 	// reserved is the memory that is reserved for the piece.
@@ -282,6 +284,10 @@
 func (d *delivery) endWritesOnLeaving(ctx context.Context) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	// The function that context.AfterFunc has started already may run after the request.
+	if d.isStopped {
+		return
+	}
 	if cause := context.Cause(ctx); !errors.Is(cause, errDeadline) && !errors.Is(cause, errCallerConnection) {
 		_ = d.control.SetWriteDeadline(expired())
 	}
@@ -351,7 +357,7 @@
 	d.timer.Stop()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.writing = false
+	d.writing, d.isStopped = false, true
 	if d.stopLeaving == nil {
 		return
 	}
--- a/forwarder/delivery_internal_test.go
+++ b/forwarder/delivery_internal_test.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
 )
 
 // discarder is the response writer of a caller who reads at once.
@@ -34,3 +37,27 @@
 		}
 	})
 }
+
+// deadlineRecorder is a response writer that counts the write deadlines that are set.
+type deadlineRecorder struct {
+	discarder
+	deadlines int
+}
+
+func (r *deadlineRecorder) SetWriteDeadline(time.Time) error {
+	r.deadlines++
+	return nil
+}
+
+// Guards against a use of the response writer after the request has ended, when its caller leaves at the same moment.
+func TestLeavingAfterStopSetsNoDeadline(t *testing.T) {
+	w := &deadlineRecorder{discarder: discarder{httptest.NewRecorder()}}
+	d := newDelivery(New(), &request{}, w)
+	must.NoError(t, d.pass(t.Context(), []byte("x"), true))
+	ctx, leave := context.WithCancel(t.Context())
+	d.stopLeaving = context.AfterFunc(ctx, func() {})
+	d.stop()
+	leave()
+	d.endWritesOnLeaving(ctx)
+	must.EqOp(t, 0, w.deadlines)
+}
