forwarder: the last piece of a whole response is not cut at the deadline

Cause: a whole response of over 64 KiB that was read to its end was cut at its deadline, if its last piece waited for memory or was being written without memory for a backlog, although a response that is ready is delivered. Change: the response counts as read once the end came with its last piece; that piece waits for its caller without the deadline.

--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -40,7 +40,8 @@
 	read func(context.Context) error
 	// detach leaves the memory of the piece that is being written to the writing goroutine.
 	detach func()
-	// isWhole is set if all of the response has been read, so that reading on takes no memory.
+	// isWhole is set if all of the response has been read, so that reading on takes no memory and the end of the context loses nothing. It
+	// is set by the goroutine that reads.
 	isWhole bool
 	// timer takes the reading over, and stopLeaving ends the watch for a caller that leaves; both are nil until they are needed.
 	timer       *time.Timer
@@ -307,11 +308,16 @@
 // left to write. The caller holds d.mu.
 func (d *delivery) hold(ctx context.Context, piece []byte) error {
 	d.isPaused = false
+	done := ctx.Done()
+	if d.isWhole {
+		// The piece is the last one, and the caller gets it even after the deadline.
+		done = nil
+	}
 	for {
 		switch {
 		case d.callerErr != nil:
 			return errors.Join(errCallerConnection, d.callerErr)
-		case ctx.Err() != nil:
+		case ctx.Err() != nil && !d.isWhole:
 			return fmt.Errorf("forwarder: wait for a slow caller: %w", ctx.Err())
 		case !d.writing && len(d.backlog.chunks) == 0:
 			d.piece = piece
@@ -328,7 +334,7 @@
 		d.mu.Unlock()
 		select {
 		case <-d.toReader:
-		case <-ctx.Done():
+		case <-done:
 		}
 		d.mu.Lock()
 	}
--- a/forwarder/delivery_internal_test.go
+++ b/forwarder/delivery_internal_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/siskinfront/siskinfront/connector"
 )
 
 // discarder is the response writer of a caller who reads at once.
@@ -61,3 +66,41 @@
 	d.endWritesOnLeaving(ctx)
 	must.EqOp(t, 0, w.deadlines)
 }
+
+// readLastPiece returns a whole response, without memory for a backlog and past its deadline, and its last piece, which was just read.
+func readLastPiece(t *testing.T) (ctx context.Context, r *wholeRelay, w *deadlineRecorder, piece []byte) {
+	t.Helper()
+	w = &deadlineRecorder{discarder: discarder{httptest.NewRecorder()}}
+	body := io.NopCloser(iotest.DataErrReader(strings.NewReader("x")))
+	c := &call{response: &connector.Response{Response: &http.Response{Body: body}}}
+	r = &wholeRelay{call: c, delivery: newDelivery(New(WithMaxBacklogBytes(0)), &request{}, w)}
+	r.detach = func() { r.buf = nil }
+	piece, err := r.next()
+	must.NoError(t, err)
+	ctx, end := context.WithCancelCause(t.Context())
+	end(errDeadline)
+	return ctx, r, w, piece
+}
+
+// Guards against a whole response that is cut at its deadline, although all of it was read, because its last piece still waits.
+func TestLastPieceIsNotCutAtDeadline(t *testing.T) {
+	t.Run("being written", func(t *testing.T) {
+		ctx, r, w, piece := readLastPiece(t)
+		r.beginWrite(ctx, piece)
+		must.True(t, r.beginTakeOver(ctx))
+		must.EqOp(t, 0, w.deadlines)
+	})
+	t.Run("handed back", func(t *testing.T) {
+		ctx, r, _, piece := readLastPiece(t)
+		r.toWriter, r.toReader = make(chan struct{}, 1), make(chan struct{}, 1)
+		r.isTakenOver, r.writing = true, true
+		result := make(chan error, 1)
+		go func() { result <- r.pass(ctx, piece, false) }()
+		time.Sleep(10 * time.Millisecond)
+		r.mu.Lock()
+		r.writing = false
+		r.recordWritten(nil)
+		r.mu.Unlock()
+		must.ErrorIs(t, <-result, errHandedOver)
+	})
+}
--- a/forwarder/unary.go
+++ b/forwarder/unary.go
@@ -157,6 +157,7 @@
 		}
 		var n int
 		if n, r.err = r.call.response.Read(r.buf); n > 0 {
+			r.isWhole = errors.Is(r.err, io.EOF)
 			return r.buf[:n], nil
 		}
 	}
