confirmer: clocks of others are asked for again after this one stood still

Cause: after a suspension of the machine the clocks of all others seemed to run ahead. Their stamps were rejected until the measurement expired, up to 4 minutes, but those that were late by more than the suspension counted as too young. Change: a stamp of the future drops the measurement, so that the clock is asked for again and no stamp counts until then. Result: TestSuspendedClock (5 s of suspension) fails before and passes now; 1 file of code.

--- a/confirmer/clock.go
+++ b/confirmer/clock.go
@@ -80,8 +80,13 @@
 	}
 	age := now.Sub(p.measuredAt)
 	at := p.zero.Add(s.Sent - time.Duration(drift*float64(age)))
-	if age >= maxClockAge || at.After(now) {
-		// A stamp of the future is not of the clock that was measured.
+	if at.After(now) {
+		// The clock of this entry has stood still since, as in a suspended machine, or the stamp is not of the clock that was measured.
+		p.measuredAt = time.Time{}
+		c.peers[from] = p
+		return time.Time{}
+	}
+	if age >= maxClockAge {
 		return time.Time{}
 	}
 	return at
--- a/confirmer/clock_test.go
+++ b/confirmer/clock_test.go
@@ -93,6 +93,24 @@
 	must.EqOp(t, 0, p.self.NumKnown())
 }
 
+// Guards against claims that count as younger than they are, and against minutes without confirmations, after this entry's clock has stood still
+// for seconds, as that of a suspended machine does.
+func TestSuspendedClock(t *testing.T) {
+	p := newPair()
+	var suspended time.Duration
+	p.self = confirmer.NewClocks(func() time.Time { return p.clock.Add(-suspended) })
+	p.exchange(t, 0, 0)
+	p.clock = p.clock.Add(10 * time.Second)
+	suspended = 5 * time.Second
+	late := p.other.Stamp()
+	must.True(t, p.self.TimeOf(peer[0], late).IsZero())
+
+	p.clock = p.clock.Add(6 * time.Second)
+	must.True(t, p.self.TimeOf(peer[0], late).IsZero())
+	p.exchange(t, 0, 0)
+	must.EqOp(t, p.clock.Add(-suspended), p.self.TimeOf(peer[0], p.other.Stamp()))
+}
+
 // Guards against entries that are asked too often, or one after the other so slowly that some stay unknown.
 func TestQuestionsAreSpread(t *testing.T) {
 	p := newPair()
