follower: the copy counts as current as of what other entries confirm

Cause: ConfirmedAt moved with own replies only, so with shared-confirmations a hold of an evacuation ended, and the age of the configuration fell, up to 20 s late. Change: it returns the later of the last own reply and the last confirmation by a claim; while a reply is not yet applied, the former alone.

--- a/confirmer/fault_test.go
+++ b/confirmer/fault_test.go
@@ -243,3 +243,23 @@
 		})
 	}
 }
+
+// Guards against holds of evacuations and an age of the configuration that wait for the end of a call of 20 s although other entries confirm, and
+// against a copy that counts as current after a change that it lacks.
+func TestConfirmedAtFollowsClaims(t *testing.T) {
+	runFleet(t, 9, true, func(t *testing.T, f *fleet) {
+		for range 200 {
+			time.Sleep(150 * time.Millisecond)
+			for _, e := range f.entries {
+				must.LessEq(t, bound, e.now().Sub(e.follower.ConfirmedAt()))
+			}
+		}
+		x := f.entries[victim]
+		x.set(func(e *entry) { e.err = errRefused })
+		x.silence()
+		p, began := f.write(), x.now()
+		f.mustApplyWithin(t, p, 500*time.Millisecond, victim)
+		time.Sleep(10 * time.Second)
+		must.False(t, x.follower.ConfirmedAt().After(began))
+	})
+}
--- a/confirmer/state.go
+++ b/confirmer/state.go
@@ -48,6 +48,13 @@
 	return t.position
 }
 
+// ConfirmedAt returns the latest time as of which the copy is known to be current.
+func (t *Table) ConfirmedAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.confirmedAt
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -77,9 +77,11 @@
 	// Confirmer decides how long calls may wait from what other entries tell of the table; it is nil for the Pace alone.
 	Confirmer *confirmer.Table
 
-	held                                                       heldCall
-	position                                                   atomic.Pointer[storer.Position]
-	confirmedAt                                                atomic.Int64
+	held        heldCall
+	position    atomic.Pointer[storer.Position]
+	confirmedAt atomic.Int64
+	// applying is set while a reply is known to the Confirmer but not yet applied.
+	applying                                                   atomic.Bool
 	reads, calls, failures, staleReplies, rateLimited, returns atomic.Int64
 	inOutage                                                   bool
 	// copyEnd is the CopyEnd of batches of the present era.
@@ -205,6 +207,8 @@
 		f.callFailed()
 		return errReturned
 	}
+	f.applying.Store(true)
+	defer f.applying.Store(false)
 	if f.Confirmer != nil {
 		f.Confirmer.Replied(confirmer.Reply{
 			At: position, LastChange: extent.LastChange, All: readAll, HasRows: extent.LastChange > 0, Began: began, Wait: wait,
@@ -278,12 +282,23 @@
 	f.OnOutage()
 }
 
-// ConfirmedAt returns when the copy was last known to be current, or the zero time before the first read.
+// ConfirmedAt returns when the copy was last known to be current, by a reply or by what other entries tell, or the zero time before the first
+// read.
 func (f *Follower[T]) ConfirmedAt() time.Time {
-	if n := f.confirmedAt.Load(); n != 0 {
-		return time.Unix(0, n)
+	var shared time.Time
+	if f.Confirmer != nil {
+		// Read before applying is, as otherwise a reply and a claim in between could confirm what is not applied.
+		shared = f.Confirmer.ConfirmedAt()
+	}
+	n := f.confirmedAt.Load()
+	if n == 0 {
+		return time.Time{}
+	}
+	own := time.Unix(0, n)
+	if !f.applying.Load() && shared.After(own) {
+		return shared
 	}
-	return time.Time{}
+	return own
 }
 
 // Position returns the position of the store up to which the copy is complete, or the zero position before the first read.
