follower: a check with an earlier position confirms nothing

Cause: a reply to a check from before the copy names no later change, so it confirmed the copy and was told to all; a held call refuses such replies. Change: check counts it as stale and ends there, so that other entries make the confirmation. Result: TestStaleChecks (4, 9 and 30 entries, 16 phases) fails before with an age of 1.09 s after 2.3 s, and passes now.

--- a/confirmer/fault_test.go
+++ b/confirmer/fault_test.go
@@ -263,3 +263,18 @@
 		must.False(t, x.follower.ConfirmedAt().After(began))
 	})
 }
+
+// Guards against a check that confirms the copy by a reply with an earlier position than the copy has.
+func TestStaleChecks(t *testing.T) {
+	atPhases(t, func(t *testing.T, f *fleet) {
+		for _, e := range f.entries {
+			e.silence()
+			e.set(func(e *entry) { e.stale = true })
+		}
+		began := time.Now()
+		time.Sleep(2300 * time.Millisecond)
+		for _, e := range f.entries {
+			must.GreaterEq(t, time.Since(began)-50*time.Millisecond, e.now().Sub(e.follower.ConfirmedAt()))
+		}
+	})
+}
--- a/confirmer/fleet_test.go
+++ b/confirmer/fleet_test.go
@@ -53,9 +53,11 @@
 	silentBefore time.Time
 	silent       bool
 	err          error
-	applied      map[storer.Position]time.Time
-	received     []time.Time
-	bytes        int
+	// stale is set if calls without a wait are answered with an earlier position than they name.
+	stale    bool
+	applied  map[storer.Position]time.Time
+	received []time.Time
+	bytes    int
 }
 
 // runFleet runs a test with a fleet after it has run for 40 s, so that calls wait on confirmations.
@@ -252,6 +254,12 @@
 			if err != nil {
 				return nil, storer.Extent{}, err
 			}
+			e.mu.Lock()
+			stale := e.stale && wait == 0
+			e.mu.Unlock()
+			if stale {
+				return nil, storer.Extent{Position: storer.Position{Era: after.Era, Version: after.Version - 1}}, e.end(ctx, began)
+			}
 			timeout := time.After(wait)
 			for timedOut := false; ; {
 				e.fleet.mu.Lock()
--- a/follower/confirm.go
+++ b/follower/confirm.go
@@ -82,10 +82,16 @@
 	defer cancel()
 	began := f.Now()
 	f.calls.Add(1)
-	_, extent, err := f.Changes(ctx, f.Confirmer.Position(), 0)
-	if err != nil {
+	after := f.Confirmer.Position()
+	_, extent, err := f.Changes(ctx, after, 0)
+	switch {
+	case err != nil:
 		f.failures.Add(1)
 		return
+	case extent.Position.Before(after):
+		// A reply from before the copy shows no later change.
+		f.staleReplies.Add(1)
+		return
 	}
 	f.Confirmer.Checked(confirmer.Reply{At: extent.Position, LastChange: extent.LastChange, Began: began})
 }
