confirmer: news end only calls that wait on confirmations

Cause: news of a change also ended the call repeated after them, 0.2 s later and once a second, so a reply that takes up to 1.2 s to arrive could be cut again and again. Change: claims and checks that name a later change end calls of 20 s alone; the others are bounded by the old pace.

--- a/confirmer/fault_test.go
+++ b/confirmer/fault_test.go
@@ -278,3 +278,15 @@
 		}
 	})
 }
+
+// Guards against calls that news end again and again before a reply that takes long to arrive is read.
+func TestSlowReply(t *testing.T) {
+	for _, slow := range []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1200 * time.Millisecond} {
+		atPhases(t, func(t *testing.T, f *fleet) {
+			x := f.entries[victim]
+			x.set(func(e *entry) { e.slow = slow })
+			f.mustApplyWithin(t, f.write(), bound)
+			must.LessEq(t, 2, x.table.Counters()["given-up"])
+		})
+	}
+}
--- a/confirmer/fleet_test.go
+++ b/confirmer/fleet_test.go
@@ -54,7 +54,9 @@
 	silent       bool
 	err          error
 	// stale is set if calls without a wait are answered with an earlier position than they name.
-	stale    bool
+	stale bool
+	// slow is how long a reply with changes takes to arrive.
+	slow     time.Duration
 	applied  map[storer.Position]time.Time
 	received []time.Time
 	bytes    int
@@ -270,7 +272,7 @@
 				case lost:
 					return nil, storer.Extent{}, errors.Join(follower.ErrHistoryLost, e.end(ctx, began))
 				case n > 0 || timedOut:
-					return rows, at, e.end(ctx, began)
+					return rows, at, errors.Join(e.transfer(ctx, n), e.end(ctx, began))
 				}
 				select {
 				case <-ctx.Done():
@@ -284,6 +286,17 @@
 	}
 }
 
+// transfer waits while a reply with some changes arrives.
+func (e *entry) transfer(ctx context.Context, changes int) error {
+	e.mu.Lock()
+	slow := e.slow
+	e.mu.Unlock()
+	if changes == 0 {
+		return nil
+	}
+	return storer.Sleep(ctx, slow)
+}
+
 // after returns the changes after a version.
 func (f *fleet) after(version uint64) ([]uint64, storer.Extent, int) {
 	f.mu.Lock()
--- a/confirmer/table.go
+++ b/confirmer/table.go
@@ -226,7 +226,8 @@
 	case t.position == (storer.Position{}) || c.Era < t.position.Era:
 	case c.Era > t.position.Era || t.position.Before(lowest):
 		t.behind.Add(1)
-		if t.calling && t.behindAt.IsZero() && now.Sub(t.reaskedAt) >= minReask {
+		// The other calls keep the bound without news, and a reply that takes long to arrive needs one that is not cut.
+		if t.calling && t.long && t.behindAt.IsZero() && now.Sub(t.reaskedAt) >= minReask {
 			t.behindAt = now
 		}
 	case !made.IsZero() && !t.position.Before(highest):
@@ -308,7 +309,7 @@
 			t.round++
 			claim = t.claim(now)
 		}
-	case t.calling && t.behindAt.IsZero():
+	case t.calling && t.long && t.behindAt.IsZero():
 		t.behindAt = t.now()
 	}
 	t.mu.Unlock()
