runner: confirmations of the operator's table keep evacuate-time

Cause: with shared-confirmations the operator's table was read at the pace of apply-time alone, so an evacuate-time below it was not kept. Change: both paces come from Settings.operatorBound, the shorter of the two times. Result: the wait with 2 s for evacuations and 5 s for configurations is 4 s before and 1 s now (TestConfirmationsKeepEvacuateTime).

--- a/runner/confirmations.go
+++ b/runner/confirmations.go
@@ -34,7 +34,7 @@
 		enabled: s.SharedConfirmations && s.PeerAddress.IsValid(), sharing: r.sharing, clocks: confirmer.NewClocks(time.Now),
 	}
 	x.upstreams = x.newTable(upstreamsID, func() pacer.Pace { return r.upstreams.Pace() })
-	x.operator = x.newTable(operatorID, r.paceWithin(s.ApplyTime))
+	x.operator = x.newTable(operatorID, r.paceWithin(s.operatorBound()))
 	r.confirmations = x
 	if !x.enabled {
 		return
--- a/runner/confirmations_internal_test.go
+++ b/runner/confirmations_internal_test.go
@@ -41,6 +41,15 @@
 	}
 }
 
+// Guards against evacuations that take until apply-time although evacuate-time is shorter.
+func TestConfirmationsKeepEvacuateTime(t *testing.T) {
+	r, _ := newConfirmingRunner(func(s *Settings) {
+		s.ApplyTime, s.EvacuateTime, s.ReconnectTime = 5*time.Second, 2*time.Second, 7*time.Second
+	})
+	_, wait := r.confirmations.operator.Begin(0)
+	must.EqOp(t, time.Second, wait)
+}
+
 // Guards against datagrams of addresses that are no entries, of unknown tables or in another format, which must change nothing.
 func TestForeignDatagrams(t *testing.T) {
 	r, _ := newConfirmingRunner(func(*Settings) {})
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -187,7 +187,7 @@
 		return p
 	}
 	r.upstreams.OnOutage = r.registrar.MarkStoreUnavailable
-	r.operator = p.FollowOperator(r.paceWithin(min(s.ApplyTime, s.EvacuateTime)), log, OperatorEvents{
+	r.operator = p.FollowOperator(r.paceWithin(s.operatorBound()), log, OperatorEvents{
 		Configuration: r.applyConfiguration, Order: r.rollouts.addOrder, Evacuations: r.evacuator.Apply, Returned: r.rollouts.storeReturned,
 	})
 	r.shareConfirmations()
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -89,6 +89,11 @@
 	Slack float64 `yaml:"slack" validate:"gte=0"`
 }
 
+// operatorBound returns the time within which a change of the operator's table must be in force.
+func (s *Settings) operatorBound() time.Duration {
+	return min(s.ApplyTime, s.EvacuateTime)
+}
+
 func (s *Settings) coldBound() throttler.ColdBound {
 	return throttler.ColdBound{Over: s.Cold.Over, Slack: s.Cold.Slack}
 }
