--- a/confirmer/fault_test.go
+++ b/confirmer/fault_test.go
@@ -243,3 +243,50 @@
 		})
 	}
 }
+
+// Guards against holds of evacuations and an age of the configuration that wait for the end of a call of 20 s although other entries confirm, and
+// against a copy that counts as current after a change that it lacks.
+func TestConfirmedAtFollowsClaims(t *testing.T) {
+	runFleet(t, 9, true, func(t *testing.T, f *fleet) {
+		for range 200 {
+			time.Sleep(150 * time.Millisecond)
+			for _, e := range f.entries {
+				must.LessEq(t, bound, e.now().Sub(e.follower.ConfirmedAt()))
+			}
+		}
+		x := f.entries[victim]
+		x.set(func(e *entry) { e.err = errRefused })
+		x.silence()
+		p, began := f.write(), x.now()
+		f.mustApplyWithin(t, p, 500*time.Millisecond, victim)
+		time.Sleep(10 * time.Second)
+		must.False(t, x.follower.ConfirmedAt().After(began))
+	})
+}
+
+// Guards against a check that confirms the copy by a reply with an earlier position than the copy has.
+func TestStaleChecks(t *testing.T) {
+	atPhases(t, func(t *testing.T, f *fleet) {
+		for _, e := range f.entries {
+			e.silence()
+			e.set(func(e *entry) { e.stale = true })
+		}
+		began := time.Now()
+		time.Sleep(2300 * time.Millisecond)
+		for _, e := range f.entries {
+			must.GreaterEq(t, time.Since(began)-50*time.Millisecond, e.now().Sub(e.follower.ConfirmedAt()))
+		}
+	})
+}
+
+// Guards against calls that news end again and again before a reply that takes long to arrive is read.
+func TestSlowReply(t *testing.T) {
+	for _, slow := range []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1200 * time.Millisecond} {
+		atPhases(t, func(t *testing.T, f *fleet) {
+			x := f.entries[victim]
+			x.set(func(e *entry) { e.slow = slow })
+			f.mustApplyWithin(t, f.write(), bound)
+			must.LessEq(t, 2, x.table.Counters()["given-up"])
+		})
+	}
+}
