--- a/follower/confirm.go
+++ b/follower/confirm.go
@@ -88,7 +88,7 @@
 	case err != nil:
 		f.failures.Add(1)
 		return
-	case extent.Position.Before(after):
+	case extent.Before(after):
 		// A reply from before the copy shows no later change.
 		f.staleReplies.Add(1)
 		return
--- a/forwarder/slow_leaving_test.go
+++ b/forwarder/slow_leaving_test.go
@@ -32,7 +32,7 @@
 		path := []string{"/stream/", "/unresumable/", "/once/"}[i%3]
 		c := f.open(path, fmt.Sprint("r", i), 5000)
 		go func() {
-			defer c.Close()
+			defer func() { _ = c.Close() }()
 			time.Sleep(time.Duration(2*i) * time.Millisecond)
 			_ = c.SetReadBuffer(1 << 20)
 			_, _ = io.CopyN(io.Discard, bufio.NewReader(c), int64(i%8)*(32<<10))
