confirmer, follower: tests of claims after a whole read and during Apply

Cause: no test found a claim that names the last row read as the last change, which hides a removal, or a copy confirmed before it is applied. Change: TestClaimAfterReadOfWholeTable and TestClaimDuringApply; no code.

--- a/confirmer/table_test.go
+++ b/confirmer/table_test.go
@@ -206,3 +206,17 @@
 		must.Eq(t, []confirmer.Claim{{Table: tableID, Era: 1, Lowest: 20, Highest: 20}}, s.told)
 	}
 }
+
+// Guards against a removal that a silent connection hides elsewhere: a whole table that was read does not show its version, so a claim from it
+// may not name the last row as the last change.
+func TestClaimAfterReadOfWholeTable(t *testing.T) {
+	s := newSingle(t, 0)
+	s.Replied(confirmer.Reply{At: storer.Position{Era: 1, Version: 30}, LastChange: 20, All: true, HasRows: true, Began: s.clock})
+	s.begin(t, confirmer.MaxWait)
+	s.clock = s.clock.Add(2 * time.Second)
+	s.mustBeDue(t, confirmer.Check)
+	s.Checked(confirmer.Reply{At: storer.Position{Era: 1, Version: 31}, Began: s.clock})
+	must.SliceLen(t, 1, s.told)
+	must.EqOp(t, 20, s.told[0].Lowest)
+	must.EqOp(t, 30, s.told[0].Highest)
+}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"github.com/siskinfront/siskinfront/confirmer"
 	"github.com/siskinfront/siskinfront/follower"
 	"github.com/siskinfront/siskinfront/pacer"
 	"github.com/siskinfront/siskinfront/storer"
@@ -369,3 +370,31 @@
 		must.Eq(t, []time.Time{{}, first}, confirmed[:2])
 	})
 }
+
+// Guards against a copy that another entry's claim confirms between the reply that it names and the end of Apply.
+func TestClaimDuringApply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{era: 1, version: 1}
+		var f *follower.Follower[uint64]
+		table := confirmer.New(1, confirmer.WithPace(func() pacer.Pace { return pacer.Pace{Wait: 2 * time.Second, Pause: 200 * time.Millisecond} }))
+		var confirmed []time.Time
+		f = follower.New(s.source(), func(b follower.Batch[uint64]) {
+			time.Sleep(50 * time.Millisecond)
+			table.Receive(confirmer.Claim{Table: 1, Era: b.At.Era, Lowest: b.At.Version, Highest: b.At.Version}, time.Now())
+			confirmed = append(confirmed, f.ConfirmedAt())
+		}, slog.New(slog.DiscardHandler))
+		f.Confirmer = table
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		s.write()
+		time.Sleep(time.Second)
+		cancel()
+		must.NoError(t, <-done)
+		must.SliceLen(t, 2, confirmed)
+		must.True(t, confirmed[0].IsZero())
+		must.False(t, confirmed[1].After(began))
+	})
+}
