--- a/runner/settings_test.go
+++ b/runner/settings_test.go
@@ -84,7 +84,7 @@
 	must.EqOp(t, 0.9, s.Retries.Ratio)
 	must.EqOp(t, 2*time.Second, s.LeaveTime)
 	must.EqOp(t, 4*time.Second, s.ApplyTime)
-	must.True(t, s.EvenLoad)
+	must.False(t, s.EvenLoad)
 	must.EqOp(t, 6*time.Second, s.EvacuateTime)
 	s, err = runner.ParseSettings("entry.yaml", []byte(renderTemplateWith(t, nil)))
 	must.NoError(t, err)
