soakbencher: answers of a bad version are not lost by an evacuation

Change: a status from 500 counts as lost unless the response has the stamp of an upstream that ran the request. A failure of the entry (no stamp), one of an upstream that did not run it, and a response that breaks off count as before. Result: TestLostByEvacuation, 9 cases, passes; its case of a bad version fails with the check of before.

--- a/soakbencher/evacuate.go
+++ b/soakbencher/evacuate.go
@@ -122,9 +122,15 @@
 				!r.At.Before(x.at.Add(evacuateTime)) || !x.at.Before(c.endedAt) || !x.until.After(r.At) || s.mayBeLate(r.Upstream, r.At) {
 				continue
 			}
-			s.check(invariantEvacuationLoses, c.complete && c.status < http.StatusInternalServerError || s.excusedByStop(c),
+			s.check(invariantEvacuationLoses, c.complete && (c.status < http.StatusInternalServerError || c.isAnswerOf(runs)) || s.excusedByStop(c),
 				"%v; evacuated %v before its end; runs %+v", c, c.endedAt.Sub(x.at), runs)
 			return
 		}
 	}
 }
+
+// isAnswerOf reports whether the response names an upstream that has run the request. Upstreams of a bad version answer with 500, which
+// entries pass on; a failure of an entry names no upstream.
+func (c *call) isAnswerOf(runs []standin.Run) bool {
+	return slices.ContainsFunc(runs, func(r standin.Run) bool { return r.Upstream == c.upstream })
+}
