quarantiner: an objection ends the block in the store too

Cause: an entry that had just started blocked a part that all prompts share, by crashes of which others told it. Another entry that answered requests with the part objected in a datagram, which clears it at the entries that run then, but the row in the store stayed. Change: an entry that objects writes the row as cleared.

--- a/quarantiner/decide.go
+++ b/quarantiner/decide.go
@@ -53,7 +53,7 @@
 }
 
 // object tells the other entries that a part which one of them has blocked was answered here, unless another entry has done so since a
-// time.
+// time, and has the block ended in the store, from which entries that start later learn it.
 func (q *Quarantine) object(p Part, since time.Time) {
 	q.mu.Lock()
 	if at, ok := q.sharedAt[p]; ok && !at.Before(since) {
@@ -63,6 +63,7 @@
 	q.sharedAt[p] = q.now()
 	q.mu.Unlock()
 	q.share(Fact{Answered: []Part{p}})
+	q.onBlock(Block{Part: p, Cleared: true})
 }
 
 // widen lets blocks hold for everyone if upstreams also crashed on requests of other accounts.
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -255,6 +255,24 @@
 	must.False(t, quiet.refuses(one, common))
 }
 
+// Guards against a block that stays in the store although an entry has objected to it, and that entries which start later take from there: in
+// soaks they refused all prompts with a part that the others answered (issue 12).
+func TestObjectionEndsStoredBlock(t *testing.T) {
+	c := newClock()
+	busy, starting := newFixture(c), newFixture(c)
+	busy.Answered([]quarantiner.Part{common})
+	c.advance(time.Second)
+	stored := quarantiner.Block{Part: common, Scope: quarantiner.Scope{Everyone: true}}
+	busy.ApplyBlock(stored)
+	must.SliceEmpty(t, busy.blocks)
+	c.advance(time.Second)
+	must.Eq(t, []quarantiner.Block{{Part: common, Cleared: true}}, busy.blocks)
+	starting.ApplyBlock(stored)
+	must.True(t, starting.refuses(one, common))
+	starting.ApplyBlock(busy.blocks[0])
+	must.False(t, starting.refuses(one, common))
+}
+
 // Guards against a datagram of each entry to each other one when all decide on the same block or object to it.
 func TestFewEntriesTellOfTheSameBlock(t *testing.T) {
 	c := newClock()
--- a/runner/sharing_internal_test.go
+++ b/runner/sharing_internal_test.go
@@ -181,6 +181,37 @@
 	})
 }
 
+// Guards against a block of an answered part that stays in the store, from which entries that start later take it, also if the objections get
+// lost or the store is out as they are made (issue 12).
+func TestObjectionIsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newSharedTable()
+		a, b := startSharing(t, x, "a"), startSharing(t, x, "b")
+		time.Sleep(time.Second)
+		answering, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for storer.Sleep(answering, 200*time.Millisecond) == nil {
+				b.quarantine.Answered([]quarantiner.Part{7})
+			}
+		}()
+		blockPart(a, 7)
+		must.True(t, a.quarantine.Admit("one", []quarantiner.Part{7}).Refused)
+		time.Sleep(3 * time.Second)
+		x.setOut(true)
+		time.Sleep(3 * time.Second)
+		x.setOut(false)
+		time.Sleep(10 * time.Second)
+		must.False(t, a.quarantine.Admit("one", []quarantiner.Part{7}).Refused)
+		c := startSharing(t, x, "c")
+		time.Sleep(5 * time.Second)
+		must.False(t, c.quarantine.Admit("one", []quarantiner.Part{7}).Refused)
+		stop()
+		<-done
+	})
+}
+
 // Guards against a trial by each entry instead of one by all of them, and against trials without the store.
 func TestTrialsAreClaimed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
