--- a/balancer/option.go
+++ b/balancer/option.go
@@ -43,6 +43,9 @@
 	maxUses       int64
 	probeRate     float64
 	evenLoad      bool
+	// penalties are those for the distances, which localPreference lowers where there is little room.
+	penalties       penalties
+	localPreference bool
 }
 
 // Option configures a Balancer.
@@ -116,6 +119,11 @@
 	return func(o *options) { o.evenLoad = true }
 }
 
+// WithLocalPreference prefers upstreams of the own data centre unless they have clearly more load than others.
+func WithLocalPreference() Option {
+	return func(o *options) { o.penalties, o.localPreference = localPenalties, true }
+}
+
 func defaultDistance(self identifier.DataCentre, region identifier.Region, u Upstream) int {
 	switch {
 	case u.DataCentre == self:
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -18,7 +18,15 @@
 
 // distancePenalties are the additional loads of farther upstreams by distance: a number of requests and a share of the mean
 // load. Between the data centres of a region the latency is 1 to 2 ms, which is little compared with the time of a token.
-var distancePenalties = [distanceCount]struct{ constant, relative float64 }{{0, 0}, {0.1, 0.02}, {1, 0.25}}
+var distancePenalties = penalties{{0, 0}, {0.1, 0.02}, {1, 0.25}}
+
+// localPenalties are those with a preference for the own data centre, where traffic between data centres has a price. While upstreams have room,
+// another data centre is used once its upstreams have a quarter less load, so that neither a data centre with few upstreams nor one with many
+// callers is left alone. The less room there is, the lower they are: where slots are few, callers would wait for a local one.
+var localPenalties = penalties{{0, 0}, {1, 0.25}, {2, 0.5}}
+
+// penalties hold a number of requests and a share of the mean load for each distance.
+type penalties [distanceCount]struct{ constant, relative float64 }
 
 // betterThan reports whether a is preferred to o: one that is not suspect, then one that is not overloaded, then one that is
 // not full, then the one with less load, including the penalty for its distance.
@@ -179,13 +187,27 @@
 	} else if slowdown := p.slowdown(c.tracked); slowdown > 1 {
 		load = (load+1)*slowdown - 1
 	}
-	penalty := distancePenalties[c.distance]
 	return scoredCandidate{
-		candidate: c, load: load + penalty.constant + penalty.relative*mean, overloaded: overloaded, full: full,
+		candidate: c, load: load + b.distancePenalty(c, mean), overloaded: overloaded, full: full,
 		suspect: c.tracked.isStalled.Load() && p.avoidsStalled() || sampleExpired && q.BusyRefusals >= maxBusyRefusals,
 	}
 }
 
+// distancePenalty returns the additional load of a candidate for its distance, in requests, at a mean load of all.
+func (b *Balancer) distancePenalty(c *candidate, mean float64) float64 {
+	p := b.opts.penalties[c.distance]
+	if b.opts.localPreference && c.distance != sameDataCentre {
+		least := distancePenalties[c.distance]
+		room := 1.0
+		if slots := c.tracked.slots.Load(); slots > 0 {
+			room = max(1-mean/float64(slots), 0)
+		}
+		p.constant = least.constant + room*(p.constant-least.constant)
+		p.relative = least.relative + room*(p.relative-least.relative)
+	}
+	return p.constant + p.relative*mean
+}
+
 func (b *Balancer) isUsable(c *candidate, q *Query) bool {
 	return !c.tracked.isLeaving.Load() && c.tracked.breaker.retryAt.Load() == 0 && !isExcluded(c, q)
 }
--- a/balancer/simulation_test.go
+++ b/balancer/simulation_test.go
@@ -58,11 +58,18 @@
 	hasPrefixes bool
 	// isAllKnowing lets each request go to the upstream with the fewest requests.
 	isAllKnowing bool
+	// dataCentres is the number of data centres over which entries and upstreams are spread, one if it is 0. The entries of the first one get
+	// firstShare of the requests, or their part if it is 0.
+	dataCentres int
+	firstShare  float64
+	options     []balancer.Option
 }
 
-// evenness is the result of a simulation: the requests of the busiest upstream over their mean, and the times that requests waited.
+// evenness is the result of a simulation: the requests of the busiest upstream over their mean, and the times in ms that requests waited.
 type evenness struct {
 	busiest, meanWait, p99Wait float64
+	// crossed is the share of the requests that went to another data centre.
+	crossed float64
 }
 
 func (e evenness) String() string {
@@ -75,17 +82,21 @@
 	after := func(x time.Duration, f func()) { heap.Push(queue, event{now + x, f}) }
 	upstreams, list, index := make([]simulatedUpstream, d.upstreams), make([]balancer.Upstream, d.upstreams), map[identifier.Upstream]int{}
 	for i := range list {
-		list[i] = balancer.Upstream{Name: identifier.Upstream(fmt.Sprint("u", i)), Service: "s", DataCentre: "dc", Region: "r"}
+		list[i] = balancer.Upstream{Name: identifier.Upstream(fmt.Sprint("u", i)), Service: "s", DataCentre: d.dataCentre(i), Region: "r"}
 		index[list[i].Name] = i
 	}
 	balancers := make([]*balancer.Balancer, d.entries)
 	for i := range balancers {
-		balancers[i] = balancer.New("dc", balancer.WithSelf(identifier.Instance(fmt.Sprint("e", i))), withSeed(uint64(i)),
-			balancer.WithNow(func() time.Time { return start.Add(now) }), balancer.WithSubsetSize(d.upstreams), balancer.WithWaitingWeight(3))
+		balancers[i] = balancer.New(d.dataCentre(i), append([]balancer.Option{
+			balancer.WithSelf(identifier.Instance(fmt.Sprint("e", i))), withSeed(uint64(i)),
+			balancer.WithNow(func() time.Time { return start.Add(now) }), balancer.WithSubsetSize(d.upstreams), balancer.WithWaitingWeight(3),
+		}, d.options...)...)
 		balancers[i].Update(list)
 	}
 	var waits []float64
-	send := func(b *balancer.Balancer) {
+	crossed := 0
+	send := func(entry int) {
+		b := balancers[entry]
 		var chosen int
 		if d.isAllKnowing {
 			for i := range upstreams {
@@ -104,6 +115,9 @@
 			}
 			chosen = index[u.Name]
 		}
+		if list[chosen].DataCentre != d.dataCentre(entry) {
+			crossed++
+		}
 		u, name, arrivedAt := &upstreams[chosen], list[chosen].Name, now
 		u.arrived++
 		b.Begin(name)
@@ -132,7 +146,7 @@
 	interval := float64(simulatedWork) / (d.load * float64(d.upstreams*d.slots))
 	var arrive func()
 	arrive = func() {
-		send(balancers[rng.IntN(d.entries)])
+		send(d.entry(rng))
 		if requests--; requests > 0 {
 			after(time.Duration(rng.ExpFloat64()*interval), arrive)
 		}
@@ -151,7 +165,25 @@
 		sum += w
 	}
 	slices.Sort(waits)
-	return evenness{float64(most*d.upstreams) / float64(len(waits)), sum / float64(len(waits)), waits[len(waits)*99/100]}
+	n := float64(len(waits))
+	return evenness{float64(most*d.upstreams) / n, sum / n, waits[len(waits)*99/100], float64(crossed) / n}
+}
+
+// dataCentre returns the data centre of the i-th entry or upstream.
+func (d deployment) dataCentre(i int) identifier.DataCentre {
+	return identifier.DataCentre(fmt.Sprint("dc", i%max(d.dataCentres, 1)))
+}
+
+// entry returns the entry that gets a request.
+func (d deployment) entry(r *rand.Rand) int {
+	i := r.IntN(d.entries)
+	if d.firstShare > 0 {
+		inFirst := r.Float64() < d.firstShare
+		for (i%d.dataCentres == 0) != inFirst {
+			i = r.IntN(d.entries)
+		}
+	}
+	return i
 }
 
 // Guards against equal upstreams of which some are busy while others are free, at the sizes of the users' sites: with and without prefixes.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -146,6 +146,9 @@
 	if s.EvenLoad {
 		balancing = append(balancing, balancer.WithEvenLoad())
 	}
+	if s.LocalPreference {
+		balancing = append(balancing, balancer.WithLocalPreference())
+	}
 	r.balancer = balancer.New(s.DataCentre, balancing...)
 	r.pool = connector.New(connector.WithEcho(p.Headers.RequestID))
 	calls := &rolloutCalls{}
