--- a/balancer/affinity.go
+++ b/balancer/affinity.go
@@ -33,7 +33,9 @@
 ) scoredCandidate {
 	if session != 0 {
 		if c := b.sessions.lookup(s, session, now); c != nil && slices.Contains(c.pools, p) && b.isUsable(c, q) {
-			if preferred := b.score(p, q, c, mean, nowNanos); b.keepsAffinity(preferred, best, defaultPrefixRatio, mean) {
+			// The preference for the own data centre does not move a session, whose prompt so far is cached.
+			preferred := b.score(p, q, c, mean, nowNanos)
+			if b.keepsAffinity(preferred.withoutPreference(), best.withoutPreference(), defaultPrefixRatio, mean) {
 				return preferred
 			}
 		}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -77,7 +77,7 @@
 // New returns a balancer without upstreams for an entry in the data centre self.
 func New(self identifier.DataCentre, opts ...Option) *Balancer {
 	o := options{
-		now: time.Now, random: rand.Uint64, distance: defaultDistance, subset: defaultSubset, waitingWeight: 1, choices: defaultChoices, penalties: distancePenalties,
+		now: time.Now, random: rand.Uint64, distance: defaultDistance, subset: defaultSubset, waitingWeight: 1, choices: defaultChoices,
 		maxAge: defaultMaxAge, halfAge: defaultHalfAge, maxUses: defaultMaxUses, probeRate: DefaultProbeRate,
 	}
 	for _, opt := range opts {
--- a/balancer/local_test.go
+++ b/balancer/local_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
 	"github.com/siskinfront/siskinfront/balancer"
+	"github.com/siskinfront/siskinfront/streamer"
 )
 
 // Guards against requests that go to another data centre although their own one has as much room, and against a preference for the own one
@@ -61,3 +63,34 @@
 	must.NoError(t, err)
 	must.SliceContains(t, []string{"u1", "u2"}, string(u.Name))
 }
+
+// Guards against sessions that leave the upstream which has their prompt cached because it is in another data centre.
+func TestLocalPreferenceKeepsSessions(t *testing.T) {
+	for _, options := range [][]balancer.Option{nil, {balancer.WithLocalPreference()}} {
+		now := start
+		b := balancer.New("dc1", append(options, balancer.WithNow(func() time.Time { return now }))...)
+		list := []balancer.Upstream{
+			{Name: "local", Service: "s", DataCentre: "dc1", Region: "r", Slots: 64}, {Name: "remote", Service: "s", DataCentre: "dc2", Region: "r", Slots: 64},
+		}
+		report := func(local, remote int) {
+			b.Report("local", streamer.Load{At: now, Running: local})
+			b.Report("remote", streamer.Load{At: now, Running: remote})
+		}
+		q := balancer.Query{Service: "s", Session: "x"}
+		b.Update(list[1:])
+		_, err := b.Choose(q)
+		must.NoError(t, err)
+		b.Update(list)
+		kept := 0
+		for range 200 {
+			now = now.Add(10 * time.Millisecond)
+			report(10, 11)
+			u, err := b.Choose(q)
+			must.NoError(t, err)
+			if u.Name == "remote" {
+				kept++
+			}
+		}
+		must.EqOp(t, 200, kept, must.Sprint(len(options), " options"))
+	}
+}
--- a/balancer/option.go
+++ b/balancer/option.go
@@ -29,22 +29,20 @@
 const DefaultProbeRate = 1
 
 type options struct {
-	now           func() time.Time
-	random        func() uint64
-	probe         func(context.Context, Upstream) (streamer.Load, error)
-	distance      func(self identifier.DataCentre, region identifier.Region, u Upstream) int
-	instance      identifier.Instance
-	region        identifier.Region
-	subset        int
-	waitingWeight int
-	choices       int
-	maxAge        time.Duration
-	halfAge       time.Duration
-	maxUses       int64
-	probeRate     float64
-	evenLoad      bool
-	// penalties are those for the distances, which localPreference lowers where there is little room.
-	penalties       penalties
+	now             func() time.Time
+	random          func() uint64
+	probe           func(context.Context, Upstream) (streamer.Load, error)
+	distance        func(self identifier.DataCentre, region identifier.Region, u Upstream) int
+	instance        identifier.Instance
+	region          identifier.Region
+	subset          int
+	waitingWeight   int
+	choices         int
+	maxAge          time.Duration
+	halfAge         time.Duration
+	maxUses         int64
+	probeRate       float64
+	evenLoad        bool
 	localPreference bool
 }
 
@@ -121,7 +119,7 @@
 
 // WithLocalPreference prefers upstreams of the own data centre unless they have clearly more load than others.
 func WithLocalPreference() Option {
-	return func(o *options) { o.penalties, o.localPreference = localPenalties, true }
+	return func(o *options) { o.localPreference = true }
 }
 
 func defaultDistance(self identifier.DataCentre, region identifier.Region, u Upstream) int {
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -7,8 +7,10 @@
 
 // scoredCandidate is one candidate of a choice with its expected load.
 type scoredCandidate struct {
-	candidate  *candidate
-	load       float64
+	candidate *candidate
+	load      float64
+	// preference is the part of load that WithLocalPreference adds.
+	preference float64
 	overloaded bool
 	full       bool // the last sample showed no free slot, and no request of this entry has ended there since
 	trial      bool // the choice is the single trial request of a half-open breaker
@@ -25,8 +27,14 @@
 // callers is left alone. The less room there is, the lower they are: where slots are few, callers would wait for a local one.
 var localPenalties = penalties{{0, 0}, {1, 0.25}, {2, 0.5}}
 
-// penalties hold a number of requests and a share of the mean load for each distance.
-type penalties [distanceCount]struct{ constant, relative float64 }
+// penalties hold one for each distance.
+type penalties [distanceCount]penalty
+
+// penalty is a number of requests and a share of the mean load.
+type penalty struct{ constant, relative float64 }
+
+// of returns the penalty at a mean load.
+func (p penalty) of(mean float64) float64 { return p.constant + p.relative*mean }
 
 // betterThan reports whether a is preferred to o: one that is not suspect, then one that is not overloaded, then one that is
 // not full, then the one with less load, including the penalty for its distance.
@@ -187,25 +195,29 @@
 	} else if slowdown := p.slowdown(c.tracked); slowdown > 1 {
 		load = (load+1)*slowdown - 1
 	}
+	least, preference := distancePenalties[c.distance], b.preferencePenalty(c, mean)
 	return scoredCandidate{
-		candidate: c, load: load + b.distancePenalty(c, mean), overloaded: overloaded, full: full,
+		candidate: c, load: load + least.constant + least.relative*mean + preference, preference: preference, overloaded: overloaded, full: full,
 		suspect: c.tracked.isStalled.Load() && p.avoidsStalled() || sampleExpired && q.BusyRefusals >= maxBusyRefusals,
 	}
 }
 
-// distancePenalty returns the additional load of a candidate for its distance, in requests, at a mean load of all.
-func (b *Balancer) distancePenalty(c *candidate, mean float64) float64 {
-	p := b.opts.penalties[c.distance]
-	if b.opts.localPreference && c.distance != sameDataCentre {
-		least := distancePenalties[c.distance]
-		room := 1.0
-		if slots := c.tracked.slots.Load(); slots > 0 {
-			room = max(1-mean/float64(slots), 0)
-		}
-		p.constant = least.constant + room*(p.constant-least.constant)
-		p.relative = least.relative + room*(p.relative-least.relative)
+// preferencePenalty returns the additional load of a candidate that WithLocalPreference adds, in requests, at a mean load of all.
+func (b *Balancer) preferencePenalty(c *candidate, mean float64) float64 {
+	if !b.opts.localPreference {
+		return 0
 	}
-	return p.constant + p.relative*mean
+	room := 1.0
+	if slots := c.tracked.slots.Load(); slots > 0 {
+		room = max(1-mean/float64(slots), 0)
+	}
+	return room * (localPenalties[c.distance].of(mean) - distancePenalties[c.distance].of(mean))
+}
+
+// withoutPreference returns the candidate with the load that it has without WithLocalPreference.
+func (a scoredCandidate) withoutPreference() scoredCandidate {
+	a.load -= a.preference
+	return a
 }
 
 func (b *Balancer) isUsable(c *candidate, q *Query) bool {
--- a/soakbencher/fatalrequest.go
+++ b/soakbencher/fatalrequest.go
@@ -89,23 +89,25 @@
 	}
 }
 
-// lacksUpstream reports whether a call was refused while each upstream of a plain service had crashed on the request, was starting again or
-// still cold from its start. Up to three crashes are allowed, and a service has two upstreams or more. s.mu is held.
-func (s *soak) lacksUpstream(c *call, crashes []standin.CrashRecord) bool {
+// lacksUpstream reports whether a call was refused while each upstream of a service of its route had crashed on the request and was starting again
+// or still cold from its start. Up to three crashes are allowed, and a service has two upstreams or more. s.mu is held.
+func (s *soak) lacksUpstream(c *call, crashes []standin.CrashRecord, services []string) bool {
 	if c.kind == standin.Stream || c.status != http.StatusServiceUnavailable || c.blocked {
 		return false
 	}
-	lacks := map[string]bool{}
-	for _, u := range s.upstreams {
-		if u.Service != plainService && u.Service != otherPlainService {
-			continue
-		}
-		isOut := slices.ContainsFunc(crashes, func(x standin.CrashRecord) bool {
-			return x.Upstream == u.Name && x.At.Before(c.sentAt) && c.sentAt.Before(x.At.Add(standin.CrashRestartTime+coldStartTime+contactTime))
-		})
-		if lacksSoFar, ok := lacks[u.Service]; !ok || lacksSoFar {
-			lacks[u.Service] = isOut
+	return slices.ContainsFunc(services, func(service string) bool {
+		upstreams := 0
+		for _, u := range s.upstreams {
+			if u.Service != service {
+				continue
+			}
+			upstreams++
+			if !slices.ContainsFunc(crashes, func(x standin.CrashRecord) bool {
+				return x.Upstream == u.Name && x.At.Before(c.endedAt) && c.sentAt.Before(x.At.Add(standin.CrashRestartTime+coldStartTime))
+			}) {
+				return false
+			}
 		}
-	}
-	return lacks[plainService] || lacks[otherPlainService]
+		return upstreams > 0
+	})
 }
--- a/soakbencher/fatalrequest_internal_test.go
+++ b/soakbencher/fatalrequest_internal_test.go
@@ -21,27 +21,33 @@
 		return standin.CrashRecord{ID: "same-1", Upstream: name, At: now.Add(-age)}
 	}
 	out := standin.CrashRestartTime + coldStartTime
-	both := []standin.CrashRecord{crash("u3", out), crash("u4", time.Second)}
+	both := []standin.CrashRecord{crash("u3", out-time.Millisecond), crash("u4", time.Second)}
+	other, plain, split := []string{otherPlainService}, []string{plainService}, []string{plainService, otherPlainService}
 	for _, x := range []struct {
-		name    string
-		call    call
-		crashes []standin.CrashRecord
-		want    bool
+		name     string
+		call     call
+		crashes  []standin.CrashRecord
+		services []string
+		want     bool
 	}{
-		{"all of a service crashed", call{status: 503}, both, true},
-		{"none crashed", call{status: 503}, nil, false},
-		{"one of two crashed", call{status: 503}, both[:1], false},
-		{"one of each service crashed", call{status: 503}, []standin.CrashRecord{crash("u1", time.Second), both[1]}, false},
-		{"all have long been back", call{status: 503}, []standin.CrashRecord{crash("u3", out+contactTime), crash("u4", out+contactTime)}, false},
-		{"crashes later than the call", call{status: 503}, []standin.CrashRecord{crash("u3", -time.Second), crash("u4", -time.Second)}, false},
-		{"request refused as such", call{status: 503, blocked: true}, both, false},
-		{"failure", call{status: 502}, both, false},
-		{"deadline", call{status: 504}, both, false},
-		{"stream", call{status: 503, kind: standin.Stream}, both, false},
+		{"all of the service crashed", call{status: 503}, both, other, true},
+		{"all of a service of a split", call{status: 503}, both, split, true},
+		{"all of another service", call{status: 503}, both, plain, false},
+		{"the last crash while the call was open", call{status: 503}, []standin.CrashRecord{both[0], crash("u4", -50*time.Millisecond)}, other, true},
+		{"none crashed", call{status: 503}, nil, other, false},
+		{"one of two crashed", call{status: 503}, both[:1], other, false},
+		{"one of each service crashed", call{status: 503}, []standin.CrashRecord{crash("u1", time.Second), both[1]}, split, false},
+		{"all are back", call{status: 503}, []standin.CrashRecord{crash("u3", out), crash("u4", out)}, other, false},
+		{"crashes later than the call", call{status: 503}, []standin.CrashRecord{crash("u3", -time.Second), crash("u4", -time.Second)}, other, false},
+		{"request refused as such", call{status: 503, blocked: true}, both, other, false},
+		{"failure", call{status: 502}, both, other, false},
+		{"deadline", call{status: 504}, both, other, false},
+		{"stream", call{status: 503, kind: standin.Stream}, both, other, false},
+		{"unknown route", call{status: 503}, both, nil, false},
 	} {
 		t.Run(x.name, func(t *testing.T) {
-			x.call.sentAt = now
-			must.EqOp(t, x.want, s.lacksUpstream(&x.call, x.crashes))
+			x.call.sentAt, x.call.endedAt = now, now.Add(100*time.Millisecond)
+			must.EqOp(t, x.want, s.lacksUpstream(&x.call, x.crashes, x.services))
 		})
 	}
 }
--- a/soakbencher/soak.go
+++ b/soakbencher/soak.go
@@ -331,10 +331,14 @@
 // which upstreams crash, and refusals while such crashes have left a plain service without an upstream.
 func (s *soak) checkRecovery(from time.Time) {
 	sent, served := 0, 0
-	crashes := s.log.Crashes()
+	crashes := s.crashesOn(fatalRequestPrefix)
+	services := map[standin.Kind][]string{}
+	for _, k := range callKinds {
+		services[k] = s.operator.Services(routePrefix(k))
+	}
 	s.mu.Lock()
 	for _, c := range s.calls {
-		if c.sentAt.After(from) && c.account == accounts[0] && c.part == "" && c.body == "" && !c.slow && !s.lacksUpstream(c, crashes) {
+		if c.sentAt.After(from) && c.account == accounts[0] && c.part == "" && c.body == "" && !c.slow && !s.lacksUpstream(c, crashes, services[c.kind]) {
 			sent++
 			if c.complete && c.status == 200 {
 				served++
