forwarder: two tests of slow callers and large bodies do not depend on the load of the machine

Cause: both tests failed beside other work, and the code was not at fault. TestSlowCallerLeaves: the upstream built its 2000 events of 4 KiB within the request. With the race detector beside other work that took over 0.8 s, after which an attempt on the route of the test is late (four times its latency target) and is replaced by another one. The test awaits the end of exactly one attempt. With an upstream that holds its first attempt both paused cases fail at "a backlog" after 3.0 s; with one that holds its first two attempts they fail at "the end of the attempt" after 5.46 s and 6.09 s, as seen (5.65 s). The lines of the log of failed runs show the outcome "late" after 0.80 to 0.93 s. TestUpstreamDoesNotReadBody: a body of 48 MiB took 0.98 to 1.04 s to read with the race detector alone, and 1.08 to 1.86 s beside other work, but had to be whole 0.3 s before the deadline of 1.5 s. A sender that pauses for 1.25 s before the last byte gives that failure without the race detector. Still found: a body that each attempt copies (19.1 MB against 14.9 MB), a deadline that is 2 s late (502 instead of 504), and a request that does not end as its caller leaves.

--- a/forwarder/slow_fixture_test.go
+++ b/forwarder/slow_fixture_test.go
@@ -83,6 +83,32 @@
 	}
 }
 
+// stalls measures for how long the machine was too busy to wake a goroutine in time, which bounds of real time leave out. It returns a
+// function that ends the measurement and returns that time, which is 0 if all wake-ups were late by at most 5 ms.
+func stalls(t *testing.T) func() time.Duration {
+	const interval = 5 * time.Millisecond
+	stop, result := make(chan struct{}), make(chan time.Duration, 1)
+	go func() {
+		total := time.Duration(0)
+		for {
+			begin := time.Now()
+			select {
+			case <-stop:
+				result <- total
+				return
+			case <-t.Context().Done():
+				return
+			case <-time.After(interval):
+				total += max(time.Since(begin)-2*interval, 0)
+			}
+		}
+	}()
+	return func() time.Duration {
+		close(stop)
+		return <-result
+	}
+}
+
 // countEnds counts the attempts that have ended.
 func (f *fixture) countEnds() *atomic.Int64 {
 	var n atomic.Int64
