forwarder, relayer: the whole buffer of a piece counts in a backlog

Cause: taking the reading over from a blocked write reserved the length of the piece, while its whole buffer is handed over. The reader of events kept the buffer of the largest event for the rest of the stream, so after one large event an event of 300 bytes handed over some 1.1 MB, beside the bounds of 256 KiB for a request and a tenth of the memory for all. Change: the capacity of the buffer is reserved, and reading is not taken over if it does not fit. The reader takes a new buffer after one of over 64 KiB, so that later events fit and the stream does not hold the large one. Conclusion: the aim is kept by the backlog. The buffer of the event that is being read, of up to about 1 MiB, is not part of it.

--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -57,7 +57,7 @@
 	isStopped bool
 	// isTakenOver is set while the second goroutine reads, and isReturned once it has handed the reading back until the piece is written.
 	isTakenOver, isReturned bool
-	// reserved is the memory that is reserved for the piece.
+	// reserved is the memory that is reserved for the buffer of the piece.
 	reserved int
 	backlog  backlog
 	// finished is set once the second goroutine has read the response to its end with the error result.
@@ -259,7 +259,8 @@
 		return false
 	}
 	if !d.isWhole {
-		if !d.backlog.reserve(len(d.piece)) {
+		// The whole buffer of the piece is handed over, which may be much larger than the piece.
+		if !d.backlog.reserve(cap(d.piece)) {
 			if ctx.Err() != nil {
 				// The rest of the response can't be read any more.
 				_ = d.control.SetWriteDeadline(expired())
@@ -268,7 +269,7 @@
 			d.timer.Reset(takeOverRetry)
 			return false
 		}
-		d.reserved = len(d.piece)
+		d.reserved = cap(d.piece)
 	}
 	if d.toWriter == nil {
 		d.toWriter, d.toReader = make(chan struct{}, 1), make(chan struct{}, 1)
--- a/forwarder/delivery_internal_test.go
+++ b/forwarder/delivery_internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -104,3 +105,34 @@
 		must.ErrorIs(t, <-result, errHandedOver)
 	})
 }
+
+// Guards against a backlog that takes more memory than it counts: the buffer of a piece, which is handed over with it, may be much larger than
+// the piece.
+func TestBufferOfPieceCounts(t *testing.T) {
+	for name, x := range map[string]struct {
+		capacity int
+		total    int64
+		isTaken  bool
+	}{
+		"small":                   {4 << 10, 8 << 20, true},
+		"as large as a backlog":   {maxBacklogBytes, 8 << 20, true},
+		"larger":                  {maxBacklogBytes + 1, 8 << 20, false},
+		"larger than what's left": {100 << 10, 90 << 10, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := New(WithMaxBacklogBytes(x.total))
+			d := newDelivery(f, &request{}, &deadlineRecorder{discarder: discarder{httptest.NewRecorder()}})
+			d.detach = func() {}
+			d.beginWrite(t.Context(), make([]byte, 300, x.capacity))
+			must.EqOp(t, x.isTaken, d.beginTakeOver(t.Context()))
+			held := 0
+			if x.isTaken {
+				held = x.capacity
+			}
+			must.EqOp(t, held, d.backlog.heldBytes)
+			must.EqOp(t, int64(held), f.backlogBytes.Load())
+			must.EqOp(t, x.isTaken, errors.Is(d.endWrite(nil), errHandedOver))
+			must.EqOp(t, 0, f.backlogBytes.Load())
+		})
+	}
+}
--- a/forwarder/slow_caller_test.go
+++ b/forwarder/slow_caller_test.go
@@ -100,6 +100,29 @@
 	must.EqOp(t, 0, f.state().BacklogBytes)
 }
 
+// Guards against a stream whose upstream waits for its slow caller to the end after one large event, because its buffer stays too large.
+func TestSlowCallerAfterLargeEvent(t *testing.T) {
+	const n, large, size = 300, 900 << 10, 4 << 10
+	whole := largeEvent(1, large) + largeEvents(1, n, size)
+	f := newFixture(t, 1, func(w http.ResponseWriter, _ *http.Request, _ int) { _, _ = io.WriteString(w, whole) })
+	f.serveSlowly()
+	c := f.open("/unresumable/", "r1", 5000)
+	must.NoError(t, c.SetReadBuffer(64<<10))
+	w, err := http.ReadResponse(bufio.NewReader(c), nil)
+	must.NoError(t, err)
+	defer w.Body.Close()
+	body := make([]byte, large)
+	_, err = io.ReadFull(w.Body, body)
+	must.NoError(t, err)
+	await(t, "a backlog", func() bool { return f.state().BacklogBytes > 0 })
+	must.LessEq(t, 256<<10, f.state().BacklogBytes)
+	rest, err := io.ReadAll(w.Body)
+	must.NoError(t, err)
+	must.EqOp(t, whole, string(body)+string(rest))
+	await(t, "the end of the request", func() bool { return f.Active() == 0 })
+	must.EqOp(t, 0, f.state().BacklogBytes)
+}
+
 // Guards against callers that together take more memory than backlogs may have, and against streams that are damaged when it is used up.
 func TestBacklogsAreBounded(t *testing.T) {
 	const callers, bound, n, size = 24, 200 << 10, 300, 4 << 10
--- a/relayer/event.go
+++ b/relayer/event.go
@@ -12,6 +12,10 @@
 // maxEventBytes bounds one event; usual events of engines have some hundred bytes.
 const maxEventBytes = 1 << 20
 
+// maxKeptBytes bounds the buffer that is kept for the next event. Without it, a stream with one large event would hold over 1 MiB to its end,
+// and the buffers of its later events would be too large to be handed over to a backlog.
+const maxKeptBytes = 64 << 10
+
 // ErrEventTooLong is returned for an event of more than 1 MiB.
 var ErrEventTooLong = errors.New("relayer: event is too long")
 
@@ -51,6 +55,9 @@
 // Next returns the bytes of the next event or comment with the empty line that ends it, valid until the next call. It returns io.EOF
 // after the last whole event of a complete stream.
 func (r *Reader) Next() ([]byte, error) {
+	if cap(r.buf) > maxKeptBytes {
+		r.buf = nil
+	}
 	r.buf, r.IsComment = r.buf[:0], true
 	lineStart := 0
 	for {
--- a/relayer/event_test.go
+++ b/relayer/event_test.go
@@ -125,3 +125,15 @@
 		must.False(t, r.IsComment, must.Sprintf("%q", block))
 	}
 }
+
+// Guards against a stream that keeps the memory of one large event to its end.
+func TestLargeEventLeavesNoMemory(t *testing.T) {
+	large, small := "data: "+strings.Repeat("x", 900<<10)+"\n\n", "data: y\n\n"
+	r := relayer.NewReader(strings.NewReader(small+large+small+large+small), 0, false)
+	for _, want := range []string{small, large, small, large, small} {
+		b, err := r.Next()
+		must.NoError(t, err)
+		must.True(t, want == string(b))
+		must.LessEq(t, max(64<<10, 2*len(want)), cap(b))
+	}
+}
