throttler: turns are not before the entry may send to a cold upstream

Cause: the turn of a refused request that only cold upstreams could take came from the rates alone, 0.4 s from now for the first. An entry that has just started asks for no slot for 2 s, and an entry that was denied does not ask before some time and gets no slot before the first one that the owner has left. Change: a turn is not before the earliest of these times over the cold upstreams, or the end of a cold time (WithPeersKnownFrom instead of WithPeersKnown, limit.freeAt). Conclusion: an entry cannot know before its first ask that owners have started too, so some requests are refused once more in the second before an owner's first slot.

--- a/throttler/cold.go
+++ b/throttler/cold.go
@@ -64,9 +64,10 @@
 	return func(t *Throttler) { t.onCold = f }
 }
 
-// WithPeersKnown sets the function that reports whether this entry knows the others; until then it asks for no slots of cold upstreams.
-func WithPeersKnown(f func() bool) Option {
-	return func(t *Throttler) { t.peersKnown = f }
+// WithPeersKnownFrom sets the function that returns from when on this entry knows the others; until then it asks for no slots of cold
+// upstreams.
+func WithPeersKnownFrom(f func() time.Time) Option {
+	return func(t *Throttler) { t.peersKnownFrom = f }
 }
 
 // WithOwner sets the function that names the owner of the limit of a cold upstream, for the state dump.
@@ -97,7 +98,7 @@
 		if !l.isCold(now) {
 			t.coldBegun++
 			// Slots that were granted by a higher limit, or in an earlier cold time, are not used.
-			l.slots, l.askID, l.nextAskAt = nil, 0, now
+			l.slots, l.askID, l.nextAskAt, l.freeAt = nil, 0, now, time.Time{}
 		}
 		if !l.isCold(now) || l.coldPerSecond != perSecond {
 			c = &ColdChange{Upstream: u, Until: until, PerSecond: perSecond}
@@ -188,16 +189,38 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	perSecond, end := 0.0, time.Time{}
+	known := t.peersKnownFrom()
+	perSecond, earliest, end := 0.0, time.Time{}, time.Time{}
 	for _, u := range names {
 		l := t.limits[u]
 		if l == nil || !l.isCold(now) {
 			continue
 		}
 		perSecond += t.coldRate(l)
+		if at := l.earliestColdSlot(now, known); earliest.IsZero() || at.Before(earliest) {
+			earliest = at
+		}
 		if end.IsZero() || l.coldUntil.Before(end) {
 			end = l.coldUntil
 		}
 	}
-	return t.turns.Next(s, perSecond/float64(max(t.numEntries(), 1)), now, end)
+	return t.turns.Next(s, perSecond/float64(max(t.numEntries(), 1)), now, earliest, end)
+}
+
+// earliestColdSlot returns the earliest time at which this entry, which knows the others from a time on, may send to a cold upstream.
+func (l *limit) earliestColdSlot(now, known time.Time) time.Time {
+	l.hasSlot(now)
+	if len(l.slots) > 0 {
+		return l.slots[0]
+	}
+	at := now
+	for _, x := range []time.Time{known, l.nextAskAt, l.freeAt} {
+		if x.After(at) {
+			at = x
+		}
+	}
+	if l.coldUntil.Before(at) {
+		return l.coldUntil
+	}
+	return at
 }
--- a/throttler/cold_simulation_test.go
+++ b/throttler/cold_simulation_test.go
@@ -80,7 +80,7 @@
 	e.Throttler = throttler.New(throttler.WithNow(func() time.Time { return f.now }),
 		throttler.WithColdBound(throttler.ColdBound{Over: coldOver, Slack: coldSlack}),
 		throttler.WithNumEntries(func() int { return len(e.known) }),
-		throttler.WithPeersKnown(func() bool { return f.knowsOthers(e) }),
+		throttler.WithPeersKnownFrom(func() time.Time { return e.startedAt.Add(settleTime) }),
 		throttler.WithSend(func(a throttler.Ask) { f.ask(e, i, a) }))
 	f.entries[i] = e
 	for _, u := range f.upstreams {
--- a/throttler/slot.go
+++ b/throttler/slot.go
@@ -21,7 +21,7 @@
 		t.mu.Unlock()
 		return
 	}
-	if now.Before(t.pausedUntil[u]) || l.isCold(now) && !t.peersKnown() {
+	if now.Before(t.pausedUntil[u]) || l.isCold(now) && now.Before(t.peersKnownFrom()) {
 		t.mu.Unlock()
 		return
 	}
@@ -89,6 +89,7 @@
 		// A random part of the time keeps the entries that were denied from asking all at once.
 		l.nextAskAt = now.Add(min(after, limitMemory)/2 + rand.N(min(max(after, time.Millisecond), limitMemory)))
 		if l.isCold(now) {
+			l.freeAt = now.Add(min(after, maxInterval))
 			l.nextAskAt = l.nextAskAt.Add(rand.N(time.Duration(max(t.numEntries(), 1)) * deniedSpread))
 		}
 		return
