throttler: the asks at the owner of a cold upstream do not grow with the entries

Cause: an entry that was denied slots of a cold upstream chose by itself when to ask again, and one that was granted some asked again at its next request, so the owner of a rate of 100 received 185 asks a second from 330 entries and 312 from 1,000. Change: each answer of the owner says when that entry may ask again (again); these times are 1/(40 + 1.25 x granted) s apart for each upstream. An ask for one slot is granted one that begins within 20 ms instead of 10 ms, so that fewer asks use the rate as well. Times that other entries state are bounded before they are converted.

--- a/throttler/cold.go
+++ b/throttler/cold.go
@@ -1,6 +1,7 @@
 package throttler
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/siskinfront/siskinfront/identifier"
@@ -15,8 +16,17 @@
 	// maxGrantAge bounds the time from an ask to its answer for a cold upstream. The slots of an answer that waited longer, in the buffers of
 	// an entry that was paused, have begun earlier than it says.
 	maxGrantAge = 500 * time.Millisecond
-	// deniedSpread is the largest random addition, for each entry, to the time after which an entry that was denied slots of a cold upstream
-	// asks again. Without it, owners of three upstreams with a rate of 100 got up to 824 asks a second from 330 entries.
+	// coldShortHorizon is shortHorizon for a cold upstream. It is longer because its owner gets fewer asks, and shorter than requests wait.
+	coldShortHorizon = 20 * time.Millisecond
+	// minAsks and asksPerSlot times the slots per second that are granted are the asks per second that the owner of a cold upstream allows. With
+	// fewer, slots pass without an ask. Without such a bound, an owner got 310 asks a second from 1000 entries for a rate of 100.
+	minAsks     = 40
+	asksPerSlot = 1.25
+	// maxAskPause bounds the time after which an entry that was answered may ask again.
+	maxAskPause = time.Minute
+	// deniedSpread is the largest random addition, for each entry, to the time after which an entry asks again that was denied by an owner
+	// of an earlier version, which does not say when. Without it, owners of three upstreams with a rate of 100 got up to 824 asks a
+	// second from 330 entries.
 	deniedSpread = 5 * time.Millisecond
 	// minInterval and maxInterval bound the time between two slots.
 	minInterval = time.Microsecond
@@ -98,7 +108,7 @@
 		if !l.isCold(now) {
 			t.coldBegun++
 			// Slots that were granted by a higher limit, or in an earlier cold time, are not used.
-			l.slots, l.askID, l.nextAskAt, l.freeAt = nil, 0, now, time.Time{}
+			l.slots, l.askID, l.nextAskAt, l.freeAt, l.spreadFrom = nil, 0, now, time.Time{}, now
 		}
 		if !l.isCold(now) || l.coldPerSecond != perSecond {
 			c = &ColdChange{Upstream: u, Until: until, PerSecond: perSecond}
@@ -126,6 +136,19 @@
 	return c
 }
 
+// spreadFirstAsk sets when this entry may ask for slots of an upstream that has become cold, so that the first asks of all entries, which learn
+// of it at the same time, do not come at once. Before an entry knows the others it can't do so.
+func (t *Throttler) spreadFirstAsk(l *limit, known time.Time) {
+	from := l.spreadFrom
+	if known.After(from) {
+		from = known
+	}
+	l.spreadFrom = time.Time{}
+	if others := t.numEntries() - 1; others > 0 {
+		l.nextAskAt = from.Add(rand.N(time.Duration(others) * askInterval(t.coldRate(l))))
+	}
+}
+
 // isCold reports whether the upstream of a limit is cold.
 func (l *limit) isCold(now time.Time) bool {
 	return now.Before(l.coldUntil)
@@ -161,6 +184,11 @@
 	return interval(l.perSecond)
 }
 
+// askInterval returns the time between two asks for slots of a cold upstream of which perSecond are granted.
+func askInterval(perSecond float64) time.Duration {
+	return coldInterval(minAsks + asksPerSlot*max(perSecond, 0))
+}
+
 func coldInterval(perSecond float64) time.Duration {
 	if perSecond <= 1/maxInterval.Seconds() {
 		return maxInterval
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -62,6 +62,8 @@
 	askedAt, repeatedAt, nextAskAt time.Time
 	// freeAt is when the first slot of a cold upstream began that its owner had left when it last denied an ask.
 	freeAt time.Time
+	// spreadFrom is when the upstream became cold, until this entry first wants slots of it.
+	spreadFrom time.Time
 	// wants are the times at which a request was not sent for want of a slot, within demandWindow.
 	wants []time.Time
 }
