balancer: long prompts of others in the expected time

Cause: a request with a short prompt waits behind a long prompt that another entry has sent, because an entry knows 1 in 30 of the prompts.

Change: AddReading and EndReading record the time that an upstream needs for announced long prompts, at most 5 s at a time and a fifth of the time in the long run; with WithEvenLoad the rest of it adds to the expected time. An upstream that an entry already chooses too often counts as reading as long as any other, so that forged announcements about all others attract no more than its own reports may. The simulation of unequal engines has the variants: own prompts, prompts announced at once, 50 and 300 ms late, with a tenth lost.

The choice without announcements is the one of before, bit for bit (TestChoiceWithoutAnnouncements, hashes of the revision before).

--- a/balancer/evenload.go
+++ b/balancer/evenload.go
@@ -126,12 +126,14 @@
 
 // expectedTime returns the load of a candidate as the time that work takes there, in requests at an upstream of mean speed.
 func (b *Balancer) expectedTime(p *pool, u *trackedUpstream, load, mean float64, nowNanos int64) float64 {
-	slowdown := u.speed.slowdown(nowNanos)
+	slowdown, reading := u.speed.slowdown(nowNanos), readingLoad(u.reading.until.Load(), nowNanos)
 	base := max(baseShare*float64(u.slots.Load()), 1)
 	if excess := p.excessShare(u, nowNanos); excess > 1 {
 		load, slowdown = max(load, (mean+1)*excess), max(slowdown, 1)
+		// Announcements about all others attract no more requests to an upstream than its own reports may.
+		reading = max(reading, readingLoad(p.readUntil.Load(), nowNanos))
 	}
-	return (load+base)*slowdown - base
+	return (load+base)*slowdown - base + reading
 }
 
 // excessShare returns the recent choices of an upstream relative to the mean if they are more than it may attract by what it
--- a/balancer/evenload_test.go
+++ b/balancer/evenload_test.go
@@ -58,9 +58,27 @@
 	}
 }
 
+// Guards against a choice by expected time that differs in any bit from the one before prompts were announced if none is. The hashes are
+// those of the revision before.
+func TestChoiceWithoutAnnouncements(t *testing.T) {
+	for i, want := range []uint64{17810220172713177234, 15707103787062175131, 8986413694438854840} {
+		if got := choicesHash(uint64(i), balancer.WithEvenLoad()); got != want {
+			t.Errorf("seed %d: hash %d, want %d", i, got, want)
+		}
+	}
+}
+
 // playShare plays requests of a time at upstreams that report their true loads, except that one of them reports what a function
 // returns. It returns the share of the choices that this one gets, relative to the mean, from the second quarter on.
 func playShare(t *testing.T, entries, upstreams int, report func(streamer.Load) streamer.Load) float64 {
+	t.Helper()
+	const requests = 40_000
+	return playForged(t, entries, upstreams, requests/4, requests, report, func(*balancer.Balancer, time.Time) {})
+}
+
+// playForged is playShare with the share of the requests between two numbers, of which one is sent each millisecond. Before each of
+// them, forge is called with the entry that sends it.
+func playForged(t *testing.T, entries, upstreams, from, until int, report func(streamer.Load) streamer.Load, forge func(*balancer.Balancer, time.Time)) float64 {
 	t.Helper()
 	now, rng := start, rand.New(rand.NewPCG(4, 5))
 	ups := newUpstreams(upstreams, 1)
@@ -86,16 +104,18 @@
 		}
 		balancers[entry].Report(name, l)
 	}
-	const requests = 40_000
-	for i := range requests {
+	for i := range until {
 		now = now.Add(time.Millisecond)
 		entry := rng.IntN(entries)
+		if i >= from {
+			forge(balancers[entry], now)
+		}
 		u, err := balancers[entry].Choose(balancer.Query{Target: target(0)})
 		must.NoError(t, err)
 		balancers[entry].Begin(u.Name)
 		loads[u.Name]++
 		reportTo(entry, u.Name)
-		if u.Name == misreporting && i >= requests/4 {
+		if u.Name == misreporting && i >= from {
 			chosen++
 		}
 		running = append(running, request{entry, u.Name})
@@ -107,7 +127,7 @@
 			balancers[x.entry].End(x.name, balancer.ResultSuccess)
 		}
 	}
-	return float64(chosen) * float64(upstreams) / (requests * 3 / 4)
+	return float64(chosen) * float64(upstreams) / float64(until-from)
 }
 
 // Guards against an upstream that attracts an unbounded share of the requests by reporting a load or a speed that is better than it
--- a/balancer/mechanism_test.go
+++ b/balancer/mechanism_test.go
@@ -20,13 +20,20 @@
 	powerOfThree  mechanism = "d: three of the subset"
 	byRoom        mechanism = "e: in proportion to room"
 	allKnowingOne mechanism = "all-knowing"
+
+	// The mechanisms f compare the expected time as b does, with the remaining time of reading of long prompts.
+	ownPrompts     mechanism = "f: own prompts"
+	allAtOnce      mechanism = "f: announced at once"
+	allAfter50     mechanism = "f: announced after 50 ms"
+	allAfter300    mechanism = "f: announced after 300 ms"
+	allAfter50Lost mechanism = "f: announced after 50 ms, a tenth lost"
 )
 
 // choose returns the index of the engine for a request.
 func (r *unequalRun) choose(entry int, q balancer.Query) int {
 	b := r.balancers[entry]
 	switch r.mechanism {
-	case byRequests, byTime:
+	case byRequests, byTime, ownPrompts, allAtOnce, allAfter50, allAfter300, allAfter50Lost:
 		u, err := b.Choose(q)
 		if err != nil {
 			panic(err)
@@ -141,7 +148,9 @@
 		{"plain prompts", unequal{entries: 330, upstreams: 55, reportDelay: 20 * time.Millisecond, plainPrompts: true}, 200},
 		{"large", unequal{entries: 330, upstreams: 2200, reportDelay: 20 * time.Millisecond}, 8},
 	} {
-		for _, m := range []mechanism{byRequests, byTime, byPrompts, powerOfTwo, powerOfThree, byRoom, allKnowingOne} {
+		for _, m := range []mechanism{
+			byRequests, byTime, byPrompts, powerOfTwo, powerOfThree, byRoom, ownPrompts, allAtOnce, allAfter50, allAfter300, allAfter50Lost, allKnowingOne,
+		} {
 			b.Run(fmt.Sprint(x.name, ", ", x.entries, " entries, ", x.upstreams, " upstreams, ", m), func(b *testing.B) {
 				var l latencies
 				seeds := 4
@@ -160,8 +169,39 @@
 				b.ReportMetric(l.whole95, "whole-p95")
 				b.ReportMetric(l.whole99, "whole-p99")
 				b.ReportMetric(l.busiest, "busiest/mean")
+				b.ReportMetric(l.cached, "cached")
 				b.ReportMetric(0, "ns/op")
 			})
 		}
 	}
 }
+
+// announce lets the entry that sent a prompt, and the others, know that the engine reads it.
+func (r *unequalRun) announce(entry, i, tokens int) {
+	d := time.Duration(float64(tokens) / tokensReadPerSecond * r.observer(entry, i).slowdown(r.now) * float64(time.Second))
+	if d < balancer.MinReading {
+		return
+	}
+	var delay time.Duration
+	switch r.mechanism {
+	case ownPrompts, allAtOnce:
+	case allAfter50, allAfter50Lost:
+		delay = 50 * time.Millisecond
+	case allAfter300:
+		delay = 300 * time.Millisecond
+	default:
+		return
+	}
+	name, sentAt := r.list[i].Name, start.Add(r.now)
+	r.balancers[entry].AddReading(name, sentAt, d)
+	if r.mechanism == ownPrompts {
+		return
+	}
+	r.after(delay, func() {
+		for j, b := range r.balancers {
+			if j != entry && (r.mechanism != allAfter50Lost || r.choiceRNG.IntN(10) > 0) {
+				b.AddReading(name, sentAt, d)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/balancer/reading.go
@@ -0,0 +1,105 @@
+package balancer
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/siskinfront/siskinfront/identifier"
+)
+
+const (
+	// maxReading bounds the time for which an upstream counts as reading prompts, so that wrong or forged announcements have a
+	// bounded effect.
+	maxReading = 5 * time.Second
+	// MinReading is the time of reading from which a prompt counts as long. Less than that is not left of maxReading for another one, as
+	// announcements that follow each other closely would otherwise count all the time.
+	MinReading = 250 * time.Millisecond
+	// idleTimePerReading is how many times the time of reading must pass without any until it may be used again. Long prompts take less
+	// than a tenth of the time of an engine in the simulation.
+	idleTimePerReading = 4
+	// requestsPerReadingSecond is the load that counts as much as one second of reading: a response of 40 events takes 0.72 s at an
+	// engine with 5 requests, and 0.024 s longer with each further one.
+	requestsPerReadingSecond = 40
+)
+
+// reading is the time that an upstream is expected to need for the long prompts that were sent to it.
+type reading struct {
+	until atomic.Int64 // Unix nanoseconds, 0 if none is expected
+
+	mu sync.Mutex
+	// spent is how much of maxReading was used, as of spentAt, and lastSentAt when the last prompt was sent, both in Unix nanoseconds.
+	spent               time.Duration
+	spentAt, lastSentAt int64
+}
+
+// recover gives back a part of the time that has passed without reading. The mutex must be held.
+func (r *reading) recover(now int64) {
+	if from := max(r.spentAt, r.until.Load()); now > from {
+		r.spent = max(r.spent-time.Duration(now-from)/idleTimePerReading, 0)
+		r.spentAt = now
+	}
+}
+
+// add records a prompt that an upstream needs a time to read after the others. It returns whether any of that time counts.
+func (r *reading) add(sentAt int64, d time.Duration, now int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.recover(now)
+	sentAt = min(max(sentAt, now-int64(maxReading)), now)
+	until := r.until.Load()
+	from := max(until, now)
+	extra := min(time.Duration(max(until, sentAt)-from)+min(max(d, 0), maxReading), maxReading-r.spent)
+	if extra <= 0 || r.spent > maxReading-MinReading {
+		return false
+	}
+	r.spent += extra
+	r.lastSentAt = max(r.lastSentAt, sentAt)
+	r.until.Store(from + int64(extra))
+	return true
+}
+
+// end records that the upstream has read all prompts that were sent until a time.
+func (r *reading) end(sentAt, now int64) {
+	if r.until.Load() == 0 {
+		return // nothing was announced, as for most requests
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if sentAt < r.lastSentAt {
+		return
+	}
+	r.recover(now)
+	r.spent = max(r.spent-time.Duration(max(r.until.Load()-now, 0)), 0)
+	r.spentAt = max(r.spentAt, now)
+	r.until.Store(0)
+}
+
+// readingLoad returns the time until the end of reading in requests.
+func readingLoad(until, nowNanos int64) float64 {
+	if until <= nowNanos {
+		return 0
+	}
+	return time.Duration(until-nowNanos).Seconds() * requestsPerReadingSecond
+}
+
+// AddReading records that a prompt was sent to an upstream, which is expected to need a time to read it. The upstream counts as
+// reading for at most 5 s at a time, and for a fifth of the time in the long run. It returns false if the prompt has no effect. Only
+// WithEvenLoad compares upstreams by it.
+func (b *Balancer) AddReading(u identifier.Upstream, sentAt time.Time, d time.Duration) bool {
+	c := b.current.Load().byName[u]
+	if c == nil || !c.tracked.reading.add(sentAt.UnixNano(), d, b.opts.now().UnixNano()) {
+		return false
+	}
+	for _, p := range c.pools {
+		p.readUntil.Store(max(p.readUntil.Load(), c.tracked.reading.until.Load()))
+	}
+	return true
+}
+
+// EndReading records that an upstream has read all prompts that were sent to it until a time.
+func (b *Balancer) EndReading(u identifier.Upstream, sentAt time.Time) {
+	if c := b.current.Load().byName[u]; c != nil {
+		c.tracked.reading.end(sentAt.UnixNano(), b.opts.now().UnixNano())
+	}
+}
--- a/balancer/simulation_test.go
+++ b/balancer/simulation_test.go
@@ -58,11 +58,20 @@
 	hasPrefixes bool
 	// isAllKnowing lets each request go to the upstream with the fewest requests.
 	isAllKnowing bool
+	// evenLoad compares upstreams by expected time.
+	evenLoad bool
+	// joining is the number of upstreams that start after half of the requests. From then on each of them takes coldPerSecond requests
+	// per second, or any number if that is 0.
+	joining       int
+	coldPerSecond float64
 }
 
 // evenness is the result of a simulation: the requests of the busiest upstream over their mean, and the times that requests waited.
 type evenness struct {
 	busiest, meanWait, p99Wait float64
+	// joined is the share of the later requests that the joining upstreams got, relative to the mean, and asks that of the choices,
+	// including those that had to go elsewhere.
+	joined, asks float64
 }
 
 func (e evenness) String() string {
@@ -80,9 +89,30 @@
 	}
 	balancers := make([]*balancer.Balancer, d.entries)
 	for i := range balancers {
-		balancers[i] = balancer.New("dc", balancer.WithSelf(identifier.Instance(fmt.Sprint("e", i))), withSeed(uint64(i)),
-			balancer.WithNow(func() time.Time { return start.Add(now) }), balancer.WithSubsetSize(d.upstreams), balancer.WithWaitingWeight(3))
-		balancers[i].Update(list)
+		opts := []balancer.Option{
+			balancer.WithSelf(identifier.Instance(fmt.Sprint("e", i))), withSeed(uint64(i)),
+			balancer.WithNow(func() time.Time { return start.Add(now) }), balancer.WithSubsetSize(d.upstreams), balancer.WithWaitingWeight(3),
+		}
+		if d.evenLoad {
+			opts = append(opts, balancer.WithEvenLoad())
+		}
+		balancers[i] = balancer.New("dc", opts...)
+		balancers[i].Update(list[:d.upstreams-d.joining])
+	}
+	half, later, asked, joined, nextAt := requests/2, 0, 0, 0, make([]time.Duration, d.upstreams)
+	// takes reports whether an upstream takes a request now, and counts the request if the upstream has started late.
+	takes := func(i int) bool {
+		if i < d.upstreams-d.joining {
+			return true
+		}
+		if asked++; now < nextAt[i] {
+			return false
+		}
+		joined++
+		if d.coldPerSecond > 0 {
+			nextAt[i] = now + time.Duration(float64(time.Second)/d.coldPerSecond)
+		}
+		return true
 	}
 	var waits []float64
 	send := func(b *balancer.Balancer) {
@@ -98,11 +128,18 @@
 			if d.hasPrefixes {
 				q.Prefix, q.PrefixRatio = 1+uint64(math.Pow(float64(prefixesPerUpstream*d.upstreams), rng.Float64())), 0.5
 			}
-			u, err := b.Choose(q)
-			if err != nil {
-				panic(err)
+			for {
+				u, err := b.Choose(q)
+				if err != nil {
+					panic(err)
+				}
+				if chosen = index[u.Name]; takes(chosen) {
+					break
+				}
+				b.Begin(u.Name)
+				b.End(u.Name, balancer.ResultCanceled)
+				q.Exclude = append(q.Exclude, u.Name)
 			}
-			chosen = index[u.Name]
 		}
 		u, name, arrivedAt := &upstreams[chosen], list[chosen].Name, now
 		u.arrived++
@@ -129,9 +166,17 @@
 			u.queue = append(u.queue, begin)
 		}
 	}
-	interval := float64(simulatedWork) / (d.load * float64(d.upstreams*d.slots))
+	interval := float64(simulatedWork) / (d.load * float64((d.upstreams-d.joining)*d.slots))
 	var arrive func()
 	arrive = func() {
+		if requests < half {
+			later++
+		}
+		if requests == half {
+			for _, b := range balancers {
+				b.Update(list)
+			}
+		}
 		send(balancers[rng.IntN(d.entries)])
 		if requests--; requests > 0 {
 			after(time.Duration(rng.ExpFloat64()*interval), arrive)
@@ -151,7 +196,11 @@
 		sum += w
 	}
 	slices.Sort(waits)
-	return evenness{float64(most*d.upstreams) / float64(len(waits)), sum / float64(len(waits)), waits[len(waits)*99/100]}
+	share := float64(d.upstreams) / float64(max(d.joining, 1)) / float64(later)
+	return evenness{
+		float64(most*d.upstreams) / float64(len(waits)), sum / float64(len(waits)), waits[len(waits)*99/100],
+		float64(joined) * share, float64(asked) * share,
+	}
 }
 
 // Guards against equal upstreams of which some are busy while others are free, at the sizes of the users' sites: with and without prefixes.
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -51,6 +51,8 @@
 	// speed and choices are used with WithEvenLoad only.
 	speed   speed
 	choices choiceWindow // of this entry
+	// reading is that of long prompts which entries have announced to each other.
+	reading reading
 }
 
 // candidate is an upstream within one snapshot.
@@ -90,6 +92,8 @@
 	prefixes *prefixWindow
 	// choices counts the choices from the pool, with WithEvenLoad only.
 	choices choiceWindow
+	// readUntil is the latest end of reading that was expected of a member of the subset, in Unix nanoseconds.
+	readUntil atomic.Int64
 	// probePool is a ring buffer of the indexes in subset of the candidates with the latest samples, -1 for none.
 	probePool       [probePoolSize]atomic.Int32
 	probePoolWrites atomic.Uint32 // the next write goes to this index modulo probePoolSize
@@ -224,6 +228,7 @@
 		now := b.opts.now().UnixNano()
 		for _, c := range p.subset {
 			p.choices.add(uint64(c.tracked.choices.count(now)), now)
+			p.readUntil.Store(max(p.readUntil.Load(), c.tracked.reading.until.Load()))
 		}
 	}
 }
--- a/balancer/unequal_test.go
+++ b/balancer/unequal_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/siskinfront/siskinfront/balancer"
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/selector"
 	"github.com/siskinfront/siskinfront/streamer"
 )
 
@@ -37,8 +38,9 @@
 type simulatedEngine struct {
 	speed              float64 // time of an event relative to an engine of mean speed
 	turnsSlow          bool
+	slowUntil          time.Duration
 	slowFor, phase     time.Duration
-	running, arrived   int
+	running            int
 	readUntil          time.Duration
 	waiting            []time.Duration // starts of the reading of prompts that are not read yet
 	caches             map[uint64]bool
@@ -51,7 +53,7 @@
 }
 
 func (e *simulatedEngine) factor(now time.Duration) float64 {
-	if e.isSlow(now) {
+	if e.isSlow(now) || now < e.slowUntil {
 		return e.speed * slowFactor
 	}
 	return e.speed
@@ -105,11 +107,21 @@
 	withoutFigure, plainPrompts bool
 	// slowForSeconds makes half of the engines turn slow for some seconds.
 	slowForSeconds bool
+	// joining is the number of engines that start after joinAt, and slowStart makes them slow for startTime.
+	joining   int
+	slowStart bool
+	// lateHeads makes engines send the head of a response, with the load, once the prompt is read.
+	lateHeads bool
 }
 
-// latencies is the result of a simulation in seconds, and the time-weighted requests of the busiest engine over the mean.
+// latencies is the result of a simulation in seconds, the time-weighted requests of the busiest engine over the mean, and the share of
+// the requests with a shared prompt whose engine had it cached.
 type latencies struct {
-	first95, first99, whole95, whole99, busiest float64
+	first95, first99, whole95, whole99, busiest, cached float64
+	// joined is the share of the requests in startTime that the joining engines got, relative to that of the others.
+	joined float64
+	// pressure is the mean pressure that the entries see, and waiting the mean of the true ones.
+	pressure, waiting float64
 }
 
 type unequalRun struct {
@@ -124,7 +136,13 @@
 	observers      []map[int]*observer
 	means          []float64
 	first, whole   []float64
-	until          time.Duration
+	shared, cached int
+	// atStart counts the requests in startTime, and atJoined those of them at joining engines.
+	atStart, atJoined int
+	pressures         []selector.Pressure
+	pressure, waiting float64 // sums over pressureSamples
+	pressureSamples   int
+	until             time.Duration
 }
 
 func (r *unequalRun) after(x time.Duration, f func()) { heap.Push(&r.queue, event{r.now + x, f}) }
@@ -133,7 +151,7 @@
 	switch u.mechanism {
 	case byRequests, allKnowingOne:
 		return nil
-	case byTime:
+	case byTime, ownPrompts, allAtOnce, allAfter50, allAfter300, allAfter50Lost:
 		return []balancer.Option{balancer.WithEvenLoad()}
 	default:
 		return []balancer.Option{balancer.WithEvenLoad(), balancer.WithSampleLimits(3*time.Second, time.Second, 1000)}
@@ -144,7 +162,7 @@
 	r := &unequalRun{
 		unequal: u, rng: rand.New(rand.NewPCG(u.seed, 2)), choiceRNG: rand.New(rand.NewPCG(u.seed, 3)), index: map[identifier.Upstream]int{},
 		engines: make([]simulatedEngine, u.upstreams), list: make([]balancer.Upstream, u.upstreams), means: make([]float64, u.entries),
-		until: time.Duration(seconds) * time.Second,
+		until: time.Duration(seconds) * time.Second, pressures: make([]selector.Pressure, u.entries),
 	}
 	speeds := 0.0
 	for i := range r.engines {
@@ -158,6 +176,9 @@
 			e.slowFor = longSlowTime
 			e.turnsSlow = i%2 == 1
 		}
+		if i >= u.upstreams-u.joining && u.slowStart {
+			e.slowUntil = joinAt + startTime
+		}
 		speeds += 1 / e.speed
 		r.list[i] = balancer.Upstream{Name: identifier.Upstream(fmt.Sprint("u", i)), Service: "s", DataCentre: "dc", Region: "r", Slots: engineSlots}
 		r.index[r.list[i].Name] = i
@@ -165,7 +186,10 @@
 	for i := range u.entries {
 		b := balancer.New("dc", append(u.options(), balancer.WithSelf(identifier.Instance(fmt.Sprint("e", i))), withSeed(u.seed<<16+uint64(i)),
 			balancer.WithNow(func() time.Time { return start.Add(r.now) }), balancer.WithSubsetSize(64), balancer.WithWaitingWeight(3))...)
-		b.Update(r.list)
+		b.Update(r.list[:u.upstreams-u.joining])
+		if u.joining > 0 {
+			r.after(joinAt, func() { b.Update(r.list) })
+		}
 		r.balancers, r.observers = append(r.balancers, b), append(r.observers, map[int]*observer{})
 	}
 	perRequest := 40 * stepsPerEvent * (stepTime + meanInFlight*stepTimePerRequest).Seconds()
@@ -194,7 +218,12 @@
 		most, sum = max(most, r.engines[i].inFlightTime), sum+r.engines[i].inFlightTime
 	}
 	at := func(list []float64, q float64) float64 { return list[int(float64(len(list))*q)] }
-	return latencies{at(r.first, 0.95), at(r.first, 0.99), at(r.whole, 0.95), at(r.whole, 0.99), most * float64(u.upstreams) / sum}
+	return latencies{
+		at(r.first, 0.95), at(r.first, 0.99), at(r.whole, 0.95), at(r.whole, 0.99), most * float64(u.upstreams) / sum,
+		float64(r.cached) / float64(max(r.shared, 1)),
+		float64(r.atJoined) / float64(max(r.atStart-r.atJoined, 1)) * float64(u.upstreams-u.joining) / float64(max(u.joining, 1)),
+		r.pressure / float64(r.pressureSamples), r.waiting / float64(r.pressureSamples),
+	}
 }
 
 func (r *unequalRun) observer(entry, i int) *observer {
@@ -222,11 +251,13 @@
 	i, sentAt := r.choose(entry, q), r.now
 	e, b, name, o := &r.engines[i], r.balancers[entry], r.list[i].Name, r.observer(entry, i)
 	b.Begin(name)
-	e.arrived++
+	r.countJoined(i)
 	e.count(1, r.now)
 	toRead := tokens
 	if q.Prefix != 0 {
+		r.shared++
 		if e.caches[q.Prefix] {
+			r.cached++
 			toRead -= sharedTokens
 		}
 		e.caches[q.Prefix] = true
@@ -236,9 +267,15 @@
 	began := max(e.readUntil, r.now)
 	e.readUntil = began + reading
 	e.waiting = append(e.waiting, began)
-	r.after(r.reportDelay, func() {
+	r.announce(entry, i, tokens)
+	headAfter := r.reportDelay
+	if r.lateHeads {
+		headAfter = e.readUntil - r.now
+	}
+	r.after(headAfter, func() {
 		now := r.now
-		e.waiting = slices.DeleteFunc(e.waiting, func(x time.Duration) bool { return x <= now })
+		e.dropRead(now)
+		r.observePressure(entry, e)
 		l := streamer.Load{At: start.Add(now), Running: e.running - len(e.waiting), Queued: []int{len(e.waiting)}, Slowdown: o.slowdown(now)}
 		if !r.withoutFigure {
 			l.SlowdownCorrection = e.factor(now) / e.speed
@@ -250,6 +287,7 @@
 	next = func() {
 		if lastAt == 0 {
 			o.unread -= float64(toRead)
+			b.EndReading(name, start.Add(sentAt))
 			o.backlog, o.backlogAt = max((r.now-sentAt-reading).Seconds(), 0)/2, r.now
 			if sentAt > r.until/4 {
 				r.first = append(r.first, (r.now - sentAt).Seconds())
@@ -305,5 +343,6 @@
 func (l latencies) add(o latencies, weight float64) latencies {
 	return latencies{
 		l.first95 + o.first95*weight, l.first99 + o.first99*weight, l.whole95 + o.whole95*weight, l.whole99 + o.whole99*weight, l.busiest + o.busiest*weight,
+		l.cached + o.cached*weight, l.joined + o.joined*weight, l.pressure + o.pressure*weight, l.waiting + o.waiting*weight,
 	}
 }
