--- /dev/null
+++ b/announcer/speed.go
@@ -0,0 +1,88 @@
+package announcer
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// speedDecay is the weight that the earlier samples of a model lose with each further one, so that some 2,000 count. One in a
+	// hundred prompts is long, and their lengths tell the speed.
+	speedDecay = 0.0005
+	// minSamples is the number of samples from which the speed of reading is known.
+	minSamples = 20
+	// minConfidence is how many times its standard error the time for a token must be.
+	minConfidence = 2
+	// maxSample bounds the time of a sample, so that an upstream that hangs does not outweigh the others.
+	maxSample = 20 * time.Second
+	// maxModels bounds the models whose speed is learned.
+	maxModels = 64
+)
+
+// Speeds learns the time that engines of mean speed take to read a token of each model, from the first events of prompts of different
+// length: the slope of a regression, since waits behind other prompts do not depend on the length of the own one. It is safe for
+// concurrent use.
+type Speeds struct {
+	mu     sync.Mutex
+	models map[uint64]*regression
+}
+
+// regression holds the moments of a linear regression of y on x about their means, with weights that decay.
+type regression struct {
+	n, meanX, meanY, xx, xy, yy float64
+}
+
+func (r *regression) add(x, y float64) {
+	const keep = 1 - speedDecay
+	r.n, r.xx, r.xy, r.yy = r.n*keep+1, r.xx*keep, r.xy*keep, r.yy*keep
+	dx, dy := x-r.meanX, y-r.meanY
+	r.meanX += dx / r.n
+	r.meanY += dy / r.n
+	r.xx += dx * (x - r.meanX)
+	r.xy += dx * (y - r.meanY)
+	r.yy += dy * (y - r.meanY)
+}
+
+// slope returns the slope if it is positive by minConfidence times its standard error.
+func (r *regression) slope() (float64, bool) {
+	if r.n < minSamples || r.xx <= 0 {
+		return 0, false
+	}
+	slope := r.xy / r.xx
+	variance := max(r.yy-slope*r.xy, 0) / (r.n - 2) / r.xx
+	return slope, slope > 0 && slope*slope > minConfidence*minConfidence*variance
+}
+
+// Observe adds a prompt of a model, and the time from sending it to its first event. Tokens that a slower engine read count as more.
+func (s *Speeds) Observe(model uint64, tokens, slowdown float64, took time.Duration) {
+	if tokens <= 0 || took < 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.models == nil {
+		s.models = map[uint64]*regression{}
+	}
+	r := s.models[model]
+	if r == nil {
+		if len(s.models) >= maxModels {
+			return
+		}
+		r = &regression{}
+		s.models[model] = r
+	}
+	r.add(tokens*slowdown, min(took, maxSample).Seconds())
+}
+
+// Time returns the time that an engine takes to read a prompt, or false if the speed is not known yet.
+func (s *Speeds) Time(model uint64, tokens, slowdown float64) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.models[model]
+	if r == nil {
+		return 0, false
+	}
+	slope, ok := r.slope()
+	// A prompt of maxTokens at the longest time for a token stays within the range of time.Duration.
+	return time.Duration(slope * tokens * slowdown * float64(time.Second)), ok
+}
