runner: entries announce long prompts to each other

Cause: with even-load an entry avoids an engine that reads a long prompt only if it has sent the prompt itself, 1 in 30.

Change: with shared-prompts (default false; needs even-load and peer-address) an entry adds the expected time of reading of its own long prompts, announces them, and adds those of others. The reading ends with the first event of a later request, or with a load that shows nothing but one. Tokens of shared parts count as cached at the three upstreams preferred for them. Datagrams are sent by a goroutine of their own. Without the settings no function is called and nothing is sent or heard.

--- a/balancer/reading.go
+++ b/balancer/reading.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -103,3 +104,33 @@
 		c.tracked.reading.end(sentAt.UnixNano(), b.opts.now().UnixNano())
 	}
 }
+
+// UpstreamByHash returns the upstream whose name has an xxhash, and false if there is none.
+func (b *Balancer) UpstreamByHash(hash uint64) (identifier.Upstream, bool) {
+	for _, c := range b.current.Load().byNumber {
+		if c != nil && c.tracked.hash == hash {
+			return c.upstream.Name, true
+		}
+	}
+	return "", false
+}
+
+// Slowdown returns the time that work takes at an upstream relative to the others, 1 if it is not known.
+func (b *Balancer) Slowdown(u identifier.Upstream) float64 {
+	if c := b.current.Load().byName[u]; c != nil {
+		return c.tracked.speed.slowdown(b.opts.now().UnixNano())
+	}
+	return 1
+}
+
+// IsPreferred reports whether an upstream is one of those that serve the requests with the prefix of a query as long as they have little
+// load, and so probably has it cached.
+func (b *Balancer) IsPreferred(q Query, u identifier.Upstream) bool {
+	s := b.current.Load()
+	p, c := s.pool(&q), s.byName[u]
+	if p == nil || c == nil || q.Prefix == 0 {
+		return false
+	}
+	preferred := p.preferred(q.Prefix)
+	return slices.Contains(preferred[:], c)
+}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -85,6 +85,7 @@
 	watch      *watchdog
 	info       Attempt
 	pace       pace
+	prompt     Prompt
 	// index is that of the attempt in q.attempts.
 	index int
 	ended bool
@@ -135,6 +136,7 @@
 	f.balancer.Begin(name)
 	c.info = Attempt{ID: f.attempts.Add(1), Service: q.service, Upstream: u, Route: q.route.Name, Model: f.modelName(q, model)}
 	f.OnAttemptStart(c.info)
+	c.announcePrompt()
 	h := q.header.Clone()
 	h.Set(f.headers.Deadline, strconv.FormatInt(max(q.deadline.Sub(now).Milliseconds(), 1), 10))
 	h.Set(f.headers.ExpectUpstream, string(u.Name))
--- a/forwarder/load.go
+++ b/forwarder/load.go
@@ -54,6 +54,10 @@
 		l.TokenInterval = c.f.slowdowns.tokenInterval(c.name, now)
 	}
 	c.f.balancer.Report(c.name, l)
+	if running+waiting <= 1 {
+		// Nothing but this request is there, so the upstream has read the long prompts that were sent to it before.
+		c.f.balancer.EndReading(c.name, c.beganAt.Add(-1))
+	}
 }
 
 // reportedTime returns how long work takes at the upstream now according to the fourth figure of its load, with 1 as usual, or 0 if
--- a/forwarder/load_internal_test.go
+++ b/forwarder/load_internal_test.go
@@ -45,3 +45,32 @@
 	}
 	must.Less(t, 20, chosen["slow/0"])
 }
+
+// Guards against an upstream that counts as reading although its load shows that nothing but a later request is there, and against one
+// that no longer does because of a load with others, or of one with the long prompt itself or an earlier request.
+func TestLoadEndsReading(t *testing.T) {
+	now := time.Now()
+	for name, x := range map[string]struct {
+		load    string
+		beganAt time.Time
+		want    bool
+	}{
+		"alone":               {"1,0,64", now.Add(time.Millisecond), false},
+		"with another":        {"2,0,64", now.Add(time.Millisecond), true},
+		"another waits":       {"1,1,64", now.Add(time.Millisecond), true},
+		"the prompt itself":   {"1,0,64", now, true},
+		"sent before":         {"1,0,64", now.Add(-time.Second), true},
+		"no figures":          {"", now.Add(time.Millisecond), true},
+		"figure out of range": {"1,99999999999999999999,64", now.Add(time.Millisecond), true},
+	} {
+		b := balancer.New("dc", balancer.WithEvenLoad())
+		b.Update([]balancer.Upstream{{Name: "u/0", Service: "s", DataCentre: "dc", Slots: 64}})
+		must.True(t, b.AddReading("u/0", now, 4*time.Second))
+		f := New(WithBalancer(b), WithHeaders(Headers{Load: "Load"}), WithEvenLoad())
+		q := &request{service: "s", route: &matcher.Route{}, attempts: make([]attempt, 1)}
+		c := &call{f: f, q: q, upstream: &registrar.Upstream{Slots: 64}, name: "u/0", beganAt: x.beganAt}
+		c.response = &connector.Response{Response: &http.Response{Header: http.Header{"Load": {x.load}}}}
+		c.reportLoad()
+		must.EqOp(t, x.want, b.State().(balancer.State).Upstreams[0].ExpectedTime > 40, must.Sprint(name))
+	}
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -94,6 +94,7 @@
 	c.countEvent()
 	if c.pace.firstAt.IsZero() {
 		f.OnResponse(c.info, f.Now().Sub(c.beganAt))
+		c.observePromptRead()
 	}
 	if d, ok := c.pace.add(f.Now()); ok {
 		a.pace = d
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -127,6 +127,7 @@
 	sharing       *sharing
 	cold          *coldness
 	confirmations *confirmations
+	prompts       *prompts
 	reaper        *reaper.Reaper
 	upstreams     *follower.Follower[registrar.Change]
 	operator      Follower
@@ -191,6 +192,7 @@
 		Configuration: r.applyConfiguration, Order: r.rollouts.addOrder, Evacuations: r.evacuator.Apply, Returned: r.rollouts.storeReturned,
 	})
 	r.shareConfirmations()
+	r.sharePrompts()
 	for name, counters := range map[string]func() map[string]int64{
 		"follower-confirmer": r.confirmations.upstreams.Counters, "operator-confirmer": r.confirmations.operator.Counters,
 		"forwarder": r.forwarder.Counters, "balancer": r.balancer.Counters, "connector": r.pool.Counters, "reaper": r.reaper.Counters,
@@ -341,6 +343,7 @@
 	g.Go(func() error { return r.rollouts.run(background) })
 	g.Go(func() error { return r.sharing.run(background) })
 	g.Go(func() error { return r.confirmations.run(background) })
+	g.Go(func() error { return r.prompts.run(background) })
 	g.Go(func() error { return r.inquire(background) })
 	g.Go(func() error { return r.sweepPeriodically(background) })
 	serveErr := make(chan error, 1)
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -61,6 +61,8 @@
 	ExposureSlack float64 `yaml:"exposure-slack" validate:"gte=0"`
 	// EvenLoad makes the choice of an upstream depend on the time that work is expected to take there.
 	EvenLoad bool `yaml:"even-load"`
+	// SharedPrompts makes entries tell each other which upstreams read long prompts. It needs EvenLoad and PeerAddress.
+	SharedPrompts bool `yaml:"shared-prompts"`
 	// Cold bounds the requests to an upstream that is cold.
 	Cold ColdSettings `yaml:"cold"`
 	// LogLinesPerSecond bounds the lines of the log.
--- a/runner/settings_test.go
+++ b/runner/settings_test.go
@@ -85,6 +85,7 @@
 	must.EqOp(t, 2*time.Second, s.LeaveTime)
 	must.EqOp(t, 4*time.Second, s.ApplyTime)
 	must.False(t, s.EvenLoad)
+	must.False(t, s.SharedPrompts)
 	must.EqOp(t, 6*time.Second, s.EvacuateTime)
 	s, err = runner.ParseSettings("entry.yaml", []byte(renderTemplateWith(t, nil)))
 	must.NoError(t, err)
@@ -112,6 +113,10 @@
 		"negative truth value":      {"confirmations: true", "confirmations: -1", "shared-confirmations"},
 		"huge truth value":          {"confirmations: true", "confirmations: 1e300", "shared-confirmations"},
 		"text as truth value":       {"confirmations: true", "confirmations: often", "shared-confirmations"},
+		"number for prompts":        {"prompts: false", "prompts: 0", "shared-prompts"},
+		"negative for prompts":      {"prompts: false", "prompts: -1", "shared-prompts"},
+		"huge number for prompts":   {"prompts: false", "prompts: 1e300", "shared-prompts"},
+		"text for prompts":          {"prompts: false", "prompts: long", "shared-prompts"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			text := strings.Replace(renderTemplate(t), test.old, test.replacement, 1)
