meter: gauges of even load for each service

Cause: the busiest over the mean load and the idle upstreams while requests wait at others were only in the state dump.

Entries report siskinfront_balancer_busiest_over_mean and siskinfront_balancer_idle_while_others_wait by service.

Conclusion: an operator sees uneven load without the dump.

--- a/balancer/evenload_test.go
+++ b/balancer/evenload_test.go
@@ -162,7 +162,7 @@
 	}
 }
 
-// Guards against a state that shows no uneven load although an upstream is idle while requests wait at another, and against one that
+// Guards against a state, or gauges, that show no uneven load although an upstream is idle while requests wait at another, and against one that
 // counts samples that are too old.
 func TestPoolState(t *testing.T) {
 	now := start
@@ -179,6 +179,9 @@
 	b.Report("u2", streamer.Load{At: now, Running: 3})
 	state := b.State().(balancer.State)
 	must.Eq(t, []balancer.PoolState{{Service: "s", BusiestOverMean: 9.0 * 3 / 12, IdleWhileOthersWait: 1}}, state.Pools)
+	must.Eq(t, map[string]map[string]float64{
+		"busiest-over-mean": {"s": 9.0 * 3 / 12}, "idle-while-others-wait": {"s": 1},
+	}, b.ServiceGauges())
 	must.EqOp(t, 3, state.Upstreams[1].Slowdown)
 	must.EqOp(t, 1.5, state.Upstreams[1].Correction)
 	must.EqOp(t, (9+2)*3-2, state.Upstreams[1].ExpectedTime)
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -79,6 +79,19 @@
 	return st
 }
 
+// ServiceGauges returns, by name and service, how even the load of the upstreams is: busiest-over-mean and idle-while-others-wait as in
+// PoolState. Services without recent samples have none.
+func (b *Balancer) ServiceGauges() map[string]map[string]float64 {
+	busiest, idle := map[string]float64{}, map[string]float64{}
+	now := b.opts.now().UnixNano()
+	for service, p := range b.current.Load().services {
+		if x, ok := b.poolState(p, now); ok {
+			busiest[string(service)], idle[string(service)] = x.BusiestOverMean, float64(x.IdleWhileOthersWait)
+		}
+	}
+	return map[string]map[string]float64{"busiest-over-mean": busiest, "idle-while-others-wait": idle}
+}
+
 // poolState returns the state of a pool, and whether it has a sample that is recent enough to be used.
 func (b *Balancer) poolState(p *pool, nowNanos int64) (PoolState, bool) {
 	var sum, most, n int64
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -35,6 +35,10 @@
 	parts map[string]func() map[string]int64
 	// gauges holds the function that returns the gauges of each part that has some.
 	gauges map[string]func() map[string]int64
+	// labelled holds the gauges with a label of each part that has some, and labelValues the values of the label of each of them,
+	// which scrapeMu guards.
+	labelled    map[string]labelledGauges
+	labelValues map[string]map[string]bool
 	// lastValues holds the value of each counter at the last scrape, by part and counter name.
 	lastValues  map[string]int64
 	histograms  map[LatencyHistogram]map[string]tally.Histogram
@@ -53,6 +57,7 @@
 	}
 	m := &Meter{
 		scope: scope, buckets: latencyBuckets(), parts: map[string]func() map[string]int64{}, gauges: map[string]func() map[string]int64{},
+		labelled: map[string]labelledGauges{}, labelValues: map[string]map[string]bool{},
 		lastValues: map[string]int64{}, histograms: map[LatencyHistogram]map[string]tally.Histogram{},
 	}
 	m.parts["meter"] = m.Counters
@@ -127,7 +132,7 @@
 	defer m.scrapeMu.Unlock()
 	m.mu.Lock()
 	m.scrapes++
-	parts, gauges := maps.Clone(m.parts), maps.Clone(m.gauges)
+	parts, gauges, labelled := maps.Clone(m.parts), maps.Clone(m.gauges), maps.Clone(m.labelled)
 	m.mu.Unlock()
 
 	// The parts are read without holding mu, because they may call Observe under their own lock, which would deadlock.
@@ -140,6 +145,9 @@
 			m.scope.Gauge(part + " " + name).Update(float64(n))
 		}
 	}
+	for part, g := range labelled {
+		m.collectLabelled(part, g)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for part, counters := range values {
--- a/meter/text.go
+++ b/meter/text.go
@@ -61,12 +61,22 @@
 }
 
 func writeGauges(b *strings.Builder, s tally.Snapshot) {
-	gauges := slices.SortedFunc(maps.Values(s.Gauges()), func(a, b tally.GaugeSnapshot) int { return cmp.Compare(a.Name(), b.Name()) })
+	gauges := slices.SortedFunc(maps.Values(s.Gauges()), func(a, b tally.GaugeSnapshot) int {
+		return cmp.Or(cmp.Compare(a.Name(), b.Name()), cmp.Compare(fmt.Sprint(a.Tags()), fmt.Sprint(b.Tags())))
+	})
+	last := ""
 	for _, g := range gauges {
 		part, name, _ := strings.Cut(g.Name(), " ")
 		metric := GaugeName(part, name)
-		fmt.Fprintf(b, "# HELP %s Gauge %s of the part %s.\n# TYPE %s gauge\n%s %s\n", metric, name, part, metric, metric,
-			strconv.FormatFloat(g.Value(), 'f', -1, 64))
+		if metric != last {
+			fmt.Fprintf(b, "# HELP %s Gauge %s of the part %s.\n# TYPE %s gauge\n", metric, name, part, metric)
+		}
+		last = metric
+		labels := ""
+		for label, value := range g.Tags() { // at most one
+			labels = "{" + sanitize(label) + `="` + labelEscaper.Replace(value) + `"}`
+		}
+		fmt.Fprintf(b, "%s%s %s\n", metric, labels, strconv.FormatFloat(g.Value(), 'f', -1, 64))
 	}
 }
 
--- a/runner/documentation_internal_test.go
+++ b/runner/documentation_internal_test.go
@@ -8,11 +8,14 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/siskinfront/siskinfront/balancer"
 	"github.com/siskinfront/siskinfront/configurer"
 	"github.com/siskinfront/siskinfront/meter"
+	"github.com/siskinfront/siskinfront/streamer"
 )
 
 // documentSection returns the section of docs/OPERATIONS.md under a heading.
@@ -52,14 +55,19 @@
 	}
 }
 
-// Guards against a gauge that is not documented.
+// Guards against a gauge that is not documented, and against missing gauges of the load of a service.
 func TestGaugesAreDocumented(t *testing.T) {
 	r := newTestRunner(t, testSettings+"store: \"127.0.0.1:1\"\n", nil)
+	r.balancer.Update([]balancer.Upstream{{Name: "u/0", Service: "s", Slots: 8}, {Name: "v/0", Service: "s", Slots: 8}})
+	r.balancer.Report("u/0", streamer.Load{At: time.Now(), Running: 4, Queued: []int{1}})
+	r.balancer.Report("v/0", streamer.Load{At: time.Now()})
 	w := httptest.NewRecorder()
 	r.meter.ServeHTTP(w, httptest.NewRequest(http.MethodGet, meter.Path, http.NoBody))
 	metrics := documentSection(t, "Metrics")
 	gauges := regexp.MustCompile(`(?m)^# TYPE (\S+) gauge$`).FindAllStringSubmatch(w.Body.String(), -1)
 	must.SliceNotEmpty(t, gauges)
+	must.StrContains(t, w.Body.String(), "\nsiskinfront_balancer_busiest_over_mean{service=\"s\"} 2\n")
+	must.StrContains(t, w.Body.String(), "\nsiskinfront_balancer_idle_while_others_wait{service=\"s\"} 1\n")
 	for _, m := range gauges {
 		must.StrContains(t, metrics, "`"+m[1]+"`")
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -202,6 +202,7 @@
 		r.meter.Register(name, counters)
 	}
 	r.meter.RegisterGauges("forwarder", r.forwarder.Gauges)
+	r.meter.RegisterLabelledGauges("balancer", "service", r.balancer.ServiceGauges)
 	return r
 }
 
