--- a/balancer/reading_test.go
+++ b/balancer/reading_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
@@ -138,3 +139,29 @@
 		})
 	}
 }
+
+// Guards against prompts of which a part counts as cached at an upstream that other entries do not prefer for it, or for no prefix, and
+// against hashes of upstreams that are not listed.
+func TestIsPreferred(t *testing.T) {
+	b := balancer.New("dc-0")
+	ups := newUpstreams(12, 1)
+	b.Update(ups)
+	for prefix := range uint64(100) {
+		n := 0
+		for _, u := range ups {
+			if b.IsPreferred(balancer.Query{Target: target(0), Prefix: prefix}, u.Name) {
+				n++
+			}
+		}
+		must.EqOp(t, min(3*int(prefix), 3), n)
+	}
+	must.False(t, b.IsPreferred(balancer.Query{Target: target(0), Prefix: 1}, "unknown"))
+	must.False(t, b.IsPreferred(balancer.Query{Service: "unknown", Prefix: 1}, ups[0].Name))
+	name, ok := b.UpstreamByHash(xxhash.Sum64String(string(ups[3].Name)))
+	must.True(t, ok)
+	must.EqOp(t, ups[3].Name, name)
+	b.Update(ups[:3])
+	_, ok = b.UpstreamByHash(xxhash.Sum64String(string(ups[3].Name)))
+	must.False(t, ok)
+	must.EqOp(t, 1, b.Slowdown("unknown"))
+}
--- a/runner/prompts_internal_test.go
+++ b/runner/prompts_internal_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"bytes"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -138,3 +139,16 @@
 	x.receive(peerAddress, valid.Encode())
 	must.EqOp(t, 1, x.Counters()["heard"])
 }
+
+// Guards against a changed setting that an operator takes to be in force although it is read at the start only.
+func TestChangeOfSharedPromptsNeedsRestart(t *testing.T) {
+	for _, change := range []bool{false, true} {
+		r := newPromptRunner(func(*Settings) {})
+		var lines bytes.Buffer
+		r.log = slog.New(slog.NewJSONHandler(&lines, nil))
+		s := *r.settings.Load()
+		s.SharedPrompts = s.SharedPrompts != change
+		r.applySettings(&s, "test")
+		must.StrContains(t, lines.String(), fmt.Sprintf(`"needs-restart":%v`, change))
+	}
+}
