announcer: no prompts of absurd lengths

Cause: callers state the tokens of their prompts; one statement of a billion would outweigh all others in the speed of reading.

Change: prompts of more than 1,000,000 tokens are neither announced nor learned from.

--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -20,7 +20,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		valid := announcer.Announcement{
 			Upstream: rapid.Uint64().Draw(t, "upstream"), Model: rapid.Uint64().Draw(t, "model"),
-			Tokens: rapid.IntRange(1, 10_000_000).Draw(t, "tokens"), Age: time.Duration(rapid.IntRange(0, 65535).Draw(t, "age")) * time.Millisecond,
+			Tokens: rapid.IntRange(1, announcer.MaxTokens).Draw(t, "tokens"), Age: time.Duration(rapid.IntRange(0, 65535).Draw(t, "age")) * time.Millisecond,
 		}
 		b := valid.Encode()
 		if got, err := announcer.Decode(b); err != nil || got != valid || !announcer.IsAnnouncement(b) || len(b) >= 64 {
@@ -31,14 +31,14 @@
 			x[rapid.IntRange(0, len(x)-1).Draw(t, "index")] = rapid.Byte().Draw(t, "value")
 			return x[:rapid.IntRange(0, len(x)).Draw(t, "length")]
 		})).Draw(t, "datagram")
-		if a, err := announcer.Decode(b); err == nil && (a.Tokens < 1 || a.Tokens > 10_000_000 || a.Age < 0 || a.Age > 66*time.Second || len(b) != 23) {
+		if a, err := announcer.Decode(b); err == nil && (a.Tokens < 1 || a.Tokens > announcer.MaxTokens || a.Age < 0 || a.Age > 66*time.Second || len(b) != 23) {
 			t.Fatalf("datagram %x was taken as %+v", b, a)
 		}
 	})
 	for _, a := range []announcer.Announcement{{Tokens: -1}, {Tokens: 1 << 40, Age: -time.Hour}, {Tokens: 1, Age: 1 << 62}} {
 		got, err := announcer.Decode(a.Encode())
 		must.EqOp(t, a.Tokens > 0, err == nil)
-		must.LessEq(t, 10_000_000, got.Tokens)
+		must.LessEq(t, announcer.MaxTokens, got.Tokens)
 	}
 	for _, b := range [][]byte{nil, {}, {16}, []byte("null"), make([]byte, 23), make([]byte, 1400)} {
 		_, err := announcer.Decode(b)
--- a/announcer/codec.go
+++ b/announcer/codec.go
@@ -14,10 +14,12 @@
 	kindPrompt = 16
 	// messageBytes is the length of an announcement.
 	messageBytes = 1 + 8 + 8 + 4 + 2
-	// maxTokens bounds the tokens of a prompt that is announced.
-	maxTokens = 10_000_000
 )
 
+// MaxTokens bounds the tokens of a prompt that is announced or from whose reading is learned. Callers state the tokens, and the longest
+// prompts have some 70,000.
+const MaxTokens = 1_000_000
+
 // Announcement says that a prompt was sent to an upstream.
 type Announcement struct {
 	// Upstream and Model are the hashes of the name of the upstream with its start and of the model.
@@ -46,7 +48,7 @@
 	b := append(make([]byte, 0, messageBytes), kindPrompt)
 	b = binary.BigEndian.AppendUint64(b, a.Upstream)
 	b = binary.BigEndian.AppendUint64(b, a.Model)
-	b = binary.BigEndian.AppendUint32(b, uint32(min(max(a.Tokens, 0), maxTokens)))
+	b = binary.BigEndian.AppendUint32(b, uint32(min(max(a.Tokens, 0), MaxTokens)))
 	return binary.BigEndian.AppendUint16(b, uint16(min(max(a.Age.Milliseconds(), 0), math.MaxUint16)))
 }
 
@@ -56,7 +58,7 @@
 		return Announcement{}, ErrInvalid
 	}
 	tokens := binary.BigEndian.Uint32(b[17:])
-	if tokens == 0 || tokens > maxTokens {
+	if tokens == 0 || tokens > MaxTokens {
 		return Announcement{}, ErrInvalid
 	}
 	return Announcement{
--- a/announcer/speed.go
+++ b/announcer/speed.go
@@ -55,7 +55,7 @@
 
 // Observe adds a prompt of a model, and the time from sending it to its first event. Tokens that a slower engine read count as more.
 func (s *Speeds) Observe(model uint64, tokens, slowdown float64, took time.Duration) {
-	if tokens <= 0 || took < 0 {
+	if tokens <= 0 || tokens > MaxTokens || took < 0 {
 		return
 	}
 	s.mu.Lock()
@@ -83,6 +83,6 @@
 		return 0, false
 	}
 	slope, ok := r.slope()
-	// A prompt of maxTokens at the longest time for a token stays within the range of time.Duration.
+	// A prompt of MaxTokens at the longest time for a token stays within the range of time.Duration.
 	return time.Duration(slope * tokens * slowdown * float64(time.Second)), ok
 }
--- a/runner/prompts.go
+++ b/runner/prompts.go
@@ -60,6 +60,9 @@
 
 // sent records a prompt that this entry has sent, and announces it if it is long.
 func (x *prompts) sent(p forwarder.Prompt) {
+	if p.Tokens <= 0 || p.Tokens > announcer.MaxTokens {
+		return
+	}
 	model := announcer.Hash(p.Model)
 	d, ok := x.readingTime(p.Upstream, model, p.Tokens)
 	if !ok || d < balancer.MinReading {
--- a/runner/prompts_internal_test.go
+++ b/runner/prompts_internal_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -152,3 +153,24 @@
 		must.StrContains(t, lines.String(), fmt.Sprintf(`"needs-restart":%v`, change))
 	}
 }
+
+// Guards against callers that state prompts of absurd lengths, and so have an effect on the choice, on what the other entries hear or on the
+// speed of reading.
+func TestAbsurdPromptsHaveNoEffect(t *testing.T) {
+	x := newPromptRunner(func(*Settings) {}).prompts
+	x.announcer = announcer.New(time.Now, func([]byte) { t.Error("an absurd prompt is announced") }, func() int { return 2 })
+	expected := func() string { return fmt.Sprint(x.balancer.State().(balancer.State).Upstreams[0].ExpectedTime) }
+	idle := expected()
+	before, known := x.readingTime("u0/1", announcer.Hash("m"), 45_000)
+	must.True(t, known)
+	must.Between(t, 490*time.Millisecond, before, 510*time.Millisecond)
+	for _, tokens := range []int{0, -1, math.MinInt, announcer.MaxTokens + 1, math.MaxInt} {
+		p := forwarder.Prompt{Upstream: "u0/1", Model: "m", Tokens: tokens, SentAt: time.Now()}
+		x.sent(p)
+		x.read(p, time.Second)
+	}
+	x.announcer.Flush()
+	must.EqOp(t, idle, expected())
+	after, _ := x.readingTime("u0/1", announcer.Hash("m"), 45_000)
+	must.EqOp(t, before, after)
+}
