--- a/balancer/simulation_test.go
+++ b/balancer/simulation_test.go
@@ -63,6 +63,12 @@
 	dataCentres int
 	firstShare  float64
 	options     []balancer.Option
+	// evenLoad compares upstreams by expected time.
+	evenLoad bool
+	// joining is the number of upstreams that start after half of the requests. From then on each of them takes coldPerSecond requests
+	// per second, or any number if that is 0.
+	joining       int
+	coldPerSecond float64
 }
 
 // evenness is the result of a simulation: the requests of the busiest upstream over their mean, and the times in ms that requests waited.
@@ -70,6 +76,9 @@
 	busiest, meanWait, p99Wait float64
 	// crossed is the share of the requests that went to another data centre.
 	crossed float64
+	// joined is the share of the later requests that the joining upstreams got, relative to the mean, and asks that of the choices,
+	// including those that had to go elsewhere.
+	joined, asks float64
 }
 
 func (e evenness) String() string {
@@ -87,11 +96,30 @@
 	}
 	balancers := make([]*balancer.Balancer, d.entries)
 	for i := range balancers {
-		balancers[i] = balancer.New(d.dataCentre(i), append([]balancer.Option{
+		opts := []balancer.Option{
 			balancer.WithSelf(identifier.Instance(fmt.Sprint("e", i))), withSeed(uint64(i)),
 			balancer.WithNow(func() time.Time { return start.Add(now) }), balancer.WithSubsetSize(d.upstreams), balancer.WithWaitingWeight(3),
-		}, d.options...)...)
-		balancers[i].Update(list)
+		}
+		if d.evenLoad {
+			opts = append(opts, balancer.WithEvenLoad())
+		}
+		balancers[i] = balancer.New(d.dataCentre(i), append(opts, d.options...)...)
+		balancers[i].Update(list[:d.upstreams-d.joining])
+	}
+	half, later, asked, joined, nextAt := requests/2, 0, 0, 0, make([]time.Duration, d.upstreams)
+	// takes reports whether an upstream takes a request now, and counts the request if the upstream has started late.
+	takes := func(i int) bool {
+		if i < d.upstreams-d.joining {
+			return true
+		}
+		if asked++; now < nextAt[i] {
+			return false
+		}
+		joined++
+		if d.coldPerSecond > 0 {
+			nextAt[i] = now + time.Duration(float64(time.Second)/d.coldPerSecond)
+		}
+		return true
 	}
 	var waits []float64
 	crossed := 0
@@ -109,11 +137,18 @@
 			if d.hasPrefixes {
 				q.Prefix, q.PrefixRatio = 1+uint64(math.Pow(float64(prefixesPerUpstream*d.upstreams), rng.Float64())), 0.5
 			}
-			u, err := b.Choose(q)
-			if err != nil {
-				panic(err)
+			for {
+				u, err := b.Choose(q)
+				if err != nil {
+					panic(err)
+				}
+				if chosen = index[u.Name]; takes(chosen) {
+					break
+				}
+				b.Begin(u.Name)
+				b.End(u.Name, balancer.ResultCanceled)
+				q.Exclude = append(q.Exclude, u.Name)
 			}
-			chosen = index[u.Name]
 		}
 		if list[chosen].DataCentre != d.dataCentre(entry) {
 			crossed++
@@ -143,9 +178,17 @@
 			u.queue = append(u.queue, begin)
 		}
 	}
-	interval := float64(simulatedWork) / (d.load * float64(d.upstreams*d.slots))
+	interval := float64(simulatedWork) / (d.load * float64((d.upstreams-d.joining)*d.slots))
 	var arrive func()
 	arrive = func() {
+		if requests < half {
+			later++
+		}
+		if requests == half {
+			for _, b := range balancers {
+				b.Update(list)
+			}
+		}
 		send(d.entry(rng))
 		if requests--; requests > 0 {
 			after(time.Duration(rng.ExpFloat64()*interval), arrive)
@@ -165,8 +208,11 @@
 		sum += w
 	}
 	slices.Sort(waits)
-	n := float64(len(waits))
-	return evenness{float64(most*d.upstreams) / n, sum / n, waits[len(waits)*99/100], float64(crossed) / n}
+	n, share := float64(len(waits)), float64(d.upstreams)/float64(max(d.joining, 1))/float64(later)
+	return evenness{
+		busiest: float64(most*d.upstreams) / n, meanWait: sum / n, p99Wait: waits[len(waits)*99/100], crossed: float64(crossed) / n,
+		joined: float64(joined) * share, asks: float64(asked) * share,
+	}
 }
 
 // dataCentre returns the data centre of the i-th entry or upstream.
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -63,6 +63,8 @@
 	EvenLoad bool `yaml:"even-load"`
 	// LocalPreference prefers upstreams of the own data centre unless they have clearly more load than others.
 	LocalPreference bool `yaml:"local-preference"`
+	// SharedPrompts makes entries tell each other which upstreams read long prompts. It needs EvenLoad and PeerAddress.
+	SharedPrompts bool `yaml:"shared-prompts"`
 	// Cold bounds the requests to an upstream that is cold.
 	Cold ColdSettings `yaml:"cold"`
 	// LogLinesPerSecond bounds the lines of the log.
