--- a/promoter/trial.go
+++ b/promoter/trial.go
@@ -289,7 +289,7 @@
 		}
 		mergeCounts(sum.candidate, tally.Candidate)
 		mergeCounts(sum.stable, tally.Stable)
-		if storeNow-tally.At <= maxTallyAge.Milliseconds() {
+		if tally.isFresh(storeNow) {
 			for _, session := range tally.HeldSessions {
 				t.remoteSessions.Use(session, now)
 			}
