--- a/runner/tallies_internal_test.go
+++ b/runner/tallies_internal_test.go
@@ -55,9 +55,9 @@
 			f.setCut(func(from, to identifier.Instance) bool { return from == c.entry || to == c.entry })
 		},
 		"cut off from half of the entries": func(f *tallyFleet, c *fleetEntry) {
-			f.cut = func(from, to identifier.Instance) bool {
+			f.setCut(func(from, to identifier.Instance) bool {
 				return to == c.entry && (f.byName(from).address.Addr().As4()[3]%2 == 0)
-			}
+			})
 		},
 		"without the store": func(f *tallyFleet, c *fleetEntry) {
 			f.store.mu.Lock()
@@ -135,3 +135,53 @@
 		}
 	}
 }
+
+// Guards against entries that call a failed collector again in each step, and against entries that each step alone after an outage of the store,
+// or after their collector was gone.
+func TestCallsAfterFailures(t *testing.T) {
+	const n = 8
+	for name, x := range map[string]struct {
+		fault collectorFault
+		// failures are the collectors that an entry gives up, and more the calls of the store beyond those of one entry alone.
+		failures, more int
+	}{
+		// Each entry makes one step, of two calls, and the next collector reads no status.
+		"collector killed": {func(_ *tallyFleet, c *fleetEntry) { c.kill() }, 1, 2 * n},
+		// Each entry tries a step for each interval of the outage.
+		"store out": {func(f *tallyFleet, _ *fleetEntry) {
+			for _, e := range f.list() {
+				f.store.mu.Lock()
+				f.store.refused[e.entry] = true
+				f.store.mu.Unlock()
+				time.AfterFunc(3*time.Second, func() { f.store.serve(e.entry) })
+			}
+		}, 0, 3 * n},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, n, true, func(ctx context.Context, t *testing.T, f *tallyFleet) {
+				go func() {
+					time.Sleep(6 * time.Second)
+					x.fault(f, f.collectorOf(t))
+				}()
+				s := play(ctx, t, f, 0)
+				must.EqOp(t, "succeeded", s.state)
+				collectors := map[identifier.Instance]bool{}
+				for _, e := range f.list() {
+					if e.isKilled() {
+						continue
+					}
+					e.mu.Lock()
+					must.LessEq(t, x.failures, e.services["s"].choice.Failed())
+					collectors[e.services["s"].collector] = true
+					e.mu.Unlock()
+					if x.failures > 0 {
+						must.LessEq(t, int64(x.failures), e.tallies.callsFailed.Load())
+					}
+				}
+				must.MapLen(t, 1, collectors)
+				t.Logf("%d calls, %v", f.store.numCalls(), f.store.kinds)
+				must.LessEq(t, 31+x.more, f.store.numCalls())
+			})
+		})
+	}
+}
