--- a/runner/reload.go
+++ b/runner/reload.go
@@ -43,13 +43,14 @@
 	}
 }
 
-// applySettings applies new settings. Changes of listener addresses, of the instance's name, of its data centre and of what it shares
-// with others need a restart, and so does a change of the memory.
+// applySettings applies new settings. Changes of listener addresses, of the instance's name, of its data centre, of what it shares
+// with others and of how it chooses upstreams need a restart, and so does a change of the memory.
 func (r *Runner) applySettings(s *Settings, cause string) {
 	old := r.settings.Load()
 	needsRestart := s.CallerAddress != old.CallerAddress || s.ReadyAddress != old.ReadyAddress ||
 		s.DebugAddress != old.DebugAddress || s.PeerAddress != old.PeerAddress || s.Instance != old.Instance || s.DataCentre != old.DataCentre ||
-		s.SharedConfirmations != old.SharedConfirmations || s.SharedPrompts != old.SharedPrompts
+		s.SharedConfirmations != old.SharedConfirmations || s.SharedTallies != old.SharedTallies || s.SharedPrompts != old.SharedPrompts ||
+		s.EvenLoad != old.EvenLoad || s.LocalPreference != old.LocalPreference
 	r.settings.Store(s)
 	if s.Store != old.Store {
 		r.platform.SetStore(s.Store)
