confirmer: all tests run under the race detector

Cause: The detector ended with an internal failure in the tests of fleets (CHECK failed: tsan_rtl.cpp:346, or a nil pointer in SlotLock), 2 of 2 runs of the package. That is shown to happen if a goroutine of a synctest bubble reads the channel of a timer that is due: it then fires the timer itself, in the detector's context for all timers of the bubble, which another processor may be using. 20 goroutines that read time.After(0) in a loop end in 34 of 36 runs in a failure of the detector or of memory (27 in that check) with 2 to 7 processors, and in none of 6 with one processor. The fleets read such channels in calls without a wait and in replies that take no time. With these removed 1 of 6 runs of the package still failed, and 6 of 12 runs of TestCallsOfFleet in a variant with one goroutine for the datagrams of a moment. A build of the runtime that stops at any such read failed in the detector in 2 of 4 runs without having stopped, so at 330 entries there is a second cause inside the detector or the runtime, which was not found. It was seen with several processors only: none of 12 runs of TestCallsOfFleet in that variant failed on one.

Change: The simulated store waits on a channel that a timer's function closes. Under the race detector a fleet runs on one processor. The detector finds races from the order of synchronisation, so goroutines need not run at the same time; without it fleets run as before. The tests stay in one package, as a second one would not change the cause. TestSlowReply counts the calls given up since the change: before it also counted those of the first seconds, until clocks are known, of which 30 entries have up to two, and so failed in 1 of 60 runs without the detector and 2 of 6 with it.

--- a/confirmer/fault_test.go
+++ b/confirmer/fault_test.go
@@ -285,8 +285,10 @@
 		atPhases(t, func(t *testing.T, f *fleet) {
 			x := f.entries[victim]
 			x.set(func(e *entry) { e.slow = slow })
+			// Until the entries know each other's clocks, some calls are given up without news.
+			before := x.table.Counters()["given-up"]
 			f.mustApplyWithin(t, f.write(), bound)
-			must.LessEq(t, 2, x.table.Counters()["given-up"])
+			must.LessEq(t, 2, x.table.Counters()["given-up"]-before)
 		})
 	}
 }
--- a/confirmer/fleet_test.go
+++ b/confirmer/fleet_test.go
@@ -65,6 +65,7 @@
 // runFleet runs a test with a fleet after it has run for 40 s, so that calls wait on confirmations.
 func runFleet(t *testing.T, n int, shared bool, test func(*testing.T, *fleet)) {
 	t.Helper()
+	defer limitProcessors()()
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{era: 1, version: 10, changes: []uint64{5, 10}, changed: make(chan struct{})}
 		ctx, cancel := context.WithCancel(t.Context())
@@ -262,7 +263,8 @@
 			if stale {
 				return nil, storer.Extent{Position: storer.Position{Era: after.Era, Version: after.Version - 1}}, e.end(ctx, began)
 			}
-			timeout := time.After(wait)
+			timeout := make(chan struct{})
+			defer closeAfter(wait, timeout).Stop()
 			for timedOut := false; ; {
 				e.fleet.mu.Lock()
 				changed, lost := e.changed, after.Version+1 < e.oldest || after.Version > e.version
@@ -291,7 +293,7 @@
 	e.mu.Lock()
 	slow := e.slow
 	e.mu.Unlock()
-	if changes == 0 {
+	if changes == 0 || slow == 0 {
 		return nil
 	}
 	return storer.Sleep(ctx, slow)
--- /dev/null
+++ b/confirmer/race_on_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package confirmer_test
+
+const raceDetector = true
