prober: one follower probes a store that is out

Cause: While the store refuses an entry, each of its three followers retries its call every 0.25 to 0.5 s.

Change: A group decides who calls. The follower that lost its table first probes, with pauses of 50 ms that double to 0.5 s for all calls of the group; the others call once themselves after 2 s, in place of a probe. A success lets all go on at once, also if a call is under way: one that lasts on for 0.2 s is repeated. These calls are not held by the store. One that takes 0.5 s to fail is repeated only in its turn. Followers without a probe, and those without a copy, work as before.

After a return all tables are current within 0.5 s of the first success, and that comes within 0.55 s, or 3.05 s if the store did not answer, as before.

Each test was seen to fail with its fault, 23 of them, among these: all members probe, a wait that does not end, calls beside the probes, a success that lets nobody go on, a call under way that lasts on, a member without a copy that waits, a turn that is missed, a lost history that counts as a failure.

--- a/follower/confirm.go
+++ b/follower/confirm.go
@@ -57,12 +57,12 @@
 			continue
 		case confirmer.None:
 		}
-		f.awaitDue(ctx, at)
+		f.awaitWake(ctx, at, f.Confirmer.Wake())
 	}
 }
 
-// awaitDue waits until a time, if it is not zero, until something has changed for the confirmer, or until ctx ends.
-func (f *Follower[T]) awaitDue(ctx context.Context, at time.Time) {
+// awaitWake waits until a time, if it is not zero, until wake receives a value, or until ctx ends.
+func (f *Follower[T]) awaitWake(ctx context.Context, at time.Time, wake <-chan struct{}) {
 	var due <-chan time.Time
 	if !at.IsZero() {
 		t := time.NewTimer(at.Sub(f.Now()))
@@ -72,7 +72,7 @@
 	select {
 	case <-ctx.Done():
 	case <-due:
-	case <-f.Confirmer.Wake():
+	case <-wake:
 	}
 }
 
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -11,6 +11,7 @@
 
 	"github.com/siskinfront/siskinfront/confirmer"
 	"github.com/siskinfront/siskinfront/pacer"
+	"github.com/siskinfront/siskinfront/prober"
 	"github.com/siskinfront/siskinfront/storer"
 )
 
@@ -76,6 +77,8 @@
 	Now  func() time.Time
 	// Confirmer decides how long calls may wait from what other entries tell of the table; it is nil for the Pace alone.
 	Confirmer *confirmer.Table
+	// Probe decides when to call while the table cannot be read; it is nil if no other follower calls in this one's place.
+	Probe *prober.Member
 
 	held        heldCall
 	position    atomic.Pointer[storer.Position]
@@ -155,7 +158,7 @@
 		case ctx.Err() == nil:
 			f.startOutage(err)
 		}
-		f.pause(ctx, backoff/2+rand.N(backoff/2))
+		f.awaitCall(ctx, err, backoff/2+rand.N(backoff/2))
 		backoff = min(2*backoff, maxBackoff)
 	}
 	return nil
@@ -195,6 +198,12 @@
 	switch {
 	case errors.Is(err, errGivenUp):
 		return err
+	case errors.Is(err, errReleased):
+		f.callFailed()
+		if f.Reconnect != nil {
+			f.Reconnect()
+		}
+		return err
 	case err != nil:
 		f.failures.Add(1)
 		f.callFailed()
@@ -223,6 +232,7 @@
 	batch.CopyEnd = f.copyEnd
 	f.position.Store(&position)
 	now := f.Now()
+	f.recordSuccess()
 	if f.inOutage {
 		f.inOutage = false
 		f.Log.Info("store available again", "table", f.Name, "position", position.String(), "out", now.Sub(f.outageSince))
@@ -254,20 +264,32 @@
 	if f.Confirmer != nil {
 		call, wait = f.Confirmer.Begin(f.paused)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+pacer.ReplyMargin)
+	timeout := wait + pacer.ReplyMargin
+	isProbe := f.sharesProbe()
+	if isProbe {
+		// Others wait for the reply.
+		wait, timeout = 0, min(timeout, maxProbeTime)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	if isProbe {
+		go f.endOnRelease(ctx, giveUp)
+	}
 	if f.Confirmer != nil {
-		var giveUp context.CancelCauseFunc
-		ctx, giveUp = context.WithCancelCause(ctx)
-		defer giveUp(nil)
 		f.held.set(call, giveUp)
 		defer f.held.set(0, nil)
 	}
 	f.calls.Add(1)
 	rows, extent, err := f.Changes(ctx, after, wait)
-	if err != nil && errors.Is(context.Cause(ctx), errGivenUp) {
+	switch cause := context.Cause(ctx); {
+	case err == nil:
+	case errors.Is(cause, errGivenUp):
 		f.Confirmer.GaveUp()
 		return nil, extent, wait, errGivenUp
+	case errors.Is(cause, errReleased):
+		return nil, extent, wait, errReleased
 	}
 	return rows, extent, wait, err
 }
