runner: the setting single-store-probe

Cause: The three followers of an entry and the steps of its roll-outs call a store that is out independently.

Change: With single-store-probe (default false, true in deploy) the followers share a probe, and no step of a roll-out begins while all three have lost their tables and none has succeeded for 1.5 s; entries then stop a bad version on their own evidence, as after a failed step.

--- a/runner/debug.go
+++ b/runner/debug.go
@@ -17,7 +17,7 @@
 			"forwarder": r.forwarder.State(), "balancer": r.balancer.State(), "registrar": r.registrar.State(),
 			"roll-outs": r.rollouts.State(), "quarantine": r.sharing.quarantine.State(),
 			"limits": r.sharing.throttler.State(), "evacuations": r.evacuator.State(),
-			"confirmations": r.confirmations.State(),
+			"confirmations": r.confirmations.State(), "store-probe": r.storeProbe.State(),
 		}
 		if t := r.table.Load(); t != nil {
 			state["revision"] = t.Revision
--- a/runner/reload.go
+++ b/runner/reload.go
@@ -49,7 +49,7 @@
 	old := r.settings.Load()
 	needsRestart := s.CallerAddress != old.CallerAddress || s.ReadyAddress != old.ReadyAddress ||
 		s.DebugAddress != old.DebugAddress || s.PeerAddress != old.PeerAddress || s.Instance != old.Instance || s.DataCentre != old.DataCentre ||
-		s.SharedConfirmations != old.SharedConfirmations
+		s.SharedConfirmations != old.SharedConfirmations || s.SingleStoreProbe != old.SingleStoreProbe
 	r.settings.Store(s)
 	if s.Store != old.Store {
 		r.platform.SetStore(s.Store)
--- a/runner/rollouts.go
+++ b/runner/rollouts.go
@@ -105,6 +105,8 @@
 	// ready is set once the entry was ready; before, run is woken to read the status of an order.
 	ready atomic.Bool
 	wake  chan struct{}
+	// isStoreOut reports whether no step is to begin, as its calls would fail; it may be nil.
+	isStoreOut func() bool
 }
 
 // addOrder starts an order that the store shows, unless it is known. mayBeOld is set if the store may have had it before it came back
@@ -280,6 +282,11 @@
 			r.decideLocally(x, now)
 			continue
 		}
+		if r.isStoreOut != nil && r.isStoreOut() {
+			x.nextStepAt = now.Add(badTallyInterval)
+			r.decideLocally(x, now)
+			continue
+		}
 		if x.timed.IsDeciding(x.storeNow(now)) {
 			x.nextStepAt = now.Add(badTallyInterval)
 		}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -27,6 +27,7 @@
 	"github.com/siskinfront/siskinfront/meter"
 	"github.com/siskinfront/siskinfront/pacer"
 	"github.com/siskinfront/siskinfront/pinner"
+	"github.com/siskinfront/siskinfront/prober"
 	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/reaper"
 	"github.com/siskinfront/siskinfront/registrar"
@@ -104,6 +105,8 @@
 	Counters    func() map[string]int64
 	// SetConfirmer sets what decides on the calls from what other entries tell; it must be called before Run, and may be nil.
 	SetConfirmer func(*confirmer.Table)
+	// SetProbe sets what decides on the calls while the store is out; it must be called before Run, and may be nil.
+	SetProbe func(*prober.Member)
 }
 
 // Runner is an entry process.
@@ -127,6 +130,7 @@
 	sharing       *sharing
 	cold          *coldness
 	confirmations *confirmations
+	storeProbe    *prober.Group
 	reaper        *reaper.Reaper
 	upstreams     *follower.Follower[registrar.Change]
 	operator      Follower
@@ -191,8 +195,9 @@
 		Configuration: r.applyConfiguration, Order: r.rollouts.addOrder, Evacuations: r.evacuator.Apply, Returned: r.rollouts.storeReturned,
 	})
 	r.shareConfirmations()
+	r.shareProbe()
 	for name, counters := range map[string]func() map[string]int64{
-		"follower-confirmer": r.confirmations.upstreams.Counters, "operator-confirmer": r.confirmations.operator.Counters,
+		"store-probe": r.storeProbe.Counters, "follower-confirmer": r.confirmations.upstreams.Counters, "operator-confirmer": r.confirmations.operator.Counters,
 		"forwarder": r.forwarder.Counters, "balancer": r.balancer.Counters, "connector": r.pool.Counters, "reaper": r.reaper.Counters,
 		"quarantine": r.sharing.quarantine.Counters, "throttler": r.sharing.throttler.Counters, "limit-owner": r.sharing.owner.Counters, "broadcaster": r.sharing.broadcaster.Counters, "shared": r.sharing.follower.Counters,
 		"evacuator": r.evacuator.Counters, "registrar": r.registrar.Counters, "follower": r.upstreams.Counters, "operator": r.operator.Counters, "store": p.Counters, "rollouts": calls.Counters,
@@ -203,16 +208,6 @@
 	return r
 }
 
-// paceWithin returns the pace of a table whose changes must be in effect within a time.
-func (r *Runner) paceWithin(within time.Duration) func() pacer.Pace {
-	return func() pacer.Pace {
-		s := r.settings.Load()
-		return pacer.Plan(pacer.Bounds{Within: within, Reconnect: s.ReconnectTime}, pacer.Readers{
-			Entries: r.sharing.numEntries(), Tables: followedTables, ReadsPerSecond: s.StoreReads,
-		})
-	}
-}
-
 // Register adds the counters of a component to the metrics; it must be called before Run.
 func (r *Runner) Register(name string, counters func() map[string]int64) {
 	r.meter.Register(name, counters)
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -32,6 +32,8 @@
 	// SharedConfirmations makes entries tell each other that tables of the store have not changed, so that their calls for changes wait
 	// longer. It needs PeerAddress.
 	SharedConfirmations bool `yaml:"shared-confirmations"`
+	// SingleStoreProbe makes one follower call a store that is out, while the others wait for its success.
+	SingleStoreProbe bool `yaml:"single-store-probe"`
 	// Store is the address of the platform's store.
 	Store netip.AddrPort `yaml:"store" validate:"required"`
 	// StoreReads is the number of reads per second that the store takes from all entries together, or 0 if it is not known.
--- a/runner/settings_test.go
+++ b/runner/settings_test.go
@@ -76,6 +76,7 @@
 	must.EqOp(t, "10.1.0.40:9464", s.DebugAddress.String())
 	must.EqOp(t, "10.1.0.40:7340", s.PeerAddress.String())
 	must.True(t, s.SharedConfirmations)
+	must.True(t, s.SingleStoreProbe)
 	must.EqOp(t, 8500*time.Millisecond, s.SessionTime)
 	must.EqOp(t, 134_000_000, s.MemoryBytes)
 	must.EqOp(t, 0.304, s.ProcessorShare)
@@ -112,6 +113,10 @@
 		"negative truth value":      {"confirmations: true", "confirmations: -1", "shared-confirmations"},
 		"huge truth value":          {"confirmations: true", "confirmations: 1e300", "shared-confirmations"},
 		"text as truth value":       {"confirmations: true", "confirmations: often", "shared-confirmations"},
+		"number as probe":           {"probe: true", "probe: 1", "single-store-probe"},
+		"negative probe":            {"probe: true", "probe: -1", "single-store-probe"},
+		"huge probe":                {"probe: true", "probe: 1e300", "single-store-probe"},
+		"text as probe":             {"probe: true", "probe: sometimes", "single-store-probe"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			text := strings.Replace(renderTemplate(t), test.old, test.replacement, 1)
--- a/runner/storecalls.go
+++ b/runner/storecalls.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/siskinfront/siskinfront/identifier"
+	"github.com/siskinfront/siskinfront/pacer"
 	"github.com/siskinfront/siskinfront/promoter"
 )
 
@@ -46,3 +48,13 @@
 		"record-reads": x.recordReads.Load(), "verdict-writes": x.verdictWrites.Load(),
 	}
 }
+
+// paceWithin returns the pace of a table whose changes must be in effect within a time.
+func (r *Runner) paceWithin(within time.Duration) func() pacer.Pace {
+	return func() pacer.Pace {
+		s := r.settings.Load()
+		return pacer.Plan(pacer.Bounds{Within: within, Reconnect: s.ReconnectTime}, pacer.Readers{
+			Entries: r.sharing.numEntries(), Tables: followedTables, ReadsPerSecond: s.StoreReads,
+		})
+	}
+}
