--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -8,7 +8,7 @@
 // registerMetrics adds the counters and gauges of the parts of the entry to the metrics.
 func (r *Runner) registerMetrics(calls *rolloutCalls) {
 	for name, counters := range map[string]func() map[string]int64{
-		"follower-confirmer": r.confirmations.upstreams.Counters, "operator-confirmer": r.confirmations.operator.Counters,
+		"store-probe": r.storeProbe.Counters, "follower-confirmer": r.confirmations.upstreams.Counters, "operator-confirmer": r.confirmations.operator.Counters,
 		"forwarder": r.forwarder.Counters, "balancer": r.balancer.Counters, "connector": r.pool.Counters, "reaper": r.reaper.Counters,
 		"quarantine": r.sharing.quarantine.Counters, "throttler": r.sharing.throttler.Counters, "limit-owner": r.sharing.owner.Counters, "broadcaster": r.sharing.broadcaster.Counters, "shared": r.sharing.follower.Counters,
 		"evacuator": r.evacuator.Counters, "registrar": r.registrar.Counters, "follower": r.upstreams.Counters, "operator": r.operator.Counters, "store": r.platform.Counters, "rollouts": calls.Counters, "collector": r.tallies.Counters,
--- a/runner/reload.go
+++ b/runner/reload.go
@@ -50,7 +50,7 @@
 	needsRestart := s.CallerAddress != old.CallerAddress || s.ReadyAddress != old.ReadyAddress ||
 		s.DebugAddress != old.DebugAddress || s.PeerAddress != old.PeerAddress || s.Instance != old.Instance || s.DataCentre != old.DataCentre ||
 		s.SharedConfirmations != old.SharedConfirmations || s.SharedTallies != old.SharedTallies || s.SharedPrompts != old.SharedPrompts ||
-		s.EvenLoad != old.EvenLoad || s.LocalPreference != old.LocalPreference
+		s.SingleStoreProbe != old.SingleStoreProbe || s.EvenLoad != old.EvenLoad || s.LocalPreference != old.LocalPreference
 	r.settings.Store(s)
 	if s.Store != old.Store {
 		r.platform.SetStore(s.Store)
--- a/runner/rollouts.go
+++ b/runner/rollouts.go
@@ -110,6 +110,8 @@
 	wake  chan struct{}
 	// tallies lets the entries step through collectors; nil if each steps for itself.
 	tallies *tallySharing
+	// isStoreOut reports whether no step is to begin, as its calls would fail; it may be nil.
+	isStoreOut func() bool
 }
 
 // addOrder starts an order that the store shows, unless it is known. mayBeOld is set if the store may have had it before it came back
@@ -288,6 +290,11 @@
 			r.decideLocally(x, now)
 			continue
 		}
+		if r.isStoreOut != nil && r.isStoreOut() {
+			x.nextStepAt = now.Add(badTallyInterval)
+			r.decideLocally(x, now)
+			continue
+		}
 		r.schedule(x, now)
 		due = append(due, x)
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -28,6 +28,7 @@
 	"github.com/siskinfront/siskinfront/meter"
 	"github.com/siskinfront/siskinfront/pacer"
 	"github.com/siskinfront/siskinfront/pinner"
+	"github.com/siskinfront/siskinfront/prober"
 	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/reaper"
 	"github.com/siskinfront/siskinfront/registrar"
@@ -105,6 +106,8 @@
 	Counters    func() map[string]int64
 	// SetConfirmer sets what decides on the calls from what other entries tell; it must be called before Run, and may be nil.
 	SetConfirmer func(*confirmer.Table)
+	// SetProbe sets what decides on the calls while the store is out; it must be called before Run, and may be nil.
+	SetProbe func(*prober.Member)
 }
 
 // Runner is an entry process.
@@ -131,6 +134,7 @@
 	cold          *coldness
 	confirmations *confirmations
 	prompts       *prompts
+	storeProbe    *prober.Group
 	reaper        *reaper.Reaper
 	upstreams     *follower.Follower[registrar.Change]
 	operator      Follower
@@ -200,20 +204,11 @@
 	r.shareConfirmations()
 	r.sharePrompts()
 	r.shareTallies()
+	r.shareProbe()
 	r.registerMetrics(calls)
 	return r
 }
 
-// paceWithin returns the pace of a table whose changes must be in effect within a time.
-func (r *Runner) paceWithin(within time.Duration) func() pacer.Pace {
-	return func() pacer.Pace {
-		s := r.settings.Load()
-		return pacer.Plan(pacer.Bounds{Within: within, Reconnect: s.ReconnectTime}, pacer.Readers{
-			Entries: r.sharing.numEntries(), Tables: followedTables, ReadsPerSecond: s.StoreReads,
-		})
-	}
-}
-
 func (r *Runner) buildForwarder() {
 	s := r.settings.Load()
 	budgets := &forwarder.Budgets{New: func() *forwarder.Budget {
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -35,6 +35,8 @@
 	// SharedTallies makes entries carry out the steps of roll-outs through one of them, so that the others make no calls of the store. It
 	// needs PeerAddress.
 	SharedTallies bool `yaml:"shared-tallies"`
+	// SingleStoreProbe makes one follower call a store that is out, while the others wait for its success.
+	SingleStoreProbe bool `yaml:"single-store-probe"`
 	// Store is the address of the platform's store.
 	Store netip.AddrPort `yaml:"store" validate:"required"`
 	// StoreReads is the number of reads per second that the store takes from all entries together, or 0 if it is not known.
--- a/runner/settings_test.go
+++ b/runner/settings_test.go
@@ -77,6 +77,7 @@
 	must.EqOp(t, "10.1.0.40:7340", s.PeerAddress.String())
 	must.True(t, s.SharedConfirmations)
 	must.True(t, s.SharedTallies)
+	must.True(t, s.SingleStoreProbe)
 	must.EqOp(t, 8500*time.Millisecond, s.SessionTime)
 	must.EqOp(t, 134_000_000, s.MemoryBytes)
 	must.EqOp(t, 0.304, s.ProcessorShare)
@@ -134,6 +135,10 @@
 		"list as tallies":           {"tallies: true", "tallies: [true]", "shared-tallies"},
 		"empty tallies":             {"tallies: true", "tallies:", "shared-tallies"},
 		"null as tallies":           {"tallies: true", "tallies: null", "shared-tallies"},
+		"number as probe":           {"probe: true", "probe: 1", "single-store-probe"},
+		"negative probe":            {"probe: true", "probe: -1", "single-store-probe"},
+		"huge probe":                {"probe: true", "probe: 1e300", "single-store-probe"},
+		"text as probe":             {"probe: true", "probe: sometimes", "single-store-probe"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			text := strings.Replace(renderTemplate(t), test.old, test.replacement, 1)
