confirmer: slow stores, claims of unknown age, invalid datagrams

Cause: Four findings of the review. - A held call was given up 0.2 s after news of a change. Of a store whose replies take 0.22 s it was given up at 11 of 12 changes. - The round and the newest last change were taken from claims whose age is not known. A claim of an ended process could silence this entry's news for good. - After the loss of most entries at once, the rounds name entries that are gone, for three minutes. - Invalid datagrams were dropped without a count.

Change: A call has twice the time that replies take, from samples, 0.2 s at least and its usual wait at most; the bound without news is as before. Claims of unknown age set neither field. Datagrams that are no messages and those of strangers are counted (confirmations).

Result: with replies of 0.22 to 1.2 s one or two calls are given up at 12 changes (TestSlowStoreIsNotCutAgain, which failed before).

--- a/confirmer/fault_test.go
+++ b/confirmer/fault_test.go
@@ -292,3 +292,18 @@
 		})
 	}
 }
+
+// Guards against news that cut a held call at each change, of a store whose replies to this entry take longer than the time that news leave.
+func TestSlowStoreIsNotCutAgain(t *testing.T) {
+	for _, slow := range []time.Duration{220 * time.Millisecond, 300 * time.Millisecond, 450 * time.Millisecond, 700 * time.Millisecond, 1200 * time.Millisecond} {
+		runFleet(t, 9, true, func(t *testing.T, f *fleet) {
+			x := f.entries[victim]
+			x.set(func(e *entry) { e.slow = slow })
+			for range 12 {
+				f.mustApplyWithin(t, f.write(), bound)
+			}
+			t.Logf("replies of %s: %d calls given up at 12 changes", slow, x.table.Counters()["given-up"])
+			must.LessEq(t, 2, x.table.Counters()["given-up"])
+		})
+	}
+}
--- a/confirmer/fleet_test.go
+++ b/confirmer/fleet_test.go
@@ -37,6 +37,8 @@
 	// delay returns how late a datagram arrives, or false if it is lost; nil is a link without faults.
 	delay func(from, to int) (time.Duration, bool)
 	calls int
+	// listed is the number of entries in the shared table, or 0 for all.
+	listed int
 }
 
 // entry is one follower, with its own clock.
@@ -55,6 +57,7 @@
 	err          error
 	// stale is set if calls without a wait are answered with an earlier position than they name.
 	stale bool
+	made  int
 	// slow is how long a reply with changes takes to arrive.
 	slow     time.Duration
 	applied  map[storer.Position]time.Time
@@ -102,7 +105,7 @@
 	e.follower.Pace, e.follower.Now = pace, e.now
 	e.clocks = confirmer.NewClocks(e.now)
 	e.table = confirmer.New(tableID, confirmer.WithNow(e.now), confirmer.WithPace(pace),
-		confirmer.WithNumEntries(func() int { return len(f.entries) }),
+		confirmer.WithNumEntries(f.numListed),
 		confirmer.WithRank(func(_ confirmer.TableID, event uint32) int { return f.rank(i, event) }),
 		confirmer.WithTell(func(c confirmer.Claim, at time.Time) {
 			m := e.clocks.Message(c, at)
@@ -123,7 +126,7 @@
 		return (x ^ x>>27) * 0x94d049bb133111eb
 	}
 	n, own := 0, draw(of)
-	for i := range f.entries {
+	for i := range f.numListed() {
 		if i != of && draw(i) < own {
 			n++
 		}
@@ -211,6 +214,7 @@
 func (e *entry) begin(ctx context.Context) (began time.Time, err error) {
 	e.fleet.mu.Lock()
 	e.calls++
+	e.made++
 	e.fleet.mu.Unlock()
 	began = time.Now()
 	if err := storer.Sleep(ctx, oneWay); err != nil {
--- a/confirmer/table.go
+++ b/confirmer/table.go
@@ -16,10 +16,10 @@
 	// hearTime is the time after the last confirmation of another entry for which calls are begun with the long wait. Whether a call that
 	// has begun may wait on depends on later confirmations alone. In 10 s one of 4 entries makes all confirmations itself once in 4,000 times.
 	hearTime = 30 * time.Second
-	// newsTime is the time that a held call has to deliver a change of which another entry has told, and minReask the least time between
-	// two calls that are repeated because of such news, which bounds what wrong claims cost.
-	newsTime = 200 * time.Millisecond
-	minReask = time.Second
+	// minNewsTime is the least time that a held call has to deliver a change of which another entry has told, and minReask the least time
+	// between two calls that are repeated because of such news, which bounds what wrong claims cost.
+	minNewsTime = 200 * time.Millisecond
+	minReask    = time.Second
 	// numTellers is the number of entries that stand ready to tell of one event, one after the other until one is heard; newsStep is the
 	// time between them for a change.
 	numTellers = 3
@@ -88,6 +88,9 @@
 	newest  storer.Position
 	// behindAt is when another entry named a change that this one lacks, reaskedAt when a call was last repeated because of that.
 	behindAt, reaskedAt time.Time
+	// replyTime is the time that replies with changes, or to calls without a wait, take to arrive. A call that is given up sooner after news
+	// of a change is given up at each change.
+	replyTime time.Duration
 	// failed is set from a failed call to the next reply; ask is set if the next call is to be answered at once.
 	failed, ask bool
 	round       uint32
@@ -154,6 +157,13 @@
 	at := r.Began
 	t.replyAt = now
 	switch {
+	case r.All:
+	case !t.behindAt.IsZero():
+		t.sampleReply(now.Sub(t.behindAt))
+	case r.Wait == 0:
+		t.sampleReply(now.Sub(r.Began))
+	}
+	switch {
 	case r.All:
 		// Later pages may show later changes than the position, which is that of the first page.
 		t.lowest, t.highest = min(r.LastChange, r.At.Version), r.At.Version
@@ -185,6 +195,10 @@
 func (t *Table) Failed() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.ask {
+		// The call that was repeated because of news has not been answered in its time either.
+		t.replyTime = t.pace().Wait / 2
+	}
 	t.calling, t.ask, t.failed, t.replyAt, t.heardAt = false, false, true, time.Time{}, time.Time{}
 	t.notify()
 }
@@ -211,16 +225,13 @@
 	defer t.notify()
 	now := t.now()
 	t.heard.Add(1)
-	if int32(c.Round-t.round) > 0 {
-		t.round = c.Round
-	}
 	t.note(now)
+	lowest, highest := storer.Position{Era: c.Era, Version: c.Lowest}, storer.Position{Era: c.Era, Version: c.Highest}
 	if made.IsZero() {
+		// The claim may be of any time, also of a process before the sender's.
 		t.unverified.Add(1)
-	}
-	lowest, highest := storer.Position{Era: c.Era, Version: c.Lowest}, storer.Position{Era: c.Era, Version: c.Highest}
-	if t.newest.Before(lowest) {
-		t.newest = lowest
+	} else {
+		t.adopt(&c, lowest)
 	}
 	switch {
 	case t.position == (storer.Position{}) || c.Era < t.position.Era:
@@ -258,7 +269,7 @@
 		at = later(t.replyAt, t.confirmedAt).Add(t.silenceLimit())
 	}
 	if !t.behindAt.IsZero() {
-		at = earlier(at, t.behindAt.Add(newsTime))
+		at = earlier(at, t.behindAt.Add(t.newsTime()))
 	}
 	return at
 }
--- a/confirmer/table_test.go
+++ b/confirmer/table_test.go
@@ -220,3 +220,24 @@
 	must.EqOp(t, 20, s.told[0].Lowest)
 	must.EqOp(t, 30, s.told[0].Highest)
 }
+
+// Guards against a round, and a last change in place of this entry's own news, from a claim whose age is not known: it may be of any time, or of
+// a process that has ended.
+func TestClaimOfUnknownAge(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		s := newSingle(t, 0)
+		s.begin(t, confirmer.MaxWait)
+		made := time.Time{}
+		if known {
+			made = s.clock
+		}
+		s.Receive(confirmer.Claim{Table: tableID, Round: 7, Era: 1, Lowest: 90, Highest: 90}, made)
+		must.EqOp(t, map[bool]uint32{true: 7}[known], s.State().Round)
+		s.clock = s.clock.Add(time.Second)
+		s.Replied(confirmer.Reply{At: storer.Position{Era: 1, Version: 30}, LastChange: 20, HasRows: true, Began: s.clock})
+		s.mustBeDue(t, confirmer.Tell)
+		s.Tell()
+		// Another entry has told of a later change, so this one need not.
+		must.SliceLen(t, map[bool]int{false: 1}[known], s.told)
+	}
+}
--- a/runner/confirmations.go
+++ b/runner/confirmations.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,6 +26,8 @@
 	sharing             *sharing
 	clocks              *confirmer.Clocks
 	upstreams, operator *confirmer.Table
+	// invalid and foreign count datagrams that are no message on one of the tables, and those of addresses that are no entries.
+	invalid, foreign atomic.Int64
 }
 
 // shareConfirmations lets the followers wait on what other entries tell, if the settings say so.
@@ -59,18 +62,23 @@
 
 // receive handles a datagram of another entry.
 func (x *confirmations) receive(from netip.AddrPort, data []byte) {
+	if !slices.Contains(x.sharing.peerAddresses(), from) {
+		x.foreign.Add(1)
+		return
+	}
 	m, err := confirmer.Decode(data)
-	if err != nil || !slices.Contains(x.sharing.peerAddresses(), from) {
+	if err != nil {
+		x.invalid.Add(1)
 		return
 	}
 	switch m.Kind {
 	case confirmer.KindClaim:
-		made := x.clocks.TimeOf(from, m.Stamp)
-		for id, t := range map[confirmer.TableID]*confirmer.Table{upstreamsID: x.upstreams, operatorID: x.operator} {
-			if m.Claim.Table == id {
-				t.Receive(m.Claim, made)
-			}
+		t := map[confirmer.TableID]*confirmer.Table{upstreamsID: x.upstreams, operatorID: x.operator}[m.Claim.Table]
+		if t == nil {
+			x.invalid.Add(1)
+			return
 		}
+		t.Receive(m.Claim, x.clocks.TimeOf(from, m.Stamp))
 	case confirmer.KindQuestion:
 		a := confirmer.Message{Kind: confirmer.KindAnswer, Stamp: x.clocks.Stamp(), Echo: m.Stamp}
 		x.sharing.broadcaster.SendBytes([]netip.AddrPort{from}, a.Encode())
@@ -101,6 +109,11 @@
 	}
 }
 
+// Counters returns the numbers of datagrams that are no message on one of the tables, and of those of addresses that are no entries.
+func (x *confirmations) Counters() map[string]int64 {
+	return map[string]int64{"datagrams-invalid": x.invalid.Load(), "datagrams-foreign": x.foreign.Load()}
+}
+
 // State returns what the entry knows of the last changes of the tables, and of the clocks of the others.
 func (x *confirmations) State() any {
 	return struct {
--- a/runner/confirmations_internal_test.go
+++ b/runner/confirmations_internal_test.go
@@ -50,7 +50,7 @@
 	must.EqOp(t, time.Second, wait)
 }
 
-// Guards against datagrams of addresses that are no entries, of unknown tables or in another format, which must change nothing.
+// Guards against datagrams of addresses that are no entries, of unknown tables or in another format, which must change nothing but are counted.
 func TestForeignDatagrams(t *testing.T) {
 	r, _ := newConfirmingRunner(func(*Settings) {})
 	peer, stranger := netip.MustParseAddrPort("127.0.0.2:7340"), netip.MustParseAddrPort("127.0.0.3:7340")
@@ -62,6 +62,7 @@
 	r.confirmations.receive(peer, unknown.Encode())
 	r.confirmations.receive(peer, []byte{1, 2, 3})
 	must.EqOp(t, 0, r.confirmations.upstreams.Counters()["claims-heard"])
+	must.Eq(t, map[string]int64{"datagrams-invalid": 2, "datagrams-foreign": 1}, r.confirmations.Counters())
 	r.confirmations.receive(peer, m.Encode())
 	must.EqOp(t, 1, r.confirmations.upstreams.Counters()["claims-heard"])
 	must.EqOp(t, 0, r.confirmations.operator.Counters()["claims-heard"])
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -197,7 +197,7 @@
 	r.shareConfirmations()
 	r.shareProbe()
 	for name, counters := range map[string]func() map[string]int64{
-		"store-probe": r.storeProbe.Counters, "follower-confirmer": r.confirmations.upstreams.Counters, "operator-confirmer": r.confirmations.operator.Counters,
+		"store-probe": r.storeProbe.Counters, "confirmations": r.confirmations.Counters, "follower-confirmer": r.confirmations.upstreams.Counters, "operator-confirmer": r.confirmations.operator.Counters,
 		"forwarder": r.forwarder.Counters, "balancer": r.balancer.Counters, "connector": r.pool.Counters, "reaper": r.reaper.Counters,
 		"quarantine": r.sharing.quarantine.Counters, "throttler": r.sharing.throttler.Counters, "limit-owner": r.sharing.owner.Counters, "broadcaster": r.sharing.broadcaster.Counters, "shared": r.sharing.follower.Counters,
 		"evacuator": r.evacuator.Counters, "registrar": r.registrar.Counters, "follower": r.upstreams.Counters, "operator": r.operator.Counters, "store": p.Counters, "rollouts": calls.Counters,
