throttler: revert the spread asks at owners of cold upstreams and the turns not before them

Change: both reverted; the tests of slow callers and the memory of large events stay. Result: go test ./throttler passes.

--- a/forwarder/cold_test.go
+++ b/forwarder/cold_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/siskinfront/siskinfront/identifier"
 	"github.com/siskinfront/siskinfront/registrar"
-	"github.com/siskinfront/siskinfront/throttler"
 )
 
 // Guards against a cold time in an answer that is not read, and against a response lost, or a cold time ended, by an invalid one.
@@ -81,25 +80,6 @@
 	must.SliceEmpty(t, f.requests())
 }
 
-// Guards against refused requests that come back to an entry which has just started before it may send to the cold upstreams that are left.
-func TestRetryAfterOfEntryThatStarts(t *testing.T) {
-	f := newFixture(t, 2, respondOK)
-	known := time.Now().Add(10 * time.Second)
-	throttler.WithPeersKnownFrom(func() time.Time { return known })(f.throttler)
-	for name := range f.upstreams {
-		f.throttler.SetCold(name, 20, time.Now().Add(time.Hour))
-	}
-	for range 3 {
-		w := f.send("/repeat/")
-		must.EqOp(t, http.StatusServiceUnavailable, w.status)
-		after, err := strconv.ParseFloat(w.header.Get("Retry-After"), 64)
-		must.NoError(t, err)
-		at := time.Now().Add(time.Duration(after * float64(time.Second)))
-		must.Between(t, 0, at.Sub(known), time.Second)
-	}
-	must.EqOp(t, 0, f.owner.Counters()["asks"])
-}
-
 // Guards against a request that asks for slots of all cold upstreams, of which it uses one.
 func TestRequestAsksAtOneColdUpstream(t *testing.T) {
 	f := newFixture(t, 4, respondOK)
--- a/runner/cold.go
+++ b/runner/cold.go
@@ -20,8 +20,6 @@
 	coldShareDifference = time.Second
 	// maxColdTime bounds the time that an upstream may stay cold.
 	maxColdTime = 24 * time.Hour
-	// peersRetry is when the addresses of the other entries may be read next while they could not be read: the longest pause of a follower.
-	peersRetry = 500 * time.Millisecond
 	// maxRejected bounds the names of the upstreams whose registrations were rejected.
 	maxRejected = 4096
 )
@@ -174,18 +172,9 @@
 // knowsPeers reports whether this entry has read the addresses of the others, and some time has passed since its start in which those that
 // started with it have written theirs.
 func (s *sharing) knowsPeers() bool {
-	return !s.now().Before(s.peersKnownFrom())
-}
-
-// peersKnownFrom returns from when on this entry knows the others. As long as it has not read their addresses, that is after its next try to
-// read them at the earliest.
-func (s *sharing) peersKnownFrom() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if next := s.now().Add(peersRetry); !s.peersKnown && next.After(s.settledAt) {
-		return next
-	}
-	return s.settledAt
+	return s.peersKnown && !s.now().Before(s.settledAt)
 }
 
 // knownEntries returns the names of all entries, this one included.
--- a/runner/cold_internal_test.go
+++ b/runner/cold_internal_test.go
@@ -150,13 +150,10 @@
 	clock := time.Now()
 	s.now = func() time.Time { return clock }
 	must.False(t, s.knowsPeers())
-	must.EqOp(t, s.settledAt, s.peersKnownFrom())
 	clock = clock.Add(acquaintanceTime)
 	must.False(t, s.knowsPeers())
-	must.EqOp(t, clock.Add(peersRetry), s.peersKnownFrom(), must.Sprint("their addresses were not read"))
 	s.peersKnown = true
 	must.True(t, s.knowsPeers())
-	must.EqOp(t, s.settledAt, s.peersKnownFrom())
 	for _, name := range []identifier.Instance{"e2", "e3", "e4"} {
 		s.entries[name] = entryRecord{address: netip.MustParseAddrPort("127.0.0.1:1"), expiresAt: clock.Add(time.Hour)}
 	}
--- a/runner/sharing.go
+++ b/runner/sharing.go
@@ -152,7 +152,7 @@
 	s.throttler = throttler.New(
 		throttler.WithShare(func(x throttler.Statement) { s.broadcaster.Send(message{Limit: &x}) }), throttler.WithSend(s.sendAsk),
 		throttler.WithNumEntries(s.numEntries), throttler.WithOnChange(s.logLimit),
-		throttler.WithOnCold(s.logCold), throttler.WithPeersKnownFrom(s.peersKnownFrom), throttler.WithOwner(s.coldOwner))
+		throttler.WithOnCold(s.logCold), throttler.WithPeersKnown(s.knowsPeers), throttler.WithOwner(s.coldOwner))
 	s.broadcaster.Receive = s.receive
 	s.follower = follower.New(store.Source, s.apply, log)
 	s.follower.Pace = s.pace
--- a/throttler/cold.go
+++ b/throttler/cold.go
@@ -1,7 +1,6 @@
 package throttler
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/siskinfront/siskinfront/identifier"
@@ -16,17 +15,8 @@
 	// maxGrantAge bounds the time from an ask to its answer for a cold upstream. The slots of an answer that waited longer, in the buffers of
 	// an entry that was paused, have begun earlier than it says.
 	maxGrantAge = 500 * time.Millisecond
-	// coldShortHorizon is shortHorizon for a cold upstream. It is longer because its owner gets fewer asks, and shorter than requests wait.
-	coldShortHorizon = 20 * time.Millisecond
-	// minAsks and asksPerSlot times the slots per second that are granted are the asks per second that the owner of a cold upstream allows. With
-	// fewer, slots pass without an ask. Without such a bound, an owner got 310 asks a second from 1000 entries for a rate of 100.
-	minAsks     = 40
-	asksPerSlot = 1.25
-	// maxAskPause bounds the time after which an entry that was answered may ask again.
-	maxAskPause = time.Minute
-	// deniedSpread is the largest random addition, for each entry, to the time after which an entry asks again that was denied by an owner
-	// of an earlier version, which does not say when. Without it, owners of three upstreams with a rate of 100 got up to 824 asks a
-	// second from 330 entries.
+	// deniedSpread is the largest random addition, for each entry, to the time after which an entry that was denied slots of a cold upstream
+	// asks again. Without it, owners of three upstreams with a rate of 100 got up to 824 asks a second from 330 entries.
 	deniedSpread = 5 * time.Millisecond
 	// minInterval and maxInterval bound the time between two slots.
 	minInterval = time.Microsecond
@@ -74,10 +64,9 @@
 	return func(t *Throttler) { t.onCold = f }
 }
 
-// WithPeersKnownFrom sets the function that returns from when on this entry knows the others; until then it asks for no slots of cold
-// upstreams.
-func WithPeersKnownFrom(f func() time.Time) Option {
-	return func(t *Throttler) { t.peersKnownFrom = f }
+// WithPeersKnown sets the function that reports whether this entry knows the others; until then it asks for no slots of cold upstreams.
+func WithPeersKnown(f func() bool) Option {
+	return func(t *Throttler) { t.peersKnown = f }
 }
 
 // WithOwner sets the function that names the owner of the limit of a cold upstream, for the state dump.
@@ -108,7 +97,7 @@
 		if !l.isCold(now) {
 			t.coldBegun++
 			// Slots that were granted by a higher limit, or in an earlier cold time, are not used.
-			l.slots, l.askID, l.nextAskAt, l.freeAt, l.spreadFrom = nil, 0, now, time.Time{}, now
+			l.slots, l.askID, l.nextAskAt = nil, 0, now
 		}
 		if !l.isCold(now) || l.coldPerSecond != perSecond {
 			c = &ColdChange{Upstream: u, Until: until, PerSecond: perSecond}
@@ -136,19 +125,6 @@
 	return c
 }
 
-// spreadFirstAsk sets when this entry may ask for slots of an upstream that has become cold, so that the first asks of all entries, which learn
-// of it at the same time, do not come at once. Before an entry knows the others it can't do so.
-func (t *Throttler) spreadFirstAsk(l *limit, known time.Time) {
-	from := l.spreadFrom
-	if known.After(from) {
-		from = known
-	}
-	l.spreadFrom = time.Time{}
-	if others := t.numEntries() - 1; others > 0 {
-		l.nextAskAt = from.Add(rand.N(time.Duration(others) * askInterval(t.coldRate(l))))
-	}
-}
-
 // isCold reports whether the upstream of a limit is cold.
 func (l *limit) isCold(now time.Time) bool {
 	return now.Before(l.coldUntil)
@@ -184,11 +160,6 @@
 	return interval(l.perSecond)
 }
 
-// askInterval returns the time between two asks for slots of a cold upstream of which perSecond are granted.
-func askInterval(perSecond float64) time.Duration {
-	return coldInterval(minAsks + asksPerSlot*max(perSecond, 0))
-}
-
 func coldInterval(perSecond float64) time.Duration {
 	if perSecond <= 1/maxInterval.Seconds() {
 		return maxInterval
@@ -217,38 +188,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	known := t.peersKnownFrom()
-	perSecond, earliest, end := 0.0, time.Time{}, time.Time{}
+	perSecond, end := 0.0, time.Time{}
 	for _, u := range names {
 		l := t.limits[u]
 		if l == nil || !l.isCold(now) {
 			continue
 		}
 		perSecond += t.coldRate(l)
-		if at := l.earliestColdSlot(now, known); earliest.IsZero() || at.Before(earliest) {
-			earliest = at
-		}
 		if end.IsZero() || l.coldUntil.Before(end) {
 			end = l.coldUntil
 		}
 	}
-	return t.turns.Next(s, perSecond/float64(max(t.numEntries(), 1)), now, earliest, end)
-}
-
-// earliestColdSlot returns the earliest time at which this entry, which knows the others from a time on, may send to a cold upstream.
-func (l *limit) earliestColdSlot(now, known time.Time) time.Time {
-	l.hasSlot(now)
-	if len(l.slots) > 0 {
-		return l.slots[0]
-	}
-	at := now
-	for _, x := range []time.Time{known, l.nextAskAt, l.freeAt} {
-		if x.After(at) {
-			at = x
-		}
-	}
-	if l.coldUntil.Before(at) {
-		return l.coldUntil
-	}
-	return at
+	return t.turns.Next(s, perSecond/float64(max(t.numEntries(), 1)), now, end)
 }
--- a/throttler/cold_simulation_test.go
+++ b/throttler/cold_simulation_test.go
@@ -50,8 +50,6 @@
 	reaches func(from, to int) bool
 	pending map[time.Time][]func()
 	arrived map[identifier.Upstream][]time.Time
-	// asked holds the times at which the owner of a cold upstream received the asks of other entries.
-	asked map[identifier.Upstream][]time.Time
 }
 
 const coldStep = 2 * time.Millisecond
@@ -59,7 +57,7 @@
 func newColdFleet(seed uint64, n int, rate float64) *coldFleet {
 	f := &coldFleet{
 		now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 3)), rate: rate, loss: 0.02, pending: map[time.Time][]func(){},
-		upstreams: []identifier.Upstream{"c1/1", "c2/1", "c3/1"}, arrived: map[identifier.Upstream][]time.Time{}, asked: map[identifier.Upstream][]time.Time{},
+		upstreams: []identifier.Upstream{"c1/1", "c2/1", "c3/1"}, arrived: map[identifier.Upstream][]time.Time{},
 		reaches: func(int, int) bool { return true },
 	}
 	for i := range n {
@@ -82,7 +80,7 @@
 	e.Throttler = throttler.New(throttler.WithNow(func() time.Time { return f.now }),
 		throttler.WithColdBound(throttler.ColdBound{Over: coldOver, Slack: coldSlack}),
 		throttler.WithNumEntries(func() int { return len(e.known) }),
-		throttler.WithPeersKnownFrom(func() time.Time { return e.startedAt.Add(settleTime) }),
+		throttler.WithPeersKnown(func() bool { return f.knowsOthers(e) }),
 		throttler.WithSend(func(a throttler.Ask) { f.ask(e, i, a) }))
 	f.entries[i] = e
 	for _, u := range f.upstreams {
@@ -132,7 +130,6 @@
 		return
 	}
 	f.deliver(from, to, func(o *coldEntry) {
-		f.asked[a.Upstream] = append(f.asked[a.Upstream], f.now)
 		if !f.knowsOthers(o) || !throttler.MayGrant(a, f.names[to], f.knownTo(o)) {
 			return
 		}
--- a/throttler/cold_test.go
+++ b/throttler/cold_test.go
@@ -143,7 +143,7 @@
 	perSecond := map[int64]int{}
 	last := now
 	for range 200 {
-		at := x.Next("a", 5, now, now, end)
+		at := x.Next("a", 5, now, end)
 		must.True(t, at.After(last))
 		last = at
 		perSecond[int64(at.Sub(now)/time.Second)]++
@@ -157,11 +157,11 @@
 		}
 	}
 	must.Less(t, 23*time.Second, last.Sub(now))
-	must.Less(t, time.Second, x.Next("b", 5, now, now, end).Sub(now), must.Sprint("another service has its own order"))
+	must.Less(t, time.Second, x.Next("b", 5, now, end).Sub(now), must.Sprint("another service has its own order"))
 	now = now.Add(30 * time.Second)
-	must.Less(t, time.Second, x.Next("a", 5, now, now, now.Add(time.Minute)).Sub(now))
+	must.Less(t, time.Second, x.Next("a", 5, now, now.Add(time.Minute)).Sub(now))
 	for range 10_000 {
-		must.LessEq(t, 70*time.Second, x.Next("c", 0.001, now, now, now.Add(time.Hour)).Sub(now))
+		must.LessEq(t, 70*time.Second, x.Next("c", 0.001, now, now.Add(time.Hour)).Sub(now))
 	}
 }
 
@@ -181,35 +181,6 @@
 	must.Between(t, 5500*time.Millisecond, last.Sub(f.now), 6600*time.Millisecond)
 }
 
-// Guards against requests that come back before this entry may ask for slots, or before the first slot that the owner has left, which would
-// be refused again.
-func TestColdTurnIsNotBeforeSlots(t *testing.T) {
-	known := time.Unix(1002, 0)
-	f := newFixture(throttler.WithPeersKnownFrom(func() time.Time { return known }))
-	names := []identifier.Upstream{u1, "u2/1"}
-	for _, u := range names {
-		f.SetCold(u, 1, f.now.Add(time.Hour))
-	}
-	f.Want(u1, true)
-	must.EqOp(t, 0, f.asks)
-	must.GreaterEq(t, 2*time.Second, f.ColdTurn("a", names).Sub(f.now))
-
-	f.now = known
-	must.Less(t, 2700*time.Millisecond, f.ColdTurn("b", names[1:]).Sub(f.now), must.Sprint("nothing was asked there"))
-	f.Want(u1, true)
-	must.EqOp(t, 1, f.asks)
-	g := f.owner.Answer(throttler.Ask{Upstream: u1, PerSecond: 0.45, Cold: true, Number: 1, ID: 1}, f.now)
-	must.EqOp(t, 0, g.Number)
-	must.Greater(t, 3000, g.AfterMillis)
-	first := f.now.Add(time.Duration(g.AfterMillis * float64(time.Millisecond)))
-	must.False(t, f.ColdTurn("c", names[:1]).Before(first))
-	must.Less(t, 2*time.Second, f.ColdTurn("d", names).Sub(f.now), must.Sprint("the other one may have a slot"))
-
-	// A cold time that ends before is the earliest time.
-	f.SetCold(u1, 40, f.now.Add(time.Second))
-	must.Between(t, time.Second, f.ColdTurn("e", names[:1]).Sub(f.now), 1100*time.Millisecond)
-}
-
 // Guards against entries that grant slots of a cold upstream because others take them for its owner, and against limits that answers name
 // whose asks are not answered.
 func TestOnlyOwnersByTheirOwnListGrant(t *testing.T) {
--- a/throttler/message.go
+++ b/throttler/message.go
@@ -42,6 +42,4 @@
 	Number         int     `json:"number"`
 	AfterMillis    float64 `json:"after"`
 	IntervalMillis float64 `json:"interval,omitempty"`
-	// AgainMillis is when the entry may ask for slots of a cold upstream again.
-	AgainMillis float64 `json:"again,omitempty"`
 }
--- a/throttler/owner.go
+++ b/throttler/owner.go
@@ -37,8 +37,6 @@
 	mu sync.Mutex
 	// nextSlot holds the begin of the first slot of each upstream that is not granted.
 	nextSlot map[identifier.Upstream]time.Time
-	// nextAsk holds the first time of each cold upstream at which no entry was told to ask again.
-	nextAsk map[identifier.Upstream]time.Time
 	// past holds the grants of the last time by the asks that they answer.
 	past map[uint64]pastGrant
 
@@ -47,7 +45,7 @@
 
 // NewOwner returns an owner that has granted nothing.
 func NewOwner() *Owner {
-	return &Owner{nextSlot: map[identifier.Upstream]time.Time{}, nextAsk: map[identifier.Upstream]time.Time{}, past: map[uint64]pastGrant{}}
+	return &Owner{nextSlot: map[identifier.Upstream]time.Time{}, past: map[uint64]pastGrant{}}
 }
 
 // OwnerOf returns the entry that owns the limit of an upstream, chosen by rendezvous hashing, or "" if there are no entries.
@@ -104,15 +102,11 @@
 	ahead := max(horizon, step)
 	if a.Number <= 1 {
 		ahead = shortHorizon
-		if a.Cold {
-			ahead = coldShortHorizon
-		}
 	}
 	if next.Sub(now) > ahead {
 		o.denied++
 		if a.Cold {
 			o.coldDenied++
-			g.AgainMillis = millis(o.askAgainAt(a, now, next.Add(-ahead)).Sub(now))
 		}
 		o.nextSlot[a.Upstream] = next
 		return g
@@ -121,27 +115,12 @@
 	o.slots += int64(g.Number)
 	if a.Cold {
 		o.coldSlots += int64(g.Number)
-		g.AgainMillis = millis(o.askAgainAt(a, now, now).Sub(now))
 	}
 	o.nextSlot[a.Upstream] = next.Add(time.Duration(g.Number) * step)
 	o.past[a.ID] = pastGrant{g, next, now}
 	return g
 }
 
-// askAgainAt returns when the entry of an ask may ask for slots of a cold upstream again, from the earliest time at which it may get any. These
-// times follow each other at the rate at which this entry is to receive asks, however many entries there are.
-func (o *Owner) askAgainAt(a Ask, now, earliest time.Time) time.Time {
-	at := o.nextAsk[a.Upstream]
-	if earliest.After(at) {
-		at = earliest
-	}
-	if last := now.Add(maxAskPause); at.After(last) {
-		return last
-	}
-	o.nextAsk[a.Upstream] = at.Add(askInterval(a.PerSecond))
-	return at
-}
-
 func millis(d time.Duration) float64 {
 	return float64(d) / float64(time.Millisecond)
 }
@@ -153,7 +132,6 @@
 	for u, next := range o.nextSlot {
 		if now.Sub(next) >= scheduleMemory {
 			delete(o.nextSlot, u)
-			delete(o.nextAsk, u)
 		}
 	}
 	for id, p := range o.past {
--- a/throttler/slot.go
+++ b/throttler/slot.go
@@ -21,20 +21,10 @@
 		t.mu.Unlock()
 		return
 	}
-	if now.Before(t.pausedUntil[u]) {
+	if now.Before(t.pausedUntil[u]) || l.isCold(now) && !t.peersKnown() {
 		t.mu.Unlock()
 		return
 	}
-	if l.isCold(now) {
-		known := t.peersKnownFrom()
-		if now.Before(known) {
-			t.mu.Unlock()
-			return
-		}
-		if !l.spreadFrom.IsZero() {
-			t.spreadFirstAsk(l, known)
-		}
-	}
 	l.wants = slices.DeleteFunc(l.wants, func(at time.Time) bool { return now.Sub(at) >= demandWindow })
 	if isNew && len(l.wants) < maxWants {
 		l.wants = append(l.wants, now)
@@ -50,7 +40,7 @@
 func (t *Throttler) nextAsk(u identifier.Upstream, l *limit, now time.Time) (Ask, bool) {
 	l.hasSlot(now)
 	repeated := l.askID != 0
-	if repeated && now.Sub(l.repeatedAt) < l.repeatAfter(now) || len(l.slots) > 0 || now.Before(l.nextAskAt) {
+	if repeated && now.Sub(l.repeatedAt) < repeatInterval || len(l.slots) > 0 || now.Before(l.nextAskAt) {
 		return Ask{}, false
 	}
 	if l.sends >= minSends && repeated && now.Sub(l.askedAt) >= askTimeout {
@@ -76,15 +66,6 @@
 	return a, true
 }
 
-// repeatAfter returns how long to wait for the answer to an ask before it is sent again: longer each time if the upstream is cold, so that an
-// owner which does not answer gets few of them.
-func (l *limit) repeatAfter(now time.Time) time.Duration {
-	if !l.isCold(now) {
-		return repeatInterval
-	}
-	return repeatInterval << min(max(l.sends-1, 0), 3)
-}
-
 // Grant records the answer to an ask, unless it comes too late.
 func (t *Throttler) Grant(g Grant) {
 	t.mu.Lock()
@@ -102,45 +83,23 @@
 			return
 		}
 		l.slotLifetime = coldSlotLifetime
-		l.nextAskAt = now.Add(min(max(duration(g.AgainMillis), 0), maxAskPause))
 	}
-	after := duration(g.AfterMillis)
+	after := time.Duration(g.AfterMillis * float64(time.Millisecond))
 	if g.Number <= 0 {
-		t.recordDenial(l, g, after, now)
+		// A random part of the time keeps the entries that were denied from asking all at once.
+		l.nextAskAt = now.Add(min(after, limitMemory)/2 + rand.N(min(max(after, time.Millisecond), limitMemory)))
+		if l.isCold(now) {
+			l.nextAskAt = l.nextAskAt.Add(rand.N(time.Duration(max(t.numEntries(), 1)) * deniedSpread))
+		}
 		return
 	}
-	step := duration(g.IntervalMillis)
+	step := time.Duration(g.IntervalMillis * float64(time.Millisecond))
 	for i := range min(g.Number, maxSlotsPerAsk) {
 		l.slots = append(l.slots, now.Add(after+time.Duration(i)*step))
 	}
 	t.wake()
 }
 
-// recordDenial records that the owner of a limit had no slots before some time.
-func (t *Throttler) recordDenial(l *limit, g Grant, after time.Duration, now time.Time) {
-	isCold := l.isCold(now)
-	if isCold {
-		l.freeAt = now.Add(after)
-		if g.AgainMillis > 0 {
-			return
-		}
-	}
-	// A random part of the time keeps the entries that were denied from asking all at once.
-	l.nextAskAt = now.Add(min(after, limitMemory)/2 + rand.N(min(max(after, time.Millisecond), limitMemory)))
-	if isCold {
-		l.nextAskAt = l.nextAskAt.Add(rand.N(time.Duration(max(t.numEntries(), 1)) * deniedSpread))
-	}
-}
-
-// duration returns a number of milliseconds that another entry states as a duration of at most maxInterval either way.
-func duration(millis float64) time.Duration {
-	limit := float64(maxInterval / time.Millisecond)
-	if !(millis >= -limit) {
-		return -maxInterval
-	}
-	return time.Duration(min(millis, limit) * float64(time.Millisecond))
-}
-
 // NextSlot returns when the next slot of any of some upstreams begins, or false if none is granted.
 func (t *Throttler) NextSlot(names []identifier.Upstream) (time.Time, bool) {
 	t.mu.Lock()
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -60,10 +60,6 @@
 	askID                          uint64
 	sends                          int
 	askedAt, repeatedAt, nextAskAt time.Time
-	// freeAt is when the first slot of a cold upstream began that its owner had left when it last denied an ask.
-	freeAt time.Time
-	// spreadFrom is when the upstream became cold, until this entry first wants slots of it.
-	spreadFrom time.Time
 	// wants are the times at which a request was not sent for want of a slot, within demandWindow.
 	wants []time.Time
 }
@@ -79,9 +75,9 @@
 	numEntries func() int
 	onChange   func(Statement)
 	onCold     func(ColdChange)
-	// peersKnownFrom returns from when on this entry knows the others, and owner names the owner of the limit of a cold upstream.
-	peersKnownFrom func() time.Time
-	owner          func(identifier.Upstream) identifier.Instance
+	// peersKnown reports whether this entry knows the others, and owner names the owner of the limit of a cold upstream.
+	peersKnown func() bool
+	owner      func(identifier.Upstream) identifier.Instance
 
 	// restricted is the number of limits and pauses, so that without one nothing else is read.
 	restricted atomic.Int64
@@ -135,7 +131,7 @@
 func New(opts ...Option) *Throttler {
 	t := &Throttler{
 		now: time.Now, send: func(Ask) {}, share: func(Statement) {}, numEntries: func() int { return 1 }, onChange: func(Statement) {},
-		onCold: func(ColdChange) {}, peersKnownFrom: func() time.Time { return time.Time{} }, owner: func(identifier.Upstream) identifier.Instance { return "" },
+		onCold: func(ColdChange) {}, peersKnown: func() bool { return true }, owner: func(identifier.Upstream) identifier.Instance { return "" },
 		limits: map[identifier.Upstream]*limit{}, ended: map[identifier.Upstream]time.Time{},
 		pausedUntil: map[identifier.Upstream]time.Time{}, pauseTrials: map[identifier.Upstream]*pauseTrials{}, granted: make(chan struct{}), lastID: rand.Uint64(),
 	}
--- a/throttler/turn.go
+++ b/throttler/turn.go
@@ -23,17 +23,14 @@
 	next map[identifier.Service]time.Time
 }
 
-// Next returns the time at which the next refused request of a service may come back, if perSecond requests a second can be served from the
-// earliest time until the end of the cold time. Each call returns a later time, up to maxTurn from now.
-func (x *Turns) Next(s identifier.Service, perSecond float64, now, earliest, end time.Time) time.Time {
+// Next returns the time at which the next refused request of a service may come back, if perSecond requests a second can be served until
+// the end of the cold time. Each call returns a later time, up to maxTurn from now.
+func (x *Turns) Next(s identifier.Service, perSecond float64, now, end time.Time) time.Time {
 	if x.next == nil {
 		x.next = map[identifier.Service]time.Time{}
 	}
 	step := min(coldInterval(perSecond), maxTurnSpread)
 	at := now.Add(minTurn)
-	if earliest.After(at) {
-		at = earliest
-	}
 	if next := x.next[s]; next.After(at) {
 		at = next
 	}
