balancer: clearer comments on the time of reading

Cause: some comments of the new code were hard to follow on a second reading.

Change: words of comments and the name of one method.

Result: tests of balancer and runner pass.

--- a/balancer/reading.go
+++ b/balancer/reading.go
@@ -13,11 +13,11 @@
 	// maxReading bounds the time for which an upstream counts as reading prompts, so that wrong or forged announcements have a
 	// bounded effect.
 	maxReading = 5 * time.Second
-	// MinReading is the time of reading from which a prompt counts as long. Less than that is not left of maxReading for another one, as
-	// announcements that follow each other closely would otherwise count all the time.
+	// MinReading is the time of reading from which a prompt counts as long. While less than that is left of maxReading, further prompts
+	// are ignored: announcements that follow each other closely would otherwise keep a small load on an upstream all the time.
 	MinReading = 250 * time.Millisecond
-	// idleTimePerReading is how many times the time of reading must pass without any until it may be used again. Long prompts take less
-	// than a tenth of the time of an engine in the simulation.
+	// idleTimePerReading is the time without reading, relative to a time of reading, after which that time may be used again. Long
+	// prompts take less than a tenth of the time of an engine in the simulation.
 	idleTimePerReading = 4
 	// requestsPerReadingSecond is the load that counts as much as one second of reading: a response of 40 events takes 0.72 s at an
 	// engine with 5 requests, and 0.024 s longer with each further one.
@@ -29,13 +29,14 @@
 	until atomic.Int64 // Unix nanoseconds, 0 if none is expected
 
 	mu sync.Mutex
-	// spent is how much of maxReading was used, as of spentAt, and lastSentAt when the last prompt was sent, both in Unix nanoseconds.
+	// spent is the used part of maxReading as of spentAt, and lastSentAt the time at which the last prompt was sent; the times are in
+	// Unix nanoseconds.
 	spent               time.Duration
 	spentAt, lastSentAt int64
 }
 
-// recover gives back a part of the time that has passed without reading. The mutex must be held.
-func (r *reading) recover(now int64) {
+// regain lowers the used part of maxReading for the time that has passed without reading. The mutex must be held.
+func (r *reading) regain(now int64) {
 	if from := max(r.spentAt, r.until.Load()); now > from {
 		r.spent = max(r.spent-time.Duration(now-from)/idleTimePerReading, 0)
 		r.spentAt = now
@@ -46,7 +47,7 @@
 func (r *reading) add(sentAt int64, d time.Duration, now int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.recover(now)
+	r.regain(now)
 	sentAt = min(max(sentAt, now-int64(maxReading)), now)
 	until := r.until.Load()
 	from := max(until, now)
@@ -70,7 +71,7 @@
 	if sentAt < r.lastSentAt {
 		return
 	}
-	r.recover(now)
+	r.regain(now)
 	r.spent = max(r.spent-time.Duration(max(r.until.Load()-now, 0)), 0)
 	r.spentAt = max(r.spentAt, now)
 	r.until.Store(0)
--- a/runner/prompts.go
+++ b/runner/prompts.go
@@ -13,7 +13,7 @@
 	"github.com/siskinfront/siskinfront/identifier"
 )
 
-// flushInterval is the time between two looks for prompts whose announcement had to wait.
+// flushInterval is the time between two attempts to announce prompts that the bound on the traffic has held back.
 const flushInterval = 100 * time.Millisecond
 
 // prompts tells the balancer, and the other entries, which upstreams read long prompts.
