announcer: send announcements without the mutex, and drop single ones

Flush now takes each announcement under the mutex and sends it after unlocking. Remove drops a prompt that still waits, for attempts that end without an event.

TestAddDoesNotWaitForDatagrams failed before: Add waited for over 5 s behind a send that did not return. It passes, also with -race.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -21,6 +21,8 @@
 
 // Prompt is a long prompt that this entry has sent.
 type Prompt struct {
+	// ID tells the prompts of an entry apart for Remove.
+	ID              uint64
 	Upstream, Model uint64
 	Tokens          int
 	SentAt          time.Time
@@ -60,26 +62,46 @@
 	}
 }
 
+// Remove drops a prompt that still waits to be announced, since no upstream reads it any more.
+func (a *Announcer) Remove(id uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	before := len(a.pending)
+	a.pending = slices.DeleteFunc(a.pending, func(p Prompt) bool { return p.ID == id })
+	a.dropped.Add(int64(before - len(a.pending)))
+}
+
 // Flush announces prompts while the bounds allow it; it is to be called some times in a second and after Add.
 func (a *Announcer) Flush() {
+	others := a.numEntries() - 1
+	for {
+		m, ok := a.next(others)
+		if !ok {
+			return
+		}
+		// The mutex is not held here: a datagram to each of some hundred entries takes long, and requests call Add.
+		a.send(m.Encode())
+		a.sent.Add(1)
+	}
+}
+
+// next takes the longest prompt that waits, or returns false if there is none or the bounds do not allow another announcement.
+func (a *Announcer) next(others int) (Announcement, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.now()
 	before := len(a.pending)
 	a.pending = slices.DeleteFunc(a.pending, func(p Prompt) bool { return !now.Before(p.ReadAt) })
 	a.dropped.Add(int64(before - len(a.pending)))
-	others := a.numEntries() - 1
 	if others <= 0 {
 		a.pending = nil
-		return
 	}
-	for len(a.pending) > 0 && a.take(now, others) {
-		p := a.pending[0]
-		a.pending = slices.Delete(a.pending, 0, 1)
-		m := Announcement{Upstream: p.Upstream, Model: p.Model, Tokens: p.Tokens, Age: now.Sub(p.SentAt)}
-		a.send(m.Encode())
-		a.sent.Add(1)
+	if len(a.pending) == 0 || !a.take(now, others) {
+		return Announcement{}, false
 	}
+	p := a.pending[0]
+	a.pending = slices.Delete(a.pending, 0, 1)
+	return Announcement{Upstream: p.Upstream, Model: p.Model, Tokens: p.Tokens, Age: now.Sub(p.SentAt)}, true
 }
 
 // take reports whether an announcement may be sent now, and counts it. In any second there are at most maxPerSecond, or as many as the
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -142,3 +142,28 @@
 	}
 	must.LessEq(t, 8, knownModels)
 }
+
+// Guards against requests that wait until an announcement is sent to all other entries.
+func TestAddDoesNotWaitForDatagrams(t *testing.T) {
+	sending, release := make(chan struct{}), make(chan struct{})
+	a := announcer.New(time.Now, func([]byte) {
+		sending <- struct{}{}
+		<-release
+	}, func() int { return 330 })
+	p := announcer.Prompt{Tokens: 5, SentAt: time.Now(), ReadAt: time.Now().Add(time.Hour)}
+	a.Add(p)
+	go a.Flush()
+	<-sending
+	added := make(chan struct{})
+	go func() {
+		a.Add(p)
+		close(added)
+	}()
+	select {
+	case <-added:
+	case <-time.After(5 * time.Second):
+		t.Error("Add waits for a datagram")
+	}
+	close(release)
+	<-added
+}
