announcer: bound the effect of untrue lengths and of made-up models

Callers state the lengths of prompts and the names of models. One sample of 1,000,000 tokens in 0.1 s changed the time for 45,000 tokens from 0.471 s to 3.8 ms, not known; and 64 names filled the table for ever.

A sample counts as at most 64,000 tokens, with its time in proportion. It is moved to within 3 standard deviations of the line, and so that it changes a known slope by at most 3%. The model with the fewest samples makes room for a new one; each eviction lowers the weight of earlier samples by a tenth, so that former models are evicted in the end.

TestUntrueLengthsHaveBoundedEffect failed before in all six cases (3.8 ms, -0.7 ms, 329 to 332 ms, 0.890 s, 3.859 s). Now one sample leaves 0.478 to 0.500 s, ten leave 0.376 to 0.632 s, and after 2,000 further prompts it is 0.432 to 0.606 s; true is 0.5 s. TestModelNamesAreEvicted and TestFormerModelsAreEvicted failed before. A change to a third or to three times the speed is followed within a third after 12,000 prompts: 1.525 s of 1.5 s, 0.131 s of 0.167 s.

--- a/announcer/speed.go
+++ b/announcer/speed.go
@@ -1,6 +1,7 @@
 package announcer
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -15,8 +16,20 @@
 	minConfidence = 2
 	// maxSample bounds the time of a sample, so that an upstream that hangs does not outweigh the others.
 	maxSample = 20 * time.Second
+	// maxSampleTokens bounds the tokens of a sample, and its time in proportion. Callers state the lengths of prompts, and a single
+	// untrue one of 1,000,000 tokens outweighed 8,000 others.
+	maxSampleTokens = 64_000
+	// maxDeviations bounds the distance of a sample from the line, in standard deviations, once there are minLineSamples.
+	maxDeviations  = 3
+	minLineSamples = 100
+	// maxSlopeChange bounds the part by which a sample changes a slope that is known, so that ten untrue lengths change it by less than
+	// a third.
+	maxSlopeChange = 0.03
 	// maxModels bounds the models whose speed is learned.
 	maxModels = 64
+	// usesKept is the part of the uses that models keep as another one is evicted, so that models that are no longer served are
+	// evicted in the end although they have many samples.
+	usesKept = 0.9
 )
 
 // Speeds learns the time that engines of mean speed take to read a token of each model, from the first events of prompts of different
@@ -30,6 +43,22 @@
 // regression holds the moments of a linear regression of y on x about their means, with weights that decay.
 type regression struct {
 	n, meanX, meanY, xx, xy, yy float64
+	// uses is the number of samples, with a lower weight for those before evictions.
+	uses float64
+}
+
+// bound returns y, moved towards the line to within maxDeviations and maxSlopeChange.
+func (r *regression) bound(x, y float64) float64 {
+	if r.n < minLineSamples || r.xx <= 0 {
+		return y
+	}
+	slope, known := r.slope()
+	line := r.meanY + slope*(x-r.meanX)
+	margin := maxDeviations * math.Sqrt(max(r.yy-slope*r.xy, 0)/r.n)
+	if known {
+		margin = min(margin, maxSlopeChange*r.xy/math.Abs(x-r.meanX))
+	}
+	return min(max(y, line-margin), line+margin)
 }
 
 func (r *regression) add(x, y float64) {
@@ -66,12 +95,31 @@
 	r := s.models[model]
 	if r == nil {
 		if len(s.models) >= maxModels {
-			return
+			s.evict()
 		}
 		r = &regression{}
 		s.models[model] = r
 	}
-	r.add(tokens*slowdown, min(took, maxSample).Seconds())
+	r.uses++
+	x, y := tokens*slowdown, min(took, maxSample).Seconds()
+	if x > maxSampleTokens {
+		x, y = maxSampleTokens, y*maxSampleTokens/x
+	}
+	r.add(x, r.bound(x, y))
+}
+
+// evict drops the model with the fewest uses. Callers state the names of models, so that a new name must not drop a model in use, and
+// names without further requests must not keep one out.
+func (s *Speeds) evict() {
+	var least uint64
+	fewest := math.Inf(1)
+	for model, r := range s.models {
+		if r.uses < fewest {
+			least, fewest = model, r.uses
+		}
+		r.uses *= usesKept
+	}
+	delete(s.models, least)
 }
 
 // Time returns the time that an engine takes to read a prompt, or false if the speed is not known yet.
