balancer: charge no ended reading, end single prompts, find hashes by map

An upstream over its share of choices counts as reading as long as any other of its pool. The number kept for that never fell when a reading ended, and two updates at once could lose one. It is now computed over the subset when an excess is found, which is rare.

AddOwnReading returns what a prompt adds, and EndUnread gives the rest of that back. It does not know which prompt an upstream reads at the time; the load never falls below none.

TestReadingIsBounded now also ends single prompts, with the bounds as they were.

--- a/balancer/evenload.go
+++ b/balancer/evenload.go
@@ -131,7 +131,7 @@
 	if excess := p.excessShare(u, nowNanos); excess > 1 {
 		load, slowdown = max(load, (mean+1)*excess), max(slowdown, 1)
 		// Announcements about all others attract no more requests to an upstream than its own reports may.
-		reading = max(reading, readingLoad(p.readUntil.Load(), nowNanos))
+		reading = max(reading, readingLoad(p.readUntil(), nowNanos))
 	}
 	return (load+base)*slowdown - base + reading
 }
--- a/balancer/reading.go
+++ b/balancer/reading.go
@@ -33,6 +33,16 @@
 	// Unix nanoseconds.
 	spent               time.Duration
 	spentAt, lastSentAt int64
+	// ends counts the calls of end that had an effect.
+	ends uint64
+}
+
+// Reading is the part of an upstream's time of reading that one prompt of this entry takes, for EndUnread.
+type Reading struct {
+	upstream                 *trackedUpstream
+	until, sentAt, sentAtOld int64
+	extra                    time.Duration
+	ends                     uint64
 }
 
 // regain lowers the used part of maxReading for the time that has passed without reading. The mutex must be held.
@@ -43,8 +53,9 @@
 	}
 }
 
-// add records a prompt that an upstream needs a time to read after the others. It returns whether any of that time counts.
-func (r *reading) add(sentAt int64, d time.Duration, now int64) bool {
+// add records a prompt that an upstream needs a time to read after the others. It returns the part of that time that counts, or false
+// if none does.
+func (r *reading) add(sentAt int64, d time.Duration, now int64) (Reading, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.regain(now)
@@ -53,12 +64,33 @@
 	from := max(until, now)
 	extra := min(time.Duration(max(until, sentAt)-from)+min(max(d, 0), maxReading), maxReading-r.spent)
 	if extra <= 0 || r.spent > maxReading-MinReading {
-		return false
+		return Reading{}, false
 	}
 	r.spent += extra
+	own := Reading{until: from + int64(extra), sentAt: sentAt, sentAtOld: r.lastSentAt, extra: extra, ends: r.ends}
 	r.lastSentAt = max(r.lastSentAt, sentAt)
-	r.until.Store(from + int64(extra))
-	return true
+	r.until.Store(own.until)
+	return own, true
+}
+
+// remove gives back what is left of the time that one prompt takes, unless end has done so.
+func (r *reading) remove(own Reading, now int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until := r.until.Load()
+	left := min(int64(own.extra), own.until-now, until-now)
+	if own.ends != r.ends || left <= 0 {
+		return
+	}
+	r.regain(now)
+	r.spent = max(r.spent-time.Duration(left), 0)
+	if r.lastSentAt == own.sentAt {
+		r.lastSentAt = own.sentAtOld
+	}
+	if until -= left; until <= now {
+		until, r.spentAt = 0, max(r.spentAt, now)
+	}
+	r.until.Store(until)
 }
 
 // end records that the upstream has read all prompts that were sent until a time.
@@ -71,6 +103,7 @@
 	if sentAt < r.lastSentAt {
 		return
 	}
+	r.ends++
 	r.regain(now)
 	r.spent = max(r.spent-time.Duration(max(r.until.Load()-now, 0)), 0)
 	r.spentAt = max(r.spentAt, now)
@@ -89,14 +122,35 @@
 // reading for at most 5 s at a time, and for a fifth of the time in the long run. It returns false if the prompt has no effect. Only
 // WithEvenLoad compares upstreams by it.
 func (b *Balancer) AddReading(u identifier.Upstream, sentAt time.Time, d time.Duration) bool {
+	_, ok := b.AddOwnReading(u, sentAt, d)
+	return ok
+}
+
+// AddOwnReading is AddReading for a prompt of this entry, whose Reading can be ended by itself.
+func (b *Balancer) AddOwnReading(u identifier.Upstream, sentAt time.Time, d time.Duration) (Reading, bool) {
 	c := b.current.Load().byName[u]
-	if c == nil || !c.tracked.reading.add(sentAt.UnixNano(), d, b.opts.now().UnixNano()) {
-		return false
+	if c == nil {
+		return Reading{}, false
 	}
-	for _, p := range c.pools {
-		p.readUntil.Store(max(p.readUntil.Load(), c.tracked.reading.until.Load()))
+	r, ok := c.tracked.reading.add(sentAt.UnixNano(), d, b.opts.now().UnixNano())
+	r.upstream = c.tracked
+	return r, ok
+}
+
+// EndUnread records that an upstream does not read a prompt of this entry any more, although nothing is known of the others there.
+func (b *Balancer) EndUnread(r Reading) {
+	if r.upstream != nil {
+		r.upstream.reading.remove(r, b.opts.now().UnixNano())
+	}
+}
+
+// readUntil returns the latest end of reading that is expected of a member of the subset, in Unix nanoseconds. It is computed for
+// upstreams over their share of choices only, which are few.
+func (p *pool) readUntil() (until int64) {
+	for _, c := range p.subset {
+		until = max(until, c.tracked.reading.until.Load())
 	}
-	return true
+	return until
 }
 
 // EndReading records that an upstream has read all prompts that were sent to it until a time.
@@ -108,10 +162,8 @@
 
 // UpstreamByHash returns the upstream whose name has an xxhash, and false if there is none.
 func (b *Balancer) UpstreamByHash(hash uint64) (identifier.Upstream, bool) {
-	for _, c := range b.current.Load().byNumber {
-		if c != nil && c.tracked.hash == hash {
-			return c.upstream.Name, true
-		}
+	if c := b.current.Load().byHash[hash]; c != nil {
+		return c.upstream.Name, true
 	}
 	return "", false
 }
--- a/balancer/reading_test.go
+++ b/balancer/reading_test.go
@@ -61,12 +61,16 @@
 		idle := expected()
 		duration := rapid.OneOf(rapid.Int64Range(0, int64(10*time.Second)), rapid.Int64(), rapid.SampledFrom([]int64{0, -1, math.MaxInt64, math.MinInt64}))
 		busy, atOnce, total := time.Duration(0), time.Duration(0), time.Duration(0)
+		var owns []balancer.Reading
 		for range rapid.IntRange(1, 200).Draw(t, "announcements") {
 			sentAt := now.Add(-time.Duration(duration.Draw(t, "age")))
 			before := expected()
-			counts := b.AddReading("u", sentAt, time.Duration(duration.Draw(t, "time")))
-			if rapid.IntRange(0, 9).Draw(t, "ends") == 0 {
+			own, counts := b.AddOwnReading("u", sentAt, time.Duration(duration.Draw(t, "time")))
+			owns = append(owns, own)
+			if x := rapid.IntRange(0, 9).Draw(t, "ends"); x == 0 {
 				b.EndReading("u", now)
+			} else if x == 1 {
+				b.EndUnread(owns[rapid.IntRange(0, len(owns)-1).Draw(t, "unread")])
 			} else if !counts && expected() != before {
 				t.Fatal("an announcement without effect changes the expected time")
 			}
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -92,8 +92,6 @@
 	prefixes *prefixWindow
 	// choices counts the choices from the pool, with WithEvenLoad only.
 	choices choiceWindow
-	// readUntil is the latest end of reading that was expected of a member of the subset, in Unix nanoseconds.
-	readUntil atomic.Int64
 	// probePool is a ring buffer of the indexes in subset of the candidates with the latest samples, -1 for none.
 	probePool       [probePoolSize]atomic.Int32
 	probePoolWrites atomic.Uint32 // the next write goes to this index modulo probePoolSize
@@ -115,7 +113,8 @@
 	targets  map[identifier.Target]*pool
 	services map[identifier.Service]*pool
 	byName   map[identifier.Upstream]*candidate
-	byNumber []*candidate // by number of the tracked upstream, with nil for unused numbers
+	byHash   map[uint64]*candidate // by hash of the name
+	byNumber []*candidate          // by number of the tracked upstream, with nil for unused numbers
 	pools    []*pool
 }
 
@@ -130,7 +129,7 @@
 func (b *Balancer) buildSnapshot(ups []Upstream) *snapshot {
 	s := &snapshot{
 		targets: make(map[identifier.Target]*pool), services: make(map[identifier.Service]*pool),
-		byName: make(map[identifier.Upstream]*candidate, len(ups)),
+		byName: make(map[identifier.Upstream]*candidate, len(ups)), byHash: make(map[uint64]*candidate, len(ups)),
 	}
 	previous := b.current.Load()
 	if previous == nil {
@@ -156,7 +155,7 @@
 			tracked.isLeaving.Store(true)
 		}
 		c := &candidate{upstream: u, tracked: tracked, distance: b.opts.distance(b.self, region, u)}
-		s.byName[u.Name] = c
+		s.byName[u.Name], s.byHash[tracked.hash] = c, c
 		for int(tracked.number) >= len(s.byNumber) {
 			s.byNumber = append(s.byNumber, nil)
 		}
@@ -228,7 +227,6 @@
 		now := b.opts.now().UnixNano()
 		for _, c := range p.subset {
 			p.choices.add(uint64(c.tracked.choices.count(now)), now)
-			p.readUntil.Store(max(p.readUntil.Load(), c.tracked.reading.until.Load()))
 		}
 	}
 }
