forwarder: report prompts of attempts that end without an event

An attempt that failed without a first event left its prompt open: an error status, a refused or closed connection, a replaced attempt, a caller that leaves.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -269,6 +269,7 @@
 	}
 	c.watch.stop()
 	c.f.balancer.End(c.name, r)
+	c.observePromptUnread()
 	defer c.f.OnAttemptEnd(c.info)
 	a := &c.q.attempts[c.index]
 	a.outcome, a.took = o, c.f.Now().Sub(c.beganAt)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -95,9 +95,10 @@
 	// of a stream take after the first one, scaled up if the stream ends before.
 	OnResponse, OnPace func(Attempt, time.Duration)
 	// OnPrompt receives the prompt of each attempt whose length is known, and OnPromptRead the same with the time from sending it to the first
-	// event; both may be nil.
-	OnPrompt     func(Prompt)
-	OnPromptRead func(Prompt, time.Duration)
+	// event. OnPromptUnread receives it instead if the attempt ends without an event. All may be nil.
+	OnPrompt       func(Prompt)
+	OnPromptRead   func(Prompt, time.Duration)
+	OnPromptUnread func(Prompt)
 	// OnLeaving receives an upstream when its responses begin to say that it leaves.
 	OnLeaving func(*registrar.Upstream)
 	// OnCold receives an upstream with the end of the time in which it is cold, as each response says that names one.
