runner: give back unread prompts, refuse strangers before the look-up

An upstream that never ran a long prompt counted as reading it for up to 5 s, and its announcement was sent nevertheless. The time of the own prompt is now given back when its attempt ends without an event, and an announcement that waits is dropped. One that was sent is not recalled. Announcements of addresses that are no entries are refused before their upstream is looked up.

TestUnreadPromptsAreGivenBack fails without the give-back (0 of 400 choices go to the upstream). TestStrangersAreRefusedFirst failed with the former order of the checks, by the look-up.

--- a/runner/prompts.go
+++ b/runner/prompts.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,10 @@
 	// added receives a value when a prompt is to be announced.
 	added chan struct{}
 
+	mu sync.Mutex
+	// readings holds the long prompts of this entry whose first event has not come, by attempt.
+	readings map[uint64]balancer.Reading
+
 	heard, ignored, invalid atomic.Int64
 }
 
@@ -35,7 +40,7 @@
 	s := r.settings.Load()
 	x := &prompts{
 		enabled: s.SharedPrompts && s.EvenLoad && s.PeerAddress.IsValid(), balancer: r.balancer, sharing: r.sharing, now: time.Now,
-		added: make(chan struct{}, 1),
+		added: make(chan struct{}, 1), readings: make(map[uint64]balancer.Reading),
 	}
 	x.announcer = announcer.New(func() time.Time { return x.now() }, x.send, r.sharing.numEntries)
 	r.prompts = x
@@ -43,7 +48,7 @@
 	if !x.enabled {
 		return
 	}
-	r.forwarder.OnPrompt, r.forwarder.OnPromptRead = x.sent, x.read
+	r.forwarder.OnPrompt, r.forwarder.OnPromptRead, r.forwarder.OnPromptUnread = x.sent, x.read, x.unread
 	others := r.sharing.broadcaster.ReceiveBytes
 	r.sharing.broadcaster.ReceiveBytes = func(from netip.AddrPort, data []byte) {
 		if announcer.IsAnnouncement(data) {
@@ -68,9 +73,13 @@
 	if !ok || d < balancer.MinReading {
 		return
 	}
-	x.balancer.AddReading(p.Upstream, p.SentAt, d)
+	if own, ok := x.balancer.AddOwnReading(p.Upstream, p.SentAt, d); ok {
+		x.mu.Lock()
+		x.readings[p.Attempt] = own
+		x.mu.Unlock()
+	}
 	x.announcer.Add(announcer.Prompt{
-		Upstream: announcer.Hash(string(p.Upstream)), Model: model, Tokens: p.Tokens, SentAt: p.SentAt, ReadAt: p.SentAt.Add(d),
+		ID: p.Attempt, Upstream: announcer.Hash(string(p.Upstream)), Model: model, Tokens: p.Tokens, SentAt: p.SentAt, ReadAt: p.SentAt.Add(d),
 	})
 	select {
 	case x.added <- struct{}{}:
@@ -86,9 +95,26 @@
 // read records that the first event of a request has come a time after the request was sent.
 func (x *prompts) read(p forwarder.Prompt, took time.Duration) {
 	x.speeds.Observe(announcer.Hash(p.Model), float64(p.Tokens), x.balancer.Slowdown(p.Upstream), took)
+	x.takeReading(p)
 	x.balancer.EndReading(p.Upstream, p.SentAt)
 }
 
+// unread records that the attempt of a prompt has ended without an event, so that its upstream does not read it any more, or never has.
+// The other entries do not learn of it if the prompt has been announced.
+func (x *prompts) unread(p forwarder.Prompt) {
+	x.announcer.Remove(p.Attempt)
+	x.balancer.EndUnread(x.takeReading(p))
+}
+
+// takeReading removes and returns what the balancer counts for a prompt of this entry, if anything.
+func (x *prompts) takeReading(p forwarder.Prompt) balancer.Reading {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	own := x.readings[p.Attempt]
+	delete(x.readings, p.Attempt)
+	return own
+}
+
 // receive handles an announcement of another entry.
 func (x *prompts) receive(from netip.AddrPort, data []byte) {
 	a, err := announcer.Decode(data)
@@ -96,8 +122,12 @@
 		x.invalid.Add(1)
 		return
 	}
+	if !slices.Contains(x.sharing.peerAddresses(), from) {
+		x.ignored.Add(1)
+		return
+	}
 	u, ok := x.balancer.UpstreamByHash(a.Upstream)
-	if !ok || !slices.Contains(x.sharing.peerAddresses(), from) {
+	if !ok {
 		x.ignored.Add(1)
 		return
 	}
--- a/runner/prompts_internal_test.go
+++ b/runner/prompts_internal_test.go
@@ -174,3 +174,35 @@
 	after, _ := x.readingTime("u0/1", announcer.Hash("m"), 45_000)
 	must.EqOp(t, before, after)
 }
+
+// Guards against an upstream that counts as reading, here or at the other entries, after an attempt there that ended without an event.
+func TestUnreadPromptsAreGivenBack(t *testing.T) {
+	x := newPromptRunner(func(*Settings) {}).prompts
+	datagrams := 0
+	x.announcer = announcer.New(time.Now, func([]byte) { datagrams++ }, func() int { return 2 })
+	usual := x.choices(t)
+	must.Positive(t, usual)
+	p := forwarder.Prompt{Attempt: 1, Upstream: "u0/1", Model: "m", Tokens: 400_000, SentAt: time.Now()}
+	x.sent(p)
+	must.EqOp(t, 0, x.choices(t))
+	x.unread(p)
+	must.Positive(t, x.choices(t))
+	other := p
+	other.Attempt = 2
+	x.sent(other)
+	x.unread(p)
+	must.EqOp(t, 0, x.choices(t))
+	x.announcer.Flush()
+	must.EqOp(t, 1, datagrams)
+	x.read(other, time.Second)
+	must.MapEmpty(t, x.readings)
+}
+
+// Guards against strangers whose datagrams are looked up among the upstreams.
+func TestStrangersAreRefusedFirst(t *testing.T) {
+	x := newPromptRunner(func(*Settings) {}).prompts
+	x.balancer = nil // a lookup would stop the test
+	a := announcer.Announcement{Upstream: announcer.Hash("u0/1"), Model: announcer.Hash("m"), Tokens: 70_000}
+	x.receive(netip.MustParseAddrPort("127.0.0.3:7340"), a.Encode())
+	must.EqOp(t, 1, x.Counters()["ignored"])
+}
