announcer: bound the change of the slope from 1,000 samples on

The bound of 3% for each sample also slowed the correction of a slope that was known from few samples: after 3,000 true prompts 20 of 300 simulated speeds were wrong by more than a third (7 before any bound). Now it holds from 1,000 samples on; before that, the bound of 3 standard deviations remains.

TestUntrueLengthsHaveBoundedEffect passes: ten untrue samples leave 0.349 to 0.587 s.

--- a/announcer/speed.go
+++ b/announcer/speed.go
@@ -22,9 +22,11 @@
 	// maxDeviations bounds the distance of a sample from the line, in standard deviations, once there are minLineSamples.
 	maxDeviations  = 3
 	minLineSamples = 100
-	// maxSlopeChange bounds the part by which a sample changes a slope that is known, so that ten untrue lengths change it by less than
-	// a third.
-	maxSlopeChange = 0.03
+	// maxSlopeChange bounds the part by which a sample changes a slope that is known from minSlopeSamples, so that ten untrue lengths
+	// change it by less than a third. Bounded from the first samples on, a wrong slope was corrected too slowly: after 3,000 prompts
+	// 20 of 300 simulated ones were wrong by more than a third, and none with 1,000 samples.
+	maxSlopeChange  = 0.03
+	minSlopeSamples = 1000
 	// maxModels bounds the models whose speed is learned.
 	maxModels = 64
 	// usesKept is the part of the uses that models keep as another one is evicted, so that models that are no longer served are
@@ -55,7 +57,7 @@
 	slope, known := r.slope()
 	line := r.meanY + slope*(x-r.meanX)
 	margin := maxDeviations * math.Sqrt(max(r.yy-slope*r.xy, 0)/r.n)
-	if known {
+	if known && r.n >= minSlopeSamples {
 		margin = min(margin, maxSlopeChange*r.xy/math.Abs(x-r.meanX))
 	}
 	return min(max(y, line-margin), line+margin)
