runner: rows of entries that lose their collector stay fresh

Cause: after a collector was lost, all entries of its group made their own step and called the next collector 1.5 s later, milliseconds after that had stepped with a desk already started. It held the calls for 1.49 s, dropped them as too old, and the rows of live entries became 4.5 s old. Rows over 3.5 s do not count requests at the former version, so a roll-out could succeed too early. Change: an entry that knows no time of the collector's next step, or whose time is past, wants the short interval, so its call is held for at most 0.5 s. The bound of 1 s on held tallies stays: a longer one would let a paused collector overwrite a later row.

--- a/collector/desk.go
+++ b/collector/desk.go
@@ -19,7 +19,8 @@
 	// from another region.
 	CallLead = 150 * time.Millisecond
 	// maxHeldTime is the time for which a tally may be held and still be written. Beyond it the collector was paused, and the entry may have
-	// written a later one by itself.
+	// written a later one by itself. A collector that works holds a call for less: the entry calls just before a step that it was told, or
+	// wants the short interval.
 	maxHeldTime = time.Second
 	// collectingTime is how long after the last call an entry still collects.
 	collectingTime = 2 * LongInterval
--- a/collector/desk_test.go
+++ b/collector/desk_test.go
@@ -92,6 +92,18 @@
 	must.EqOp(t, "a", string(tallies[0].Entry))
 }
 
+// Guards against a tally that is held by a collector that works until it is too old to be written: the collector has stepped just before the
+// call of an entry that was told no time.
+func TestUnplannedCallIsWritten(t *testing.T) {
+	var d collector.Desk
+	d.Start(at(0))
+	d.Begin(false, at(0))
+	must.NoError(t, d.Hold(newCall("a", true, at(20)), at(20)))
+	due := d.DueAt()
+	must.EqOp(t, at(500), due)
+	must.Len(t, 1, collector.Fresh(d.Begin(false, due), storeAt(due), due))
+}
+
 // Guards against calls of one entry that take all places, and against calls without bound.
 func TestHeldCallsAreBounded(t *testing.T) {
 	var d collector.Desk
--- a/collector/message.go
+++ b/collector/message.go
@@ -26,7 +26,7 @@
 type Call struct {
 	Order Order          `json:"order"`
 	Tally promoter.Tally `json:"tally"`
-	// Short says that the entry wants the short interval, and NeedsStatus that it does not know whether the store has a status of the order.
+	// Short says that the entry wants the short interval or knows no time of the next step, and NeedsStatus that it does not know whether the store has a status of the order.
 	Short       bool `json:"short"`
 	NeedsStatus bool `json:"needs-status"`
 }
--- a/runner/collectorcall.go
+++ b/runner/collectorcall.go
@@ -21,7 +21,8 @@
 	r.mu.Lock()
 	now := r.now()
 	order, name := x.order, x.choice.Current()
-	call := collector.Call{Order: x.key(), Short: x.wantsShort(now), NeedsStatus: x.needsStatus()}
+	short := x.wantsShort(now)
+	call := collector.Call{Order: x.key(), Short: short || x.isUnplanned(now), NeedsStatus: x.needsStatus()}
 	deadline := collector.CallDeadline(call.Short, x.collectorStepAt, now)
 	ctxCall, cancel := context.WithTimeout(ctx, deadline.Sub(now))
 	defer cancel()
@@ -60,7 +61,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x.nextStepAt = now.Add(tallyInterval)
-	if call.Short {
+	if short {
 		x.nextStepAt = now.Add(badTallyInterval)
 	}
 	if err == nil || errors.Is(err, storer.ErrConflict) {
