--- a/runner/settings_test.go
+++ b/runner/settings_test.go
@@ -76,7 +76,7 @@
 	must.EqOp(t, "10.1.0.40:9464", s.DebugAddress.String())
 	must.EqOp(t, "10.1.0.40:7340", s.PeerAddress.String())
 	must.True(t, s.SharedConfirmations)
-	must.False(t, s.SharedTallies)
+	must.True(t, s.SharedTallies)
 	must.True(t, s.SingleStoreProbe)
 	must.EqOp(t, 8500*time.Millisecond, s.SessionTime)
 	must.EqOp(t, 134_000_000, s.MemoryBytes)
@@ -128,13 +128,13 @@
 		"negative for prompts":      {"prompts: false", "prompts: -1", "shared-prompts"},
 		"huge number for prompts":   {"prompts: false", "prompts: 1e300", "shared-prompts"},
 		"text for prompts":          {"prompts: false", "prompts: long", "shared-prompts"},
-		"number as tallies":         {"tallies: false", "tallies: 1", "shared-tallies"},
-		"negative tallies":          {"tallies: false", "tallies: -1", "shared-tallies"},
-		"huge tallies":              {"tallies: false", "tallies: 1e300", "shared-tallies"},
-		"text as tallies":           {"tallies: false", "tallies: often", "shared-tallies"},
-		"list as tallies":           {"tallies: false", "tallies: [true]", "shared-tallies"},
-		"empty tallies":             {"tallies: false", "tallies:", "shared-tallies"},
-		"null as tallies":           {"tallies: false", "tallies: null", "shared-tallies"},
+		"number as tallies":         {"tallies: true", "tallies: 1", "shared-tallies"},
+		"negative tallies":          {"tallies: true", "tallies: -1", "shared-tallies"},
+		"huge tallies":              {"tallies: true", "tallies: 1e300", "shared-tallies"},
+		"text as tallies":           {"tallies: true", "tallies: often", "shared-tallies"},
+		"list as tallies":           {"tallies: true", "tallies: [true]", "shared-tallies"},
+		"empty tallies":             {"tallies: true", "tallies:", "shared-tallies"},
+		"null as tallies":           {"tallies: true", "tallies: null", "shared-tallies"},
 		"number as probe":           {"probe: true", "probe: 1", "single-store-probe"},
 		"negative probe":            {"probe: true", "probe: -1", "single-store-probe"},
 		"huge probe":                {"probe: true", "probe: 1e300", "single-store-probe"},
