--- a/runner/collectorcall.go
+++ b/runner/collectorcall.go
@@ -21,8 +21,7 @@
 	r.mu.Lock()
 	now := r.now()
 	order, name := x.order, x.choice.Current()
-	short := x.wantsShort(now)
-	call := collector.Call{Order: x.key(), Short: short || x.isUnplanned(now), NeedsStatus: x.needsStatus()}
+	call := collector.Call{Order: x.key(), Short: x.wantsShort(now), NeedsStatus: x.needsStatus()}
 	deadline := collector.CallDeadline(call.Short, x.collectorStepAt, now)
 	ctxCall, cancel := context.WithTimeout(ctx, deadline.Sub(now))
 	defer cancel()
@@ -61,7 +60,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x.nextStepAt = now.Add(tallyInterval)
-	if short {
+	if call.Short {
 		x.nextStepAt = now.Add(badTallyInterval)
 	}
 	if err == nil || errors.Is(err, storer.ErrConflict) {
--- a/runner/sharedsteps.go
+++ b/runner/sharedsteps.go
@@ -54,12 +54,6 @@
 	return r.timed.IsDeciding(r.storeNow(now)) || r.hasBadAnswers()
 }
 
-// isUnplanned reports whether the collector may just have stepped, as its next step is not known or is past. Held for the long interval, the
-// tally would be too old to be written, and the row of the entry would count as absent before the step after that.
-func (r *rollout) isUnplanned(now time.Time) bool {
-	return !r.needsStatus() && !now.Before(r.collectorStepAt)
-}
-
 // hasBadAnswers reports whether there were bad answers since the last step.
 func (r *rollout) hasBadAnswers() bool {
 	return r.timed.BadAnswers() > r.badAnswers
@@ -163,10 +157,6 @@
 		first := now
 		if x.nextStepAt.After(now) {
 			first = x.nextStepAt
-			if x.choice.Failed() > 0 {
-				// The other entries have made their own steps at about the same time, and call when this one's next would be due.
-				first = first.Add(collector.CallLead)
-			}
 		}
 		x.desk.Start(first)
 		if x.hasBadAnswers() {
