runner: an entry that the store refuses leaves its lost collector

Cause: a collector was failed only if the own step reached the store, so a refused entry called a lost one for the rest of the order. Change: a collector that does not answer is replaced in any case; failures are forgotten with the first step that works after an outage. TestFaultsOfSharedTallies waits for its events before it logs them (a data race of the test).

--- a/collector/choice.go
+++ b/collector/choice.go
@@ -102,3 +102,12 @@
 	c.failed[c.current] = true
 	c.current = ""
 }
+
+// Forget forgets the failures after an outage, in which collectors fail entries without a fault of their own. An entry that had come to itself
+// chooses anew, and one whose collector works keeps it.
+func (c *Choice) Forget(self identifier.Instance) {
+	c.failed = nil
+	if c.current == self {
+		c.current = ""
+	}
+}
--- a/runner/collectorcall.go
+++ b/runner/collectorcall.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/siskinfront/siskinfront/collector"
+	"github.com/siskinfront/siskinfront/messenger"
 	"github.com/siskinfront/siskinfront/promoter"
 	"github.com/siskinfront/siskinfront/storer"
 )
@@ -21,7 +22,8 @@
 	r.mu.Lock()
 	now := r.now()
 	order, name := x.order, x.choice.Current()
-	call := collector.Call{Order: x.key(), Short: x.wantsShort(now), NeedsStatus: x.needsStatus()}
+	short := x.wantsShort(now)
+	call := collector.Call{Order: x.key(), Short: short || x.isUnplanned(now), NeedsStatus: x.needsStatus()}
 	deadline := collector.CallDeadline(call.Short, x.collectorStepAt, now)
 	ctxCall, cancel := context.WithTimeout(ctx, deadline.Sub(now))
 	defer cancel()
@@ -47,12 +49,17 @@
 	switch {
 	case err == nil:
 		r.tallies.collectedSteps.Add(1)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		x.endOutage(r.tallies.self)
 		return
 	case errors.Is(err, storer.ErrEraChanged):
 		r.stepFailed(x, &order, err)
 		return
 	}
 	r.tallies.callsFailed.Add(1)
+	var answered *messenger.Error
+	isAnswered := errors.As(err, &answered)
 	r.log.Info("call of collector failed", "service", order.Service, "to", order.To, "order", order.At.String(), "collector", name,
 		"error", err.Error())
 	r.tallies.ownSteps.Add(1)
@@ -60,13 +67,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x.nextStepAt = now.Add(tallyInterval)
-	if call.Short {
+	if short {
 		x.nextStepAt = now.Add(badTallyInterval)
 	}
-	if err == nil || errors.Is(err, storer.ErrConflict) {
-		// Otherwise the store may be out for all, and another collector would not do better.
+	reached := err == nil || errors.Is(err, storer.ErrConflict)
+	if reached || !isAnswered {
+		// A collector that answers with an error while this entry does not reach the store either would not be replaced by a better one.
 		x.choice.Fail()
 	}
+	if !reached {
+		x.outage = true
+	}
 }
 
 // ask calls a collector and decodes its answer.
--- a/runner/collectorcall_internal_test.go
+++ b/runner/collectorcall_internal_test.go
@@ -157,3 +157,24 @@
 		must.Positive(t, calls)
 	})
 }
+
+// Guards against an entry that the store refuses and that calls a collector that is lost for the rest of the roll-out.
+func TestRefusedEntryTakesNextCollector(t *testing.T) {
+	runFleet(t, 30, true, func(_ context.Context, t *testing.T, f *tallyFleet) {
+		f.order(fleetOrder(), 20*time.Millisecond)
+		time.Sleep(4 * time.Second)
+		lost := f.collectorsOf()[0]
+		refused := f.list()[0]
+		if refused == lost {
+			refused = f.list()[1]
+		}
+		f.store.mu.Lock()
+		f.store.refused[refused.entry] = true
+		f.store.mu.Unlock()
+		lost.kill()
+		time.Sleep(4 * time.Second)
+		before := refused.tallies.collectedSteps.Load()
+		time.Sleep(4 * time.Second)
+		must.GreaterEq(t, 2, refused.tallies.collectedSteps.Load()-before)
+	})
+}
--- a/runner/collectorstep.go
+++ b/runner/collectorstep.go
@@ -46,13 +46,20 @@
 			return reply
 		})
 	}
-	if err == nil || ctx.Err() != nil {
+	if err == nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		x.endOutage(r.tallies.self)
+		return
+	}
+	if ctx.Err() != nil {
 		return
 	}
 	for _, h := range calls {
 		h.End(collector.Reply{Err: err})
 	}
 	r.mu.Lock()
+	x.outage = true
 	if !x.statusKnown {
 		x.desk.WantShort(r.now())
 	}
--- a/runner/sharedsteps.go
+++ b/runner/sharedsteps.go
@@ -27,6 +27,8 @@
 	// collectorStepAt is the time of the collector's next step as it was told.
 	collectorStepAt time.Time
 	undecided       int
+	// outage is set while the entry reaches the store neither by itself nor through a collector.
+	outage bool
 }
 
 // duty is how an entry carries out a step.
@@ -54,6 +56,20 @@
 	return r.timed.IsDeciding(r.storeNow(now)) || r.hasBadAnswers()
 }
 
+// isUnplanned reports whether the collector may just have stepped, as its next step is not known or is past. Held for the long interval, the
+// tally would be too old to be written, and the row of the entry would count as absent before the step after that.
+func (r *rollout) isUnplanned(now time.Time) bool {
+	return !r.needsStatus() && !now.Before(r.collectorStepAt)
+}
+
+// endOutage forgets the failures of collectors with the first step that works after an outage, so that entries do not end alone.
+func (r *rollout) endOutage(self identifier.Instance) {
+	if r.outage {
+		r.outage = false
+		r.choice.Forget(self)
+	}
+}
+
 // hasBadAnswers reports whether there were bad answers since the last step.
 func (r *rollout) hasBadAnswers() bool {
 	return r.timed.BadAnswers() > r.badAnswers
@@ -157,6 +173,10 @@
 		first := now
 		if x.nextStepAt.After(now) {
 			first = x.nextStepAt
+			if x.choice.Failed() > 0 {
+				// The other entries have made their own steps at about the same time, and call when this one's next would be due.
+				first = first.Add(collector.CallLead)
+			}
 		}
 		x.desk.Start(first)
 		if x.hasBadAnswers() {
@@ -196,6 +216,7 @@
 		r.mu.Lock()
 		reply := collector.Reply{Err: err}
 		if err == nil {
+			x.endOutage(r.tallies.self)
 			reply = encode(x.answer(r.now()))
 		}
 		x.end(reply, r.now())
--- a/runner/tallyevents_internal_test.go
+++ b/runner/tallyevents_internal_test.go
@@ -85,7 +85,9 @@
 				if r.IntN(2) == 0 {
 					badAfter = 4*time.Second + time.Duration(r.IntN(9000))*time.Millisecond
 				}
+				done := make(chan struct{})
 				go func() {
+					defer close(done)
 					for range 1 + r.IntN(4) {
 						time.Sleep(time.Duration(r.IntN(5000)) * time.Millisecond)
 						x := events[r.IntN(len(events))]
@@ -97,6 +99,7 @@
 				s := play(ctx, t, f, badAfter)
 				// After a return of the store the entries look for the verdict for some time.
 				time.Sleep(25 * time.Second)
+				<-done
 				t.Logf("%d entries, bad after %v: %s; %v", len(f.list()), badAfter, s.state, played)
 				f.checkVerdict(t, s.state)
 				if badAfter > 0 {
